--- a/Makefile
+++ b/Makefile
@@ -45,14 +45,15 @@
 CTL_SRC = $(sort $(wildcard ctl_*.c))
 MAIN_SRC = geraniumhoistd.c
 NODE_SRC = $(filter-out $(CORE_SRC) $(CTL_SRC) $(MAIN_SRC) $(GEN_SRC), \
-	$(sort $(wildcard *.c)))
+	$(sort $(wildcard *.c platform/*.c)))
 TEST_SRC = $(sort $(wildcard regress/test_*.c))
 FAKE_SRC = $(sort $(wildcard regress/fake_*.c))
 BENCH_SRC = $(sort $(wildcard regress/bench_*.c))
 FUZZ_SRC = $(sort $(wildcard regress/fuzz_*.c))
 KIT_SRC = $(filter-out $(TEST_SRC) $(FAKE_SRC) $(BENCH_SRC) $(FUZZ_SRC), \
 	$(sort $(wildcard regress/*.c)))
-OWN_SRC = $(filter-out $(GEN), $(sort $(wildcard *.c *.h regress/*.c \
+OWN_SRC = $(filter-out $(GEN), $(sort $(wildcard *.c *.h platform/*.c \
+	platform/*.h regress/*.c \
 	regress/*.h examples/*.c)))
 
 o = $(patsubst %.c,$(BUILD)/%.o,$(1))
@@ -198,7 +199,7 @@
 clean:
 	rm -rf build build-asan build-fuzz
 
--include $(wildcard $(BUILD)/*.d $(BUILD)/regress/*.d $(BUILD)/examples/*.d)
+-include $(wildcard $(BUILD)/*.d $(BUILD)/platform/*.d $(BUILD)/regress/*.d $(BUILD)/examples/*.d)
 
 .PHONY: all have-deps check asan bench fuzz demo format lint rpc deps install clean
 .SECONDARY:
--- /dev/null
+++ b/core_fleet.h
@@ -0,0 +1,234 @@
+/*
+ * Decisions of the owner of a set of workers: which task of which job runs
+ * where, when it is stopped, when its end is on record.  Events in, changes
+ * to commit and orders out; no I/O.
+ *
+ * A run is one numbered start of a task.  It becomes a change of its job's
+ * record first (the intent); its start is given out only once that change is
+ * committed.  A run ends exactly once: by the worker's own list, or when it
+ * is certain that it neither runs nor can still begin.  The worker may
+ * forget an end only after the end's change is committed.
+ *
+ * Times are CLOCK_BOOTTIME unless they are named wall.
+ */
+#ifndef CORE_FLEET_H
+#define CORE_FLEET_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "core_pipeline.h"
+#include "core_time.h"
+
+#define GH_WORKER_ID_MAX 63
+#define GH_WORKER_LABELS_MAX 8
+#define GH_SAVED_MAX 255 /* bytes of a checkpoint's name */
+
+typedef struct gh_fleet gh_fleet_t;
+
+typedef struct gh_fleet_setup {
+	int64_t lease_ms;  /* that each hold and start grants */
+	int64_t orphan_ms; /* longest that a former owner's runs can live */
+	int64_t stop_ms;   /* longest time a worker takes to stop a task */
+} gh_fleet_setup_t;
+
+/* A task by name: job, occurrence, step and index within the step. */
+typedef struct gh_task_id {
+	char job[GH_JOB_ID_MAX + 1];
+	uint32_t occurrence;
+	uint32_t step;
+	uint32_t index;
+} gh_task_id_t;
+
+/* What discovery says of a worker. */
+typedef struct gh_worker_entry {
+	char id[GH_WORKER_ID_MAX + 1]; /* names one life of the worker */
+	char service[GH_QUEUE_MAX + 1];
+	char address[GH_ADDRESS_MAX + 1];
+	char labels[GH_WORKER_LABELS_MAX][GH_LABEL_MAX + 1]; /* rack included */
+	uint32_t n_labels;
+	gh_size_t size;
+	int64_t born_ms; /* wall clock; tells lives under one id apart */
+	bool draining;
+} gh_worker_entry_t;
+
+/* What a queue's configuration says of its jobs. */
+typedef struct gh_queue_policy {
+	char name[GH_QUEUE_MAX + 1];
+	uint32_t priority;     /* 0 goes first */
+	uint32_t attempts;     /* failed runs of a task until its job fails */
+	int64_t stretch_milli; /* objective: thousandths of the chain ... */
+	int64_t target_ms;     /* ... and this time beyond it */
+} gh_queue_policy_t;
+
+typedef enum gh_job_phase {
+	GH_JOB_QUEUED,
+	GH_JOB_RUNNING,
+	GH_JOB_COMPLETED,
+	GH_JOB_FAILED,
+	GH_JOB_CANCELLED,
+	GH_JOB_PHASES
+} gh_job_phase_t;
+
+typedef enum gh_run_end {
+	GH_RUN_DONE,
+	GH_RUN_FAILED,
+	GH_RUN_STOPPED,
+	GH_RUN_LAPSED,
+	GH_RUN_BROKEN, /* another member of its gang ended */
+	GH_RUN_ALONE,  /* the rest of its gang did not come in time */
+	GH_RUN_LOST,   /* it is gone and left no end */
+	GH_RUN_UNSENT, /* never began */
+	GH_RUN_ENDS
+} gh_run_end_t;
+
+typedef enum gh_order_kind {
+	GH_ORDER_START,
+	GH_ORDER_STOP,
+	GH_ORDER_PACE
+} gh_order_kind_t;
+
+/* One call to a worker.  Strings are the fleet's, valid until the next call. */
+typedef struct gh_order {
+	gh_order_kind_t kind;
+	const char *worker;
+	const char *address;
+	gh_task_id_t task;
+	uint32_t run;
+	uint32_t percent;	/* PACE */
+	const char *payload;	/* START */
+	const char *saved;	/* START; NULL: from the beginning */
+	gh_time_t lease_until;	/* START */
+} gh_order_t;
+
+typedef enum gh_order_answer {
+	GH_ORDER_OK,
+	GH_ORDER_NO_ROOM,
+	GH_ORDER_OLD,	  /* that run or a later one ended there */
+	GH_ORDER_LATE,	  /* its lease deadline had passed on arrival */
+	GH_ORDER_FENCED,  /* a newer owner was there */
+	GH_ORDER_REFUSED, /* the worker is unwell and did nothing */
+	GH_ORDER_INVALID, /* the worker can't read it */
+	GH_ORDER_OTHER_LIFE, /* the worker has restarted since */
+	GH_ORDER_UNKNOWN  /* no answer: it may still take effect */
+} gh_order_answer_t;
+
+typedef struct gh_report_run {
+	gh_task_id_t task;
+	uint32_t run;
+	char saved[GH_SAVED_MAX + 1];
+	uint32_t percent; /* of its work; 100: a lasting task is at work */
+	int64_t gauge;	  /* lasting: tail in ms; else cores in use, milli */
+} gh_report_run_t;
+
+typedef struct gh_report_end {
+	uint64_t number; /* in this life of the worker */
+	gh_task_id_t task;
+	uint32_t run;
+	gh_run_end_t how;
+	char saved[GH_SAVED_MAX + 1];
+} gh_report_end_t;
+
+/* A worker's list of what runs and what has ended. */
+typedef struct gh_hold_report {
+	gh_time_t sent;	 /* when it was asked for */
+	int64_t born_ms; /* of the life that answered; 0: not said */
+	bool whole;	 /* no further ends are left out */
+	gh_report_run_t *runs;
+	size_t n_runs;
+	gh_report_end_t *ends;
+	size_t n_ends;
+} gh_hold_report_t;
+
+/* The hold that a worker is due. */
+typedef struct gh_hold {
+	const char *worker;
+	const char *address;
+	uint64_t acked; /* ends up to this number are on record */
+	int64_t wait_ms;
+	gh_time_t lease_until;
+} gh_hold_t;
+
+/* A job's record as it has to be committed. */
+typedef struct gh_fleet_change {
+	char id[GH_JOB_ID_MAX + 1];
+	uint64_t version;
+	char *progress; /* NULL: the job is over; its records are deleted */
+	gh_job_phase_t phase;
+	bool phase_changed; /* since the last commit */
+} gh_fleet_change_t;
+
+/* Told of each decision; for the log. */
+typedef struct gh_fleet_sink {
+	void (*decided)(void *ctx, const char *what, const gh_task_id_t *task,
+			uint32_t run, const char *worker, const char *detail);
+	void *ctx;
+} gh_fleet_sink_t;
+
+typedef struct gh_fleet_counts {
+	uint64_t started, done, failed, stopped, lapsed, lost, no_room;
+	uint64_t copies, hangs, quarantines, paced;
+	uint32_t jobs, workers, open_runs, pending_tasks;
+} gh_fleet_counts_t;
+
+gh_fleet_t *gh_fleet_new(const gh_fleet_setup_t *setup,
+			 const gh_fleet_sink_t *sink, gh_time_t now);
+void gh_fleet_free(gh_fleet_t *fleet);
+
+void gh_fleet_worker_set(gh_fleet_t *fleet, const gh_worker_entry_t *entry,
+			 gh_time_t now);
+void gh_fleet_worker_gone(gh_fleet_t *fleet, const char *id, gh_time_t now);
+/* Discovery was read whole: workers that it does not name are gone. */
+void gh_fleet_workers_keep(gh_fleet_t *fleet, GHashTable *ids, gh_time_t now);
+void gh_fleet_queue_set(gh_fleet_t *fleet, const gh_queue_policy_t *policy);
+
+/*
+ * Takes a job over with its record, NULL for one that was never touched.
+ * A job that is already there is left as it is.  The pipeline is the
+ * fleet's from then on.
+ */
+bool gh_fleet_job_add(gh_fleet_t *fleet, gh_pipeline_t *pipeline,
+		      const char *progress, GError **err);
+bool gh_fleet_job_known(const gh_fleet_t *fleet, const char *id);
+void gh_fleet_job_cancel(gh_fleet_t *fleet, const char *id, gh_time_t now);
+
+/* The worker's list arrived, or did not. */
+void gh_fleet_held(gh_fleet_t *fleet, const char *worker,
+		   const gh_hold_report_t *report, gh_time_t now);
+void gh_fleet_hold_failed(gh_fleet_t *fleet, const char *worker,
+			  gh_order_answer_t why, gh_time_t now);
+
+/* The answer to an order; the order's own strings need not be valid. */
+void gh_fleet_answered(gh_fleet_t *fleet, gh_order_kind_t kind,
+		       const char *worker, const gh_task_id_t *task,
+		       uint32_t run, gh_order_answer_t answer, gh_time_t now);
+
+/* Decides what can be decided now; wall_ms is for jobs that are due. */
+void gh_fleet_tick(gh_fleet_t *fleet, gh_time_t now, int64_t wall_ms);
+
+/* Next worker that is due a hold; false when none is. */
+bool gh_fleet_next_hold(gh_fleet_t *fleet, gh_hold_t *hold, gh_time_t now);
+
+/* Next order to be sent; false when none is left. */
+bool gh_fleet_next_order(gh_fleet_t *fleet, gh_order_t *order, gh_time_t now);
+
+/* Next change to be committed; progress is the caller's to free. */
+bool gh_fleet_next_change(gh_fleet_t *fleet, gh_fleet_change_t *change);
+void gh_fleet_committed(gh_fleet_t *fleet, const char *id, uint64_t version,
+			gh_time_t now);
+/* The change was not committed and is due again. */
+void gh_fleet_uncommitted(gh_fleet_t *fleet, const char *id);
+
+/* A worker has seen a newer owner: this one has to stop. */
+bool gh_fleet_fenced(const gh_fleet_t *fleet);
+
+bool gh_fleet_has_changes(const gh_fleet_t *fleet);
+gh_job_phase_t gh_fleet_job_phase(const gh_fleet_t *fleet, const char *id);
+void gh_fleet_counts(const gh_fleet_t *fleet, gh_fleet_counts_t *counts);
+const char *gh_job_phase_name(gh_job_phase_t phase);
+/* Phase by name, or GH_JOB_PHASES. */
+gh_job_phase_t gh_job_phase_by_name(const char *name);
+const char *gh_run_end_name(gh_run_end_t how);
+
+#endif
--- /dev/null
+++ b/core_fleet_plan.c
@@ -0,0 +1,461 @@
+/*
+ * Which task starts next, and where.
+ *
+ * Load answered: bursts and waves that ask for more than the workers have
+ * room for.  Jobs that can still meet their objective go by priority and
+ * then by the time they have left beyond their remaining chain; jobs past
+ * their objective go after them; jobs so late that nobody gains from them
+ * go last.  A stage takes what room there is; what does not fit waits
+ * without holding room back, so that smaller tasks behind it get on.
+ */
+#include "core_fleet_state.h"
+
+#include <string.h>
+
+#define LATE_FACTOR 3 /* beyond so many objectives a job is of no more use */
+#define RANK_LATE 1000	   /* above every priority */
+#define RANK_USELESS 2000
+#define STUCK_START (GH_USEC_PER_SEC) /* start unanswered, worker unheard */
+#define GANG_RETRY (100 * GH_USEC_PER_MSEC) /* until a gang is tried again */
+#define COPY_PERIOD (100 * GH_USEC_PER_MSEC)
+#define COPY_FACTOR 2.0 /* times the usual run, before a copy starts */
+#define COPY_LEAST_MS 500.0
+/* Placement costs, in milli-cores left over that they weigh as much as. */
+#define COST_AVOID 5000000
+#define COST_FAR 1000000  /* another rack than that of the data */
+#define COST_SHARE 200000 /* filling beside lasting, for each of them */
+#define COST_LASTING 30000
+#define COST_SLOW 100000 /* for each time that a worker is slower */
+
+typedef struct candidate {
+	uint32_t job, stage;
+	uint32_t rank;
+	int64_t slack_ms; /* objective less remaining chain less now */
+} candidate_t;
+
+static void lapse_leases(gh_fleet_t *fleet, gh_time_t now);
+static void retry_orders(gh_fleet_t *fleet, gh_time_t now);
+static void vacate(gh_fleet_t *fleet, gh_time_t now);
+static void collect(gh_fleet_t *fleet, GArray *found, int64_t wall_ms);
+static bool stage_ready(const fleet_job_t *job, uint32_t stage,
+			int64_t wall_ms);
+static void rate(const gh_fleet_t *fleet, const fleet_job_t *job,
+		 candidate_t *c, int64_t wall_ms);
+static int by_rank(gconstpointer a, gconstpointer b);
+static void place_stage(gh_fleet_t *fleet, const candidate_t *c,
+			gh_time_t now);
+static void place_gang(gh_fleet_t *fleet, const candidate_t *c, gh_time_t now);
+static uint32_t choose(const gh_fleet_t *fleet, const fleet_job_t *job,
+		       uint32_t task, uint32_t not_worker, gh_time_t now);
+static bool fits(const fleet_worker_t *worker, const gh_step_t *step);
+static int64_t cost(const fleet_worker_t *worker, const gh_step_t *step,
+		    const char *stage_rack);
+static uint32_t on_worker(const gh_fleet_t *fleet, const fleet_job_t *job,
+			  uint32_t stage, uint32_t worker);
+static const char *stage_rack(const gh_fleet_t *fleet, const fleet_job_t *job,
+			      uint32_t stage);
+static void copy_stragglers(gh_fleet_t *fleet, gh_time_t now);
+
+void gh_fleet_tick(gh_fleet_t *fleet, gh_time_t now, int64_t wall_ms)
+{
+	GArray *found = g_array_new(FALSE, FALSE, sizeof(candidate_t));
+	guint i;
+
+	lapse_leases(fleet, now);
+	retry_orders(fleet, now);
+	vacate(fleet, now);
+	fleet_health_watch(fleet, now);
+	collect(fleet, found, wall_ms);
+	g_array_sort(found, by_rank);
+	fleet->counts.pending_tasks = 0;
+	for (i = 0; i < found->len; i++) {
+		const candidate_t *c = &g_array_index(found, candidate_t, i);
+		const fleet_job_t *job = fleet_job(fleet, c->job);
+
+		if (job->spec->steps[c->stage % job->spec->n_steps].gang)
+			place_gang(fleet, c, now);
+		else
+			place_stage(fleet, c, now);
+	}
+	g_array_free(found, TRUE);
+	if (now - fleet->copied >= COPY_PERIOD) {
+		fleet->copied = now;
+		copy_stragglers(fleet, now);
+	}
+}
+
+/* Nothing can run on a worker whose lease has surely ended. */
+static void lapse_leases(gh_fleet_t *fleet, gh_time_t now)
+{
+	uint32_t i;
+
+	for (i = 0; i < fleet->workers->len; i++) {
+		fleet_worker_t *worker = fleet_worker(fleet, i);
+
+		if (!worker->used || !worker->n_runs ||
+		    now <= worker->lease_until)
+			continue;
+		fleet_worker_lost(fleet, i, "its lease ran out", now);
+		fleet_worker_drop_if_over(fleet, i);
+	}
+}
+
+static void retry_orders(gh_fleet_t *fleet, gh_time_t now)
+{
+	uint32_t i;
+
+	for (i = 0; i < fleet->runs->len; i++) {
+		fleet_run_t *run = fleet_run(fleet, i);
+		const fleet_worker_t *worker;
+
+		if ((run->state != RUN_STARTING &&
+		     run->state != RUN_STOPPING) ||
+		    run->answered || now < run->retry_at)
+			continue;
+		worker = fleet_worker(fleet, run->worker);
+		if (run->state == RUN_STOPPING)
+			fleet_order(fleet, GH_ORDER_STOP, i);
+		else if (worker->entry.draining || !worker->listed ||
+			 (worker->unheard &&
+			  now - worker->unheard > STUCK_START))
+			fleet_run_stop(fleet, i, "its start is unanswered",
+				       now);
+		else
+			fleet_order(fleet, GH_ORDER_START, i);
+	}
+}
+
+/* Lasting tasks leave a worker that drains; the others may still end. */
+static void vacate(gh_fleet_t *fleet, gh_time_t now)
+{
+	uint32_t i;
+
+	for (i = 0; i < fleet->workers->len; i++) {
+		const fleet_worker_t *worker = fleet_worker(fleet, i);
+		uint32_t ref;
+
+		if (!worker->used || !worker->entry.draining ||
+		    !worker->lasting)
+			continue;
+		for (ref = worker->runs; ref != GH_NONE;
+		     ref = fleet_run(fleet, ref)->next) {
+			const fleet_run_t *run = fleet_run(fleet, ref);
+
+			if (run->state == RUN_RUNNING &&
+			    fleet_step_of(fleet_job(fleet, run->job), run->task)
+				    ->lasting)
+				fleet_run_stop(fleet, ref, "its worker drains",
+					       now);
+		}
+	}
+}
+
+static void collect(gh_fleet_t *fleet, GArray *found, int64_t wall_ms)
+{
+	uint32_t i, s;
+
+	for (i = 0; i < fleet->jobs->len; i++) {
+		fleet_job_t *job = fleet_job(fleet, i);
+		bool rated = false;
+		candidate_t c = { .job = i };
+
+		if (!job->spec || job->phase > GH_JOB_RUNNING)
+			continue;
+		for (s = 0; s < job->n_stages; s++) {
+			const fleet_stage_t *stage = &job->stages[s];
+			uint32_t tasks =
+				job->spec->steps[s % job->spec->n_steps].tasks;
+
+			if (stage->done + stage->open >= tasks ||
+			    !stage_ready(job, s, wall_ms))
+				continue;
+			if (!rated)
+				rate(fleet, job, &c, wall_ms);
+			rated = true;
+			c.stage = s;
+			g_array_append_val(found, c);
+		}
+	}
+}
+
+static bool stage_ready(const fleet_job_t *job, uint32_t stage, int64_t wall_ms)
+{
+	uint32_t n = job->spec->n_steps;
+	uint32_t k = stage / n;
+	const gh_step_t *step = &job->spec->steps[stage % n];
+	uint32_t i;
+
+	if (job->spec->times &&
+	    wall_ms < job->spec->first_ms + (int64_t)k * job->spec->every_ms)
+		return false;
+	for (i = 0; i < n; i++)
+		if (step->after & 1u << i &&
+		    job->stages[k * n + i].done < job->spec->steps[i].tasks)
+			return false;
+	return true;
+}
+
+static void rate(const gh_fleet_t *fleet, const fleet_job_t *job,
+		 candidate_t *c, int64_t wall_ms)
+{
+	const gh_queue_policy_t *policy = fleet_policy(fleet, job);
+	const gh_pipeline_t *spec = job->spec;
+	int64_t objective = gh_pipeline_chain_ms(spec, UINT32_MAX) *
+				    policy->stretch_milli / 1000 +
+			    policy->target_ms;
+	int64_t age = wall_ms - MAX(spec->accepted_ms, spec->first_ms);
+	uint32_t open = 0;
+	uint32_t i;
+
+	for (i = 0; i < spec->n_steps; i++)
+		if (job->stages[i].done < spec->steps[i].tasks)
+			open |= 1u << i;
+	c->slack_ms = objective - age - gh_pipeline_chain_ms(spec, open);
+	c->rank = policy->priority;
+	if (gh_pipeline_lasts(spec))
+		c->slack_ms = objective - age;
+	else if (age > LATE_FACTOR * objective)
+		c->rank += RANK_USELESS;
+	else if (age > objective)
+		c->rank += RANK_LATE;
+}
+
+static int by_rank(gconstpointer a, gconstpointer b)
+{
+	const candidate_t *x = a;
+	const candidate_t *y = b;
+
+	if (x->rank != y->rank)
+		return x->rank < y->rank ? -1 : 1;
+	if (x->slack_ms != y->slack_ms)
+		return x->slack_ms < y->slack_ms ? -1 : 1;
+	return x->job != y->job ? (x->job < y->job ? -1 : 1) :
+				  (x->stage < y->stage ? -1 : 1);
+}
+
+static void place_stage(gh_fleet_t *fleet, const candidate_t *c, gh_time_t now)
+{
+	fleet_job_t *job = fleet_job(fleet, c->job);
+	const gh_step_t *step = &job->spec->steps[c->stage % job->spec->n_steps];
+	uint32_t first = job->stages[c->stage].first;
+	uint32_t i;
+
+	for (i = first; i < first + step->tasks; i++) {
+		const fleet_task_t *task = &job->tasks[i];
+		uint32_t worker;
+
+		if (task->done || task->runs[0] != GH_NONE ||
+		    now < task->not_before)
+			continue;
+		worker = choose(fleet, job, i, GH_NONE, now);
+		if (worker == GH_NONE) {
+			fleet->counts.pending_tasks +=
+				first + step->tasks - i;
+			return;
+		}
+		fleet_run_open(fleet, c->job, i, worker, task->last_run + 1,
+			       RUN_PLANNED, now);
+	}
+}
+
+static void place_gang(gh_fleet_t *fleet, const candidate_t *c, gh_time_t now)
+{
+	fleet_job_t *job = fleet_job(fleet, c->job);
+	const gh_step_t *step = &job->spec->steps[c->stage % job->spec->n_steps];
+	fleet_stage_t *stage = &job->stages[c->stage];
+	const char *saved = NULL;
+	uint32_t number = 0;
+	uint32_t i;
+
+	if (stage->open || now < job->tasks[stage->first].not_before)
+		return;
+	for (i = stage->first; i < stage->first + step->tasks; i++) {
+		number = MAX(number, job->tasks[i].last_run + 1);
+		if (job->tasks[i].saved)
+			saved = job->tasks[i].saved;
+	}
+	for (i = stage->first; i < stage->first + step->tasks; i++) {
+		uint32_t worker = choose(fleet, job, i, GH_NONE, now);
+
+		if (worker == GH_NONE)
+			break;
+		if (saved && saved != job->tasks[i].saved) {
+			g_free(job->tasks[i].saved);
+			job->tasks[i].saved = g_strdup(saved);
+		}
+		fleet_run_open(fleet, c->job, i, worker, number, RUN_PLANNED,
+			       now);
+	}
+	if (i == stage->first + step->tasks)
+		return;
+	fleet->counts.pending_tasks += step->tasks;
+	job->tasks[stage->first].not_before = now + GANG_RETRY;
+	if (job->tasks[stage->first].runs[0] != GH_NONE)
+		fleet_run_end(fleet, job->tasks[stage->first].runs[0],
+			      GH_RUN_UNSENT, NULL, now);
+}
+
+/* The cheapest worker that may take the task, or GH_NONE. */
+static uint32_t choose(const gh_fleet_t *fleet, const fleet_job_t *job,
+		       uint32_t task, uint32_t not_worker, gh_time_t now)
+{
+	uint32_t stage = fleet_stage_index(job, task);
+	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
+	const char *rack = step->one_rack ? stage_rack(fleet, job, stage) :
+					    step->rack;
+	uint32_t best = GH_NONE;
+	int64_t best_cost = INT64_MAX;
+	uint32_t i, j;
+
+	for (i = 0; i < fleet->workers->len; i++) {
+		const fleet_worker_t *worker = fleet_worker(fleet, i);
+		int64_t c;
+
+		if (i == not_worker || !worker->used || !worker->listed ||
+		    !worker->known || worker->entry.draining ||
+		    worker->unheard || now < worker->full_until ||
+		    !fits(worker, step) || !fleet_health_usable(worker, now) ||
+		    strcmp(worker->entry.service, job->spec->service) != 0)
+			continue;
+		for (j = 0; *step->label && j < worker->entry.n_labels; j++)
+			if (!strcmp(worker->entry.labels[j], step->label))
+				break;
+		if (*step->label && j == worker->entry.n_labels)
+			continue;
+		if (step->per_worker &&
+		    on_worker(fleet, job, stage, i) >= step->per_worker)
+			continue;
+		c = cost(worker, step, rack);
+		if (i == job->tasks[task].avoid)
+			c += COST_AVOID;
+		if (c < best_cost) {
+			best_cost = c;
+			best = i;
+		}
+	}
+	return best;
+}
+
+static bool fits(const fleet_worker_t *worker, const gh_step_t *step)
+{
+	const gh_size_t *size = &worker->entry.size;
+	const gh_size_t *held = &worker->held;
+
+	return held->memory_mb + step->size.memory_mb <= size->memory_mb &&
+	       held->accelerators + step->size.accelerators <=
+		       size->accelerators &&
+	       (step->fills || held->cores_milli + step->size.cores_milli <=
+				       size->cores_milli);
+}
+
+/*
+ * Fixed sizes go where they leave least over, so that wide room stays whole;
+ * filling tasks go where most cores are unused; lasting tasks are spread,
+ * since each adds to the others' tail.
+ */
+static int64_t cost(const fleet_worker_t *worker, const gh_step_t *step,
+		    const char *rack)
+{
+	int64_t unused = (int64_t)worker->entry.size.cores_milli -
+			 worker->held.cores_milli;
+	int64_t c;
+
+	if (step->fills)
+		c = COST_SHARE * (int64_t)worker->lasting +
+		    step->size.cores_milli * (int64_t)worker->fills - unused;
+	else
+		c = unused - step->size.cores_milli;
+	if (step->lasting)
+		c += COST_LASTING * (int64_t)worker->lasting +
+		     COST_SHARE * (int64_t)worker->fills;
+	if (rack && *rack && strcmp(rack, worker->rack) != 0)
+		c += COST_FAR;
+	c += (int64_t)((worker->slowness - 1) * COST_SLOW);
+	return c;
+}
+
+static uint32_t on_worker(const gh_fleet_t *fleet, const fleet_job_t *job,
+			  uint32_t stage, uint32_t worker)
+{
+	uint32_t first = job->stages[stage].first;
+	uint32_t n = 0;
+	uint32_t ref;
+
+	for (ref = fleet_worker(fleet, worker)->runs; ref != GH_NONE;
+	     ref = fleet_run(fleet, ref)->next) {
+		const fleet_run_t *run = fleet_run(fleet, ref);
+
+		if (fleet_job(fleet, run->job) == job && run->task >= first &&
+		    run->task < first + job->spec
+					  ->steps[stage % job->spec->n_steps]
+					  .tasks)
+			n++;
+	}
+	return n;
+}
+
+/* Rack where a task of the stage runs or ran, or NULL. */
+static const char *stage_rack(const gh_fleet_t *fleet, const fleet_job_t *job,
+			      uint32_t stage)
+{
+	uint32_t first = job->stages[stage].first;
+	uint32_t i;
+
+	for (i = first;
+	     i < first + job->spec->steps[stage % job->spec->n_steps].tasks;
+	     i++)
+		if (job->tasks[i].runs[0] != GH_NONE)
+			return fleet_worker(
+				       fleet,
+				       fleet_run(fleet, job->tasks[i].runs[0])
+					       ->worker)
+				->rack;
+	return job->spec->steps[stage % job->spec->n_steps].rack;
+}
+
+/*
+ * Starts a second run of a task that takes far longer than its like, or
+ * whose worker is not heard, where the step allows copies.
+ */
+static void copy_stragglers(gh_fleet_t *fleet, gh_time_t now)
+{
+	uint32_t n = fleet->runs->len;
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		const fleet_run_t *run = fleet_run(fleet, i);
+		fleet_job_t *job;
+		const fleet_stage_t *stage;
+		double usual;
+		uint32_t worker, ref, task;
+		bool slow;
+
+		if (run->state != RUN_RUNNING && run->state != RUN_STARTING &&
+		    run->state != RUN_ORPHAN)
+			continue;
+		job = fleet_job(fleet, run->job);
+		if (!fleet_step_of(job, run->task)->copies ||
+		    job->phase > GH_JOB_RUNNING ||
+		    job->tasks[run->task].runs[1] != GH_NONE)
+			continue;
+		stage = fleet_stage_of(job, run->task);
+		usual = stage->n_mean ?
+				stage->mean_ms :
+				(double)fleet_step_of(job, run->task)
+					->estimate_ms;
+		slow = run->began &&
+		       (double)gh_time_to_ms(now - run->began) >
+			       MAX(usual * COPY_FACTOR, COPY_LEAST_MS);
+		if (!slow && !fleet_worker(fleet, run->worker)->unheard)
+			continue;
+		task = run->task;
+		worker = choose(fleet, job, task, run->worker, now);
+		if (worker == GH_NONE)
+			continue;
+		ref = fleet_run_open(fleet, run->job, task, worker,
+				     job->tasks[task].last_run + 1, RUN_PLANNED,
+				     now);
+		fleet_run(fleet, ref)->copy = true;
+		fleet->counts.copies++;
+	}
+}
--- /dev/null
+++ b/core_pipeline.c
@@ -0,0 +1,247 @@
+#include "core_pipeline.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "error.h"
+
+#define FORMAT_TAG "pipeline1"
+#define EMPTY "-" /* stands for an empty word */
+
+enum step_flag {
+	FLAG_GANG = 1,
+	FLAG_ONE_RACK = 2,
+	FLAG_COPIES = 4,
+	FLAG_LASTING = 8,
+	FLAG_SAVES = 16,
+	FLAG_FILLS = 32
+};
+
+static bool check_step(const gh_pipeline_t *pipeline, uint32_t index,
+		       GError **err);
+static void append_step(GString *text, const gh_step_t *step);
+static bool parse_head(gh_pipeline_t *pipeline, const char *line);
+static bool parse_step(gh_step_t *step, const char *line);
+static const char *word(const char *text);
+static bool read_word(char *out, size_t size, const char *in);
+
+bool gh_pipeline_check(const gh_pipeline_t *pipeline, GError **err)
+{
+	uint64_t tasks = 0;
+	uint32_t i;
+
+	if (!pipeline->n_steps || pipeline->n_steps > GH_STEPS_MAX) {
+		gh_error_set(err, GH_E_BAD_VALUE,
+			     "job %s has %u steps: expected 1 to %d",
+			     pipeline->id, pipeline->n_steps, GH_STEPS_MAX);
+		return false;
+	}
+	for (i = 0; i < pipeline->n_steps; i++) {
+		if (!check_step(pipeline, i, err))
+			return false;
+		tasks += pipeline->steps[i].tasks;
+	}
+	tasks *= gh_pipeline_occurrences(pipeline);
+	if (tasks <= GH_PIPELINE_TASKS_MAX)
+		return true;
+	gh_error_set(err, GH_E_BAD_VALUE,
+		     "job %s has %" PRIu64 " tasks: expected at most %d",
+		     pipeline->id, tasks, GH_PIPELINE_TASKS_MAX);
+	return false;
+}
+
+uint32_t gh_pipeline_occurrences(const gh_pipeline_t *pipeline)
+{
+	return MAX(pipeline->times, 1);
+}
+
+uint32_t gh_pipeline_tasks(const gh_pipeline_t *pipeline)
+{
+	uint32_t tasks = 0;
+	uint32_t i;
+
+	for (i = 0; i < pipeline->n_steps; i++)
+		tasks += pipeline->steps[i].tasks;
+	return tasks;
+}
+
+bool gh_pipeline_lasts(const gh_pipeline_t *pipeline)
+{
+	uint32_t i;
+
+	for (i = 0; i < pipeline->n_steps; i++)
+		if (pipeline->steps[i].lasting)
+			return true;
+	return false;
+}
+
+int64_t gh_pipeline_chain_ms(const gh_pipeline_t *pipeline, uint32_t open)
+{
+	int64_t chain[GH_STEPS_MAX] = { 0 };
+	int64_t longest = 0;
+	uint32_t i, j;
+
+	for (i = 0; i < pipeline->n_steps; i++) {
+		const gh_step_t *step = &pipeline->steps[i];
+
+		for (j = 0; j < i; j++)
+			if (step->after & 1u << j)
+				chain[i] = MAX(chain[i], chain[j]);
+		if (open & 1u << i)
+			chain[i] += step->estimate_ms;
+		longest = MAX(longest, chain[i]);
+	}
+	return longest;
+}
+
+char *gh_pipeline_text(const gh_pipeline_t *pipeline)
+{
+	GString *text = g_string_sized_new(512);
+	uint32_t i;
+
+	g_string_append_printf(
+		text,
+		FORMAT_TAG " %s %s %s %" PRId64 " %" PRId64 " %" PRId64
+			   " %u %u\n",
+		pipeline->id, pipeline->queue, pipeline->service,
+		pipeline->accepted_ms, pipeline->first_ms, pipeline->every_ms,
+		pipeline->times, pipeline->n_steps);
+	for (i = 0; i < pipeline->n_steps; i++)
+		append_step(text, &pipeline->steps[i]);
+	g_string_append(text, pipeline->payload);
+	return g_string_free(text, FALSE);
+}
+
+gh_pipeline_t *gh_pipeline_parse(const char *text, GError **err)
+{
+	gh_pipeline_t *pipeline = g_new0(gh_pipeline_t, 1);
+	char *line = g_strndup(text, strcspn(text, "\n"));
+	bool ok = parse_head(pipeline, line);
+	uint32_t i;
+
+	if (ok)
+		pipeline->steps = g_new0(gh_step_t, pipeline->n_steps);
+	for (i = 0; ok && i < pipeline->n_steps; i++) {
+		text += strcspn(text, "\n");
+		text += *text ? 1 : 0;
+		g_free(line);
+		line = g_strndup(text, strcspn(text, "\n"));
+		ok = parse_step(&pipeline->steps[i], line);
+	}
+	g_free(line);
+	if (ok) {
+		text += strcspn(text, "\n");
+		text += *text ? 1 : 0;
+		pipeline->payload = g_strdup(text);
+		if (gh_pipeline_check(pipeline, err))
+			return pipeline;
+	} else {
+		gh_error_set(err, GH_E_SYNTAX,
+			     "record of job %s can't be read", pipeline->id);
+	}
+	gh_pipeline_free(pipeline);
+	return NULL;
+}
+
+void gh_pipeline_free(gh_pipeline_t *pipeline)
+{
+	if (!pipeline)
+		return;
+	g_free(pipeline->steps);
+	g_free(pipeline->payload);
+	g_free(pipeline);
+}
+
+static bool check_step(const gh_pipeline_t *pipeline, uint32_t index,
+		       GError **err)
+{
+	const gh_step_t *step = &pipeline->steps[index];
+	const char *wrong = NULL;
+
+	if (!step->tasks)
+		wrong = "has no tasks";
+	else if (step->after >> index)
+		wrong = "comes after itself or a later step";
+	else if (step->gang && step->copies)
+		wrong = "is a gang whose tasks may have copies";
+	if (!wrong)
+		return true;
+	gh_error_set(err, GH_E_BAD_VALUE, "step %u of job %s %s", index,
+		     pipeline->id, wrong);
+	return false;
+}
+
+static void append_step(GString *text, const gh_step_t *step)
+{
+	unsigned flags = (step->gang ? FLAG_GANG : 0) |
+			 (step->one_rack ? FLAG_ONE_RACK : 0) |
+			 (step->copies ? FLAG_COPIES : 0) |
+			 (step->lasting ? FLAG_LASTING : 0) |
+			 (step->saves ? FLAG_SAVES : 0) |
+			 (step->fills ? FLAG_FILLS : 0);
+
+	g_string_append_printf(
+		text,
+		"%u %u %u %u %" PRId64 " %x %u %u %" PRId64 " %x %s %s %s\n",
+		step->tasks, step->size.cores_milli, step->size.memory_mb,
+		step->size.accelerators, step->estimate_ms, step->after,
+		step->per_worker, step->may_miss, step->tail_ms, flags,
+		word(step->label), word(step->rack), word(step->image));
+}
+
+static bool parse_head(gh_pipeline_t *pipeline, const char *line)
+{
+	char id[GH_JOB_ID_MAX + 1];
+	char queue[GH_QUEUE_MAX + 1];
+	char service[GH_QUEUE_MAX + 1];
+
+	if (sscanf(line,
+		   FORMAT_TAG " %32s %95s %95s %" SCNd64 " %" SCNd64
+			      " %" SCNd64 " %u %u",
+		   id, queue, service, &pipeline->accepted_ms,
+		   &pipeline->first_ms, &pipeline->every_ms, &pipeline->times,
+		   &pipeline->n_steps) != 8)
+		return false;
+	g_strlcpy(pipeline->id, id, sizeof(pipeline->id));
+	g_strlcpy(pipeline->queue, queue, sizeof(pipeline->queue));
+	g_strlcpy(pipeline->service, service, sizeof(pipeline->service));
+	return pipeline->n_steps && pipeline->n_steps <= GH_STEPS_MAX;
+}
+
+static bool parse_step(gh_step_t *step, const char *line)
+{
+	char label[GH_LABEL_MAX + 1];
+	char rack[GH_LABEL_MAX + 1];
+	char image[GH_LABEL_MAX + 1];
+	unsigned flags;
+
+	if (sscanf(line,
+		   "%u %u %u %u %" SCNd64 " %x %u %u %" SCNd64
+		   " %x %63s %63s %63s",
+		   &step->tasks, &step->size.cores_milli,
+		   &step->size.memory_mb, &step->size.accelerators,
+		   &step->estimate_ms, &step->after, &step->per_worker,
+		   &step->may_miss, &step->tail_ms, &flags, label, rack,
+		   image) != 13)
+		return false;
+	step->gang = flags & FLAG_GANG;
+	step->one_rack = flags & FLAG_ONE_RACK;
+	step->copies = flags & FLAG_COPIES;
+	step->lasting = flags & FLAG_LASTING;
+	step->saves = flags & FLAG_SAVES;
+	step->fills = flags & FLAG_FILLS;
+	return read_word(step->label, sizeof(step->label), label) &&
+	       read_word(step->rack, sizeof(step->rack), rack) &&
+	       read_word(step->image, sizeof(step->image), image);
+}
+
+static const char *word(const char *text)
+{
+	return *text ? text : EMPTY;
+}
+
+static bool read_word(char *out, size_t size, const char *in)
+{
+	return g_strlcpy(out, strcmp(in, EMPTY) != 0 ? in : "", size) < size;
+}
--- a/counter.c
+++ b/counter.c
@@ -3,6 +3,8 @@
 #include <inttypes.h>
 #include <stdatomic.h>
 
+#include "histogram.h"
+
 typedef struct counter_info {
 	const char *name;
 	const char *help;
@@ -64,5 +66,6 @@
 		g_string_append_printf(text, "refused_%s %" PRIu64 "\n",
 				       gh_error_name((gh_error_kind_t)i),
 				       counter_refusals((gh_error_kind_t)i));
+	histogram_text(text);
 	return g_string_free(text, FALSE);
 }
--- a/counter_list.h
+++ b/counter_list.h
@@ -106,3 +106,18 @@
 /* Operators. */
 COUNTER(SIGN_IN_OK, "sign_ins", "operators signed in")
 COUNTER(SIGN_IN_BAD, "sign_ins_refused", "sign-ins refused")
+
+/* Job service. */
+COUNTER(PLATFORM_CALLS, "platform_calls", "calls to store and workers")
+COUNTER(PLATFORM_UNANSWERED, "platform_unanswered",
+	"calls to store and workers without a whole answer")
+COUNTER(STORE_LOST, "store_lost", "times that the store was no longer heard")
+COUNTER(STORE_REGAINED, "store_regained", "times that it was heard again")
+COUNTER(RETRY_STORE, "retry_store",
+	"further tries of a caller's write or read at the store")
+COUNTER(SHARD_OWNED, "shards_claimed", "shards that this host took over")
+COUNTER(COMMITS, "commits", "commits of an owner's changes")
+COUNTER(COMMITS_FAILED, "commits_failed", "commits that were refused")
+COUNTER(COMMIT_UNKNOWN, "commits_unanswered", "commits without an answer")
+COUNTER(LOG_DROPPED, "log_lines_dropped",
+	"log lines over the rate, or that the reader did not take")
--- a/error_list.h
+++ b/error_list.h
@@ -104,5 +104,10 @@
 GH_ERROR_KIND(WORKER_DOWN, "worker_down", UNKNOWN, 503,
 	      "wait until the task's lease has run out")
 
+GH_ERROR_KIND(NO_QUEUE, "no_queue", NO, 404,
+	      "use a host and path that the configuration names")
+GH_ERROR_KIND(ADVICE_UNMET, "advice_unmet", NO, 503,
+	      "use a queue that takes no advice")
+
 /* The process itself. */
 GH_ERROR_KIND(SYSTEM, "system", NO, 500, "see the log line that is named")
--- /dev/null
+++ b/fleet_config.c
@@ -0,0 +1,16 @@
+#include "fleet_port.h"
+
+
+fleet_config_t *fleet_config_ref(fleet_config_t *config)
+{
+	g_atomic_int_inc(&config->refs);
+	return config;
+}
+
+void fleet_config_unref(fleet_config_t *config)
+{
+	if (!config || !g_atomic_int_dec_and_test(&config->refs))
+		return;
+	g_free(config->queues);
+	g_free(config);
+}
--- /dev/null
+++ b/fleet_host.c
@@ -0,0 +1,370 @@
+#include "fleet_host.h"
+
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <string.h>
+
+#include "clock.h"
+#include "counter.h"
+#include "error.h"
+#include "fleet_jobs.h"
+#include "fleet_owner.h"
+#include "fleet_watch.h"
+#include "log.h"
+
+#define UNHEARD_MOST (1800 * GH_USEC_PER_MSEC) /* store; a watch takes 1 s */
+#define RETRY_AFTER_MS 1000
+
+struct fleet_front {
+	fleet_host_setup_t setup;
+	fleet_jobs_t *jobs;
+	fleet_watch_t *config_watch;
+	fleet_owner_t **owners; /* by shard */
+	_Atomic bool draining;
+	pthread_mutex_t lock;
+	fleet_config_t *config; /* in force; under the lock */
+};
+
+/* A caller's thread that waits for the loop. */
+typedef struct wait {
+	fleet_front_t *front;
+	const char *id;
+	const char *queue;
+	gh_pipeline_t *pipeline; /* submit only */
+	bool look;
+	gh_time_t deadline;
+	pthread_mutex_t lock;
+	pthread_cond_t cond;
+	bool done;
+	GError *err;
+} wait_t;
+
+static void on_config(void *ctx, const fleet_item_t *item);
+static void on_job(void *ctx, const char *id, const fleet_job_state_t *state);
+static void on_owner(void *ctx, uint32_t shard, const char *host);
+static void on_synced(void *ctx);
+static bool wait_for(wait_t *wait, loop_work_t work, GError **err);
+static void do_submit(void *ctx);
+static void do_cancel(void *ctx);
+static void do_look(void *ctx);
+static void on_done(void *ctx, const GError *err);
+static bool store_heard(const fleet_front_t *host);
+
+fleet_front_t *fleet_host_new(const fleet_host_setup_t *setup)
+{
+	fleet_front_t *host = g_new0(fleet_front_t, 1);
+	fleet_jobs_listener_t listener = { .job = on_job,
+					   .owner = on_owner,
+					   .synced = on_synced,
+					   .ctx = host };
+	fleet_reader_t reader = { .item = on_config, .ctx = host };
+	uint32_t i;
+
+	host->setup = *setup;
+	pthread_mutex_init(&host->lock, NULL);
+	host->owners = g_new0(fleet_owner_t *, setup->shards);
+	host->jobs = fleet_jobs_new(setup->loop, setup->store, setup->shards,
+				    &listener);
+	for (i = 0; i < setup->shards; i++) {
+		fleet_owner_setup_t owner = {
+			.host = setup->name,
+			.shard = i,
+			.loop = setup->loop,
+			.store = setup->store,
+			.workers = setup->workers,
+			.jobs = host->jobs,
+			.fleet = setup->fleet,
+			.keep_ended_ms = setup->keep_ended_ms,
+		};
+
+		host->owners[i] = fleet_owner_new(&owner);
+	}
+	host->config_watch =
+		fleet_watch_new(setup->loop, setup->store, FLEET_SPACE_CONFIG,
+				setup->store->ops->config_key, &reader);
+	return host;
+}
+
+void fleet_host_free(fleet_front_t *host)
+{
+	uint32_t i;
+
+	if (!host)
+		return;
+	fleet_watch_free(host->config_watch);
+	for (i = 0; i < host->setup.shards; i++)
+		fleet_owner_free(host->owners[i]);
+	g_free(host->owners);
+	fleet_jobs_free(host->jobs);
+	fleet_config_unref(host->config);
+	pthread_mutex_destroy(&host->lock);
+	g_free(host);
+}
+
+void fleet_host_drain(fleet_front_t *host)
+{
+	uint32_t i;
+
+	atomic_store(&host->draining, true);
+	for (i = 0; i < host->setup.shards; i++)
+		fleet_owner_release(host->owners[i]);
+}
+
+bool fleet_host_drained(const fleet_front_t *host)
+{
+	uint32_t i;
+
+	for (i = 0; i < host->setup.shards; i++)
+		if (!fleet_owner_idle(host->owners[i]))
+			return false;
+	return true;
+}
+
+/* Events from the store; on the loop. */
+
+static void on_config(void *ctx, const fleet_item_t *item)
+{
+	fleet_front_t *host = ctx;
+	GError *err = NULL;
+	fleet_config_t *config;
+	fleet_config_t *old;
+	uint32_t i;
+
+	if (!item->value || strcmp(item->key, host->setup.store->ops->config_key))
+		return;
+	config = host->setup.store->ops->read_config(item->value, &err);
+	if (!config) {
+		log_event(LOG_ERROR, "config_unread", "revision",
+			  log_num((int64_t)item->revision), "message",
+			  err->message, NULL);
+		g_error_free(err);
+		return;
+	}
+	old = host->config;
+	if (old && old->version >= config->version) {
+		fleet_config_unref(config);
+		return;
+	}
+	for (i = 0; i < host->setup.shards; i++)
+		fleet_owner_configure(host->owners[i], config);
+	pthread_mutex_lock(&host->lock);
+	host->config = config;
+	pthread_mutex_unlock(&host->lock);
+	fleet_config_unref(old);
+	counter_inc(CTR_DOC_APPLIED);
+	log_event(LOG_INFO, "config_applied", "version",
+		  log_num((int64_t)config->version), "queues",
+		  log_num((int64_t)config->n_queues), "revision",
+		  log_num((int64_t)item->revision), NULL);
+}
+
+static void on_job(void *ctx, const char *id, const fleet_job_state_t *state)
+{
+	fleet_front_t *host = ctx;
+	uint32_t shard = fleet_jobs_shard(host->jobs, id);
+
+	fleet_owner_job(host->owners[shard], id, state);
+}
+
+static void on_owner(void *ctx, uint32_t shard, const char *name)
+{
+	fleet_front_t *host = ctx;
+
+	if (shard < host->setup.shards)
+		fleet_owner_seen(host->owners[shard], name);
+}
+
+static void on_synced(void *ctx)
+{
+	(void)ctx;
+	log_event(LOG_INFO, "jobs_read", NULL);
+}
+
+/* Callers' side; their own threads. */
+
+fleet_config_t *fleet_front_config(fleet_front_t *host)
+{
+	fleet_config_t *config;
+
+	pthread_mutex_lock(&host->lock);
+	config = host->config ? fleet_config_ref(host->config) : NULL;
+	pthread_mutex_unlock(&host->lock);
+	return config;
+}
+
+const fleet_queue_t *fleet_front_route(const fleet_config_t *config,
+				       const char *host, const char *path)
+{
+	size_t host_len = strcspn(host, ":");
+	const fleet_queue_t *best = NULL;
+	size_t longest = 0;
+	size_t i;
+
+	for (i = 0; i < config->n_queues; i++) {
+		const fleet_queue_t *queue = &config->queues[i];
+		size_t len = strlen(queue->prefix);
+
+		if (len < longest || strlen(queue->host) != host_len ||
+		    g_ascii_strncasecmp(queue->host, host, host_len) != 0 ||
+		    strncmp(queue->prefix, path, len) != 0)
+			continue;
+		best = queue;
+		longest = len;
+	}
+	return best;
+}
+
+bool fleet_front_submit(fleet_front_t *host, const fleet_queue_t *queue,
+			gh_pipeline_t *pipeline, gh_time_t deadline,
+			GError **err)
+{
+	wait_t wait = { .front = host,
+			.id = pipeline->id,
+			.queue = queue->policy.name,
+			.pipeline = pipeline,
+			.deadline = deadline };
+	bool ok = gh_pipeline_check(pipeline, err);
+
+	if (ok && queue->advised) {
+		gh_error_set(err, GH_E_ADVICE_UNMET,
+			     "queue %s takes advice, which is not met yet",
+			     queue->policy.name);
+		ok = false;
+	}
+	if (ok && !store_heard(host)) {
+		gh_error_set(err, GH_E_STORE_DOWN,
+			     "the store is not heard: job %s was not written",
+			     pipeline->id);
+		ok = false;
+	}
+	ok = ok && wait_for(&wait, do_submit, err);
+	gh_pipeline_free(pipeline);
+	return ok;
+}
+
+bool fleet_front_status(fleet_front_t *host, const fleet_queue_t *queue,
+			const char *id, gh_time_t deadline,
+			gh_job_phase_t *phase, GError **err)
+{
+	wait_t wait = { .front = host,
+			.id = id,
+			.queue = queue->policy.name,
+			.deadline = deadline };
+	fleet_job_state_t state;
+
+	if (!fleet_jobs_find(host->jobs, id, &state)) {
+		/* Only the store can tell that there is no such job. */
+		if (!wait_for(&wait, do_look, err))
+			return false;
+		if (!fleet_jobs_find(host->jobs, id, &state)) {
+			gh_error_set(err, GH_E_JOB_UNKNOWN, "no job %s", id);
+			return false;
+		}
+	}
+	if (strcmp(state.queue, queue->policy.name) != 0) {
+		gh_error_set(err, GH_E_JOB_UNKNOWN, "no job %s in queue %s", id,
+			     queue->policy.name);
+		return false;
+	}
+	*phase = state.phase;
+	return true;
+}
+
+bool fleet_front_cancel(fleet_front_t *host, const fleet_queue_t *queue,
+			const char *id, gh_time_t deadline, GError **err)
+{
+	wait_t wait = { .front = host,
+			.id = id,
+			.queue = queue->policy.name,
+			.deadline = deadline };
+
+	return wait_for(&wait, do_cancel, err);
+}
+
+uint32_t fleet_front_pending(fleet_front_t *host, const fleet_queue_t *queue)
+{
+	return fleet_jobs_pending(host->jobs, queue->policy.name);
+}
+
+bool fleet_front_ready(fleet_front_t *host)
+{
+	bool configured;
+
+	pthread_mutex_lock(&host->lock);
+	configured = host->config != NULL;
+	pthread_mutex_unlock(&host->lock);
+	return configured && !atomic_load(&host->draining) &&
+	       store_heard(host);
+}
+
+int64_t fleet_front_retry_after_ms(const GError *err)
+{
+	(void)err;
+	return RETRY_AFTER_MS;
+}
+
+char *fleet_front_metrics(fleet_front_t *host)
+{
+	(void)host;
+	return counter_text();
+}
+
+static bool store_heard(const fleet_front_t *host)
+{
+	gh_time_t heard = fleet_jobs_heard(host->jobs);
+
+	return heard && clock_boot() - heard < UNHEARD_MOST;
+}
+
+static bool wait_for(wait_t *wait, loop_work_t work, GError **err)
+{
+	clock_cond_init(&wait->cond);
+	pthread_mutex_init(&wait->lock, NULL);
+	loop_post(wait->front->setup.loop, work, wait);
+	pthread_mutex_lock(&wait->lock);
+	while (!wait->done)
+		pthread_cond_wait(&wait->cond, &wait->lock);
+	pthread_mutex_unlock(&wait->lock);
+	pthread_cond_destroy(&wait->cond);
+	pthread_mutex_destroy(&wait->lock);
+	if (!wait->err)
+		return true;
+	g_propagate_error(err, wait->err);
+	return false;
+}
+
+static void do_submit(void *ctx)
+{
+	wait_t *wait = ctx;
+
+	fleet_jobs_submit(wait->front->jobs, wait->pipeline, wait->deadline,
+			  on_done, wait);
+}
+
+static void do_cancel(void *ctx)
+{
+	wait_t *wait = ctx;
+
+	fleet_jobs_cancel(wait->front->jobs, wait->id, wait->queue,
+			  wait->deadline, on_done, wait);
+}
+
+static void do_look(void *ctx)
+{
+	wait_t *wait = ctx;
+
+	fleet_jobs_look(wait->front->jobs, wait->id, wait->deadline, on_done,
+			wait);
+}
+
+static void on_done(void *ctx, const GError *err)
+{
+	wait_t *wait = ctx;
+
+	pthread_mutex_lock(&wait->lock);
+	wait->err = err ? g_error_copy(err) : NULL;
+	wait->done = true;
+	pthread_cond_signal(&wait->cond);
+	pthread_mutex_unlock(&wait->lock);
+}
--- /dev/null
+++ b/fleet_host.h
@@ -0,0 +1,29 @@
+/*
+ * The job service of one host: its parts and their life.
+ */
+#ifndef FLEET_HOST_H
+#define FLEET_HOST_H
+
+#include "fleet_front.h"
+#include "fleet_loop.h"
+#include "fleet_port.h"
+
+typedef struct fleet_host_setup {
+	const char *name;
+	loop_t *loop;
+	fleet_store_t *store;
+	fleet_workers_t *workers;
+	uint32_t shards;
+	gh_fleet_setup_t fleet;
+	int64_t keep_ended_ms;
+} fleet_host_setup_t;
+
+fleet_front_t *fleet_host_new(const fleet_host_setup_t *setup);
+void fleet_host_free(fleet_front_t *host);
+
+/* On the loop: gives up what this host owns. */
+void fleet_host_drain(fleet_front_t *host);
+/* On the loop: whether nothing is owned any more. */
+bool fleet_host_drained(const fleet_front_t *host);
+
+#endif
--- /dev/null
+++ b/fleet_settings.c
@@ -0,0 +1,119 @@
+#include "fleet_settings.h"
+
+#include <string.h>
+
+#include "core_ini.h"
+#include "error.h"
+
+#define GROUP "fleet"
+
+static const char *const level_names[] = { "debug", "info", "warn", "error",
+					   NULL };
+
+#define FIELD(name, member, reader, absent)                                   \
+	{                                                                     \
+		.key = (name), .read = (reader),                              \
+		GH_INI_MEMBER(fleet_settings_t, member), .fallback = (absent) \
+	}
+#define NUMBER(name, member, low, high, absent)                          \
+	{                                                                \
+		.key = (name), .read = gh_ini_number,                    \
+		GH_INI_MEMBER(fleet_settings_t, member), .least = (low), \
+		.most = (high), .fallback = (absent)                     \
+	}
+
+static const gh_ini_field_t fields[] = {
+	FIELD("name", name, gh_ini_name, NULL),
+	FIELD("domain", domain, gh_ini_name, NULL),
+	FIELD("callers", callers, gh_ini_address_port, NULL),
+	FIELD("readiness", readiness, gh_ini_address_port, NULL),
+	FIELD("metrics", metrics, gh_ini_address_port, NULL),
+	FIELD("store", store, gh_ini_address_port, NULL),
+	{ .key = "log_level",
+	  .read = gh_ini_choice,
+	  GH_INI_MEMBER(fleet_settings_t, log_level),
+	  .fallback = "info",
+	  .aux = level_names },
+	NUMBER("shards", shards, 1, 64, "1"),
+	NUMBER("lease_ms", lease_ms, 1000, 60000, "4500"),
+	NUMBER("lease_most_ms", lease_most_ms, 1000, 600000, "10000"),
+	NUMBER("stop_ms", stop_ms, 1, 60000, "1000"),
+	NUMBER("grace_ms", grace_ms, 500, 600000, "6000"),
+	NUMBER("keep_ended_s", keep_ended_s, 1, 86400, "120"),
+};
+
+static gh_ini_t *read_file(const char *path, GError **err);
+static bool only_group(const gh_ini_t *ini, const char *path, GError **err);
+
+bool fleet_settings_recognize(const char *path)
+{
+	gh_ini_t *ini = read_file(path, NULL);
+	char **groups;
+	size_t n = 0;
+	size_t i;
+	bool found = false;
+
+	if (!ini)
+		return false;
+	groups = gh_ini_groups(ini, &n);
+	for (i = 0; i < n; i++)
+		found = found || !strcmp(groups[i], GROUP);
+	g_strfreev(groups);
+	gh_ini_free(ini);
+	return found;
+}
+
+fleet_settings_t *fleet_settings_load(const char *path, GError **err)
+{
+	gh_ini_t *ini = read_file(path, err);
+	fleet_settings_t *set;
+	bool ok;
+
+	if (!ini)
+		return NULL;
+	set = g_new0(fleet_settings_t, 1);
+	ok = only_group(ini, path, err) &&
+	     gh_ini_read(ini, GROUP, fields, G_N_ELEMENTS(fields), NULL, set,
+			 err);
+	gh_ini_free(ini);
+	if (ok)
+		return set;
+	g_free(set);
+	return NULL;
+}
+
+static bool only_group(const gh_ini_t *ini, const char *path, GError **err)
+{
+	size_t n;
+	char **groups = gh_ini_groups(ini, &n);
+	bool ok = true;
+	size_t i;
+
+	for (i = 0; ok && i < n; i++) {
+		ok = !strcmp(groups[i], GROUP);
+		if (!ok)
+			gh_error_set(err, GH_E_UNKNOWN_GROUP,
+				     "%s: [%s]: unknown group beside [" GROUP
+				     "]",
+				     path, groups[i]);
+	}
+	g_strfreev(groups);
+	return ok;
+}
+
+static gh_ini_t *read_file(const char *path, GError **err)
+{
+	GError *cause = NULL;
+	char *text;
+	gsize len;
+	gh_ini_t *ini;
+
+	if (!g_file_get_contents(path, &text, &len, &cause)) {
+		gh_error_set(err, GH_E_FILE_MISSING, "%s", cause->message);
+		g_error_free(cause);
+		return NULL;
+	}
+	ini = gh_ini_parse(text, len, path, err);
+	g_free(text);
+	return ini;
+}
--- a/geraniumhoistd.c
+++ b/geraniumhoistd.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 
 #include "error.h"
+#include "fleet_main.h"
 #include "log.h"
 #include "node.h"
 
@@ -20,6 +21,7 @@
 static action_t read_arguments(int argc, char **argv, char **path);
 static void block_signals(sigset_t *set);
 static int run(settings_t *settings);
+static int run_fleet(const char *path, bool check);
 static void make_parts(node_t *node);
 static bool start_parts(node_t *node, GError **err);
 static void wait_for_signal(const sigset_t *set);
@@ -37,6 +39,8 @@
 	action = read_arguments(argc, argv, &path);
 	if (action == ACTION_DONE)
 		return EXIT_SUCCESS;
+	if (fleet_settings_recognize(path))
+		return run_fleet(path, action == ACTION_CHECK);
 	settings = settings_load(path, &err);
 	g_free(path);
 	if (!settings) {
@@ -119,6 +123,25 @@
 	return status;
 }
 
+static int run_fleet(const char *path, bool check)
+{
+	GError *err = NULL;
+	fleet_settings_t *settings = fleet_settings_load(path, &err);
+	int status = EXIT_SUCCESS;
+
+	if (!settings) {
+		fprintf(stderr, PROGRAM ": %s\n", err->message);
+		g_error_free(err);
+		return EXIT_SETTINGS;
+	}
+	if (check)
+		puts("settings are valid");
+	else
+		status = fleet_main(path, settings);
+	g_free(settings);
+	return status;
+}
+
 /* Threads started later inherit the mask; only sigwait() takes these. */
 static void block_signals(sigset_t *set)
 {
--- /dev/null
+++ b/http_server.c
@@ -0,0 +1,123 @@
+#include "http_server.h"
+
+#include <arpa/inet.h>
+#include <stdatomic.h>
+#include <unistd.h>
+
+#include "error.h"
+
+struct http_server {
+	struct _u_instance instance;
+	struct sockaddr_in address;
+	http_limits_t limits;
+	char name[64]; /* for errors */
+	bool up;
+	atomic_int in_flight;
+};
+
+static void *on_uri(void *cls, const char *uri, struct MHD_Connection *conn);
+static void on_completed(void *cls, struct MHD_Connection *conn, void **request,
+			 enum MHD_RequestTerminationCode code);
+
+http_server_t *http_server_new(const char *address, unsigned port,
+			       const http_limits_t *limits, GError **err)
+{
+	http_server_t *server = g_new0(http_server_t, 1);
+
+	server->limits = *limits;
+	g_snprintf(server->name, sizeof(server->name), "%s:%u", address, port);
+	server->address.sin_family = AF_INET;
+	server->address.sin_port = htons((uint16_t)port);
+	if (inet_pton(AF_INET, address, &server->address.sin_addr) != 1 ||
+	    ulfius_init_instance(&server->instance, port, &server->address,
+				 NULL) != U_OK) {
+		gh_error_set(err, GH_E_SYSTEM, "no server at %s", server->name);
+		g_free(server);
+		return NULL;
+	}
+	server->instance.max_post_body_size = limits->body_max + 1;
+	server->instance.check_utf8 = 0;
+	return server;
+}
+
+void http_server_add(http_server_t *server, const char *method,
+		     const char *prefix, const char *rest,
+		     http_callback_t callback, void *ctx)
+{
+	if (prefix)
+		ulfius_add_endpoint_by_val(&server->instance, method, prefix,
+					   rest, 0, callback, ctx);
+	else
+		ulfius_set_default_endpoint(&server->instance, callback, ctx);
+}
+
+bool http_server_start(http_server_t *server, GError **err)
+{
+	const http_limits_t *limits = &server->limits;
+	unsigned flags = MHD_USE_INTERNAL_POLLING_THREAD;
+	struct MHD_OptionItem options[] = {
+		{ MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)on_completed, server },
+		{ MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)on_uri, server },
+		{ MHD_OPTION_SOCK_ADDR, 0, &server->address },
+		{ MHD_OPTION_CONNECTION_LIMIT, limits->connections, NULL },
+		{ MHD_OPTION_CONNECTION_TIMEOUT, limits->idle_s, NULL },
+		{ MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		  (intptr_t)limits->headers_max, NULL },
+		{ MHD_OPTION_THREAD_STACK_SIZE, (intptr_t)limits->stack_size,
+		  NULL },
+		{ MHD_OPTION_END, 0, NULL },
+	};
+
+	if (limits->thread_each)
+		flags |= MHD_USE_THREAD_PER_CONNECTION;
+	server->up = ulfius_start_framework_with_mhd_options(
+			     &server->instance, flags, options) == U_OK;
+	if (!server->up)
+		gh_error_set(err, GH_E_SYSTEM, "can't listen on %s",
+			     server->name);
+	return server->up;
+}
+
+int http_server_in_flight(const http_server_t *server)
+{
+	return atomic_load(&server->in_flight);
+}
+
+void http_server_quiesce(http_server_t *server)
+{
+	int fd;
+
+	if (!server->up)
+		return;
+	fd = MHD_quiesce_daemon(server->instance.mhd_daemon);
+	if (fd != MHD_INVALID_SOCKET)
+		close(fd);
+}
+
+void http_server_free(http_server_t *server)
+{
+	if (!server)
+		return;
+	if (server->up)
+		ulfius_stop_framework(&server->instance);
+	ulfius_clean_instance(&server->instance);
+	g_free(server);
+}
+
+static void *on_uri(void *cls, const char *uri, struct MHD_Connection *conn)
+{
+	http_server_t *server = cls;
+
+	(void)conn;
+	atomic_fetch_add(&server->in_flight, 1);
+	return ulfius_uri_logger(NULL, uri);
+}
+
+static void on_completed(void *cls, struct MHD_Connection *conn, void **request,
+			 enum MHD_RequestTerminationCode code)
+{
+	http_server_t *server = cls;
+
+	mhd_request_completed(NULL, conn, request, code);
+	atomic_fetch_sub(&server->in_flight, 1);
+}
--- a/log.c
+++ b/log.c
@@ -2,14 +2,25 @@
 
 #include <glib.h>
 #include <inttypes.h>
+#include <limits.h>
+#include <poll.h>
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdatomic.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
 #include <unistd.h>
 
+#include "clock.h"
+#include "core_bucket.h"
+#include "counter.h"
+
 #define NUM_SLOTS 8
+#define LINES_PER_S 2000 /* three times what a busy owner writes */
+#define LINES_BURST 4000
+#define BUFFER_FLUSH 16384 /* bytes */
 #define NUM_LEN 24
 
 static const char *const level_names[] = { "debug", "info", "warn", "error" };
@@ -17,6 +28,14 @@
 static char host_name[64] = "-";
 static _Atomic log_level_t least_level = LOG_INFO;
 
+/* Lines not written yet. */
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static GString *buffer;
+static bool deferred;
+
+static void put_line(const GString *line, log_level_t level);
+static bool take_turn(void);
+static void write_out(void);
 static void append_time(GString *line);
 static void append_value(GString *line, const char *value);
 
@@ -41,7 +60,6 @@
 	va_list ap;
 	const char *key;
 	GString *line;
-	ssize_t put;
 
 	if (level < atomic_load(&least_level))
 		return;
@@ -58,11 +76,74 @@
 	}
 	va_end(ap);
 	g_string_append_c(line, '\n');
-	put = write(STDERR_FILENO, line->str, line->len);
-	(void)put;
+	put_line(line, level);
 	g_string_free(line, TRUE);
 }
 
+void log_defer(void)
+{
+	pthread_mutex_lock(&lock);
+	deferred = true;
+	pthread_mutex_unlock(&lock);
+}
+
+void log_flush(void)
+{
+	pthread_mutex_lock(&lock);
+	write_out();
+	pthread_mutex_unlock(&lock);
+}
+
+static void put_line(const GString *line, log_level_t level)
+{
+	pthread_mutex_lock(&lock);
+	if (!take_turn()) {
+		counter_inc(CTR_LOG_DROPPED);
+	} else {
+		if (!buffer)
+			buffer = g_string_sized_new(BUFFER_FLUSH);
+		g_string_append_len(buffer, line->str, (gssize)line->len);
+		if (!deferred || level >= LOG_ERROR ||
+		    buffer->len >= BUFFER_FLUSH)
+			write_out();
+	}
+	pthread_mutex_unlock(&lock);
+}
+
+/* Whether the rate allows one more line; under the lock. */
+static bool take_turn(void)
+{
+	static gh_bucket_t bucket;
+	gh_time_t now = clock_boot();
+
+	if (!bucket.rate)
+		gh_bucket_init(&bucket, LINES_PER_S, LINES_BURST, now);
+	return gh_bucket_take(&bucket, 0, now);
+}
+
+/* Drops what the reader does not take at once; under the lock. */
+static void write_out(void)
+{
+	struct pollfd out = { .fd = STDOUT_FILENO, .events = POLLOUT };
+	size_t at = 0;
+
+	while (buffer && at < buffer->len) {
+		size_t n = MIN(buffer->len - at, PIPE_BUF);
+		ssize_t put = -1;
+
+		/* A pipe that polls writable takes PIPE_BUF without waiting. */
+		if (poll(&out, 1, 0) > 0 && !(out.revents & ~POLLOUT))
+			put = write(STDOUT_FILENO, buffer->str + at, n);
+		if (put <= 0) {
+			counter_inc(CTR_LOG_DROPPED);
+			break;
+		}
+		at += (size_t)put;
+	}
+	if (buffer)
+		g_string_truncate(buffer, 0);
+}
+
 const char *log_num(int64_t value)
 {
 	static _Thread_local char slots[NUM_SLOTS][NUM_LEN];
--- a/log.h
+++ b/log.h
@@ -1,10 +1,11 @@
 /*
- * Logger: one line of key=value pairs per event, on standard error.
+ * Logger: one line of key=value pairs per event, on standard output.
  *
  *   ts=<RFC 3339, ms, UTC> level=<level> host=<name> event=<event> k=v ...
  *
  * Values with blanks, quotes, '=' or control characters are quoted and
- * escaped.  Lines are written whole; any thread may log.
+ * escaped.  Any thread may log.  Logging never waits: lines over a fixed rate,
+ * and those that the reader does not take, are dropped and counted.
  */
 #ifndef LOG_H
 #define LOG_H
@@ -26,6 +27,13 @@
 void log_event(log_level_t level, const char *event, ...)
 	__attribute__((sentinel));
 
+/*
+ * From now on lines are gathered until log_flush(), an error or a full
+ * buffer: one write for many lines.
+ */
+void log_defer(void);
+void log_flush(void);
+
 /* A number as text, valid until eight more calls on the same thread. */
 const char *log_num(int64_t value);
 
