--- a/core_fleet.c
+++ b/core_fleet.c
@@ -114,6 +114,7 @@
 		.runs = GH_NONE,
 		.acks = g_queue_new(),
 		.slowness = 1,
+		.press_most = GH_PRESS_UNKNOWN,
 	};
 	set_rack(worker);
 	g_hash_table_insert(fleet->worker_by_id, g_strdup(entry->id),
@@ -767,12 +768,18 @@
 					      run->task);
 	uint32_t sign = in ? 1 : -1;
 
-	if (step->fills)
+	if (step->fills) {
 		worker->fills += sign;
-	else
+		worker->fill_cores += in ? step->size.cores_milli :
+					   -(double)step->size.cores_milli;
+	} else {
 		worker->held.cores_milli += sign * step->size.cores_milli;
-	if (step->lasting)
+	}
+	if (step->lasting) {
 		worker->lasting += sign;
+		worker->lasting_cores += in ? step->size.cores_milli :
+					      -(double)step->size.cores_milli;
+	}
 	worker->held.memory_mb += sign * step->size.memory_mb;
 	worker->held.accelerators += sign * step->size.accelerators;
 }
--- a/core_fleet_health.c
+++ b/core_fleet_health.c
@@ -1,6 +1,5 @@
 /*
- * Health of workers, learned from how runs end and get on, and the pace of
- * tasks that fill beside lasting ones.
+ * Health of workers, learned from how runs end and get on.
  *
  * Load answered: workers that fail all they start, that let tasks stand
  * still or that work slowly, while their own reports look well.
@@ -15,19 +14,12 @@
 #define STARTUP_MOST (5 * GH_USEC_PER_SEC)   /* of a lasting task */
 #define SLOWNESS_WEIGHT 0.2		     /* of the newest run */
 #define MEAN_WEIGHT_LEAST 0.1
-/* Shares of a tail's bound, in parts of 100. */
-#define TAIL_HIGH 85 /* above it, what fills is slowed down */
-#define TAIL_LOW 60  /* below it, it is let go faster again */
-#define PACE_STEP 15 /* percent, when it goes faster */
-#define PACE_FULL 100
-
 static void quarantine(gh_fleet_t *fleet, uint32_t worker, const char *why,
 		       gh_time_t now);
 static bool stands_still(const gh_fleet_t *fleet, const fleet_run_t *run,
 			 gh_time_t now);
 static void learn_time(gh_fleet_t *fleet, const fleet_run_t *run,
 		       gh_time_t now);
-static void set_pace(gh_fleet_t *fleet, uint32_t ref, uint32_t pace);
 
 void fleet_health_ended(gh_fleet_t *fleet, const fleet_run_t *run,
 			gh_run_end_t how, gh_time_t now)
@@ -101,7 +93,7 @@
 	const fleet_worker_t *worker = fleet_worker(fleet, run->worker);
 
 	if (!run->running || worker->unheard || step->fills ||
-	    run->pace < PACE_FULL)
+	    run->pace < 100)
 		return false;
 	if (step->lasting)
 		return run->percent < 100 && now - run->running > STARTUP_MOST;
@@ -143,55 +135,3 @@
 	weight = MAX(1.0 / stage->n_mean, MEAN_WEIGHT_LEAST);
 	stage->mean_ms += weight * (ms - stage->mean_ms);
 }
-
-/*
- * Additive increase, multiplicative decrease: what fills beside a lasting
- * task gives way before the task's tail reaches its bound.
- */
-void fleet_pace_worker(gh_fleet_t *fleet, uint32_t handle, gh_time_t now)
-{
-	const fleet_worker_t *worker = fleet_worker(fleet, handle);
-	int64_t worst = 0; /* tail in parts of 100 of its bound */
-	uint32_t ref;
-
-	(void)now;
-	if (!worker->fills)
-		return;
-	for (ref = worker->runs; ref != GH_NONE;
-	     ref = fleet_run(fleet, ref)->next) {
-		const fleet_run_t *run = fleet_run(fleet, ref);
-		const gh_step_t *step =
-			fleet_step_of(fleet_job(fleet, run->job), run->task);
-
-		if (step->lasting && step->tail_ms && run->percent == 100)
-			worst = MAX(worst, run->gauge * 100 / step->tail_ms);
-	}
-	for (ref = worker->runs; ref != GH_NONE;
-	     ref = fleet_run(fleet, ref)->next) {
-		const fleet_run_t *run = fleet_run(fleet, ref);
-
-		if (!fleet_step_of(fleet_job(fleet, run->job), run->task)
-			     ->fills)
-			continue;
-		if (worst > 100)
-			set_pace(fleet, ref, 0);
-		else if (worst > TAIL_HIGH)
-			set_pace(fleet, ref, run->pace / 2);
-		else if (worst < TAIL_LOW && run->pace < PACE_FULL)
-			set_pace(fleet, ref,
-				 MIN(run->pace + PACE_STEP, PACE_FULL));
-		else if (run->pace_sent != run->pace)
-			set_pace(fleet, ref, run->pace);
-	}
-}
-
-static void set_pace(gh_fleet_t *fleet, uint32_t ref, uint32_t pace)
-{
-	fleet_run_t *run = fleet_run(fleet, ref);
-
-	if (run->state != RUN_RUNNING || pace == run->pace_sent)
-		return;
-	run->pace = run->pace_sent = pace;
-	fleet->counts.paced++;
-	fleet_order(fleet, GH_ORDER_PACE, ref);
-}
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -23,8 +23,10 @@
 /* Placement costs, in milli-cores left over that they weigh as much as. */
 #define COST_AVOID 5000000
 #define COST_FAR 1000000  /* another rack than that of the data */
-#define COST_SHARE 200000 /* filling beside lasting, for each of them */
-#define COST_LASTING 30000
+#define COST_SHARE 2000   /* lasting beside filling, for each of these */
+#define COST_FIRST 60000 /* lasting where none lasts yet */
+#define COST_FILL 100000 /* all of the press that a worker bears */
+#define FILL_MOST 1.15	 /* shares of it; more waits for an end */
 #define COST_SLOW 100000 /* for each time that a worker is slower */
 
 typedef struct candidate {
@@ -47,9 +49,10 @@
 static void place_gang(gh_fleet_t *fleet, const candidate_t *c, gh_time_t now);
 static uint32_t choose(const gh_fleet_t *fleet, const fleet_job_t *job,
 		       uint32_t task, uint32_t not_worker, gh_time_t now);
-static bool fits(const fleet_worker_t *worker, const gh_step_t *step);
-static int64_t cost(const fleet_worker_t *worker, const gh_step_t *step,
-		    const char *stage_rack);
+static bool fits(const gh_fleet_t *fleet, const fleet_worker_t *worker,
+		 const gh_step_t *step);
+static int64_t cost(const gh_fleet_t *fleet, const fleet_worker_t *worker,
+		    const gh_step_t *step, const char *rack);
 static uint32_t on_worker(const gh_fleet_t *fleet, const fleet_job_t *job,
 			  uint32_t stage, uint32_t worker);
 static const char *stage_rack(const gh_fleet_t *fleet, const fleet_job_t *job,
@@ -314,7 +317,7 @@
 		if (i == not_worker || !worker->used || !worker->listed ||
 		    !worker->known || worker->entry.draining ||
 		    worker->unheard || now < worker->full_until ||
-		    !fits(worker, step) || !fleet_health_usable(worker, now) ||
+		    !fits(fleet, worker, step) || !fleet_health_usable(worker, now) ||
 		    strcmp(worker->entry.service, job->spec->service) != 0)
 			continue;
 		for (j = 0; *step->label && j < worker->entry.n_labels; j++)
@@ -325,7 +328,7 @@
 		if (step->per_worker &&
 		    on_worker(fleet, job, stage, i) >= step->per_worker)
 			continue;
-		c = cost(worker, step, rack);
+		c = cost(fleet, worker, step, rack);
 		if (i == job->tasks[task].avoid)
 			c += COST_AVOID;
 		if (c < best_cost) {
@@ -336,7 +339,8 @@
 	return best;
 }
 
-static bool fits(const fleet_worker_t *worker, const gh_step_t *step)
+static bool fits(const gh_fleet_t *fleet, const fleet_worker_t *worker,
+		 const gh_step_t *step)
 {
 	const gh_size_t *size = &worker->entry.size;
 	const gh_size_t *held = &worker->held;
@@ -344,30 +348,33 @@
 	return held->memory_mb + step->size.memory_mb <= size->memory_mb &&
 	       held->accelerators + step->size.accelerators <=
 		       size->accelerators &&
-	       (step->fills || held->cores_milli + step->size.cores_milli <=
-				       size->cores_milli);
+	       (step->fills ?
+			fleet_fill_share(fleet, worker, step) <= FILL_MOST :
+			held->cores_milli + step->size.cores_milli <=
+				size->cores_milli);
 }
 
 /*
- * Fixed sizes go where they leave least over, so that wide room stays whole;
- * filling tasks go where most cores are unused; lasting tasks are spread,
- * since each adds to the others' tail.
+ * Fixed sizes go where they leave least over, so that wide room stays whole.
+ * Lasting tasks gather on few workers, so that the others are free for what
+ * fills; that goes where it asks for the least share of what is borne.
  */
-static int64_t cost(const fleet_worker_t *worker, const gh_step_t *step,
-		    const char *rack)
+static int64_t cost(const gh_fleet_t *fleet, const fleet_worker_t *worker,
+		    const gh_step_t *step, const char *rack)
 {
-	int64_t unused = (int64_t)worker->entry.size.cores_milli -
-			 worker->held.cores_milli;
 	int64_t c;
 
 	if (step->fills)
-		c = COST_SHARE * (int64_t)worker->lasting +
-		    step->size.cores_milli * (int64_t)worker->fills - unused;
+		c = (int64_t)(fleet_fill_share(fleet, worker, step) *
+			      COST_FILL);
 	else
-		c = unused - step->size.cores_milli;
-	if (step->lasting)
-		c += COST_LASTING * (int64_t)worker->lasting +
-		     COST_SHARE * (int64_t)worker->fills;
+		c = (int64_t)worker->entry.size.cores_milli -
+		    worker->held.cores_milli - step->size.cores_milli;
+	if (step->lasting) {
+		c += COST_SHARE * (int64_t)worker->fills;
+		if (!worker->lasting)
+			c += COST_FIRST;
+	}
 	if (rack && *rack && strcmp(rack, worker->rack) != 0)
 		c += COST_FAR;
 	c += (int64_t)((worker->slowness - 1) * COST_SLOW);
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -7,6 +7,7 @@
 #include "core_fleet.h"
 
 #define GH_NONE UINT32_MAX
+#define GH_PRESS_UNKNOWN 0.12 /* press borne by a worker not looked at yet */
 #define GH_TASK_RUNS_MAX 2 /* a run and one copy */
 
 typedef enum run_state {
@@ -109,7 +110,9 @@
 	uint32_t fail_streak;  /* failed runs of different jobs in a row */
 	uint32_t bad_turns;    /* quarantines in a row */
 	gh_time_t quarantined; /* until */
-	bool stuck;	       /* its tasks stand still */
+	double fill_cores;     /* milli-cores of its open filling runs */
+	double lasting_cores;  /* milli-cores of its open lasting runs */
+	double press_most;     /* press that its lasting tasks bear */
 	double slowness;       /* of runs here against their stage's mean */
 } fleet_worker_t;
 
@@ -208,6 +211,12 @@
 
 /* Pace of the tasks that fill beside lasting ones. */
 void fleet_pace_worker(gh_fleet_t *fleet, uint32_t worker, gh_time_t now);
+/*
+ * How much a further filling task would ask of the worker, as a share of
+ * what it bears without harm; 1: all of it.
+ */
+double fleet_fill_share(const gh_fleet_t *fleet, const fleet_worker_t *worker,
+			const gh_step_t *step);
 
 void fleet_say(const gh_fleet_t *fleet, const char *what,
 	       const gh_task_id_t *task, uint32_t run, uint32_t worker,
