--- a/core_fleet.c
+++ b/core_fleet.c
@@ -61,6 +61,7 @@
 	fleet->queues =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	fleet->changes = g_queue_new();
+	fleet->press = gh_press_new();
 	return fleet;
 }
 
@@ -87,6 +88,7 @@
 	g_hash_table_destroy(fleet->job_by_id);
 	g_hash_table_destroy(fleet->queues);
 	g_queue_free(fleet->changes);
+	gh_press_free(fleet->press);
 	g_free(fleet);
 }
 
@@ -114,7 +116,6 @@
 		.runs = GH_NONE,
 		.acks = g_queue_new(),
 		.slowness = 1,
-		.press_most = GH_PRESS_UNKNOWN,
 	};
 	set_rack(worker);
 	g_hash_table_insert(fleet->worker_by_id, g_strdup(entry->id),
@@ -253,6 +254,10 @@
 	job->n_tasks = occurrences * job->per_occurrence;
 	job->tasks = g_new0(fleet_task_t, job->n_tasks);
 	job->stages = g_new0(fleet_stage_t, job->n_stages);
+	job->images = g_new0(uint16_t, pipeline->n_steps);
+	for (s = 0; s < pipeline->n_steps; s++)
+		job->images[s] = gh_press_image(fleet->press,
+						pipeline->steps[s].image);
 	for (k = 0; k < occurrences; k++)
 		for (s = 0; s < pipeline->n_steps; s++) {
 			job->stages[k * pipeline->n_steps + s].first = at;
@@ -780,6 +785,7 @@
 		worker->lasting_cores += in ? step->size.cores_milli :
 					      -(double)step->size.cores_milli;
 	}
+	worker->seats_old = true;
 	worker->held.memory_mb += sign * step->size.memory_mb;
 	worker->held.accelerators += sign * step->size.accelerators;
 }
@@ -794,6 +800,7 @@
 		g_free(job->tasks[i].saved);
 	g_free(job->tasks);
 	g_free(job->stages);
+	g_free(job->images);
 	gh_pipeline_free(job->spec);
 	memset(job, 0, sizeof(*job));
 	g_array_append_val(fleet->free_jobs, handle);
--- a/core_fleet_pace.c
+++ b/core_fleet_pace.c
@@ -1,136 +1,283 @@
 /*
- * How much filling work the lasting tasks of a worker bear.
+ * Where filling tasks go and how fast they may run beside lasting ones.
  *
  * Load answered: short batch work on cores that lasting tasks leave unused,
- * beside waves in the load of these tasks.  A lasting task's tail grows as
- * base / (1 - u); u is its own load and the press of all that fills beside
- * it.  The model: press is the fill's cores as a share of the worker's,
- * times a weight; what the worst-off task has left to its bound tells the
- * press that the worker bears, and all that fills is paced to it.
+ * while the load of these moves in waves and some pairs of images get on
+ * badly.  Each list of a worker tells the use of every lasting task there;
+ * the load of a job's tasks is followed, weights of pairs are learned, and
+ * what fills is placed where it takes the least part of the room that the
+ * worst-off lasting task has left.  Where a task nears its bound all the
+ * same, those that press on it are paced.
  */
 #include "core_fleet_state.h"
 
+#include "core_press.h"
+
 #define PACE_FULL 100
-#define PACE_GRAIN 5 /* percent; smaller changes are not worth a call */
-#define PRESS_WEIGHT 0.45 /* of one full worker's cores, on u */
-#define BASE_PARTS 6	  /* of a tail's bound, until a lower one was seen */
-#define U_MARGIN 0.07	  /* kept free below the bound */
-#define U_WORST 0.95	  /* above it u says little: press is halved */
-#define PRESS_RISE 0.05	  /* most that is let on at one look */
-#define PRESS_MOST 1.0
-#define SERVING_USE 0.6 /* of their cores that lasting tasks use */
-#define FILL_ROOM_LEAST 500.0 /* milli-cores; avoids a division by nothing */
-
-static double headroom(gh_fleet_t *fleet, const fleet_worker_t *worker,
-		       double *worst);
-static double press_of(const fleet_worker_t *worker, double cores_milli);
-static void set_pace(gh_fleet_t *fleet, uint32_t ref, uint32_t pace);
+#define PACE_GRAIN 5  /* percent; smaller changes are not worth a call */
+#define PACE_LEAST 10 /* below it a task stands still instead */
+#define PACE_RISE 30  /* percent, at one look */
+#define USE_MARGIN 0.04 /* kept free below the bound */
+#define WEIGHT_PRESSES 0.12 /* a pair below it is none to blame */
+#define LOAD_FIRST 0.5 /* of a lasting job not looked at yet */
+#define LOAD_STEP_ALONE 0.7 /* of an error on its load: nothing fills beside */
+#define LOAD_STEP_BESIDE 0.15
+#define USE_WORST 0.95 /* above it only a lower bound is seen */
+#define OVER_MOST (1500 * GH_USEC_PER_MSEC) /* over the bound, till all stops */
+#define ROOM_LEAST 0.02
+#define SHARE_NONE 100.0    /* no room at all */
+#define SERVING_USE 0.5	    /* of their cores that lasting tasks use */
+#define CORES_MOST 1.6	    /* times the unused cores, that may fill */
+#define CORES_LEAST 500.0   /* milli-cores; avoids a division by nothing */
+#define SHARE_UNUSED 0.05   /* weight of unused cores where none lasts */
+
+static size_t fills_of(const gh_fleet_t *fleet, const fleet_worker_t *worker,
+		       bool paced, gh_press_fill_t fills[GH_FILLS_MAX]);
+static void look(gh_fleet_t *fleet, fleet_worker_t *worker, gh_time_t now);
+static void learn(gh_fleet_t *fleet, fleet_run_t *run,
+		  const gh_press_fill_t *fills, size_t n, double use);
+static void pace_run(gh_fleet_t *fleet, const fleet_worker_t *worker,
+		     uint32_t ref);
+static void refresh_seats(gh_fleet_t *fleet, fleet_worker_t *worker);
+static void set_pace(gh_fleet_t *fleet, uint32_t ref, double pace);
+static uint16_t image_of(const gh_fleet_t *fleet, const fleet_run_t *run);
+static double share_of(const fleet_worker_t *worker, double cores_milli);
 
 void fleet_pace_worker(gh_fleet_t *fleet, uint32_t handle, gh_time_t now)
 {
 	fleet_worker_t *worker = fleet_worker(fleet, handle);
-	double full = press_of(worker, worker->fill_cores);
-	double press = 0; /* as paced now */
-	double worst;
-	double left;
-	uint32_t pace = PACE_FULL;
 	uint32_t ref;
 
-	(void)now;
-	if (!worker->lasting) {
-		worker->press_most = PRESS_MOST;
+	if (!worker->lasting)
+		return;
+	look(fleet, worker, now);
+	worker->seats_old = true;
+	if (!worker->fills)
 		return;
-	}
 	for (ref = worker->runs; ref != GH_NONE;
 	     ref = fleet_run(fleet, ref)->next) {
 		const fleet_run_t *run = fleet_run(fleet, ref);
+
+		if (run->state == RUN_RUNNING &&
+		    fleet_step_of(fleet_job(fleet, run->job), run->task)->fills)
+			pace_run(fleet, worker, ref);
+	}
+}
+
+double fleet_fill_share(gh_fleet_t *fleet, fleet_worker_t *worker,
+			const gh_step_t *step, uint16_t image)
+{
+	double cores = worker->fill_cores + step->size.cores_milli;
+	double size = (double)worker->entry.size.cores_milli;
+	double fixed = (double)worker->held.cores_milli - worker->lasting_cores;
+	double unused = MAX(size - fixed - SERVING_USE * worker->lasting_cores,
+			    CORES_LEAST);
+	double share = cores / unused / CORES_MOST;
+	uint32_t i;
+
+	if (worker->seats_old)
+		refresh_seats(fleet, worker);
+	for (i = 0; i < worker->n_seats; i++) {
+		const fleet_seat_t *seat = &worker->seats[i];
+		double add = gh_press_weight(fleet->press, seat->image, image) *
+			     share_of(worker, step->size.cores_milli);
+
+		if (add > 0)
+			share = MAX(share, seat->room > ROOM_LEAST ?
+						   (seat->press + add) /
+							   seat->room :
+						   SHARE_NONE * add);
+	}
+	return share;
+}
+
+/* Takes in the tails of one list. */
+static void look(gh_fleet_t *fleet, fleet_worker_t *worker, gh_time_t now)
+{
+	gh_press_fill_t fills[GH_FILLS_MAX];
+	size_t n = fills_of(fleet, worker, true, fills);
+	uint32_t ref;
+
+	for (ref = worker->runs; ref != GH_NONE;
+	     ref = fleet_run(fleet, ref)->next) {
+		fleet_run_t *run = fleet_run(fleet, ref);
 		const gh_step_t *step =
 			fleet_step_of(fleet_job(fleet, run->job), run->task);
 
-		if (step->fills && run->state == RUN_RUNNING)
-			press += press_of(worker, step->size.cores_milli) *
-				 run->pace / PACE_FULL;
+		if (!step->lasting || !step->tail_ms || run->gauge <= 0 ||
+		    run->percent < PACE_FULL) {
+			run->use = 0;
+			continue;
+		}
+		run->use = gh_press_use(run->gauge, step->tail_ms);
+		if (run->gauge <= step->tail_ms)
+			run->over_since = 0;
+		else if (!run->over_since)
+			run->over_since = now;
+		learn(fleet, run, fills, n, run->use);
 	}
-	left = headroom(fleet, worker, &worst);
-	if (worst > U_WORST)
-		press /= 2;
-	if (press + left > worker->press_most + PRESS_RISE)
-		worker->press_most += PRESS_RISE;
-	else
-		worker->press_most = press + left;
-	worker->press_most = CLAMP(worker->press_most, 0, PRESS_MOST);
-	if (!worker->fills)
+}
+
+static void learn(gh_fleet_t *fleet, fleet_run_t *run,
+		  const gh_press_fill_t *fills, size_t n, double use)
+{
+	fleet_stage_t *stage =
+		fleet_stage_of(fleet_job(fleet, run->job), run->task);
+	uint16_t image = image_of(fleet, run);
+	double press = gh_press_sum(fleet->press, image, fills, n);
+	double error;
+
+	if (!stage->load)
+		stage->load = LOAD_FIRST;
+	error = use - stage->load - press;
+	if (use > USE_WORST && error < 0)
 		return;
-	if (full > worker->press_most)
-		pace = (uint32_t)(worker->press_most / full * PACE_FULL) /
-		       PACE_GRAIN * PACE_GRAIN;
-	for (ref = worker->runs; ref != GH_NONE;
-	     ref = fleet_run(fleet, ref)->next)
-		if (fleet_step_of(fleet_job(fleet, fleet_run(fleet, ref)->job),
-				  fleet_run(fleet, ref)->task)
-			    ->fills)
-			set_pace(fleet, ref, pace);
+	if (!n) {
+		stage->load += LOAD_STEP_ALONE * error;
+		return;
+	}
+	stage->load += LOAD_STEP_BESIDE * error;
+	stage->load = CLAMP(stage->load, 0.05, 1);
+	gh_press_learn(fleet->press, image, fills, n, error);
 }
 
-double fleet_fill_share(const gh_fleet_t *fleet, const fleet_worker_t *worker,
-			const gh_step_t *step)
+/* Slows a task that presses on one near its bound, else lets it go faster. */
+static void pace_run(gh_fleet_t *fleet, const fleet_worker_t *worker,
+		     uint32_t ref)
 {
-	double cores = worker->fill_cores + step->size.cores_milli;
-	double room = (double)worker->entry.size.cores_milli -
-		      ((double)worker->held.cores_milli -
-		       worker->lasting_cores) -
-		      SERVING_USE * worker->lasting_cores;
-	double share = cores / MAX(room, FILL_ROOM_LEAST);
-
-	(void)fleet;
-	if (worker->lasting && worker->press_most > 0)
-		share = MAX(share,
-			    press_of(worker, cores) / worker->press_most);
-	else if (worker->lasting)
-		share = PACE_FULL;
-	return share;
+	const fleet_run_t *fill = fleet_run(fleet, ref);
+	uint16_t image = image_of(fleet, fill);
+	double share = share_of(
+		worker, fleet_step_of(fleet_job(fleet, fill->job), fill->task)
+				->size.cores_milli);
+	double goal = gh_press_use_most() - USE_MARGIN;
+	double pace = MIN(fill->pace + PACE_RISE, PACE_FULL);
+	gh_press_fill_t fills[GH_FILLS_MAX];
+	size_t n = fills_of(fleet, worker, true, fills);
+	uint32_t other;
+
+	for (other = worker->runs; other != GH_NONE;
+	     other = fleet_run(fleet, other)->next) {
+		const fleet_run_t *run = fleet_run(fleet, other);
+		double weight, press;
+
+		if (!run->use)
+			continue;
+		if (run->over_since &&
+		    worker->held_at - run->over_since > OVER_MOST) {
+			pace = 0;
+			continue;
+		}
+		weight = gh_press_weight(fleet->press, image_of(fleet, run),
+					 image);
+		if (weight < WEIGHT_PRESSES)
+			continue;
+		press = gh_press_sum(fleet->press, image_of(fleet, run), fills,
+				     n);
+		if (run->use > goal)
+			pace = MIN(pace, press > run->use - goal ?
+						 fill->pace *
+							 (1 - (run->use - goal) /
+								      press) :
+						 0);
+		else
+			pace = MIN(pace, fill->pace + (goal - run->use) /
+							      (weight * share) *
+							      PACE_FULL / 2);
+	}
+	set_pace(fleet, ref, pace);
+}
+
+/* Each job that lasts here, with the room it has and what presses on it. */
+static void refresh_seats(gh_fleet_t *fleet, fleet_worker_t *worker)
+{
+	gh_press_fill_t fills[GH_FILLS_MAX];
+	size_t n = fills_of(fleet, worker, false, fills);
+	uint32_t ref;
+
+	worker->n_seats = 0;
+	worker->seats_old = false;
+	for (ref = worker->runs;
+	     ref != GH_NONE && worker->n_seats < GH_SEATS_MAX;
+	     ref = fleet_run(fleet, ref)->next) {
+		const fleet_run_t *run = fleet_run(fleet, ref);
+		fleet_job_t *job = fleet_job(fleet, run->job);
+		const fleet_stage_t *stage = fleet_stage_of(job, run->task);
+		uint16_t image = image_of(fleet, run);
+		double load = stage->load ? stage->load : LOAD_FIRST;
+		uint32_t i;
+
+		if (!fleet_step_of(job, run->task)->lasting)
+			continue;
+		for (i = 0; i < worker->n_seats; i++)
+			if (worker->seats[i].stage == stage)
+				break;
+		if (i < worker->n_seats)
+			continue;
+		worker->seats[worker->n_seats++] = (fleet_seat_t){
+			.stage = stage,
+			.image = image,
+			.room = gh_press_use_most() - USE_MARGIN - load,
+			.press = gh_press_sum(fleet->press, image, fills, n),
+		};
+	}
 }
 
-/* What the worst-off lasting task has left of u; *worst is its u. */
-static double headroom(gh_fleet_t *fleet, const fleet_worker_t *worker,
-		       double *worst)
+/* What fills the worker, by image; as paced now, or at full pace. */
+static size_t fills_of(const gh_fleet_t *fleet, const fleet_worker_t *worker,
+		       bool paced, gh_press_fill_t fills[GH_FILLS_MAX])
 {
-	double least = 1;
+	size_t n = 0;
 	uint32_t ref;
 
-	*worst = 0;
 	for (ref = worker->runs; ref != GH_NONE;
 	     ref = fleet_run(fleet, ref)->next) {
 		const fleet_run_t *run = fleet_run(fleet, ref);
 		const gh_step_t *step =
 			fleet_step_of(fleet_job(fleet, run->job), run->task);
-		double base, u;
+		uint16_t image = image_of(fleet, run);
+		double share = share_of(worker, step->size.cores_milli);
+		size_t i;
 
-		if (!step->lasting || !step->tail_ms || run->gauge <= 0 ||
-		    run->percent < 100)
+		if (!step->fills || (paced && run->state != RUN_RUNNING))
 			continue;
-		base = (double)step->tail_ms / BASE_PARTS;
-		u = 1 - base / (double)MAX(run->gauge, 1);
-		*worst = MAX(*worst, u);
-		least = MIN(least, 1 - 1.0 / BASE_PARTS - U_MARGIN - u);
+		if (paced)
+			share = share * run->pace / PACE_FULL;
+		for (i = 0; i < n; i++)
+			if (fills[i].image == image)
+				break;
+		if (i == n && n == GH_FILLS_MAX)
+			i = n - 1;
+		else if (i == n)
+			fills[n++] = (gh_press_fill_t){ .image = image };
+		fills[i].share += share;
 	}
-	return least;
+	return n;
+}
+
+static uint16_t image_of(const gh_fleet_t *fleet, const fleet_run_t *run)
+{
+	const fleet_job_t *job = fleet_job(fleet, run->job);
+
+	return job->images[fleet_stage_index(job, run->task) %
+			   job->spec->n_steps];
 }
 
-static double press_of(const fleet_worker_t *worker, double cores_milli)
+static double share_of(const fleet_worker_t *worker, double cores_milli)
 {
-	return PRESS_WEIGHT * cores_milli / MAX(worker->entry.size.cores_milli,
-						1);
+	return cores_milli / MAX(worker->entry.size.cores_milli, 1);
 }
 
-static void set_pace(gh_fleet_t *fleet, uint32_t ref, uint32_t pace)
+static void set_pace(gh_fleet_t *fleet, uint32_t ref, double pace)
 {
 	fleet_run_t *run = fleet_run(fleet, ref);
+	uint32_t grains = (uint32_t)CLAMP(pace, 0, PACE_FULL) / PACE_GRAIN *
+			  PACE_GRAIN;
 
-	run->pace = pace;
-	if (run->state != RUN_RUNNING || pace == run->pace_sent)
+	run->pace = grains < PACE_LEAST ? 0 : grains;
+	if (run->pace == run->pace_sent)
 		return;
-	run->pace_sent = pace;
+	run->pace_sent = run->pace;
 	fleet->counts.paced++;
 	fleet_order(fleet, GH_ORDER_PACE, ref);
 }
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -24,9 +24,11 @@
 #define COST_AVOID 5000000
 #define COST_FAR 1000000  /* another rack than that of the data */
 #define COST_SHARE 2000   /* lasting beside filling, for each of these */
-#define COST_FIRST 60000 /* lasting where none lasts yet */
+#define COST_MIXED 30000 /* lasting beside those of another job */
+#define COST_LASTING_FIT 10 /* part of the cost of room left over */
 #define COST_FILL 100000 /* all of the press that a worker bears */
-#define FILL_MOST 1.15	 /* shares of it; more waits for an end */
+#define SPREAD_TASKS 3   /* fewer on one worker make a job a spread one */
+#define FILL_MOST 1.0 	 /* of that; more waits for an end */
 #define COST_SLOW 100000 /* for each time that a worker is slower */
 
 typedef struct candidate {
@@ -47,12 +49,13 @@
 static void place_stage(gh_fleet_t *fleet, const candidate_t *c,
 			gh_time_t now);
 static void place_gang(gh_fleet_t *fleet, const candidate_t *c, gh_time_t now);
-static uint32_t choose(const gh_fleet_t *fleet, const fleet_job_t *job,
+static uint32_t choose(gh_fleet_t *fleet, const fleet_job_t *job,
 		       uint32_t task, uint32_t not_worker, gh_time_t now);
-static bool fits(const gh_fleet_t *fleet, const fleet_worker_t *worker,
-		 const gh_step_t *step);
-static int64_t cost(const gh_fleet_t *fleet, const fleet_worker_t *worker,
-		    const gh_step_t *step, const char *rack);
+static bool fits(const fleet_worker_t *worker, const gh_step_t *step);
+static int64_t cost(const fleet_worker_t *worker, const gh_step_t *step,
+		    const char *rack, uint32_t of_job);
+static int64_t lasting_cost(const fleet_worker_t *worker, const gh_step_t *step,
+			    uint32_t of_job);
 static uint32_t on_worker(const gh_fleet_t *fleet, const fleet_job_t *job,
 			  uint32_t stage, uint32_t worker);
 static const char *stage_rack(const gh_fleet_t *fleet, const fleet_job_t *job,
@@ -299,7 +302,7 @@
 }
 
 /* The cheapest worker that may take the task, or GH_NONE. */
-static uint32_t choose(const gh_fleet_t *fleet, const fleet_job_t *job,
+static uint32_t choose(gh_fleet_t *fleet, const fleet_job_t *job,
 		       uint32_t task, uint32_t not_worker, gh_time_t now)
 {
 	uint32_t stage = fleet_stage_index(job, task);
@@ -311,13 +314,14 @@
 	uint32_t i, j;
 
 	for (i = 0; i < fleet->workers->len; i++) {
-		const fleet_worker_t *worker = fleet_worker(fleet, i);
+		fleet_worker_t *worker = fleet_worker(fleet, i);
+		uint32_t here = 0;
 		int64_t c;
 
 		if (i == not_worker || !worker->used || !worker->listed ||
 		    !worker->known || worker->entry.draining ||
 		    worker->unheard || now < worker->full_until ||
-		    !fits(fleet, worker, step) || !fleet_health_usable(worker, now) ||
+		    !fits(worker, step) || !fleet_health_usable(worker, now) ||
 		    strcmp(worker->entry.service, job->spec->service) != 0)
 			continue;
 		for (j = 0; *step->label && j < worker->entry.n_labels; j++)
@@ -325,10 +329,20 @@
 				break;
 		if (*step->label && j == worker->entry.n_labels)
 			continue;
-		if (step->per_worker &&
-		    on_worker(fleet, job, stage, i) >= step->per_worker)
+		if (step->per_worker || step->lasting)
+			here = on_worker(fleet, job, stage, i);
+		if (step->per_worker && here >= step->per_worker)
 			continue;
-		c = cost(fleet, worker, step, rack);
+		c = cost(worker, step, rack, here);
+		if (step->fills) {
+			double share = fleet_fill_share(
+				fleet, worker, step,
+				job->images[stage % job->spec->n_steps]);
+
+			if (share > FILL_MOST)
+				continue;
+			c += (int64_t)(share * COST_FILL);
+		}
 		if (i == job->tasks[task].avoid)
 			c += COST_AVOID;
 		if (c < best_cost) {
@@ -339,8 +353,7 @@
 	return best;
 }
 
-static bool fits(const gh_fleet_t *fleet, const fleet_worker_t *worker,
-		 const gh_step_t *step)
+static bool fits(const fleet_worker_t *worker, const gh_step_t *step)
 {
 	const gh_size_t *size = &worker->entry.size;
 	const gh_size_t *held = &worker->held;
@@ -348,10 +361,8 @@
 	return held->memory_mb + step->size.memory_mb <= size->memory_mb &&
 	       held->accelerators + step->size.accelerators <=
 		       size->accelerators &&
-	       (step->fills ?
-			fleet_fill_share(fleet, worker, step) <= FILL_MOST :
-			held->cores_milli + step->size.cores_milli <=
-				size->cores_milli);
+	       (step->fills || held->cores_milli + step->size.cores_milli <=
+				       size->cores_milli);
 }
 
 /*
@@ -359,28 +370,40 @@
  * Lasting tasks gather on few workers, so that the others are free for what
  * fills; that goes where it asks for the least share of what is borne.
  */
-static int64_t cost(const gh_fleet_t *fleet, const fleet_worker_t *worker,
-		    const gh_step_t *step, const char *rack)
+static int64_t cost(const fleet_worker_t *worker, const gh_step_t *step,
+		    const char *rack, uint32_t of_job)
 {
-	int64_t c;
+	int64_t c = 0;
 
-	if (step->fills)
-		c = (int64_t)(fleet_fill_share(fleet, worker, step) *
-			      COST_FILL);
-	else
+	if (!step->fills)
 		c = (int64_t)worker->entry.size.cores_milli -
 		    worker->held.cores_milli - step->size.cores_milli;
-	if (step->lasting) {
-		c += COST_SHARE * (int64_t)worker->fills;
-		if (!worker->lasting)
-			c += COST_FIRST;
-	}
+	if (step->lasting)
+		c = c / COST_LASTING_FIT + COST_SHARE * worker->fills +
+		    lasting_cost(worker, step, of_job);
 	if (rack && *rack && strcmp(rack, worker->rack) != 0)
 		c += COST_FAR;
 	c += (int64_t)((worker->slowness - 1) * COST_SLOW);
 	return c;
 }
 
+/*
+ * The load of a job's tasks rises and falls together, and the highest one on
+ * a worker limits what may fill there.  So a job keeps to itself as far as
+ * its spread allows, and jobs that must be spread share their workers.
+ */
+static int64_t lasting_cost(const fleet_worker_t *worker, const gh_step_t *step,
+			    uint32_t of_job)
+{
+	bool spread = step->per_worker && step->per_worker < SPREAD_TASKS;
+
+	if (of_job)
+		return -COST_MIXED;
+	if (worker->lasting)
+		return spread ? 0 : COST_MIXED;
+	return spread ? COST_MIXED : 0;
+}
+
 static uint32_t on_worker(const gh_fleet_t *fleet, const fleet_job_t *job,
 			  uint32_t stage, uint32_t worker)
 {
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -5,9 +5,11 @@
 #define CORE_FLEET_STATE_H
 
 #include "core_fleet.h"
+#include "core_press.h"
 
 #define GH_NONE UINT32_MAX
-#define GH_PRESS_UNKNOWN 0.12 /* press borne by a worker not looked at yet */
+#define GH_SEATS_MAX 24 /* lasting jobs looked at on one worker */
+#define GH_FILLS_MAX 16 /* images that fill one worker; more are one */
 #define GH_TASK_RUNS_MAX 2 /* a run and one copy */
 
 typedef enum run_state {
@@ -35,6 +37,7 @@
 	int64_t gauge;	      /* as listed last */
 	uint32_t pace;	      /* percent allowed to it */
 	uint32_t pace_sent;
+	double use;	      /* lasting: by its tail as listed last, or 0 */
 	gh_time_t over_since; /* lasting: tail above its bound since, or 0 */
 	uint32_t report;      /* number of the last one that listed it */
 	uint32_t next, prev;  /* of the same worker */
@@ -58,6 +61,7 @@
 	uint32_t run_failed; /* gang: a member of the current run failed */
 	double mean_ms;	     /* of the runs that ended done */
 	uint32_t n_mean;
+	double load; /* lasting: own use of each task; 0: not known */
 } fleet_stage_t;
 
 typedef struct fleet_job {
@@ -75,6 +79,7 @@
 	bool queued_change; /* stands in the list of changes */
 	bool in_commit;
 	bool began;
+	uint16_t *images;   /* numbers in the press model, by step */
 	uint32_t failed_on; /* worker of its first failure, or GH_NONE */
 } fleet_job_t;
 
@@ -86,6 +91,14 @@
 	uint64_t version;
 } fleet_ack_t;
 
+/* A lasting job on a worker, as seen by what may fill there. */
+typedef struct fleet_seat {
+	const void *stage;
+	uint16_t image;
+	double room;  /* use that its own load leaves */
+	double press; /* on it, with all at full pace */
+} fleet_seat_t;
+
 typedef struct fleet_worker {
 	gh_worker_entry_t entry;
 	char rack[GH_LABEL_MAX + 1];
@@ -112,7 +125,9 @@
 	gh_time_t quarantined; /* until */
 	double fill_cores;     /* milli-cores of its open filling runs */
 	double lasting_cores;  /* milli-cores of its open lasting runs */
-	double press_most;     /* press that its lasting tasks bear */
+	fleet_seat_t seats[GH_SEATS_MAX]; /* see core_fleet_pace.c */
+	uint32_t n_seats;
+	bool seats_old; /* to be made anew before use */
 	double slowness;       /* of runs here against their stage's mean */
 } fleet_worker_t;
 
@@ -128,6 +143,7 @@
 	GHashTable *queues; /* name to gh_queue_policy_t */
 	GQueue *changes;    /* jobs' handles + 1 */
 	GArray *orders;	    /* order_ref_t */
+	gh_press_t *press;
 	gh_time_t began;
 	bool fenced;	/* a worker has seen a newer owner */
 	uint32_t report; /* number of the last one */
@@ -215,8 +231,8 @@
  * How much a further filling task would ask of the worker, as a share of
  * what it bears without harm; 1: all of it.
  */
-double fleet_fill_share(const gh_fleet_t *fleet, const fleet_worker_t *worker,
-			const gh_step_t *step);
+double fleet_fill_share(gh_fleet_t *fleet, fleet_worker_t *worker,
+			const gh_step_t *step, uint16_t image);
 
 void fleet_say(const gh_fleet_t *fleet, const char *what,
 	       const gh_task_id_t *task, uint32_t run, uint32_t worker,
