--- a/core_fleet_pace.c
+++ b/core_fleet_pace.c
@@ -17,9 +17,10 @@
 #define PACE_GRAIN 5  /* percent; smaller changes are not worth a call */
 #define PACE_LEAST 10 /* below it a task stands still instead */
 #define PACE_RISE 30  /* percent, at one look */
-#define USE_MARGIN 0.04 /* kept free below the bound */
+#define USE_MARGIN 0.08 /* kept free below the bound */
 #define WEIGHT_PRESSES 0.12 /* a pair below it is none to blame */
 #define LOAD_FIRST 0.5 /* of a lasting job not looked at yet */
+#define LOAD_AHEAD 0.15 /* rise of a load while a task runs beside it */
 #define LOAD_STEP_ALONE 0.7 /* of an error on its load: nothing fills beside */
 #define LOAD_STEP_BESIDE 0.15
 #define USE_WORST 0.95 /* above it only a lower bound is seen */
@@ -91,6 +92,19 @@
 	return share;
 }
 
+uint32_t fleet_seats_of_others(gh_fleet_t *fleet, fleet_worker_t *worker,
+			       uint16_t image)
+{
+	uint32_t others = 0;
+	uint32_t i;
+
+	if (worker->seats_old)
+		refresh_seats(fleet, worker);
+	for (i = 0; i < worker->n_seats; i++)
+		others += worker->seats[i].image != image;
+	return others;
+}
+
 /* Takes in the tails of one list. */
 static void look(gh_fleet_t *fleet, fleet_worker_t *worker, gh_time_t now)
 {
@@ -217,7 +231,8 @@
 		worker->seats[worker->n_seats++] = (fleet_seat_t){
 			.stage = stage,
 			.image = image,
-			.room = gh_press_use_most() - USE_MARGIN - load,
+			.room = gh_press_use_most() - USE_MARGIN - load -
+				LOAD_AHEAD,
 			.press = gh_press_sum(fleet->press, image, fills, n),
 		};
 	}
