--- a/core_fleet_pace.c
+++ b/core_fleet_pace.c
@@ -20,7 +20,7 @@
 #define USE_MARGIN 0.08 /* kept free below the bound */
 #define WEIGHT_PRESSES 0.12 /* a pair below it is none to blame */
 #define LOAD_FIRST 0.5 /* of a lasting job not looked at yet */
-#define LOAD_AHEAD 0.15 /* rise of a load while a task runs beside it */
+#define LOAD_AHEAD 0.18 /* rise of a load while a task runs beside it */
 #define LOAD_STEP_ALONE 0.7 /* of an error on its load: nothing fills beside */
 #define LOAD_STEP_BESIDE 0.15
 #define USE_WORST 0.95 /* above it only a lower bound is seen */
@@ -92,19 +92,6 @@
 	return share;
 }
 
-uint32_t fleet_seats_of_others(gh_fleet_t *fleet, fleet_worker_t *worker,
-			       uint16_t image)
-{
-	uint32_t others = 0;
-	uint32_t i;
-
-	if (worker->seats_old)
-		refresh_seats(fleet, worker);
-	for (i = 0; i < worker->n_seats; i++)
-		others += worker->seats[i].image != image;
-	return others;
-}
-
 /* Takes in the tails of one list. */
 static void look(gh_fleet_t *fleet, fleet_worker_t *worker, gh_time_t now)
 {
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -24,9 +24,7 @@
 #define COST_AVOID 5000000
 #define COST_FAR 1000000  /* another rack than that of the data */
 #define COST_SHARE 2000   /* lasting beside filling, for each of these */
-#define COST_OTHER_IMAGE 30000 /* each lasting job of another image there */
-#define COST_OTHER_JOB 6000    /* each lasting job of the same image */
-#define COST_FRESH 15000 /* a spread job where none lasts yet */
+#define COST_MIXED 30000 /* lasting beside those of another job */
 #define COST_LASTING_FIT 10 /* part of the cost of room left over */
 #define COST_FILL 100000 /* all of the press that a worker bears */
 #define SPREAD_TASKS 3   /* fewer on one worker make a job a spread one */
@@ -55,9 +53,9 @@
 		       uint32_t task, uint32_t not_worker, gh_time_t now);
 static bool fits(const fleet_worker_t *worker, const gh_step_t *step);
 static int64_t cost(const fleet_worker_t *worker, const gh_step_t *step,
-		    const char *rack);
-static int64_t lasting_cost(gh_fleet_t *fleet, fleet_worker_t *worker,
-			    uint16_t image, uint32_t of_job, bool spread);
+		    const char *rack, uint32_t of_job);
+static int64_t lasting_cost(const fleet_worker_t *worker, const gh_step_t *step,
+			    uint32_t of_job);
 static uint32_t on_worker(const gh_fleet_t *fleet, const fleet_job_t *job,
 			  uint32_t stage, uint32_t worker);
 static const char *stage_rack(const gh_fleet_t *fleet, const fleet_job_t *job,
@@ -311,7 +309,6 @@
 	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
 	const char *rack = step->one_rack ? stage_rack(fleet, job, stage) :
 					    step->rack;
-	uint16_t image = job->images[stage % job->spec->n_steps];
 	uint32_t best = GH_NONE;
 	int64_t best_cost = INT64_MAX;
 	uint32_t i, j;
@@ -336,15 +333,11 @@
 			here = on_worker(fleet, job, stage, i);
 		if (step->per_worker && here >= step->per_worker)
 			continue;
-		c = cost(worker, step, rack);
-		if (step->lasting)
-			c += lasting_cost(fleet, worker, image, here,
-					  step->per_worker &&
-						  step->per_worker <
-							  SPREAD_TASKS);
+		c = cost(worker, step, rack, here);
 		if (step->fills) {
-			double share =
-				fleet_fill_share(fleet, worker, step, image);
+			double share = fleet_fill_share(
+				fleet, worker, step,
+				job->images[stage % job->spec->n_steps]);
 
 			if (share > FILL_MOST)
 				continue;
@@ -378,7 +371,7 @@
  * fills; that goes where it asks for the least share of what is borne.
  */
 static int64_t cost(const fleet_worker_t *worker, const gh_step_t *step,
-		    const char *rack)
+		    const char *rack, uint32_t of_job)
 {
 	int64_t c = 0;
 
@@ -386,7 +379,8 @@
 		c = (int64_t)worker->entry.size.cores_milli -
 		    worker->held.cores_milli - step->size.cores_milli;
 	if (step->lasting)
-		c = c / COST_LASTING_FIT + COST_SHARE * worker->fills;
+		c = c / COST_LASTING_FIT + COST_SHARE * worker->fills +
+		    lasting_cost(worker, step, of_job);
 	if (rack && *rack && strcmp(rack, worker->rack) != 0)
 		c += COST_FAR;
 	c += (int64_t)((worker->slowness - 1) * COST_SLOW);
@@ -394,20 +388,20 @@
 }
 
 /*
- * What a pair of images does to each other differs much, and the load of a
- * job's tasks rises and falls together.  So a worker takes lasting tasks of
- * one image, and of few jobs: then there is something that may fill it.
+ * The load of a job's tasks rises and falls together, and the highest one on
+ * a worker limits what may fill there.  So a job keeps to itself as far as
+ * its spread allows, and jobs that must be spread share their workers.
  */
-static int64_t lasting_cost(gh_fleet_t *fleet, fleet_worker_t *worker,
-			    uint16_t image, uint32_t of_job, bool spread)
+static int64_t lasting_cost(const fleet_worker_t *worker, const gh_step_t *step,
+			    uint32_t of_job)
 {
-	uint32_t others = fleet_seats_of_others(fleet, worker, image);
-	int64_t c = COST_OTHER_IMAGE * others +
-		    COST_OTHER_JOB * (worker->n_seats - others);
+	bool spread = step->per_worker && step->per_worker < SPREAD_TASKS;
 
 	if (of_job)
-		return c - COST_OTHER_JOB - COST_OTHER_JOB;
-	return c + (spread && !worker->n_seats ? COST_FRESH : 0);
+		return -COST_MIXED;
+	if (worker->lasting)
+		return spread ? 0 : COST_MIXED;
+	return spread ? COST_MIXED : 0;
 }
 
 static uint32_t on_worker(const gh_fleet_t *fleet, const fleet_job_t *job,
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -14,7 +14,7 @@
 #define STOP_SLACK GH_USEC_PER_SEC /* beyond stop_ms, before a stop is resent */
 #define COMMIT_WAIT (150 * GH_USEC_PER_MSEC) /* for ends to be committed */
 #define HOLD_WAIT_MS 1000	  /* longest wait of a hold for an end */
-#define HOLD_WAIT_PACED_MS 500	  /* the gauge covers half a second */
+#define HOLD_WAIT_PACED_MS 250	  /* the gauge covers half a second */
 
 static void take_run(gh_fleet_t *fleet, uint32_t worker,
 		     const gh_report_run_t *listed, gh_time_t now);
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -227,9 +227,6 @@
 
 /* Pace of the tasks that fill beside lasting ones. */
 void fleet_pace_worker(gh_fleet_t *fleet, uint32_t worker, gh_time_t now);
-/* Lasting jobs on the worker that have another image; seats are made new. */
-uint32_t fleet_seats_of_others(gh_fleet_t *fleet, fleet_worker_t *worker,
-			       uint16_t image);
 /*
  * How much a further filling task would ask of the worker, as a share of
  * what it bears without harm; 1: all of it.
