--- a/fleet_host.c
+++ b/fleet_host.c
@@ -15,6 +15,9 @@
 
 #define UNHEARD_MOST (1800 * GH_USEC_PER_MSEC) /* store; a watch takes 1 s */
 #define RETRY_AFTER_MS 1000
+#define CLAIM_CORES_MILLI 250 /* a host of so many cores claims at once */
+#define CLAIM_DELAY (150 * GH_USEC_PER_MSEC) /* of a host without any */
+#define CLAIM_DELAY_OWNED (250 * GH_USEC_PER_MSEC) /* for each shard owned */
 
 struct fleet_front {
 	fleet_host_setup_t setup;
@@ -43,6 +46,7 @@
 static void on_config(void *ctx, const fleet_item_t *item);
 static void on_job(void *ctx, const char *id, const fleet_job_state_t *state);
 static void on_owner(void *ctx, uint32_t shard, const char *host);
+static gh_time_t claim_delay(const fleet_front_t *host);
 static void on_synced(void *ctx);
 static bool wait_for(wait_t *wait, loop_work_t work, GError **err);
 static void do_submit(void *ctx);
@@ -76,6 +80,8 @@
 			.jobs = host->jobs,
 			.fleet = setup->fleet,
 			.keep_ended_ms = setup->keep_ended_ms,
+			.commit_gap = setup->commit_gap,
+			.shards = setup->shards,
 		};
 
 		host->owners[i] = fleet_owner_new(&owner);
@@ -173,7 +179,23 @@
 	fleet_front_t *host = ctx;
 
 	if (shard < host->setup.shards)
-		fleet_owner_seen(host->owners[shard], name);
+		fleet_owner_seen(host->owners[shard], name,
+				 claim_delay(host));
+}
+
+/* Hosts with more cores and fewer shards of their own claim first. */
+static gh_time_t claim_delay(const fleet_front_t *host)
+{
+	gh_time_t delay = 0;
+	uint32_t i;
+
+	if (host->setup.cores_milli < CLAIM_CORES_MILLI)
+		delay = (CLAIM_CORES_MILLI - host->setup.cores_milli) *
+			CLAIM_DELAY / CLAIM_CORES_MILLI;
+	for (i = 0; i < host->setup.shards; i++)
+		if (!fleet_owner_idle(host->owners[i]))
+			delay += CLAIM_DELAY_OWNED;
+	return delay;
 }
 
 static void on_synced(void *ctx)
--- a/fleet_host.h
+++ b/fleet_host.h
@@ -14,6 +14,8 @@
 	fleet_store_t *store;
 	fleet_workers_t *workers;
 	uint32_t shards;
+	uint32_t cores_milli; /* of this host */
+	gh_time_t commit_gap; /* least time between an owner's commits */
 	gh_fleet_setup_t fleet;
 	int64_t keep_ended_ms;
 } fleet_host_setup_t;
--- a/fleet_main.c
+++ b/fleet_main.c
@@ -15,6 +15,8 @@
 #define GRACE_SPARE_MS 1200 /* of the grace, for the end of the process */
 #define ORPHAN_MS 11000 /* a former owner's last hold and the lease after it \
 			 */
+#define WRITES_PER_SHARD 240 /* an owner commits up to 150 times a second */
+#define COMMIT_PARTS 2 /* of the store's writes, half are for commits */
 #define ARENAS 1	/* of malloc; one thread does most of the work */
 
 typedef struct process {
@@ -44,9 +46,12 @@
 	process_t process = { .path = path, .settings = settings };
 	fleet_store_t *store;
 	fleet_workers_t *workers;
+	uint32_t shards = settings->shards;
 	GError *err = NULL;
 	bool ok;
 
+	if (!shards)
+		shards = MAX(settings->store_writes_per_s / WRITES_PER_SHARD, 1);
 	mallopt(M_ARENA_MAX, ARENAS);
 	log_init(settings->name, settings->log_level);
 	log_defer();
@@ -69,7 +74,10 @@
 		.loop = process.loop,
 		.store = store,
 		.workers = workers,
-		.shards = settings->shards,
+		.shards = shards,
+		.cores_milli = settings->cores_milli,
+		.commit_gap = gh_time_from_ms(shards * 1000LL * COMMIT_PARTS /
+					      settings->store_writes_per_s),
 		.fleet = { .lease_ms = MIN(settings->lease_ms,
 					   settings->lease_most_ms),
 			   .orphan_ms = ORPHAN_MS,
@@ -79,7 +87,7 @@
 	ok = start(&process, &err);
 	if (ok) {
 		log_event(LOG_INFO, "started", "domain", settings->domain,
-			  "shards", log_num(settings->shards), NULL);
+			  "shards", log_num(shards), NULL);
 		loop_run(process.loop);
 	} else {
 		log_event(LOG_ERROR, "start_failed", "message", err->message,
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -158,7 +158,8 @@
 	g_free(owner);
 }
 
-void fleet_owner_seen(fleet_owner_t *owner, const char *host)
+void fleet_owner_seen(fleet_owner_t *owner, const char *host,
+		      gh_time_t delay)
 {
 	gh_time_t now = clock_boot();
 
@@ -168,7 +169,8 @@
 		return;
 	if (owner->phase == PHASE_IDLE)
 		owner->claim_at =
-			now + g_random_int_range(0, (gint32)CLAIM_SPREAD);
+			now + delay +
+			g_random_int_range(0, (gint32)CLAIM_SPREAD);
 	else if (owner->phase == PHASE_OWNING)
 		reclaim(owner);
 	owner->timer.at = MIN(owner->timer.at, owner->claim_at);
@@ -514,6 +516,8 @@
 	gh_worker_entry_t entry;
 	gh_time_t now = clock_boot();
 
+	if (g_str_hash(item->key) % owner->setup.shards != owner->setup.shard)
+		return;
 	owner->dirty = true;
 	if (item->value && owner->setup.store->ops->read_worker(
 				   item->key, item->value, &entry)) {
@@ -886,7 +890,7 @@
 
 	owner->batch = NULL;
 	owner->chain_revision = revision;
-	owner->commit_at = now + COMMIT_GAP;
+	owner->commit_at = now + MAX(COMMIT_GAP, owner->setup.commit_gap);
 	counter_inc(CTR_COMMITS);
 	for (i = 0; i < batch->changes->len; i++) {
 		const gh_fleet_change_t *change =
