--- a/core_fleet_pace.c
+++ b/core_fleet_pace.c
@@ -24,6 +24,7 @@
 #define LOAD_STEP_ALONE 0.7 /* of an error on its load: nothing fills beside \
 			     */
 #define LOAD_STEP_BESIDE 0.15
+#define LOOK_PERIOD (240 * GH_USEC_PER_MSEC) /* of the gauge */
 #define USE_WORST 0.95 /* above it only a lower bound is seen */
 #define OVER_MOST (1500 * GH_USEC_PER_MSEC) /* over the bound, till all stops \
 					     */
@@ -51,8 +52,10 @@
 	fleet_worker_t *worker = fleet_worker(fleet, handle);
 	uint32_t ref;
 
-	if (!worker->lasting)
+	/* Within one period of the gauge nothing new is seen. */
+	if (!worker->lasting || now - worker->looked < LOOK_PERIOD)
 		return;
+	worker->looked = now;
 	look(fleet, worker, now);
 	worker->seats_old = true;
 	if (!worker->fills)
