--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -11,8 +11,9 @@
 #define INVALID_WAIT GH_USEC_PER_SEC /* before a start that was invalid */
 #define HOLD_RETRY (200 * GH_USEC_PER_MSEC)
 #define HOLD_RETRY_GONE GH_USEC_PER_SEC /* another life answered */
-#define STOP_SLACK GH_USEC_PER_SEC /* beyond stop_ms, before a stop is resent \
-				    */
+#define STOP_SLACK                                                 \
+	GH_USEC_PER_SEC /* beyond stop_ms, before a stop is resent \
+			 */
 #define COMMIT_WAIT (150 * GH_USEC_PER_MSEC) /* for ends to be committed */
 #define HOLD_WAIT_MS 1000      /* longest wait of a hold for an end */
 #define HOLD_WAIT_PACED_MS 250 /* the gauge covers half a second */
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -125,7 +125,7 @@
 	uint32_t bad_turns;    /* quarantines in a row */
 	gh_time_t quarantined; /* until */
 	double fill_cores;     /* milli-cores of its open filling runs */
-	gh_time_t looked; /* at the tails of its lasting tasks */
+	gh_time_t looked;      /* at the tails of its lasting tasks */
 	double lasting_cores;  /* milli-cores of its open lasting runs */
 	fleet_seat_t seats[GH_SEATS_MAX]; /* see core_fleet_pace.c */
 	uint32_t n_seats;
--- a/fleet_host.c
+++ b/fleet_host.c
@@ -16,7 +16,7 @@
 #define UNHEARD_MOST (1800 * GH_USEC_PER_MSEC) /* store; a watch takes 1 s */
 #define RETRY_AFTER_MS 1000
 #define CLAIM_CORES_MILLI 250 /* a host of so many cores claims at once */
-#define CLAIM_DELAY (150 * GH_USEC_PER_MSEC) /* of a host without any */
+#define CLAIM_DELAY (150 * GH_USEC_PER_MSEC)	   /* of a host without any */
 #define CLAIM_DELAY_OWNED (250 * GH_USEC_PER_MSEC) /* for each shard owned */
 
 struct fleet_front {
@@ -179,8 +179,7 @@
 	fleet_front_t *host = ctx;
 
 	if (shard < host->setup.shards)
-		fleet_owner_seen(host->owners[shard], name,
-				 claim_delay(host));
+		fleet_owner_seen(host->owners[shard], name, claim_delay(host));
 }
 
 /* Hosts with more cores and fewer shards of their own claim first. */
--- a/fleet_jobs.c
+++ b/fleet_jobs.c
@@ -15,8 +15,9 @@
 #define STATES "state/"
 #define OWNERS "own/"
 #define RETRY_WAIT (40 * GH_USEC_PER_MSEC) /* between two tries of a write */
-#define REFUSALS_MOST 3 /* of one request by the store, before it is refused \
-			 */
+#define REFUSALS_MOST                                          \
+	3 /* of one request by the store, before it is refused \
+	   */
 
 struct fleet_jobs {
 	loop_t *loop;
@@ -26,6 +27,7 @@
 	uint32_t shards;
 	loop_timer_t timer; /* of the next waiting request */
 	GQueue waiting;	    /* request_t, to be tried again */
+	GQueue open;	    /* request_t, all of them */
 	pthread_mutex_t lock;
 	GHashTable *states; /* id to fleet_job_state_t; under the lock */
 };
@@ -50,6 +52,8 @@
 	bool known;	/* CANCEL: state holds what was read */
 	unsigned refusals;
 	unsigned tries;
+	bool calling;  /* a write is under way */
+	bool answered; /* at its deadline, before its last call returned */
 	fleet_jobs_done_t done;
 	void *ctx;
 } request_t;
@@ -71,6 +75,8 @@
 static void on_read(void *ctx, const fleet_reply_t *reply);
 static void settle(request_t *request);
 static void give_up(request_t *request);
+static GError *fate_unknown(const request_t *request);
+static void answer_due(fleet_jobs_t *jobs, gh_time_t now);
 static void on_time(void *ctx, gh_time_t now);
 
 fleet_jobs_t *fleet_jobs_new(loop_t *loop, fleet_store_t *store,
@@ -88,6 +94,7 @@
 	jobs->listener = *listener;
 	pthread_mutex_init(&jobs->lock, NULL);
 	g_queue_init(&jobs->waiting);
+	g_queue_init(&jobs->open);
 	jobs->states =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	jobs->timer = (loop_timer_t){ .at = GH_TIME_NEVER,
@@ -349,6 +356,8 @@
 	request->deadline = deadline;
 	request->done = done;
 	request->ctx = ctx;
+	g_queue_push_tail(&jobs->open, request);
+	jobs->timer.at = MIN(jobs->timer.at, deadline);
 	return request;
 }
 
@@ -402,6 +411,7 @@
 		entries[n++] = (fleet_entry_t){ .kind = FLEET_PUT,
 						.key = record_key,
 						.value = request->record };
+	request->calling = true;
 	jobs->store->ops->commit(jobs->store, entries, n, on_written, request);
 	g_free(text);
 	g_free(record_key);
@@ -413,6 +423,7 @@
 	request_t *request = ctx;
 	size_t i;
 
+	request->calling = false;
 	switch (reply->result) {
 	case FLEET_OK:
 		if (request->kind == REQUEST_CANCEL) {
@@ -512,7 +523,7 @@
 	fleet_jobs_t *jobs = request->jobs;
 	gh_time_t now = clock_boot();
 
-	if (now + RETRY_WAIT >= request->deadline ||
+	if (request->answered || now + RETRY_WAIT >= request->deadline ||
 	    (request->refusals >= REFUSALS_MOST && !request->uncertain)) {
 		give_up(request);
 		return;
@@ -524,10 +535,17 @@
 }
 
 static void give_up(request_t *request)
+{
+	request_finish(request, fate_unknown(request));
+}
+
+/* What is known of a request that is given up. */
+static GError *fate_unknown(const request_t *request)
 {
 	GError *err = NULL;
 
-	if (request->uncertain || request->kind != REQUEST_SUBMIT)
+	if (request->uncertain || request->calling ||
+	    request->kind != REQUEST_SUBMIT)
 		gh_error_set(&err, GH_E_STORE_UNKNOWN,
 			     "the store did not answer for job %s in %u tries",
 			     request->id, request->tries);
@@ -535,7 +553,7 @@
 		gh_error_set(&err, GH_E_STORE_DOWN,
 			     "the store refused job %s in %u tries",
 			     request->id, request->tries);
-	request_finish(request, err);
+	return err;
 }
 
 static void on_time(void *ctx, gh_time_t now)
@@ -550,11 +568,36 @@
 	}
 	if (request)
 		jobs->timer.at = MIN(jobs->timer.at, request->retry_at);
+	answer_due(jobs, now);
+}
+
+/* Callers whose time is up are answered, though a call is still under way. */
+static void answer_due(fleet_jobs_t *jobs, gh_time_t now)
+{
+	GList *at;
+
+	for (at = jobs->open.head; at; at = at->next) {
+		request_t *request = at->data;
+		GError *err;
+
+		if (request->answered)
+			continue;
+		if (request->deadline > now) {
+			jobs->timer.at = MIN(jobs->timer.at, request->deadline);
+			continue;
+		}
+		err = fate_unknown(request);
+		request->answered = true;
+		request->done(request->ctx, err);
+		g_error_free(err);
+	}
 }
 
 static void request_finish(request_t *request, GError *err)
 {
-	request->done(request->ctx, err);
+	if (!request->answered)
+		request->done(request->ctx, err);
+	g_queue_remove(&request->jobs->open, request);
 	g_clear_error(&err);
 	g_free(request->record);
 	g_free(request);
--- a/fleet_main.c
+++ b/fleet_main.c
@@ -13,11 +13,12 @@
 #define LISTEN_MS 2300 /* the balancer needs two misses, a second apart */
 #define DRAIN_POLL (50 * GH_USEC_PER_MSEC)
 #define GRACE_SPARE_MS 1200 /* of the grace, for the end of the process */
-#define ORPHAN_MS 11000 /* a former owner's last hold and the lease after it \
-			 */
+#define ORPHAN_MS                                                  \
+	11000 /* a former owner's last hold and the lease after it \
+	       */
 #define WRITES_PER_SHARD 240 /* an owner commits up to 150 times a second */
-#define COMMIT_PARTS 2 /* of the store's writes, half are for commits */
-#define ARENAS 1	/* of malloc; one thread does most of the work */
+#define COMMIT_PARTS 2	     /* of the store's writes, half are for commits */
+#define ARENAS 1	     /* of malloc; one thread does most of the work */
 
 typedef struct process {
 	const char *path;
@@ -51,7 +52,8 @@
 	bool ok;
 
 	if (!shards)
-		shards = MAX(settings->store_writes_per_s / WRITES_PER_SHARD, 1);
+		shards =
+			MAX(settings->store_writes_per_s / WRITES_PER_SHARD, 1);
 	mallopt(M_ARENA_MAX, ARENAS);
 	log_init(settings->name, settings->log_level);
 	log_defer();
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -10,8 +10,9 @@
 #include "fleet_watch.h"
 #include "log.h"
 
-#define LEASE_MS 2000 /* of the owner record; a shorter one lapses in freezes \
-		       */
+#define LEASE_MS                                                     \
+	2000 /* of the owner record; a shorter one lapses in freezes \
+	      */
 #define KEEP_PERIOD (500 * GH_USEC_PER_MSEC) /* between two renewals */
 #define HOLD_ON (8 * GH_USEC_PER_SEC) /* workers are held without the store */
 #define CLAIM_SPREAD \
@@ -158,8 +159,7 @@
 	g_free(owner);
 }
 
-void fleet_owner_seen(fleet_owner_t *owner, const char *host,
-		      gh_time_t delay)
+void fleet_owner_seen(fleet_owner_t *owner, const char *host, gh_time_t delay)
 {
 	gh_time_t now = clock_boot();
 
@@ -168,9 +168,8 @@
 	if (!owner->free)
 		return;
 	if (owner->phase == PHASE_IDLE)
-		owner->claim_at =
-			now + delay +
-			g_random_int_range(0, (gint32)CLAIM_SPREAD);
+		owner->claim_at = now + delay +
+				  g_random_int_range(0, (gint32)CLAIM_SPREAD);
 	else if (owner->phase == PHASE_OWNING)
 		reclaim(owner);
 	owner->timer.at = MIN(owner->timer.at, owner->claim_at);
--- a/fleet_owner.h
+++ b/fleet_owner.h
@@ -26,7 +26,7 @@
 	fleet_jobs_t *jobs;
 	gh_fleet_setup_t fleet;
 	uint32_t shards;
-	gh_time_t commit_gap; /* least time between two commits */
+	gh_time_t commit_gap;  /* least time between two commits */
 	int64_t keep_ended_ms; /* how long ended jobs are still known */
 } fleet_owner_setup_t;
 
@@ -37,8 +37,7 @@
  * The owner record of the shard was seen: a host's name, or NULL; then it is
  * claimed after the delay.
  */
-void fleet_owner_seen(fleet_owner_t *owner, const char *host,
-		      gh_time_t delay);
+void fleet_owner_seen(fleet_owner_t *owner, const char *host, gh_time_t delay);
 void fleet_owner_configure(fleet_owner_t *owner, const fleet_config_t *config);
 void fleet_owner_job(fleet_owner_t *owner, const char *id,
 		     const fleet_job_state_t *state);
--- /dev/null
+++ b/regress/fake_platform.c
@@ -0,0 +1,844 @@
+/*
+ * Stand-in of the users' platform in one process: the metadata store, and
+ * workers that carry out orders.  Workers share the address; the life that
+ * an order names tells which one is meant.
+ *
+ * A task's payload is "MS", "MS fail" or "MS lasts": how long a run takes,
+ * and whether it fails or may run again.
+ * What runs is checked meanwhile: no task twice at the same time, none again
+ * after an end that was acknowledged.
+ *
+ * Switches: {"store":"up"|"down"|"busy"|"lost"|"late"}, {"lapse":true},
+ * {"compact":true}, {"config":{...}}, {"workers":N,"cores":MILLI},
+ * {"worker":ID,"state":"ready"|"draining"|"silent"|"dead"|"reborn"}.
+ */
+#include <argtable2.h>
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fake.h"
+
+#define RANGE_MAX 100	   /* items of a page; small, so that pages are met */
+#define POLL_MS 5	   /* of calls that wait */
+#define LATE_MS 800	   /* after which a lost write is done */
+#define HOLD_MOST_MS 10000 /* longest lease */
+#define STOP_MS 20
+
+typedef struct item {
+	char *key;
+	char *value; /* base64; NULL: deleted */
+	uint64_t revision;
+	int64_t lease;
+} item_t;
+
+typedef struct lease {
+	int64_t id;
+	int64_t ttl_ms;
+	int64_t ends;
+} lease_t;
+
+typedef struct run {
+	char *task;
+	int64_t number;
+	int64_t ends; /* boot clock, ms */
+	bool fails;
+	bool lasts; /* to be started again whenever it ends */
+} run_t;
+
+typedef struct ended {
+	int64_t number; /* of the end */
+	char *task;
+	int64_t run;
+	const char *how;
+	bool lasts;
+} ended_t;
+
+typedef struct worker {
+	char id[32];
+	const char *state;
+	int64_t born;
+	int64_t fence;
+	int64_t until; /* lease, boot clock; 0: nothing was granted */
+	int64_t ends;
+	int64_t acked;
+	GPtrArray *runs;
+	GPtrArray *finished;
+	GHashTable *stopped; /* task to the highest run that ended here */
+} worker_t;
+
+typedef struct platform {
+	const fake_ops_t *ops;
+	pthread_mutex_t lock;
+	const char *address;
+	const char *mode;
+	GPtrArray *items;  /* in order of keys */
+	GPtrArray *events; /* item_t, in order of revisions */
+	uint64_t revision;
+	uint64_t forgotten; /* history up to here is gone */
+	GPtrArray *leases;
+	int64_t next_lease;
+	int64_t cores;
+	GPtrArray *workers;
+	GPtrArray *late;  /* json_t, writes to be done later */
+	GArray *late_at;  /* int64_t */
+	GHashTable *done; /* tasks whose end was acknowledged */
+	json_t *wrong;	  /* texts */
+	int64_t starts;
+	int64_t calls;
+} platform_t;
+
+static void platform_serve(void *self, const fake_request_t *req,
+			   fake_reply_t *reply);
+static bool platform_set(void *self, const char *key, const json_t *value);
+static json_t *platform_show(void *self, const fake_request_t *req);
+
+static const fake_ops_t ops = { .serve = platform_serve,
+				.set = platform_set,
+				.show = platform_show };
+
+/* Store. */
+
+static item_t *find_item(platform_t *p, const char *key, guint *at)
+{
+	guint low = 0;
+	guint high = p->items->len;
+
+	while (low < high) {
+		guint middle = (low + high) / 2;
+		item_t *item = p->items->pdata[middle];
+		int order = strcmp(item->key, key);
+
+		if (!order) {
+			*at = middle;
+			return item;
+		}
+		if (order < 0)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	*at = low;
+	return NULL;
+}
+
+static void put_item(platform_t *p, const char *key, const char *value,
+		     int64_t lease, uint64_t revision)
+{
+	item_t *event = g_new0(item_t, 1);
+	guint at;
+	item_t *item = find_item(p, key, &at);
+
+	if (!item && value) {
+		item = g_new0(item_t, 1);
+		item->key = g_strdup(key);
+		g_ptr_array_insert(p->items, (gint)at, item);
+	}
+	if (item && value) {
+		g_free(item->value);
+		item->value = g_strdup(value);
+		item->revision = revision;
+		item->lease = lease;
+	} else if (item) {
+		g_ptr_array_remove_index(p->items, at);
+	} else {
+		g_free(event);
+		return;
+	}
+	event->key = g_strdup(key);
+	event->value = g_strdup(value);
+	event->revision = revision;
+	event->lease = lease;
+	g_ptr_array_add(p->events, event);
+}
+
+static void put_text(platform_t *p, const char *key, const char *text)
+{
+	char *value = g_base64_encode((const guchar *)text, strlen(text));
+
+	put_item(p, key, value, 0, ++p->revision);
+	g_free(value);
+}
+
+static json_t *show_item(const item_t *item)
+{
+	if (!item->value)
+		return json_pack("{s:s,s:I,s:b}", "key", item->key, "revision",
+				 (json_int_t)item->revision, "deleted", 1);
+	return json_pack("{s:s,s:s,s:I,s:I}", "key", item->key, "value",
+			 item->value, "revision", (json_int_t)item->revision,
+			 "lease_id", (json_int_t)item->lease);
+}
+
+static bool holds(platform_t *p, const json_t *expected, json_t *now)
+{
+	bool ok = true;
+	size_t i;
+	json_t *row;
+
+	json_array_foreach(expected, i, row)
+	{
+		const char *key = fake_str(row, "key", "");
+		guint at;
+		item_t *item = find_item(p, key, &at);
+		uint64_t revision = item ? item->revision : 0;
+
+		ok = ok && revision == (uint64_t)fake_int(row, "revision", 0);
+		json_array_append_new(now,
+				      item ? show_item(item) :
+					     json_pack("{s:s,s:i}", "key", key,
+						       "revision", 0));
+	}
+	return ok;
+}
+
+static bool lease_known(const platform_t *p, int64_t id)
+{
+	guint i;
+
+	for (i = 0; i < p->leases->len; i++)
+		if (((lease_t *)p->leases->pdata[i])->id == id)
+			return true;
+	return !id;
+}
+
+static void apply_txn(platform_t *p, const json_t *body, fake_reply_t *reply)
+{
+	const json_t *writes = json_object_get(body, "writes");
+	const json_t *deletes = json_object_get(body, "delete");
+	json_t *now = json_array();
+	size_t i;
+	json_t *row;
+
+	if (!holds(p, json_object_get(body, "expected_rev"), now)) {
+		reply->status = 412;
+		reply->json = json_pack("{s:o}", "items", now);
+		return;
+	}
+	json_decref(now);
+	json_array_foreach(writes, i, row)
+	{
+		if (!lease_known(p, fake_int(row, "lease_id", 0))) {
+			fake_refuse(reply, 404, "lease");
+			return;
+		}
+	}
+	p->revision++;
+	json_array_foreach(writes, i, row) put_item(
+		p, fake_str(row, "key", ""), fake_str(row, "value", ""),
+		fake_int(row, "lease_id", 0), p->revision);
+	json_array_foreach(deletes, i, row)
+		put_item(p, json_string_value(row), NULL, 0, p->revision);
+	reply->status = 200;
+	reply->json = json_pack("{s:I}", "revision", (json_int_t)p->revision);
+}
+
+static void serve_range(platform_t *p, const fake_request_t *req,
+			fake_reply_t *reply)
+{
+	const char *prefix = fake_query(req, "prefix");
+	const char *after = fake_query(req, "after");
+	json_t *items = json_array();
+	bool more = false;
+	guint i;
+
+	for (i = 0; i < p->items->len; i++) {
+		const item_t *item = p->items->pdata[i];
+
+		if (!g_str_has_prefix(item->key, prefix) ||
+		    (after && strcmp(item->key, after) <= 0))
+			continue;
+		more = json_array_size(items) == RANGE_MAX;
+		if (more)
+			break;
+		json_array_append_new(items, show_item(item));
+	}
+	reply->status = 200;
+	reply->json = json_pack("{s:o,s:b,s:I}", "items", items, "has_more",
+				(int)more, "at", (json_int_t)p->revision);
+}
+
+static void serve_watch(platform_t *p, const fake_request_t *req,
+			fake_reply_t *reply)
+{
+	const char *prefix = fake_query(req, "prefix");
+	uint64_t after = g_ascii_strtoull(fake_query(req, "after"), NULL, 10);
+	int64_t end = fake_boot_ms() +
+		      g_ascii_strtoll(fake_query(req, "wait_ms"), NULL, 10);
+	json_t *events = json_array();
+	guint i;
+
+	if (after < p->forgotten) {
+		json_decref(events);
+		fake_refuse(reply, 410, "history");
+		return;
+	}
+	for (;;) {
+		for (i = 0; i < p->events->len; i++) {
+			const item_t *event = p->events->pdata[i];
+
+			if (event->revision > after &&
+			    g_str_has_prefix(event->key, prefix))
+				json_array_append_new(events, show_item(event));
+		}
+		if (json_array_size(events) || fake_boot_ms() >= end ||
+		    strcmp(p->mode, "up") != 0)
+			break;
+		pthread_mutex_unlock(&p->lock);
+		fake_sleep_ms(POLL_MS);
+		pthread_mutex_lock(&p->lock);
+	}
+	reply->status = 200;
+	reply->json = json_pack("{s:o,s:I}", "events", events, "at",
+				(json_int_t)p->revision);
+}
+
+static void serve_lease(platform_t *p, const fake_request_t *req,
+			fake_reply_t *reply)
+{
+	lease_t *lease = g_new0(lease_t, 1);
+
+	lease->id = ++p->next_lease;
+	lease->ttl_ms = fake_int(req->json, "ttl_ms", 1000);
+	lease->ends = fake_boot_ms() + lease->ttl_ms;
+	g_ptr_array_add(p->leases, lease);
+	reply->status = 200;
+	reply->json = json_pack("{s:I,s:I}", "lease_id", (json_int_t)lease->id,
+				"ttl_ms", (json_int_t)lease->ttl_ms);
+}
+
+static void serve_keep(platform_t *p, const char *id, fake_reply_t *reply)
+{
+	guint i;
+
+	for (i = 0; i < p->leases->len; i++) {
+		lease_t *lease = p->leases->pdata[i];
+
+		if (lease->id != g_ascii_strtoll(id, NULL, 10))
+			continue;
+		lease->ends = fake_boot_ms() + lease->ttl_ms;
+		reply->status = 200;
+		reply->json =
+			json_pack("{s:I}", "ttl_ms", (json_int_t)lease->ttl_ms);
+		return;
+	}
+	fake_refuse(reply, 404, "lease");
+}
+
+static void end_lease(platform_t *p, guint at)
+{
+	lease_t *lease = g_ptr_array_remove_index(p->leases, at);
+	guint i = 0;
+
+	while (i < p->items->len) {
+		item_t *item = p->items->pdata[i];
+
+		if (item->lease == lease->id)
+			put_item(p, item->key, NULL, 0, ++p->revision);
+		else
+			i++;
+	}
+	g_free(lease);
+}
+
+/* Workers. */
+
+static void note_wrong(platform_t *p, const char *what, const char *task)
+{
+	char *text = g_strdup_printf("%s: %s", what, task);
+
+	json_array_append_new(p->wrong, json_string(text));
+	g_free(text);
+}
+
+static void free_run(gpointer data)
+{
+	g_free(((run_t *)data)->task);
+	g_free(data);
+}
+
+static void end_run(worker_t *w, guint at, const char *how)
+{
+	run_t *run = g_ptr_array_steal_index(w->runs, at);
+	ended_t *end = g_new0(ended_t, 1);
+
+	end->number = ++w->ends;
+	end->task = g_strdup(run->task);
+	end->run = run->number;
+	end->how = how;
+	end->lasts = run->lasts;
+	g_ptr_array_add(w->finished, end);
+	g_hash_table_replace(w->stopped, g_strdup(run->task),
+			     GINT_TO_POINTER(run->number));
+	free_run(run);
+}
+
+static void clear_worker(worker_t *w)
+{
+	g_ptr_array_set_size(w->runs, 0);
+	g_ptr_array_set_size(w->finished, 0);
+	g_hash_table_remove_all(w->stopped);
+	w->fence = w->until = w->ends = w->acked = 0;
+	w->born = fake_wall_ms();
+}
+
+static bool alive(const worker_t *w)
+{
+	return strcmp(w->state, "dead") != 0;
+}
+
+/* Lets time pass for leases, runs and late writes. */
+static void advance(platform_t *p)
+{
+	int64_t now = fake_boot_ms();
+	guint i, j;
+
+	for (i = p->leases->len; i > 0; i--)
+		if (((lease_t *)p->leases->pdata[i - 1])->ends < now)
+			end_lease(p, i - 1);
+	for (i = 0; i < p->late->len;) {
+		fake_reply_t ignored = { 0 };
+
+		if (g_array_index(p->late_at, int64_t, i) > now) {
+			i++;
+			continue;
+		}
+		apply_txn(p, p->late->pdata[i], &ignored);
+		json_decref(ignored.json);
+		json_decref(g_ptr_array_remove_index(p->late, i));
+		g_array_remove_index(p->late_at, i);
+	}
+	for (i = 0; i < p->workers->len; i++) {
+		worker_t *w = p->workers->pdata[i];
+
+		if (!alive(w))
+			continue;
+		for (j = w->runs->len; j > 0; j--) {
+			const run_t *run = w->runs->pdata[j - 1];
+
+			if (w->until < now)
+				end_run(w, j - 1, "lapsed");
+			else if (run->ends <= now)
+				end_run(w, j - 1,
+					run->fails ? "failed" : "done");
+		}
+	}
+}
+
+static worker_t *find_worker(const platform_t *p, const char *id)
+{
+	guint i;
+
+	for (i = 0; id && i < p->workers->len; i++)
+		if (!strcmp(((worker_t *)p->workers->pdata[i])->id, id))
+			return p->workers->pdata[i];
+	return NULL;
+}
+
+static void grant(worker_t *w, const json_t *body)
+{
+	int64_t until = fake_int(body, "deadline_ms", 0);
+
+	until = MIN(until, fake_boot_ms() + HOLD_MOST_MS);
+	w->until = MAX(w->until, until);
+}
+
+static bool runs_elsewhere(const platform_t *p, const char *task)
+{
+	guint i, j;
+
+	for (i = 0; i < p->workers->len; i++) {
+		const worker_t *w = p->workers->pdata[i];
+
+		for (j = 0; alive(w) && j < w->runs->len; j++)
+			if (!strcmp(((run_t *)w->runs->pdata[j])->task, task))
+				return true;
+	}
+	return false;
+}
+
+static const char *start_run(platform_t *p, worker_t *w, const json_t *body)
+{
+	const char *task = fake_str(body, "task_id", "");
+	const char *payload = fake_str(body, "task_spec", "0");
+	int64_t number = fake_int(body, "run_id", 0);
+	int64_t used = 0;
+	run_t *run;
+	guint i;
+
+	grant(w, body);
+	if (w->until <= fake_boot_ms())
+		return "late";
+	for (i = 0; i < w->runs->len; i++) {
+		run = w->runs->pdata[i];
+		used += 1000;
+		if (!strcmp(run->task, task))
+			return run->number == number ? NULL : "old";
+	}
+	if (GPOINTER_TO_INT(g_hash_table_lookup(w->stopped, task)) >= number)
+		return "old";
+	if (used + 1000 > p->cores)
+		return "room";
+	if (runs_elsewhere(p, task))
+		note_wrong(p, "runs twice", task);
+	if (g_hash_table_contains(p->done, task))
+		note_wrong(p, "started after its end", task);
+	run = g_new0(run_t, 1);
+	run->task = g_strdup(task);
+	run->number = number;
+	run->ends = fake_boot_ms() + g_ascii_strtoll(payload, NULL, 10);
+	run->fails = strstr(payload, "fail") != NULL;
+	run->lasts = strstr(payload, "lasts") != NULL;
+	g_ptr_array_add(w->runs, run);
+	p->starts++;
+	return NULL;
+}
+
+static void stop_run(worker_t *w, const json_t *body)
+{
+	const char *task = fake_str(body, "task_id", "");
+	int64_t number = fake_int(body, "run_id", 0);
+	guint i;
+
+	for (i = 0; i < w->runs->len; i++) {
+		const run_t *run = w->runs->pdata[i];
+
+		if (!strcmp(run->task, task) && run->number == number) {
+			end_run(w, i, "stopped");
+			return;
+		}
+	}
+	if (GPOINTER_TO_INT(g_hash_table_lookup(w->stopped, task)) < number)
+		g_hash_table_replace(w->stopped, g_strdup(task),
+				     GINT_TO_POINTER(number));
+}
+
+static void acknowledge(platform_t *p, worker_t *w, int64_t through)
+{
+	while (w->finished->len) {
+		ended_t *end = w->finished->pdata[0];
+
+		if (end->number > through)
+			break;
+		if (!strcmp(end->how, "done") && !end->lasts)
+			g_hash_table_add(p->done, g_strdup(end->task));
+		g_ptr_array_remove_index(w->finished, 0);
+	}
+}
+
+static json_t *show_worker(const worker_t *w)
+{
+	json_t *running = json_array();
+	json_t *finished = json_array();
+	guint i;
+
+	for (i = 0; i < w->runs->len; i++) {
+		const run_t *run = w->runs->pdata[i];
+
+		json_array_append_new(
+			running, json_pack("[s,I,s,i,i]", run->task,
+					   (json_int_t)run->number, "",
+					   (int)(fake_boot_ms() % 100), 1));
+	}
+	for (i = 0; i < w->finished->len; i++) {
+		const ended_t *end = w->finished->pdata[i];
+
+		json_array_append_new(finished,
+				      json_pack("[I,s,I,s,s]",
+						(json_int_t)end->number,
+						end->task, (json_int_t)end->run,
+						end->how, ""));
+	}
+	return json_pack("{s:I,s:I,s:o,s:o}", "clock_ms",
+			 (json_int_t)fake_boot_ms(), "born",
+			 (json_int_t)w->born, "running", running, "finished",
+			 finished);
+}
+
+static void serve_hold(platform_t *p, worker_t *w, const fake_request_t *req,
+		       fake_reply_t *reply)
+{
+	int64_t end = fake_boot_ms() + fake_int(req->json, "wait_ms", 0);
+	int64_t born = w->born;
+
+	grant(w, req->json);
+	acknowledge(p, w, fake_int(req->json, "acked_through", 0));
+	while (!w->finished->len && fake_boot_ms() < end && w->born == born) {
+		pthread_mutex_unlock(&p->lock);
+		fake_sleep_ms(POLL_MS);
+		pthread_mutex_lock(&p->lock);
+		advance(p);
+	}
+	if (w->born != born || !alive(w))
+		reply->end = FAKE_END_CLOSE;
+	reply->status = 200;
+	reply->json = show_worker(w);
+}
+
+static void serve_worker(platform_t *p, const fake_request_t *req,
+			 fake_reply_t *reply)
+{
+	worker_t *w = find_worker(p, fake_header(req, "x-expected-instance"));
+	int64_t fence = fake_int(req->json, "fence_token", 0);
+	const char *why = NULL;
+
+	if (!w || !alive(w)) {
+		reply->end = FAKE_END_CLOSE;
+		return;
+	}
+	if (!strcmp(w->state, "silent")) {
+		reply->end = FAKE_END_SILENT;
+		return;
+	}
+	if (fence < w->fence) {
+		why = "fence";
+	} else {
+		w->fence = fence;
+		if (!strcmp(req->path, "/api/hold")) {
+			serve_hold(p, w, req, reply);
+			return;
+		}
+		if (!strcmp(req->path, "/api/run-start"))
+			why = start_run(p, w, req->json);
+		else if (!strcmp(req->path, "/api/run-stop"))
+			stop_run(w, req->json);
+	}
+	reply->status = why ? 409 : 200;
+	reply->json = json_pack("{s:I,s:s*}", "clock_ms",
+				(json_int_t)fake_boot_ms(), "reason", why);
+}
+
+static void serve_store(platform_t *p, const fake_request_t *req,
+			fake_reply_t *reply)
+{
+	static const char keep[] = "/api/kv-keep/";
+
+	if (!strcmp(p->mode, "down")) {
+		reply->end = FAKE_END_SILENT;
+	} else if (!strcmp(p->mode, "busy")) {
+		fake_refuse(reply, 503, "busy");
+	} else if (!strcmp(req->path, "/api/kv-range")) {
+		serve_range(p, req, reply);
+	} else if (!strcmp(req->path, "/api/kv-key")) {
+		guint at;
+		item_t *item = find_item(p, fake_query(req, "key"), &at);
+
+		reply->status = item ? 200 : 404;
+		reply->json = item ? show_item(item) : json_object();
+	} else if (!strcmp(req->path, "/api/kv-watch")) {
+		serve_watch(p, req, reply);
+	} else if (!strcmp(req->path, "/api/kv-lease")) {
+		serve_lease(p, req, reply);
+	} else if (g_str_has_prefix(req->path, keep)) {
+		serve_keep(p, req->path + strlen(keep), reply);
+	} else if (!strcmp(req->path, "/api/kv-txn")) {
+		if (!strcmp(p->mode, "late")) {
+			int64_t at = fake_boot_ms() + LATE_MS;
+
+			g_ptr_array_add(p->late, json_deep_copy(req->json));
+			g_array_append_val(p->late_at, at);
+			reply->end = FAKE_END_SILENT;
+			return;
+		}
+		apply_txn(p, req->json, reply);
+		if (!strcmp(p->mode, "lost"))
+			reply->end = FAKE_END_SILENT;
+	} else {
+		fake_refuse(reply, 404, "no such call");
+	}
+}
+
+static void platform_serve(void *self, const fake_request_t *req,
+			   fake_reply_t *reply)
+{
+	platform_t *p = self;
+
+	pthread_mutex_lock(&p->lock);
+	p->calls++;
+	advance(p);
+	if (g_str_has_prefix(req->path, "/api/kv-"))
+		serve_store(p, req, reply);
+	else
+		serve_worker(p, req, reply);
+	pthread_mutex_unlock(&p->lock);
+}
+
+/* Switches. */
+
+static void list_worker(platform_t *p, const worker_t *w)
+{
+	char *key = g_strconcat("servers/", w->id, NULL);
+	char *text;
+
+	if (!alive(w)) {
+		put_item(p, key, NULL, 0, ++p->revision);
+	} else {
+		text = g_strdup_printf(
+			"{\"backend\":\"svc\",\"address\":\"%s\",\"zone\":\"z\""
+			",\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
+			"\"cold_remaining_ms\":0,\"capacity\":{\"cpu\":%" PRId64
+			",\"mem_mb\":64000,\"gpus\":0},\"labels\":[\"a\","
+			"\"r1\"],\"born\":%" PRId64 ",\"sequence\":1}",
+			p->address,
+			strcmp(w->state, "draining") ? "ready" : "draining",
+			p->cores, w->born);
+		put_text(p, key, text);
+		g_free(text);
+	}
+	g_free(key);
+}
+
+static void free_ended(gpointer data)
+{
+	g_free(((ended_t *)data)->task);
+	g_free(data);
+}
+
+static void make_workers(platform_t *p, int64_t n)
+{
+	int64_t i;
+
+	for (i = 0; i < n; i++) {
+		worker_t *w = g_new0(worker_t, 1);
+
+		g_snprintf(w->id, sizeof(w->id), "i-%d", (int)i);
+		w->state = "ready";
+		w->runs = g_ptr_array_new_with_free_func(free_run);
+		w->finished = g_ptr_array_new_with_free_func(free_ended);
+		w->stopped = g_hash_table_new_full(g_str_hash, g_str_equal,
+						   g_free, NULL);
+		clear_worker(w);
+		g_ptr_array_add(p->workers, w);
+		list_worker(p, w);
+	}
+}
+
+static bool set_worker(platform_t *p, const char *text)
+{
+	static const char *const states[] = { "ready", "draining", "silent",
+					      "dead", "reborn" };
+	char **words = g_strsplit(text, " ", 2);
+	worker_t *w = words[0] ? find_worker(p, words[0]) : NULL;
+	int state = w && words[1] ?
+			    fake_index(words[1], states, G_N_ELEMENTS(states)) :
+			    -1;
+
+	g_strfreev(words);
+	if (state < 0)
+		return false;
+	if (!strcmp(states[state], "reborn") || !alive(w))
+		clear_worker(w);
+	w->state = strcmp(states[state], "reborn") ? states[state] : "ready";
+	list_worker(p, w);
+	return true;
+}
+
+static bool platform_set(void *self, const char *key, const json_t *value)
+{
+	static const char *const modes[] = { "up", "down", "busy", "lost",
+					     "late" };
+	platform_t *p = self;
+	const char *text = json_string_value(value);
+	bool ok = true;
+	int mode;
+	char *config;
+
+	pthread_mutex_lock(&p->lock);
+	if (!strcmp(key, "store") && text) {
+		mode = fake_index(text, modes, G_N_ELEMENTS(modes));
+		ok = mode >= 0;
+		if (ok)
+			p->mode = modes[mode];
+	} else if (!strcmp(key, "lapse")) {
+		while (p->leases->len)
+			end_lease(p, 0);
+	} else if (!strcmp(key, "compact")) {
+		p->forgotten = ++p->revision;
+	} else if (!strcmp(key, "cores")) {
+		p->cores = json_integer_value(value);
+	} else if (!strcmp(key, "workers")) {
+		make_workers(p, json_integer_value(value));
+	} else if (!strcmp(key, "worker") && text) {
+		ok = set_worker(p, text);
+	} else if (!strcmp(key, "config")) {
+		config = json_dumps(value, JSON_COMPACT);
+		put_text(p, "op/config", config);
+		free(config);
+	} else {
+		ok = false;
+	}
+	pthread_mutex_unlock(&p->lock);
+	return ok;
+}
+
+static json_t *platform_show(void *self, const fake_request_t *req)
+{
+	platform_t *p = self;
+	json_t *owners = json_object();
+	int64_t running = 0;
+	json_t *all;
+	guint i;
+
+	(void)req;
+	pthread_mutex_lock(&p->lock);
+	advance(p);
+	for (i = 0; i < p->workers->len; i++) {
+		const worker_t *w = p->workers->pdata[i];
+
+		running += alive(w) ? w->runs->len : 0;
+	}
+	for (i = 0; i < p->items->len; i++) {
+		const item_t *item = p->items->pdata[i];
+		gsize len;
+		guchar *text;
+		char *copy;
+
+		if (!g_str_has_prefix(item->key, "gh/d/own/"))
+			continue;
+		text = g_base64_decode(item->value, &len);
+		copy = g_strndup((const char *)text, len);
+		json_object_set_new(owners, item->key + strlen("gh/d/own/"),
+				    json_string(copy));
+		g_free(copy);
+		g_free(text);
+	}
+	all = json_pack("{s:O,s:I,s:I,s:I,s:o,s:I}", "wrong", p->wrong,
+			"starts", (json_int_t)p->starts, "running",
+			(json_int_t)running, "calls", (json_int_t)p->calls,
+			"owners", owners, "items", (json_int_t)p->items->len);
+	pthread_mutex_unlock(&p->lock);
+	return all;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_str *listen_on =
+		arg_str1(NULL, "listen", "IP:PORT", "address to listen on");
+	struct arg_end *end = arg_end(4);
+	void *table[] = { listen_on, end };
+	platform_t platform = {
+		.ops = &ops,
+		.mode = "up",
+		.revision = 1,
+		.cores = 8000,
+	};
+
+	if (arg_parse(argc, argv, table)) {
+		arg_print_errors(stderr, end, argv[0]);
+		return 2;
+	}
+	platform.address = listen_on->sval[0];
+	pthread_mutex_init(&platform.lock, NULL);
+	platform.items = g_ptr_array_new();
+	platform.events = g_ptr_array_new();
+	platform.leases = g_ptr_array_new();
+	platform.workers = g_ptr_array_new();
+	platform.late = g_ptr_array_new();
+	platform.late_at = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	platform.done =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	platform.wrong = json_array();
+	return fake_run((fake_t *)&platform, platform.address, 0);
+}
--- /dev/null
+++ b/regress/fleet_system.c
@@ -0,0 +1,269 @@
+#include "fleet_system.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+#define CALL_MS 3000
+#define HOST_HEADER "Host: q.example"
+#define PREFIX "/q/"
+
+typedef struct wanted {
+	fleet_system_t *sys;
+	unsigned host;
+	const char *id;
+	const char *state;
+} wanted_t;
+
+static bool is_ready(void *arg);
+static bool is_owned(void *arg);
+static bool has_state(void *arg);
+static char *host_url(const fleet_system_t *sys, unsigned host, const char *id);
+static void add_link(fleet_system_t *sys, unsigned host);
+
+void fleet_system_start(fleet_system_t *sys, const char *name, unsigned hosts,
+			unsigned workers, unsigned shards)
+{
+	const char *platform_args[] = { "--listen", NULL, NULL };
+	char *log;
+	unsigned i;
+
+	memset(sys, 0, sizeof(*sys));
+	sys->name = g_strdup(name);
+	sys->block = proc_block(&sys->lock);
+	sys->dir = proc_dir();
+	sys->n_hosts = hosts;
+	sys->platform_at = g_strdup_printf("%s1:7000", sys->block);
+	sys->relay_at = g_strdup_printf("%s2:7000", sys->block);
+	platform_args[1] = sys->platform_at;
+	log = g_strconcat(name, "-platform", NULL);
+	proc_start(&sys->platform, log, "fake-platform", platform_args, true);
+	g_free(log);
+	platform_args[0] = "--ctl";
+	platform_args[1] = sys->relay_at;
+	log = g_strconcat(name, "-relay", NULL);
+	proc_start(&sys->relay, log, "fake-relay", platform_args, true);
+	g_free(log);
+	json_decref(proc_ctl(
+		sys->platform_at,
+		"{\"config\":{\"version\":3,\"routes\":[{\"name\":\"r-q\","
+		"\"hostname\":\"q.example\",\"prefix\":\"/q/\",\"backend\":"
+		"\"svc\",\"timeout_ms\":3000,\"target_latency_ms\":1000,"
+		"\"priority\":1,\"attempts\":3,\"stretch\":2.0}],\"services\":"
+		"[{\"name\":\"svc\"}],\"limits\":{\"max_body_bytes\":65536}},"
+		"\"workers\":%u}",
+		workers));
+	for (i = 0; i < hosts; i++) {
+		char *text = g_strdup_printf(
+			"[fleet]\nname=h%u\ndomain=d\ncallers=%s%u:8000\n"
+			"readiness=%s%u:8001\nmetrics=%s%u:8002\n"
+			"store=%s%u:7001\nshards=%u\nstop_ms=200\n",
+			i, sys->block, 10 + i, sys->block, 10 + i, sys->block,
+			10 + i, sys->block, 100 + i, shards);
+		char *file = g_strdup_printf("h%u.conf", i);
+
+		add_link(sys, i);
+		g_free(proc_write(sys->dir, file, text));
+		g_free(file);
+		g_free(text);
+		fleet_host_start(sys, i);
+	}
+	for (i = 0; i < hosts; i++)
+		proc_until(is_ready, &(wanted_t){ .sys = sys, .host = i },
+			   "ready host");
+	for (i = 0; i < shards; i++)
+		proc_until(is_owned, &(wanted_t){ .sys = sys, .host = i },
+			   "owned shard");
+}
+
+void fleet_system_stop(fleet_system_t *sys)
+{
+	json_t *wrong = fleet_wrong(sys);
+	unsigned i;
+
+	if (json_array_size(wrong))
+		fail_msg("%s: %s", sys->name,
+			 json_string_value(json_array_get(wrong, 0)));
+	json_decref(wrong);
+	for (i = 0; i < sys->n_hosts; i++) {
+		if (proc_running(&sys->hosts[i]))
+			proc_stop(&sys->hosts[i]);
+		proc_clear(&sys->hosts[i]);
+	}
+	proc_kill(&sys->relay);
+	proc_clear(&sys->relay);
+	proc_kill(&sys->platform);
+	proc_clear(&sys->platform);
+	close(sys->lock);
+	proc_dir_remove(sys->dir);
+	g_free(sys->block);
+	g_free(sys->name);
+	g_free(sys->platform_at);
+	g_free(sys->relay_at);
+}
+
+static void add_link(fleet_system_t *sys, unsigned host)
+{
+	json_decref(proc_ctl(sys->relay_at,
+			     "{\"add\":{\"name\":\"h%u\",\"listen\":"
+			     "\"%s%u:7001\",\"to\":\"%s\"}}",
+			     host, sys->block, 100 + host, sys->platform_at));
+}
+
+void fleet_host_start(fleet_system_t *sys, unsigned host)
+{
+	char *conf = g_strdup_printf("%s/h%u.conf", sys->dir, host);
+	char *log = g_strdup_printf("%s-h%u", sys->name, host);
+	const char *args[] = { "-c", conf, NULL };
+
+	proc_start(&sys->hosts[host], log, "geraniumhoistd", args, false);
+	g_free(log);
+	g_free(conf);
+}
+
+bool fleet_host_is_ready(fleet_system_t *sys, unsigned host)
+{
+	char *url = g_strdup_printf("http://%s%u:8001/api/ready", sys->block,
+				    10 + host);
+	json_t *answer = proc_get(url);
+	bool ready = answer != NULL;
+
+	json_decref(answer);
+	g_free(url);
+	return ready;
+}
+
+int fleet_owner_of(fleet_system_t *sys, unsigned shard)
+{
+	char *url = g_strdup_printf("http://%s/ctl", sys->platform_at);
+	json_t *all = proc_get(url);
+	char key[16];
+	const char *host;
+	int owner = -1;
+
+	g_snprintf(key, sizeof(key), "%u", shard);
+	host = json_string_value(
+		json_object_get(json_object_get(all, "owners"), key));
+	if (host)
+		owner = (int)g_ascii_strtoll(host + 1, NULL, 10);
+	json_decref(all);
+	g_free(url);
+	return owner;
+}
+
+static char *host_url(const fleet_system_t *sys, unsigned host, const char *id)
+{
+	return g_strdup_printf("http://%s%u:8000" PREFIX "%s", sys->block,
+			       10 + host, id);
+}
+
+static proc_answer_t call(fleet_system_t *sys, unsigned host,
+			  const char *method, const char *id, const char *body)
+{
+	static const char *const headers[] = { HOST_HEADER,
+					       "Content-Type: application/json",
+					       NULL };
+	char *url = host_url(sys, host, id);
+	proc_answer_t answer = proc_http(method, url, headers, body, CALL_MS);
+
+	g_free(url);
+	return answer;
+}
+
+int fleet_submit(fleet_system_t *sys, unsigned host, const char *id,
+		 const char *payload, const char *steps)
+{
+	char *body = g_strdup_printf("{\"task_spec\":\"%s\",\"pipeline\":%s}",
+				     payload, steps);
+	proc_answer_t answer = call(sys, host, "POST", id, body);
+	int status = answer.status;
+
+	proc_answer_clear(&answer);
+	g_free(body);
+	return status;
+}
+
+int fleet_cancel(fleet_system_t *sys, unsigned host, const char *id)
+{
+	proc_answer_t answer = call(sys, host, "DELETE", id, NULL);
+	int status = answer.status;
+
+	proc_answer_clear(&answer);
+	return status;
+}
+
+char *fleet_state(fleet_system_t *sys, unsigned host, const char *id)
+{
+	proc_answer_t answer = call(sys, host, "GET", id, NULL);
+	const char *state =
+		json_string_value(json_object_get(answer.json, "state"));
+	char *text;
+
+	if (state)
+		text = g_strdup(state);
+	else
+		text = answer.status ? g_strdup_printf("%d", answer.status) :
+				       g_strdup("");
+	proc_answer_clear(&answer);
+	return text;
+}
+
+void fleet_await(fleet_system_t *sys, unsigned host, const char *id,
+		 const char *state)
+{
+	wanted_t wanted = {
+		.sys = sys, .host = host, .id = id, .state = state
+	};
+
+	proc_until(has_state, &wanted, state);
+}
+
+int64_t fleet_figure(fleet_system_t *sys, const char *key)
+{
+	char *url = g_strdup_printf("http://%s/ctl", sys->platform_at);
+	json_t *all = proc_get(url);
+	int64_t figure = json_integer_value(json_object_get(all, key));
+
+	json_decref(all);
+	g_free(url);
+	return figure;
+}
+
+json_t *fleet_wrong(fleet_system_t *sys)
+{
+	char *url = g_strdup_printf("http://%s/ctl", sys->platform_at);
+	json_t *all = proc_get(url);
+	json_t *wrong = json_incref(json_object_get(all, "wrong"));
+
+	json_decref(all);
+	g_free(url);
+	return wrong;
+}
+
+static bool is_ready(void *arg)
+{
+	const wanted_t *wanted = arg;
+
+	return fleet_host_is_ready(wanted->sys, wanted->host);
+}
+
+static bool is_owned(void *arg)
+{
+	const wanted_t *wanted = arg;
+
+	return fleet_owner_of(wanted->sys, wanted->host) >= 0;
+}
+
+static bool has_state(void *arg)
+{
+	const wanted_t *wanted = arg;
+	char *state = fleet_state(wanted->sys, wanted->host, wanted->id);
+	bool same = !strcmp(state, wanted->state);
+
+	g_free(state);
+	return same;
+}
