--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -13,6 +13,7 @@
 #include <string.h>
 
 #define LATE_FACTOR 3  /* beyond so many objectives a job is of no more use */
+#define WORK_PARTS 20  /* of its remaining work, a job yields to others */
 #define RANK_LATE 1000 /* above every priority */
 #define RANK_USELESS 2000
 #define STUCK_START (GH_USEC_PER_SEC) /* start unanswered, worker unheard */
@@ -45,6 +46,7 @@
 			int64_t wall_ms);
 static void rate(const gh_fleet_t *fleet, const fleet_job_t *job,
 		 candidate_t *c, int64_t wall_ms);
+static int64_t remaining_ms(const fleet_job_t *job);
 static int by_rank(gconstpointer a, gconstpointer b);
 static void place_stage(gh_fleet_t *fleet, const candidate_t *c, gh_time_t now);
 static void place_gang(gh_fleet_t *fleet, const candidate_t *c, gh_time_t now);
@@ -215,7 +217,8 @@
 	for (i = 0; i < spec->n_steps; i++)
 		if (job->stages[i].done < spec->steps[i].tasks)
 			open |= 1u << i;
-	c->slack_ms = objective - age - gh_pipeline_chain_ms(spec, open);
+	c->slack_ms = objective - age - gh_pipeline_chain_ms(spec, open) +
+		      remaining_ms(job) / WORK_PARTS;
 	c->rank = policy->priority;
 	if (gh_pipeline_lasts(spec))
 		c->slack_ms = objective - age;
@@ -225,6 +228,22 @@
 		c->rank += RANK_LATE;
 }
 
+/* Estimated work of the tasks that are not done, in core-ms. */
+static int64_t remaining_ms(const fleet_job_t *job)
+{
+	int64_t sum = 0;
+	uint32_t s;
+
+	for (s = 0; s < job->n_stages; s++) {
+		const gh_step_t *step =
+			&job->spec->steps[s % job->spec->n_steps];
+
+		sum += (int64_t)(step->tasks - job->stages[s].done) *
+		       step->estimate_ms * step->size.cores_milli / 1000;
+	}
+	return sum;
+}
+
 static int by_rank(gconstpointer a, gconstpointer b)
 {
 	const candidate_t *x = a;
