--- a/core_fleet.c
+++ b/core_fleet.c
@@ -10,16 +10,16 @@
 #define LEASE_SLACK (200 * GH_USEC_PER_MSEC) /* for the answer's way back */
 
 static uint32_t take_place(GArray *table, GArray *free_places);
-static void link_run(gh_fleet_t *fleet, uint32_t run);
-static void unlink_run(gh_fleet_t *fleet, uint32_t run);
+static void link_run(gh_fleet_t *fleet, uint32_t handle);
+static void unlink_run(gh_fleet_t *fleet, uint32_t handle);
 static void hold_size(gh_fleet_t *fleet, const fleet_run_t *run, bool in);
-static void task_done(gh_fleet_t *fleet, uint32_t job, uint32_t task,
+static void task_done(gh_fleet_t *fleet, uint32_t handle, uint32_t index,
 		      gh_time_t now);
-static void gang_member_ended(gh_fleet_t *fleet, uint32_t job, uint32_t task,
-			      gh_run_end_t how, gh_time_t now);
-static void count_failure(gh_fleet_t *fleet, uint32_t job, uint32_t task,
+static void gang_member_ended(gh_fleet_t *fleet, uint32_t handle,
+			      uint32_t index, gh_run_end_t how, gh_time_t now);
+static void count_failure(gh_fleet_t *fleet, uint32_t handle, uint32_t index,
 			  gh_time_t now);
-static void stop_runs_of(gh_fleet_t *fleet, uint32_t job, uint32_t from,
+static void stop_runs_of(gh_fleet_t *fleet, uint32_t handle, uint32_t from,
 			 uint32_t n, const char *why, gh_time_t now);
 static void free_job(gh_fleet_t *fleet, uint32_t handle);
 static bool order_fits(gh_order_kind_t kind, run_state_t state);
@@ -243,7 +243,7 @@
 	uint32_t handle = take_place(fleet->jobs, fleet->free_jobs);
 	fleet_job_t *job = fleet_job(fleet, handle);
 	uint32_t occurrences = gh_pipeline_occurrences(pipeline);
-	uint32_t k, s, i, at = 0;
+	uint32_t s, i, at = 0;
 
 	*job = (fleet_job_t){
 		.spec = pipeline,
@@ -258,11 +258,10 @@
 	for (s = 0; s < pipeline->n_steps; s++)
 		job->images[s] =
 			gh_press_image(fleet->press, pipeline->steps[s].image);
-	for (k = 0; k < occurrences; k++)
-		for (s = 0; s < pipeline->n_steps; s++) {
-			job->stages[k * pipeline->n_steps + s].first = at;
-			at += pipeline->steps[s].tasks;
-		}
+	for (s = 0; s < job->n_stages; s++) {
+		job->stages[s].first = at;
+		at += pipeline->steps[s % pipeline->n_steps].tasks;
+	}
 	for (i = 0; i < job->n_tasks; i++) {
 		job->tasks[i].runs[0] = job->tasks[i].runs[1] = GH_NONE;
 		job->tasks[i].avoid = GH_NONE;
--- a/core_fleet.h
+++ b/core_fleet.h
@@ -194,15 +194,15 @@
 void gh_fleet_job_cancel(gh_fleet_t *fleet, const char *id, gh_time_t now);
 
 /* The worker's list arrived, or did not. */
-void gh_fleet_held(gh_fleet_t *fleet, const char *worker,
+void gh_fleet_held(gh_fleet_t *fleet, const char *id,
 		   const gh_hold_report_t *report, gh_time_t now);
-void gh_fleet_hold_failed(gh_fleet_t *fleet, const char *worker,
+void gh_fleet_hold_failed(gh_fleet_t *fleet, const char *id,
 			  gh_order_answer_t why, gh_time_t now);
 
 /* The answer to an order; the order's own strings need not be valid. */
-void gh_fleet_answered(gh_fleet_t *fleet, gh_order_kind_t kind,
-		       const char *worker, const gh_task_id_t *task,
-		       uint32_t run, gh_order_answer_t answer, gh_time_t now);
+void gh_fleet_answered(gh_fleet_t *fleet, gh_order_kind_t kind, const char *id,
+		       const gh_task_id_t *task, uint32_t number,
+		       gh_order_answer_t answer, gh_time_t now);
 
 /* Decides what can be decided now; wall_ms is for jobs that are due. */
 void gh_fleet_tick(gh_fleet_t *fleet, gh_time_t now, int64_t wall_ms);
--- a/core_fleet_health.c
+++ b/core_fleet_health.c
@@ -14,7 +14,7 @@
 #define STARTUP_MOST (5 * GH_USEC_PER_SEC)   /* of a lasting task */
 #define SLOWNESS_WEIGHT 0.2		     /* of the newest run */
 #define MEAN_WEIGHT_LEAST 0.1
-static void quarantine(gh_fleet_t *fleet, uint32_t worker, const char *why,
+static void quarantine(gh_fleet_t *fleet, uint32_t handle, const char *why,
 		       gh_time_t now);
 static bool stands_still(const gh_fleet_t *fleet, const fleet_run_t *run,
 			 gh_time_t now);
--- a/core_fleet_pace.c
+++ b/core_fleet_pace.c
@@ -17,10 +17,10 @@
 #define PACE_GRAIN 5	    /* percent; smaller changes are not worth a call */
 #define PACE_LEAST 10	    /* below it a task stands still instead */
 #define PACE_RISE 30	    /* percent, at one look */
-#define USE_MARGIN 0.08	    /* kept free below the bound */
+#define USE_MARGIN 0.05	    /* kept free below the bound */
 #define WEIGHT_PRESSES 0.12 /* a pair below it is none to blame */
 #define LOAD_FIRST 0.5	    /* of a lasting job not looked at yet */
-#define LOAD_AHEAD 0.18	    /* rise of a load while a task runs beside it */
+#define LOAD_AHEAD 0.12	    /* rise of a load while a task runs beside it */
 #define LOAD_STEP_ALONE                                      \
 	0.7 /* of an error on its load: nothing fills beside \
 	     */
--- a/core_fleet_record.c
+++ b/core_fleet_record.c
@@ -19,7 +19,7 @@
 
 static void append_task(const gh_fleet_t *fleet, GString *text,
 			const fleet_job_t *job, uint32_t index);
-static bool read_task(gh_fleet_t *fleet, uint32_t job, char *line);
+static bool read_task(gh_fleet_t *fleet, uint32_t handle, char *line);
 static bool read_run(gh_fleet_t *fleet, uint32_t job, uint32_t task,
 		     const char *word);
 static uint32_t placeholder(gh_fleet_t *fleet, const char *id);
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -18,17 +18,17 @@
 #define HOLD_WAIT_MS 1000      /* longest wait of a hold for an end */
 #define HOLD_WAIT_PACED_MS 250 /* the gauge covers half a second */
 
-static void take_run(gh_fleet_t *fleet, uint32_t worker,
+static void take_run(gh_fleet_t *fleet, uint32_t handle,
 		     const gh_report_run_t *listed, gh_time_t now);
-static void take_end(gh_fleet_t *fleet, uint32_t worker,
+static void take_end(gh_fleet_t *fleet, uint32_t handle,
 		     const gh_report_end_t *end, gh_time_t now);
-static void settle_unlisted(gh_fleet_t *fleet, uint32_t worker,
+static void settle_unlisted(gh_fleet_t *fleet, uint32_t handle,
 			    const gh_hold_report_t *report, gh_time_t now);
-static void stop_unknown(gh_fleet_t *fleet, uint32_t worker,
+static void stop_unknown(gh_fleet_t *fleet, uint32_t handle,
 			 const gh_report_run_t *listed);
-static void start_answered(gh_fleet_t *fleet, uint32_t run,
+static void start_answered(gh_fleet_t *fleet, uint32_t ref,
 			   gh_order_answer_t answer, gh_time_t now);
-static bool hold_due(gh_fleet_t *fleet, uint32_t worker, int64_t *wait_ms,
+static bool hold_due(gh_fleet_t *fleet, uint32_t handle, int64_t *wait_ms,
 		     gh_time_t now);
 static uint32_t find_run(const gh_fleet_t *fleet, const gh_task_id_t *id,
 			 uint32_t number, uint32_t worker, uint32_t *job);
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -175,16 +175,16 @@
 				      const fleet_job_t *job);
 uint32_t fleet_job_new(gh_fleet_t *fleet, gh_pipeline_t *pipeline);
 /* Frees a job that has ended, is committed and has no open run. */
-void fleet_job_drop_if_over(gh_fleet_t *fleet, uint32_t job);
+void fleet_job_drop_if_over(gh_fleet_t *fleet, uint32_t handle);
 uint32_t fleet_stage_index(const fleet_job_t *job, uint32_t task);
 
 /* Extends the worker's lease; returns the deadline to grant. */
 gh_time_t fleet_grant(gh_fleet_t *fleet, fleet_worker_t *worker, gh_time_t now);
 /* The life that answers differs from the one known: its runs are over. */
-void fleet_worker_life(gh_fleet_t *fleet, uint32_t worker, int64_t born_ms,
+void fleet_worker_life(gh_fleet_t *fleet, uint32_t handle, int64_t born_ms,
 		       gh_time_t now);
 /* Frees a worker that is neither listed nor has anything open. */
-void fleet_worker_drop_if_over(gh_fleet_t *fleet, uint32_t worker);
+void fleet_worker_drop_if_over(gh_fleet_t *fleet, uint32_t handle);
 
 /* Where a task of a job stands. */
 gh_task_id_t fleet_task_id(const fleet_job_t *job, uint32_t task);
@@ -197,28 +197,28 @@
 			uint32_t task, uint32_t number);
 
 /* Puts the job among those whose record has to be committed. */
-void fleet_job_changed(gh_fleet_t *fleet, uint32_t job);
-void fleet_job_end(gh_fleet_t *fleet, uint32_t job, gh_job_phase_t phase,
+void fleet_job_changed(gh_fleet_t *fleet, uint32_t handle);
+void fleet_job_end(gh_fleet_t *fleet, uint32_t handle, gh_job_phase_t phase,
 		   gh_time_t now);
 
 uint32_t fleet_run_open(gh_fleet_t *fleet, uint32_t job, uint32_t task,
 			uint32_t worker, uint32_t number, run_state_t state,
 			gh_time_t now);
-void fleet_run_end(gh_fleet_t *fleet, uint32_t run, gh_run_end_t how,
+void fleet_run_end(gh_fleet_t *fleet, uint32_t handle, gh_run_end_t how,
 		   const char *saved, gh_time_t now);
-void fleet_run_stop(gh_fleet_t *fleet, uint32_t run, const char *why,
+void fleet_run_stop(gh_fleet_t *fleet, uint32_t handle, const char *why,
 		    gh_time_t now);
-void fleet_order(gh_fleet_t *fleet, gh_order_kind_t kind, uint32_t run);
+void fleet_order(gh_fleet_t *fleet, gh_order_kind_t kind, uint32_t handle);
 
 /* Every run of the worker is over: it lost its lease or its life. */
-void fleet_worker_lost(gh_fleet_t *fleet, uint32_t worker, const char *why,
+void fleet_worker_lost(gh_fleet_t *fleet, uint32_t handle, const char *why,
 		       gh_time_t now);
 
 /* Notes an end that is on record once the job's version now is. */
 void fleet_ack_add(gh_fleet_t *fleet, uint32_t worker, uint64_t number,
 		   uint32_t job);
 /* Moves the worker's acknowledged number up to what is committed. */
-void fleet_acks_advance(gh_fleet_t *fleet, uint32_t worker);
+void fleet_acks_advance(gh_fleet_t *fleet, uint32_t handle);
 
 /* Health of workers, learned from ends and progress. */
 void fleet_health_ended(gh_fleet_t *fleet, const fleet_run_t *run,
@@ -227,7 +227,7 @@
 bool fleet_health_usable(const fleet_worker_t *worker, gh_time_t now);
 
 /* Pace of the tasks that fill beside lasting ones. */
-void fleet_pace_worker(gh_fleet_t *fleet, uint32_t worker, gh_time_t now);
+void fleet_pace_worker(gh_fleet_t *fleet, uint32_t handle, gh_time_t now);
 /*
  * How much a further filling task would ask of the worker, as a share of
  * what it bears without harm; 1: all of it.
--- a/fleet_front.h
+++ b/fleet_front.h
@@ -17,7 +17,7 @@
 				       const char *host, const char *path);
 
 /* The configuration in force, with a reference; NULL before the first. */
-fleet_config_t *fleet_front_config(fleet_front_t *front);
+fleet_config_t *fleet_front_config(fleet_front_t *host);
 
 /* Takes the pipeline; its id, queue, service and time are set already. */
 bool fleet_front_submit(fleet_front_t *front, const fleet_queue_t *queue,
@@ -28,7 +28,7 @@
 			gh_job_phase_t *phase, GError **err);
 bool fleet_front_cancel(fleet_front_t *front, const fleet_queue_t *queue,
 			const char *id, gh_time_t deadline, GError **err);
-uint32_t fleet_front_pending(fleet_front_t *front, const fleet_queue_t *queue);
+uint32_t fleet_front_pending(fleet_front_t *host, const fleet_queue_t *queue);
 
 /* Whether callers are better off here than elsewhere. */
 bool fleet_front_ready(fleet_front_t *front);
@@ -37,6 +37,6 @@
 int64_t fleet_front_retry_after_ms(const GError *err);
 
 /* Counters and histograms as text; g_free() it. */
-char *fleet_front_metrics(fleet_front_t *front);
+char *fleet_front_metrics(fleet_front_t *host);
 
 #endif
--- a/fleet_host.c
+++ b/fleet_host.c
@@ -45,7 +45,7 @@
 
 static void on_config(void *ctx, const fleet_item_t *item);
 static void on_job(void *ctx, const char *id, const fleet_job_state_t *state);
-static void on_owner(void *ctx, uint32_t shard, const char *host);
+static void on_owner(void *ctx, uint32_t shard, const char *name);
 static gh_time_t claim_delay(const fleet_front_t *host);
 static void on_synced(void *ctx);
 static bool wait_for(wait_t *wait, loop_work_t work, GError **err);
@@ -138,7 +138,7 @@
 	uint32_t i;
 
 	if (!item->value ||
-	    strcmp(item->key, host->setup.store->ops->config_key))
+	    strcmp(item->key, host->setup.store->ops->config_key) != 0)
 		return;
 	config = host->setup.store->ops->read_config(item->value, &err);
 	if (!config) {
@@ -335,7 +335,10 @@
 {
 	gh_time_t heard = fleet_jobs_heard(host->jobs);
 
-	return heard && clock_boot() - heard < UNHEARD_MOST;
+	if (!heard)
+		return false;
+	heard = MAX(heard, fleet_watch_heard(host->config_watch));
+	return clock_boot() - heard < UNHEARD_MOST;
 }
 
 static bool wait_for(wait_t *wait, loop_work_t work, GError **err)
--- a/front.c
+++ b/front.c
@@ -24,12 +24,6 @@
 #define DRAIN_CLOSE_MS 1000 /* for callers to close their connections */
 #define PREFIX "/r/"
 
-struct front_http {
-	struct _u_instance server;
-	struct sockaddr_in address;
-	bool up;
-};
-
 /* One header that has to hold a number. */
 typedef struct number_header {
 	const char *name;
@@ -45,10 +39,8 @@
 		    void *arg);
 static int on_other(const struct _u_request *http, struct _u_response *out,
 		    void *arg);
-static void *on_uri(void *cls, const char *uri, struct MHD_Connection *conn);
-static void on_completed(void *cls, struct MHD_Connection *conn, void **request,
-			 enum MHD_RequestTerminationCode code);
 static bool listen_http(front_t *front, GError **err);
+static int in_flight(const front_t *front);
 static bool read_request(const struct _u_request *http, front_request_t *req,
 			 const char **wrong);
 static GPtrArray *headers_to_pass(const struct _u_request *http);
@@ -72,7 +64,6 @@
 	front_t *front = g_new0(front_t, 1);
 
 	front->node = node;
-	front->http = g_new0(struct front_http, 1);
 	front->link = executor_link_http_new();
 	front->spill_link = executor_link_http_new();
 	front->claims = gh_claim_new(node->started);
@@ -101,16 +92,12 @@
 	atomic_store(&front->draining, true);
 	front_return_loans(front);
 	wait_idle(front, deadline);
-	if (front->http->up) {
-		int fd = MHD_quiesce_daemon(front->http->server.mhd_daemon);
-
-		if (fd != MHD_INVALID_SOCKET)
-			close(fd);
-	}
+	if (front->http)
+		http_server_quiesce(front->http);
 	closing = clock_boot() + gh_time_from_ms(DRAIN_CLOSE_MS);
 	wait_idle(front, MIN(deadline, closing));
 	log_event(LOG_INFO, "front_drained", "in_flight",
-		  log_num(atomic_load(&front->in_flight)), NULL);
+		  log_num(in_flight(front)), NULL);
 }
 
 void front_free(front_t *front)
@@ -118,16 +105,12 @@
 	if (!front)
 		return;
 	stop_ticker(front);
-	if (front->http->up) {
-		ulfius_stop_framework(&front->http->server);
-		ulfius_clean_instance(&front->http->server);
-	}
+	http_server_free(front->http);
 	front->link->ops->free(front->link);
 	front->spill_link->ops->free(front->spill_link);
 	gh_claim_free(front->claims);
 	front_core_clear(&front->core);
 	pthread_mutex_destroy(&front->claim_lock);
-	g_free(front->http);
 	g_free(front);
 }
 
@@ -156,60 +139,41 @@
 	claims = gh_claim_count(front->claims, clock_boot());
 	pthread_mutex_unlock(&front->claim_lock);
 	pthread_mutex_lock(&core->lock);
-	status = json_pack(
-		"{s:b, s:i, s:I, s:i, s:I, s:o, s:o}", "ready", (int)ready,
-		"in_flight", atomic_load(&front->in_flight), "queued",
-		(json_int_t)gh_queue_length(core->queue), "slots",
-		(int)core->slots, "claims", (json_int_t)claims, "executors",
-		executors_status(front), "shares", shares_status(front));
+	status = json_pack("{s:b, s:i, s:I, s:i, s:I, s:o, s:o}", "ready",
+			   (int)ready, "in_flight", in_flight(front), "queued",
+			   (json_int_t)gh_queue_length(core->queue), "slots",
+			   (int)core->slots, "claims", (json_int_t)claims,
+			   "executors", executors_status(front), "shares",
+			   shares_status(front));
 	pthread_mutex_unlock(&core->lock);
 	return status;
 }
 
 static bool listen_http(front_t *front, GError **err)
 {
-	struct front_http *http = front->http;
 	const settings_t *set = front->node->settings;
-	struct MHD_OptionItem options[] = {
-		{ MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)on_completed, front },
-		{ MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)on_uri, front },
-		{ MHD_OPTION_SOCK_ADDR, 0, &http->address },
-		{ MHD_OPTION_CONNECTION_LIMIT, set->front_connections, NULL },
-		{ MHD_OPTION_CONNECTION_TIMEOUT, IDLE_S, NULL },
-		{ MHD_OPTION_CONNECTION_MEMORY_LIMIT, HEADERS_MAX, NULL },
-		{ MHD_OPTION_THREAD_STACK_SIZE, STACK_SIZE, NULL },
-		{ MHD_OPTION_END, 0, NULL },
+	http_limits_t limits = {
+		.connections = set->front_connections,
+		.idle_s = IDLE_S,
+		.headers_max = HEADERS_MAX,
+		.body_max = BODY_MAX,
+		.thread_each = true,
+		.stack_size = STACK_SIZE,
 	};
-	struct _u_instance *server = &http->server;
-
-	http->address.sin_family = AF_INET;
-	http->address.sin_port = htons(set->front_port);
-	if (inet_pton(AF_INET, set->address, &http->address.sin_addr) != 1 ||
-	    ulfius_init_instance(server, set->front_port, &http->address,
-				 NULL) != U_OK) {
-		gh_error_set(err, GH_E_SYSTEM, "front at %s:%u", set->address,
-			     set->front_port);
-		return false;
-	}
-	server->max_post_body_size = BODY_MAX + 1;
-	server->check_utf8 = 0;
-	ulfius_add_endpoint_by_val(server, "GET", "/ready", NULL, 0, on_ready,
-				   front);
-	ulfius_add_endpoint_by_val(server, "*", "/r", "*", 0, on_request,
-				   front);
-	ulfius_set_default_endpoint(server, on_other, front);
-	if (ulfius_start_framework_with_mhd_options(
-		    server,
-		    MHD_USE_THREAD_PER_CONNECTION |
-			    MHD_USE_INTERNAL_POLLING_THREAD,
-		    options) != U_OK) {
-		ulfius_clean_instance(server);
-		gh_error_set(err, GH_E_SYSTEM, "can't listen on %s:%u",
-			     set->address, set->front_port);
+
+	front->http =
+		http_server_new(set->address, set->front_port, &limits, err);
+	if (!front->http)
 		return false;
-	}
-	http->up = true;
-	return true;
+	http_server_add(front->http, "GET", "/ready", NULL, on_ready, front);
+	http_server_add(front->http, "*", "/r", "*", on_request, front);
+	http_server_add(front->http, NULL, NULL, NULL, on_other, front);
+	return http_server_start(front->http, err);
+}
+
+static int in_flight(const front_t *front)
+{
+	return front->http ? http_server_in_flight(front->http) : 0;
 }
 
 static int on_request(const struct _u_request *http, struct _u_response *out,
@@ -256,24 +220,6 @@
 	return U_CALLBACK_CONTINUE;
 }
 
-static void *on_uri(void *cls, const char *uri, struct MHD_Connection *conn)
-{
-	front_t *front = cls;
-
-	(void)conn;
-	atomic_fetch_add(&front->in_flight, 1);
-	return ulfius_uri_logger(NULL, uri);
-}
-
-static void on_completed(void *cls, struct MHD_Connection *conn, void **request,
-			 enum MHD_RequestTerminationCode code)
-{
-	front_t *front = cls;
-
-	mhd_request_completed(NULL, conn, request, code);
-	atomic_fetch_sub(&front->in_flight, 1);
-}
-
 static bool read_request(const struct _u_request *http, front_request_t *req,
 			 const char **wrong)
 {
@@ -456,7 +402,7 @@
 
 static void wait_idle(front_t *front, gh_time_t deadline)
 {
-	while (atomic_load(&front->in_flight) > 0 && clock_boot() < deadline)
+	while (in_flight(front) > 0 && clock_boot() < deadline)
 		usleep(DRAIN_POLL_US);
 }
 
--- a/front_internal.h
+++ b/front_internal.h
@@ -23,6 +23,7 @@
 #include "executor_link.h"
 #include "front.h"
 #include "http_client.h"
+#include "http_server.h"
 
 #define FRONT_ATTEMPT_UNKNOWN (-1)
 #define FRONT_ID_MAX 96 /* bytes of a sending's id, with the final NUL */
@@ -45,14 +46,13 @@
 
 struct front {
 	node_t *node;
-	struct front_http *http;
+	http_server_t *http;
 	executor_link_t *link;
 	executor_link_t *spill_link;
 	front_core_t core;
 	pthread_mutex_t claim_lock;
 	gh_claim_table_t *claims;
 	_Atomic uint64_t next_id;
-	_Atomic int in_flight; /* HTTP requests not answered yet */
 	_Atomic bool draining;
 	_Atomic bool stopping;
 	_Atomic gh_time_t last_tick; /* of the ticker */
--- a/regress/test_core_fleet.c
+++ b/regress/test_core_fleet.c
@@ -129,13 +129,18 @@
 	worker->runs[index] = worker->runs[--worker->n_runs];
 }
 
+static bool same_task(const gh_task_id_t *a, const gh_task_id_t *b)
+{
+	return !strcmp(a->job, b->job) && a->occurrence == b->occurrence &&
+	       a->step == b->step && a->index == b->index;
+}
+
 static size_t run_at(const play_worker_t *worker, const gh_order_t *order)
 {
 	size_t i;
 
 	for (i = 0; i < worker->n_runs; i++)
-		if (!memcmp(&worker->runs[i].task, &order->task,
-			    sizeof(order->task)) &&
+		if (same_task(&worker->runs[i].task, &order->task) &&
 		    worker->runs[i].run == order->run)
 			break;
 	return i;
@@ -493,19 +498,26 @@
 /* What a former owner may have begun, by the record that it left. */
 typedef struct takeover_case {
 	const char *name;
-	bool runs;	      /* the worker runs it */
-	bool done;	      /* it has ended there */
-	bool silent;	      /* the worker answers nothing */
 	size_t starts_soon;   /* of the new owner, within 2 s */
 	size_t starts_later;  /* within 12 s */
 	gh_job_phase_t phase; /* in the end */
+	bool runs;	      /* the worker runs it */
+	bool done;	      /* it has ended there */
+	bool silent;	      /* the worker answers nothing */
 } takeover_case_t;
 
 static const takeover_case_t takeovers[] = {
-	{ "it runs", true, false, false, 0, 0, GH_JOB_QUEUED },
-	{ "it never came", false, false, false, 1, 1, GH_JOB_RUNNING },
-	{ "it is done", false, true, false, 0, 0, GH_JOB_COMPLETED },
-	{ "the worker is silent", true, false, true, 0, 1, GH_JOB_RUNNING },
+	{ .name = "it runs", .phase = GH_JOB_QUEUED, .runs = true },
+	{ .name = "it never came",
+	  .starts_soon = 1,
+	  .starts_later = 1,
+	  .phase = GH_JOB_RUNNING },
+	{ .name = "it is done", .phase = GH_JOB_COMPLETED, .done = true },
+	{ .name = "the worker is silent",
+	  .starts_later = 1,
+	  .phase = GH_JOB_RUNNING,
+	  .runs = true,
+	  .silent = true },
 };
 
 static void test_takeover(void **state)
--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -95,7 +95,9 @@
 		proc_until(runs_some, &sys, "runs again");
 	assert_int_equal(fleet_cancel(&sys, 1, ID("01")), 200);
 	proc_until(runs_none, &sys, "nothing that runs");
-	assert_state(&sys, 0, ID("01"), "cancelled");
+	/* Other hosts follow; only the one that answered knows at once. */
+	assert_state(&sys, 1, ID("01"), "cancelled");
+	fleet_await(&sys, 0, ID("01"), "cancelled");
 	fleet_system_stop(&sys);
 }
 
