--- a/core_fleet.c
+++ b/core_fleet.c
@@ -9,6 +9,7 @@
 #define LEASE_DRIFT_PARTS 33 /* a worker's clock may be 2 % slow; 3 % taken */
 #define LEASE_SLACK (200 * GH_USEC_PER_MSEC) /* for the answer's way back */
 
+static void lay_out(fleet_job_t *job);
 static uint32_t take_place(GArray *table, GArray *free_places);
 static void link_run(gh_fleet_t *fleet, uint32_t handle);
 static void unlink_run(gh_fleet_t *fleet, uint32_t handle);
@@ -243,7 +244,7 @@
 	uint32_t handle = take_place(fleet->jobs, fleet->free_jobs);
 	fleet_job_t *job = fleet_job(fleet, handle);
 	uint32_t occurrences = gh_pipeline_occurrences(pipeline);
-	uint32_t s, i, at = 0;
+	uint32_t i;
 
 	*job = (fleet_job_t){
 		.spec = pipeline,
@@ -255,20 +256,29 @@
 	job->tasks = g_new0(fleet_task_t, job->n_tasks);
 	job->stages = g_new0(fleet_stage_t, job->n_stages);
 	job->images = g_new0(uint16_t, pipeline->n_steps);
-	for (s = 0; s < pipeline->n_steps; s++)
-		job->images[s] =
-			gh_press_image(fleet->press, pipeline->steps[s].image);
-	for (s = 0; s < job->n_stages; s++) {
-		job->stages[s].first = at;
-		at += pipeline->steps[s % pipeline->n_steps].tasks;
+	for (i = 0; i < pipeline->n_steps; i++)
+		job->images[i] =
+			gh_press_image(fleet->press, pipeline->steps[i].image);
+	lay_out(job);
+	g_hash_table_insert(fleet->job_by_id, g_strdup(pipeline->id),
+			    GUINT_TO_POINTER(handle + 1));
+	return handle;
+}
+
+/* The tasks of each stage follow one another. */
+static void lay_out(fleet_job_t *job)
+{
+	uint32_t at = 0;
+	uint32_t i;
+
+	for (i = 0; i < job->n_stages; i++) {
+		job->stages[i].first = at;
+		at += job->spec->steps[i % job->spec->n_steps].tasks;
 	}
 	for (i = 0; i < job->n_tasks; i++) {
 		job->tasks[i].runs[0] = job->tasks[i].runs[1] = GH_NONE;
 		job->tasks[i].avoid = GH_NONE;
 	}
-	g_hash_table_insert(fleet->job_by_id, g_strdup(pipeline->id),
-			    GUINT_TO_POINTER(handle + 1));
-	return handle;
 }
 
 bool gh_fleet_job_known(const gh_fleet_t *fleet, const char *id)
--- a/regress/test_core_fleet.c
+++ b/regress/test_core_fleet.c
@@ -20,6 +20,7 @@
 #define ORDERS_MAX 256
 #define RUNS_MAX 64
 #define ENDS_MAX 64
+#define LASTING_JOB "00000000000000aa" /* its runs list a tail */
 
 /* A worker as the tests play it. */
 typedef struct play_worker {
@@ -33,6 +34,7 @@
 	size_t n_ends;
 	uint64_t last_end;
 	gh_time_t lease_until;
+	int64_t tail_ms; /* of its lasting tasks; 0: none lasts */
 } play_worker_t;
 
 typedef struct world {
@@ -191,8 +193,15 @@
 		if (worker->ends[i].number > hold->acked)
 			worker->ends[kept++] = worker->ends[i];
 	worker->n_ends = kept;
-	for (i = 0; i < worker->n_runs; i++)
-		worker->runs[i].percent = (worker->runs[i].percent + 1) % 100;
+	for (i = 0; i < worker->n_runs; i++) {
+		gh_report_run_t *run = &worker->runs[i];
+
+		run->percent = (run->percent + 1) % 100;
+		if (worker->tail_ms && !strcmp(run->task.job, LASTING_JOB)) {
+			run->percent = 100;
+			run->gauge = worker->tail_ms;
+		}
+	}
 	report.runs = worker->runs;
 	report.n_runs = worker->n_runs;
 	report.ends = worker->ends;
@@ -622,6 +631,90 @@
 	world_clear(&w);
 }
 
+/*
+ * Load: filling tasks beside a lasting one whose tail rises over its bound.
+ * All that fills stands still in time, and goes on once the tail is low.
+ */
+static void test_pace(void **state)
+{
+	gh_step_t lasting = one_task;
+	gh_step_t filling = one_task;
+	uint32_t least = 100;
+	uint32_t last = 100;
+	world_t w;
+	size_t i;
+
+	(void)state;
+	lasting.lasting = true;
+	lasting.tail_ms = 24;
+	filling.fills = true;
+	filling.tasks = 2;
+	world_init(&w);
+	add_worker(&w, "w1", 32000)->tail_ms = 6;
+	add_job(&w, LASTING_JOB, 1, &lasting, NULL);
+	pass(&w, 1500);
+	add_job(&w, "0000000000000002", 1, &filling, NULL);
+	pass(&w, 1000);
+	assert_int_equal(w.workers[0].n_runs, 3);
+	w.workers[0].tail_ms = 200;
+	pass(&w, 3000);
+	for (i = 0; i < w.n_orders; i++)
+		if (w.orders[i].kind == GH_ORDER_PACE)
+			least = MIN(least, w.orders[i].percent);
+	assert_int_equal(least, 0);
+	w.workers[0].tail_ms = 5;
+	pass(&w, 6000);
+	for (i = 0; i < w.n_orders; i++)
+		if (w.orders[i].kind == GH_ORDER_PACE)
+			last = w.orders[i].percent;
+	assert_true(last >= 50);
+	world_clear(&w);
+}
+
+/*
+ * Load: a wide job and many small ones of the same queue at once, four times
+ * what there is room for.  Callers with small jobs do not wait for the wide
+ * one, and it is not left for last.
+ */
+static void test_burst(void **state)
+{
+	gh_step_t wide = one_task;
+	world_t w;
+	size_t small_first = 0;
+	size_t wide_done = 0;
+	char id[GH_JOB_ID_MAX + 1];
+	int round, i;
+
+	(void)state;
+	wide.tasks = 24;
+	world_init(&w);
+	add_worker(&w, "w1", 8000);
+	add_job(&w, "0000000000000001", 1, &wide, NULL);
+	for (i = 0; i < 8; i++) {
+		g_snprintf(id, sizeof(id), "00000000000001%02d", i);
+		add_job(&w, id, 1, &one_task, NULL);
+	}
+	for (round = 0; round < 6; round++) {
+		pass(&w, 200);
+		while (w.workers[0].n_runs)
+			end_run(&w.workers[0], 0, GH_RUN_DONE);
+		pass(&w, 1100);
+		if (!gh_fleet_job_known(w.fleet, "0000000000000001"))
+			wide_done = (size_t)round + 1;
+		if (round == 1)
+			for (i = 0; i < 8; i++) {
+				g_snprintf(id, sizeof(id), "00000000000001%02d",
+					   i);
+				small_first += !gh_fleet_job_known(w.fleet, id);
+			}
+		if (wide_done)
+			break;
+	}
+	assert_int_equal(small_first, 8);
+	assert_in_range(wide_done, 1, 5);
+	world_clear(&w);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -639,6 +732,8 @@
 		cmocka_unit_test(test_unknown_run),
 		cmocka_unit_test(test_copy),
 		cmocka_unit_test(test_failing_worker),
+		cmocka_unit_test(test_pace),
+		cmocka_unit_test(test_burst),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
