--- a/core_fleet.c
+++ b/core_fleet.c
@@ -363,6 +363,7 @@
 	link_run(fleet, handle);
 	hold_size(fleet, run, true);
 	if (state == RUN_PLANNED) {
+		fleet_worker(fleet, worker)->placed_at = now;
 		owner->began = true;
 		if (owner->phase == GH_JOB_QUEUED)
 			owner->phase = GH_JOB_RUNNING;
@@ -391,7 +392,8 @@
 	if (task->runs[0] == handle)
 		task->runs[0] = task->runs[1];
 	task->runs[1] = GH_NONE;
-	job->open_runs--;
+	if (!--job->open_runs)
+		job->idle_since = now;
 	if (task->runs[0] == GH_NONE)
 		stage->open--;
 	fleet_health_ended(fleet, &run, how, now);
--- a/core_fleet_health.c
+++ b/core_fleet_health.c
@@ -11,13 +11,12 @@
 #define QUARANTINE_DOUBLINGS 3
 #define HEALTH_PERIOD (200 * GH_USEC_PER_MSEC)
 #define HANG_AFTER (2500 * GH_USEC_PER_MSEC) /* without any progress */
-#define STARTUP_MOST (5 * GH_USEC_PER_SEC)   /* of a lasting task */
+#define PROBE_TIME (2 * GH_USEC_PER_SEC)     /* in which one run is let on */
 #define SLOWNESS_WEIGHT 0.2		     /* of the newest run */
 #define MEAN_WEIGHT_LEAST 0.1
 static void quarantine(gh_fleet_t *fleet, uint32_t handle, const char *why,
 		       gh_time_t now);
-static bool stands_still(const gh_fleet_t *fleet, const fleet_run_t *run,
-			 gh_time_t now);
+static bool stands_still(const gh_fleet_t *fleet, const fleet_run_t *run);
 static void learn_time(gh_fleet_t *fleet, const fleet_run_t *run,
 		       gh_time_t now);
 
@@ -61,9 +60,11 @@
 
 bool fleet_health_usable(const fleet_worker_t *worker, gh_time_t now)
 {
-	/* After a quarantine one run at a time is the probe. */
-	return now >= worker->quarantined &&
-	       (!worker->bad_turns || !worker->n_runs);
+	if (now < worker->quarantined)
+		return false;
+	/* After a quarantine one run is the probe for some time. */
+	return !worker->bad_turns || now > worker->quarantined + PROBE_TIME ||
+	       worker->placed_at < worker->quarantined;
 }
 
 void fleet_health_watch(gh_fleet_t *fleet, gh_time_t now)
@@ -76,7 +77,7 @@
 	for (i = 0; i < fleet->runs->len; i++) {
 		const fleet_run_t *run = fleet_run(fleet, i);
 
-		if (run->state != RUN_RUNNING || !stands_still(fleet, run, now))
+		if (run->state != RUN_RUNNING || !stands_still(fleet, run))
 			continue;
 		fleet->counts.hangs++;
 		quarantine(fleet, run->worker, "a task stands still", now);
@@ -84,8 +85,7 @@
 	}
 }
 
-static bool stands_still(const gh_fleet_t *fleet, const fleet_run_t *run,
-			 gh_time_t now)
+static bool stands_still(const gh_fleet_t *fleet, const fleet_run_t *run)
 {
 	const fleet_job_t *job = fleet_job(fleet, run->job);
 	const gh_step_t *step = fleet_step_of(job, run->task);
@@ -93,8 +93,8 @@
 
 	if (!run->running || worker->unheard || step->fills || run->pace < 100)
 		return false;
-	if (step->lasting)
-		return run->percent < 100 && now - run->running > STARTUP_MOST;
+	if (step->lasting && run->percent == 100)
+		return false;
 	return worker->held_at - MAX(run->percent_at, run->running) >
 	       HANG_AFTER;
 }
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -29,8 +29,9 @@
 #define COST_LASTING_FIT 10 /* part of the cost of room left over */
 #define COST_FILL 100000    /* all of the press that a worker bears */
 #define SPREAD_TASKS 3	    /* fewer on one worker make a job a spread one */
-#define FILL_MOST 1.0	    /* of that; more waits for an end */
-#define COST_SLOW 100000    /* for each time that a worker is slower */
+#define IDLE_MOST (1500 * GH_USEC_PER_MSEC) /* while there is some room */
+#define FILL_MOST 1.0			    /* of that; more waits for an end */
+#define COST_SLOW 100000 /* for each time that a worker is slower */
 
 typedef struct candidate {
 	uint32_t job, stage;
@@ -41,7 +42,8 @@
 static void lapse_leases(gh_fleet_t *fleet, gh_time_t now);
 static void retry_orders(gh_fleet_t *fleet, gh_time_t now);
 static void vacate(gh_fleet_t *fleet, gh_time_t now);
-static void collect(gh_fleet_t *fleet, GArray *found, int64_t wall_ms);
+static void collect(gh_fleet_t *fleet, GArray *found, gh_time_t now,
+		    int64_t wall_ms);
 static bool stage_ready(const fleet_job_t *job, uint32_t stage,
 			int64_t wall_ms);
 static void rate(const gh_fleet_t *fleet, const fleet_job_t *job,
@@ -50,7 +52,7 @@
 static int by_rank(gconstpointer a, gconstpointer b);
 static void place_stage(gh_fleet_t *fleet, const candidate_t *c, gh_time_t now);
 static void place_gang(gh_fleet_t *fleet, const candidate_t *c, gh_time_t now);
-static uint32_t choose(gh_fleet_t *fleet, const fleet_job_t *job, uint32_t task,
+static uint32_t choose(gh_fleet_t *fleet, fleet_job_t *job, uint32_t task,
 		       uint32_t not_worker, gh_time_t now);
 static bool fits(const fleet_worker_t *worker, const gh_step_t *step);
 static int64_t cost(const fleet_worker_t *worker, const gh_step_t *step,
@@ -72,7 +74,7 @@
 	retry_orders(fleet, now);
 	vacate(fleet, now);
 	fleet_health_watch(fleet, now);
-	collect(fleet, found, wall_ms);
+	collect(fleet, found, now, wall_ms);
 	g_array_sort(found, by_rank);
 	fleet->counts.pending_tasks = 0;
 	for (i = 0; i < found->len; i++) {
@@ -157,7 +159,8 @@
 	}
 }
 
-static void collect(gh_fleet_t *fleet, GArray *found, int64_t wall_ms)
+static void collect(gh_fleet_t *fleet, GArray *found, gh_time_t now,
+		    int64_t wall_ms)
 {
 	uint32_t i, s;
 
@@ -168,6 +171,8 @@
 
 		if (!job->spec || job->phase > GH_JOB_RUNNING)
 			continue;
+		if (!job->idle_since)
+			job->idle_since = now;
 		for (s = 0; s < job->n_stages; s++) {
 			const fleet_stage_t *stage = &job->stages[s];
 			uint32_t tasks =
@@ -321,13 +326,15 @@
 }
 
 /* The cheapest worker that may take the task, or GH_NONE. */
-static uint32_t choose(gh_fleet_t *fleet, const fleet_job_t *job, uint32_t task,
+static uint32_t choose(gh_fleet_t *fleet, fleet_job_t *job, uint32_t task,
 		       uint32_t not_worker, gh_time_t now)
 {
 	uint32_t stage = fleet_stage_index(job, task);
 	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
 	const char *rack =
 		step->one_rack ? stage_rack(fleet, job, stage) : step->rack;
+	/* A job of which nothing runs gets on, however slowly. */
+	bool overdue = !job->open_runs && now - job->idle_since > IDLE_MOST;
 	uint32_t best = GH_NONE;
 	int64_t best_cost = INT64_MAX;
 	uint32_t i, j;
@@ -358,7 +365,7 @@
 				fleet, worker, step,
 				job->images[stage % job->spec->n_steps]);
 
-			if (share > FILL_MOST)
+			if (share > FILL_MOST && !overdue)
 				continue;
 			c += (int64_t)(share * COST_FILL);
 		}
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -73,6 +73,7 @@
 	fleet_stage_t *stages;
 	uint32_t stages_done;
 	uint32_t open_runs;
+	gh_time_t idle_since; /* nothing of it runs; 0: never did */
 	uint64_t version, committed;
 	gh_job_phase_t committed_phase;
 	gh_job_phase_t committing_phase; /* of the change being committed */
@@ -124,6 +125,7 @@
 	uint32_t fail_streak;  /* failed runs of different jobs in a row */
 	uint32_t bad_turns;    /* quarantines in a row */
 	gh_time_t quarantined; /* until */
+	gh_time_t placed_at;   /* the last run was planned here then */
 	double fill_cores;     /* milli-cores of its open filling runs */
 	gh_time_t looked;      /* at the tails of its lasting tasks */
 	double lasting_cores;  /* milli-cores of its open lasting runs */
--- a/regress/test_core_fleet.c
+++ b/regress/test_core_fleet.c
@@ -26,6 +26,7 @@
 typedef struct play_worker {
 	char id[GH_WORKER_ID_MAX + 1];
 	bool silent; /* answers nothing */
+	bool stuck;  /* what it runs makes no progress */
 	bool lossy;  /* carries orders out and does not answer */
 	int64_t born_ms;
 	gh_report_run_t runs[RUNS_MAX];
@@ -196,7 +197,8 @@
 	for (i = 0; i < worker->n_runs; i++) {
 		gh_report_run_t *run = &worker->runs[i];
 
-		run->percent = (run->percent + 1) % 100;
+		if (!worker->stuck)
+			run->percent = (run->percent + 1) % 100;
 		if (worker->tail_ms && !strcmp(run->task.job, LASTING_JOB)) {
 			run->percent = 100;
 			run->gauge = worker->tail_ms;
@@ -671,6 +673,64 @@
 	world_clear(&w);
 }
 
+/*
+ * hunt meskot-hoist, trouble-2 --seed 1017794313807: a lasting task that
+ * starts slowly is no hanging one, and a worker with lasting tasks is used
+ * again some time after a quarantine.
+ */
+static void test_slow_start(void **state)
+{
+	gh_step_t lasting = one_task;
+	world_t w;
+
+	(void)state;
+	lasting.lasting = true;
+	world_init(&w);
+	add_worker(&w, "w1", 2000);
+	add_job(&w, LASTING_JOB, 1, &lasting, NULL);
+	pass(&w, 8000);
+	assert_int_equal(count_orders(&w, GH_ORDER_STOP, 0), 0);
+	/* One that makes no progress is stopped, and started again. */
+	w.workers[0].stuck = true;
+	pass(&w, 4000);
+	assert_int_equal(count_orders(&w, GH_ORDER_STOP, 0), 1);
+	w.workers[0].stuck = false;
+	w.workers[0].tail_ms = 5;
+	pass(&w, 4000);
+	assert_int_equal(w.workers[0].n_runs, 1);
+	add_job(&w, "0000000000000002", 1, &one_task, NULL);
+	pass(&w, 6000);
+	assert_int_equal(w.workers[0].n_runs, 2);
+	world_clear(&w);
+}
+
+/*
+ * hunt haddad-laces, trouble-1 --seed 712150341119: filling tasks for which
+ * no worker has room beside its lasting tasks start all the same in time.
+ */
+static void test_fill_overdue(void **state)
+{
+	gh_step_t lasting = one_task;
+	gh_step_t filling = one_task;
+	world_t w;
+
+	(void)state;
+	lasting.lasting = true;
+	lasting.tail_ms = 24;
+	filling.fills = true;
+	filling.size.cores_milli = 30000;
+	world_init(&w);
+	add_worker(&w, "w1", 32000)->tail_ms = 22;
+	add_job(&w, LASTING_JOB, 1, &lasting, NULL);
+	pass(&w, 2000);
+	add_job(&w, "0000000000000002", 1, &filling, NULL);
+	pass(&w, 1000);
+	assert_int_equal(w.workers[0].n_runs, 1);
+	pass(&w, 1500);
+	assert_int_equal(w.workers[0].n_runs, 2);
+	world_clear(&w);
+}
+
 /*
  * Load: a wide job and many small ones of the same queue at once, four times
  * what there is room for.  Callers with small jobs do not wait for the wide
@@ -734,6 +794,8 @@
 		cmocka_unit_test(test_failing_worker),
 		cmocka_unit_test(test_pace),
 		cmocka_unit_test(test_burst),
+		cmocka_unit_test(test_slow_start),
+		cmocka_unit_test(test_fill_overdue),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
