--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -491,7 +491,7 @@
 			continue;
 		job = fleet_job(fleet, run->job);
 		if (!fleet_step_of(job, run->task)->copies ||
-		    job->phase > GH_JOB_RUNNING ||
+		    job->phase > GH_JOB_RUNNING || job->tasks[run->task].done ||
 		    job->tasks[run->task].runs[1] != GH_NONE)
 			continue;
 		stage = fleet_stage_of(job, run->task);
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -256,6 +256,10 @@
 	}
 	run->gauge = listed->gauge;
 	task = &fleet_job(fleet, job)->tasks[run->task];
+	if (task->done) {
+		/* A copy that its former owner had not stopped yet. */
+		fleet_run_stop(fleet, ref, "task is done", now);
+	}
 	if (*listed->saved && g_strcmp0(task->saved, listed->saved) != 0) {
 		g_free(task->saved);
 		task->saved = g_strdup(listed->saved);
--- a/regress/test_core_fleet.c
+++ b/regress/test_core_fleet.c
@@ -610,6 +610,40 @@
 	world_clear(&w);
 }
 
+/*
+ * hunt haddad-laces, late-orders-owner-changes --seed 990872147848: a copy
+ * that outlived its task's end, and its owner, is stopped and not copied.
+ */
+static void test_copy_of_done_task(void **state)
+{
+	gh_step_t copies = one_task;
+	gh_report_run_t run = { .task = { .job = "0000000000000001" },
+				.run = 2 };
+	world_t w;
+
+	(void)state;
+	copies.copies = true;
+	copies.tasks = 2;
+	world_init(&w);
+	add_job(&w, "0000000000000001", 1, &copies,
+		"progress1\n0 done 0 2 - 2@w1\n1 open 0 1 - 1@w2\n");
+	add_worker(&w, "w1", 4000);
+	add_worker(&w, "w2", 4000);
+	w.workers[0].silent = true;
+	w.workers[0].runs[w.workers[0].n_runs++] = run;
+	run.task.index = 1;
+	run.run = 1;
+	w.workers[1].runs[w.workers[1].n_runs++] = run;
+	pass(&w, 1500);
+	w.workers[0].silent = false;
+	pass(&w, 1500);
+	for (size_t i = 0; i < w.n_orders; i++)
+		if (w.orders[i].task.index == 0)
+			assert_int_equal(w.orders[i].kind, GH_ORDER_STOP);
+	assert_int_equal(w.workers[0].n_runs, 0);
+	world_clear(&w);
+}
+
 /* A worker that fails what it starts is left alone for a while. */
 static void test_failing_worker(void **state)
 {
@@ -791,6 +825,7 @@
 		cmocka_unit_test(test_takeover),
 		cmocka_unit_test(test_unknown_run),
 		cmocka_unit_test(test_copy),
+		cmocka_unit_test(test_copy_of_done_task),
 		cmocka_unit_test(test_failing_worker),
 		cmocka_unit_test(test_pace),
 		cmocka_unit_test(test_burst),
