--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -8,11 +8,10 @@
 #include "counter.h"
 #include "error.h"
 #include "fleet_watch.h"
+#include "histogram.h"
 #include "log.h"
 
-#define LEASE_MS                                                     \
-	2000 /* of the owner record; a shorter one lapses in freezes \
-	      */
+#define LEASE_MS 2000 /* of the owner record; outlasts short freezes */
 #define KEEP_PERIOD (500 * GH_USEC_PER_MSEC) /* between two renewals */
 #define HOLD_ON (8 * GH_USEC_PER_SEC) /* workers are held without the store */
 #define CLAIM_SPREAD \
@@ -40,6 +39,7 @@
 	GPtrArray *texts;
 	GArray *changes; /* gh_fleet_change_t */
 	char *chain;	 /* text of the chain record */
+	gh_time_t sent;
 } batch_t;
 
 struct fleet_owner {
@@ -81,6 +81,7 @@
 typedef struct owner_call {
 	fleet_owner_t *owner;
 	uint64_t generation;
+	gh_time_t sent;
 } owner_call_t;
 
 static void on_time(void *ctx, gh_time_t now);
@@ -222,6 +223,7 @@
 
 	call->owner = owner;
 	call->generation = owner->generation;
+	call->sent = clock_boot();
 	return call;
 }
 
@@ -712,8 +714,10 @@
 		[GH_ORDER_OTHER_LIFE] = "other_life",
 		[GH_ORDER_UNKNOWN] = "unanswered",
 	};
+	gh_time_t sent = ((const owner_call_t *)ctx)->sent;
 	fleet_owner_t *owner = call_end(ctx);
 
+	histogram_add(HIST_ORDER, clock_boot() - sent);
 	if (!owner || !owner->fleet)
 		return;
 	if (answer != GH_ORDER_OK)
@@ -823,6 +827,7 @@
 
 static void batch_send(fleet_owner_t *owner)
 {
+	owner->batch->sent = clock_boot();
 	owner->setup.store->ops->commit(owner->setup.store,
 					owner->batch->entries, owner->batch->n,
 					on_committed, call_new(owner));
@@ -891,6 +896,7 @@
 	owner->chain_revision = revision;
 	owner->commit_at = now + MAX(COMMIT_GAP, owner->setup.commit_gap);
 	counter_inc(CTR_COMMITS);
+	histogram_add(HIST_COMMIT, now - batch->sent);
 	for (i = 0; i < batch->changes->len; i++) {
 		const gh_fleet_change_t *change =
 			&g_array_index(batch->changes, gh_fleet_change_t, i);
