--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -1,6 +1,7 @@
 #include "fleet_owner.h"
 
 #include <inttypes.h>
+#include <stddef.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -74,7 +75,8 @@
 	gh_time_t commit_at;
 	gh_time_t tick_at;
 	gh_time_t sweep_at;
-	bool dirty; /* something happened since the last tick */
+	bool dirty;		   /* something happened since the last tick */
+	gh_fleet_counts_t counted; /* already added to the counters */
 };
 
 /* Context of a call: it is void once the ownership has changed. */
@@ -89,6 +91,7 @@
 static owner_call_t *call_new(fleet_owner_t *owner);
 static fleet_owner_t *call_end(void *ctx);
 static void step(fleet_owner_t *owner, gh_time_t now);
+static void publish(fleet_owner_t *owner);
 static void claim(fleet_owner_t *owner);
 static void on_lease(void *ctx, const fleet_reply_t *reply);
 static void on_chain(void *ctx, const fleet_reply_t *reply);
@@ -209,14 +212,6 @@
 	return owner->phase == PHASE_IDLE;
 }
 
-void fleet_owner_counts(const fleet_owner_t *owner, gh_fleet_counts_t *counts)
-{
-	if (owner->fleet)
-		gh_fleet_counts(owner->fleet, counts);
-	else
-		memset(counts, 0, sizeof(*counts));
-}
-
 static owner_call_t *call_new(fleet_owner_t *owner)
 {
 	owner_call_t *call = g_new(owner_call_t, 1);
@@ -287,6 +282,44 @@
 	if (owner->phase >= PHASE_LOADING)
 		next = MIN(next, owner->keep_at);
 	owner->timer.at = next;
+	publish(owner);
+}
+
+/* Adds what the fleet has counted since the last time to the counters. */
+static void publish(fleet_owner_t *owner)
+{
+	static const struct {
+		counter_t counter;
+		size_t offset;
+	} fields[] = {
+		{ CTR_RUNS_STARTED, offsetof(gh_fleet_counts_t, started) },
+		{ CTR_RUNS_DONE, offsetof(gh_fleet_counts_t, done) },
+		{ CTR_RUNS_FAILED, offsetof(gh_fleet_counts_t, failed) },
+		{ CTR_RUNS_STOPPED, offsetof(gh_fleet_counts_t, stopped) },
+		{ CTR_RUNS_LAPSED, offsetof(gh_fleet_counts_t, lapsed) },
+		{ CTR_RUNS_LOST, offsetof(gh_fleet_counts_t, lost) },
+		{ CTR_RUNS_NO_ROOM, offsetof(gh_fleet_counts_t, no_room) },
+		{ CTR_RUN_COPIES, offsetof(gh_fleet_counts_t, copies) },
+		{ CTR_RUN_HANGS, offsetof(gh_fleet_counts_t, hangs) },
+		{ CTR_QUARANTINES, offsetof(gh_fleet_counts_t, quarantines) },
+		{ CTR_PACES, offsetof(gh_fleet_counts_t, paced) },
+	};
+	gh_fleet_counts_t now;
+	size_t i;
+
+	if (!owner->fleet)
+		return;
+	gh_fleet_counts(owner->fleet, &now);
+	for (i = 0; i < G_N_ELEMENTS(fields); i++) {
+		uint64_t new = *(const uint64_t *)((const char *)&now +
+						   fields[i].offset);
+		uint64_t old =
+			*(const uint64_t *)((const char *)&owner->counted +
+					    fields[i].offset);
+
+		counter_add(fields[i].counter, new - old);
+	}
+	owner->counted = now;
 }
 
 /* Claiming: lease, chain, then both records in one commit. */
@@ -394,6 +427,7 @@
 
 	owner->phase = PHASE_LOADING;
 	owner->fleet = gh_fleet_new(&owner->setup.fleet, &sink, clock_boot());
+	memset(&owner->counted, 0, sizeof(owner->counted));
 	if (owner->config)
 		fleet_owner_configure(owner, owner->config);
 	owner->progress =
--- a/fleet_owner.h
+++ b/fleet_owner.h
@@ -42,9 +42,8 @@
 void fleet_owner_job(fleet_owner_t *owner, const char *id,
 		     const fleet_job_state_t *state);
 
-/* Gives the shard up in good order; *done turns true then. */
+/* Gives the shard up in good order; it is idle once that is done. */
 void fleet_owner_release(fleet_owner_t *owner);
 bool fleet_owner_idle(const fleet_owner_t *owner);
-void fleet_owner_counts(const fleet_owner_t *owner, gh_fleet_counts_t *counts);
 
 #endif
--- /dev/null
+++ b/regress/test_platform_decode.c
@@ -0,0 +1,213 @@
+/*
+ * The adapter's decoders and the job service's settings on good and bad
+ * texts: tables of cases.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <string.h>
+
+#include "error.h"
+#include "fleet_settings.h"
+#include "platform/platform_decode.h"
+#include "proc.h"
+
+#define ROOM "\"capacity\":{\"cpu\":8000,\"mem_mb\":100,\"gpus\":0}"
+
+typedef struct worker_case {
+	const char *text;
+	bool ok;
+	bool draining;
+} worker_case_t;
+
+static const worker_case_t worker_cases[] = {
+	{ .text = "{\"backend\":\"s\",\"address\":\"1.2.3.4:5\",\"state\":"
+		  "\"ready\"," ROOM ",\"labels\":[\"a\",\"r1\"],\"born\":7}",
+	  .ok = true },
+	{ .text = "{\"backend\":\"s\",\"address\":\"1.2.3.4:5\",\"state\":"
+		  "\"draining\"," ROOM ",\"labels\":[\"a\",\"r1\"]}",
+	  .ok = true,
+	  .draining = true },
+	{ .text = "{\"backend\":\"s\",\"address\":\"1.2.3.4:5\",\"state\":"
+		  "\"tired\"," ROOM ",\"labels\":[]}" },
+	{ .text = "{\"backend\":7,\"address\":\"1.2.3.4:5\",\"state\":"
+		  "\"ready\"," ROOM ",\"labels\":[]}" },
+	{ .text = "{\"backend\":\"s\",\"address\":\"1.2.3.4:5\",\"state\":"
+		  "\"ready\",\"capacity\":9,\"labels\":[]}" },
+	{ .text = "{\"backend\":\"s\",\"address\":\"1.2.3.4:5\",\"state\":"
+		  "\"ready\"," ROOM "}" },
+	{ .text = "no json" },
+	{ .text = "" },
+};
+
+static void test_worker(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(worker_cases); i++) {
+		const worker_case_t *c = &worker_cases[i];
+		gh_worker_entry_t entry;
+
+		if (platform_read_worker("i-1", c->text, &entry) != c->ok)
+			fail_msg("case %zu: %s", i, c->text);
+		if (!c->ok)
+			continue;
+		assert_string_equal(entry.id, "i-1");
+		assert_int_equal(entry.size.cores_milli, 8000);
+		assert_int_equal(entry.draining, c->draining);
+	}
+}
+
+typedef struct pipeline_case {
+	const char *text;
+	gh_error_kind_t kind; /* GH_E_COUNT: none */
+} pipeline_case_t;
+
+static const pipeline_case_t pipeline_cases[] = {
+	{ "{\"task_spec\":\"x\",\"pipeline\":[{\"count\":2,\"cpu\":500}]}",
+	  GH_E_COUNT },
+	{ "{\"task_spec\":\"x\",\"pipeline\":[{\"count\":2},{\"count\":1,"
+	  "\"after\":[0],\"gang_scheduled\":true,\"constraints\":\"b\"}]}",
+	  GH_E_COUNT },
+	{ "{\"pipeline\":[{\"count\":2}]}", GH_E_BAD_REQUEST },
+	{ "{\"task_spec\":\"x\"}", GH_E_BAD_REQUEST },
+	{ "{\"task_spec\":\"x\",\"pipeline\":[{\"count\":2,\"cpu\":-1}]}",
+	  GH_E_BAD_REQUEST },
+	{ "{\"task_spec\":\"x\",\"pipeline\":[{\"count\":1,\"constraints\":"
+	  "\"two words\"}]}",
+	  GH_E_BAD_REQUEST },
+	{ "{\"task_spec\":\"x\",\"pipeline\":[{\"count\":1,\"after\":[99]}]}",
+	  GH_E_BAD_REQUEST },
+	{ "[]", GH_E_BAD_REQUEST },
+	{ "", GH_E_BAD_REQUEST },
+	{ "{\"task_spec\":\"x\",\"pipeline\":[{\"count\":0}]}",
+	  GH_E_BAD_VALUE },
+	{ "{\"task_spec\":\"x\",\"pipeline\":[]}", GH_E_BAD_VALUE },
+	{ "{\"task_spec\":\"x\",\"pipeline\":[{\"count\":1,\"after\":[0]}]}",
+	  GH_E_BAD_VALUE },
+	{ "{\"task_spec\":\"x\",\"pipeline\":[{\"count\":30000}]}",
+	  GH_E_BAD_VALUE },
+};
+
+/* What is accepted comes back whole from its record in the store. */
+static void test_pipeline(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(pipeline_cases); i++) {
+		const pipeline_case_t *c = &pipeline_cases[i];
+		GError *err = NULL;
+		gh_pipeline_t *read =
+			platform_read_pipeline(c->text, strlen(c->text), &err);
+		gh_pipeline_t *again;
+		char *text, *twice;
+
+		if (read) {
+			g_strlcpy(read->id, "0123456789abcdef",
+				  sizeof(read->id));
+			g_strlcpy(read->queue, "q", sizeof(read->queue));
+			g_strlcpy(read->service, "s", sizeof(read->service));
+		}
+		if (!read || !gh_pipeline_check(read, &err)) {
+			if (gh_error_kind(err) != c->kind)
+				fail_msg("case %zu: %s", i, err->message);
+			g_error_free(err);
+			gh_pipeline_free(read);
+			continue;
+		}
+		assert_int_equal(c->kind, GH_E_COUNT);
+		text = gh_pipeline_text(read);
+		again = gh_pipeline_parse(text, NULL);
+		assert_non_null(again);
+		twice = gh_pipeline_text(again);
+		assert_string_equal(text, twice);
+		g_free(text);
+		g_free(twice);
+		gh_pipeline_free(again);
+		gh_pipeline_free(read);
+	}
+}
+
+static void test_config(void **state)
+{
+	static const char good[] =
+		"{\"version\":7,\"routes\":[{\"name\":\"r\",\"hostname\":"
+		"\"h.example\",\"prefix\":\"/p/\",\"backend\":\"s\","
+		"\"attempts\":2,\"stretch\":1.5},{\"name\":5}],\"limits\":{}}";
+	static const char *const bad[] = { "", "{}", "{\"version\":\"x\"}",
+					   "{\"version\":1,\"routes\":3}" };
+	GError *err = NULL;
+	fleet_config_t *config = platform_read_config(good, &err);
+	size_t i;
+
+	(void)state;
+	assert_non_null(config);
+	assert_int_equal(config->n_queues, 1);
+	assert_int_equal(config->queues[0].policy.stretch_milli, 1500);
+	fleet_config_unref(config);
+	for (i = 0; i < G_N_ELEMENTS(bad); i++) {
+		assert_null(platform_read_config(bad[i], &err));
+		assert_int_equal(gh_error_kind(err), GH_E_SYNTAX);
+		g_clear_error(&err);
+	}
+}
+
+typedef struct settings_case {
+	const char *more;
+	gh_error_kind_t kind; /* GH_E_COUNT: none */
+} settings_case_t;
+
+static const settings_case_t settings_cases[] = {
+	{ "", GH_E_COUNT },
+	{ "shards=4\ncores=0.25\n", GH_E_COUNT },
+	{ "shards=1000\n", GH_E_BAD_VALUE },
+	{ "lease_ms=soon\n", GH_E_BAD_VALUE },
+	{ "colour=blue\n", GH_E_UNKNOWN_KEY },
+	{ "[store]\nurl=http://1.2.3.4:5\n", GH_E_UNKNOWN_GROUP },
+};
+
+static void test_settings(void **state)
+{
+	static const char base[] = "[fleet]\nname=h1\ndomain=d\n"
+				   "callers=127.0.0.1:1\n"
+				   "readiness=127.0.0.1:2\n"
+				   "metrics=127.0.0.1:3\n"
+				   "store=127.0.0.1:4\n";
+	char *dir = proc_dir();
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(settings_cases); i++) {
+		const settings_case_t *c = &settings_cases[i];
+		char *text = g_strconcat(base, c->more, NULL);
+		char *path = proc_write(dir, "h.conf", text);
+		GError *err = NULL;
+		fleet_settings_t *set = fleet_settings_load(path, &err);
+
+		assert_true(fleet_settings_recognize(path));
+		if (!set && gh_error_kind(err) != c->kind)
+			fail_msg("case %zu: %s", i, err->message);
+		assert_int_equal(set != NULL, c->kind == GH_E_COUNT);
+		g_clear_error(&err);
+		g_free(set);
+		g_free(path);
+		g_free(text);
+	}
+	proc_dir_remove(dir);
+}
+
+int main(void)
+{
+	static const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_worker),
+		cmocka_unit_test(test_pipeline),
+		cmocka_unit_test(test_config),
+		cmocka_unit_test(test_settings),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
