--- a/core_fleet_pace.c
+++ b/core_fleet_pace.c
@@ -21,21 +21,16 @@
 #define WEIGHT_PRESSES 0.12 /* a pair below it is none to blame */
 #define LOAD_FIRST 0.5	    /* of a lasting job not looked at yet */
 #define LOAD_AHEAD 0.12	    /* rise of a load while a task runs beside it */
-#define LOAD_STEP_ALONE                                      \
-	0.7 /* of an error on its load: nothing fills beside \
-	     */
-#define LOAD_STEP_BESIDE 0.15
+#define LOAD_STEP_ALONE 0.7 /* of an error on its load, alone ... */
+#define LOAD_STEP_BESIDE 0.15		     /* ... and beside what fills */
 #define LOOK_PERIOD (240 * GH_USEC_PER_MSEC) /* of the gauge */
 #define USE_WORST 0.95 /* above it only a lower bound is seen */
-#define OVER_MOST                                                   \
-	(1500 * GH_USEC_PER_MSEC) /* over the bound, till all stops \
-				   */
-#define ROOM_LEAST 0.02
-#define SHARE_NONE 100.0  /* no room at all */
+#define OVER_MOST (1500 * GH_USEC_PER_MSEC) /* over it; then all stops */
+#define ROOM_LEAST 0.02			    /* of use; less is none */
+#define SHARE_NONE 100.0		    /* no room at all */
 #define SERVING_USE 0.5	  /* of their cores that lasting tasks use */
 #define CORES_MOST 1.6	  /* times the unused cores, that may fill */
 #define CORES_LEAST 500.0 /* milli-cores; avoids a division by nothing */
-#define SHARE_UNUSED 0.05 /* weight of unused cores where none lasts */
 
 static size_t fills_of(const gh_fleet_t *fleet, const fleet_worker_t *worker,
 		       bool paced, gh_press_fill_t fills[GH_FILLS_MAX]);
