End calls and callers in good order; ask for the chain again by a timer

Clients now end their calls without an answer before the parts that wait for them are freed; callers that still wait at the end of the grace are answered.

--- a/fleet_host.c
+++ b/fleet_host.c
@@ -117,6 +117,11 @@
 		fleet_owner_release(host->owners[i]);
 }
 
+void fleet_host_close(fleet_front_t *host)
+{
+	fleet_jobs_close(host->jobs);
+}
+
 bool fleet_host_drained(const fleet_front_t *host)
 {
 	uint32_t i;
--- a/fleet_host.h
+++ b/fleet_host.h
@@ -25,6 +25,8 @@
 
 /* On the loop: gives up what this host owns. */
 void fleet_host_drain(fleet_front_t *host);
+/* On the loop: answers all callers that wait, and refuses the others. */
+void fleet_host_close(fleet_front_t *host);
 /* On the loop: whether nothing is owned any more. */
 bool fleet_host_drained(const fleet_front_t *host);
 
--- a/fleet_jobs.c
+++ b/fleet_jobs.c
@@ -26,8 +26,9 @@
 	fleet_jobs_listener_t listener;
 	uint32_t shards;
 	loop_timer_t timer; /* of the next waiting request */
-	GQueue waiting;	    /* request_t, to be tried again */
-	GQueue open;	    /* request_t, all of them */
+	bool closed;
+	GQueue waiting; /* request_t, to be tried again */
+	GQueue open;	/* request_t, all of them */
 	pthread_mutex_t lock;
 	GHashTable *states; /* id to fleet_job_state_t; under the lock */
 };
@@ -108,10 +109,17 @@
 
 void fleet_jobs_free(fleet_jobs_t *jobs)
 {
+	request_t *request;
+
 	if (!jobs)
 		return;
 	fleet_watch_free(jobs->watch);
 	loop_timer_remove(jobs->loop, &jobs->timer);
+	while ((request = g_queue_pop_head(&jobs->open))) {
+		g_free(request->record);
+		g_free(request);
+	}
+	g_queue_clear(&jobs->waiting);
 	g_hash_table_destroy(jobs->states);
 	pthread_mutex_destroy(&jobs->lock);
 	g_free(jobs);
@@ -364,8 +372,14 @@
 /* One try: a write where the state is known, else a read first. */
 static void request_go(request_t *request)
 {
+	GError *err = NULL;
 	char *key;
 
+	if (request->jobs->closed) {
+		gh_error_set(&err, GH_E_DRAINING, "this host stops");
+		request_finish(request, err);
+		return;
+	}
 	request->tries++;
 	if (request->kind == REQUEST_SUBMIT && !request->uncertain) {
 		request_write(request);
@@ -571,6 +585,12 @@
 	answer_due(jobs, now);
 }
 
+void fleet_jobs_close(fleet_jobs_t *jobs)
+{
+	jobs->closed = true;
+	answer_due(jobs, GH_TIME_NEVER);
+}
+
 /* Callers whose time is up are answered, though a call is still under way. */
 static void answer_due(fleet_jobs_t *jobs, gh_time_t now)
 {
--- a/fleet_jobs.h
+++ b/fleet_jobs.h
@@ -40,6 +40,9 @@
 			     const fleet_jobs_listener_t *listener);
 void fleet_jobs_free(fleet_jobs_t *jobs);
 
+/* On the loop: answers all that wait, and refuses from now on. */
+void fleet_jobs_close(fleet_jobs_t *jobs);
+
 /* Any thread. */
 bool fleet_jobs_find(fleet_jobs_t *jobs, const char *id,
 		     fleet_job_state_t *state);
--- a/fleet_main.c
+++ b/fleet_main.c
@@ -32,6 +32,8 @@
 	gh_time_t quiet_at;
 	gh_time_t end_at;
 	pthread_t signals;
+	pthread_t ender;
+	bool ending;
 	sigset_t set;
 } process_t;
 
@@ -39,6 +41,8 @@
 static void on_term(void *ctx);
 static void on_hup(void *ctx);
 static void on_time(void *ctx, gh_time_t now);
+static void *end_front(void *ctx);
+static void end_loop(void *ctx);
 static void flush_log(void *ctx);
 static bool start(process_t *process, GError **err);
 
@@ -96,7 +100,11 @@
 			  NULL);
 		g_error_free(err);
 	}
+	if (process.ending)
+		pthread_join(process.ender, NULL);
 	platform_front_free(process.front);
+	platform_store_close(store);
+	platform_workers_close(workers);
 	fleet_host_free(process.host);
 	platform_workers_free(workers);
 	platform_store_free(store);
@@ -162,12 +170,32 @@
 				       fleet_host_drained(process->host))) {
 		log_event(LOG_INFO, "drained", "in_flight", log_num(in_flight),
 			  NULL);
-		loop_stop(process->loop);
+		fleet_host_close(process->host);
+		if (pthread_create(&process->ender, NULL, end_front, process))
+			loop_stop(process->loop);
+		else
+			process->ending = true;
 		return;
 	}
 	process->timer.at = now + DRAIN_POLL;
 }
 
+/* Connections' threads need the loop until the last of them has ended. */
+static void *end_front(void *ctx)
+{
+	process_t *process = ctx;
+
+	platform_front_free(process->front);
+	process->front = NULL;
+	loop_post(process->loop, end_loop, process);
+	return NULL;
+}
+
+static void end_loop(void *ctx)
+{
+	loop_stop(((process_t *)ctx)->loop);
+}
+
 /* Only the log level can change in a running process. */
 static void on_hup(void *ctx)
 {
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -73,6 +73,7 @@
 	const fleet_config_t *config;
 	batch_t *batch; /* being committed */
 	gh_time_t commit_at;
+	gh_time_t recheck_at; /* of a commit whose fate is unknown */
 	gh_time_t tick_at;
 	gh_time_t sweep_at;
 	bool dirty;		   /* something happened since the last tick */
@@ -120,6 +121,7 @@
 static void commit(fleet_owner_t *owner, gh_time_t now);
 static void on_committed(void *ctx, const fleet_reply_t *reply);
 static void on_chain_again(void *ctx, const fleet_reply_t *reply);
+static void recheck_chain(fleet_owner_t *owner, gh_time_t now);
 static void batch_done(fleet_owner_t *owner, uint64_t revision);
 static void batch_failed(fleet_owner_t *owner);
 static void batch_conflict(fleet_owner_t *owner, const fleet_reply_t *reply);
@@ -273,6 +275,7 @@
 				      gh_time_to_ms(clock_real()));
 			send_calls(owner, now);
 		}
+		recheck_chain(owner, now);
 		if (!owner->batch && now >= owner->commit_at)
 			commit(owner, now);
 		next = now + TICK;
@@ -584,6 +587,7 @@
 		  log_num(counts.workers), NULL);
 	owner->phase = owner->draining ? PHASE_RELEASING : PHASE_OWNING;
 	owner->commit_at = 0;
+	owner->recheck_at = GH_TIME_NEVER;
 	owner->dirty = true;
 }
 
@@ -914,12 +918,21 @@
 		   reply->result == FLEET_NOT_FOUND) {
 		lose(owner, "another owner moved the chain");
 	} else {
-		owner->setup.store->ops->get(owner->setup.store,
-					     FLEET_SPACE_OWN, owner->chain_key,
-					     on_chain_again, call_new(owner));
+		owner->recheck_at = clock_boot() + COMMIT_RETRY;
 	}
 }
 
+/* Asks for the chain again when the store gave no answer the last time. */
+static void recheck_chain(fleet_owner_t *owner, gh_time_t now)
+{
+	if (!owner->batch || now < owner->recheck_at)
+		return;
+	owner->recheck_at = GH_TIME_NEVER;
+	owner->setup.store->ops->get(owner->setup.store, FLEET_SPACE_OWN,
+				     owner->chain_key, on_chain_again,
+				     call_new(owner));
+}
+
 static void batch_done(fleet_owner_t *owner, uint64_t revision)
 {
 	batch_t *batch = owner->batch;
--- a/geraniumhoistd.c
+++ b/geraniumhoistd.c
@@ -39,8 +39,11 @@
 	action = read_arguments(argc, argv, &path);
 	if (action == ACTION_DONE)
 		return EXIT_SUCCESS;
-	if (fleet_settings_recognize(path))
-		return run_fleet(path, action == ACTION_CHECK);
+	if (fleet_settings_recognize(path)) {
+		status = run_fleet(path, action == ACTION_CHECK);
+		g_free(path);
+		return status;
+	}
 	settings = settings_load(path, &err);
 	g_free(path);
 	if (!settings) {
