--- a/core_fleet.c
+++ b/core_fleet.c
@@ -54,7 +54,7 @@
 	fleet->free_workers = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	fleet->free_jobs = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	fleet->free_runs = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-	fleet->orders = g_array_new(FALSE, TRUE, sizeof(order_ref_t));
+	fleet->orders = g_queue_new();
 	fleet->worker_by_id =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	fleet->job_by_id =
@@ -84,7 +84,7 @@
 	g_array_free(fleet->free_workers, TRUE);
 	g_array_free(fleet->free_jobs, TRUE);
 	g_array_free(fleet->free_runs, TRUE);
-	g_array_free(fleet->orders, TRUE);
+	g_queue_free_full(fleet->orders, g_free);
 	g_hash_table_destroy(fleet->worker_by_id);
 	g_hash_table_destroy(fleet->job_by_id);
 	g_hash_table_destroy(fleet->queues);
@@ -147,12 +147,11 @@
 		fleet_say(fleet, "worker_draining", NULL, 0, handle, NULL);
 }
 
-void gh_fleet_worker_gone(gh_fleet_t *fleet, const char *id, gh_time_t now)
+void gh_fleet_worker_gone(gh_fleet_t *fleet, const char *id)
 {
 	uint32_t handle = fleet_worker_find(fleet, id);
 	fleet_worker_t *worker;
 
-	(void)now;
 	if (handle == GH_NONE)
 		return;
 	worker = fleet_worker(fleet, handle);
@@ -162,7 +161,7 @@
 	fleet_worker_drop_if_over(fleet, handle);
 }
 
-void gh_fleet_workers_keep(gh_fleet_t *fleet, GHashTable *ids, gh_time_t now)
+void gh_fleet_workers_keep(gh_fleet_t *fleet, GHashTable *ids)
 {
 	uint32_t i;
 
@@ -174,7 +173,7 @@
 		    g_hash_table_contains(ids, worker->entry.id))
 			continue;
 		g_strlcpy(id, worker->entry.id, sizeof(id));
-		gh_fleet_worker_gone(fleet, id, now);
+		gh_fleet_worker_gone(fleet, id);
 	}
 }
 
@@ -339,6 +338,7 @@
 	fleet_run_t *run = fleet_run(fleet, handle);
 	fleet_job_t *owner = fleet_job(fleet, job);
 	fleet_task_t *t = &owner->tasks[task];
+	bool copy = t->runs[0] != GH_NONE;
 
 	*run = (fleet_run_t){
 		.state = state,
@@ -351,20 +351,18 @@
 		.pace_sent = 100,
 		.percent_at = now,
 	};
-	run->copy = t->runs[0] != GH_NONE;
-	if (run->copy)
+	if (copy)
 		t->runs[1] = handle;
 	else
 		t->runs[0] = handle;
 	t->last_run = MAX(t->last_run, number);
-	if (!run->copy)
+	if (!copy)
 		fleet_stage_of(owner, task)->open++;
 	owner->open_runs++;
 	link_run(fleet, handle);
 	hold_size(fleet, run, true);
 	if (state == RUN_PLANNED) {
 		fleet_worker(fleet, worker)->placed_at = now;
-		owner->began = true;
 		if (owner->phase == GH_JOB_QUEUED)
 			owner->phase = GH_JOB_RUNNING;
 		fleet_job_changed(fleet, job);
@@ -522,18 +520,20 @@
 			    .worker = GH_NONE };
 
 	run->retry_at = GH_TIME_NEVER;
-	g_array_append_val(fleet->orders, ref);
+	g_queue_push_tail(fleet->orders, g_memdup2(&ref, sizeof(ref)));
 }
 
 bool gh_fleet_next_order(gh_fleet_t *fleet, gh_order_t *order, gh_time_t now)
 {
-	while (fleet->orders->len) {
-		order_ref_t ref = g_array_index(fleet->orders, order_ref_t, 0);
+	order_ref_t *next;
+
+	while ((next = g_queue_pop_head(fleet->orders))) {
+		order_ref_t ref = *next;
 		fleet_run_t *run;
 		fleet_job_t *job;
 		fleet_worker_t *worker;
 
-		g_array_remove_index(fleet->orders, 0);
+		g_free(next);
 		*order = (gh_order_t){ .kind = ref.kind };
 		if (ref.run == GH_NONE) {
 			worker = fleet_worker(fleet, ref.worker);
@@ -701,14 +701,6 @@
 	return end_names[how];
 }
 
-gh_job_phase_t gh_fleet_job_phase(const gh_fleet_t *fleet, const char *id)
-{
-	uint32_t handle = fleet_job_find(fleet, id);
-
-	return handle == GH_NONE ? GH_JOB_PHASES :
-				   fleet_job(fleet, handle)->phase;
-}
-
 bool gh_fleet_fenced(const gh_fleet_t *fleet)
 {
 	return fleet->fenced;
--- a/core_fleet.h
+++ b/core_fleet.h
@@ -178,9 +178,9 @@
 
 void gh_fleet_worker_set(gh_fleet_t *fleet, const gh_worker_entry_t *entry,
 			 gh_time_t now);
-void gh_fleet_worker_gone(gh_fleet_t *fleet, const char *id, gh_time_t now);
+void gh_fleet_worker_gone(gh_fleet_t *fleet, const char *id);
 /* Discovery was read whole: workers that it does not name are gone. */
-void gh_fleet_workers_keep(gh_fleet_t *fleet, GHashTable *ids, gh_time_t now);
+void gh_fleet_workers_keep(gh_fleet_t *fleet, GHashTable *ids);
 void gh_fleet_queue_set(gh_fleet_t *fleet, const gh_queue_policy_t *policy);
 
 /*
@@ -215,8 +215,7 @@
 
 /* Next change to be committed; progress is the caller's to free. */
 bool gh_fleet_next_change(gh_fleet_t *fleet, gh_fleet_change_t *change);
-void gh_fleet_committed(gh_fleet_t *fleet, const char *id, uint64_t version,
-			gh_time_t now);
+void gh_fleet_committed(gh_fleet_t *fleet, const char *id, uint64_t version);
 /* The change was not committed and is due again. */
 void gh_fleet_uncommitted(gh_fleet_t *fleet, const char *id);
 
@@ -224,7 +223,6 @@
 bool gh_fleet_fenced(const gh_fleet_t *fleet);
 
 bool gh_fleet_has_changes(const gh_fleet_t *fleet);
-gh_job_phase_t gh_fleet_job_phase(const gh_fleet_t *fleet, const char *id);
 void gh_fleet_counts(const gh_fleet_t *fleet, gh_fleet_counts_t *counts);
 const char *gh_job_phase_name(gh_job_phase_t phase);
 /* Phase by name, or GH_JOB_PHASES. */
--- a/core_fleet_health.c
+++ b/core_fleet_health.c
@@ -35,10 +35,8 @@
 		break;
 	case GH_RUN_FAILED:
 		fleet->counts.failed++;
-		/* A job that failed elsewhere before is suspect itself. */
-		if (job->failed_on != GH_NONE && job->failed_on != run->worker)
-			break;
-		if (job->failed_on == run->worker)
+		/* A job counts once; after that it is suspect itself. */
+		if (job->failed_on != GH_NONE)
 			break;
 		job->failed_on = run->worker;
 		if (++worker->fail_streak >= FAILS_TO_QUARANTINE)
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -483,7 +483,7 @@
 		fleet_job_t *job;
 		const fleet_stage_t *stage;
 		double usual;
-		uint32_t worker, ref, task;
+		uint32_t worker, task;
 		bool slow;
 
 		if (run->state != RUN_RUNNING && run->state != RUN_STARTING &&
@@ -507,10 +507,8 @@
 		worker = choose(fleet, job, task, run->worker, now);
 		if (worker == GH_NONE)
 			continue;
-		ref = fleet_run_open(fleet, run->job, task, worker,
-				     job->tasks[task].last_run + 1, RUN_PLANNED,
-				     now);
-		fleet_run(fleet, ref)->copy = true;
+		fleet_run_open(fleet, run->job, task, worker,
+			       job->tasks[task].last_run + 1, RUN_PLANNED, now);
 		fleet->counts.copies++;
 	}
 }
--- a/core_fleet_record.c
+++ b/core_fleet_record.c
@@ -87,14 +87,12 @@
 	return true;
 }
 
-void gh_fleet_committed(gh_fleet_t *fleet, const char *id, uint64_t version,
-			gh_time_t now)
+void gh_fleet_committed(gh_fleet_t *fleet, const char *id, uint64_t version)
 {
 	uint32_t handle = fleet_job_find(fleet, id);
 	fleet_job_t *job;
 	uint32_t i, j;
 
-	(void)now;
 	if (handle == GH_NONE)
 		return;
 	job = fleet_job(fleet, handle);
@@ -212,7 +210,6 @@
 		task->last_run = (uint32_t)g_ascii_strtoull(words[3], NULL, 10);
 		if (strcmp(words[4], NO_CHECKPOINT) != 0)
 			task->saved = g_uri_unescape_string(words[4], NULL);
-		job->began = true;
 		job->phase = job->committed_phase = GH_JOB_RUNNING;
 		if (task->done) {
 			fleet_stage_t *stage = fleet_stage_of(job, index);
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -308,7 +308,7 @@
 	fleet_worker(fleet, handle)->strange = true;
 	fleet_say(fleet, "run_unknown", &listed->task, listed->run, handle,
 		  NULL);
-	g_array_append_val(fleet->orders, ref);
+	g_queue_push_tail(fleet->orders, g_memdup2(&ref, sizeof(ref)));
 }
 
 static uint32_t find_run(const gh_fleet_t *fleet, const gh_task_id_t *id,
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -31,7 +31,6 @@
 	gh_time_t answered;   /* the last order was answered at; 0: not yet */
 	gh_time_t retry_at;   /* when an unanswered order is sent again */
 	bool ordered;	      /* the order of this state was sent */
-	bool copy;	      /* of a run that is still open */
 	uint32_t percent;     /* as listed last */
 	gh_time_t percent_at; /* when that last changed */
 	int64_t gauge;	      /* as listed last */
@@ -79,7 +78,6 @@
 	gh_job_phase_t committing_phase; /* of the change being committed */
 	bool queued_change;		 /* stands in the list of changes */
 	bool in_commit;
-	bool began;
 	uint16_t *images;   /* numbers in the press model, by step */
 	uint32_t failed_on; /* worker of its first failure, or GH_NONE */
 } fleet_job_t;
@@ -146,7 +144,7 @@
 	GHashTable *job_by_id;
 	GHashTable *queues; /* name to gh_queue_policy_t */
 	GQueue *changes;    /* jobs' handles + 1 */
-	GArray *orders;	    /* order_ref_t */
+	GQueue *orders;	    /* order_ref_t */
 	gh_press_t *press;
 	gh_time_t began;
 	bool fenced;	    /* a worker has seen a newer owner */
--- a/core_ini.h
+++ b/core_ini.h
@@ -44,6 +44,19 @@
 #define GH_INI_MEMBER(type, member) \
 	.offset = offsetof(type, member), .size = sizeof(((type *)NULL)->member)
 
+/* A field of any reader, and a number within bounds; for tables of fields. */
+#define GH_INI_FIELD(type, name, member, reader, absent)                      \
+	{                                                                     \
+		.key = (name), .read = (reader), GH_INI_MEMBER(type, member), \
+		.fallback = (absent)                                          \
+	}
+#define GH_INI_NUMBER(type, name, member, low, high, absent)                 \
+	{                                                                    \
+		.key = (name), .read = gh_ini_number,                        \
+		GH_INI_MEMBER(type, member), .least = (low), .most = (high), \
+		.fallback = (absent)                                         \
+	}
+
 /* Parses a text; source names it in errors.  NULL with GH_E_SYNTAX. */
 gh_ini_t *gh_ini_parse(const char *text, size_t len, const char *source,
 		       GError **err);
--- a/fleet_front.h
+++ b/fleet_front.h
@@ -34,7 +34,7 @@
 bool fleet_front_ready(fleet_front_t *front);
 
 /* When a refused caller should come back. */
-int64_t fleet_front_retry_after_ms(const GError *err);
+int64_t fleet_front_retry_after_ms(void);
 
 /* Counters and histograms as text; g_free() it. */
 char *fleet_front_metrics(fleet_front_t *host);
--- a/fleet_host.c
+++ b/fleet_host.c
@@ -324,9 +324,8 @@
 	return configured && !atomic_load(&host->draining) && store_heard(host);
 }
 
-int64_t fleet_front_retry_after_ms(const GError *err)
+int64_t fleet_front_retry_after_ms(void)
 {
-	(void)err;
 	return RETRY_AFTER_MS;
 }
 
--- a/fleet_loop.c
+++ b/fleet_loop.c
@@ -66,20 +66,6 @@
 	return loop;
 }
 
-void loop_free(loop_t *loop)
-{
-	if (!loop)
-		return;
-	close(loop->epoll);
-	close(loop->wake);
-	g_ptr_array_free(loop->timers, TRUE);
-	g_hash_table_destroy(loop->watched);
-	g_array_free(loop->after, TRUE);
-	g_array_free(loop->posted, TRUE);
-	pthread_mutex_destroy(&loop->lock);
-	g_free(loop);
-}
-
 void loop_run(loop_t *loop)
 {
 	struct epoll_event events[EVENTS_MAX];
--- a/fleet_loop.h
+++ b/fleet_loop.h
@@ -24,8 +24,8 @@
 typedef void (*loop_ready_t)(void *ctx, int fd, uint32_t events);
 typedef void (*loop_work_t)(void *ctx);
 
+/* Lives as long as the process: signals may post to it until the end. */
 loop_t *loop_new(void);
-void loop_free(loop_t *loop);
 
 /* Runs until loop_stop(). */
 void loop_run(loop_t *loop);
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -534,10 +534,6 @@
 	char id[GH_JOB_ID_MAX + 1];
 
 	g_strlcpy(id, pipeline->id, sizeof(id));
-	if (gh_fleet_job_known(owner->fleet, id)) {
-		gh_pipeline_free(pipeline);
-		return;
-	}
 	if (!gh_fleet_job_add(owner->fleet, pipeline, progress, &err)) {
 		log_event(LOG_ERROR, "job_progress_unread", "job", id,
 			  "message", err->message, NULL);
@@ -564,14 +560,14 @@
 	}
 	if (item->value)
 		log_event(LOG_WARN, "worker_unread", "worker", item->key, NULL);
-	gh_fleet_worker_gone(owner->fleet, item->key, now);
+	gh_fleet_worker_gone(owner->fleet, item->key);
 }
 
 static void on_workers(void *ctx, GHashTable *keys)
 {
 	fleet_owner_t *owner = ctx;
 
-	gh_fleet_workers_keep(owner->fleet, keys, clock_boot());
+	gh_fleet_workers_keep(owner->fleet, keys);
 	if (owner->phase == PHASE_LOADING)
 		begin(owner);
 }
@@ -957,8 +953,7 @@
 			state.revision = revision;
 			fleet_jobs_note(owner->setup.jobs, change->id, &state);
 		}
-		gh_fleet_committed(owner->fleet, change->id, change->version,
-				   now);
+		gh_fleet_committed(owner->fleet, change->id, change->version);
 	}
 	batch_free(batch);
 	if (owner->phase == PHASE_RELEASING &&
--- a/fleet_settings.c
+++ b/fleet_settings.c
@@ -4,23 +4,14 @@
 
 #include "core_ini.h"
 #include "error.h"
+#include "settings.h"
 
 #define GROUP "fleet"
 
-static const char *const level_names[] = { "debug", "info", "warn", "error",
-					   NULL };
-
-#define FIELD(name, member, reader, absent)                                   \
-	{                                                                     \
-		.key = (name), .read = (reader),                              \
-		GH_INI_MEMBER(fleet_settings_t, member), .fallback = (absent) \
-	}
-#define NUMBER(name, member, low, high, absent)                          \
-	{                                                                \
-		.key = (name), .read = gh_ini_number,                    \
-		GH_INI_MEMBER(fleet_settings_t, member), .least = (low), \
-		.most = (high), .fallback = (absent)                     \
-	}
+#define FIELD(name, member, reader, absent) \
+	GH_INI_FIELD(fleet_settings_t, name, member, reader, absent)
+#define NUMBER(name, member, low, high, absent) \
+	GH_INI_NUMBER(fleet_settings_t, name, member, low, high, absent)
 
 static const gh_ini_field_t fields[] = {
 	FIELD("name", name, gh_ini_name, NULL),
@@ -33,7 +24,7 @@
 	  .read = gh_ini_choice,
 	  GH_INI_MEMBER(fleet_settings_t, log_level),
 	  .fallback = "info",
-	  .aux = level_names },
+	  .aux = log_level_names },
 	NUMBER("shards", shards, 0, 64, "0"),
 	NUMBER("store_writes_per_s", store_writes_per_s, 1, 1000000, "400"),
 	{ .key = "cores",
@@ -49,12 +40,11 @@
 	NUMBER("keep_ended_s", keep_ended_s, 1, 86400, "120"),
 };
 
-static gh_ini_t *read_file(const char *path, GError **err);
 static bool only_group(const gh_ini_t *ini, const char *path, GError **err);
 
 bool fleet_settings_recognize(const char *path)
 {
-	gh_ini_t *ini = read_file(path, NULL);
+	gh_ini_t *ini = settings_read_ini(path, NULL);
 	char **groups;
 	size_t n = 0;
 	size_t i;
@@ -72,7 +62,7 @@
 
 fleet_settings_t *fleet_settings_load(const char *path, GError **err)
 {
-	gh_ini_t *ini = read_file(path, err);
+	gh_ini_t *ini = settings_read_ini(path, err);
 	fleet_settings_t *set;
 	bool ok;
 
@@ -107,20 +97,3 @@
 	g_strfreev(groups);
 	return ok;
 }
-
-static gh_ini_t *read_file(const char *path, GError **err)
-{
-	GError *cause = NULL;
-	char *text;
-	gsize len;
-	gh_ini_t *ini;
-
-	if (!g_file_get_contents(path, &text, &len, &cause)) {
-		gh_error_set(err, GH_E_FILE_MISSING, "%s", cause->message);
-		g_error_free(cause);
-		return NULL;
-	}
-	ini = gh_ini_parse(text, len, path, err);
-	g_free(text);
-	return ini;
-}
--- a/log.c
+++ b/log.c
@@ -23,7 +23,8 @@
 #define BUFFER_FLUSH 16384 /* bytes */
 #define NUM_LEN 24
 
-static const char *const level_names[] = { "debug", "info", "warn", "error" };
+const char *const log_level_names[] = { "debug", "info", "warn", "error",
+					NULL };
 
 static char host_name[64] = "-";
 static _Atomic log_level_t least_level = LOG_INFO;
@@ -49,8 +50,8 @@
 {
 	size_t i;
 
-	for (i = 0; i < G_N_ELEMENTS(level_names); i++)
-		if (!strcmp(level_names[i], name))
+	for (i = 0; i < G_N_ELEMENTS(log_level_names) - 1; i++)
+		if (!strcmp(log_level_names[i], name))
 			return (int)i;
 	return -1;
 }
@@ -65,7 +66,7 @@
 		return;
 	line = g_string_sized_new(256);
 	append_time(line);
-	g_string_append_printf(line, " level=%s host=", level_names[level]);
+	g_string_append_printf(line, " level=%s host=", log_level_names[level]);
 	append_value(line, host_name);
 	g_string_append(line, " event=");
 	append_value(line, event);
--- a/log.h
+++ b/log.h
@@ -14,6 +14,9 @@
 
 typedef enum log_level { LOG_DEBUG, LOG_INFO, LOG_WARN, LOG_ERROR } log_level_t;
 
+/* By level, ended by NULL. */
+extern const char *const log_level_names[];
+
 /* Name that stands in each line, and the lowest level that is written. */
 void log_init(const char *host, log_level_t least);
 
--- a/regress/test_core_fleet.c
+++ b/regress/test_core_fleet.c
@@ -224,7 +224,7 @@
 		g_free(w->progress);
 		w->progress = change.progress;
 		w->phase = change.phase;
-		gh_fleet_committed(w->fleet, change.id, change.version, w->now);
+		gh_fleet_committed(w->fleet, change.id, change.version);
 	}
 }
 
--- a/settings.c
+++ b/settings.c
@@ -15,20 +15,10 @@
 static bool read_hex(const gh_ini_place_t *place, void *out, GError **err);
 static bool read_seeds(const gh_ini_place_t *place, void *out, GError **err);
 
-static const char *const level_names[] = { "debug", "info", "warn", "error",
-					   NULL };
-
-#define FIELD(name, member, reader, absent)                             \
-	{                                                               \
-		.key = (name), .read = (reader),                        \
-		GH_INI_MEMBER(settings_t, member), .fallback = (absent) \
-	}
-#define NUMBER(name, member, low, high, absent)                    \
-	{                                                          \
-		.key = (name), .read = gh_ini_number,              \
-		GH_INI_MEMBER(settings_t, member), .least = (low), \
-		.most = (high), .fallback = (absent)               \
-	}
+#define FIELD(name, member, reader, absent) \
+	GH_INI_FIELD(settings_t, name, member, reader, absent)
+#define NUMBER(name, member, low, high, absent) \
+	GH_INI_NUMBER(settings_t, name, member, low, high, absent)
 
 static const gh_ini_field_t host_fields[] = {
 	FIELD("name", name, gh_ini_name, NULL),
@@ -42,7 +32,7 @@
 	  .read = gh_ini_choice,
 	  GH_INI_MEMBER(settings_t, log_level),
 	  .fallback = "info",
-	  .aux = level_names },
+	  .aux = log_level_names },
 	FIELD("trace_file", trace_file, gh_ini_text, ""),
 };
 
@@ -97,14 +87,12 @@
 static const char *operator_of(const char *group);
 static bool is_hex(const char *text);
 
-settings_t *settings_load(const char *path, GError **err)
+gh_ini_t *settings_read_ini(const char *path, GError **err)
 {
 	GError *cause = NULL;
-	char *text = NULL;
+	char *text;
 	gsize len;
 	gh_ini_t *ini;
-	settings_t *set;
-	bool ok;
 
 	if (!g_file_get_contents(path, &text, &len, &cause)) {
 		gh_error_set(err, GH_E_FILE_MISSING, "%s", cause->message);
@@ -113,6 +101,15 @@
 	}
 	ini = gh_ini_parse(text, len, path, err);
 	g_free(text);
+	return ini;
+}
+
+settings_t *settings_load(const char *path, GError **err)
+{
+	gh_ini_t *ini = settings_read_ini(path, err);
+	settings_t *set;
+	bool ok;
+
 	if (!ini)
 		return NULL;
 	set = g_new0(settings_t, 1);
--- a/settings.h
+++ b/settings.h
@@ -13,6 +13,7 @@
 #include <glib.h>
 
 #include "core_document.h"
+#include "core_ini.h"
 #include "log.h"
 
 typedef struct settings_operator {
@@ -43,6 +44,9 @@
 	size_t n_operators;
 } settings_t;
 
+/* Reads a file of any settings; NULL with a typed error. */
+gh_ini_t *settings_read_ini(const char *path, GError **err);
+
 /* Reads and checks a whole file; NULL with a typed error when it is wrong. */
 settings_t *settings_load(const char *path, GError **err);
 void settings_free(settings_t *set);
