--- a/core_fleet.c
+++ b/core_fleet.c
@@ -348,7 +348,8 @@
 		.number = number,
 		.began = state == RUN_ORPHAN ? 0 : now,
 		.pace = 100,
-		.pace_sent = 100,
+		/* What a former owner ordered is not known. */
+		.pace_sent = state == RUN_ORPHAN ? GH_NONE : 100,
 		.percent_at = now,
 	};
 	if (copy)
--- a/core_fleet_pace.c
+++ b/core_fleet_pace.c
@@ -50,7 +50,7 @@
 	uint32_t ref;
 
 	/* Within one period of the gauge nothing new is seen. */
-	if (!worker->lasting || now - worker->looked < LOOK_PERIOD)
+	if (now - worker->looked < LOOK_PERIOD)
 		return;
 	worker->looked = now;
 	look(fleet, worker, now);
@@ -61,9 +61,14 @@
 	     ref = fleet_run(fleet, ref)->next) {
 		const fleet_run_t *run = fleet_run(fleet, ref);
 
-		if (run->state == RUN_RUNNING &&
-		    fleet_step_of(fleet_job(fleet, run->job), run->task)->fills)
+		if (run->state != RUN_RUNNING ||
+		    !fleet_step_of(fleet_job(fleet, run->job), run->task)
+			     ->fills)
+			continue;
+		if (worker->lasting)
 			pace_run(fleet, worker, ref);
+		else
+			set_pace(fleet, ref, PACE_FULL);
 	}
 }
 
--- a/regress/test_core_fleet.c
+++ b/regress/test_core_fleet.c
@@ -707,6 +707,66 @@
 	world_clear(&w);
 }
 
+static uint32_t last_pace(const world_t *w)
+{
+	uint32_t pace = 1000; /* none was ordered */
+	size_t i;
+
+	for (i = 0; i < w->n_orders; i++)
+		if (w->orders[i].kind == GH_ORDER_PACE)
+			pace = w->orders[i].percent;
+	return pace;
+}
+
+/*
+ * hunt meskot-hoist, trouble-3 --seed 574925425894: nobody but the former
+ * owner knew that a filling task stood still at its worker.
+ */
+static void test_pace_after_takeover(void **state)
+{
+	gh_step_t filling = one_task;
+	gh_report_run_t run = { .task = { .job = "0000000000000001" },
+				.run = 1 };
+	world_t w;
+
+	(void)state;
+	filling.fills = true;
+	world_init(&w);
+	add_job(&w, "0000000000000001", 1, &filling,
+		"progress1\n0 open 0 1 - 1@w1\n");
+	add_worker(&w, "w1", 4000);
+	w.workers[0].runs[w.workers[0].n_runs++] = run;
+	pass(&w, 2000);
+	assert_int_equal(last_pace(&w), 100);
+	world_clear(&w);
+}
+
+/* Once nothing lasts on a worker, what fills there goes at full pace. */
+static void test_pace_after_lasting(void **state)
+{
+	gh_step_t lasting = one_task;
+	gh_step_t filling = one_task;
+	world_t w;
+
+	(void)state;
+	lasting.lasting = true;
+	lasting.tail_ms = 24;
+	filling.fills = true;
+	world_init(&w);
+	add_worker(&w, "w1", 32000)->tail_ms = 6;
+	add_job(&w, LASTING_JOB, 1, &lasting, NULL);
+	pass(&w, 1500);
+	add_job(&w, "0000000000000002", 1, &filling, NULL);
+	pass(&w, 1000);
+	w.workers[0].tail_ms = 200;
+	pass(&w, 3000);
+	assert_int_equal(last_pace(&w), 0);
+	gh_fleet_job_cancel(w.fleet, LASTING_JOB, w.now);
+	pass(&w, 3000);
+	assert_int_equal(last_pace(&w), 100);
+	world_clear(&w);
+}
+
 /*
  * hunt meskot-hoist, trouble-2 --seed 1017794313807: a lasting task that
  * starts slowly is no hanging one, and a worker with lasting tasks is used
@@ -828,6 +888,8 @@
 		cmocka_unit_test(test_copy_of_done_task),
 		cmocka_unit_test(test_failing_worker),
 		cmocka_unit_test(test_pace),
+		cmocka_unit_test(test_pace_after_takeover),
+		cmocka_unit_test(test_pace_after_lasting),
 		cmocka_unit_test(test_burst),
 		cmocka_unit_test(test_slow_start),
 		cmocka_unit_test(test_fill_overdue),
