Log when a job is added, why a long-running task waits, and late commits

A job that is added a second time, a long-running task that finds no worker and a commit that gets no reply left no line.

Change: job_added (source, stored progress or not), task_waiting (once a second after 2 s; counts the workers by what keeps them from running the task) and commit_late (outcome, attempts without a reply, time). The conditions of choose_worker() became find_obstacle(), which both the placement and the report use; no decision changes.

--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -75,6 +75,37 @@
 #define SLOW_BEFORE_MOVE_USEC (700 * GH_USEC_PER_MSEC)
 /* Cost of a worker with slow runs, multiplied by run_time_ratio - 1. */
 #define COST_SLOW_WORKER 100000
+/* A stage of long-running tasks that waits for longer than this is reported. */
+#define WAIT_REPORT_USEC (2 * GH_USEC_PER_SEC)
+#define WAIT_REPORT_PERIOD_USEC GH_USEC_PER_SEC
+
+/* Why a worker can't run a task. */
+typedef enum obstacle {
+	OBSTACLE_NONE,
+	OBSTACLE_NOT_LISTED,
+	OBSTACLE_DRAINING,
+	OBSTACLE_UNREACHABLE, /* or without a report to this owner yet */
+	OBSTACLE_NO_CAPACITY,
+	OBSTACLE_REFUSED_START, /* lately, for lack of capacity */
+	OBSTACLE_QUARANTINE,
+	OBSTACLE_OTHER_SERVICE,
+	OBSTACLE_LABEL,
+	OBSTACLE_STAGE_LIMIT, /* runs the stage's max tasks per worker */
+	OBSTACLES
+} obstacle_t;
+
+static const char *const obstacle_names[OBSTACLES] = {
+	[OBSTACLE_NONE] = "usable",
+	[OBSTACLE_NOT_LISTED] = "unlisted",
+	[OBSTACLE_DRAINING] = "draining",
+	[OBSTACLE_UNREACHABLE] = "unheard",
+	[OBSTACLE_NO_CAPACITY] = "full",
+	[OBSTACLE_REFUSED_START] = "refused",
+	[OBSTACLE_QUARANTINE] = "quarantined",
+	[OBSTACLE_OTHER_SERVICE] = "other_service",
+	[OBSTACLE_LABEL] = "label",
+	[OBSTACLE_STAGE_LIMIT] = "spread",
+};
 
 typedef struct candidate {
 	uint32_t job, stage;
@@ -101,7 +132,12 @@
 static uint32_t choose_worker(gh_fleet_t *fleet, fleet_job_t *job,
 			      uint32_t task, uint32_t excluded_worker,
 			      gh_time_t now);
+static obstacle_t find_obstacle(const gh_fleet_t *fleet, const fleet_job_t *job,
+				uint32_t stage, uint32_t worker, gh_time_t now);
+static bool has_label(const fleet_worker_t *worker, const char *label);
 static bool step_fits(const fleet_worker_t *worker, const gh_step_t *step);
+static void report_waiting_stage(gh_fleet_t *fleet, const candidate_t *c,
+				 uint32_t task, gh_time_t now);
 static int64_t placement_cost(const gh_fleet_t *fleet,
 			      const fleet_worker_t *worker,
 			      const gh_step_t *step, const char *rack,
@@ -350,11 +386,50 @@
 		worker = choose_worker(fleet, job, i, GH_NONE, now);
 		if (worker == GH_NONE) {
 			fleet->counts.pending_tasks += first + step->tasks - i;
+			if (step->long_running)
+				report_waiting_stage(fleet, c, i, now);
 			return;
 		}
 		fleet_run_open(fleet, c->job, i, worker, task->last_run + 1,
 			       RUN_PLANNED, now);
 	}
+	job->stages[c->stage].waiting_since = 0;
+}
+
+/*
+ * Emits, for a stage of long-running tasks that has waited for some time, how
+ * many workers can't run the task and for which reasons.
+ */
+static void report_waiting_stage(gh_fleet_t *fleet, const candidate_t *c,
+				 uint32_t task, gh_time_t now)
+{
+	const fleet_job_t *job = fleet_job(fleet, c->job);
+	fleet_stage_t *stage = &job->stages[c->stage];
+	uint32_t workers[OBSTACLES] = { 0 };
+	gh_task_id_t id;
+	GString *detail;
+	uint32_t i;
+
+	if (!stage->waiting_since) {
+		stage->waiting_since = now;
+		stage->wait_report_at = now + WAIT_REPORT_USEC;
+	}
+	if (now < stage->wait_report_at)
+		return;
+	stage->wait_report_at = now + WAIT_REPORT_PERIOD_USEC;
+	for (i = 0; i < fleet->workers->len; i++)
+		if (fleet_worker(fleet, i)->in_use)
+			workers[find_obstacle(fleet, job, c->stage, i, now)]++;
+	detail = g_string_new(NULL);
+	g_string_printf(detail, "for %" G_GINT64_FORMAT " ms, workers:",
+			gh_time_to_ms(now - stage->waiting_since));
+	for (i = 0; i < OBSTACLES; i++)
+		if (workers[i])
+			g_string_append_printf(detail, " %u %s", workers[i],
+					       obstacle_names[i]);
+	id = fleet_task_id(job, task);
+	fleet_emit_event(fleet, "task_waiting", &id, 0, GH_NONE, detail->str);
+	g_string_free(detail, TRUE);
 }
 
 static void place_gang(gh_fleet_t *fleet, const candidate_t *c, gh_time_t now)
@@ -413,29 +488,14 @@
 		!job->open_runs && now - job->idle_since > JOB_IDLE_MAX_USEC;
 	uint32_t best = GH_NONE;
 	int64_t best_cost = INT64_MAX;
-	uint32_t i, label;
+	uint32_t i;
 
 	for (i = 0; i < fleet->workers->len; i++) {
 		fleet_worker_t *worker = fleet_worker(fleet, i);
-		uint32_t stage_runs = 0;
 		int64_t cost;
 
 		if (i == excluded_worker || !worker->in_use ||
-		    !worker->listed || !worker->has_reported ||
-		    worker->entry.draining || worker->unreachable_since ||
-		    now < worker->full_until || !step_fits(worker, step) ||
-		    !fleet_health_is_usable(worker, now) ||
-		    strcmp(worker->entry.service, job->spec->service) != 0)
-			continue;
-		for (label = 0; *step->label && label < worker->entry.n_labels;
-		     label++)
-			if (!strcmp(worker->entry.labels[label], step->label))
-				break;
-		if (*step->label && label == worker->entry.n_labels)
-			continue;
-		if (step->max_per_worker)
-			stage_runs = count_stage_runs(fleet, job, stage, i);
-		if (step->max_per_worker && stage_runs >= step->max_per_worker)
+		    find_obstacle(fleet, job, stage, i, now) != OBSTACLE_NONE)
 			continue;
 		cost = placement_cost(fleet, worker, step, rack, image);
 		if (step->best_effort) {
@@ -458,6 +518,45 @@
 	return best;
 }
 
+/* First reason for which the worker can't run a task of the stage now. */
+static obstacle_t find_obstacle(const gh_fleet_t *fleet, const fleet_job_t *job,
+				uint32_t stage, uint32_t handle, gh_time_t now)
+{
+	const fleet_worker_t *worker = fleet_worker(fleet, handle);
+	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
+
+	if (!worker->listed)
+		return OBSTACLE_NOT_LISTED;
+	if (worker->entry.draining)
+		return OBSTACLE_DRAINING;
+	if (!worker->has_reported || worker->unreachable_since)
+		return OBSTACLE_UNREACHABLE;
+	if (now < worker->full_until)
+		return OBSTACLE_REFUSED_START;
+	if (!step_fits(worker, step))
+		return OBSTACLE_NO_CAPACITY;
+	if (!fleet_health_is_usable(worker, now))
+		return OBSTACLE_QUARANTINE;
+	if (strcmp(worker->entry.service, job->spec->service) != 0)
+		return OBSTACLE_OTHER_SERVICE;
+	if (*step->label && !has_label(worker, step->label))
+		return OBSTACLE_LABEL;
+	if (step->max_per_worker &&
+	    count_stage_runs(fleet, job, stage, handle) >= step->max_per_worker)
+		return OBSTACLE_STAGE_LIMIT;
+	return OBSTACLE_NONE;
+}
+
+static bool has_label(const fleet_worker_t *worker, const char *label)
+{
+	uint32_t i;
+
+	for (i = 0; i < worker->entry.n_labels; i++)
+		if (!strcmp(worker->entry.labels[i], label))
+			return true;
+	return false;
+}
+
 static bool step_fits(const fleet_worker_t *worker, const gh_step_t *step)
 {
 	const gh_resources_t *size = &worker->entry.size;
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -113,6 +113,12 @@
 	/* moving mean run time of the stage's completed runs */
 	double mean_run_ms;
 	uint32_t n_run_times; /* number of completed runs in mean_run_ms */
+	/*
+	 * Long-running stage: since when a task finds no worker, 0: none waits;
+	 * and when this is reported next.
+	 */
+	gh_time_t waiting_since;
+	gh_time_t wait_report_at;
 	/*
 	 * Load forecast that the stage's long-running tasks share; NULL: no
 	 * sample yet.
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -75,7 +75,9 @@
 	GArray *changes;
 	/* New value of the shard's chain record, which each commit rewrites. */
 	char *chain_value;
-	gh_time_t sent_at;
+	gh_time_t started_at; /* when the commit was first sent */
+	gh_time_t sent_at;    /* when it was last sent */
+	unsigned unanswered;  /* number of times that it got no reply */
 } batch_t;
 
 struct fleet_owner {
@@ -159,7 +161,8 @@
 static void on_progress_page(void *ctx, const fleet_reply_t *reply);
 static void on_job_record(void *ctx, const fleet_item_t *item);
 static void on_job_records_synced(void *ctx, GHashTable *keys);
-static void add_job(fleet_owner_t *owner, gh_pipeline_t *pipeline);
+static void add_job(fleet_owner_t *owner, gh_pipeline_t *pipeline,
+		    const char *source);
 static void on_worker_record(void *ctx, const fleet_item_t *item);
 static void on_worker_records_synced(void *ctx, GHashTable *keys);
 static void finish_loading(fleet_owner_t *owner);
@@ -187,6 +190,7 @@
 			     gh_fleet_change_t *change);
 static void batch_add_entry(batch_t *batch, fleet_entry_kind_t kind, char *key,
 			    char *value, uint64_t revision, uint64_t lease);
+static void log_batch(const fleet_owner_t *owner, const char *outcome);
 static void batch_free(batch_t *batch);
 static void delete_old_states(fleet_owner_t *owner, batch_t *batch,
 			      gh_time_t now);
@@ -583,7 +587,7 @@
 		g_ptr_array_add(owner->parsed_jobs, pipeline);
 		return;
 	}
-	add_job(owner, pipeline);
+	add_job(owner, pipeline, "watch");
 	owner->dirty = true;
 }
 
@@ -602,7 +606,7 @@
 	owner->parsed_jobs = NULL;
 	load_interference(owner);
 	for (i = 0; i < pipelines->len; i++)
-		add_job(owner, pipelines->pdata[i]);
+		add_job(owner, pipelines->pdata[i], "load");
 	g_ptr_array_free(pipelines, TRUE);
 	g_clear_pointer(&owner->progress, g_hash_table_destroy);
 	owner->worker_watch =
@@ -610,7 +614,9 @@
 				FLEET_KEYSPACE_WORKERS, "", &listener);
 }
 
-static void add_job(fleet_owner_t *owner, gh_pipeline_t *pipeline)
+/* Adds a job that is not known yet; takes ownership of the pipeline. */
+static void add_job(fleet_owner_t *owner, gh_pipeline_t *pipeline,
+		    const char *source)
 {
 	const char *progress =
 		owner->progress ?
@@ -621,6 +627,13 @@
 	char id[GH_JOB_ID_MAX + 1];
 
 	g_strlcpy(id, pipeline->id, sizeof(id));
+	if (gh_fleet_has_job(owner->fleet, id)) {
+		gh_pipeline_free(pipeline);
+		return;
+	}
+	log_event(LOG_INFO, "job_added", "job", id, "from", source, "progress",
+		  progress ? "yes" : "no", "epoch",
+		  log_num((int64_t)owner->epoch), NULL);
 	if (!gh_fleet_job_add(owner->fleet, pipeline, progress, &err)) {
 		log_event(LOG_ERROR, "job_progress_unread", "job", id,
 			  "message", err->message, NULL);
@@ -899,6 +912,7 @@
 		return;
 	}
 	owner->batch = batch;
+	batch->started_at = now;
 	batch_send(owner);
 }
 
@@ -1003,6 +1017,7 @@
 		break;
 	case FLEET_OUTCOME_UNKNOWN:
 		counter_inc(CTR_COMMITS_UNKNOWN);
+		owner->batch->unanswered++;
 		owner->setup.store->ops->get(
 			owner->setup.store, FLEET_KEYSPACE_OWN,
 			owner->chain_key, on_chain_reread, call_new(owner));
@@ -1062,6 +1077,8 @@
 	gh_time_t now = clock_boot();
 	guint i;
 
+	if (batch->unanswered)
+		log_batch(owner, "committed");
 	owner->batch = NULL;
 	owner->chain_revision = revision;
 	owner->commit_at = now + MAX(COMMIT_INTERVAL_MIN_USEC,
@@ -1096,6 +1113,7 @@
 	batch_t *batch = owner->batch;
 	guint i;
 
+	log_batch(owner, "failed");
 	owner->batch = NULL;
 	owner->commit_at = clock_boot() + COMMIT_RETRY_DELAY_USEC;
 	counter_inc(CTR_COMMITS_FAILED);
@@ -1135,6 +1153,20 @@
 	owner->commit_at = 0;
 }
 
+/* Logs a commit that failed or took several attempts. */
+static void log_batch(const fleet_owner_t *owner, const char *outcome)
+{
+	const batch_t *batch = owner->batch;
+
+	log_event(LOG_INFO, "commit_late", "shard", log_num(owner->setup.shard),
+		  "outcome", outcome, "sequence",
+		  log_num((int64_t)owner->sequence), "jobs",
+		  log_num(batch->changes->len), "unanswered",
+		  log_num(batch->unanswered), "ms",
+		  log_num(gh_time_to_ms(clock_boot() - batch->started_at)),
+		  NULL);
+}
+
 static void batch_free(batch_t *batch)
 {
 	g_ptr_array_free(batch->strings, TRUE);
--- a/regress/fleet_world.c
+++ b/regress/fleet_world.c
@@ -10,18 +10,35 @@
 					.orphan_ms = ORPHAN_MS,
 					.stop_ms = STOP_MS };
 
+static void record_event(void *ctx, const char *event, const gh_task_id_t *task,
+			 uint32_t run, const char *worker, const char *detail)
+{
+	world_t *w = ctx;
+
+	(void)task;
+	(void)run;
+	(void)worker;
+	if (strcmp(event, "task_waiting") != 0)
+		return;
+	g_free(w->waiting);
+	w->waiting = g_strdup(detail);
+}
+
 void world_init(world_t *w)
 {
+	gh_fleet_sink_t sink = { .on_event = record_event, .ctx = w };
+
 	memset(w, 0, sizeof(*w));
 	w->now = 1000 * MS;
 	w->wall_ms = 5000000;
-	w->fleet = gh_fleet_new(&setup, NULL, w->now);
+	w->fleet = gh_fleet_new(&setup, &sink, w->now);
 }
 
 void world_clear(world_t *w)
 {
 	gh_fleet_free(w->fleet);
 	g_free(w->progress);
+	g_free(w->waiting);
 }
 
 scripted_worker_t *add_worker(world_t *w, const char *id, uint32_t cores)
--- a/regress/fleet_world.h
+++ b/regress/fleet_world.h
@@ -49,6 +49,7 @@
 	char *progress; /* text of the last job record committed, whichever the
 			   job */
 	gh_job_phase_t phase;
+	char *waiting; /* detail of the last task_waiting event, or NULL */
 } world_t;
 
 void world_init(world_t *w);
--- a/regress/test_core_fleet.c
+++ b/regress/test_core_fleet.c
@@ -664,6 +664,57 @@
 	world_clear(&w);
 }
 
+/* What keeps a long-running task waiting, and how the scheduler reports it. */
+typedef struct waiting_case {
+	const char *workers; /* expected part of the report; NULL: no report */
+	uint32_t cores;	     /* of the only worker; the task takes 1000 */
+	uint32_t max_per_worker;
+	uint32_t tasks;
+	bool unreachable;
+} waiting_case_t;
+
+static const waiting_case_t waiting_cases[] = {
+	{ .cores = 4000, .tasks = 1 },
+	{ .cores = 500, .tasks = 1, .workers = "workers: 1 full" },
+	{ .cores = 4000,
+	  .tasks = 1,
+	  .unreachable = true,
+	  .workers = "workers: 1 unheard" },
+	{ .cores = 4000,
+	  .tasks = 2,
+	  .max_per_worker = 1,
+	  .workers = "workers: 1 spread" },
+};
+
+static void test_waiting_is_reported(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(waiting_cases); i++) {
+		const waiting_case_t *c = &waiting_cases[i];
+		gh_step_t step = one_task;
+		world_t w;
+
+		step.long_running = true;
+		step.tasks = c->tasks;
+		step.max_per_worker = c->max_per_worker;
+		world_init(&w);
+		add_worker(&w, "w1", c->cores)->unreachable = c->unreachable;
+		add_job(&w, "0000000000000001", 1, &step, NULL);
+		advance_time(&w, 1800);
+		assert_null(w.waiting);
+		advance_time(&w, 1500);
+		if (c->workers) {
+			assert_non_null(w.waiting);
+			assert_non_null(strstr(w.waiting, c->workers));
+		} else {
+			assert_null(w.waiting);
+		}
+		world_clear(&w);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -689,6 +740,7 @@
 		cmocka_unit_test(test_burst),
 		cmocka_unit_test(test_slow_start),
 		cmocka_unit_test(test_fill_overdue),
+		cmocka_unit_test(test_waiting_is_reported),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
