test_platform: a long-running task whose worker and owner fail together

An owner that takes a shard over holds the runs of a worker that it cannot reach as open for ORPHAN_MS, 11 s.

The test kills a worker and the owner at once and expects both tasks to run within 9 s, the 6 s and 3 s of the rule, and 1 s for the machine. Like the other process tests, test-platform now takes the name of a test as its argument.

--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -336,7 +336,42 @@
 	fleet_system_stop(&sys);
 }
 
-int main(void)
+/*
+ * A long-running task whose worker and whose shard's owner fail at the same
+ * time runs again 9 s later at the latest, with 1 s for delays of the machine
+ * that runs the test.
+ */
+#define RESTART_MAX_USEC (10 * G_USEC_PER_SEC)
+
+static void test_worker_and_owner_lost(void **state)
+{
+	fleet_system_t sys;
+	gint64 failed_at;
+	int64_t running;
+	int owner;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-both", 2, 3, 1);
+	owner = fleet_shard_owner(&sys, 0);
+	assert_true(owner >= 0);
+	assert_int_equal(
+		fleet_submit(&sys, 0, ID("01"), "60000 lasts", LONG_RUNNING),
+		200);
+	proc_wait_until(two_running, &sys, "two long-running runs");
+	json_decref(proc_control(sys.platform_address,
+				 "{\"worker\":\"i-0 dead\"}"));
+	failed_at = g_get_monotonic_time();
+	proc_kill(&sys.hosts[owner]);
+	assert_true(fleet_platform_counter(&sys, "running") < 2);
+	while (!two_running(&sys) &&
+	       g_get_monotonic_time() < failed_at + RESTART_MAX_USEC)
+		g_usleep(20 * 1000);
+	running = fleet_platform_counter(&sys, "running");
+	fleet_system_stop(&sys);
+	assert_int_equal(running, 2);
+}
+
+int main(int argc, char **argv)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_calm),
@@ -347,7 +382,10 @@
 		cmocka_unit_test(test_owner_struck),
 		cmocka_unit_test(test_worker_struck),
 		cmocka_unit_test(test_all_hosts_killed),
+		cmocka_unit_test(test_worker_and_owner_lost),
 	};
 
+	if (argc > 1)
+		cmocka_set_test_filter(argv[1]);
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
