fake_platform: hold replies to range calls; stop all processes before a failure

A watch that waited while the history was discarded also replied with the present revision, so hardly any test ever read all keys again. And fleet_system_stop() left its processes running when the platform had seen a violation.

Change: control "hold_range" delays composed replies to range calls below a prefix; the number of replies held is in the state as "held". A watch call that waits while the history is discarded responds 410. fleet_system_stop() fails for a violation as before, but after it has stopped all processes.

--- a/regress/fake_platform.c
+++ b/regress/fake_platform.c
@@ -17,6 +17,10 @@
  *                         without a response
  *   {"lapse":true}        expires all leases of the key-value service
  *   {"compact":true}      discards the history of changes
+ *   {"hold_range":{"prefix":P,"ms":N}}
+ *                         sends replies to range calls below the prefix P only
+ *                         N ms after they were composed, or once the control
+ *                         is set again; {} holds none
  *   {"config":{...}}      writes the key op/config
  *   {"cores":MILLI}       size of each worker
  *   {"workers":N}         adds N workers
@@ -96,6 +100,10 @@
 	uint64_t revision;
 	uint64_t compacted_revision; /* revision up to which the history is
 					discarded */
+	char *hold_prefix; /* range calls whose replies are held; NULL: none */
+	int64_t hold_ms;
+	int64_t hold_number; /* number of times that a hold was set */
+	int64_t held;	     /* number of replies held at present */
 	GPtrArray *leases;
 	int64_t last_lease_id;
 	int64_t worker_cores_milli;
@@ -283,6 +291,23 @@
 				(int)has_more, "at", (json_int_t)p->revision);
 }
 
+/* Delays the reply to a range call, which is composed already. */
+static void hold_range_reply(platform_t *p, const char *prefix)
+{
+	int64_t due_ms = fake_boot_ms() + p->hold_ms;
+	int64_t number = p->hold_number;
+
+	if (!p->hold_prefix || !g_str_has_prefix(prefix, p->hold_prefix))
+		return;
+	p->held++;
+	while (number == p->hold_number && fake_boot_ms() < due_ms) {
+		pthread_mutex_unlock(&p->lock);
+		fake_sleep_ms(POLL_MS);
+		pthread_mutex_lock(&p->lock);
+	}
+	p->held--;
+}
+
 static void serve_watch(platform_t *p, const fake_request_t *req,
 			fake_reply_t *reply)
 {
@@ -294,12 +319,12 @@
 	json_t *events = json_array();
 	guint i;
 
-	if (after < p->compacted_revision) {
-		json_decref(events);
-		fake_reply_error(reply, 410, "history");
-		return;
-	}
 	for (;;) {
+		if (after < p->compacted_revision) {
+			json_decref(events);
+			fake_reply_error(reply, 410, "history");
+			return;
+		}
 		for (i = 0; i < p->events->len; i++) {
 			const item_t *event = p->events->pdata[i];
 
@@ -652,6 +677,7 @@
 		fake_reply_error(reply, 503, "busy");
 	} else if (!strcmp(req->path, "/api/kv-range")) {
 		serve_range(p, req, reply);
+		hold_range_reply(p, fake_query(req, "prefix"));
 	} else if (!strcmp(req->path, "/api/kv-key")) {
 		guint index;
 		item_t *item = find_item(p, fake_query(req, "key"), &index);
@@ -788,6 +814,12 @@
 			remove_lease(p, 0);
 	} else if (!strcmp(key, "compact")) {
 		p->compacted_revision = ++p->revision;
+	} else if (!strcmp(key, "hold_range") && json_is_object(value)) {
+		g_free(p->hold_prefix);
+		p->hold_prefix =
+			g_strdup(fake_json_string(value, "prefix", NULL));
+		p->hold_ms = fake_json_int(value, "ms", 0);
+		p->hold_number++;
 	} else if (!strcmp(key, "cores")) {
 		p->worker_cores_milli = json_integer_value(value);
 	} else if (!strcmp(key, "workers")) {
@@ -836,10 +868,11 @@
 		g_free(copy);
 		g_free(text);
 	}
-	state = json_pack("{s:O,s:I,s:I,s:I,s:o,s:I}", "wrong", p->violations,
-			  "starts", (json_int_t)p->starts, "running",
-			  (json_int_t)running, "calls", (json_int_t)p->calls,
-			  "owners", owners, "items", (json_int_t)p->items->len);
+	state = json_pack(
+		"{s:O,s:I,s:I,s:I,s:o,s:I,s:I}", "wrong", p->violations,
+		"starts", (json_int_t)p->starts, "running", (json_int_t)running,
+		"calls", (json_int_t)p->calls, "owners", owners, "items",
+		(json_int_t)p->items->len, "held", (json_int_t)p->held);
 	pthread_mutex_unlock(&p->lock);
 	return state;
 }
--- a/regress/fleet_system.c
+++ b/regress/fleet_system.c
@@ -86,11 +86,12 @@
 void fleet_system_stop(fleet_system_t *sys)
 {
 	json_t *violations = fleet_platform_violations(sys);
+	char failure[256] = "";
 	unsigned i;
 
 	if (json_array_size(violations))
-		fail_msg("%s: %s", sys->name,
-			 json_string_value(json_array_get(violations, 0)));
+		g_snprintf(failure, sizeof(failure), "%s: %s", sys->name,
+			   json_string_value(json_array_get(violations, 0)));
 	json_decref(violations);
 	for (i = 0; i < sys->n_hosts; i++) {
 		if (proc_running(&sys->hosts[i]))
@@ -107,6 +108,8 @@
 	g_free(sys->name);
 	g_free(sys->platform_address);
 	g_free(sys->relay_address);
+	if (*failure)
+		fail_msg("%s", failure);
 }
 
 static void add_link(fleet_system_t *sys, unsigned host)
