--- a/regress/fake_platform.c
+++ b/regress/fake_platform.c
@@ -20,7 +20,8 @@
  *   {"hold_range":{"prefix":P,"ms":N}}
  *                         sends replies to range calls below the prefix P only
  *                         N ms after they were composed, or once the control
- *                         is set again; {} holds none
+ *                         is set to a prefix that they are not below; {} holds
+ *                         none
  *   {"config":{...}}      writes the key op/config
  *   {"cores":MILLI}       size of each worker
  *   {"workers":N}         adds N workers
@@ -102,8 +103,7 @@
 					discarded */
 	char *hold_prefix; /* range calls whose replies are held; NULL: none */
 	int64_t hold_ms;
-	int64_t hold_number; /* number of times that a hold was set */
-	int64_t held;	     /* number of replies held at present */
+	int64_t held; /* number of replies held at present */
 	GPtrArray *leases;
 	int64_t last_lease_id;
 	int64_t worker_cores_milli;
@@ -295,12 +295,12 @@
 static void hold_range_reply(platform_t *p, const char *prefix)
 {
 	int64_t due_ms = fake_boot_ms() + p->hold_ms;
-	int64_t number = p->hold_number;
 
 	if (!p->hold_prefix || !g_str_has_prefix(prefix, p->hold_prefix))
 		return;
 	p->held++;
-	while (number == p->hold_number && fake_boot_ms() < due_ms) {
+	while (p->hold_prefix && g_str_has_prefix(prefix, p->hold_prefix) &&
+	       fake_boot_ms() < due_ms) {
 		pthread_mutex_unlock(&p->lock);
 		fake_sleep_ms(POLL_MS);
 		pthread_mutex_lock(&p->lock);
@@ -819,7 +819,6 @@
 		p->hold_prefix =
 			g_strdup(fake_json_string(value, "prefix", NULL));
 		p->hold_ms = fake_json_int(value, "ms", 0);
-		p->hold_number++;
 	} else if (!strcmp(key, "cores")) {
 		p->worker_cores_milli = json_integer_value(value);
 	} else if (!strcmp(key, "workers")) {
--- a/regress/fleet_system.c
+++ b/regress/fleet_system.c
@@ -239,6 +239,26 @@
 	return value;
 }
 
+int64_t fleet_host_counter(fleet_system_t *sys, unsigned host, const char *key)
+{
+	char *url = g_strdup_printf("http://%s%u:8002/metrics",
+				    sys->address_block, 10 + host);
+	proc_response_t reply = proc_http("GET", url, NULL, NULL, CALL_MS);
+	char **lines = g_strsplit(reply.body, "\n", -1);
+	int64_t value = -1;
+	size_t i;
+
+	for (i = 0; lines[i]; i++)
+		if (g_str_has_prefix(lines[i], key) &&
+		    lines[i][strlen(key)] == ' ')
+			value = g_ascii_strtoll(lines[i] + strlen(key), NULL,
+						10);
+	g_strfreev(lines);
+	proc_response_clear(&reply);
+	g_free(url);
+	return value;
+}
+
 json_t *fleet_platform_violations(fleet_system_t *sys)
 {
 	char *url = g_strdup_printf("http://%s/ctl", sys->platform_address);
--- a/regress/fleet_system.h
+++ b/regress/fleet_system.h
@@ -55,6 +55,8 @@
 		       const char *state);
 /* One of the fake platform's counters. */
 int64_t fleet_platform_counter(fleet_system_t *sys, const char *key);
+/* One of a host's counters; -1 if the host has no such counter. */
+int64_t fleet_host_counter(fleet_system_t *sys, unsigned host, const char *key);
 /* JSON array of texts: violations that the fake platform saw. */
 json_t *fleet_platform_violations(fleet_system_t *sys);
 
