--- a/regress/fleet_system.c
+++ b/regress/fleet_system.c
@@ -86,11 +86,12 @@
 void fleet_system_stop(fleet_system_t *sys)
 {
 	json_t *violations = fleet_platform_violations(sys);
+	char failure[256] = "";
 	unsigned i;
 
 	if (json_array_size(violations))
-		fail_msg("%s: %s", sys->name,
-			 json_string_value(json_array_get(violations, 0)));
+		g_snprintf(failure, sizeof(failure), "%s: %s", sys->name,
+			   json_string_value(json_array_get(violations, 0)));
 	json_decref(violations);
 	for (i = 0; i < sys->n_hosts; i++) {
 		if (proc_running(&sys->hosts[i]))
@@ -107,6 +108,8 @@
 	g_free(sys->name);
 	g_free(sys->platform_address);
 	g_free(sys->relay_address);
+	if (*failure)
+		fail_msg("%s", failure);
 }
 
 static void add_link(fleet_system_t *sys, unsigned host)
@@ -236,6 +239,26 @@
 	return value;
 }
 
+int64_t fleet_host_counter(fleet_system_t *sys, unsigned host, const char *key)
+{
+	char *url = g_strdup_printf("http://%s%u:8002/metrics",
+				    sys->address_block, 10 + host);
+	proc_response_t reply = proc_http("GET", url, NULL, NULL, CALL_MS);
+	char **lines = g_strsplit(reply.body, "\n", -1);
+	int64_t value = -1;
+	size_t i;
+
+	for (i = 0; lines[i]; i++)
+		if (g_str_has_prefix(lines[i], key) &&
+		    lines[i][strlen(key)] == ' ')
+			value = g_ascii_strtoll(lines[i] + strlen(key), NULL,
+						10);
+	g_strfreev(lines);
+	proc_response_clear(&reply);
+	g_free(url);
+	return value;
+}
+
 json_t *fleet_platform_violations(fleet_system_t *sys)
 {
 	char *url = g_strdup_printf("http://%s/ctl", sys->platform_address);
