--- a/regress/test_platform_reads.c
+++ b/regress/test_platform_reads.c
@@ -71,13 +71,16 @@
 
 /*
  * Makes the hosts read everything once more: replies that are held arrive, then
- * the next reads are held.
+ * the next reads are held.  Returns whether so many are held.
  */
-static void hold_next_reads(fleet_system_t *sys, const char *prefix,
+static bool hold_next_reads(fleet_system_t *sys, const char *prefix,
 			    int64_t reads)
 {
+	held_arg_t arg = { .sys = sys, .reads = reads };
+
 	hold_reads(sys, prefix, HOLD_MS, reads);
 	g_usleep(SHORT_HOLD_MS * 1000 + REPLY_USEC);
+	return reads_held(&arg);
 }
 
 /* Sends the held replies; returns whether so many were held until now. */
@@ -226,13 +229,13 @@
 			 200);
 	assert_int_equal(fleet_cancel(&sys, owner, ID("01")), 200);
 	out.late = reads_held(&(held_arg_t){ .sys = &sys, .reads = 3 });
-	hold_next_reads(&sys, "gh/", 3);
+	out.late = hold_next_reads(&sys, "gh/", 3) && out.late;
 	/* The owner's read of the job records arrives first. */
 	json_decref(proc_control(
 		sys.platform_address,
 		"{\"hold_range\":{\"prefix\":\"gh/d/\",\"ms\":0}}"));
 	g_usleep(4 * REPLY_USEC);
-	out.late = out.late && release_reads(&sys, 2);
+	out.late = release_reads(&sys, 2) && out.late;
 	observe(&sys, ID("01"), "cancelled", &out);
 	fleet_system_stop(&sys);
 	check_outcome(&out, 0);
@@ -277,7 +280,7 @@
 				 200);
 		late = reads_held(&(held_arg_t){ .sys = &sys, .reads = 2 });
 		if (c->again)
-			hold_next_reads(&sys, "gh/d/", 2);
+			late = hold_next_reads(&sys, "gh/d/", 2) && late;
 		end = g_get_monotonic_time() + SETTLE_USEC;
 		while (g_get_monotonic_time() < end) {
 			char *actual = fleet_get_state(&sys, host, ID("01"));
