fleet_watch: pass no item that is older than what is known of its key

Cause: fleet_watch passed items that "may be outdated", as its header said, and its users did not check. When the store had dropped its history, an owner read all job records of its shard again. A page that the store served before the commit of a job's end, and that arrived after the commit's reply, still listed the job; it was added as a new job, without progress, and its state was written back to running. A page of 500 records takes tens of milliseconds on a small host's link, the reply to a commit one, so on a busy shard this is no rare race.

Class: a late reply is applied over newer knowledge. The same cause elsewhere: a late read of the directory without the owner record, which its owner had just written again, made the owner give up its shard for 2 s; a late read removed the state of a job accepted meanwhile (it came back with the next change); a replayed discovery entry of an earlier incarnation of a worker was taken for a restart.

Change: a watch keeps the revision of each key and passes only what is newer; keys that are gone are remembered until the watch has passed the change. fleet_watch_note() tells it of a key that the host has written or deleted itself: owners note the records of ended jobs and their own owner record, the directory each state. After a whole read the watch itself passes keys that are no longer listed as gone, unless they have changed since the read began, so gh_fleet_workers_retain() and the two users' own comparisons are not needed.

Why it works: a read cannot return a change that the store made after serving it, so all that it says of a key is not newer than the key's revision there; the noted revision is.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -178,22 +178,6 @@
 	fleet_worker_free_if_unused(fleet, handle);
 }
 
-void gh_fleet_workers_retain(gh_fleet_t *fleet, GHashTable *ids)
-{
-	uint32_t i;
-
-	for (i = 0; i < fleet->workers->len; i++) {
-		const fleet_worker_t *worker = fleet_worker(fleet, i);
-		char id[GH_WORKER_ID_MAX + 1];
-
-		if (!worker->in_use || !worker->listed ||
-		    g_hash_table_contains(ids, worker->entry.id))
-			continue;
-		g_strlcpy(id, worker->entry.id, sizeof(id));
-		gh_fleet_worker_unlist(fleet, id);
-	}
-}
-
 void fleet_worker_free_if_unused(gh_fleet_t *fleet, uint32_t handle)
 {
 	fleet_worker_t *worker = fleet_worker(fleet, handle);
--- a/core_fleet.h
+++ b/core_fleet.h
@@ -244,8 +244,6 @@
  * it, and it is freed once it has no open runs.
  */
 void gh_fleet_worker_unlist(gh_fleet_t *fleet, const char *id);
-/* Marks all workers whose ids are not in the set as no longer listed. */
-void gh_fleet_workers_retain(gh_fleet_t *fleet, GHashTable *ids);
 void gh_fleet_queue_set(gh_fleet_t *fleet, const gh_queue_policy_t *policy);
 
 /*
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -133,7 +133,7 @@
 			      uint32_t task, uint32_t excluded_worker,
 			      gh_time_t now);
 static obstacle_t find_obstacle(const gh_fleet_t *fleet, const fleet_job_t *job,
-				uint32_t stage, uint32_t worker, gh_time_t now);
+				uint32_t stage, uint32_t handle, gh_time_t now);
 static bool has_label(const fleet_worker_t *worker, const char *label);
 static bool step_fits(const fleet_worker_t *worker, const gh_step_t *step);
 static void report_waiting_stage(gh_fleet_t *fleet, const candidate_t *c,
--- a/fleet_jobs.c
+++ b/fleet_jobs.c
@@ -69,10 +69,12 @@
 } request_t;
 
 static void on_item(void *ctx, const fleet_item_t *item);
-static void on_synced(void *ctx, GHashTable *keys);
-static void remove_missing_jobs(fleet_jobs_t *jobs, GHashTable *keys);
+static void on_synced(void *ctx);
+static char *owner_key(uint32_t shard);
+static bool read_state(const char *id, const char *text, uint64_t revision,
+		       fleet_job_state_t *state);
 static bool parse_state(const char *text, fleet_job_state_t *state);
-static bool set_state(fleet_jobs_t *jobs, const char *id,
+static void set_state(fleet_jobs_t *jobs, const char *id,
 		      const fleet_job_state_t *state);
 static request_t *request_new(fleet_jobs_t *jobs, request_kind_t kind,
 			      const char *id, gh_time_t deadline,
@@ -188,10 +190,11 @@
 			item->value);
 	} else if (g_str_has_prefix(key, STATE_PREFIX)) {
 		const char *id = key + strlen(STATE_PREFIX);
+		fleet_job_state_t state;
 
 		if (item->value) {
-			fleet_jobs_update_text(jobs, id, item->value,
-					       item->revision);
+			if (read_state(id, item->value, item->revision, &state))
+				set_state(jobs, id, &state);
 			return;
 		}
 		pthread_mutex_lock(&jobs->lock);
@@ -200,17 +203,15 @@
 	}
 }
 
-static void on_synced(void *ctx, GHashTable *keys)
+static void on_synced(void *ctx)
 {
 	fleet_jobs_t *jobs = ctx;
 	uint32_t i;
 
-	remove_missing_jobs(jobs, keys);
 	for (i = 0; i < jobs->shards; i++) {
-		char *key =
-			g_strdup_printf(DIRECTORY_PREFIX OWNER_PREFIX "%u", i);
+		char *key = owner_key(i);
 
-		if (!g_hash_table_contains(keys, key))
+		if (!fleet_watch_has(jobs->watch, key))
 			jobs->listener.owner_changed(jobs->listener.ctx, i,
 						     NULL);
 		g_free(key);
@@ -218,62 +219,57 @@
 	jobs->listener.synced(jobs->listener.ctx);
 }
 
-static void remove_missing_jobs(fleet_jobs_t *jobs, GHashTable *keys)
+static char *owner_key(uint32_t shard)
 {
-	GHashTableIter iter;
-	gpointer id;
+	return g_strdup_printf(DIRECTORY_PREFIX OWNER_PREFIX "%u", shard);
+}
 
-	pthread_mutex_lock(&jobs->lock);
-	g_hash_table_iter_init(&iter, jobs->states);
-	while (g_hash_table_iter_next(&iter, &id, NULL)) {
-		char *key = fleet_jobs_state_key(id);
+void fleet_jobs_note_owner(fleet_jobs_t *jobs, uint32_t shard,
+			   uint64_t revision)
+{
+	char *key = owner_key(shard);
 
-		if (!g_hash_table_contains(keys, key))
-			g_hash_table_iter_remove(&iter);
-		g_free(key);
-	}
-	pthread_mutex_unlock(&jobs->lock);
+	fleet_watch_note(jobs->watch, key, revision, true);
+	g_free(key);
 }
 
 void fleet_jobs_update_text(fleet_jobs_t *jobs, const char *id,
 			    const char *text, uint64_t revision)
 {
-	fleet_job_state_t state = { .revision = revision };
+	fleet_job_state_t state;
 
-	if (parse_state(text, &state))
+	if (read_state(id, text, revision, &state))
 		fleet_jobs_update(jobs, id, &state);
-	else
-		log_event(LOG_ERROR, "job_state_unread", "job", id, "text",
-			  text, NULL);
 }
 
 void fleet_jobs_update(fleet_jobs_t *jobs, const char *id,
 		       const fleet_job_state_t *state)
 {
-	if (set_state(jobs, id, state))
-		jobs->listener.job_changed(jobs->listener.ctx, id, state);
+	char *key = fleet_jobs_state_key(id);
+
+	if (fleet_watch_note(jobs->watch, key, state->revision, true))
+		set_state(jobs, id, state);
+	g_free(key);
 }
 
-/*
- * Stores a job's state in the directory; returns false if the directory has
- * this revision of the state or a later one.
- */
-static bool set_state(fleet_jobs_t *jobs, const char *id,
-		      const fleet_job_state_t *state)
+static bool read_state(const char *id, const char *text, uint64_t revision,
+		       fleet_job_state_t *state)
 {
-	fleet_job_state_t *found;
-	bool newer;
+	*state = (fleet_job_state_t){ .revision = revision };
+	if (parse_state(text, state))
+		return true;
+	log_event(LOG_ERROR, "job_state_unread", "job", id, "text", text, NULL);
+	return false;
+}
 
+static void set_state(fleet_jobs_t *jobs, const char *id,
+		      const fleet_job_state_t *state)
+{
 	pthread_mutex_lock(&jobs->lock);
-	found = g_hash_table_lookup(jobs->states, id);
-	newer = !found || state->revision > found->revision;
-	if (found && newer)
-		*found = *state;
-	else if (!found)
-		g_hash_table_insert(jobs->states, g_strdup(id),
-				    g_memdup2(state, sizeof(*state)));
+	g_hash_table_replace(jobs->states, g_strdup(id),
+			     g_memdup2(state, sizeof(*state)));
 	pthread_mutex_unlock(&jobs->lock);
-	return newer;
+	jobs->listener.job_changed(jobs->listener.ctx, id, state);
 }
 
 GPtrArray *fleet_jobs_ended_before(fleet_jobs_t *jobs, uint32_t shard,
--- a/fleet_jobs.h
+++ b/fleet_jobs.h
@@ -77,11 +77,18 @@
 /* Reads one job's state from the store into the directory. */
 void fleet_jobs_refresh(fleet_jobs_t *jobs, const char *id, gh_time_t deadline,
 			fleet_jobs_done_t done, void *ctx);
-/* Updates the directory with a job's state that this host committed or read. */
+/*
+ * Updates the directory with a job's state that this host committed or read;
+ * does nothing if the directory knows this revision of the state or a later
+ * one.
+ */
 void fleet_jobs_update(fleet_jobs_t *jobs, const char *id,
 		       const fleet_job_state_t *state);
 void fleet_jobs_update_text(fleet_jobs_t *jobs, const char *id,
 			    const char *text, uint64_t revision);
+/* Notes that this host has written a shard's owner record. */
+void fleet_jobs_note_owner(fleet_jobs_t *jobs, uint32_t shard,
+			   uint64_t revision);
 /*
  * Ids of up to max jobs of a shard that ended before a wall-clock time; free
  * the array with g_ptr_array_free().
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -155,16 +155,17 @@
 static void on_claim_chain(void *ctx, const fleet_reply_t *reply);
 static void commit_claim(fleet_owner_t *owner);
 static void on_claimed(void *ctx, const fleet_reply_t *reply);
+static void note_owner_record(fleet_owner_t *owner, uint64_t revision);
 static void schedule_claim_retry(fleet_owner_t *owner);
 static void start_loading(fleet_owner_t *owner);
 static void load_progress_page(fleet_owner_t *owner, const char *after);
 static void on_progress_page(void *ctx, const fleet_reply_t *reply);
 static void on_job_record(void *ctx, const fleet_item_t *item);
-static void on_job_records_synced(void *ctx, GHashTable *keys);
+static void on_job_records_synced(void *ctx);
 static void add_job(fleet_owner_t *owner, gh_pipeline_t *pipeline,
 		    const char *source);
 static void on_worker_record(void *ctx, const fleet_item_t *item);
-static void on_worker_records_synced(void *ctx, GHashTable *keys);
+static void on_worker_records_synced(void *ctx);
 static void finish_loading(fleet_owner_t *owner);
 static void end_ownership(fleet_owner_t *owner, const char *reason);
 static void renew_owner_lease(fleet_owner_t *owner, gh_time_t now);
@@ -182,6 +183,8 @@
 static void on_chain_reread(void *ctx, const fleet_reply_t *reply);
 static void reread_chain(fleet_owner_t *owner, gh_time_t now);
 static void batch_committed(fleet_owner_t *owner, uint64_t revision);
+static void note_deleted_record(fleet_owner_t *owner, const char *id,
+				uint64_t revision);
 static void batch_failed(fleet_owner_t *owner);
 static void batch_conflict(fleet_owner_t *owner, const fleet_reply_t *reply);
 static void batch_send(fleet_owner_t *owner);
@@ -492,12 +495,20 @@
 		return;
 	}
 	owner->chain_revision = reply->revision;
+	note_owner_record(owner, reply->revision);
 	log_event(LOG_INFO, "shard_owned", "shard", log_num(owner->setup.shard),
 		  "epoch", log_num((int64_t)owner->epoch), NULL);
 	counter_inc(CTR_SHARD_CLAIMED);
 	start_loading(owner);
 }
 
+/* Notes that this host has written the owner record. */
+static void note_owner_record(fleet_owner_t *owner, uint64_t revision)
+{
+	owner->record_absent = false;
+	fleet_jobs_note_owner(owner->setup.jobs, owner->setup.shard, revision);
+}
+
 static void schedule_claim_retry(fleet_owner_t *owner)
 {
 	owner->phase = PHASE_IDLE;
@@ -591,7 +602,7 @@
 	owner->dirty = true;
 }
 
-static void on_job_records_synced(void *ctx, GHashTable *keys)
+static void on_job_records_synced(void *ctx)
 {
 	fleet_owner_t *owner = ctx;
 	fleet_watch_listener_t listener = { .item_changed = on_worker_record,
@@ -600,7 +611,6 @@
 	GPtrArray *pipelines = owner->parsed_jobs;
 	guint i;
 
-	(void)keys;
 	if (!pipelines)
 		return;
 	owner->parsed_jobs = NULL;
@@ -663,11 +673,10 @@
 	gh_fleet_worker_unlist(owner->fleet, item->key);
 }
 
-static void on_worker_records_synced(void *ctx, GHashTable *keys)
+static void on_worker_records_synced(void *ctx)
 {
 	fleet_owner_t *owner = ctx;
 
-	gh_fleet_workers_retain(owner->fleet, keys);
 	if (owner->phase == PHASE_LOADING)
 		finish_loading(owner);
 }
@@ -762,12 +771,14 @@
 		return;
 	owner->lease_call_pending = false;
 	owner->renew_at = clock_boot() + LEASE_RENEWAL_PERIOD_USEC;
-	if (reply->result == FLEET_OK)
+	if (reply->result == FLEET_OK) {
 		owner->renewed_at = owner->renewal_sent_at;
-	else if (reply->result == FLEET_CONFLICT)
+		note_owner_record(owner, reply->revision);
+	} else if (reply->result == FLEET_CONFLICT) {
 		end_ownership(owner, "another host wrote the owner record");
-	else
+	} else {
 		owner->renew_at = clock_boot() + COMMIT_RETRY_DELAY_USEC;
+	}
 }
 
 static void on_restore_lease(void *ctx, const fleet_reply_t *reply)
@@ -1099,6 +1110,8 @@
 			fleet_jobs_update(owner->setup.jobs, change->id,
 					  &state);
 		}
+		if (change->phase > GH_JOB_RUNNING)
+			note_deleted_record(owner, change->id, revision);
 		gh_fleet_handle_commit(owner->fleet, change->id,
 				       change->version);
 	}
@@ -1108,6 +1121,19 @@
 		end_ownership(owner, "drain");
 }
 
+/*
+ * A read of the job records that the store served before this commit still
+ * lists the job; without the note, its late reply would add the job again.
+ */
+static void note_deleted_record(fleet_owner_t *owner, const char *id,
+				uint64_t revision)
+{
+	char *key = fleet_jobs_record_key(owner->setup.shard, id);
+
+	fleet_watch_note(owner->job_watch, key, revision, false);
+	g_free(key);
+}
+
 static void batch_failed(fleet_owner_t *owner)
 {
 	batch_t *batch = owner->batch;
--- a/fleet_watch.c
+++ b/fleet_watch.c
@@ -15,6 +15,19 @@
 #define RETRY_DELAY_MIN_USEC (50 * GH_USEC_PER_MSEC)
 #define RETRY_DELAY_MAX_USEC (400 * GH_USEC_PER_MSEC)
 
+/* The last change of a key that is known. */
+typedef struct key_state {
+	uint64_t revision;
+	bool exists;
+	unsigned listed_in_read; /* number of the last full read with the key */
+} key_state_t;
+
+/* A key that is gone; its entry is kept while older items may still arrive. */
+typedef struct gone_key {
+	char *key;
+	uint64_t revision;
+} gone_key_t;
+
 struct fleet_watch {
 	loop_t *loop;
 	fleet_store_t *store;
@@ -31,8 +44,11 @@
 	 * Last store revision that was read; 0: all keys must be read.
 	 */
 	uint64_t revision;
-	GHashTable *keys; /* keys found in a full read; NULL while watching */
+	bool reading;	  /* a full read is under way */
+	unsigned n_reads; /* number of full reads that began */
 	char *last_key; /* last key of the pages read; NULL: no page was read */
+	GHashTable *keys;  /* key to key_state_t */
+	GQueue *gone_keys; /* gone_key_t, in the order of their arrival */
 	_Atomic gh_time_t last_reply_at;
 	gh_time_t retry_delay;
 };
@@ -41,6 +57,13 @@
 static void on_timer(void *ctx, gh_time_t now);
 static void on_page(void *ctx, const fleet_reply_t *reply);
 static void on_changes(void *ctx, const fleet_reply_t *reply);
+static void continue_watch(fleet_watch_t *watch);
+static void pass_listed_item(fleet_watch_t *watch, const fleet_item_t *item);
+static void finish_read(fleet_watch_t *watch);
+static void pass_item(fleet_watch_t *watch, const fleet_item_t *item);
+static void pass_missing_keys(fleet_watch_t *watch);
+static void forget_gone_keys(fleet_watch_t *watch);
+static void free_gone_key(gpointer data);
 static bool accept_reply(fleet_watch_t *watch, const fleet_reply_t *reply);
 static void handle_failure(fleet_watch_t *watch, const fleet_reply_t *reply);
 static void destroy(fleet_watch_t *watch);
@@ -57,6 +80,9 @@
 	watch->prefix = g_strdup(prefix);
 	watch->listener = *listener;
 	watch->retry_delay = RETRY_DELAY_MIN_USEC;
+	watch->keys =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	watch->gone_keys = g_queue_new();
 	watch->timer = (loop_timer_t){ .at = GH_TIME_NEVER,
 				       .run = on_timer,
 				       .ctx = watch };
@@ -84,19 +110,49 @@
 	return watch->synced;
 }
 
+bool fleet_watch_note(fleet_watch_t *watch, const char *key, uint64_t revision,
+		      bool exists)
+{
+	key_state_t *state = g_hash_table_lookup(watch->keys, key);
+
+	if (state && revision <= state->revision)
+		return false;
+	if (!state) {
+		state = g_new0(key_state_t, 1);
+		g_hash_table_insert(watch->keys, g_strdup(key), state);
+	}
+	state->revision = revision;
+	state->exists = exists;
+	if (!exists) {
+		gone_key_t *gone = g_new(gone_key_t, 1);
+
+		*gone = (gone_key_t){ .key = g_strdup(key),
+				      .revision = revision };
+		g_queue_push_tail(watch->gone_keys, gone);
+	}
+	return true;
+}
+
+bool fleet_watch_has(const fleet_watch_t *watch, const char *key)
+{
+	const key_state_t *state = g_hash_table_lookup(watch->keys, key);
+
+	return state && state->exists;
+}
+
 static void start_call(fleet_watch_t *watch)
 {
 	const fleet_store_ops_t *ops = watch->store->ops;
 
 	watch->call_pending = true;
-	if (watch->revision && !watch->keys) {
+	if (watch->revision && !watch->reading) {
 		ops->watch(watch->store, watch->keyspace, watch->prefix,
 			   watch->revision, WATCH_WAIT_MS, on_changes, watch);
 		return;
 	}
-	if (!watch->keys) {
-		watch->keys = g_hash_table_new_full(g_str_hash, g_str_equal,
-						    g_free, NULL);
+	if (!watch->reading) {
+		watch->reading = true;
+		watch->n_reads++;
 		g_clear_pointer(&watch->last_key, g_free);
 	}
 	ops->range(watch->store, watch->keyspace, watch->prefix,
@@ -112,16 +168,10 @@
 static void on_page(void *ctx, const fleet_reply_t *reply)
 {
 	fleet_watch_t *watch = ctx;
-	GHashTable *keys;
 	size_t i;
 
 	if (!accept_reply(watch, reply))
 		return;
-	for (i = 0; i < reply->n_items; i++) {
-		g_hash_table_add(watch->keys, g_strdup(reply->items[i].key));
-		watch->listener.item_changed(watch->listener.ctx,
-					     &reply->items[i]);
-	}
 	/*
 	 * The pages of a full read are not one consistent snapshot: the watch
 	 * starts at the revision of the first page, so later changes are read
@@ -129,22 +179,16 @@
 	 */
 	if (!watch->last_key || !watch->revision)
 		watch->revision = reply->revision;
+	for (i = 0; i < reply->n_items && !watch->freed; i++)
+		pass_listed_item(watch, &reply->items[i]);
 	if (reply->more && reply->n_items) {
 		g_free(watch->last_key);
 		watch->last_key =
 			g_strdup(reply->items[reply->n_items - 1].key);
-	} else {
-		keys = watch->keys;
-		watch->keys = NULL;
-		watch->synced = true;
-		if (watch->listener.synced)
-			watch->listener.synced(watch->listener.ctx, keys);
-		g_hash_table_destroy(keys);
+	} else if (!watch->freed) {
+		finish_read(watch);
 	}
-	if (watch->freed)
-		destroy(watch);
-	else
-		start_call(watch);
+	continue_watch(watch);
 }
 
 static void on_changes(void *ctx, const fleet_reply_t *reply)
@@ -155,28 +199,114 @@
 	if (!accept_reply(watch, reply))
 		return;
 	for (i = 0; i < reply->n_items && !watch->freed; i++)
-		watch->listener.item_changed(watch->listener.ctx,
-					     &reply->items[i]);
+		pass_item(watch, &reply->items[i]);
 	if (reply->revision > watch->revision)
 		watch->revision = reply->revision;
+	forget_gone_keys(watch);
+	continue_watch(watch);
+}
+
+/* Makes the next call, or destroys a watch that the listener has freed. */
+static void continue_watch(fleet_watch_t *watch)
+{
+	watch->call_pending = false;
 	if (watch->freed)
 		destroy(watch);
 	else
 		start_call(watch);
 }
 
+static void pass_listed_item(fleet_watch_t *watch, const fleet_item_t *item)
+{
+	key_state_t *state;
+
+	pass_item(watch, item);
+	state = g_hash_table_lookup(watch->keys, item->key);
+	state->listed_in_read = watch->n_reads;
+}
+
+static void finish_read(fleet_watch_t *watch)
+{
+	watch->reading = false;
+	watch->synced = true;
+	pass_missing_keys(watch);
+	if (!watch->freed && watch->listener.synced)
+		watch->listener.synced(watch->listener.ctx);
+}
+
+/* Passes an item to the listener unless it is outdated. */
+static void pass_item(fleet_watch_t *watch, const fleet_item_t *item)
+{
+	if (fleet_watch_note(watch, item->key, item->revision,
+			     item->value != NULL))
+		watch->listener.item_changed(watch->listener.ctx, item);
+}
+
+/*
+ * Passes as gone, after a full read, the keys that it did not list.  A key that
+ * has changed since the read began is left to the watch.
+ */
+static void pass_missing_keys(fleet_watch_t *watch)
+{
+	GPtrArray *missing = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter iter;
+	gpointer key, value;
+	guint i;
+
+	g_hash_table_iter_init(&iter, watch->keys);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const key_state_t *state = value;
+
+		if (state->exists && state->listed_in_read != watch->n_reads &&
+		    state->revision < watch->revision)
+			g_ptr_array_add(missing, g_strdup(key));
+	}
+	for (i = 0; i < missing->len && !watch->freed; i++) {
+		fleet_item_t gone = { .key = missing->pdata[i],
+				      .revision = watch->revision };
+
+		pass_item(watch, &gone);
+	}
+	g_ptr_array_free(missing, TRUE);
+}
+
+/*
+ * Drops the entries of keys that are gone since a revision that the watch has
+ * passed: a later read does not return them.
+ */
+static void forget_gone_keys(fleet_watch_t *watch)
+{
+	gone_key_t *gone;
+
+	while ((gone = g_queue_peek_head(watch->gone_keys)) &&
+	       gone->revision <= watch->revision) {
+		const key_state_t *state =
+			g_hash_table_lookup(watch->keys, gone->key);
+
+		if (state && state->revision == gone->revision)
+			g_hash_table_remove(watch->keys, gone->key);
+		free_gone_key(g_queue_pop_head(watch->gone_keys));
+	}
+}
+
+static void free_gone_key(gpointer data)
+{
+	g_free(((gone_key_t *)data)->key);
+	g_free(data);
+}
+
 /*
  * Returns whether the call succeeded and the watch is still in use.  If the
  * call failed, schedules the next one; if the watch was freed, destroys it.
  */
 static bool accept_reply(fleet_watch_t *watch, const fleet_reply_t *reply)
 {
-	watch->call_pending = false;
 	if (watch->freed) {
 		destroy(watch);
 		return false;
 	}
 	if (reply->result != FLEET_OK) {
+		watch->call_pending = false;
 		handle_failure(watch, reply);
 		return false;
 	}
@@ -198,8 +328,7 @@
 		log_event(LOG_INFO, "history_gone", "keys", watch->prefix,
 			  "revision", log_num((int64_t)watch->revision), NULL);
 		watch->revision = 0;
-		g_clear_pointer(&watch->keys, g_hash_table_destroy);
-		g_clear_pointer(&watch->last_key, g_free);
+		watch->reading = false;
 		watch->timer.at = now;
 		return;
 	}
@@ -216,8 +345,8 @@
 static void destroy(fleet_watch_t *watch)
 {
 	loop_timer_remove(watch->loop, &watch->timer);
-	if (watch->keys)
-		g_hash_table_destroy(watch->keys);
+	g_hash_table_destroy(watch->keys);
+	g_queue_free_full(watch->gone_keys, free_gone_key);
 	g_free(watch->last_key);
 	g_free(watch->prefix);
 	g_free(watch);
--- a/fleet_watch.h
+++ b/fleet_watch.h
@@ -1,8 +1,12 @@
 /*
  * Follows all keys with a prefix in the store: reads them page by page, then
  * watches for changes.  A failed call is repeated.  If the store has compacted
- * the history since the last change read, all keys are read again, and the
- * listener learns which still exist.
+ * the history since the last change read, all keys are read again.
+ *
+ * Replies can be outdated: a page may have been read before a change that the
+ * listener already knows, and changes since the first page are passed again.
+ * The watch keeps the revision of each key and drops what is not newer, so the
+ * changes of a key arrive in order and none arrives twice.
  */
 #ifndef FLEET_WATCH_H
 #define FLEET_WATCH_H
@@ -13,16 +17,10 @@
 typedef struct fleet_watch fleet_watch_t;
 
 typedef struct fleet_watch_listener {
-	/*
-	 * An item was read or has changed; the same item may be passed again,
-	 * and it may be outdated.
-	 */
+	/* An item was read, has changed or, if its value is NULL, is gone. */
 	void (*item_changed)(void *ctx, const fleet_item_t *item);
-	/*
-	 * All items with the prefix were read; keys holds every key that
-	 * exists.
-	 */
-	void (*synced)(void *ctx, GHashTable *keys);
+	/* All items with the prefix were read, for the first time or again. */
+	void (*synced)(void *ctx);
 	void *ctx;
 } fleet_watch_listener_t;
 
@@ -35,6 +33,16 @@
 			       const fleet_watch_listener_t *listener);
 void fleet_watch_free(fleet_watch_t *watch);
 
+/*
+ * Loop's thread: notes a change of a key that the caller has made or read by
+ * itself, without calling the listener.  Returns false if the watch knows this
+ * change or a later one.
+ */
+bool fleet_watch_note(fleet_watch_t *watch, const char *key, uint64_t revision,
+		      bool exists);
+/* Loop's thread: whether the key exists, as far as the watch knows. */
+bool fleet_watch_has(const fleet_watch_t *watch, const char *key);
+
 /* Any thread: time of the last successful reply from the store; 0: none yet. */
 gh_time_t fleet_watch_last_reply_at(const fleet_watch_t *watch);
 /* Any thread: whether all items with the prefix were read once. */
--- /dev/null
+++ b/regress/test_fleet_watch.c
@@ -0,0 +1,242 @@
+/*
+ * Tests of the watch on a prefix of the store with scripted replies: what the
+ * listener hears when replies are older than changes that it already knows.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <string.h>
+
+#include "fleet_watch.h"
+
+#define PREFIX "w/0/"
+#define ITEMS_MAX 4
+#define STEPS_MAX 8
+
+typedef enum step_kind {
+	STEP_END,
+	STEP_PAGE,	/* a page of a full read, which ends the read */
+	STEP_PAGE_MORE, /* a page that others follow */
+	STEP_EVENTS,	/* a reply to a watch call */
+	STEP_COMPACTED, /* a watch call fails: the history is gone */
+	STEP_NOTE,	/* the caller has written the first item itself */
+	STEP_NOTE_GONE	/* the caller has deleted the first item itself */
+} step_kind_t;
+
+typedef struct scripted_item {
+	const char *key;
+	uint64_t revision;
+	bool gone;
+} scripted_item_t;
+
+typedef struct step {
+	step_kind_t kind;
+	uint64_t revision; /* of the store, when it served the call */
+	scripted_item_t items[ITEMS_MAX];
+} step_t;
+
+typedef struct watch_case {
+	const char *name;
+	step_t steps[STEPS_MAX];
+	/* What the listener hears: +KEY, -KEY and "synced", in order. */
+	const char *heard;
+} watch_case_t;
+
+/* A store that keeps the one open call of a watch until it is replied to. */
+typedef struct scripted_store {
+	fleet_store_t base;
+	fleet_store_done_t done; /* of the open call, or NULL */
+	void *ctx;
+	bool watching; /* the open call is a watch call, not a range call */
+} scripted_store_t;
+
+static void store_range(fleet_store_t *base, fleet_keyspace_t keyspace,
+			const char *prefix, const char *after_key,
+			fleet_store_done_t done, void *ctx)
+{
+	scripted_store_t *store = (scripted_store_t *)base;
+
+	(void)keyspace;
+	(void)prefix;
+	(void)after_key;
+	store->done = done;
+	store->ctx = ctx;
+	store->watching = false;
+}
+
+static void store_watch(fleet_store_t *base, fleet_keyspace_t keyspace,
+			const char *prefix, uint64_t after_revision,
+			int64_t wait_ms, fleet_store_done_t done, void *ctx)
+{
+	(void)after_revision;
+	(void)wait_ms;
+	store_range(base, keyspace, prefix, "", done, ctx);
+	((scripted_store_t *)base)->watching = true;
+}
+
+static const fleet_store_ops_t store_ops = { .range = store_range,
+					     .watch = store_watch };
+
+static void on_item(void *ctx, const fleet_item_t *item)
+{
+	GString *heard = ctx;
+
+	g_string_append_printf(heard, "%s%c%s", heard->len ? " " : "",
+			       item->value ? '+' : '-',
+			       item->key + strlen(PREFIX));
+}
+
+static void on_synced(void *ctx)
+{
+	g_string_append(ctx, " synced");
+}
+
+static void reply_to_call(scripted_store_t *store, const step_t *step)
+{
+	fleet_store_done_t done = store->done;
+	fleet_item_t items[ITEMS_MAX] = { 0 };
+	fleet_reply_t reply = { .result = step->kind == STEP_COMPACTED ?
+						  FLEET_COMPACTED :
+						  FLEET_OK,
+				.revision = step->revision,
+				.items = items,
+				.more = step->kind == STEP_PAGE_MORE };
+	size_t i;
+
+	assert_int_equal(store->watching, step->kind == STEP_EVENTS ||
+						  step->kind == STEP_COMPACTED);
+	for (i = 0; i < ITEMS_MAX && step->items[i].key; i++) {
+		items[i] = (fleet_item_t){
+			.key = (char *)step->items[i].key,
+			.value = step->items[i].gone ? NULL : (char *)"value",
+			.revision = step->items[i].revision,
+		};
+		reply.n_items++;
+	}
+	store->done = NULL;
+	done(store->ctx, &reply);
+}
+
+static const watch_case_t cases[] = {
+	{ .name = "changes arrive in order",
+	  .steps = { { STEP_PAGE, 10, { { "w/0/a", 5 } } },
+		     { STEP_EVENTS,
+		       12,
+		       { { "w/0/b", 11 }, { "w/0/a", 12, true } } } },
+	  .heard = "+a synced +b -a" },
+	{ .name = "a key that the caller deleted is in a late page",
+	  .steps = { { STEP_PAGE, 10, { { "w/0/a", 5 }, { "w/0/b", 6 } } },
+		     { STEP_COMPACTED },
+		     { STEP_NOTE_GONE, 0, { { "w/0/a", 12 } } },
+		     { STEP_PAGE, 11, { { "w/0/a", 5 }, { "w/0/b", 6 } } },
+		     { STEP_EVENTS, 12, { { "w/0/a", 12, true } } } },
+	  .heard = "+a +b synced synced" },
+	{ .name = "the note holds until the watch has passed it",
+	  .steps = { { STEP_PAGE, 10, { { "w/0/a", 5 } } },
+		     { STEP_NOTE_GONE, 0, { { "w/0/a", 12 } } },
+		     { STEP_EVENTS, 11, { { "w/0/b", 11 } } },
+		     { STEP_COMPACTED },
+		     { STEP_PAGE, 11, { { "w/0/a", 5 }, { "w/0/b", 11 } } } },
+	  .heard = "+a synced +b synced" },
+	{ .name = "a key that is created again is heard",
+	  .steps = { { STEP_PAGE, 10, { { "w/0/a", 5 } } },
+		     { STEP_NOTE_GONE, 0, { { "w/0/a", 12 } } },
+		     { STEP_EVENTS,
+		       14,
+		       { { "w/0/a", 12, true }, { "w/0/a", 14 } } } },
+	  .heard = "+a synced +a" },
+	{ .name = "events since the first page are older than a later page",
+	  .steps = { { STEP_PAGE_MORE, 10, { { "w/0/a", 5 } } },
+		     { STEP_PAGE, 14, { { "w/0/b", 13 } } },
+		     { STEP_EVENTS,
+		       14,
+		       { { "w/0/b", 11 },
+			 { "w/0/b", 12, true },
+			 { "w/0/b", 13 } } } },
+	  .heard = "+a +b synced" },
+	{ .name = "a key that is no longer listed is gone",
+	  .steps = { { STEP_PAGE, 10, { { "w/0/a", 5 }, { "w/0/b", 6 } } },
+		     { STEP_COMPACTED },
+		     { STEP_PAGE, 20, { { "w/0/b", 6 } } } },
+	  .heard = "+a +b synced -a synced" },
+	{ .name = "a key that the caller wrote is missing in a late page",
+	  .steps = { { STEP_PAGE, 10, { { "w/0/a", 5 } } },
+		     { STEP_COMPACTED },
+		     { STEP_NOTE, 0, { { "w/0/b", 12 } } },
+		     { STEP_PAGE, 11, { { "w/0/a", 5 } } },
+		     { STEP_EVENTS,
+		       15,
+		       { { "w/0/b", 12 }, { "w/0/b", 15, true } } } },
+	  .heard = "+a synced synced -b" },
+};
+
+/* A case under way: its loop replies to the watch's calls step by step. */
+typedef struct run {
+	const watch_case_t *c;
+	scripted_store_t store;
+	loop_t *loop;
+	fleet_watch_t *watch;
+	size_t n_steps_done;
+} run_t;
+
+/* Plays steps as far as the watch has made the calls that they reply to. */
+static void play_steps(void *ctx)
+{
+	run_t *run = ctx;
+
+	while (run->store.done) {
+		const step_t *step = &run->c->steps[run->n_steps_done];
+
+		if (run->n_steps_done == STEPS_MAX || !step->kind) {
+			loop_stop(run->loop);
+			return;
+		}
+		run->n_steps_done++;
+		if (step->kind == STEP_NOTE || step->kind == STEP_NOTE_GONE)
+			assert_true(fleet_watch_note(run->watch,
+						     step->items[0].key,
+						     step->items[0].revision,
+						     step->kind == STEP_NOTE));
+		else
+			reply_to_call(&run->store, step);
+	}
+}
+
+static void test_late_replies(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		GString *heard = g_string_new(NULL);
+		fleet_watch_listener_t listener = { .item_changed = on_item,
+						    .synced = on_synced,
+						    .ctx = heard };
+		step_t last = { .kind = STEP_EVENTS, .revision = 100 };
+		run_t run = { .c = &cases[i], .store.base.ops = &store_ops };
+
+		print_message("%s\n", run.c->name);
+		run.loop = loop_new();
+		run.watch =
+			fleet_watch_new(run.loop, &run.store.base,
+					FLEET_KEYSPACE_OWN, PREFIX, &listener);
+		loop_after_iteration(run.loop, play_steps, &run);
+		loop_post(run.loop, play_steps, &run);
+		loop_run(run.loop);
+		assert_string_equal(heard->str, run.c->heard);
+		fleet_watch_free(run.watch);
+		reply_to_call(&run.store, &last);
+		assert_string_equal(heard->str, run.c->heard);
+		g_string_free(heard, TRUE);
+	}
+}
+
+int main(void)
+{
+	static const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_late_replies),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
