Bound the wait for runs of a previous owner by what it can have granted

What callers saw: a long-running task whose worker failed shortly before its shard changed owners did not run for 13 s and more (LOST).

Cause: a new owner cannot know whether a worker that it does not reach still runs under a lease from a previous owner. It waited for ORPHAN_MS, 11 s in fleet_main.c, which silently depended on two bounds of fleet_owner.c: worker leases were renewed for 8 s without the store, and one lease lasts 4.5 s. The wait began anew with each take-over. The sum was wrong in the other direction as well: 8 s and 4.8 s exceed 11 s, so a run could have been started twice if the owner's record was taken away early.

Change: an owner extends workers' leases only for 2 s after its own lease was last renewed, and the next owner derives the wait from the same constant and the lease (gh_fleet_setup_t.previous_grants_end): 6.8 s. The owner's lease is 1.5 s instead of 2 s, renewed each 0.3 s; renewals overlap, as one without a reply held up the next for 1.2 s, and a late reply about a lease that was given up is ignored. A record that could not be restored is tried again instead of renewing its unbound lease. A start that is resent to an unreachable worker no longer extends its lease.

Why it works: the last lease that a previous owner can have granted ends 2 s and a lease after its record was gone, whether the record expired, was deleted or was revoked; the new owner's claim comes after that.

Price: without the store, running tasks go on for 6.5 s instead of 12.5 s.

The case of a silent worker in the table of take-overs is stricter: no start within 6 s, one within 7 s (before: one within 12 s). test_start_on_dead_worker fails without the change of gh_fleet_next_order().

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -633,8 +633,14 @@
 					      GH_RUN_NOT_STARTED, NULL, now);
 				continue;
 			}
+			/*
+			 * The lease of an unreachable worker is not extended,
+			 * so that it can expire.
+			 */
 			order->lease_until =
-				fleet_lease_extend(fleet, worker, now);
+				worker->unreachable_since ?
+					worker->lease_until :
+					fleet_lease_extend(fleet, worker, now);
 			order->payload = job->spec->payload;
 			order->checkpoint = job->tasks[run->task].checkpoint;
 		}
@@ -664,15 +670,21 @@
 	return state == required_state[kind];
 }
 
-gh_time_t fleet_lease_extend(gh_fleet_t *fleet, fleet_worker_t *worker,
-			     gh_time_t now)
+gh_time_t fleet_lease_end(const gh_fleet_t *fleet, gh_time_t granted_at)
 {
 	gh_time_t lease = gh_time_from_ms(fleet->setup.lease_ms);
-	gh_time_t latest_end =
-		now + lease + lease / LEASE_DRIFT_DIVISOR + LEASE_MARGIN_USEC;
 
-	worker->latest_lease_end = MAX(worker->latest_lease_end, latest_end);
-	return now + lease;
+	return granted_at + lease + lease / LEASE_DRIFT_DIVISOR +
+	       LEASE_MARGIN_USEC;
+}
+
+gh_time_t fleet_lease_extend(gh_fleet_t *fleet, fleet_worker_t *worker,
+			     gh_time_t now)
+{
+	worker->lease_until = now + gh_time_from_ms(fleet->setup.lease_ms);
+	worker->latest_lease_end =
+		MAX(worker->latest_lease_end, fleet_lease_end(fleet, now));
+	return worker->lease_until;
 }
 
 /* Lookups by handle, id and name. */
--- a/core_fleet.h
+++ b/core_fleet.h
@@ -31,8 +31,8 @@
 typedef struct gh_fleet_setup {
 	/* Length of the lease that each renewal and start order grants. */
 	int64_t lease_ms;
-	/* max time for which a run started by a previous owner may live */
-	int64_t orphan_ms;
+	/* No previous owner grants or extends a lease after this time. */
+	gh_time_t previous_grants_end;
 	int64_t stop_ms; /* max time that a worker takes to stop a task */
 } gh_fleet_setup_t;
 
--- a/core_fleet_record.c
+++ b/core_fleet_record.c
@@ -271,6 +271,6 @@
 	worker = fleet_worker(fleet, handle);
 	worker->latest_lease_end = MAX(
 		worker->latest_lease_end,
-		fleet->created_at + gh_time_from_ms(fleet->setup.orphan_ms));
+		fleet_lease_end(fleet, fleet->setup.previous_grants_end));
 	return handle;
 }
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -196,6 +196,8 @@
 	/* handle: head of the list of the worker's open runs */
 	uint32_t first_run;
 	uint32_t n_runs;
+	/* deadline of the lease that was last granted */
+	gh_time_t lease_until;
 	/* No run on the worker is alive after this time. */
 	gh_time_t latest_lease_end;
 	uint64_t acked_end; /* ends of runs up to this number are committed */
@@ -316,6 +318,10 @@
 /* Index of the stage that contains the task. */
 uint32_t fleet_stage_index(const fleet_job_t *job, uint32_t task);
 
+/*
+ * Time after which a lease granted at a time has certainly ended at the worker.
+ */
+gh_time_t fleet_lease_end(const gh_fleet_t *fleet, gh_time_t granted_at);
 /*
  * Extends the worker's lease; returns the lease deadline to send to the worker.
  */
--- a/fleet_main.c
+++ b/fleet_main.c
@@ -21,11 +21,6 @@
 #define DRAIN_POLL_USEC (50 * GH_USEC_PER_MSEC)
 /* Part of the grace period that is kept for the exit of the process. */
 #define EXIT_RESERVE_MS 1200
-/*
- * Longest time that runs of a previous owner can live: until its last lease
- * renewal, plus the lease that this renewal granted.
- */
-#define ORPHAN_MS 11000
 /*
  * Writes to the store per second for each shard: the default number of shards
  * is store_writes_per_s divided by this, at least 1.  More shards with fewer
@@ -106,7 +101,6 @@
 			settings->store_writes_per_s),
 		.fleet = { .lease_ms = MIN(settings->lease_ms,
 					   settings->lease_max_ms),
-			   .orphan_ms = ORPHAN_MS,
 			   .stop_ms = settings->stop_ms },
 		.ended_retention_ms = settings->ended_retention_s * 1000LL,
 	});
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -21,10 +21,14 @@
  * TTL of the lease of a shard's owner record; the lease outlasts short freezes
  * of the host.
  */
-#define OWNER_LEASE_MS 2000
-#define LEASE_RENEWAL_PERIOD_USEC (500 * GH_USEC_PER_MSEC)
-/* While the store is unreachable, worker leases are renewed for this long. */
-#define WORKER_RENEWAL_LIMIT_USEC (8 * GH_USEC_PER_SEC)
+#define OWNER_LEASE_MS 1500
+#define LEASE_RENEWAL_PERIOD_USEC (300 * GH_USEC_PER_MSEC)
+/*
+ * Workers' leases are extended for this long after the owner's own lease was
+ * last renewed.  The next owner waits for this time and a lease before it
+ * starts the tasks of a worker that it cannot reach.
+ */
+#define WORKER_RENEWAL_LIMIT_USEC (2 * GH_USEC_PER_SEC)
 /*
  * Upper bound of the random delay before a claim, so that hosts don't claim a
  * shard all at once.
@@ -100,7 +104,9 @@
 	 * record is bound.
 	 */
 	uint64_t lease_id;
-	bool lease_call_pending;
+	bool record_lost; /* the lease has ended, and the owner record with it
+			   */
+	bool restoring;	  /* a call that restores the record is in flight */
 	/* When the last successful lease renewal was sent. */
 	gh_time_t renewed_at;
 	gh_time_t renew_at; /* due time of the next lease renewal */
@@ -515,8 +521,11 @@
 {
 	gh_fleet_sink_t sink = { .on_event = log_fleet_event, .ctx = owner };
 
+	gh_fleet_setup_t setup = owner->setup.fleet;
+
 	owner->phase = PHASE_LOADING;
-	owner->fleet = gh_fleet_new(&owner->setup.fleet, &sink, clock_boot());
+	setup.previous_grants_end = clock_boot() + WORKER_RENEWAL_LIMIT_USEC;
+	owner->fleet = gh_fleet_new(&setup, &sink, clock_boot());
 	memset(&owner->reported, 0, sizeof(owner->reported));
 	if (owner->config)
 		fleet_owner_configure(owner, owner->config);
@@ -705,7 +714,7 @@
 					  (GDestroyNotify)gh_pipeline_free);
 	g_clear_pointer(&owner->parsed_jobs, g_ptr_array_unref);
 	g_clear_pointer(&owner->batch, batch_free);
-	owner->lease_call_pending = false;
+	owner->record_lost = owner->restoring = false;
 	owner->claim_at = clock_boot() + CLAIM_RETRY_DELAY_USEC;
 	owner->timer.at = owner->claim_at;
 }
@@ -714,25 +723,31 @@
 
 static void renew_owner_lease(fleet_owner_t *owner, gh_time_t now)
 {
-	if (owner->lease_call_pending || now < owner->renew_at)
+	if (owner->restoring || now < owner->renew_at)
 		return;
-	owner->lease_call_pending = true;
 	owner->renew_at = now + LEASE_RENEWAL_PERIOD_USEC;
-	owner->renewal_sent_at = now;
-	owner->setup.store->ops->renew_lease(owner->setup.store,
-					     owner->lease_id, on_lease_renewed,
-					     call_new(owner));
+	if (owner->record_lost)
+		restore_owner_record(owner);
+	else
+		owner->setup.store->ops->renew_lease(
+			owner->setup.store, owner->lease_id, on_lease_renewed,
+			call_new(owner));
 }
 
+/*
+ * Handles the reply to a renewal.  Renewals overlap, as one without a reply
+ * must not delay the next.
+ */
 static void on_lease_renewed(void *ctx, const fleet_reply_t *reply)
 {
+	gh_time_t sent_at = ((const owner_call_t *)ctx)->sent_at;
 	fleet_owner_t *owner = call_finish(ctx);
 
-	if (!owner)
+	/* A reply to an older renewal may be about a lease given up since. */
+	if (!owner || sent_at <= owner->renewed_at)
 		return;
-	owner->lease_call_pending = false;
-	if (reply->result == FLEET_OK)
-		owner->renewed_at = owner->renewal_sent_at;
+	if (reply->result == FLEET_OK && !owner->record_lost)
+		owner->renewed_at = sent_at;
 	else if (reply->result == FLEET_NOT_FOUND)
 		restore_owner_record(owner);
 	owner->dirty = true;
@@ -744,9 +759,10 @@
  */
 static void restore_owner_record(fleet_owner_t *owner)
 {
-	if (owner->lease_call_pending)
+	owner->record_lost = true;
+	if (owner->restoring)
 		return;
-	owner->lease_call_pending = true;
+	owner->restoring = true;
 	owner->renewal_sent_at = clock_boot();
 	log_event(LOG_WARN, "owner_record_lapsed", "shard",
 		  log_num(owner->setup.shard), NULL);
@@ -760,14 +776,16 @@
 
 	if (!owner)
 		return;
-	owner->lease_call_pending = false;
+	owner->restoring = false;
 	owner->renew_at = clock_boot() + LEASE_RENEWAL_PERIOD_USEC;
-	if (reply->result == FLEET_OK)
+	if (reply->result == FLEET_OK) {
+		owner->record_lost = false;
 		owner->renewed_at = owner->renewal_sent_at;
-	else if (reply->result == FLEET_CONFLICT)
+	} else if (reply->result == FLEET_CONFLICT) {
 		end_ownership(owner, "another host wrote the owner record");
-	else
+	} else {
 		owner->renew_at = clock_boot() + COMMIT_RETRY_DELAY_USEC;
+	}
 }
 
 static void on_restore_lease(void *ctx, const fleet_reply_t *reply)
@@ -778,7 +796,7 @@
 	if (!owner)
 		return;
 	if (reply->result != FLEET_OK) {
-		owner->lease_call_pending = false;
+		owner->restoring = false;
 		return;
 	}
 	owner->lease_id = reply->lease;
--- a/regress/fleet_world.c
+++ b/regress/fleet_world.c
@@ -6,10 +6,6 @@
 #include <cmocka.h>
 #include <string.h>
 
-static const gh_fleet_setup_t setup = { .lease_ms = LEASE_MS,
-					.orphan_ms = ORPHAN_MS,
-					.stop_ms = STOP_MS };
-
 static void record_event(void *ctx, const char *event, const gh_task_id_t *task,
 			 uint32_t run, const char *worker, const char *detail)
 {
@@ -26,10 +22,16 @@
 
 void world_init(world_t *w)
 {
+	static const gh_fleet_setup_t setup = {
+		.lease_ms = LEASE_MS,
+		.previous_grants_end =
+			START_TIME + PREVIOUS_GRANTS_MS * GH_USEC_PER_MSEC,
+		.stop_ms = STOP_MS,
+	};
 	gh_fleet_sink_t sink = { .on_event = record_event, .ctx = w };
 
 	memset(w, 0, sizeof(*w));
-	w->now = 1000 * MS;
+	w->now = START_TIME;
 	w->wall_ms = 5000000;
 	w->fleet = gh_fleet_new(&setup, &sink, w->now);
 }
--- a/regress/fleet_world.h
+++ b/regress/fleet_world.h
@@ -10,7 +10,9 @@
 
 #define MS GH_USEC_PER_MSEC
 #define LEASE_MS 4000
-#define ORPHAN_MS 9000
+#define START_TIME (1000 * MS)
+/* time from the start in which a previous owner may still grant leases */
+#define PREVIOUS_GRANTS_MS 2000
 #define STOP_MS 500
 #define STEP_USEC (10 * MS)
 #define ORDERS_MAX 256
--- a/regress/test_core_fleet.c
+++ b/regress/test_core_fleet.c
@@ -93,6 +93,33 @@
 	world_clear(&w);
 }
 
+/*
+ * A start without a reply extended the lease of its worker each time that it
+ * was sent again, so that the task waited longer than the worker's lease.
+ */
+static void test_start_on_dead_worker(void **state)
+{
+	gh_time_t first_start;
+	world_t w;
+
+	(void)state;
+	world_init(&w);
+	add_worker(&w, "w1", 1000);
+	advance_time(&w, 500);
+	w.workers[0].unreachable = true;
+	add_job(&w, "0000000000000001", 1, &one_task, NULL);
+	while (!w.n_orders)
+		advance_time(&w, 10);
+	first_start = w.now;
+	add_worker(&w, "w2", 1000);
+	while (!strcmp(w.orders[w.n_orders - 1].worker, "w1"))
+		advance_time(&w, 10);
+	assert_string_equal(w.orders[w.n_orders - 1].worker, "w2");
+	assert_in_range(w.now - first_start, LEASE_MS * MS,
+			(LEASE_MS + 500) * MS);
+	world_clear(&w);
+}
+
 /* A lost reply to a start resends the same run to the same worker. */
 static void test_lost_answer(void **state)
 {
@@ -296,8 +323,8 @@
  * when a new owner takes over. */
 typedef struct takeover_case {
 	const char *name;
-	size_t starts_soon;   /* starts by the new owner within 2 s */
-	size_t starts_later;  /* starts by the new owner within 12 s */
+	size_t starts_soon;   /* starts by the new owner within 6 s */
+	size_t starts_later;  /* starts by the new owner within 7 s and 12 s */
 	gh_job_phase_t phase; /* expected phase of the job after 12 s */
 	bool runs;	      /* the worker reports the run as running */
 	bool done;	      /* the worker reports the run as done */
@@ -345,7 +372,15 @@
 		advance_time(&w, 2000);
 		assert_int_equal(count_orders(&w, GH_ORDER_START, 0),
 				 c->starts_soon);
-		advance_time(&w, 10000);
+		/* The last lease that a previous owner granted ends at 6.3 s.
+		 */
+		advance_time(&w, 4000);
+		assert_int_equal(count_orders(&w, GH_ORDER_START, 0),
+				 c->starts_soon);
+		advance_time(&w, 1000);
+		assert_int_equal(count_orders(&w, GH_ORDER_START, 0),
+				 c->starts_later);
+		advance_time(&w, 5000);
 		assert_int_equal(count_orders(&w, GH_ORDER_START, 0),
 				 c->starts_later);
 		if (c->starts_later)
@@ -721,6 +756,7 @@
 		cmocka_unit_test(test_order_of_steps),
 		cmocka_unit_test(test_store_down),
 		cmocka_unit_test(test_dead_worker),
+		cmocka_unit_test(test_start_on_dead_worker),
 		cmocka_unit_test(test_lost_answer),
 		cmocka_unit_test(test_restarted_worker),
 		cmocka_unit_test(test_start_in_new_life),
