test_core_fleet_late: a start order refused after one without a reply

A worker may execute a call that got no reply seconds later, after newer calls (PROTOCOL.md). The test loses a start order, has its copy refused and expects that the run is stopped before its task starts again.

Fails for three of four cases: the task starts as run 2 while run 1 may still start. The fourth case, a first order that is refused at once, passes.

--- a/regress/fleet_world.c
+++ b/regress/fleet_world.c
@@ -133,8 +133,10 @@
 	w->orders[w->n_orders - 1].worker = worker->id;
 	g_strlcpy(id, order->worker, sizeof(id));
 	index = find_listed_run(worker, order);
-	if (worker->unreachable) {
+	if (worker->unreachable || worker->loses_orders) {
 		reply = GH_ORDER_OUTCOME_UNKNOWN;
+	} else if (order->kind == GH_ORDER_START && worker->refusal) {
+		reply = worker->refusal;
 	} else if (order->kind == GH_ORDER_START && index == worker->n_runs) {
 		worker->runs[worker->n_runs++] =
 			(gh_report_run_t){ .task = order->task,
--- a/regress/fleet_world.h
+++ b/regress/fleet_world.h
@@ -25,6 +25,10 @@
 	bool unreachable;   /* replies to nothing and executes nothing */
 	bool stalled;	    /* runs on the worker make no progress */
 	bool drops_replies; /* executes orders but its replies are lost */
+	bool loses_orders;  /* reports, but neither executes nor answers orders
+			     */
+	/* Reply to start orders, which are then not executed; OK: executed. */
+	gh_order_reply_t refusal;
 	int64_t incarnation_start_ms;
 	gh_report_run_t runs[RUNS_MAX];
 	size_t n_runs;
