core_fleet: stop a run whose copy of an unanswered start is refused

Callers saw one task run on two workers at the same time (TWICE): a start order got no reply, its copy was refused for lack of capacity or as the worker was unhealthy, and the task started elsewhere as the next run, while the first order could still be executed seconds later.

Cause: any refusal ended the run as not started, though it is evidence only for the order that it answers.

A run with an unanswered start order is now stopped when a copy of it is refused. A worker that has replied to the stop refuses every later start of that run or a lower one, so the run ends as lost once a report requested after that reply does not list it, and only then the task starts again.

--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -184,6 +184,7 @@
 		fleet->counts.started++;
 		return;
 	case GH_ORDER_OUTCOME_UNKNOWN:
+		run->start_unanswered = true;
 		run->retry_at = now + ORDER_RETRY_USEC;
 		return;
 	case GH_ORDER_NO_CAPACITY:
@@ -200,7 +201,14 @@
 	default:
 		break;
 	}
-	fleet_run_end(fleet, ref, GH_RUN_NOT_STARTED, NULL, now);
+	/*
+	 * The refusal does not extend to an earlier order, which can still
+	 * start the run until a stop order has been replied to.
+	 */
+	if (run->start_unanswered)
+		fleet_run_stop(fleet, ref, "a start order was unanswered", now);
+	else
+		fleet_run_end(fleet, ref, GH_RUN_NOT_STARTED, NULL, now);
 }
 
 bool gh_fleet_next_renewal(gh_fleet_t *fleet, gh_worker_renewal_t *renewal,
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -51,6 +51,8 @@
 	/* when a start or stop order without a reply is resent */
 	gh_time_t retry_at;
 	bool order_sent; /* an order for this run was sent */
+	/* A start order got no reply and may be executed even later. */
+	bool start_unanswered;
 	/* progress of the run in the worker's last report */
 	uint32_t progress_percent;
 	gh_time_t progress_at; /* time of the last change of progress_percent */
