test_core_fleet_late: ends in the new life of a restarted worker

A start order without a reply can reach the new life of a worker that restarts under the same id, and run and end there before the owner hears of the restart. The scripted worker now refuses, as PROTOCOL.md has it, a start of a run that has ended there.

--- a/regress/fleet_world.c
+++ b/regress/fleet_world.c
@@ -93,6 +93,13 @@
 	return NULL;
 }
 
+void restart_worker(scripted_worker_t *worker)
+{
+	worker->incarnation_start_ms++;
+	worker->n_runs = worker->n_ends = worker->n_over = 0;
+	worker->last_end = 0;
+}
+
 void end_run(scripted_worker_t *worker, size_t index, gh_run_outcome_t outcome)
 {
 	gh_report_end_t *end = &worker->ends[worker->n_ends++];
@@ -101,6 +108,7 @@
 				  .task = worker->runs[index].task,
 				  .run = worker->runs[index].run,
 				  .outcome = outcome };
+	worker->over[worker->n_over++] = worker->runs[index];
 	worker->runs[index] = worker->runs[--worker->n_runs];
 }
 
@@ -122,6 +130,17 @@
 	return i;
 }
 
+static bool is_over(const scripted_worker_t *worker, const gh_order_t *order)
+{
+	size_t i;
+
+	for (i = 0; i < worker->n_over; i++)
+		if (same_task(&worker->over[i].task, &order->task) &&
+		    worker->over[i].run >= order->run)
+			return true;
+	return false;
+}
+
 static void execute_order(world_t *w, const gh_order_t *order)
 {
 	scripted_worker_t *worker = find_worker(w, order->worker);
@@ -137,6 +156,8 @@
 		reply = GH_ORDER_OUTCOME_UNKNOWN;
 	} else if (order->kind == GH_ORDER_START && worker->refusal) {
 		reply = worker->refusal;
+	} else if (order->kind == GH_ORDER_START && is_over(worker, order)) {
+		reply = GH_ORDER_STALE_RUN;
 	} else if (order->kind == GH_ORDER_START && index == worker->n_runs) {
 		worker->runs[worker->n_runs++] =
 			(gh_report_run_t){ .task = order->task,
--- a/regress/fleet_world.h
+++ b/regress/fleet_world.h
@@ -35,6 +35,9 @@
 	gh_report_end_t ends[ENDS_MAX];
 	size_t n_ends;
 	uint64_t last_end;
+	/* Runs that have ended here; a start of one is refused. */
+	gh_report_run_t over[ENDS_MAX];
+	size_t n_over;
 	gh_time_t lease_until;
 	int64_t tail_ms; /* tail latency that runs of LONG_RUNNING_JOB_ID
 			    report; 0: not reported */
@@ -64,6 +67,8 @@
 			const gh_step_t *steps);
 void add_job(world_t *w, const char *id, uint32_t n_steps,
 	     const gh_step_t *steps, const char *progress);
+/* Starts a new incarnation of the worker, which knows nothing of before. */
+void restart_worker(scripted_worker_t *worker);
 /* Ends the worker's run at this index. */
 void end_run(scripted_worker_t *worker, size_t index, gh_run_outcome_t outcome);
 /* Advances the clock by ms in steps; each step sends lease renewals and orders
--- a/regress/test_core_fleet_late.c
+++ b/regress/test_core_fleet_late.c
@@ -88,10 +88,118 @@
 	}
 }
 
+/* What happens before and after a worker restarts under the same id. */
+typedef struct restart_case {
+	const char *name;
+	size_t ends_before;	  /* ends in the former life, acknowledged */
+	size_t ends_after;	  /* ends in the new life before it is heard */
+	gh_run_outcome_t outcome; /* of the ends in the new life */
+	uint32_t failed;	  /* expected failed runs */
+	uint32_t last_run;	  /* expected highest number of a run */
+	gh_job_phase_t phase;
+} restart_case_t;
+
+static const restart_case_t restarts[] = {
+	{ .name = "no end before",
+	  .ends_after = 1,
+	  .outcome = GH_RUN_DONE,
+	  .last_run = 1,
+	  .phase = GH_JOB_COMPLETED },
+	{ .name = "as many ends before",
+	  .ends_before = 1,
+	  .ends_after = 1,
+	  .outcome = GH_RUN_DONE,
+	  .last_run = 1,
+	  .phase = GH_JOB_COMPLETED },
+	{ .name = "more ends before",
+	  .ends_before = 4,
+	  .ends_after = 2,
+	  .outcome = GH_RUN_DONE,
+	  .last_run = 1,
+	  .phase = GH_JOB_COMPLETED },
+	{ .name = "failed after more ends before",
+	  .ends_before = 4,
+	  .ends_after = 1,
+	  .outcome = GH_RUN_FAILED,
+	  .failed = 1,
+	  .last_run = 2,
+	  .phase = GH_JOB_RUNNING },
+};
+
+/* Starts and completes a job of n tasks, whose ends are acknowledged. */
+static void complete_job(world_t *w, const char *id, uint32_t n)
+{
+	gh_step_t step = one_task;
+
+	step.tasks = n;
+	add_job(w, id, 1, &step, NULL);
+	advance_time(w, 200);
+	while (w->workers[0].n_runs)
+		end_run(&w->workers[0], 0, GH_RUN_DONE);
+	advance_time(w, 500);
+	assert_int_equal(w->phase, GH_JOB_COMPLETED);
+	assert_int_equal(w->workers[0].n_ends, 0);
+}
+
+/*
+ * The numbers of ends start anew with each incarnation of a worker.  What was
+ * acknowledged to the former one must not make the new one forget an end that
+ * it has not reported yet.
+ */
+static void test_ends_of_new_life(void **state)
+{
+	size_t i, j;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(restarts); i++) {
+		const restart_case_t *c = &restarts[i];
+		gh_step_t step = one_task;
+		gh_fleet_counts_t counts;
+		scripted_worker_t *worker;
+		uint32_t last_run = 0;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		step.tasks = (uint32_t)c->ends_after;
+		world_init(&w);
+		worker = add_worker(&w, "w1", 8000);
+		advance_time(&w, 100);
+		if (c->ends_before)
+			complete_job(&w, "00000000000000b0",
+				     (uint32_t)c->ends_before);
+		w.n_orders = 0;
+		worker->unreachable = true;
+		add_job(&w, JOB, 1, &step, NULL);
+		while (!w.n_orders)
+			advance_time(&w, 10);
+		/* The start orders reach the new incarnation. */
+		worker->unreachable = false;
+		restart_worker(worker);
+		for (j = 0; j < c->ends_after; j++) {
+			worker->runs[worker->n_runs++] =
+				(gh_report_run_t){ .task = w.orders[j].task,
+						   .run = 1 };
+			end_run(worker, 0, c->outcome);
+		}
+		advance_time(&w, 2500);
+		gh_fleet_counts(w.fleet, &counts);
+		for (j = 0; j < w.n_orders; j++)
+			last_run = MAX(last_run,
+				       w.orders[j].kind == GH_ORDER_START ?
+					       w.orders[j].run :
+					       0);
+		assert_int_equal(last_run, c->last_run);
+		assert_int_equal(counts.failed, c->failed);
+		assert_int_equal(w.phase, c->phase);
+		world_clear(&w);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_refused_after_silence),
+		cmocka_unit_test(test_ends_of_new_life),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
