core_fleet: acknowledge only ends that the last report lists

Callers saw a task run again after it was done, or a failed run not counted as an attempt, after a worker restarted under the same id.

Cause: each renewal repeated the highest number acknowledged so far. A restarted worker numbers its ends from 1 again, so the renewal that was the first to reach it made it forget the ends of runs that it had started by an order sent before the restart was known.

A renewal now acknowledges only while the worker's last report lists an end that is committed, and not after a renewal without a reply; otherwise it carries 0, which makes the worker forget nothing. So a number goes only to a worker that has just listed it, and is sent again after a lost reply only if the end is listed again. What remains is a restart between that report and the next renewal, in which the new life also starts and ends a run.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -256,7 +256,7 @@
 		worker->has_reported = false;
 		worker->acked_end = 0;
 		worker->acked_end_sent = 0;
-		worker->last_listed_end = 0;
+		worker->last_listed_end = worker->first_listed_end = 0;
 		worker->renewal_not_before = 0;
 		g_queue_clear_full(worker->pending_acks, g_free);
 	}
--- a/core_fleet.h
+++ b/core_fleet.h
@@ -187,7 +187,10 @@
 typedef struct gh_worker_renewal {
 	const char *worker;
 	const char *address;
-	/* ends of runs up to this number are committed and may be forgotten */
+	/*
+	 * Ends of runs up to this number are committed and may be forgotten;
+	 * 0: the worker's last report lists none that is.
+	 */
 	uint64_t acked_end;
 	/*
 	 * the worker may wait this long for the end of a run before it replies
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -60,6 +60,7 @@
 			       gh_order_reply_t reply, gh_time_t now);
 static bool renewal_is_due(gh_fleet_t *fleet, uint32_t handle, int64_t *wait_ms,
 			   gh_time_t now);
+static bool ack_is_due(const fleet_worker_t *worker);
 static uint32_t find_run(const gh_fleet_t *fleet, const gh_task_id_t *id,
 			 uint32_t number, uint32_t worker, uint32_t *job);
 
@@ -83,6 +84,7 @@
 	worker->last_report_at = now;
 	fleet->report_number++;
 	worker->has_unknown_run = false;
+	worker->first_listed_end = report->n_ends ? report->ends[0].number : 0;
 	for (i = 0; i < report->n_ends; i++)
 		record_end(fleet, handle, &report->ends[i], now);
 	for (i = 0; i < report->n_runs; i++)
@@ -229,13 +231,14 @@
 		if (!renewal_is_due(fleet, handle, &wait_ms, now))
 			continue;
 		worker->renewal_pending = true;
-		worker->acked_end_sent = worker->acked_end;
 		*renewal = (gh_worker_renewal_t){
 			.worker = worker->entry.id,
 			.address = worker->entry.address,
-			.acked_end = worker->acked_end,
 			.max_wait_ms = wait_ms,
 		};
+		if (ack_is_due(worker))
+			renewal->acked_end = worker->acked_end_sent =
+				worker->acked_end;
 		/*
 		 * The lease of an unreachable worker is not extended, so that
 		 * it can expire.
@@ -264,13 +267,26 @@
 	if (worker->last_listed_end > worker->acked_end)
 		return report_is_old;
 	if (!worker->n_runs && !worker->has_unknown_run)
-		return worker->acked_end > worker->acked_end_sent;
+		return ack_is_due(worker) &&
+		       (worker->acked_end > worker->acked_end_sent ||
+			report_is_old);
 	*wait_ms = worker->n_long_running && worker->n_best_effort ?
 			   RENEWAL_WAIT_PACED_MAX_MS :
 			   RENEWAL_WAIT_MAX_MS;
 	return true;
 }
 
+/*
+ * Whether the worker is to forget ends.  It may have restarted since its last
+ * report, with the numbering of ends begun anew, so nothing is acknowledged but
+ * what that report lists.
+ */
+static bool ack_is_due(const fleet_worker_t *worker)
+{
+	return !worker->unreachable_since && worker->first_listed_end &&
+	       worker->first_listed_end <= worker->acked_end;
+}
+
 static void record_end(gh_fleet_t *fleet, uint32_t handle,
 		       const gh_report_end_t *end, gh_time_t now)
 {
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -203,6 +203,8 @@
 	uint64_t acked_end; /* ends of runs up to this number are committed */
 	/* Highest number of an end of a run that the worker has reported. */
 	uint64_t last_listed_end;
+	/* Lowest number of an end in the worker's last report; 0: none. */
+	uint64_t first_listed_end;
 	/*
 	 * Ends of runs not yet acknowledged to the worker: fleet_ack_t, by end
 	 * number.
