test_core_fleet_late: the lease of a worker after a restart

A worker shortens a deadline that is too far ahead to the longest lease that it accepts, and a lease is never shortened (PROTOCOL.md). A deadline on the clock of its former life is such a one when the new life's clock starts anew.

--- a/regress/fleet_world.h
+++ b/regress/fleet_world.h
@@ -10,6 +10,7 @@
 
 #define MS GH_USEC_PER_MSEC
 #define LEASE_MS 4000
+#define LEASE_MAX_MS 7000
 #define ORPHAN_MS 9000
 #define STOP_MS 500
 #define STEP_USEC (10 * MS)
--- a/regress/test_core_fleet_late.c
+++ b/regress/test_core_fleet_late.c
@@ -195,11 +195,80 @@
 	}
 }
 
+/* How the owner hears of a worker's restart before the worker is cut off. */
+typedef struct lease_case {
+	const char *name;
+	bool restarts;
+	bool from_discovery;
+	int64_t lease_ms; /* longest lease that the worker can hold */
+} lease_case_t;
+
+static const lease_case_t leases[] = {
+	{ .name = "no restart", .lease_ms = LEASE_MS },
+	{ .name = "restart in a report",
+	  .restarts = true,
+	  .lease_ms = LEASE_MAX_MS },
+	{ .name = "restart in discovery",
+	  .restarts = true,
+	  .from_discovery = true,
+	  .lease_ms = LEASE_MAX_MS },
+};
+
+/*
+ * A deadline on the clock of a worker's former incarnation can lie far ahead on
+ * the clock of the new one, which then holds the longest lease that it accepts.
+ * The runs that it starts afterwards have this lease.
+ */
+static void test_lease_of_new_life(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(leases); i++) {
+		const lease_case_t *c = &leases[i];
+		gh_worker_entry_t entry = {
+			.id = "w1",
+			.service = "svc",
+			.address = "127.0.0.1:1",
+			.size = { .cores_milli = 1000, .memory_mb = 100000 },
+			.incarnation_start_ms = 2,
+		};
+		size_t n_starts = c->restarts ? 2 : 1;
+		scripted_worker_t *worker;
+		gh_time_t restarted_at;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		world_init(&w);
+		worker = add_worker(&w, "w1", 1000);
+		add_job(&w, JOB, 1, &long_running_step, NULL);
+		advance_time(&w, 1000);
+		restarted_at = w.now;
+		if (c->restarts)
+			restart_worker(worker);
+		if (c->from_discovery)
+			gh_fleet_worker_set(w.fleet, &entry, w.now);
+		advance_time(&w, 300);
+		assert_int_equal(count_orders(&w, GH_ORDER_START, 0), n_starts);
+		assert_int_equal(worker->n_runs, 1);
+		add_worker(&w, "w2", 1000);
+		worker->unreachable = true;
+		while (count_orders(&w, GH_ORDER_START, 0) == n_starts &&
+		       w.now - restarted_at < 20000 * MS)
+			advance_time(&w, 10);
+		assert_in_range(w.now - restarted_at,
+				c->lease_ms * 51 / 50 * MS,
+				(c->lease_ms * 103 / 100 + 900) * MS);
+		world_clear(&w);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_refused_after_silence),
 		cmocka_unit_test(test_ends_of_new_life),
+		cmocka_unit_test(test_lease_of_new_life),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
