core_fleet: count with the longest lease after a worker's restart

Callers saw a task run on two workers at the same time: a worker restarted under the same id, took up new runs and was then cut off; the owner started them elsewhere while they still ran.

Cause: until the new life's first report, deadlines are converted with the clock reading of the former one.

When the owner hears of a restart, in a report or from discovery, it now counts the worker's lease as the longest from then on, unless the former life's lease had ended, so that no deadline can be on its way.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -18,6 +18,7 @@
 static void init_tasks(fleet_job_t *job);
 static void handle_worker_restart(gh_fleet_t *fleet, uint32_t handle,
 				  gh_time_t now);
+static gh_time_t lease_end(gh_time_t from, int64_t lease_ms);
 static uint32_t alloc_entry(GArray *table, GArray *free_entries);
 static void link_run(gh_fleet_t *fleet, uint32_t handle);
 static void unlink_run(gh_fleet_t *fleet, uint32_t handle);
@@ -253,6 +254,15 @@
 		return;
 	if (worker->entry.incarnation_start_ms) {
 		handle_worker_restart(fleet, handle, now);
+		/*
+		 * A deadline that was meant for the previous incarnation can be
+		 * far in the future of the new one's clock; it then counts as
+		 * the longest lease that the worker accepts.
+		 */
+		if (worker->latest_lease_end > now)
+			worker->latest_lease_end =
+				MAX(worker->latest_lease_end,
+				    lease_end(now, fleet->setup.lease_max_ms));
 		worker->has_reported = false;
 		worker->acked_end = 0;
 		worker->acked_end_sent = 0;
@@ -667,12 +677,17 @@
 gh_time_t fleet_lease_extend(gh_fleet_t *fleet, fleet_worker_t *worker,
 			     gh_time_t now)
 {
-	gh_time_t lease = gh_time_from_ms(fleet->setup.lease_ms);
-	gh_time_t latest_end =
-		now + lease + lease / LEASE_DRIFT_DIVISOR + LEASE_MARGIN_USEC;
+	worker->latest_lease_end = MAX(worker->latest_lease_end,
+				       lease_end(now, fleet->setup.lease_ms));
+	return now + gh_time_from_ms(fleet->setup.lease_ms);
+}
+
+/* Latest time at which a lease that was granted at the time from can end. */
+static gh_time_t lease_end(gh_time_t from, int64_t lease_ms)
+{
+	gh_time_t lease = gh_time_from_ms(lease_ms);
 
-	worker->latest_lease_end = MAX(worker->latest_lease_end, latest_end);
-	return now + lease;
+	return from + lease + lease / LEASE_DRIFT_DIVISOR + LEASE_MARGIN_USEC;
 }
 
 /* Lookups by handle, id and name. */
--- a/core_fleet.h
+++ b/core_fleet.h
@@ -31,6 +31,8 @@
 typedef struct gh_fleet_setup {
 	/* Length of the lease that each renewal and start order grants. */
 	int64_t lease_ms;
+	/* Longest lease that a worker accepts. */
+	int64_t lease_max_ms;
 	/* max time for which a run started by a previous owner may live */
 	int64_t orphan_ms;
 	int64_t stop_ms; /* max time that a worker takes to stop a task */
--- a/fleet_main.c
+++ b/fleet_main.c
@@ -106,6 +106,7 @@
 			settings->store_writes_per_s),
 		.fleet = { .lease_ms = MIN(settings->lease_ms,
 					   settings->lease_max_ms),
+			   .lease_max_ms = settings->lease_max_ms,
 			   .orphan_ms = ORPHAN_MS,
 			   .stop_ms = settings->stop_ms },
 		.ended_retention_ms = settings->ended_retention_s * 1000LL,
--- a/regress/fleet_world.c
+++ b/regress/fleet_world.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 static const gh_fleet_setup_t setup = { .lease_ms = LEASE_MS,
+					.lease_max_ms = LEASE_MAX_MS,
 					.orphan_ms = ORPHAN_MS,
 					.stop_ms = STOP_MS };
 
