--- a/core_fleet.c
+++ b/core_fleet.c
@@ -654,6 +654,8 @@
 		order->run = run->run_number;
 		order->worker = worker->entry.id;
 		order->address = worker->entry.address;
+		order->incarnation_start_ms =
+			worker->entry.incarnation_start_ms;
 		return true;
 	}
 	return false;
--- a/core_fleet.h
+++ b/core_fleet.h
@@ -114,6 +114,8 @@
 	gh_order_kind_t kind;
 	const char *worker;
 	const char *address;
+	/* start of the worker's present incarnation; 0: unknown */
+	int64_t incarnation_start_ms;
 	gh_task_id_t task;
 	uint32_t run; /* number of the run within its task */
 	/* For PACE: percentage of its declared cores that the task may use. */
@@ -189,6 +191,8 @@
 typedef struct gh_worker_renewal {
 	const char *worker;
 	const char *address;
+	/* start of the worker's present incarnation; 0: unknown */
+	int64_t incarnation_start_ms;
 	/*
 	 * Ends of runs up to this number are committed and may be forgotten;
 	 * 0: the worker's last report lists none that is.
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -234,6 +234,8 @@
 		*renewal = (gh_worker_renewal_t){
 			.worker = worker->entry.id,
 			.address = worker->entry.address,
+			.incarnation_start_ms =
+				worker->entry.incarnation_start_ms,
 			.max_wait_ms = wait_ms,
 		};
 		if (ack_is_due(worker))
