--- a/regress/test_platform_clock.c
+++ b/regress/test_platform_clock.c
@@ -75,10 +75,61 @@
 	}
 }
 
+/* How long ago the worker's clock was read, and how slow it is. */
+typedef struct drift_case {
+	int64_t age_ms;
+	int64_t slow_percent;
+} drift_case_t;
+
+static const drift_case_t drifts[] = {
+	{ .age_ms = 0, .slow_percent = 0 },
+	{ .age_ms = 0, .slow_percent = 2 },
+	{ .age_ms = 20000, .slow_percent = 0 },
+	{ .age_ms = 20000, .slow_percent = 2 },
+	{ .age_ms = 90000, .slow_percent = 2 },
+	{ .age_ms = 3600000, .slow_percent = 2 },
+};
+
+/*
+ * However old the reading, the lease of a slow worker is over when the owner
+ * counts it as over: 3 % after its deadline.
+ */
+static void test_old_reading(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(drifts); i++) {
+		const drift_case_t *c = &drifts[i];
+		platform_clocks_t *clocks = platform_clocks_new();
+		gh_time_t read_at = 1000 * GH_USEC_PER_SEC;
+		gh_time_t now = read_at + gh_time_from_ms(c->age_ms);
+		int64_t clock_ms =
+			60000 + c->age_ms * (100 - c->slow_percent) / 100;
+		int64_t lease_ms;
+
+		platform_clocks_set(clocks, "w1", 7, 60000, read_at);
+		/* The lease by the worker's clock, and in local time. */
+		lease_ms = platform_clocks_deadline(
+				   clocks, "w1", 7,
+				   now + gh_time_from_ms(LEASE_MS), now) -
+			   clock_ms;
+		lease_ms = lease_ms * 100 / (100 - c->slow_percent);
+		print_message("read %d ms ago, %d %% slow: lease of %d ms\n",
+			      (int)c->age_ms, (int)c->slow_percent,
+			      (int)lease_ms);
+		assert_true(lease_ms <= LEASE_MS * 103 / 100);
+		if (c->age_ms <= 20000)
+			assert_true(lease_ms >= LEASE_MS * 9 / 10);
+		platform_clocks_free(clocks);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_life),
+		cmocka_unit_test(test_old_reading),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
