platform_clock: count with a slow clock since the last reading

Callers saw a task run on two workers at the same time when an idle worker whose clock is slow took up a run and was cut off at once.

Cause: a worker without runs is not polled, so the reading of its clock gets old, and 2 % of that age was added to the lease of its next start: 5.0 s after 20 s, 6.3 s after 90 s, while the owner counts with 4.84 s.

A deadline is now taken from the least that the clock can show, so a lease never outlasts what the owner counts with; on an exact clock the first lease after 20 s is 4.1 s, and the next renewal extends it. Replies to orders refresh the reading, as they all have clock_ms, also the one that refuses a start as late after more than about 225 s without a reply; a reading that is further ahead than the same clock can be is dropped, as orders' replies do not name the incarnation.

New: test_reading_of_order, test_clock.

--- a/regress/test_platform_clock.c
+++ b/regress/test_platform_clock.c
@@ -4,6 +4,7 @@
  */
 #include <setjmp.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -125,11 +126,64 @@
 	}
 }
 
+/* A reading of 60 s, and one from a reply to an order some time later. */
+typedef struct update_case {
+	const char *name;
+	int64_t age_ms;	  /* time between the two readings */
+	int64_t clock_ms; /* the second reading */
+	bool used;
+} update_case_t;
+
+static const update_case_t updates[] = {
+	{ .name = "as expected",
+	  .age_ms = 10000,
+	  .clock_ms = 70000,
+	  .used = true },
+	{ .name = "slow", .age_ms = 10000, .clock_ms = 69800, .used = true },
+	{ .name = "a faster reply",
+	  .age_ms = 10000,
+	  .clock_ms = 70090,
+	  .used = true },
+	{ .name = "a new life", .age_ms = 500, .clock_ms = 40, .used = true },
+	{ .name = "a former life", .age_ms = 500, .clock_ms = 99000 },
+	{ .name = "an hour later",
+	  .age_ms = 3600000,
+	  .clock_ms = 60000 + 3600000,
+	  .used = true },
+};
+
+static void test_reading_of_order(void **state)
+{
+	gh_time_t read_at = 1000 * GH_USEC_PER_SEC;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(updates); i++) {
+		const update_case_t *c = &updates[i];
+		gh_time_t now = read_at + gh_time_from_ms(c->age_ms);
+		platform_clocks_t *clocks = platform_clocks_new();
+		int64_t expected = c->used ? c->clock_ms :
+					     60000 + c->age_ms - c->age_ms / 50;
+
+		print_message("%s\n", c->name);
+		platform_clocks_update(clocks, "w1", 5, read_at);
+		assert_int_equal(
+			platform_clocks_deadline(clocks, "w1", 7, now, now), 0);
+		platform_clocks_set(clocks, "w1", 7, 60000, read_at);
+		platform_clocks_update(clocks, "w1", c->clock_ms, now);
+		assert_int_equal(
+			platform_clocks_deadline(clocks, "w1", 7, now, now),
+			expected);
+		platform_clocks_free(clocks);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_life),
 		cmocka_unit_test(test_old_reading),
+		cmocka_unit_test(test_reading_of_order),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/regress/test_platform_decode.c
+++ b/regress/test_platform_decode.c
@@ -43,6 +43,40 @@
 	{ .text = "" },
 };
 
+typedef struct clock_case {
+	const char *body;
+	int64_t clock_ms;
+	bool ok;
+} clock_case_t;
+
+static const clock_case_t clock_cases[] = {
+	{ .body = "{\"clock_ms\":482113}", .clock_ms = 482113, .ok = true },
+	{ .body = "{\"clock_ms\":482113,\"reason\":\"late\"}",
+	  .clock_ms = 482113,
+	  .ok = true },
+	{ .body = "{\"clock_ms\":\"482113\"}" },
+	{ .body = "{\"reason\":\"late\"}" },
+	{ .body = "[]" },
+	{ .body = "{\"clock_ms\":4" },
+	{ .body = "" },
+};
+
+static void test_clock(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(clock_cases); i++) {
+		const clock_case_t *c = &clock_cases[i];
+		int64_t clock_ms;
+
+		if (platform_parse_clock(c->body, strlen(c->body), &clock_ms) !=
+		    c->ok)
+			fail_msg("case %zu: %s", i, c->body);
+		assert_int_equal(clock_ms, c->clock_ms);
+	}
+}
+
 static void test_worker(void **state)
 {
 	size_t i;
@@ -207,9 +241,8 @@
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_worker),
-		cmocka_unit_test(test_pipeline),
-		cmocka_unit_test(test_config),
+		cmocka_unit_test(test_worker),	 cmocka_unit_test(test_clock),
+		cmocka_unit_test(test_pipeline), cmocka_unit_test(test_config),
 		cmocka_unit_test(test_settings),
 	};
 
