test_core_fleet_late: a late reply by another incarnation to an order

Fails for both orders of the former life: two runs that go on count as lost and start a second time elsewhere.

--- a/regress/test_core_fleet_late.c
+++ b/regress/test_core_fleet_late.c
@@ -263,12 +263,80 @@
 	}
 }
 
+/* The run to which another worker at the former address refuses an order. */
+typedef struct other_case {
+	const char *name;
+	gh_order_kind_t kind;
+	uint32_t run;
+	uint32_t lost; /* expected lost runs */
+} other_case_t;
+
+static const other_case_t others[] = {
+	{ .name = "start of the former life's run",
+	  .kind = GH_ORDER_START,
+	  .run = 1 },
+	{ .name = "stop of the former life's run",
+	  .kind = GH_ORDER_STOP,
+	  .run = 1 },
+	{ .name = "pace of the present run",
+	  .kind = GH_ORDER_PACE,
+	  .run = 2,
+	  .lost = 1 },
+};
+
+/*
+ * A worker moves to another address as it restarts, and its former address gets
+ * another worker, which refuses an order for the former life.  The runs of the
+ * new life go on.
+ */
+static void test_other_incarnation(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(others); i++) {
+		const other_case_t *c = &others[i];
+		gh_worker_entry_t entry = {
+			.id = "w1",
+			.service = "svc",
+			.address = "127.0.0.1:2",
+			.size = { .cores_milli = 4000, .memory_mb = 100000 },
+			.incarnation_start_ms = 2,
+		};
+		gh_step_t step = long_running_step;
+		gh_fleet_counts_t before, after;
+		scripted_worker_t *worker;
+		gh_task_id_t task;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		step.tasks = 2;
+		world_init(&w);
+		worker = add_worker(&w, "w1", 4000);
+		add_job(&w, JOB, 1, &step, NULL);
+		advance_time(&w, 300);
+		task = worker->runs[0].task;
+		restart_worker(worker);
+		gh_fleet_worker_set(w.fleet, &entry, w.now);
+		advance_time(&w, 1500);
+		assert_int_equal(worker->n_runs, 2);
+		assert_int_equal(worker->runs[0].run, 2);
+		gh_fleet_counts(w.fleet, &before);
+		gh_fleet_handle_reply(w.fleet, c->kind, "w1", &task, c->run,
+				      GH_ORDER_OTHER_INCARNATION, w.now);
+		gh_fleet_counts(w.fleet, &after);
+		assert_int_equal(after.lost - before.lost, c->lost);
+		world_clear(&w);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_refused_after_silence),
 		cmocka_unit_test(test_ends_of_new_life),
 		cmocka_unit_test(test_lease_of_new_life),
+		cmocka_unit_test(test_other_incarnation),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
