core_fleet: a reply by another incarnation ends only the order's run

Callers saw tasks run on two workers at the same time after a worker moved to another address as it restarted.

Cause: any order's reply that another incarnation is at the address ended all runs of the worker as lost, also when the order had been sent to the former address and the worker had new runs at its present one.

Such a reply now ends the run that the order was for. That run is over: all its orders went to the one address. The other runs end by the same reply to their own orders or to a lease renewal, of which only one is under way at a time, so that a late one can't be about a life that has reported.

--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -140,14 +140,17 @@
 	}
 	if (worker == GH_NONE)
 		return;
-	if (reply == GH_ORDER_OTHER_INCARNATION) {
-		fleet_worker_end_runs(fleet, worker,
-				      "another incarnation replied", now);
-		return;
-	}
 	ref = find_run(fleet, task, number, worker, &job);
 	if (ref == GH_NONE)
 		return;
+	if (reply == GH_ORDER_OTHER_INCARNATION) {
+		/*
+		 * The order may have been sent before the worker restarted, so
+		 * the reply is evidence for this run only.
+		 */
+		fleet_run_end(fleet, ref, GH_RUN_LOST, NULL, now);
+		return;
+	}
 	run = fleet_run(fleet, ref);
 	if (kind == GH_ORDER_START && run->state == RUN_STARTING) {
 		handle_start_reply(fleet, ref, reply, now);
