test_core_fleet_late: a discovery entry without the incarnation's start

Fails for that case: the end of the task is ignored, as its number is one that the former life has used, and the task starts again.

--- a/regress/test_core_fleet_late.c
+++ b/regress/test_core_fleet_late.c
@@ -330,6 +330,62 @@
 	}
 }
 
+/* An entry of the worker in discovery that is read before it restarts. */
+typedef struct entry_case {
+	const char *name;
+	bool read; /* such an entry is read */
+	int64_t incarnation_start_ms;
+} entry_case_t;
+
+static const entry_case_t entries[] = {
+	{ .name = "none" },
+	{ .name = "complete", .read = true, .incarnation_start_ms = 1 },
+	{ .name = "without the start", .read = true },
+};
+
+/*
+ * A worker's entry without the start of the incarnation, as another writer may
+ * leave it, does not hide the worker's next restart, with which the numbers of
+ * ends start anew.
+ */
+static void test_entry_without_start(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(entries); i++) {
+		const entry_case_t *c = &entries[i];
+		gh_worker_entry_t entry = {
+			.id = "w1",
+			.service = "svc",
+			.address = "127.0.0.1:1",
+			.size = { .cores_milli = 4000, .memory_mb = 100000 },
+			.incarnation_start_ms = c->incarnation_start_ms,
+		};
+		scripted_worker_t *worker;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		world_init(&w);
+		worker = add_worker(&w, "w1", 4000);
+		advance_time(&w, 100);
+		complete_job(&w, "00000000000000b0", 3);
+		if (c->read)
+			gh_fleet_worker_set(w.fleet, &entry, w.now);
+		restart_worker(worker);
+		w.n_orders = 0;
+		add_job(&w, JOB, 1, &one_task, NULL);
+		advance_time(&w, 300);
+		assert_int_equal(worker->n_runs, 1);
+		end_run(worker, 0, GH_RUN_DONE);
+		advance_time(&w, 2000);
+		assert_int_equal(count_orders(&w, GH_ORDER_START, 0), 1);
+		assert_int_equal(w.phase, GH_JOB_COMPLETED);
+		assert_int_equal(worker->n_ends, 0);
+		world_clear(&w);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -337,6 +393,7 @@
 		cmocka_unit_test(test_ends_of_new_life),
 		cmocka_unit_test(test_lease_of_new_life),
 		cmocka_unit_test(test_other_incarnation),
+		cmocka_unit_test(test_entry_without_start),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
