core_fleet: keep the known incarnation over an entry without one

Callers saw a task run again after it was done, once a worker's entry in discovery had been without the start of its incarnation ("born"), which an entry by another writer may be.

Cause: the entry replaced the known start by 0, and the next one that was heard of counted as the first, not as a restart. So the numbers of ends went on from the former life's: the new life's ends were taken for known ones and their runs, being in no list, for lost.

An entry without a start now leaves the known one in place.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -144,6 +144,7 @@
 {
 	uint32_t handle = fleet_worker_find(fleet, entry->id);
 	fleet_worker_t *worker;
+	int64_t start_ms;
 	bool was_draining;
 
 	if (handle == GH_NONE)
@@ -156,7 +157,11 @@
 	if (!worker->listed)
 		fleet_emit_event(fleet, "worker_listed", NULL, 0, handle,
 				 entry->address);
+	/* An entry that does not name the incarnation is no news of it. */
+	start_ms = worker->entry.incarnation_start_ms;
 	worker->entry = *entry;
+	if (!entry->incarnation_start_ms)
+		worker->entry.incarnation_start_ms = start_ms;
 	worker->listed = true;
 	set_rack(worker);
 	if (entry->draining && !was_draining)
