test_core_fleet_late: a report overtaken by the news of a restart

Fails for the report of the former life: the fleet takes it for another restart and places a run by it.

--- a/regress/test_core_fleet_late.c
+++ b/regress/test_core_fleet_late.c
@@ -386,6 +386,79 @@
 	}
 }
 
+/* A report that arrives after discovery has told of the worker's restart. */
+typedef struct overtaken_case {
+	const char *name;
+	int64_t incarnation_start_ms; /* of the report */
+	bool requested_before;	      /* before the restart was known */
+	bool placed; /* a task is placed on the worker at once */
+} overtaken_case_t;
+
+static const overtaken_case_t overtaken[] = {
+	{ .name = "of the former life",
+	  .incarnation_start_ms = 1,
+	  .requested_before = true },
+	{ .name = "of the new life, requested before",
+	  .incarnation_start_ms = 2,
+	  .requested_before = true,
+	  .placed = true },
+	{ .name = "of the new life",
+	  .incarnation_start_ms = 2,
+	  .placed = true },
+	{ .name = "of a still newer life",
+	  .incarnation_start_ms = 3,
+	  .placed = true },
+	{ .name = "of a still newer life whose clock was set back",
+	  .incarnation_start_ms = 1,
+	  .placed = true },
+};
+
+/*
+ * A report of a worker's former life that arrives after its restart is known is
+ * not used: no run is placed by it, with a deadline on a clock that has ended.
+ */
+static void test_overtaken_report(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(overtaken); i++) {
+		const overtaken_case_t *c = &overtaken[i];
+		gh_worker_entry_t entry = {
+			.id = "w1",
+			.service = "svc",
+			.address = "127.0.0.1:1",
+			.size = { .cores_milli = 4000, .memory_mb = 100000 },
+			.incarnation_start_ms = 2,
+		};
+		gh_worker_report_t report = { .complete = true };
+		gh_worker_renewal_t renewal;
+		gh_fleet_counts_t counts;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		world_init(&w);
+		add_worker(&w, "w1", 4000);
+		assert_true(gh_fleet_next_renewal(w.fleet, &renewal, w.now));
+		report.incarnation_start_ms = c->incarnation_start_ms;
+		report.requested_at =
+			w.now + (c->requested_before ? 0 : 20 * MS);
+		w.now += 10 * MS;
+		gh_fleet_worker_set(w.fleet, &entry, w.now);
+		w.now += 20 * MS;
+		gh_fleet_handle_report(w.fleet, "w1", &report, w.now);
+		add_job(&w, JOB, 1, &one_task, NULL);
+		gh_fleet_tick(w.fleet, w.now, w.wall_ms);
+		gh_fleet_counts(w.fleet, &counts);
+		assert_int_equal(counts.open_runs, c->placed);
+		/* The next report is asked for at once, of the new life. */
+		assert_true(gh_fleet_next_renewal(w.fleet, &renewal, w.now));
+		assert_int_equal(renewal.incarnation_start_ms,
+				 c->placed ? c->incarnation_start_ms : 2);
+		world_clear(&w);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -394,6 +467,7 @@
 		cmocka_unit_test(test_lease_of_new_life),
 		cmocka_unit_test(test_other_incarnation),
 		cmocka_unit_test(test_entry_without_start),
+		cmocka_unit_test(test_overtaken_report),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
