core_fleet: drop a report that the news of a restart has overtaken

Callers could see a task run on two workers at the same time: runs were placed on a restarted worker by a report of its former life, with deadlines on the former life's clock, which the new one takes for its longest lease.

Cause: a report that named another incarnation than the known one was always taken for a new restart, also when it had been requested before discovery told of the known one.

Such a report is now dropped and the next one asked for. The time of the request tells it, not the order of the starts, so a worker whose wall clock was set back is still heard with its next report.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -259,6 +259,7 @@
 		return;
 	if (worker->entry.incarnation_start_ms) {
 		handle_worker_restart(fleet, handle, now);
+		worker->restart_known_at = now;
 		/*
 		 * A deadline that was meant for the previous incarnation can be
 		 * far in the future of the new one's clock; it then counts as
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -48,6 +48,8 @@
  */
 #define RENEWAL_WAIT_PACED_MAX_MS 250
 
+static bool is_of_former_life(const fleet_worker_t *worker,
+			      const gh_worker_report_t *report);
 static void record_listed_run(gh_fleet_t *fleet, uint32_t handle,
 			      const gh_report_run_t *listed, gh_time_t now);
 static void record_end(gh_fleet_t *fleet, uint32_t handle,
@@ -73,6 +75,11 @@
 
 	if (handle == GH_NONE)
 		return;
+	if (is_of_former_life(fleet_worker(fleet, handle), report)) {
+		fleet_worker(fleet, handle)->renewal_pending = false;
+		fleet_worker_free_if_unused(fleet, handle);
+		return;
+	}
 	fleet_worker_set_incarnation(fleet, handle,
 				     report->incarnation_start_ms, now);
 	worker = fleet_worker(fleet, handle);
@@ -96,6 +103,20 @@
 	fleet_worker_free_if_unused(fleet, handle);
 }
 
+/*
+ * Whether the report was overtaken by the news that the worker has restarted.
+ * The time of the request tells it, not the order of the starts, as a worker's
+ * wall clock may be set back.
+ */
+static bool is_of_former_life(const fleet_worker_t *worker,
+			      const gh_worker_report_t *report)
+{
+	return report->incarnation_start_ms &&
+	       report->incarnation_start_ms !=
+		       worker->entry.incarnation_start_ms &&
+	       report->requested_at < worker->restart_known_at;
+}
+
 void gh_fleet_handle_renewal_failure(gh_fleet_t *fleet, const char *id,
 				     gh_order_reply_t why, gh_time_t now)
 {
