test_core_fleet_late: the stop of a run of an unlisted worker

Fails for all cases of a worker that is no longer listed: the order is dropped, or goes to the next worker that is added.

--- a/regress/test_core_fleet_late.c
+++ b/regress/test_core_fleet_late.c
@@ -459,6 +459,61 @@
 	}
 }
 
+/* A worker that reports an unknown run, and what happens before its stop. */
+typedef struct unknown_case {
+	const char *name;
+	bool unlisted;		/* discovery no longer lists the worker */
+	const char *new_worker; /* id of a worker that is added; NULL: none */
+} unknown_case_t;
+
+static const unknown_case_t unknowns[] = {
+	{ .name = "nothing" },
+	{ .name = "another worker", .new_worker = "w2" },
+	{ .name = "unlisted", .unlisted = true },
+	{ .name = "unlisted, and another in its place",
+	  .unlisted = true,
+	  .new_worker = "w2" },
+	{ .name = "unlisted and listed again",
+	  .unlisted = true,
+	  .new_worker = "w1" },
+};
+
+/* A stop of an unknown run goes to the worker that reported the run. */
+static void test_stop_of_unknown_run(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(unknowns); i++) {
+		const unknown_case_t *c = &unknowns[i];
+		gh_report_run_t run = { .task = { .job = "00000000000000ff" },
+					.run = 1 };
+		gh_worker_report_t report = { .incarnation_start_ms = 1,
+					      .complete = true,
+					      .runs = &run,
+					      .n_runs = 1 };
+		gh_worker_renewal_t renewal;
+		gh_order_t order;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		world_init(&w);
+		add_worker(&w, "w1", 4000);
+		assert_true(gh_fleet_next_renewal(w.fleet, &renewal, w.now));
+		if (c->unlisted)
+			gh_fleet_worker_unlist(w.fleet, "w1");
+		gh_fleet_handle_report(w.fleet, "w1", &report, w.now);
+		if (c->new_worker)
+			add_worker(&w, c->new_worker, 4000);
+		assert_true(gh_fleet_next_order(w.fleet, &order, w.now));
+		assert_int_equal(order.kind, GH_ORDER_STOP);
+		assert_string_equal(order.worker, "w1");
+		assert_string_equal(order.address, "127.0.0.1:1");
+		assert_false(gh_fleet_next_order(w.fleet, &order, w.now));
+		world_clear(&w);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -468,6 +523,7 @@
 		cmocka_unit_test(test_other_incarnation),
 		cmocka_unit_test(test_entry_without_start),
 		cmocka_unit_test(test_overtaken_report),
+		cmocka_unit_test(test_stop_of_unknown_run),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
