core_fleet: send the stop of an unknown run to the worker that listed it

A run that belongs to no job record, such as one of an ended job or one that counts as lost, ran on if its worker left discovery, and the order to stop it could go to another worker.

Cause: the queued order held the worker's entry in the fleet's table. An unlisted worker without known runs is freed as soon as its report is handled, before the order is sent, and its entry goes to the next worker.

The order now holds the worker's id and address.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -605,8 +605,7 @@
 	fleet_run_t *run = fleet_run(fleet, handle);
 	queued_order_t queued = { .kind = kind,
 				  .run = handle,
-				  .run_number = run->run_number,
-				  .worker = GH_NONE };
+				  .run_number = run->run_number };
 
 	run->retry_at = GH_TIME_NEVER;
 	g_queue_push_tail(fleet->orders, g_memdup2(&queued, sizeof(queued)));
@@ -625,13 +624,11 @@
 		g_free(next);
 		*order = (gh_order_t){ .kind = queued.kind };
 		if (queued.run == GH_NONE) {
-			worker = fleet_worker(fleet, queued.worker);
-			if (!worker->in_use)
-				continue;
+			fleet->last_order = queued;
 			order->task = queued.task;
 			order->run = queued.run_number;
-			order->worker = worker->entry.id;
-			order->address = worker->entry.address;
+			order->worker = fleet->last_order.worker;
+			order->address = fleet->last_order.address;
 			return true;
 		}
 		run = fleet_run(fleet, queued.run);
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -417,13 +417,17 @@
 static void stop_unknown_run(gh_fleet_t *fleet, uint32_t handle,
 			     const gh_report_run_t *listed)
 {
+	fleet_worker_t *worker = fleet_worker(fleet, handle);
 	queued_order_t queued = { .kind = GH_ORDER_STOP,
 				  .run = GH_NONE,
 				  .run_number = listed->run,
-				  .worker = handle,
 				  .task = listed->task };
 
-	fleet_worker(fleet, handle)->has_unknown_run = true;
+	/* The worker may be freed before the order is sent. */
+	g_strlcpy(queued.worker, worker->entry.id, sizeof(queued.worker));
+	g_strlcpy(queued.address, worker->entry.address,
+		  sizeof(queued.address));
+	worker->has_unknown_run = true;
 	fleet_emit_event(fleet, "run_unknown", &listed->task, listed->run,
 			 handle, NULL);
 	g_queue_push_tail(fleet->orders, g_memdup2(&queued, sizeof(queued)));
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -256,6 +256,21 @@
 	double run_time_ratio;
 } fleet_worker_t;
 
+/*
+ * An order to be sent to a worker; it is dropped if the state of its run has
+ * changed so that it no longer applies.
+ */
+typedef struct queued_order {
+	gh_order_kind_t kind;
+	/* Handle; GH_NONE: a stop of a run that belongs to no job here. */
+	uint32_t run;
+	uint32_t run_number;
+	/* Members from here to task are set only if run is GH_NONE. */
+	char worker[GH_WORKER_ID_MAX + 1];
+	char address[GH_ADDRESS_MAX + 1];
+	gh_task_id_t task;
+} queued_order_t;
+
 struct gh_fleet {
 	gh_fleet_setup_t setup;
 	gh_fleet_sink_t sink;
@@ -270,6 +285,8 @@
 	GQueue *changes;	  /* handles + 1 of jobs to be committed */
 	/* orders to be sent to workers: queued_order_t */
 	GQueue *orders;
+	/* The last order taken from the queue, for the strings in it. */
+	queued_order_t last_order;
 	gh_interference_t *interference;
 	gh_load_periods_t *load_periods; /* shared by all load forecasts */
 	gh_time_t created_at;
@@ -284,20 +301,6 @@
 	gh_fleet_counts_t counts;
 };
 
-/*
- * An order to be sent to a worker; it is dropped if the state of its run has
- * changed so that it no longer applies.
- */
-typedef struct queued_order {
-	gh_order_kind_t kind;
-	/* Handle; GH_NONE: a stop of a run that belongs to no job here. */
-	uint32_t run;
-	uint32_t run_number;
-	/* Handle, set only to stop a run that is unknown here; else GH_NONE. */
-	uint32_t worker;
-	gh_task_id_t task;
-} queued_order_t;
-
 /* Worker by handle; the pointer is invalid once the array of workers grows. */
 fleet_worker_t *fleet_worker(const gh_fleet_t *fleet, uint32_t handle);
 fleet_job_t *fleet_job(const gh_fleet_t *fleet, uint32_t handle);
