--- /dev/null
+++ b/regress/test_core_fleet_record.c
@@ -0,0 +1,154 @@
+/*
+ * Tests of the progress records that the fleet scheduler loads: a job whose
+ * record can't be parsed is kept, but none of its tasks starts.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <string.h>
+
+#include "error.h"
+#include "fleet_world.h"
+
+#define JOB "0000000000000001"
+#define N_TASKS 3
+
+typedef struct record_case {
+	const char *progress;
+	bool ok;
+} record_case_t;
+
+static const record_case_t records[] = {
+	{ .progress = "progress1\n", .ok = true },
+	{ .progress = "progress1\n0 done 0 1 -\n", .ok = true },
+	{ .progress = "progress1\n0 done 0 1 -\n1 open 2 4 a%20b 4@w1\n",
+	  .ok = true },
+	{ .progress = "progress1\n2 open 0 4 - 4@w1 3@w2\n", .ok = true },
+	{ .progress = "progress1\n0 done 65535 4294967295 -\n", .ok = true },
+	/* the format */
+	{ .progress = "" },
+	{ .progress = "progress2\n0 done 0 1 -\n" },
+	{ .progress = "0 done 0 1 -\n" },
+	{ .progress = "progress1\n0 done 0 1\n" },
+	{ .progress = "progress1\n0 done 0 1 -\nx\n" },
+	{ .progress = "progress1\n0 ended 0 1 -\n" },
+	{ .progress = "progress1\n0 done 0 1 %zz\n" },
+	/* a task twice, or one that the job does not have */
+	{ .progress = "progress1\n0 done 0 1 -\n0 done 0 1 -\n" },
+	{ .progress = "progress1\n0 open 0 1 - 1@w1\n0 done 0 1 -\n" },
+	{ .progress = "progress1\n3 done 0 1 -\n" },
+	/* numbers */
+	{ .progress = "progress1\n-1 done 0 1 -\n" },
+	{ .progress = "progress1\nx done 0 1 -\n" },
+	{ .progress = "progress1\n done 0 1 -\n" },
+	{ .progress = "progress1\n4294967296 done 0 1 -\n" },
+	{ .progress = "progress1\n0 done 65536 1 -\n" },
+	{ .progress = "progress1\n0 done 0 4294967296 -\n" },
+	{ .progress = "progress1\n0 done 0 0 -\n" },
+	{ .progress = "progress1\n0 done 0 1x -\n" },
+	/* runs */
+	{ .progress = "progress1\n0 open 0 1 - 1\n" },
+	{ .progress = "progress1\n0 open 0 1 - 1@\n" },
+	{ .progress = "progress1\n0 open 0 1 - @w1\n" },
+	{ .progress = "progress1\n0 open 0 1 - 2@w1\n" },
+	{ .progress = "progress1\n0 open 0 1 - 0@w1\n" },
+	{ .progress = "progress1\n0 open 0 2 - 2@w1 2@w2\n" },
+	{ .progress = "progress1\n0 open 0 3 - 1@w1 2@w2 3@w1\n" },
+	{ .progress = "progress1\n0 open 0 1 - 1@"
+		      "01234567890123456789012345678901234567890123456789012345"
+		      "67890123"
+		      "\n" },
+};
+
+static bool load_job(world_t *w, const char *progress)
+{
+	gh_step_t step = one_task;
+	GError *err = NULL;
+	bool ok;
+
+	step.tasks = N_TASKS;
+	ok = gh_fleet_job_add(w->fleet, make_job(JOB, 1, &step), progress,
+			      &err);
+	if (!ok)
+		assert_true(g_error_matches(err, GH_ERROR, GH_E_SYNTAX));
+	g_clear_error(&err);
+	return ok;
+}
+
+/*
+ * What a job with a bad record has run may be done already.  No task of it
+ * starts, what runs goes on, its ends are kept on the worker, and the stored
+ * record is not replaced.
+ */
+static void test_records(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(records); i++) {
+		const record_case_t *c = &records[i];
+		gh_report_run_t run = { .task = { .job = JOB }, .run = 1 };
+		scripted_worker_t *worker;
+		world_t w;
+
+		world_init(&w);
+		if (load_job(&w, c->progress) != c->ok)
+			fail_msg("case %zu: %s", i, c->progress);
+		if (c->ok) {
+			world_clear(&w);
+			continue;
+		}
+		worker = add_worker(&w, "w1", 8000);
+		worker->runs[worker->n_runs++] = run;
+		end_run(worker, 0, GH_RUN_DONE);
+		run.task.index = 1;
+		worker->runs[worker->n_runs++] = run;
+		advance_time(&w, 12000);
+		if (w.n_orders || w.progress || worker->n_runs != 1 ||
+		    worker->n_ends != 1)
+			fail_msg("case %zu: %s: %zu orders, %zu runs, %zu ends",
+				 i, c->progress, w.n_orders, worker->n_runs,
+				 worker->n_ends);
+		assert_true(gh_fleet_has_job(w.fleet, JOB));
+		world_clear(&w);
+	}
+}
+
+/* Such a job ends when it is cancelled; its runs are then stopped. */
+static void test_cancel_held(void **state)
+{
+	gh_report_run_t run = { .task = { .job = JOB }, .run = 1 };
+	scripted_worker_t *worker;
+	world_t w;
+
+	(void)state;
+	world_init(&w);
+	assert_false(load_job(&w, "unreadable"));
+	worker = add_worker(&w, "w1", 8000);
+	worker->runs[worker->n_runs++] = run;
+	end_run(worker, 0, GH_RUN_DONE);
+	run.task.index = 1;
+	worker->runs[worker->n_runs++] = run;
+	advance_time(&w, 1000);
+	gh_fleet_job_cancel(w.fleet, JOB, w.now);
+	advance_time(&w, 2000);
+	assert_false(gh_fleet_has_job(w.fleet, JOB));
+	assert_int_equal(w.phase, GH_JOB_CANCELLED);
+	assert_int_equal(count_orders(&w, GH_ORDER_START, 0), 0);
+	assert_int_equal(worker->n_runs, 0);
+	assert_int_equal(worker->n_ends, 0);
+	world_clear(&w);
+}
+
+int main(void)
+{
+	static const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_records),
+		cmocka_unit_test(test_cancel_held),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
