core_fleet_record: hold a job whose progress record can't be parsed

Callers would see tasks run again that were done, and a second run beside one that goes on, after a change of the shard's owner.

Cause: a job whose record could not be parsed was kept with the lines before the bad one, or without any, and its other tasks started anew as run 1; the next commit replaced the record. Most bad records did not count as such: numbers were taken without a check, and a task could come twice, which counted it as done twice and so could start the next step too early or end the job.

A record is now used only if all of it is valid and each task is in it once. Otherwise the job is held until it is cancelled: nothing of it starts, what runs goes on, its ends are not acknowledged, and the stored record stays as it is for an owner that can read it. The ends of other jobs behind such an end on the same worker are not acknowledged either. The log has job_held beside job_progress_unread, and gh_fleet_counts_t counts held jobs.

--- a/core_fleet.h
+++ b/core_fleet.h
@@ -238,6 +238,7 @@
 	uint64_t started, done, failed, stopped, lease_expired, lost,
 		no_capacity;
 	uint64_t copies, hangs, quarantines, paced, moved;
+	uint64_t held; /* jobs whose progress record could not be parsed */
 	uint32_t jobs, workers, open_runs, pending_tasks;
 } gh_fleet_counts_t;
 
@@ -261,7 +262,7 @@
  * Adds a job with its stored progress, NULL if no task was ever started.  A
  * job that is already known is left as it is.  Takes ownership of the
  * pipeline.  Returns false with GH_E_SYNTAX if progress can't be parsed; the
- * job is added even so, with the lines before the bad one.
+ * job is then held until it is cancelled: none of its tasks is started.
  */
 bool gh_fleet_job_add(gh_fleet_t *fleet, gh_pipeline_t *pipeline,
 		      const char *progress, GError **err);
--- a/core_fleet_record.c
+++ b/core_fleet_record.c
@@ -6,8 +6,10 @@
  *   progress1
  *   INDEX done|open FAILURES LAST-RUN CHECKPOINT [RUN@WORKER ...]
  *
- * One line for each task that was ever started, with its open runs.  The name
- * of the checkpoint is percent-encoded as in a URI; "-" stands for none.
+ * One line for each task that was ever started, with its open runs.  A job
+ * with a record that can't be parsed is held: none of its tasks is started,
+ * its record is not replaced and the ends of its runs are not acknowledged. The
+ * name of the checkpoint is percent-encoded as in a URI; "-" stands for none.
  */
 #include "core_fleet_state.h"
 
@@ -19,11 +21,35 @@
 #define FORMAT_TAG "progress1"
 #define NO_CHECKPOINT "-"
 
+/* An open run in a task's line, RUN@WORKER. */
+typedef struct run_field {
+	uint32_t number;
+	char worker[GH_WORKER_ID_MAX + 1];
+} run_field_t;
+
+/* A line of a progress record. */
+typedef struct task_line {
+	uint32_t index;
+	bool done;
+	uint16_t failures;
+	uint32_t last_run;
+	char *checkpoint;
+	run_field_t runs[GH_TASK_RUNS_MAX];
+	uint32_t n_runs;
+} task_line_t;
+
 static void append_task(const gh_fleet_t *fleet, GString *text,
 			const fleet_job_t *job, uint32_t index);
-static bool parse_task(gh_fleet_t *fleet, uint32_t handle, char *line);
-static bool parse_run(gh_fleet_t *fleet, uint32_t job, uint32_t task,
-		      const char *field);
+static bool parse_progress(const fleet_job_t *job, const char *progress,
+			   GArray *tasks);
+static bool parse_task(const fleet_job_t *job, const char *line,
+		       task_line_t *parsed);
+static bool parse_run(const char *field, task_line_t *parsed);
+static bool parse_number(const char *text, uint64_t min, uint64_t max,
+			 uint64_t *number);
+static void load_task(gh_fleet_t *fleet, uint32_t handle, task_line_t *line);
+static void hold_job(gh_fleet_t *fleet, uint32_t handle);
+static void clear_task_line(gpointer line);
 static uint32_t find_or_add_worker(gh_fleet_t *fleet, const char *id);
 static bool end_is_committed(const gh_fleet_t *fleet, const fleet_ack_t *ack);
 
@@ -31,9 +57,9 @@
 		      const char *progress, GError **err)
 {
 	uint32_t handle;
-	char **lines;
-	bool ok = true;
-	size_t i;
+	GArray *tasks;
+	bool ok;
+	guint i;
 
 	if (fleet_job_find(fleet, pipeline->id) != GH_NONE) {
 		gh_pipeline_free(pipeline);
@@ -42,19 +68,49 @@
 	handle = fleet_job_new(fleet, pipeline);
 	if (!progress)
 		return true;
-	lines = g_strsplit(progress, "\n", -1);
-	ok = lines[0] && !strcmp(lines[0], FORMAT_TAG);
-	for (i = 1; ok && lines[i]; i++)
-		if (*lines[i])
-			ok = parse_task(fleet, handle, lines[i]);
-	g_strfreev(lines);
-	if (!ok)
+	tasks = g_array_new(FALSE, TRUE, sizeof(task_line_t));
+	g_array_set_clear_func(tasks, clear_task_line);
+	ok = parse_progress(fleet_job(fleet, handle), progress, tasks);
+	for (i = 0; ok && i < tasks->len; i++)
+		load_task(fleet, handle, &g_array_index(tasks, task_line_t, i));
+	g_array_free(tasks, TRUE);
+	if (!ok) {
+		hold_job(fleet, handle);
 		gh_error_set(err, GH_E_SYNTAX,
 			     "progress record of job %s can't be parsed",
 			     pipeline->id);
+	}
+	return ok;
+}
+
+/* Appends the record's lines to tasks (task_line_t). */
+static bool parse_progress(const fleet_job_t *job, const char *progress,
+			   GArray *tasks)
+{
+	char **lines = g_strsplit(progress, "\n", -1);
+	bool *seen = g_new0(bool, job->n_tasks + 1);
+	bool ok = lines[0] && !strcmp(lines[0], FORMAT_TAG);
+	size_t i;
+
+	for (i = 1; ok && lines[i]; i++) {
+		task_line_t line;
+
+		if (!*lines[i])
+			continue;
+		ok = parse_task(job, lines[i], &line) && !seen[line.index];
+		seen[line.index] = true;
+		g_array_append_val(tasks, line);
+	}
+	g_free(seen);
+	g_strfreev(lines);
 	return ok;
 }
 
+static void clear_task_line(gpointer line)
+{
+	g_free(((task_line_t *)line)->checkpoint);
+}
+
 bool gh_fleet_has_changes(const gh_fleet_t *fleet)
 {
 	return !g_queue_is_empty(fleet->changes);
@@ -167,7 +223,7 @@
 	 */
 	job = fleet_job(fleet, ack->job);
 	return !job->spec || strcmp(job->spec->id, ack->job_id) != 0 ||
-	       job->committed_version >= ack->job_version;
+	       (!job->held && job->committed_version >= ack->job_version);
 }
 
 static void append_task(const gh_fleet_t *fleet, GString *text,
@@ -197,57 +253,105 @@
 	g_free(escaped);
 }
 
-static bool parse_task(gh_fleet_t *fleet, uint32_t handle, char *line)
+/*
+ * Parses a task's line.  Nothing of a record is used unless all of it is valid,
+ * since a task that it wrongly shows as not started would run again.
+ */
+static bool parse_task(const fleet_job_t *job, const char *line,
+		       task_line_t *parsed)
 {
-	fleet_job_t *job = fleet_job(fleet, handle);
 	char **fields = g_strsplit(line, " ", -1);
 	guint n = g_strv_length(fields);
-	bool ok = n >= 5;
-	fleet_task_t *task;
-	uint32_t index;
+	uint64_t index, failures, last_run;
+	bool ok;
 	guint i;
 
+	*parsed = (task_line_t){ 0 };
+	ok = n >= 5 && n <= 5 + GH_TASK_RUNS_MAX && job->n_tasks &&
+	     parse_number(fields[0], 0, job->n_tasks - 1, &index) &&
+	     (!strcmp(fields[1], "done") || !strcmp(fields[1], "open")) &&
+	     parse_number(fields[2], 0, UINT16_MAX, &failures) &&
+	     parse_number(fields[3], 1, UINT32_MAX, &last_run);
 	if (ok) {
-		index = (uint32_t)g_ascii_strtoull(fields[0], NULL, 10);
-		ok = index < job->n_tasks;
-	}
-	if (ok) {
-		task = &job->tasks[index];
-		task->done = !strcmp(fields[1], "done");
-		task->failures =
-			(uint16_t)g_ascii_strtoull(fields[2], NULL, 10);
-		task->last_run =
-			(uint32_t)g_ascii_strtoull(fields[3], NULL, 10);
-		if (strcmp(fields[4], NO_CHECKPOINT) != 0)
-			task->checkpoint =
+		parsed->index = (uint32_t)index;
+		parsed->done = !strcmp(fields[1], "done");
+		parsed->failures = (uint16_t)failures;
+		parsed->last_run = (uint32_t)last_run;
+		if (strcmp(fields[4], NO_CHECKPOINT) != 0) {
+			parsed->checkpoint =
 				g_uri_unescape_string(fields[4], NULL);
-		job->phase = job->committed_phase = GH_JOB_RUNNING;
-		if (task->done) {
-			fleet_stage_t *stage = fleet_task_stage(job, index);
-
-			if (++stage->tasks_done ==
-			    fleet_task_step(job, index)->tasks)
-				job->stages_done++;
+			ok = parsed->checkpoint;
 		}
 	}
-	for (i = 5; ok && i < n && i < 5 + GH_TASK_RUNS_MAX; i++)
-		ok = parse_run(fleet, handle, index, fields[i]);
+	for (i = 5; ok && i < n; i++)
+		ok = parse_run(fields[i], parsed);
 	g_strfreev(fields);
 	return ok;
 }
 
-static bool parse_run(gh_fleet_t *fleet, uint32_t job, uint32_t task,
-		      const char *field)
+static bool parse_run(const char *field, task_line_t *parsed)
 {
 	const char *separator = strchr(field, '@');
+	run_field_t *run = &parsed->runs[parsed->n_runs++];
+	uint64_t number;
+	char *text;
+	bool ok;
 
-	if (!separator || !separator[1])
+	if (!separator || !separator[1] ||
+	    g_strlcpy(run->worker, separator + 1, sizeof(run->worker)) >=
+		    sizeof(run->worker))
 		return false;
-	fleet_run_open(fleet, job, task,
-		       find_or_add_worker(fleet, separator + 1),
-		       (uint32_t)g_ascii_strtoull(field, NULL, 10), RUN_ORPHAN,
-		       fleet->created_at);
-	return true;
+	text = g_strndup(field, (gsize)(separator - field));
+	ok = parse_number(text, 1, parsed->last_run, &number);
+	g_free(text);
+	run->number = ok ? (uint32_t)number : 0;
+	return ok &&
+	       (parsed->n_runs == 1 || run->number != parsed->runs[0].number);
+}
+
+static bool parse_number(const char *text, uint64_t min, uint64_t max,
+			 uint64_t *number)
+{
+	return g_ascii_string_to_unsigned(text, 10, min, max, number, NULL);
+}
+
+/* Applies a task's line to the job; takes the line's checkpoint. */
+static void load_task(gh_fleet_t *fleet, uint32_t handle, task_line_t *line)
+{
+	fleet_job_t *job = fleet_job(fleet, handle);
+	fleet_task_t *task = &job->tasks[line->index];
+	fleet_stage_t *stage = fleet_task_stage(job, line->index);
+	uint32_t i;
+
+	task->done = line->done;
+	task->failures = line->failures;
+	task->last_run = line->last_run;
+	task->checkpoint = g_steal_pointer(&line->checkpoint);
+	job->phase = job->committed_phase = GH_JOB_RUNNING;
+	if (task->done &&
+	    ++stage->tasks_done == fleet_task_step(job, line->index)->tasks)
+		job->stages_done++;
+	for (i = 0; i < line->n_runs; i++)
+		fleet_run_open(fleet, handle, line->index,
+			       find_or_add_worker(fleet, line->runs[i].worker),
+			       line->runs[i].number, RUN_ORPHAN,
+			       fleet->created_at);
+}
+
+/* Keeps all tasks of a job from being started. */
+static void hold_job(gh_fleet_t *fleet, uint32_t handle)
+{
+	fleet_job_t *job = fleet_job(fleet, handle);
+	gh_task_id_t id = { 0 };
+	uint32_t i;
+
+	g_strlcpy(id.job, job->spec->id, sizeof(id.job));
+	job->held = true;
+	for (i = 0; i < job->n_tasks; i++)
+		job->tasks[i].not_before = GH_TIME_NEVER;
+	fleet->counts.held++;
+	fleet_emit_event(fleet, "job_held", &id, 0, GH_NONE,
+			 "its progress record can't be parsed");
 }
 
 /*
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -341,6 +341,10 @@
 	fleet_run_t *run;
 	fleet_task_t *task;
 
+	if (ref == GH_NONE && job != GH_NONE && fleet_job(fleet, job)->held) {
+		fleet_worker(fleet, handle)->has_unknown_run = true;
+		return;
+	}
 	if (ref == GH_NONE) {
 		stop_unknown_run(fleet, handle, listed);
 		return;
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -147,6 +147,8 @@
 	gh_job_phase_t committed_phase;
 	/* Phase in the job record that is being committed. */
 	gh_job_phase_t committing_phase;
+	/* The progress record can't be parsed, so no task may be started. */
+	bool held;
 	bool change_queued; /* the job is queued in gh_fleet.changes */
 	bool commit_pending;
 	/* ids of the steps' images in the interference model */
