test_platform_decode: reports of workers

Fails for ends that are not in the order of their numbers, and for reports with a row that can't be read, which pass as complete.

--- a/regress/test_platform_decode.c
+++ b/regress/test_platform_decode.c
@@ -77,6 +77,84 @@
 	}
 }
 
+#define REPORT(running, finished)                          \
+	"{\"clock_ms\":5,\"born\":7,\"running\":[" running \
+	"],\"finished\":[" finished "]}"
+
+/* A worker's report. */
+typedef struct report_case {
+	const char *body;
+	bool ok;
+	bool complete;	     /* it lists all runs and ends */
+	size_t n_runs;	     /* that can be read */
+	uint64_t numbers[3]; /* of the ends that can be read, in order */
+} report_case_t;
+
+static const report_case_t report_cases[] = {
+	{ .body = REPORT("", ""), .ok = true, .complete = true },
+	{ .body = REPORT("[\"ab.0.1.17\",2,\"\",41,3]",
+			 "[58,\"ab.0.1.9\",1,\"done\",\"\"]"),
+	  .ok = true,
+	  .complete = true,
+	  .n_runs = 1,
+	  .numbers = { 58 } },
+	/* ends in any order */
+	{ .body = REPORT("", "[60,\"ab.0.1.9\",1,\"done\",\"\"],"
+			     "[58,\"ab.0.1.8\",1,\"done\",\"\"],"
+			     "[59,\"ab.0.1.7\",1,\"failed\",\"\"]"),
+	  .ok = true,
+	  .complete = true,
+	  .numbers = { 58, 59, 60 } },
+	/* a run or an end that can't be read */
+	{ .body = REPORT("[\"ab.0.1\",2,\"\",41,3]", ""), .ok = true },
+	{ .body = REPORT("[\"ab.0.1.17x\",2,\"\",41,3]", ""), .ok = true },
+	{ .body = REPORT("[\"ab.0.1.17\",\"2\",\"\",41,3]", ""), .ok = true },
+	{ .body = REPORT("[\"ab.0.1.17\",0,\"\",41,3]", ""), .ok = true },
+	{ .body = REPORT("[7,2,\"\",41,3],[\"ab.0.1.17\",2,\"\",41,3]", ""),
+	  .ok = true,
+	  .n_runs = 1 },
+	{ .body = REPORT("", "[58,\"ab.0.1.9\",\"1\",\"done\",\"\"]"),
+	  .ok = true },
+	{ .body = REPORT("", "[\"58\",\"ab.0.1.9\",1,\"done\",\"\"]"),
+	  .ok = true },
+	{ .body = REPORT("", "[58,\"ab.0.1.9\",1,\"done\",\"\"],"
+			     "[59,\"ab.0.1.8\",1]"),
+	  .ok = true,
+	  .numbers = { 58 } },
+	/* no report */
+	{ .body = "{\"clock_ms\":5,\"running\":[]}" },
+	{ .body = "{\"clock_ms\":5,\"running\":{},\"finished\":[]}" },
+	{ .body = "" },
+};
+
+/*
+ * A run that a complete report does not list counts as lost and is started
+ * again, so a report with a row that can't be read is not complete.
+ */
+static void test_report(void **state)
+{
+	size_t i, j;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(report_cases); i++) {
+		const report_case_t *c = &report_cases[i];
+		gh_worker_report_t report = { 0 };
+		int64_t clock_ms;
+		bool ok = platform_parse_worker_report(c->body, strlen(c->body),
+						       &report, &clock_ms);
+
+		if (ok != c->ok || (ok && (report.complete != c->complete ||
+					   report.n_runs != c->n_runs)))
+			fail_msg("case %zu: %s: complete %d, %zu runs", i,
+				 c->body, report.complete, report.n_runs);
+		for (j = 0; j < report.n_ends; j++)
+			assert_int_equal(report.ends[j].number, c->numbers[j]);
+		if (ok && j < G_N_ELEMENTS(c->numbers))
+			assert_int_equal(c->numbers[j], 0);
+		platform_clear_worker_report(&report);
+	}
+}
+
 static void test_worker(void **state)
 {
 	size_t i;
@@ -241,9 +319,9 @@
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_worker),	 cmocka_unit_test(test_clock),
-		cmocka_unit_test(test_pipeline), cmocka_unit_test(test_config),
-		cmocka_unit_test(test_settings),
+		cmocka_unit_test(test_worker), cmocka_unit_test(test_clock),
+		cmocka_unit_test(test_report), cmocka_unit_test(test_pipeline),
+		cmocka_unit_test(test_config), cmocka_unit_test(test_settings),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
