platform_decode: a report with an unreadable row is not complete

A task could run twice, or again after it was done, if a worker's report had a row that can't be read or listed ends out of order.

Cause: unreadable rows were dropped and the report passed as complete, so the run of such a row counted as lost; a run number of another type was read as 0, which made the run an unknown one. The fleet takes ends in the order of their numbers and skips a lower one behind a higher one, which the acknowledgement of the higher one then makes the worker forget. PROTOCOL.md gives no order.

None of this was seen on the platform.

--- a/core_fleet.h
+++ b/core_fleet.h
@@ -177,13 +177,13 @@
 	/* Start of the worker process, wall clock; 0: not reported. */
 	int64_t incarnation_start_ms;
 	/*
-	 * ends[] is not truncated: a run that was started before requested_at
-	 * and is in neither list is over
+	 * runs[] and ends[] are not truncated: a run that was started before
+	 * requested_at and is in neither list is over
 	 */
 	bool complete;
 	gh_report_run_t *runs;
 	size_t n_runs;
-	gh_report_end_t *ends;
+	gh_report_end_t *ends; /* in the order of their numbers */
 	size_t n_ends;
 } gh_worker_report_t;
 
