test_core_fleet_late: a worker that falls silent after a take-over

Fails for a worker that is heard once: its run starts elsewhere 9.0 s after the take-over (orphan_ms), though its lease is over 7.4 s after its report at the latest.

--- a/regress/test_core_fleet_late.c
+++ b/regress/test_core_fleet_late.c
@@ -514,6 +514,64 @@
 	}
 }
 
+/* When a worker with a previous owner's run was last heard after a take-over.
+ */
+typedef struct silence_case {
+	const char *name;
+	int64_t heard_ms;   /* time for which it reports; 0: it never does */
+	int64_t restart_ms; /* earliest start elsewhere, after the take-over */
+} silence_case_t;
+
+static const silence_case_t silences[] = {
+	{ .name = "never heard", .restart_ms = ORPHAN_MS },
+	{ .name = "heard at once",
+	  .heard_ms = 100,
+	  .restart_ms = LEASE_MAX_MS * 51 / 50 },
+	{ .name = "heard for a while",
+	  .heard_ms = 1000,
+	  .restart_ms = LEASE_MAX_MS * 51 / 50 },
+	{ .name = "heard for longer",
+	  .heard_ms = 6000,
+	  .restart_ms = 6000 + LEASE_MS * 51 / 50 },
+};
+
+/*
+ * The run of a previous owner starts elsewhere once its worker's lease is over:
+ * this is the longest lease after the first report, with which the worker takes
+ * no renewal of a previous owner any more, or after lease_ms from the last
+ * renewal; without a report, what a previous owner can have granted meanwhile.
+ */
+static void test_silence_after_takeover(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(silences); i++) {
+		const silence_case_t *c = &silences[i];
+		gh_report_run_t run = { .task = { .job = JOB }, .run = 1 };
+		scripted_worker_t *worker;
+		gh_time_t created_at;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		world_init(&w);
+		created_at = w.now;
+		add_job(&w, JOB, 1, &long_running_step,
+			"progress1\n0 open 0 1 - 1@w1\n");
+		worker = add_worker(&w, "w1", 4000);
+		worker->runs[worker->n_runs++] = run;
+		add_worker(&w, "w2", 4000);
+		if (c->heard_ms)
+			advance_time(&w, c->heard_ms);
+		worker->unreachable = true;
+		while (!w.n_orders && w.now - created_at < 20000 * MS)
+			advance_time(&w, 10);
+		assert_in_range(w.now - created_at, c->restart_ms * MS,
+				(c->restart_ms + 500) * MS);
+		world_clear(&w);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -524,6 +582,7 @@
 		cmocka_unit_test(test_entry_without_start),
 		cmocka_unit_test(test_overtaken_report),
 		cmocka_unit_test(test_stop_of_unknown_run),
+		cmocka_unit_test(test_silence_after_takeover),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
