core_fleet: bound a worker's lease by its report after a take-over

A long-running task stayed away for up to orphan_ms (11 s) after a take-over when its worker had reported to the new owner and then fell silent.

Cause: the owner counted the lease of a worker with a previous owner's run as lasting until a previous owner's last possible renewal and lease_ms more, also once the worker had reported.

A worker that has replied to the new owner takes nothing from a previous one (fence_token), and holds no lease beyond the longest that it accepts (max_hold_ms) from then on. So each report now bounds the counted lease by that, including the drift and the margin; what the owner itself grants is shorter. A worker that never reports is counted as before.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -687,6 +687,15 @@
 	return now + gh_time_from_ms(fleet->setup.lease_ms);
 }
 
+void fleet_lease_bound(gh_fleet_t *fleet, fleet_worker_t *worker, gh_time_t now)
+{
+	int64_t longest_ms =
+		MAX(fleet->setup.lease_ms, fleet->setup.lease_max_ms);
+
+	worker->latest_lease_end =
+		MIN(worker->latest_lease_end, lease_end(now, longest_ms));
+}
+
 /* Latest time at which a lease that was granted at the time from can end. */
 static gh_time_t lease_end(gh_time_t from, int64_t lease_ms)
 {
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -83,6 +83,7 @@
 	fleet_worker_set_incarnation(fleet, handle,
 				     report->incarnation_start_ms, now);
 	worker = fleet_worker(fleet, handle);
+	fleet_lease_bound(fleet, worker, now);
 	if (worker->unreachable_since || !worker->has_reported)
 		fleet_emit_event(fleet, "worker_heard", NULL, 0, handle, NULL);
 	worker->renewal_pending = false;
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -332,6 +332,13 @@
  */
 gh_time_t fleet_lease_extend(gh_fleet_t *fleet, fleet_worker_t *worker,
 			     gh_time_t now);
+/*
+ * Notes that the worker has replied to a renewal of this owner: the worker
+ * takes no order of a previous owner any more, so that its lease ends no later
+ * than the longest one that it accepts, counted from now.
+ */
+void fleet_lease_bound(gh_fleet_t *fleet, fleet_worker_t *worker,
+		       gh_time_t now);
 /*
  * Notes the start time (wall clock, ms; 0: not reported) of the worker's
  * incarnation.  If it has changed, the worker has restarted: the runs of the
