--- a/regress/test_platform_decode.c
+++ b/regress/test_platform_decode.c
@@ -39,6 +39,14 @@
 		  "\"ready\",\"capacity\":9,\"labels\":[]}" },
 	{ .text = "{\"backend\":\"s\",\"address\":\"1.2.3.4:5\",\"state\":"
 		  "\"ready\"," CAPACITY "}" },
+	/* fields missing */
+	{ .text = "{\"backend\":\"s\",\"state\":\"ready\"," CAPACITY
+		  ",\"labels\":[\"a\",\"r1\"],\"born\":7}" },
+	{ .text = "{\"address\":\"1.2.3.4:5\",\"state\":\"ready\"," CAPACITY
+		  ",\"labels\":[\"a\",\"r1\"],\"born\":7}" },
+	{ .text = "{\"backend\":\"s\",\"address\":\"\",\"state\":"
+		  "\"ready\"," CAPACITY
+		  ",\"labels\":[\"a\",\"r1\"],\"born\":7}" },
 	{ .text = "no json" },
 	{ .text = "" },
 };
