--- a/regress/test_core_fleet_record.c
+++ b/regress/test_core_fleet_record.c
@@ -92,11 +92,14 @@
 		const record_case_t *c = &records[i];
 		gh_report_run_t run = { .task = { .job = JOB }, .run = 1 };
 		scripted_worker_t *worker;
+		gh_fleet_counts_t counts;
 		world_t w;
 
 		world_init(&w);
 		if (load_job(&w, c->progress) != c->ok)
 			fail_msg("case %zu: %s", i, c->progress);
+		gh_fleet_counts(w.fleet, &counts);
+		assert_int_equal(counts.held, !c->ok);
 		if (c->ok) {
 			world_clear(&w);
 			continue;
