--- a/core_fleet.c
+++ b/core_fleet.c
@@ -18,6 +18,7 @@
 static void init_tasks(fleet_job_t *job);
 static void handle_worker_restart(gh_fleet_t *fleet, uint32_t handle,
 				  gh_time_t now);
+static gh_time_t lease_end(gh_time_t from, int64_t lease_ms);
 static uint32_t alloc_entry(GArray *table, GArray *free_entries);
 static void link_run(gh_fleet_t *fleet, uint32_t handle);
 static void unlink_run(gh_fleet_t *fleet, uint32_t handle);
@@ -143,6 +144,7 @@
 {
 	uint32_t handle = fleet_worker_find(fleet, entry->id);
 	fleet_worker_t *worker;
+	int64_t start_ms;
 	bool was_draining;
 
 	if (handle == GH_NONE)
@@ -155,7 +157,11 @@
 	if (!worker->listed)
 		fleet_emit_event(fleet, "worker_listed", NULL, 0, handle,
 				 entry->address);
+	/* An entry that does not name the incarnation is no news of it. */
+	start_ms = worker->entry.incarnation_start_ms;
 	worker->entry = *entry;
+	if (!entry->incarnation_start_ms)
+		worker->entry.incarnation_start_ms = start_ms;
 	worker->listed = true;
 	set_rack(worker);
 	if (entry->draining && !was_draining)
@@ -237,10 +243,20 @@
 		return;
 	if (worker->entry.incarnation_start_ms) {
 		handle_worker_restart(fleet, handle, now);
+		worker->restart_known_at = now;
+		/*
+		 * A deadline that was meant for the previous incarnation can be
+		 * far in the future of the new one's clock; it then counts as
+		 * the longest lease that the worker accepts.
+		 */
+		if (worker->latest_lease_end > now)
+			worker->latest_lease_end =
+				MAX(worker->latest_lease_end,
+				    lease_end(now, fleet->setup.lease_max_ms));
 		worker->has_reported = false;
 		worker->acked_end = 0;
 		worker->acked_end_sent = 0;
-		worker->last_listed_end = 0;
+		worker->last_listed_end = worker->first_listed_end = 0;
 		worker->renewal_not_before = 0;
 		g_queue_clear_full(worker->pending_acks, g_free);
 	}
@@ -573,8 +589,7 @@
 	fleet_run_t *run = fleet_run(fleet, handle);
 	queued_order_t queued = { .kind = kind,
 				  .run = handle,
-				  .run_number = run->run_number,
-				  .worker = GH_NONE };
+				  .run_number = run->run_number };
 
 	run->retry_at = GH_TIME_NEVER;
 	g_queue_push_tail(fleet->orders, g_memdup2(&queued, sizeof(queued)));
@@ -593,13 +608,11 @@
 		g_free(next);
 		*order = (gh_order_t){ .kind = queued.kind };
 		if (queued.run == GH_NONE) {
-			worker = fleet_worker(fleet, queued.worker);
-			if (!worker->in_use)
-				continue;
+			fleet->last_order = queued;
 			order->task = queued.task;
 			order->run = queued.run_number;
-			order->worker = worker->entry.id;
-			order->address = worker->entry.address;
+			order->worker = fleet->last_order.worker;
+			order->address = fleet->last_order.address;
 			return true;
 		}
 		run = fleet_run(fleet, queued.run);
@@ -634,6 +647,8 @@
 		order->run = run->run_number;
 		order->worker = worker->entry.id;
 		order->address = worker->entry.address;
+		order->incarnation_start_ms =
+			worker->entry.incarnation_start_ms;
 		return true;
 	}
 	return false;
@@ -656,10 +671,7 @@
 
 gh_time_t fleet_lease_end(const gh_fleet_t *fleet, gh_time_t granted_at)
 {
-	gh_time_t lease = gh_time_from_ms(fleet->setup.lease_ms);
-
-	return granted_at + lease + lease / LEASE_DRIFT_DIVISOR +
-	       LEASE_MARGIN_USEC;
+	return lease_end(granted_at, fleet->setup.lease_ms);
 }
 
 gh_time_t fleet_lease_extend(gh_fleet_t *fleet, fleet_worker_t *worker,
@@ -671,6 +683,23 @@
 	return worker->lease_until;
 }
 
+void fleet_lease_bound(gh_fleet_t *fleet, fleet_worker_t *worker, gh_time_t now)
+{
+	int64_t longest_ms =
+		MAX(fleet->setup.lease_ms, fleet->setup.lease_max_ms);
+
+	worker->latest_lease_end =
+		MIN(worker->latest_lease_end, lease_end(now, longest_ms));
+}
+
+/* Latest time at which a lease that was granted at the time from can end. */
+static gh_time_t lease_end(gh_time_t from, int64_t lease_ms)
+{
+	gh_time_t lease = gh_time_from_ms(lease_ms);
+
+	return from + lease + lease / LEASE_DRIFT_DIVISOR + LEASE_MARGIN_USEC;
+}
+
 /* Lookups by handle, id and name. */
 
 fleet_worker_t *fleet_worker(const gh_fleet_t *fleet, uint32_t handle)
--- a/core_fleet.h
+++ b/core_fleet.h
@@ -31,6 +31,8 @@
 typedef struct gh_fleet_setup {
 	/* Length of the lease that each renewal and start order grants. */
 	int64_t lease_ms;
+	/* Longest lease that a worker accepts. */
+	int64_t lease_max_ms;
 	/* No previous owner grants or extends a lease after this time. */
 	gh_time_t previous_grants_end;
 	int64_t stop_ms; /* max time that a worker takes to stop a task */
@@ -112,6 +114,8 @@
 	gh_order_kind_t kind;
 	const char *worker;
 	const char *address;
+	/* start of the worker's present incarnation; 0: unknown */
+	int64_t incarnation_start_ms;
 	gh_task_id_t task;
 	uint32_t run; /* number of the run within its task */
 	/* For PACE: percentage of its declared cores that the task may use. */
@@ -173,13 +177,13 @@
 	/* Start of the worker process, wall clock; 0: not reported. */
 	int64_t incarnation_start_ms;
 	/*
-	 * ends[] is not truncated: a run that was started before requested_at
-	 * and is in neither list is over
+	 * runs[] and ends[] are not truncated: a run that was started before
+	 * requested_at and is in neither list is over
 	 */
 	bool complete;
 	gh_report_run_t *runs;
 	size_t n_runs;
-	gh_report_end_t *ends;
+	gh_report_end_t *ends; /* in the order of their numbers */
 	size_t n_ends;
 } gh_worker_report_t;
 
@@ -187,7 +191,12 @@
 typedef struct gh_worker_renewal {
 	const char *worker;
 	const char *address;
-	/* ends of runs up to this number are committed and may be forgotten */
+	/* start of the worker's present incarnation; 0: unknown */
+	int64_t incarnation_start_ms;
+	/*
+	 * Ends of runs up to this number are committed and may be forgotten;
+	 * 0: the worker's last report lists none that is.
+	 */
 	uint64_t acked_end;
 	/*
 	 * the worker may wait this long for the end of a run before it replies
@@ -229,6 +238,7 @@
 	uint64_t started, done, failed, stopped, lease_expired, lost,
 		no_capacity;
 	uint64_t copies, hangs, quarantines, paced, moved;
+	uint64_t held; /* jobs whose progress record could not be parsed */
 	uint32_t jobs, workers, open_runs, pending_tasks;
 } gh_fleet_counts_t;
 
@@ -250,7 +260,7 @@
  * Adds a job with its stored progress, NULL if no task was ever started.  A
  * job that is already known is left as it is.  Takes ownership of the
  * pipeline.  Returns false with GH_E_SYNTAX if progress can't be parsed; the
- * job is added even so, with the lines before the bad one.
+ * job is then held until it is cancelled: none of its tasks is started.
  */
 bool gh_fleet_job_add(gh_fleet_t *fleet, gh_pipeline_t *pipeline,
 		      const char *progress, GError **err);
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -48,6 +48,8 @@
  */
 #define RENEWAL_WAIT_PACED_MAX_MS 250
 
+static bool is_of_former_life(const fleet_worker_t *worker,
+			      const gh_worker_report_t *report);
 static void record_listed_run(gh_fleet_t *fleet, uint32_t handle,
 			      const gh_report_run_t *listed, gh_time_t now);
 static void record_end(gh_fleet_t *fleet, uint32_t handle,
@@ -60,6 +62,7 @@
 			       gh_order_reply_t reply, gh_time_t now);
 static bool renewal_is_due(gh_fleet_t *fleet, uint32_t handle, int64_t *wait_ms,
 			   gh_time_t now);
+static bool ack_is_due(const fleet_worker_t *worker);
 static uint32_t find_run(const gh_fleet_t *fleet, const gh_task_id_t *id,
 			 uint32_t number, uint32_t worker, uint32_t *job);
 
@@ -72,9 +75,15 @@
 
 	if (handle == GH_NONE)
 		return;
+	if (is_of_former_life(fleet_worker(fleet, handle), report)) {
+		fleet_worker(fleet, handle)->renewal_pending = false;
+		fleet_worker_free_if_unused(fleet, handle);
+		return;
+	}
 	fleet_worker_set_incarnation(fleet, handle,
 				     report->incarnation_start_ms, now);
 	worker = fleet_worker(fleet, handle);
+	fleet_lease_bound(fleet, worker, now);
 	if (worker->unreachable_since || !worker->has_reported)
 		fleet_emit_event(fleet, "worker_heard", NULL, 0, handle, NULL);
 	worker->renewal_pending = false;
@@ -83,6 +92,7 @@
 	worker->last_report_at = now;
 	fleet->report_number++;
 	worker->has_unknown_run = false;
+	worker->first_listed_end = report->n_ends ? report->ends[0].number : 0;
 	for (i = 0; i < report->n_ends; i++)
 		record_end(fleet, handle, &report->ends[i], now);
 	for (i = 0; i < report->n_runs; i++)
@@ -94,6 +104,20 @@
 	fleet_worker_free_if_unused(fleet, handle);
 }
 
+/*
+ * Whether the report was overtaken by the news that the worker has restarted.
+ * The time of the request tells it, not the order of the starts, as a worker's
+ * wall clock may be set back.
+ */
+static bool is_of_former_life(const fleet_worker_t *worker,
+			      const gh_worker_report_t *report)
+{
+	return report->incarnation_start_ms &&
+	       report->incarnation_start_ms !=
+		       worker->entry.incarnation_start_ms &&
+	       report->requested_at < worker->restart_known_at;
+}
+
 void gh_fleet_handle_renewal_failure(gh_fleet_t *fleet, const char *id,
 				     gh_order_reply_t why, gh_time_t now)
 {
@@ -138,14 +162,17 @@
 	}
 	if (worker == GH_NONE)
 		return;
-	if (reply == GH_ORDER_OTHER_INCARNATION) {
-		fleet_worker_end_runs(fleet, worker,
-				      "another incarnation replied", now);
-		return;
-	}
 	ref = find_run(fleet, task, number, worker, &job);
 	if (ref == GH_NONE)
 		return;
+	if (reply == GH_ORDER_OTHER_INCARNATION) {
+		/*
+		 * The order may have been sent before the worker restarted, so
+		 * the reply is evidence for this run only.
+		 */
+		fleet_run_end(fleet, ref, GH_RUN_LOST, NULL, now);
+		return;
+	}
 	run = fleet_run(fleet, ref);
 	if (kind == GH_ORDER_START && run->state == RUN_STARTING) {
 		handle_start_reply(fleet, ref, reply, now);
@@ -184,6 +211,7 @@
 		fleet->counts.started++;
 		return;
 	case GH_ORDER_OUTCOME_UNKNOWN:
+		run->start_unanswered = true;
 		run->retry_at = now + ORDER_RETRY_USEC;
 		return;
 	case GH_ORDER_NO_CAPACITY:
@@ -200,7 +228,14 @@
 	default:
 		break;
 	}
-	fleet_run_end(fleet, ref, GH_RUN_NOT_STARTED, NULL, now);
+	/*
+	 * The refusal does not extend to an earlier order, which can still
+	 * start the run until a stop order has been replied to.
+	 */
+	if (run->start_unanswered)
+		fleet_run_stop(fleet, ref, "a start order was unanswered", now);
+	else
+		fleet_run_end(fleet, ref, GH_RUN_NOT_STARTED, NULL, now);
 }
 
 bool gh_fleet_next_renewal(gh_fleet_t *fleet, gh_worker_renewal_t *renewal,
@@ -221,13 +256,16 @@
 		if (!renewal_is_due(fleet, handle, &wait_ms, now))
 			continue;
 		worker->renewal_pending = true;
-		worker->acked_end_sent = worker->acked_end;
 		*renewal = (gh_worker_renewal_t){
 			.worker = worker->entry.id,
 			.address = worker->entry.address,
-			.acked_end = worker->acked_end,
+			.incarnation_start_ms =
+				worker->entry.incarnation_start_ms,
 			.max_wait_ms = wait_ms,
 		};
+		if (ack_is_due(worker))
+			renewal->acked_end = worker->acked_end_sent =
+				worker->acked_end;
 		/*
 		 * The lease of an unreachable worker is not extended, so that
 		 * it can expire.
@@ -256,13 +294,26 @@
 	if (worker->last_listed_end > worker->acked_end)
 		return report_is_old;
 	if (!worker->n_runs && !worker->has_unknown_run)
-		return worker->acked_end > worker->acked_end_sent;
+		return ack_is_due(worker) &&
+		       (worker->acked_end > worker->acked_end_sent ||
+			report_is_old);
 	*wait_ms = worker->n_long_running && worker->n_best_effort ?
 			   RENEWAL_WAIT_PACED_MAX_MS :
 			   RENEWAL_WAIT_MAX_MS;
 	return true;
 }
 
+/*
+ * Whether the worker is to forget ends.  It may have restarted since its last
+ * report, with the numbering of ends begun anew, so nothing is acknowledged but
+ * what that report lists.
+ */
+static bool ack_is_due(const fleet_worker_t *worker)
+{
+	return !worker->unreachable_since && worker->first_listed_end &&
+	       worker->first_listed_end <= worker->acked_end;
+}
+
 static void record_end(gh_fleet_t *fleet, uint32_t handle,
 		       const gh_report_end_t *end, gh_time_t now)
 {
@@ -291,6 +342,10 @@
 	fleet_run_t *run;
 	fleet_task_t *task;
 
+	if (ref == GH_NONE && job != GH_NONE && fleet_job(fleet, job)->held) {
+		fleet_worker(fleet, handle)->has_unknown_run = true;
+		return;
+	}
 	if (ref == GH_NONE) {
 		stop_unknown_run(fleet, handle, listed);
 		return;
@@ -367,13 +422,17 @@
 static void stop_unknown_run(gh_fleet_t *fleet, uint32_t handle,
 			     const gh_report_run_t *listed)
 {
+	fleet_worker_t *worker = fleet_worker(fleet, handle);
 	queued_order_t queued = { .kind = GH_ORDER_STOP,
 				  .run = GH_NONE,
 				  .run_number = listed->run,
-				  .worker = handle,
 				  .task = listed->task };
 
-	fleet_worker(fleet, handle)->has_unknown_run = true;
+	/* The worker may be freed before the order is sent. */
+	g_strlcpy(queued.worker, worker->entry.id, sizeof(queued.worker));
+	g_strlcpy(queued.address, worker->entry.address,
+		  sizeof(queued.address));
+	worker->has_unknown_run = true;
 	fleet_emit_event(fleet, "run_unknown", &listed->task, listed->run,
 			 handle, NULL);
 	g_queue_push_tail(fleet->orders, g_memdup2(&queued, sizeof(queued)));
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -51,6 +51,8 @@
 	/* when a start or stop order without a reply is resent */
 	gh_time_t retry_at;
 	bool order_sent; /* an order for this run was sent */
+	/* A start order got no reply and may be executed even later. */
+	bool start_unanswered;
 	/* progress of the run in the worker's last report */
 	uint32_t progress_percent;
 	gh_time_t progress_at; /* time of the last change of progress_percent */
@@ -145,6 +147,8 @@
 	gh_job_phase_t committed_phase;
 	/* Phase in the job record that is being committed. */
 	gh_job_phase_t committing_phase;
+	/* The progress record can't be parsed, so no task may be started. */
+	bool held;
 	bool change_queued; /* the job is queued in gh_fleet.changes */
 	bool commit_pending;
 	/* ids of the steps' images in the interference model */
@@ -186,6 +190,8 @@
 	bool in_use;	   /* the array entry is used */
 	bool listed;	   /* service discovery lists the worker */
 	bool has_reported; /* this incarnation has sent this owner a report */
+	gh_time_t
+		restart_known_at; /* when the last restart got known; 0: none */
 	/*
 	 * Declared sizes of the worker's open runs, added up; the cores exclude
 	 * best-effort runs.
@@ -203,6 +209,8 @@
 	uint64_t acked_end; /* ends of runs up to this number are committed */
 	/* Highest number of an end of a run that the worker has reported. */
 	uint64_t last_listed_end;
+	/* Lowest number of an end in the worker's last report; 0: none. */
+	uint64_t first_listed_end;
 	/*
 	 * Ends of runs not yet acknowledged to the worker: fleet_ack_t, by end
 	 * number.
@@ -252,6 +260,21 @@
 	double run_time_ratio;
 } fleet_worker_t;
 
+/*
+ * An order to be sent to a worker; it is dropped if the state of its run has
+ * changed so that it no longer applies.
+ */
+typedef struct queued_order {
+	gh_order_kind_t kind;
+	/* Handle; GH_NONE: a stop of a run that belongs to no job here. */
+	uint32_t run;
+	uint32_t run_number;
+	/* Members from here to task are set only if run is GH_NONE. */
+	char worker[GH_WORKER_ID_MAX + 1];
+	char address[GH_ADDRESS_MAX + 1];
+	gh_task_id_t task;
+} queued_order_t;
+
 struct gh_fleet {
 	gh_fleet_setup_t setup;
 	gh_fleet_sink_t sink;
@@ -266,6 +289,8 @@
 	GQueue *changes;	  /* handles + 1 of jobs to be committed */
 	/* orders to be sent to workers: queued_order_t */
 	GQueue *orders;
+	/* The last order taken from the queue, for the strings in it. */
+	queued_order_t last_order;
 	gh_interference_t *interference;
 	gh_load_periods_t *load_periods; /* shared by all load forecasts */
 	gh_time_t created_at;
@@ -280,20 +305,6 @@
 	gh_fleet_counts_t counts;
 };
 
-/*
- * An order to be sent to a worker; it is dropped if the state of its run has
- * changed so that it no longer applies.
- */
-typedef struct queued_order {
-	gh_order_kind_t kind;
-	/* Handle; GH_NONE: a stop of a run that belongs to no job here. */
-	uint32_t run;
-	uint32_t run_number;
-	/* Handle, set only to stop a run that is unknown here; else GH_NONE. */
-	uint32_t worker;
-	gh_task_id_t task;
-} queued_order_t;
-
 /* Worker by handle; the pointer is invalid once the array of workers grows. */
 fleet_worker_t *fleet_worker(const gh_fleet_t *fleet, uint32_t handle);
 fleet_job_t *fleet_job(const gh_fleet_t *fleet, uint32_t handle);
@@ -327,6 +338,13 @@
  */
 gh_time_t fleet_lease_extend(gh_fleet_t *fleet, fleet_worker_t *worker,
 			     gh_time_t now);
+/*
+ * Notes that the worker has replied to a renewal of this owner: the worker
+ * takes no order of a previous owner any more, so that its lease ends no later
+ * than the longest one that it accepts, counted from now.
+ */
+void fleet_lease_bound(gh_fleet_t *fleet, fleet_worker_t *worker,
+		       gh_time_t now);
 /*
  * Notes the start time (wall clock, ms; 0: not reported) of the worker's
  * incarnation.  If it has changed, the worker has restarted: the runs of the
--- a/fleet_main.c
+++ b/fleet_main.c
@@ -101,6 +101,7 @@
 			settings->store_writes_per_s),
 		.fleet = { .lease_ms = MIN(settings->lease_ms,
 					   settings->lease_max_ms),
+			   .lease_max_ms = settings->lease_max_ms,
 			   .stop_ms = settings->stop_ms },
 		.ended_retention_ms = settings->ended_retention_s * 1000LL,
 	});
--- a/regress/fleet_world.h
+++ b/regress/fleet_world.h
@@ -10,6 +10,7 @@
 
 #define MS GH_USEC_PER_MSEC
 #define LEASE_MS 4000
+#define LEASE_MAX_MS 7000
 #define START_TIME (1000 * MS)
 /* time from the start in which a previous owner may still grant leases */
 #define PREVIOUS_GRANTS_MS 2000
@@ -27,12 +28,19 @@
 	bool unreachable;   /* replies to nothing and executes nothing */
 	bool stalled;	    /* runs on the worker make no progress */
 	bool drops_replies; /* executes orders but its replies are lost */
+	bool loses_orders;  /* reports, but neither executes nor answers orders
+			     */
+	/* Reply to start orders, which are then not executed; OK: executed. */
+	gh_order_reply_t refusal;
 	int64_t incarnation_start_ms;
 	gh_report_run_t runs[RUNS_MAX];
 	size_t n_runs;
 	gh_report_end_t ends[ENDS_MAX];
 	size_t n_ends;
 	uint64_t last_end;
+	/* Runs that have ended here; a start of one is refused. */
+	gh_report_run_t over[ENDS_MAX];
+	size_t n_over;
 	gh_time_t lease_until;
 	int64_t tail_ms; /* tail latency that runs of LONG_RUNNING_JOB_ID
 			    report; 0: not reported */
@@ -62,6 +70,8 @@
 			const gh_step_t *steps);
 void add_job(world_t *w, const char *id, uint32_t n_steps,
 	     const gh_step_t *steps, const char *progress);
+/* Starts a new incarnation of the worker, which knows nothing of before. */
+void restart_worker(scripted_worker_t *worker);
 /* Ends the worker's run at this index. */
 void end_run(scripted_worker_t *worker, size_t index, gh_run_outcome_t outcome);
 /* Advances the clock by ms in steps; each step sends lease renewals and orders
--- /dev/null
+++ b/regress/test_core_fleet_late.c
@@ -0,0 +1,593 @@
+/*
+ * Tests of the fleet scheduler with replies that are missing, late or of a
+ * former incarnation of a worker: no task may run twice.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <string.h>
+
+#include "fleet_world.h"
+
+#define JOB "0000000000000001"
+
+/* Index of the first order of this kind for the numbered run, or n_orders. */
+static size_t find_order(const world_t *w, gh_order_kind_t kind, uint32_t run)
+{
+	size_t i;
+
+	for (i = 0; i < w->n_orders; i++)
+		if (w->orders[i].kind == kind && w->orders[i].run == run)
+			break;
+	return i;
+}
+
+/* The worker's reply to a start order that is sent again. */
+typedef struct refusal_case {
+	const char *name;
+	gh_order_reply_t reply;
+	bool first_answered; /* the first start order was refused as well */
+} refusal_case_t;
+
+static const refusal_case_t refusals[] = {
+	{ .name = "no capacity", .reply = GH_ORDER_NO_CAPACITY },
+	{ .name = "unhealthy", .reply = GH_ORDER_REFUSED },
+	{ .name = "lease expired", .reply = GH_ORDER_LEASE_EXPIRED },
+	{ .name = "no capacity at once",
+	  .reply = GH_ORDER_NO_CAPACITY,
+	  .first_answered = true },
+};
+
+/*
+ * A start order without a reply may be executed after a later copy of it was
+ * refused.  The run is stopped before the task starts again, so that it can't
+ * run twice.
+ */
+static void test_refused_after_silence(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(refusals); i++) {
+		const refusal_case_t *c = &refusals[i];
+		scripted_worker_t *worker;
+		size_t stop, restart;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		world_init(&w);
+		add_worker(&w, "w1", 4000);
+		add_worker(&w, "w2", 4000);
+		advance_time(&w, 100);
+		add_job(&w, JOB, 1, &one_task, NULL);
+		w.workers[0].loses_orders = !c->first_answered;
+		w.workers[1].loses_orders = !c->first_answered;
+		w.workers[0].refusal = w.workers[1].refusal = c->reply;
+		while (!w.n_orders)
+			advance_time(&w, 10);
+		worker = find_worker(&w, w.orders[0].worker);
+		w.workers[0].refusal = w.workers[1].refusal = GH_ORDER_OK;
+		w.workers[0].loses_orders = w.workers[1].loses_orders = false;
+		worker->refusal = c->first_answered ? GH_ORDER_OK : c->reply;
+		advance_time(&w, 150);
+		worker->refusal = GH_ORDER_OK;
+		advance_time(&w, 3000);
+		restart = find_order(&w, GH_ORDER_START, 2);
+		stop = find_order(&w, GH_ORDER_STOP, 1);
+		assert_true(restart < w.n_orders);
+		if (c->first_answered) {
+			assert_int_equal(stop, w.n_orders);
+		} else {
+			assert_true(stop < restart);
+			assert_string_equal(w.orders[stop].worker, worker->id);
+		}
+		world_clear(&w);
+	}
+}
+
+/* What happens before and after a worker restarts under the same id. */
+typedef struct restart_case {
+	const char *name;
+	size_t ends_before;	  /* ends in the former life, acknowledged */
+	size_t ends_after;	  /* ends in the new life before it is heard */
+	gh_run_outcome_t outcome; /* of the ends in the new life */
+	uint32_t failed;	  /* expected failed runs */
+	uint32_t last_run;	  /* expected highest number of a run */
+	gh_job_phase_t phase;
+} restart_case_t;
+
+static const restart_case_t restarts[] = {
+	{ .name = "no end before",
+	  .ends_after = 1,
+	  .outcome = GH_RUN_DONE,
+	  .last_run = 1,
+	  .phase = GH_JOB_COMPLETED },
+	{ .name = "as many ends before",
+	  .ends_before = 1,
+	  .ends_after = 1,
+	  .outcome = GH_RUN_DONE,
+	  .last_run = 1,
+	  .phase = GH_JOB_COMPLETED },
+	{ .name = "more ends before",
+	  .ends_before = 4,
+	  .ends_after = 2,
+	  .outcome = GH_RUN_DONE,
+	  .last_run = 1,
+	  .phase = GH_JOB_COMPLETED },
+	{ .name = "failed after more ends before",
+	  .ends_before = 4,
+	  .ends_after = 1,
+	  .outcome = GH_RUN_FAILED,
+	  .failed = 1,
+	  .last_run = 2,
+	  .phase = GH_JOB_RUNNING },
+};
+
+/* Starts and completes a job of n tasks, whose ends are acknowledged. */
+static void complete_job(world_t *w, const char *id, uint32_t n)
+{
+	gh_step_t step = one_task;
+
+	step.tasks = n;
+	add_job(w, id, 1, &step, NULL);
+	advance_time(w, 200);
+	while (w->workers[0].n_runs)
+		end_run(&w->workers[0], 0, GH_RUN_DONE);
+	advance_time(w, 500);
+	assert_int_equal(w->phase, GH_JOB_COMPLETED);
+	assert_int_equal(w->workers[0].n_ends, 0);
+}
+
+/*
+ * The numbers of ends start anew with each incarnation of a worker.  What was
+ * acknowledged to the former one must not make the new one forget an end that
+ * it has not reported yet.
+ */
+static void test_ends_of_new_life(void **state)
+{
+	size_t i, j;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(restarts); i++) {
+		const restart_case_t *c = &restarts[i];
+		gh_step_t step = one_task;
+		gh_fleet_counts_t counts;
+		scripted_worker_t *worker;
+		uint32_t last_run = 0;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		step.tasks = (uint32_t)c->ends_after;
+		world_init(&w);
+		worker = add_worker(&w, "w1", 8000);
+		advance_time(&w, 100);
+		if (c->ends_before)
+			complete_job(&w, "00000000000000b0",
+				     (uint32_t)c->ends_before);
+		w.n_orders = 0;
+		worker->unreachable = true;
+		add_job(&w, JOB, 1, &step, NULL);
+		while (!w.n_orders)
+			advance_time(&w, 10);
+		/* The start orders reach the new incarnation. */
+		worker->unreachable = false;
+		restart_worker(worker);
+		for (j = 0; j < c->ends_after; j++) {
+			worker->runs[worker->n_runs++] =
+				(gh_report_run_t){ .task = w.orders[j].task,
+						   .run = 1 };
+			end_run(worker, 0, c->outcome);
+		}
+		advance_time(&w, 2500);
+		gh_fleet_counts(w.fleet, &counts);
+		for (j = 0; j < w.n_orders; j++)
+			last_run = MAX(last_run,
+				       w.orders[j].kind == GH_ORDER_START ?
+					       w.orders[j].run :
+					       0);
+		assert_int_equal(last_run, c->last_run);
+		assert_int_equal(counts.failed, c->failed);
+		assert_int_equal(w.phase, c->phase);
+		world_clear(&w);
+	}
+}
+
+/* How the owner hears of a worker's restart before the worker is cut off. */
+typedef struct lease_case {
+	const char *name;
+	bool restarts;
+	bool from_discovery;
+	int64_t lease_ms; /* longest lease that the worker can hold */
+} lease_case_t;
+
+static const lease_case_t leases[] = {
+	{ .name = "no restart", .lease_ms = LEASE_MS },
+	{ .name = "restart in a report",
+	  .restarts = true,
+	  .lease_ms = LEASE_MAX_MS },
+	{ .name = "restart in discovery",
+	  .restarts = true,
+	  .from_discovery = true,
+	  .lease_ms = LEASE_MAX_MS },
+};
+
+/*
+ * A deadline on the clock of a worker's former incarnation can lie far ahead on
+ * the clock of the new one, which then holds the longest lease that it accepts.
+ * The runs that it starts afterwards have this lease.
+ */
+static void test_lease_of_new_life(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(leases); i++) {
+		const lease_case_t *c = &leases[i];
+		gh_worker_entry_t entry = {
+			.id = "w1",
+			.service = "svc",
+			.address = "127.0.0.1:1",
+			.size = { .cores_milli = 1000, .memory_mb = 100000 },
+			.incarnation_start_ms = 2,
+		};
+		size_t n_starts = c->restarts ? 2 : 1;
+		scripted_worker_t *worker;
+		gh_time_t restarted_at;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		world_init(&w);
+		worker = add_worker(&w, "w1", 1000);
+		add_job(&w, JOB, 1, &long_running_step, NULL);
+		advance_time(&w, 1000);
+		restarted_at = w.now;
+		if (c->restarts)
+			restart_worker(worker);
+		if (c->from_discovery)
+			gh_fleet_worker_set(w.fleet, &entry, w.now);
+		advance_time(&w, 300);
+		assert_int_equal(count_orders(&w, GH_ORDER_START, 0), n_starts);
+		assert_int_equal(worker->n_runs, 1);
+		add_worker(&w, "w2", 1000);
+		worker->unreachable = true;
+		while (count_orders(&w, GH_ORDER_START, 0) == n_starts &&
+		       w.now - restarted_at < 20000 * MS)
+			advance_time(&w, 10);
+		assert_in_range(w.now - restarted_at,
+				c->lease_ms * 51 / 50 * MS,
+				(c->lease_ms * 103 / 100 + 900) * MS);
+		world_clear(&w);
+	}
+}
+
+/* The run to which another worker at the former address refuses an order. */
+typedef struct other_case {
+	const char *name;
+	gh_order_kind_t kind;
+	uint32_t run;
+	uint32_t lost; /* expected lost runs */
+} other_case_t;
+
+static const other_case_t others[] = {
+	{ .name = "start of the former life's run",
+	  .kind = GH_ORDER_START,
+	  .run = 1 },
+	{ .name = "stop of the former life's run",
+	  .kind = GH_ORDER_STOP,
+	  .run = 1 },
+	{ .name = "pace of the present run",
+	  .kind = GH_ORDER_PACE,
+	  .run = 2,
+	  .lost = 1 },
+};
+
+/*
+ * A worker moves to another address as it restarts, and its former address gets
+ * another worker, which refuses an order for the former life.  The runs of the
+ * new life go on.
+ */
+static void test_other_incarnation(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(others); i++) {
+		const other_case_t *c = &others[i];
+		gh_worker_entry_t entry = {
+			.id = "w1",
+			.service = "svc",
+			.address = "127.0.0.1:2",
+			.size = { .cores_milli = 4000, .memory_mb = 100000 },
+			.incarnation_start_ms = 2,
+		};
+		gh_step_t step = long_running_step;
+		gh_fleet_counts_t before, after;
+		scripted_worker_t *worker;
+		gh_task_id_t task;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		step.tasks = 2;
+		world_init(&w);
+		worker = add_worker(&w, "w1", 4000);
+		add_job(&w, JOB, 1, &step, NULL);
+		advance_time(&w, 300);
+		task = worker->runs[0].task;
+		restart_worker(worker);
+		gh_fleet_worker_set(w.fleet, &entry, w.now);
+		advance_time(&w, 1500);
+		assert_int_equal(worker->n_runs, 2);
+		assert_int_equal(worker->runs[0].run, 2);
+		gh_fleet_counts(w.fleet, &before);
+		gh_fleet_handle_reply(w.fleet, c->kind, "w1", &task, c->run,
+				      GH_ORDER_OTHER_INCARNATION, w.now);
+		gh_fleet_counts(w.fleet, &after);
+		assert_int_equal(after.lost - before.lost, c->lost);
+		world_clear(&w);
+	}
+}
+
+/* An entry of the worker in discovery that is read before it restarts. */
+typedef struct entry_case {
+	const char *name;
+	bool read; /* such an entry is read */
+	int64_t incarnation_start_ms;
+} entry_case_t;
+
+static const entry_case_t entries[] = {
+	{ .name = "none" },
+	{ .name = "complete", .read = true, .incarnation_start_ms = 1 },
+	{ .name = "without the start", .read = true },
+};
+
+/*
+ * A worker's entry without the start of the incarnation, as another writer may
+ * leave it, does not hide the worker's next restart, with which the numbers of
+ * ends start anew.
+ */
+static void test_entry_without_start(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(entries); i++) {
+		const entry_case_t *c = &entries[i];
+		gh_worker_entry_t entry = {
+			.id = "w1",
+			.service = "svc",
+			.address = "127.0.0.1:1",
+			.size = { .cores_milli = 4000, .memory_mb = 100000 },
+			.incarnation_start_ms = c->incarnation_start_ms,
+		};
+		scripted_worker_t *worker;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		world_init(&w);
+		worker = add_worker(&w, "w1", 4000);
+		advance_time(&w, 100);
+		complete_job(&w, "00000000000000b0", 3);
+		if (c->read)
+			gh_fleet_worker_set(w.fleet, &entry, w.now);
+		restart_worker(worker);
+		w.n_orders = 0;
+		add_job(&w, JOB, 1, &one_task, NULL);
+		advance_time(&w, 300);
+		assert_int_equal(worker->n_runs, 1);
+		end_run(worker, 0, GH_RUN_DONE);
+		advance_time(&w, 2000);
+		assert_int_equal(count_orders(&w, GH_ORDER_START, 0), 1);
+		assert_int_equal(w.phase, GH_JOB_COMPLETED);
+		assert_int_equal(worker->n_ends, 0);
+		world_clear(&w);
+	}
+}
+
+/* A report that arrives after discovery has told of the worker's restart. */
+typedef struct overtaken_case {
+	const char *name;
+	int64_t incarnation_start_ms; /* of the report */
+	bool requested_before;	      /* before the restart was known */
+	bool placed; /* a task is placed on the worker at once */
+} overtaken_case_t;
+
+static const overtaken_case_t overtaken[] = {
+	{ .name = "of the former life",
+	  .incarnation_start_ms = 1,
+	  .requested_before = true },
+	{ .name = "of the new life, requested before",
+	  .incarnation_start_ms = 2,
+	  .requested_before = true,
+	  .placed = true },
+	{ .name = "of the new life",
+	  .incarnation_start_ms = 2,
+	  .placed = true },
+	{ .name = "of a still newer life",
+	  .incarnation_start_ms = 3,
+	  .placed = true },
+	{ .name = "of a still newer life whose clock was set back",
+	  .incarnation_start_ms = 1,
+	  .placed = true },
+};
+
+/*
+ * A report of a worker's former life that arrives after its restart is known is
+ * not used: no run is placed by it, with a deadline on a clock that has ended.
+ */
+static void test_overtaken_report(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(overtaken); i++) {
+		const overtaken_case_t *c = &overtaken[i];
+		gh_worker_entry_t entry = {
+			.id = "w1",
+			.service = "svc",
+			.address = "127.0.0.1:1",
+			.size = { .cores_milli = 4000, .memory_mb = 100000 },
+			.incarnation_start_ms = 2,
+		};
+		gh_worker_report_t report = { .complete = true };
+		gh_worker_renewal_t renewal;
+		gh_fleet_counts_t counts;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		world_init(&w);
+		add_worker(&w, "w1", 4000);
+		assert_true(gh_fleet_next_renewal(w.fleet, &renewal, w.now));
+		report.incarnation_start_ms = c->incarnation_start_ms;
+		report.requested_at =
+			w.now + (c->requested_before ? 0 : 20 * MS);
+		w.now += 10 * MS;
+		gh_fleet_worker_set(w.fleet, &entry, w.now);
+		w.now += 20 * MS;
+		gh_fleet_handle_report(w.fleet, "w1", &report, w.now);
+		add_job(&w, JOB, 1, &one_task, NULL);
+		gh_fleet_tick(w.fleet, w.now, w.wall_ms);
+		gh_fleet_counts(w.fleet, &counts);
+		assert_int_equal(counts.open_runs, c->placed);
+		/* The next report is asked for at once, of the new life. */
+		assert_true(gh_fleet_next_renewal(w.fleet, &renewal, w.now));
+		assert_int_equal(renewal.incarnation_start_ms,
+				 c->placed ? c->incarnation_start_ms : 2);
+		world_clear(&w);
+	}
+}
+
+/* A worker that reports an unknown run, and what happens before its stop. */
+typedef struct unknown_case {
+	const char *name;
+	bool unlisted;		/* discovery no longer lists the worker */
+	const char *new_worker; /* id of a worker that is added; NULL: none */
+} unknown_case_t;
+
+static const unknown_case_t unknowns[] = {
+	{ .name = "nothing" },
+	{ .name = "another worker", .new_worker = "w2" },
+	{ .name = "unlisted", .unlisted = true },
+	{ .name = "unlisted, and another in its place",
+	  .unlisted = true,
+	  .new_worker = "w2" },
+	{ .name = "unlisted and listed again",
+	  .unlisted = true,
+	  .new_worker = "w1" },
+};
+
+/* A stop of an unknown run goes to the worker that reported the run. */
+static void test_stop_of_unknown_run(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(unknowns); i++) {
+		const unknown_case_t *c = &unknowns[i];
+		gh_report_run_t run = { .task = { .job = "00000000000000ff" },
+					.run = 1 };
+		gh_worker_report_t report = { .incarnation_start_ms = 1,
+					      .complete = true,
+					      .runs = &run,
+					      .n_runs = 1 };
+		gh_worker_renewal_t renewal;
+		gh_order_t order;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		world_init(&w);
+		add_worker(&w, "w1", 4000);
+		assert_true(gh_fleet_next_renewal(w.fleet, &renewal, w.now));
+		if (c->unlisted)
+			gh_fleet_worker_unlist(w.fleet, "w1");
+		gh_fleet_handle_report(w.fleet, "w1", &report, w.now);
+		if (c->new_worker)
+			add_worker(&w, c->new_worker, 4000);
+		assert_true(gh_fleet_next_order(w.fleet, &order, w.now));
+		assert_int_equal(order.kind, GH_ORDER_STOP);
+		assert_string_equal(order.worker, "w1");
+		assert_string_equal(order.address, "127.0.0.1:1");
+		assert_false(gh_fleet_next_order(w.fleet, &order, w.now));
+		world_clear(&w);
+	}
+}
+
+/* When a worker with a previous owner's run was last heard after a take-over.
+ */
+typedef struct silence_case {
+	const char *name;
+	int64_t heard_ms;   /* time for which it reports; 0: it never does */
+	int64_t restart_ms; /* earliest start elsewhere, after the take-over */
+} silence_case_t;
+
+/* A worker's clock may be 2 % slow, so a lease lasts this long at most. */
+#define SLOW_LEASE_MS (LEASE_MS * 51 / 50)
+/* When the last lease that a previous owner can have granted has ended. */
+#define PREVIOUS_LEASE_END_MS (PREVIOUS_GRANTS_MS + SLOW_LEASE_MS)
+
+static const silence_case_t silences[] = {
+	{ .name = "never heard", .restart_ms = PREVIOUS_LEASE_END_MS },
+	{ .name = "heard at once",
+	  .heard_ms = 100,
+	  .restart_ms = PREVIOUS_LEASE_END_MS },
+	{ .name = "heard for a while",
+	  .heard_ms = 1000,
+	  .restart_ms = PREVIOUS_LEASE_END_MS },
+	{ .name = "heard for longer",
+	  .heard_ms = 6000,
+	  .restart_ms = 6000 + SLOW_LEASE_MS },
+};
+
+/*
+ * The run of a previous owner starts elsewhere once its worker's lease is over:
+ * the last one that a previous owner can have granted, and the last one of this
+ * owner.
+ */
+static void test_silence_after_takeover(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(silences); i++) {
+		const silence_case_t *c = &silences[i];
+		gh_report_run_t run = { .task = { .job = JOB }, .run = 1 };
+		scripted_worker_t *worker;
+		gh_time_t created_at;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		world_init(&w);
+		created_at = w.now;
+		add_job(&w, JOB, 1, &long_running_step,
+			"progress1\n0 open 0 1 - 1@w1\n");
+		worker = add_worker(&w, "w1", 4000);
+		worker->runs[worker->n_runs++] = run;
+		add_worker(&w, "w2", 4000);
+		if (c->heard_ms)
+			advance_time(&w, c->heard_ms);
+		worker->unreachable = true;
+		while (!w.n_orders && w.now - created_at < 20000 * MS)
+			advance_time(&w, 10);
+		assert_in_range(w.now - created_at, c->restart_ms * MS,
+				(c->restart_ms + 500) * MS);
+		world_clear(&w);
+	}
+}
+
+int main(void)
+{
+	static const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_refused_after_silence),
+		cmocka_unit_test(test_ends_of_new_life),
+		cmocka_unit_test(test_lease_of_new_life),
+		cmocka_unit_test(test_other_incarnation),
+		cmocka_unit_test(test_entry_without_start),
+		cmocka_unit_test(test_overtaken_report),
+		cmocka_unit_test(test_stop_of_unknown_run),
+		cmocka_unit_test(test_silence_after_takeover),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
