--- a/regress/fake_platform.c
+++ b/regress/fake_platform.c
@@ -16,12 +16,16 @@
  *                         without a response; "late" applies them later,
  *                         without a response
  *   {"lapse":true}        expires all leases of the key-value service
+ *   {"keep_leases":true}  lets no lease of it expire from now on
  *   {"compact":true}      discards the history of changes
  *   {"hold_range":{"prefix":P,"ms":N}}
  *                         sends replies to range calls below the prefix P only
  *                         N ms after they were composed, or once the control
  *                         is set to a prefix that they are not below; {} holds
  *                         none
+ *   {"hold_txn":{"prefix":P,"ms":N}}
+ *                         sends replies to transactions that were applied and
+ *                         expect first a key with the prefix P only after N ms
  *   {"config":{...}}      writes the key op/config
  *   {"cores":MILLI}       size of each worker
  *   {"workers":N}         adds N workers
@@ -103,8 +107,12 @@
 					discarded */
 	char *hold_prefix; /* range calls whose replies are held; NULL: none */
 	int64_t hold_ms;
-	int64_t held; /* number of replies held at present */
+	int64_t held;	       /* number of replies held at present */
+	char *hold_txn_prefix; /* transactions whose replies are held, or NULL
+				*/
+	int64_t hold_txn_ms;
 	GPtrArray *leases;
+	bool keep_leases; /* leases do not expire */
 	int64_t last_lease_id;
 	int64_t worker_cores_milli;
 	GPtrArray *workers;
@@ -308,6 +316,21 @@
 	p->held--;
 }
 
+/* Delays the reply to a transaction, which is applied already. */
+static void hold_txn_reply(platform_t *p, const json_t *body)
+{
+	const json_t *first =
+		json_array_get(json_object_get(body, "expected_rev"), 0);
+
+	if (!p->hold_txn_prefix ||
+	    !g_str_has_prefix(fake_json_string(first, "key", ""),
+			      p->hold_txn_prefix))
+		return;
+	pthread_mutex_unlock(&p->lock);
+	fake_sleep_ms(p->hold_txn_ms);
+	pthread_mutex_lock(&p->lock);
+}
+
 static void serve_watch(platform_t *p, const fake_request_t *req,
 			fake_reply_t *reply)
 {
@@ -447,7 +470,7 @@
 	int64_t now = fake_boot_ms();
 	guint i, j;
 
-	for (i = p->leases->len; i > 0; i--)
+	for (i = p->keep_leases ? 0 : p->leases->len; i > 0; i--)
 		if (((lease_t *)p->leases->pdata[i - 1])->expires_ms < now)
 			remove_lease(p, i - 1);
 	for (i = 0; i < p->late_writes->len;) {
@@ -703,6 +726,7 @@
 		apply_txn(p, req->json, reply);
 		if (!strcmp(p->store_mode, "lost"))
 			reply->delivery = FAKE_DELIVERY_NONE;
+		hold_txn_reply(p, req->json);
 	} else {
 		fake_reply_error(reply, 404, "no such call");
 	}
@@ -812,6 +836,8 @@
 	} else if (!strcmp(key, "lapse")) {
 		while (p->leases->len)
 			remove_lease(p, 0);
+	} else if (!strcmp(key, "keep_leases")) {
+		p->keep_leases = json_is_true(value);
 	} else if (!strcmp(key, "compact")) {
 		p->compacted_revision = ++p->revision;
 	} else if (!strcmp(key, "hold_range") && json_is_object(value)) {
@@ -819,6 +845,11 @@
 		p->hold_prefix =
 			g_strdup(fake_json_string(value, "prefix", NULL));
 		p->hold_ms = fake_json_int(value, "ms", 0);
+	} else if (!strcmp(key, "hold_txn") && json_is_object(value)) {
+		g_free(p->hold_txn_prefix);
+		p->hold_txn_prefix =
+			g_strdup(fake_json_string(value, "prefix", NULL));
+		p->hold_txn_ms = fake_json_int(value, "ms", 0);
 	} else if (!strcmp(key, "cores")) {
 		p->worker_cores_milli = json_integer_value(value);
 	} else if (!strcmp(key, "workers")) {
--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -23,6 +23,12 @@
 	"[{\"count\":2,\"cpu\":1000,\"long_running\":true," \
 	"\"est_runtime_ms\":100}]"
 
+/* The owner of shard 0 at some time. */
+typedef struct owner_arg {
+	fleet_system_t *sys;
+	int owner;
+} owner_arg_t;
+
 static void assert_state(fleet_system_t *sys, unsigned host, const char *id,
 			 const char *state)
 {
@@ -336,6 +342,40 @@
 	fleet_system_stop(&sys);
 }
 
+static bool owner_changed(void *arg)
+{
+	const owner_arg_t *old = arg;
+	int owner = fleet_shard_owner(old->sys, 0);
+
+	return owner >= 0 && owner != old->owner;
+}
+
+/*
+ * A host that shuts down deletes its owner record itself, also while a commit
+ * is in flight: another host takes the shard over though no lease expires.
+ */
+static void test_release_during_commit(void **state)
+{
+	fleet_system_t sys;
+	owner_arg_t old = { .sys = &sys };
+
+	(void)state;
+	fleet_system_start(&sys, "platform-release", 2, 3, 1);
+	old.owner = fleet_shard_owner(&sys, 0);
+	assert_true(old.owner >= 0);
+	json_decref(
+		proc_control(sys.platform_address,
+			     "{\"hold_txn\":{\"prefix\":\"gh/c/\",\"ms\":600},"
+			     "\"keep_leases\":true}"));
+	assert_int_equal(
+		fleet_submit(&sys, !old.owner, ID("01"), "50", ONE_STEP), 200);
+	g_usleep(100 * 1000); /* the owner commits the intent meanwhile */
+	proc_send_term(&sys.hosts[old.owner]);
+	proc_wait_until(owner_changed, &old, "another owner");
+	fleet_await_state(&sys, !old.owner, ID("01"), "completed");
+	fleet_system_stop(&sys);
+}
+
 /*
  * A long-running task whose worker and whose shard's owner fail at the same
  * time runs again 9 s later at the latest, with 1 s for delays of the machine
@@ -382,6 +422,7 @@
 		cmocka_unit_test(test_owner_struck),
 		cmocka_unit_test(test_worker_struck),
 		cmocka_unit_test(test_all_hosts_killed),
+		cmocka_unit_test(test_release_during_commit),
 		cmocka_unit_test(test_worker_and_owner_lost),
 	};
 
