fleet_owner: delete the owner record at a drain beside a commit in flight

What callers saw: nothing of a shard was decided for about 2 s after its owner was shut down, so tasks started and ended later, and what waits for the end of a previous owner's leases (LOST) waited longer.

Cause: a release ended with the first commit that came back while nothing was left to commit. A commit that was already in flight at SIGTERM does not delete the owner record, so the record stayed until its lease ended. A shard that was being loaded was given up without deleting the record.

Change: the ownership ends with the commit that deletes the record; a shard that is being loaded is released once it is loaded.

--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -82,6 +82,7 @@
 	gh_time_t started_at; /* when the commit was first sent */
 	gh_time_t sent_at;    /* when it was last sent */
 	unsigned unanswered;  /* number of times that it got no reply */
+	bool releases;	      /* it deletes the owner record */
 } batch_t;
 
 struct fleet_owner {
@@ -278,10 +279,9 @@
 void fleet_owner_release(fleet_owner_t *owner)
 {
 	owner->draining = true;
+	/* A shard that is still being loaded is released after that. */
 	if (owner->phase == PHASE_OWNING)
 		owner->phase = PHASE_RELEASING;
-	else if (owner->phase == PHASE_LOADING)
-		end_ownership(owner, "drain");
 	owner->dirty = true;
 }
 
@@ -932,10 +932,11 @@
 	if (now >= owner->sweep_at)
 		delete_old_states(owner, batch, now);
 	if (owner->phase == PHASE_RELEASING &&
-	    !gh_fleet_has_changes(owner->fleet))
+	    !gh_fleet_has_changes(owner->fleet)) {
 		batch_add_entry(batch, FLEET_DELETE, g_strdup(owner->own_key),
 				NULL, 0, 0);
-	else if (!batch->changes->len && batch->n <= 2) {
+		batch->releases = true;
+	} else if (!batch->changes->len && batch->n <= 2) {
 		batch_free(batch);
 		return;
 	}
@@ -1132,10 +1133,9 @@
 		gh_fleet_handle_commit(owner->fleet, change->id,
 				       change->version);
 	}
-	batch_free(batch);
-	if (owner->phase == PHASE_RELEASING &&
-	    !gh_fleet_has_changes(owner->fleet))
+	if (batch->releases)
 		end_ownership(owner, "drain");
+	batch_free(batch);
 }
 
 /*
