--- a/regress/fake_platform.c
+++ b/regress/fake_platform.c
@@ -27,6 +27,8 @@
  *                         sends replies to transactions that were applied and
  *                         expect first a key with the prefix P only after N ms
  *   {"config":{...}}      writes the key op/config
+ *   {"put":{"key":KEY,"text":TEXT}}
+ *                         writes a key
  *   {"cores":MILLI}       size of each worker
  *   {"workers":N}         adds N workers
  *   {"worker":"ID STATE"} state "ready" or "draining"; "silent" does not
@@ -856,6 +858,9 @@
 		add_workers(p, json_integer_value(value));
 	} else if (!strcmp(key, "worker") && text) {
 		ok = set_worker_state(p, text);
+	} else if (!strcmp(key, "put")) {
+		put_text(p, fake_json_string(value, "key", ""),
+			 fake_json_string(value, "text", ""));
 	} else if (!strcmp(key, "config")) {
 		config = json_dumps(value, JSON_COMPACT);
 		put_text(p, "op/config", config);
--- a/regress/fleet_system.c
+++ b/regress/fleet_system.c
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <cmocka.h>
 #include <signal.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -259,6 +260,17 @@
 	return value;
 }
 
+void fleet_platform_put(fleet_system_t *sys, const char *key, const char *text)
+{
+	json_t *call =
+		json_pack("{s:{s:s,s:s}}", "put", "key", key, "text", text);
+	char *body = json_dumps(call, JSON_COMPACT);
+
+	json_decref(proc_control(sys->platform_address, "%s", body));
+	free(body);
+	json_decref(call);
+}
+
 json_t *fleet_platform_violations(fleet_system_t *sys)
 {
 	char *url = g_strdup_printf("http://%s/ctl", sys->platform_address);
--- a/regress/fleet_system.h
+++ b/regress/fleet_system.h
@@ -57,6 +57,8 @@
 int64_t fleet_platform_counter(fleet_system_t *sys, const char *key);
 /* One of a host's counters; -1 if the host has no such counter. */
 int64_t fleet_host_counter(fleet_system_t *sys, unsigned host, const char *key);
+/* Writes a key of the fake platform's store. */
+void fleet_platform_put(fleet_system_t *sys, const char *key, const char *text);
 /* JSON array of texts: violations that the fake platform saw. */
 json_t *fleet_platform_violations(fleet_system_t *sys);
 
--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -8,9 +8,12 @@
 #include <stddef.h>
 #include <cmocka.h>
 #include <pthread.h>
+#include <inttypes.h>
 #include <signal.h>
 #include <string.h>
 
+#include "clock.h"
+#include "core_pipeline.h"
 #include "fleet_system.h"
 
 #define ID(n) "00000000000000" n
@@ -53,6 +56,42 @@
 	return fleet_platform_counter(arg, "running") == 0;
 }
 
+typedef struct running_arg {
+	fleet_system_t *sys;
+	int64_t tasks;
+} running_arg_t;
+
+static bool tasks_running(void *arg)
+{
+	const running_arg_t *expected = arg;
+
+	return fleet_platform_counter(expected->sys, "running") ==
+	       expected->tasks;
+}
+
+static void await_running(fleet_system_t *sys, int64_t tasks)
+{
+	running_arg_t arg = { .sys = sys, .tasks = tasks };
+	char *condition = g_strdup_printf("%" PRId64 " running tasks", tasks);
+
+	proc_wait_until(tasks_running, &arg, condition);
+	g_free(condition);
+}
+
+/* Fills ids with n job ids whose hash names the shard, of SHARDS shards. */
+#define SHARDS 2
+static void find_ids(char (*ids)[GH_JOB_ID_MAX + 1], unsigned n, unsigned shard)
+{
+	unsigned found = 0;
+	unsigned i;
+
+	for (i = 0; found < n; i++) {
+		g_snprintf(ids[found], sizeof(ids[found]), "%016x", i);
+		if (g_str_hash(ids[found]) % SHARDS == shard)
+			found++;
+	}
+}
+
 /* Any host accepts a job, and any host reports its state. */
 static void test_calm(void **state)
 {
@@ -152,6 +191,90 @@
 	fleet_system_stop(&sys);
 }
 
+/*
+ * Long-running jobs ran only in the shard that their ids hash to, so they
+ * waited in a full shard while another one had free capacity.  Seen on
+ * meskot-hoist-grown, quiet-1, with two shards.
+ */
+static void test_full_shard(void **state)
+{
+	fleet_system_t sys;
+	char ids[6][GH_JOB_ID_MAX + 1];
+	unsigned i;
+
+	(void)state;
+	find_ids(ids, G_N_ELEMENTS(ids), 0);
+	/* Each shard has one worker with capacity for 8 tasks. */
+	fleet_system_start(&sys, "platform-full-shard", 2, 2, SHARDS);
+	for (i = 0; i < G_N_ELEMENTS(ids); i++) {
+		assert_int_equal(fleet_submit(&sys, i % 2, ids[i],
+					      "600000 lasts", LONG_RUNNING),
+				 200);
+		await_running(&sys, 2 * (i + 1));
+	}
+	/* Hosts find the jobs of both shards again after a restart. */
+	for (i = 0; i < 2; i++)
+		proc_kill(&sys.hosts[i]);
+	for (i = 0; i < 2; i++)
+		fleet_host_start(&sys, i);
+	for (i = 0; i < G_N_ELEMENTS(ids); i++)
+		fleet_await_state(&sys, (i + 1) % 2, ids[i], "running");
+	for (i = 0; i < G_N_ELEMENTS(ids); i++) {
+		assert_int_equal(fleet_cancel(&sys, (i + 1) % 2, ids[i]), 200);
+		await_running(&sys, 2 * (G_N_ELEMENTS(ids) - i - 1));
+		fleet_await_state(&sys, i % 2, ids[i], "cancelled");
+	}
+	fleet_system_stop(&sys);
+}
+
+/* A job whose state has no shard, as earlier versions wrote it, is served. */
+static void test_state_without_shard(void **state)
+{
+	gh_step_t step = { .tasks = 2,
+			   .size = { .cores_milli = 1000 },
+			   .long_running = true };
+	gh_pipeline_t pipeline = { .queue = "r-q",
+				   .service = "svc",
+				   .n_steps = 1,
+				   .steps = &step,
+				   .payload = "600000 lasts" };
+	fleet_system_t sys;
+	unsigned shard;
+
+	(void)state;
+	pipeline.accepted_ms = gh_time_to_ms(clock_real());
+	fleet_system_start(&sys, "platform-no-shard", 2, 2, SHARDS);
+	for (shard = 0; shard < SHARDS; shard++) {
+		char id[1][GH_JOB_ID_MAX + 1];
+		char *state_key, *state_text, *record_key, *record;
+
+		find_ids(id, 1, shard);
+		g_strlcpy(pipeline.id, id[0], sizeof(pipeline.id));
+		state_key = g_strconcat("gh/d/state/", id[0], NULL);
+		state_text = g_strdup_printf("queued r-q %" PRId64 " %" PRId64,
+					     pipeline.accepted_ms,
+					     pipeline.accepted_ms);
+		record_key = g_strdup_printf("gh/w/%u/%s", shard, id[0]);
+		record = gh_pipeline_format(&pipeline);
+		fleet_platform_put(&sys, state_key, state_text);
+		fleet_platform_put(&sys, record_key, record);
+		await_running(&sys, 2);
+		fleet_await_state(&sys, 0, id[0], "running");
+		/* Its shard is the same when its state has been rewritten. */
+		proc_kill(&sys.hosts[0]);
+		fleet_host_start(&sys, 0);
+		fleet_await_state(&sys, 0, id[0], "running");
+		assert_int_equal(fleet_cancel(&sys, 0, id[0]), 200);
+		await_running(&sys, 0);
+		fleet_await_state(&sys, 1, id[0], "cancelled");
+		g_free(record);
+		g_free(record_key);
+		g_free(state_text);
+		g_free(state_key);
+	}
+	fleet_system_stop(&sys);
+}
+
 /* Reply to a submission while the store has a fault. */
 typedef struct store_case {
 	const char *mode;
@@ -411,6 +534,7 @@
 	assert_int_equal(running, 2);
 }
 
+/* test-platform [NAME] runs all tests, or those whose names match. */
 int main(int argc, char **argv)
 {
 	static const struct CMUnitTest tests[] = {
@@ -418,6 +542,8 @@
 		cmocka_unit_test(test_hopeless),
 		cmocka_unit_test(test_lasting),
 		cmocka_unit_test(test_same_job_twice),
+		cmocka_unit_test(test_full_shard),
+		cmocka_unit_test(test_state_without_shard),
 		cmocka_unit_test(test_store_misbehaves),
 		cmocka_unit_test(test_owner_struck),
 		cmocka_unit_test(test_worker_struck),
