core_balance: choice of the shard for a job with long-running tasks

The shard is a hash of the id, so long-running tasks, which keep their capacity, can fill one shard while another one has capacity.

gh_balance_choose() picks the shard with the largest share of its cores and memory left for such tasks, from loads that are reported and the jobs that this host has placed since. The shard that the id hashes to is kept for other jobs, for equal shares and when its load is unknown. gh_fleet_load() tells the load of a fleet. Nothing calls either yet.

--- /dev/null
+++ b/core_balance.c
@@ -0,0 +1,166 @@
+#include "core_balance.h"
+
+/* A report that arrives this long after a job was placed includes the job. */
+#define REPORT_DELAY_USEC GH_USEC_PER_SEC
+/*
+ * Without a report a placed job counts for this long; its submission may have
+ * failed.
+ */
+#define PLACED_MAX_USEC (10 * GH_USEC_PER_SEC)
+
+/* A job that this host has placed and that no report includes yet. */
+typedef struct placed_job {
+	gh_capacity_t size; /* all long-running tasks */
+	gh_time_t reported_at;
+	gh_time_t expires_at;
+} placed_job_t;
+
+typedef struct shard_entry {
+	bool known;
+	gh_shard_load_t load;
+	GArray *placed; /* placed_job_t */
+} shard_entry_t;
+
+struct gh_balance {
+	uint32_t n_shards;
+	shard_entry_t *shards;
+};
+
+static gh_capacity_t long_running_size(const gh_pipeline_t *job);
+static double free_share(const shard_entry_t *shard, const gh_capacity_t *job);
+static double free_part(int64_t total, int64_t used, int64_t wanted);
+static void remove_placed(shard_entry_t *shard, bool reported, gh_time_t now);
+
+gh_balance_t *gh_balance_new(uint32_t shards)
+{
+	gh_balance_t *balance = g_new0(gh_balance_t, 1);
+	uint32_t i;
+
+	balance->n_shards = shards;
+	balance->shards = g_new0(shard_entry_t, shards);
+	for (i = 0; i < shards; i++)
+		balance->shards[i].placed =
+			g_array_new(FALSE, FALSE, sizeof(placed_job_t));
+	return balance;
+}
+
+void gh_balance_free(gh_balance_t *balance)
+{
+	uint32_t i;
+
+	if (!balance)
+		return;
+	for (i = 0; i < balance->n_shards; i++)
+		g_array_free(balance->shards[i].placed, TRUE);
+	g_free(balance->shards);
+	g_free(balance);
+}
+
+void gh_balance_report(gh_balance_t *balance, uint32_t shard,
+		       const gh_shard_load_t *load, gh_time_t now)
+{
+	shard_entry_t *entry = &balance->shards[shard];
+
+	entry->known = load != NULL;
+	if (!load)
+		return;
+	entry->load = *load;
+	remove_placed(entry, true, now);
+}
+
+uint32_t gh_balance_choose(gh_balance_t *balance, const gh_pipeline_t *job,
+			   uint32_t hashed, gh_time_t now)
+{
+	placed_job_t placed = { .size = long_running_size(job),
+				.reported_at = now + REPORT_DELAY_USEC,
+				.expires_at = now + PLACED_MAX_USEC };
+	uint32_t best = hashed;
+	double best_share;
+	uint32_t i;
+
+	if (!gh_pipeline_is_long_running(job))
+		return hashed;
+	for (i = 0; i < balance->n_shards; i++)
+		remove_placed(&balance->shards[i], false, now);
+	best_share = free_share(&balance->shards[hashed], &placed.size);
+	for (i = 0; i < balance->n_shards && balance->shards[hashed].known;
+	     i++) {
+		double share = free_share(&balance->shards[i], &placed.size);
+
+		if (share > best_share) {
+			best_share = share;
+			best = i;
+		}
+	}
+	g_array_append_val(balance->shards[best].placed, placed);
+	return best;
+}
+
+void gh_capacity_add(gh_capacity_t *sum, const gh_resources_t *size, uint32_t n)
+{
+	sum->cores_milli += (int64_t)size->cores_milli * n;
+	sum->memory_mb += (int64_t)size->memory_mb * n;
+}
+
+static gh_capacity_t long_running_size(const gh_pipeline_t *job)
+{
+	gh_capacity_t size = { 0 };
+	uint32_t i;
+
+	for (i = 0; i < job->n_steps; i++)
+		if (job->steps[i].long_running)
+			gh_capacity_add(&size, &job->steps[i].size,
+					job->steps[i].tasks);
+	return size;
+}
+
+/*
+ * Share of the shard's capacity that long-running tasks leave once the job's
+ * tasks run there: negative if they don't all fit, 0 if the load is unknown.
+ */
+static double free_share(const shard_entry_t *shard, const gh_capacity_t *job)
+{
+	gh_capacity_t used = shard->load.long_running;
+	double cores, memory;
+	guint i;
+
+	if (!shard->known)
+		return 0;
+	for (i = 0; i < shard->placed->len; i++) {
+		const placed_job_t *placed =
+			&g_array_index(shard->placed, placed_job_t, i);
+
+		used.cores_milli += placed->size.cores_milli;
+		used.memory_mb += placed->size.memory_mb;
+	}
+	cores = free_part(shard->load.total.cores_milli, used.cores_milli,
+			  job->cores_milli);
+	memory = free_part(shard->load.total.memory_mb, used.memory_mb,
+			   job->memory_mb);
+	return MIN(cores, memory);
+}
+
+static double free_part(int64_t total, int64_t used, int64_t wanted)
+{
+	if (!wanted)
+		return 1;
+	if (total <= 0)
+		return -G_MAXDOUBLE;
+	return (double)(total - used - wanted) / (double)total;
+}
+
+static void remove_placed(shard_entry_t *shard, bool reported, gh_time_t now)
+{
+	guint i = 0;
+
+	while (i < shard->placed->len) {
+		const placed_job_t *placed =
+			&g_array_index(shard->placed, placed_job_t, i);
+
+		if (now >= placed->expires_at ||
+		    (reported && now >= placed->reported_at))
+			g_array_remove_index(shard->placed, i);
+		else
+			i++;
+	}
+}
--- /dev/null
+++ b/core_balance.h
@@ -0,0 +1,52 @@
+/*
+ * Choice of the shard for a new job, which stays there until it ends.
+ *
+ * Long-running tasks keep their capacity, so a job with such tasks goes to the
+ * shard that has the largest share of its capacity left for them.  Any other
+ * job goes to the shard that the hash of its id names.  The owners report the
+ * loads of their shards some time after the fact, so jobs that this host has
+ * placed lately count in addition.
+ */
+#ifndef CORE_BALANCE_H
+#define CORE_BALANCE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core_pipeline.h"
+#include "core_time.h"
+
+typedef struct gh_balance gh_balance_t;
+
+/* A sum of gh_resources_t, without accelerators. */
+typedef struct gh_capacity {
+	int64_t cores_milli;
+	int64_t memory_mb;
+} gh_capacity_t;
+
+typedef struct gh_shard_load {
+	gh_capacity_t total; /* capacity of the usable workers */
+	/* Declared sizes of the long-running tasks, running or waiting. */
+	gh_capacity_t long_running;
+} gh_shard_load_t;
+
+gh_balance_t *gh_balance_new(uint32_t shards);
+void gh_balance_free(gh_balance_t *balance);
+
+/* Takes over the reported load of a shard; NULL: its load is unknown. */
+void gh_balance_report(gh_balance_t *balance, uint32_t shard,
+		       const gh_shard_load_t *load, gh_time_t now);
+
+/*
+ * Returns the shard for a job, and counts the job there.  hashed is the shard
+ * that the job's id hashes to; it is chosen when its load is unknown.  A shard
+ * of unknown load is otherwise chosen only if all of known load are full.
+ */
+uint32_t gh_balance_choose(gh_balance_t *balance, const gh_pipeline_t *job,
+			   uint32_t hashed, gh_time_t now);
+
+/* Adds tasks of one size to a sum. */
+void gh_capacity_add(gh_capacity_t *sum, const gh_resources_t *size,
+		     uint32_t n);
+
+#endif
--- a/core_fleet.h
+++ b/core_fleet.h
@@ -19,6 +19,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "core_balance.h"
 #include "core_pipeline.h"
 #include "core_time.h"
 
@@ -324,6 +325,9 @@
 bool gh_fleet_fenced(const gh_fleet_t *fleet);
 
 bool gh_fleet_has_changes(const gh_fleet_t *fleet);
+/* Load of the fleet by its usable workers and its jobs that have not ended. */
+void gh_fleet_load(const gh_fleet_t *fleet, gh_shard_load_t *load,
+		   gh_time_t now);
 void gh_fleet_counts(const gh_fleet_t *fleet, gh_fleet_counts_t *counts);
 const char *gh_job_phase_name(gh_job_phase_t phase);
 /* Job phase by its name, or GH_JOB_PHASES for an unknown name. */
--- a/regress/test_core_fleet.c
+++ b/regress/test_core_fleet.c
@@ -243,6 +243,42 @@
 	world_clear(&w);
 }
 
+/* The load is that of the usable workers and the jobs that have not ended,
+ * whether their tasks run or wait. */
+static void test_load(void **state)
+{
+	gh_step_t steps[2] = { long_running_step, one_task };
+	gh_shard_load_t load;
+	world_t w;
+
+	(void)state;
+	steps[0].tasks = 10;
+	steps[0].size.memory_mb = 50;
+	world_init(&w);
+	add_worker(&w, "w1", 4000);
+	add_worker(&w, "w2", 2000);
+	gh_fleet_load(w.fleet, &load, w.now);
+	assert_int_equal(load.total.cores_milli, 0);
+	add_job(&w, "0000000000000001", 2, steps, NULL);
+	add_job(&w, "0000000000000002", 1, &best_effort_step, NULL);
+	advance_time(&w, 500);
+	gh_fleet_load(w.fleet, &load, w.now);
+	assert_int_equal(load.total.cores_milli, 6000);
+	assert_int_equal(load.total.memory_mb, 200000);
+	assert_int_equal(load.long_running.cores_milli, 10000);
+	assert_int_equal(load.long_running.memory_mb, 500);
+	w.workers[0].unreachable = true;
+	gh_fleet_worker_unlist(w.fleet, "w2");
+	advance_time(&w, 2000);
+	gh_fleet_load(w.fleet, &load, w.now);
+	assert_int_equal(load.total.cores_milli, 0);
+	assert_int_equal(load.long_running.cores_milli, 10000);
+	gh_fleet_job_cancel(w.fleet, "0000000000000001", w.now);
+	gh_fleet_load(w.fleet, &load, w.now);
+	assert_int_equal(load.long_running.cores_milli, 0);
+	world_clear(&w);
+}
+
 /* The tasks of a gang start all together or not at all, and share one run
  * number. */
 static void test_gang(void **state)
@@ -762,6 +798,7 @@
 		cmocka_unit_test(test_start_in_new_life),
 		cmocka_unit_test(test_attempts),
 		cmocka_unit_test(test_cancel),
+		cmocka_unit_test(test_load),
 		cmocka_unit_test(test_gang),
 		cmocka_unit_test(test_per_worker),
 		cmocka_unit_test(test_drain),
