fleet_jobs: keep a job's shard in its state and choose it by load

A long-running job waited in the full shard that its id hashes to while another shard had free capacity.

The shard is now chosen when the job is accepted and is the fifth field of d/state/ID; without the field the hash counts, as before. State and job record are still created in one commit that expects no state, so hosts that choose different shards for one id can't write two records. Owners write d/load/SHARD, when it has changed, with other changes or alone, at most each 0.5 s and only with several shards. It counts only while its author owns the shard: an idle shard commits nothing, so the age of a load says nothing.

New: test_same_job_two_shards.

--- a/fleet_host.c
+++ b/fleet_host.c
@@ -194,9 +194,8 @@
 static void on_job(void *ctx, const char *id, const fleet_job_state_t *state)
 {
 	fleet_front_t *host = ctx;
-	uint32_t shard = fleet_jobs_shard(host->jobs, id);
 
-	fleet_owner_job_changed(host->owners[shard], id, state);
+	fleet_owner_job_changed(host->owners[state->shard], id, state);
 }
 
 static void on_owner(void *ctx, uint32_t shard, const char *name)
--- a/fleet_jobs.c
+++ b/fleet_jobs.c
@@ -19,6 +19,7 @@
 #define DIRECTORY_PREFIX "d/"
 #define STATE_PREFIX "state/"
 #define OWNER_PREFIX "own/"
+#define LOAD_PREFIX "load/"
 #define RETRY_DELAY_USEC (40 * GH_USEC_PER_MSEC)
 /*
  * A caller's request fails after this many tries that had no effect in the
@@ -26,12 +27,20 @@
  */
 #define REFUSALS_MAX 3
 
+/* A shard's records in the directory; NULL: none. */
+typedef struct shard_records {
+	char *owner;
+	char *load;
+} shard_records_t;
+
 struct fleet_jobs {
 	loop_t *loop;
 	fleet_store_t *store;
 	fleet_watch_t *watch;
 	fleet_jobs_listener_t listener;
 	uint32_t shards;
+	shard_records_t *records; /* indexed by shard */
+	gh_balance_t *balance;
 	/* Due at the earliest retry or deadline of a request. */
 	loop_timer_t timer;
 	bool closed;
@@ -70,10 +79,23 @@
 
 static void on_item(void *ctx, const fleet_item_t *item);
 static void on_synced(void *ctx);
+static void on_owner_record(fleet_jobs_t *jobs, uint32_t shard,
+			    const char *owner);
+static void set_owner(fleet_jobs_t *jobs, uint32_t shard, const char *owner);
+static void on_load_record(fleet_jobs_t *jobs, uint32_t shard,
+			   const char *text);
+static void update_balance(fleet_jobs_t *jobs, uint32_t shard);
 static char *owner_key(uint32_t shard);
-static bool read_state(const char *id, const char *text, uint64_t revision,
+static uint32_t hashed_shard(const fleet_jobs_t *jobs, const char *id);
+static uint32_t parse_shard(const char *key, const char *prefix);
+static bool read_state(const fleet_jobs_t *jobs, const char *id,
+		       const char *text, uint64_t revision,
 		       fleet_job_state_t *state);
-static bool parse_state(const char *text, fleet_job_state_t *state);
+static bool parse_state(const fleet_jobs_t *jobs, const char *id,
+			const char *text, fleet_job_state_t *state);
+static bool parse_load(const char *text, const char *owner,
+		       gh_shard_load_t *load);
+static uint32_t choose_shard(fleet_jobs_t *jobs, const gh_pipeline_t *pipeline);
 static void set_state(fleet_jobs_t *jobs, const char *id,
 		      const fleet_job_state_t *state);
 static request_t *request_new(fleet_jobs_t *jobs, request_kind_t kind,
@@ -103,6 +125,8 @@
 	jobs->loop = loop;
 	jobs->store = store;
 	jobs->shards = shards;
+	jobs->records = g_new0(shard_records_t, shards);
+	jobs->balance = gh_balance_new(shards);
 	jobs->listener = *listener;
 	pthread_mutex_init(&jobs->lock, NULL);
 	g_queue_init(&jobs->retry_queue);
@@ -121,6 +145,7 @@
 void fleet_jobs_free(fleet_jobs_t *jobs)
 {
 	request_t *request;
+	uint32_t i;
 
 	if (!jobs)
 		return;
@@ -132,6 +157,12 @@
 	}
 	g_queue_clear(&jobs->retry_queue);
 	g_hash_table_destroy(jobs->states);
+	for (i = 0; i < jobs->shards; i++) {
+		g_free(jobs->records[i].owner);
+		g_free(jobs->records[i].load);
+	}
+	g_free(jobs->records);
+	gh_balance_free(jobs->balance);
 	pthread_mutex_destroy(&jobs->lock);
 	g_free(jobs);
 }
@@ -183,17 +214,18 @@
 	const char *key = item->key + strlen(DIRECTORY_PREFIX);
 
 	if (g_str_has_prefix(key, OWNER_PREFIX)) {
-		jobs->listener.owner_changed(
-			jobs->listener.ctx,
-			(uint32_t)g_ascii_strtoull(key + strlen(OWNER_PREFIX),
-						   NULL, 10),
-			item->value);
+		on_owner_record(jobs, parse_shard(key, OWNER_PREFIX),
+				item->value);
+	} else if (g_str_has_prefix(key, LOAD_PREFIX)) {
+		on_load_record(jobs, parse_shard(key, LOAD_PREFIX),
+			       item->value);
 	} else if (g_str_has_prefix(key, STATE_PREFIX)) {
 		const char *id = key + strlen(STATE_PREFIX);
 		fleet_job_state_t state;
 
 		if (item->value) {
-			if (read_state(id, item->value, item->revision, &state))
+			if (read_state(jobs, id, item->value, item->revision,
+				       &state))
 				set_state(jobs, id, &state);
 			return;
 		}
@@ -212,24 +244,69 @@
 		char *key = owner_key(i);
 
 		if (!fleet_watch_has(jobs->watch, key))
-			jobs->listener.owner_changed(jobs->listener.ctx, i,
-						     NULL);
+			on_owner_record(jobs, i, NULL);
 		g_free(key);
 	}
 	jobs->listener.synced(jobs->listener.ctx);
 }
 
+static uint32_t parse_shard(const char *key, const char *prefix)
+{
+	return (uint32_t)g_ascii_strtoull(key + strlen(prefix), NULL, 10);
+}
+
+static void on_owner_record(fleet_jobs_t *jobs, uint32_t shard,
+			    const char *owner)
+{
+	if (shard >= jobs->shards)
+		return;
+	set_owner(jobs, shard, owner);
+	jobs->listener.owner_changed(jobs->listener.ctx, shard, owner);
+}
+
+static void set_owner(fleet_jobs_t *jobs, uint32_t shard, const char *owner)
+{
+	if (!g_strcmp0(jobs->records[shard].owner, owner))
+		return;
+	g_free(jobs->records[shard].owner);
+	jobs->records[shard].owner = g_strdup(owner);
+	update_balance(jobs, shard);
+}
+
+static void on_load_record(fleet_jobs_t *jobs, uint32_t shard, const char *text)
+{
+	if (shard >= jobs->shards ||
+	    !g_strcmp0(jobs->records[shard].load, text))
+		return;
+	g_free(jobs->records[shard].load);
+	jobs->records[shard].load = g_strdup(text);
+	update_balance(jobs, shard);
+}
+
+/* A shard's load counts only while its author owns the shard. */
+static void update_balance(fleet_jobs_t *jobs, uint32_t shard)
+{
+	const shard_records_t *records = &jobs->records[shard];
+	gh_shard_load_t load;
+	bool known = records->owner && records->load &&
+		     parse_load(records->load, records->owner, &load);
+
+	gh_balance_report(jobs->balance, shard, known ? &load : NULL,
+			  clock_boot());
+}
+
 static char *owner_key(uint32_t shard)
 {
 	return g_strdup_printf(DIRECTORY_PREFIX OWNER_PREFIX "%u", shard);
 }
 
 void fleet_jobs_note_owner(fleet_jobs_t *jobs, uint32_t shard,
-			   uint64_t revision)
+			   const char *owner, uint64_t revision)
 {
 	char *key = owner_key(shard);
 
-	fleet_watch_note(jobs->watch, key, revision, true);
+	if (fleet_watch_note(jobs->watch, key, revision, true))
+		set_owner(jobs, shard, owner);
 	g_free(key);
 }
 
@@ -238,7 +315,7 @@
 {
 	fleet_job_state_t state;
 
-	if (read_state(id, text, revision, &state))
+	if (read_state(jobs, id, text, revision, &state))
 		fleet_jobs_update(jobs, id, &state);
 }
 
@@ -252,11 +329,12 @@
 	g_free(key);
 }
 
-static bool read_state(const char *id, const char *text, uint64_t revision,
+static bool read_state(const fleet_jobs_t *jobs, const char *id,
+		       const char *text, uint64_t revision,
 		       fleet_job_state_t *state)
 {
 	*state = (fleet_job_state_t){ .revision = revision };
-	if (parse_state(text, state))
+	if (parse_state(jobs, id, text, state))
 		return true;
 	log_event(LOG_ERROR, "job_state_unread", "job", id, "text", text, NULL);
 	return false;
@@ -285,15 +363,14 @@
 		const fleet_job_state_t *state = value;
 
 		if (state->phase > GH_JOB_RUNNING &&
-		    state->changed_ms < wall_ms &&
-		    fleet_jobs_shard(jobs, id) == shard)
+		    state->changed_ms < wall_ms && state->shard == shard)
 			g_ptr_array_add(ids, g_strdup(id));
 	}
 	pthread_mutex_unlock(&jobs->lock);
 	return ids;
 }
 
-uint32_t fleet_jobs_shard(const fleet_jobs_t *jobs, const char *id)
+static uint32_t hashed_shard(const fleet_jobs_t *jobs, const char *id)
 {
 	return g_str_hash(id) % jobs->shards;
 }
@@ -308,22 +385,61 @@
 	return g_strdup_printf("w/%u/%s", shard, id);
 }
 
+char *fleet_jobs_load_key(uint32_t shard)
+{
+	return g_strdup_printf(DIRECTORY_PREFIX LOAD_PREFIX "%u", shard);
+}
+
 char *fleet_job_state_format(const fleet_job_state_t *state)
 {
-	return g_strdup_printf("%s %s %" PRId64 " %" PRId64,
+	return g_strdup_printf("%s %s %" PRId64 " %" PRId64 " %u",
 			       gh_job_phase_name(state->phase), state->queue,
-			       state->accepted_ms, state->changed_ms);
+			       state->accepted_ms, state->changed_ms,
+			       state->shard);
 }
 
-static bool parse_state(const char *text, fleet_job_state_t *state)
+/* Leaves state unchanged if the text is not valid. */
+static bool parse_state(const fleet_jobs_t *jobs, const char *id,
+			const char *text, fleet_job_state_t *state)
 {
+	fleet_job_state_t parsed = { .revision = state->revision,
+				     .shard = hashed_shard(jobs, id) };
 	char phase[16];
 
-	if (sscanf(text, "%15s %95s %" SCNd64 " %" SCNd64, phase, state->queue,
-		   &state->accepted_ms, &state->changed_ms) != 4)
+	if (sscanf(text, "%15s %95s %" SCNd64 " %" SCNd64 " %" SCNu32, phase,
+		   parsed.queue, &parsed.accepted_ms, &parsed.changed_ms,
+		   &parsed.shard) < 4)
 		return false;
-	state->phase = gh_job_phase_by_name(phase);
-	return state->phase < GH_JOB_PHASES;
+	parsed.phase = gh_job_phase_by_name(phase);
+	if (parsed.phase >= GH_JOB_PHASES)
+		return false;
+	/* A job that ended when there were more shards. */
+	if (parsed.shard >= jobs->shards)
+		parsed.shard = hashed_shard(jobs, id);
+	*state = parsed;
+	return true;
+}
+
+char *fleet_jobs_load_format(const char *owner, const gh_shard_load_t *load)
+{
+	return g_strdup_printf(
+		"%s %" PRId64 " %" PRId64 " %" PRId64 " %" PRId64, owner,
+		load->total.cores_milli, load->total.memory_mb,
+		load->long_running.cores_milli, load->long_running.memory_mb);
+}
+
+/* Returns false also for a load that another host than owner has written. */
+static bool parse_load(const char *text, const char *owner,
+		       gh_shard_load_t *load)
+{
+	size_t len = strlen(owner);
+
+	return !strncmp(text, owner, len) && text[len] == ' ' &&
+	       sscanf(text + len,
+		      "%" SCNd64 " %" SCNd64 " %" SCNd64 " %" SCNd64,
+		      &load->total.cores_milli, &load->total.memory_mb,
+		      &load->long_running.cores_milli,
+		      &load->long_running.memory_mb) == 4;
 }
 
 /* Requests: submissions, cancels and refreshes. */
@@ -340,12 +456,29 @@
 		.phase = GH_JOB_QUEUED,
 		.accepted_ms = pipeline->accepted_ms,
 		.changed_ms = pipeline->accepted_ms,
+		.shard = choose_shard(jobs, pipeline),
 	};
 	g_strlcpy(request->state.queue, pipeline->queue,
 		  sizeof(request->state.queue));
 	request_try(request);
 }
 
+/*
+ * The shard of a job to be written.  It may differ from the choice for another
+ * submission of the same id: state and record of a job are written in one
+ * commit, so only one submission writes either.
+ */
+static uint32_t choose_shard(fleet_jobs_t *jobs, const gh_pipeline_t *pipeline)
+{
+	fleet_job_state_t state;
+
+	if (fleet_jobs_find(jobs, pipeline->id, &state))
+		return state.shard;
+	return gh_balance_choose(jobs->balance, pipeline,
+				 hashed_shard(jobs, pipeline->id),
+				 clock_boot());
+}
+
 void fleet_jobs_cancel(fleet_jobs_t *jobs, const char *id, const char *queue,
 		       gh_time_t deadline, fleet_jobs_done_t done, void *ctx)
 {
@@ -414,8 +547,8 @@
 {
 	fleet_jobs_t *jobs = request->jobs;
 	char *state_key = fleet_jobs_state_key(request->id);
-	char *record_key = fleet_jobs_record_key(
-		fleet_jobs_shard(jobs, request->id), request->id);
+	char *record_key =
+		fleet_jobs_record_key(request->state.shard, request->id);
 	fleet_job_state_t new_state = request->state;
 	fleet_entry_t entries[3];
 	size_t n = 0;
@@ -468,6 +601,7 @@
 		for (i = 0; i < reply->n_items; i++)
 			if (reply->items[i].value) {
 				request->state_known = parse_state(
+					request->jobs, request->id,
 					reply->items[i].value, &request->state);
 				request->state.revision =
 					reply->items[i].revision;
@@ -498,7 +632,8 @@
 		request_resolve(request);
 	} else if (reply->result == FLEET_OK && reply->n_items &&
 		   reply->items[0].value &&
-		   parse_state(reply->items[0].value, &request->state)) {
+		   parse_state(request->jobs, request->id,
+			       reply->items[0].value, &request->state)) {
 		request->state_known = true;
 		request->state.revision = reply->items[0].revision;
 		fleet_jobs_update(request->jobs, request->id, &request->state);
--- a/fleet_jobs.h
+++ b/fleet_jobs.h
@@ -3,13 +3,19 @@
  * by every host.  Jobs are submitted and cancelled by conditional writes to
  * the same records, so any host can do either.
  *
- *   d/state/ID    "PHASE QUEUE ACCEPTED-MS CHANGED-MS"
+ *   d/state/ID    "PHASE QUEUE ACCEPTED-MS CHANGED-MS SHARD"
  *   d/own/SHARD   name of the shard's owner, bound to the owner's lease
+ *   d/load/SHARD  "OWNER CORES MEMORY CORES MEMORY": capacity of the shard's
+ *                 workers and size of its long-running tasks
  *   w/SHARD/ID    the job as submitted, deleted when the job has ended
+ *
+ * The shard of a job is chosen when the job is accepted and kept in its state.
+ * Without SHARD, as earlier versions wrote it, the hash of the id is the shard.
  */
 #ifndef FLEET_JOBS_H
 #define FLEET_JOBS_H
 
+#include "core_balance.h"
 #include "fleet_loop.h"
 #include "fleet_port.h"
 
@@ -20,7 +26,8 @@
 	char queue[GH_QUEUE_MAX + 1];
 	int64_t accepted_ms; /* time of acceptance, wall clock */
 	int64_t changed_ms;  /* time of the last change of phase, wall clock */
-	uint64_t revision;   /* revision of the state's record in the store */
+	uint32_t shard;
+	uint64_t revision; /* revision of the state's record in the store */
 } fleet_job_state_t;
 
 /* Functions called on the loop's thread after the job directory was updated. */
@@ -88,7 +95,7 @@
 			    const char *text, uint64_t revision);
 /* Notes that this host has written a shard's owner record. */
 void fleet_jobs_note_owner(fleet_jobs_t *jobs, uint32_t shard,
-			   uint64_t revision);
+			   const char *owner, uint64_t revision);
 /*
  * Ids of up to max jobs of a shard that ended before a wall-clock time; free
  * the array with g_ptr_array_free().
@@ -96,9 +103,10 @@
 GPtrArray *fleet_jobs_ended_before(fleet_jobs_t *jobs, uint32_t shard,
 				   int64_t wall_ms, guint max);
 
-uint32_t fleet_jobs_shard(const fleet_jobs_t *jobs, const char *id);
 char *fleet_jobs_state_key(const char *id);
 char *fleet_jobs_record_key(uint32_t shard, const char *id);
+char *fleet_jobs_load_key(uint32_t shard);
 char *fleet_job_state_format(const fleet_job_state_t *state);
+char *fleet_jobs_load_format(const char *owner, const gh_shard_load_t *load);
 
 #endif
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -61,6 +61,8 @@
  */
 #define INTERFERENCE_ID "images"
 #define INTERFERENCE_PERIOD_USEC (3 * GH_USEC_PER_SEC)
+/* Min time between two writes of the shard's load. */
+#define LOAD_PERIOD_USEC (500 * GH_USEC_PER_MSEC)
 
 typedef enum phase {
 	PHASE_IDLE,
@@ -132,6 +134,9 @@
 	gh_time_t sweep_at;
 	/* Due time of the next save of the learned interference. */
 	gh_time_t interference_save_at;
+	/* Due time of the next save of the shard's load. */
+	gh_time_t load_save_at;
+	char *load_saved; /* load in the last commit with one; NULL: none */
 	/* An event has occurred since the last run of advance(). */
 	bool dirty;
 	/*
@@ -207,6 +212,7 @@
 static void save_interference(fleet_owner_t *owner, batch_t *batch,
 			      gh_time_t now);
 static void load_interference(fleet_owner_t *owner);
+static void save_load(fleet_owner_t *owner, batch_t *batch, gh_time_t now);
 static char *chain_text(const fleet_owner_t *owner);
 static void log_fleet_event(void *ctx, const char *event,
 			    const gh_task_id_t *task, uint32_t run,
@@ -512,7 +518,8 @@
 static void note_owner_record(fleet_owner_t *owner, uint64_t revision)
 {
 	owner->record_absent = false;
-	fleet_jobs_note_owner(owner->setup.jobs, owner->setup.shard, revision);
+	fleet_jobs_note_owner(owner->setup.jobs, owner->setup.shard,
+			      owner->setup.host, revision);
 }
 
 static void schedule_claim_retry(fleet_owner_t *owner)
@@ -702,6 +709,10 @@
 	owner->phase = owner->draining ? PHASE_RELEASING : PHASE_OWNING;
 	owner->commit_at = 0;
 	owner->reread_chain_at = GH_TIME_NEVER;
+	/* Until then the workers that are up send their first report. */
+	owner->load_save_at = owner->setup.shards > 1 ?
+				      clock_boot() + LOAD_PERIOD_USEC :
+				      GH_TIME_NEVER;
 	owner->dirty = true;
 }
 
@@ -723,6 +734,7 @@
 					  (GDestroyNotify)gh_pipeline_free);
 	g_clear_pointer(&owner->parsed_jobs, g_ptr_array_unref);
 	g_clear_pointer(&owner->batch, batch_free);
+	g_clear_pointer(&owner->load_saved, g_free);
 	owner->record_lost = owner->restoring = false;
 	owner->claim_at = clock_boot() + CLAIM_RETRY_DELAY_USEC;
 	owner->timer.at = owner->claim_at;
@@ -915,20 +927,22 @@
 	batch_t *batch;
 
 	if (!gh_fleet_has_changes(owner->fleet) && now < owner->sweep_at &&
-	    owner->phase != PHASE_RELEASING)
+	    now < owner->load_save_at && owner->phase != PHASE_RELEASING)
 		return;
 	owner->sequence++;
 	batch = batch_new(owner);
 	/*
-	 * Leaves space in the commit for the learned interference and the owner
-	 * record.
+	 * Leaves space in the commit for the learned interference, the shard's
+	 * load and the owner record.
 	 */
-	while (batch->n + CHANGE_ENTRIES_MAX + 1 < FLEET_ENTRIES_MAX &&
+	while (batch->n + CHANGE_ENTRIES_MAX + 2 < FLEET_ENTRIES_MAX &&
 	       gh_fleet_next_change(owner->fleet, &change))
 		if (!batch_add_change(owner, batch, &change))
 			break;
 	if (batch->changes->len && now >= owner->interference_save_at)
 		save_interference(owner, batch, now);
+	if (now >= owner->load_save_at)
+		save_load(owner, batch, now);
 	if (now >= owner->sweep_at)
 		delete_old_states(owner, batch, now);
 	if (owner->phase == PHASE_RELEASING &&
@@ -1160,6 +1174,7 @@
 	owner->batch = NULL;
 	owner->commit_at = clock_boot() + COMMIT_RETRY_DELAY_USEC;
 	counter_inc(CTR_COMMITS_FAILED);
+	g_clear_pointer(&owner->load_saved, g_free);
 	for (i = 0; i < batch->changes->len; i++)
 		gh_fleet_handle_commit_failure(
 			owner->fleet,
@@ -1270,6 +1285,28 @@
 			  log_num(owner->setup.shard), "text", text, NULL);
 }
 
+/*
+ * Adds the shard's load to a commit if it has changed, so that hosts place new
+ * jobs by it.  A load that changes beside no job is committed alone.
+ */
+static void save_load(fleet_owner_t *owner, batch_t *batch, gh_time_t now)
+{
+	gh_shard_load_t load;
+	char *text;
+
+	owner->load_save_at = now + LOAD_PERIOD_USEC;
+	gh_fleet_load(owner->fleet, &load, now);
+	text = fleet_jobs_load_format(owner->setup.host, &load);
+	if (!g_strcmp0(text, owner->load_saved)) {
+		g_free(text);
+		return;
+	}
+	g_free(owner->load_saved);
+	owner->load_saved = g_strdup(text);
+	batch_add_entry(batch, FLEET_PUT,
+			fleet_jobs_load_key(owner->setup.shard), text, 0, 0);
+}
+
 /*
  * Text of the shard's chain record, unique to each commit: "EPOCH SEQUENCE HOST
  * LEASE".
--- a/regress/fake_platform.c
+++ b/regress/fake_platform.c
@@ -877,6 +877,8 @@
 	platform_t *p = self;
 	json_t *owners = json_object();
 	int64_t running = 0;
+	int64_t loads = 0;
+	int64_t records = 0;
 	json_t *state;
 	guint i;
 
@@ -894,6 +896,8 @@
 		guchar *text;
 		char *copy;
 
+		loads += g_str_has_prefix(item->key, "gh/d/load/");
+		records += g_str_has_prefix(item->key, "gh/w/");
 		if (!g_str_has_prefix(item->key, "gh/d/own/"))
 			continue;
 		text = g_base64_decode(item->value, &len);
@@ -904,10 +908,11 @@
 		g_free(text);
 	}
 	state = json_pack(
-		"{s:O,s:I,s:I,s:I,s:o,s:I,s:I}", "wrong", p->violations,
+		"{s:O,s:I,s:I,s:I,s:o,s:I,s:I,s:I,s:I}", "wrong", p->violations,
 		"starts", (json_int_t)p->starts, "running", (json_int_t)running,
 		"calls", (json_int_t)p->calls, "owners", owners, "items",
-		(json_int_t)p->items->len, "held", (json_int_t)p->held);
+		(json_int_t)p->items->len, "held", (json_int_t)p->held, "loads",
+		(json_int_t)loads, "records", (json_int_t)records);
 	pthread_mutex_unlock(&p->lock);
 	return state;
 }
--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -92,6 +92,11 @@
 	}
 }
 
+static bool loads_reported(void *arg)
+{
+	return fleet_platform_counter(arg, "loads") == SHARDS;
+}
+
 /* Any host accepts a job, and any host reports its state. */
 static void test_calm(void **state)
 {
@@ -154,6 +159,9 @@
 typedef struct submission {
 	fleet_system_t *sys;
 	unsigned host;
+	const char *id;
+	const char *payload;
+	const char *steps;
 	int status;
 } submission_t;
 
@@ -161,23 +169,22 @@
 {
 	submission_t *submission = arg;
 
-	submission->status = fleet_submit(submission->sys, submission->host,
-					  ID("01"), "50", ONE_STEP);
+	submission->status =
+		fleet_submit(submission->sys, submission->host, submission->id,
+			     submission->payload, submission->steps);
 	return NULL;
 }
 
-/* An id submitted to several hosts at once is one job. */
-static void test_same_job_twice(void **state)
+/* Submits a job to three hosts at once; all must accept it. */
+static void submit_to_three(const submission_t *submission)
 {
-	fleet_system_t sys;
 	submission_t submissions[3];
 	pthread_t threads[3];
 	unsigned i;
 
-	(void)state;
-	fleet_system_start(&sys, "platform-twice", 3, 2, 1);
 	for (i = 0; i < 3; i++) {
-		submissions[i] = (submission_t){ .sys = &sys, .host = i };
+		submissions[i] = *submission;
+		submissions[i].host = i;
 		assert_int_equal(pthread_create(&threads[i], NULL, submit_job,
 						&submissions[i]),
 				 0);
@@ -186,11 +193,63 @@
 		pthread_join(threads[i], NULL);
 		assert_int_equal(submissions[i].status, 200);
 	}
+}
+
+/* An id submitted to several hosts at once is one job. */
+static void test_same_job_twice(void **state)
+{
+	fleet_system_t sys;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-twice", 3, 2, 1);
+	submit_to_three(&(submission_t){ .sys = &sys,
+					 .id = ID("01"),
+					 .payload = "50",
+					 .steps = ONE_STEP });
 	fleet_await_state(&sys, 0, ID("01"), "completed");
 	assert_int_equal(fleet_platform_counter(&sys, "starts"), 4);
 	fleet_system_stop(&sys);
 }
 
+/*
+ * A long-running job submitted to several hosts at once is one job, in one
+ * shard, although the hosts may choose different shards.
+ */
+static void test_same_job_two_shards(void **state)
+{
+	fleet_system_t sys;
+	char ids[6][GH_JOB_ID_MAX + 1];
+	unsigned i;
+
+	(void)state;
+	find_ids(ids, G_N_ELEMENTS(ids), 0);
+	fleet_system_start(&sys, "platform-two-shards", 3, 4, SHARDS);
+	proc_wait_until(loads_reported, &sys, "loads of all shards");
+	/* The hosts know of different jobs, so they choose differently. */
+	for (i = 0; i < G_N_ELEMENTS(ids); i++) {
+		if (i % 2)
+			submit_to_three(
+				&(submission_t){ .sys = &sys,
+						 .id = ids[i],
+						 .payload = "600000 lasts",
+						 .steps = LONG_RUNNING });
+		else
+			assert_int_equal(fleet_submit(&sys, i / 2, ids[i],
+						      "600000 lasts",
+						      LONG_RUNNING),
+					 200);
+		assert_int_equal(fleet_platform_counter(&sys, "records"),
+				 i + 1);
+	}
+	await_running(&sys, 2 * G_N_ELEMENTS(ids));
+	assert_int_equal(fleet_platform_counter(&sys, "starts"),
+			 2 * G_N_ELEMENTS(ids));
+	for (i = 0; i < G_N_ELEMENTS(ids); i++)
+		assert_int_equal(fleet_cancel(&sys, (i + 1) % 3, ids[i]), 200);
+	await_running(&sys, 0);
+	fleet_system_stop(&sys);
+}
+
 /*
  * Long-running jobs ran only in the shard that their ids hash to, so they
  * waited in a full shard while another one had free capacity.  Seen on
@@ -206,6 +265,8 @@
 	find_ids(ids, G_N_ELEMENTS(ids), 0);
 	/* Each shard has one worker with capacity for 8 tasks. */
 	fleet_system_start(&sys, "platform-full-shard", 2, 2, SHARDS);
+	/* Until the owners have reported their loads, the hash decides. */
+	proc_wait_until(loads_reported, &sys, "loads of all shards");
 	for (i = 0; i < G_N_ELEMENTS(ids); i++) {
 		assert_int_equal(fleet_submit(&sys, i % 2, ids[i],
 					      "600000 lasts", LONG_RUNNING),
@@ -542,6 +603,7 @@
 		cmocka_unit_test(test_hopeless),
 		cmocka_unit_test(test_lasting),
 		cmocka_unit_test(test_same_job_twice),
+		cmocka_unit_test(test_same_job_two_shards),
 		cmocka_unit_test(test_full_shard),
 		cmocka_unit_test(test_state_without_shard),
 		cmocka_unit_test(test_store_misbehaves),
