test_core_balance: hosts that decide by old loads

A simulation of up to 36 hosts that place jobs by loads of 0.5 to 3 s ago: the shards' numbers of long-running jobs must stay as close as the jobs that no load shows yet allow.

--- a/regress/test_core_balance.c
+++ b/regress/test_core_balance.c
@@ -200,11 +200,152 @@
 	}
 }
 
+/*
+ * Hosts that decide by old loads must not all choose the same shard: while jobs
+ * arrive and end, the shards' numbers of jobs must stay close.  What arrives
+ * until a load shows it can all go to one shard and make up for as much on the
+ * other side.
+ */
+typedef struct hosts_case {
+	const char *name;
+	uint32_t hosts;
+	int64_t load_age_ms;
+	int64_t arrival_ms; /* time from one job to the next */
+} hosts_case_t;
+
+static const hosts_case_t hosts_cases[] = {
+	{ "one host, loads of 0.5 s ago", 1, 500, 1600 },
+	{ "36 hosts, loads of 0.5 s ago", 36, 500, 1600 },
+	{ "36 hosts, loads of 3 s ago", 36, 3000, 1600 },
+	{ "36 hosts, ten times the jobs", 36, 500, 160 },
+};
+
+#define SIM_SHARDS 2
+#define SIM_HOSTS_MAX 36
+#define SIM_MS 300000
+#define SIM_STEP_MS 20
+#define SIM_JOB_LIFE_MS 70000
+#define SIM_JOBS_MAX 4096
+#define SIM_LOAD_PERIOD_MS 500
+/* Jobs that end within a load's age, and the one that makes the number odd. */
+#define SIM_MARGIN 3
+#define SIM_HISTORY (4000 / SIM_STEP_MS)
+
+typedef struct sim_shard {
+	int64_t ends_ms[SIM_JOBS_MAX]; /* when the shard's jobs end */
+	uint32_t n;
+	uint32_t history[SIM_HISTORY]; /* n at the last steps, a ring */
+} sim_shard_t;
+
+typedef struct sim {
+	const hosts_case_t *c;
+	gh_balance_t *hosts[SIM_HOSTS_MAX];
+	sim_shard_t shards[SIM_SHARDS];
+	GRand *random;
+	int64_t now_ms;
+	int64_t next_job_ms;
+} sim_t;
+
+static const demand_t sim_job = { 14, 0, 13, 26000 };
+
+static void sim_end_jobs(sim_t *sim, sim_shard_t *shard)
+{
+	uint32_t i = 0;
+
+	while (i < shard->n)
+		if (shard->ends_ms[i] <= sim->now_ms)
+			shard->ends_ms[i] = shard->ends_ms[--shard->n];
+		else
+			i++;
+	shard->history[sim->now_ms / SIM_STEP_MS % SIM_HISTORY] = shard->n;
+}
+
+static void sim_report(sim_t *sim, uint32_t shard)
+{
+	int64_t seen_ms = MAX(sim->now_ms - sim->c->load_age_ms, 0);
+	int64_t jobs =
+		sim->shards[shard].history[seen_ms / SIM_STEP_MS % SIM_HISTORY];
+	int64_t tasks = jobs * sim_job.long_running;
+	gh_shard_load_t load = {
+		.total = { 13000 * 1000, 51000 * 1000 },
+		.long_running = { tasks * sim_job.cores * 1000,
+				  tasks * sim_job.memory_mb },
+	};
+	uint32_t i;
+
+	for (i = 0; i < sim->c->hosts; i++)
+		gh_balance_report(sim->hosts[i], shard, &load,
+				  gh_time_from_ms(sim->now_ms));
+}
+
+static void sim_submit(sim_t *sim)
+{
+	gint32 host = g_rand_int_range(sim->random, 0, (gint32)sim->c->hosts);
+	uint32_t hashed = g_rand_int(sim->random) % SIM_SHARDS;
+	sim_shard_t *shard = &sim->shards[choose(sim->hosts[host], &sim_job,
+						 hashed, sim->now_ms)];
+
+	assert_true(shard->n < SIM_JOBS_MAX);
+	shard->ends_ms[shard->n++] =
+		sim->now_ms +
+		g_rand_int_range(sim->random, 1, 2 * SIM_JOB_LIFE_MS);
+	sim->next_job_ms += sim->c->arrival_ms;
+}
+
+static uint32_t max_difference(const hosts_case_t *c)
+{
+	sim_t *sim = g_new0(sim_t, 1);
+	uint32_t max = 0;
+	uint32_t i;
+
+	sim->c = c;
+	sim->random = g_rand_new_with_seed(1);
+	for (i = 0; i < c->hosts; i++)
+		sim->hosts[i] = gh_balance_new(SIM_SHARDS);
+	for (; sim->now_ms < SIM_MS; sim->now_ms += SIM_STEP_MS) {
+		uint32_t a, b;
+
+		for (i = 0; i < SIM_SHARDS; i++) {
+			sim_end_jobs(sim, &sim->shards[i]);
+			if (sim->now_ms % SIM_LOAD_PERIOD_MS == 0)
+				sim_report(sim, i);
+		}
+		while (sim->next_job_ms <= sim->now_ms)
+			sim_submit(sim);
+		a = sim->shards[0].n;
+		b = sim->shards[1].n;
+		max = MAX(max, a > b ? a - b : b - a);
+	}
+	for (i = 0; i < c->hosts; i++)
+		gh_balance_free(sim->hosts[i]);
+	g_rand_free(sim->random);
+	g_free(sim);
+	return max;
+}
+
+static void test_hosts(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(hosts_cases); i++) {
+		const hosts_case_t *c = &hosts_cases[i];
+		uint32_t difference = max_difference(c);
+		int64_t unseen_ms = c->load_age_ms + SIM_LOAD_PERIOD_MS;
+
+		print_message("%s: difference up to %u jobs\n", c->name,
+			      difference);
+		assert_in_range(difference, 0,
+				2 * unseen_ms / c->arrival_ms + SIM_MARGIN);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_choice),
 		cmocka_unit_test(test_placed),
+		cmocka_unit_test(test_hosts),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
