test_platform: a late write of a submission beside another host's

The write of one host takes effect late, after another host has accepted the same job and may have chosen the other shard: one record, each task started once.

--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -250,6 +250,49 @@
 	fleet_system_stop(&sys);
 }
 
+/*
+ * The write of a submission takes effect late, after another host has accepted
+ * the job, maybe for another shard: it stays one job.
+ */
+static void test_late_submission(void **state)
+{
+	fleet_system_t sys;
+	char ids[2][GH_JOB_ID_MAX + 1];
+	submission_t late = { .sys = &sys,
+			      .host = 0,
+			      .id = ids[1],
+			      .payload = "600000 lasts",
+			      .steps = LONG_RUNNING };
+	pthread_t thread;
+
+	(void)state;
+	find_ids(ids, G_N_ELEMENTS(ids), 0);
+	fleet_system_start(&sys, "platform-late", 2, 4, SHARDS);
+	proc_wait_until(loads_reported, &sys, "loads of all shards");
+	/* Host 1 counts this job at once, host 0 with the next loads. */
+	assert_int_equal(
+		fleet_submit(&sys, 1, ids[0], "600000 lasts", LONG_RUNNING),
+		200);
+	json_decref(proc_control(sys.platform_address, "{\"store\":\"late\"}"));
+	assert_int_equal(pthread_create(&thread, NULL, submit_job, &late), 0);
+	g_usleep(200 * 1000);
+	json_decref(proc_control(sys.platform_address, "{\"store\":\"up\"}"));
+	assert_int_equal(
+		fleet_submit(&sys, 1, ids[1], "600000 lasts", LONG_RUNNING),
+		200);
+	pthread_join(thread, NULL);
+	assert_true(late.status == 200 || late.status == 504);
+	/* By then the late write has been carried out, or refused. */
+	g_usleep(1500 * 1000);
+	await_running(&sys, 4);
+	assert_int_equal(fleet_platform_counter(&sys, "records"), 2);
+	assert_int_equal(fleet_platform_counter(&sys, "starts"), 4);
+	assert_int_equal(fleet_cancel(&sys, 0, ids[0]), 200);
+	assert_int_equal(fleet_cancel(&sys, 0, ids[1]), 200);
+	await_running(&sys, 0);
+	fleet_system_stop(&sys);
+}
+
 /*
  * Long-running jobs ran only in the shard that their ids hash to, so they
  * waited in a full shard while another one had free capacity.  Seen on
@@ -604,6 +647,7 @@
 		cmocka_unit_test(test_lasting),
 		cmocka_unit_test(test_same_job_twice),
 		cmocka_unit_test(test_same_job_two_shards),
+		cmocka_unit_test(test_late_submission),
 		cmocka_unit_test(test_full_shard),
 		cmocka_unit_test(test_state_without_shard),
 		cmocka_unit_test(test_store_misbehaves),
