fleet_host: pass a cancel to all owners of the host

A host of an earlier version that rewrites the state of a job as the owner of its shard drops the shard, and hosts of this version took the hash for it: the owner that had the job did not hear of its cancel. An owner ignores the cancel of a job that it does not have, so all of them get it.

test_state_without_shard has a job whose record is not in the shard of its hash.

--- a/fleet_host.c
+++ b/fleet_host.c
@@ -194,8 +194,14 @@
 static void on_job(void *ctx, const char *id, const fleet_job_state_t *state)
 {
 	fleet_front_t *host = ctx;
+	uint32_t i;
 
-	fleet_owner_job_changed(host->owners[state->shard], id, state);
+	/*
+	 * The owner that has the job cancels it; an earlier version may have
+	 * dropped the shard from the state.
+	 */
+	for (i = 0; i < host->setup.shards; i++)
+		fleet_owner_job_changed(host->owners[i], id, state);
 }
 
 static void on_owner(void *ctx, uint32_t shard, const char *name)
--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -331,7 +331,21 @@
 	fleet_system_stop(&sys);
 }
 
-/* A job whose state has no shard, as earlier versions wrote it, is served. */
+/*
+ * A job whose state has no shard is served: an earlier version wrote it, for
+ * the shard that the id hashes to, or rewrote it as the owner of any shard.
+ */
+typedef struct shardless_case {
+	unsigned hashed;
+	unsigned shard; /* the shard of the job's record */
+} shardless_case_t;
+
+static const shardless_case_t shardless_cases[] = {
+	{ 0, 0 },
+	{ 1, 1 },
+	{ 0, 1 },
+};
+
 static void test_state_without_shard(void **state)
 {
 	gh_step_t step = { .tasks = 2,
@@ -342,35 +356,39 @@
 				   .n_steps = 1,
 				   .steps = &step,
 				   .payload = "600000 lasts" };
+	char ids[2][2][GH_JOB_ID_MAX + 1];
 	fleet_system_t sys;
-	unsigned shard;
+	unsigned i;
 
 	(void)state;
+	for (i = 0; i < SHARDS; i++)
+		find_ids(ids[i], 2, i);
 	pipeline.accepted_ms = gh_time_to_ms(clock_real());
 	fleet_system_start(&sys, "platform-no-shard", 2, 2, SHARDS);
-	for (shard = 0; shard < SHARDS; shard++) {
-		char id[1][GH_JOB_ID_MAX + 1];
+	for (i = 0; i < G_N_ELEMENTS(shardless_cases); i++) {
+		const shardless_case_t *c = &shardless_cases[i];
+		const char *id = ids[c->hashed][c->hashed != c->shard];
 		char *state_key, *state_text, *record_key, *record;
 
-		find_ids(id, 1, shard);
-		g_strlcpy(pipeline.id, id[0], sizeof(pipeline.id));
-		state_key = g_strconcat("gh/d/state/", id[0], NULL);
+		print_message("hash %u, record in %u\n", c->hashed, c->shard);
+		g_strlcpy(pipeline.id, id, sizeof(pipeline.id));
+		state_key = g_strconcat("gh/d/state/", id, NULL);
 		state_text = g_strdup_printf("queued r-q %" PRId64 " %" PRId64,
 					     pipeline.accepted_ms,
 					     pipeline.accepted_ms);
-		record_key = g_strdup_printf("gh/w/%u/%s", shard, id[0]);
+		record_key = g_strdup_printf("gh/w/%u/%s", c->shard, id);
 		record = gh_pipeline_format(&pipeline);
 		fleet_platform_put(&sys, state_key, state_text);
 		fleet_platform_put(&sys, record_key, record);
 		await_running(&sys, 2);
-		fleet_await_state(&sys, 0, id[0], "running");
-		/* Its shard is the same when its state has been rewritten. */
+		fleet_await_state(&sys, 0, id, "running");
+		/* It is served as well when its state has been rewritten. */
 		proc_kill(&sys.hosts[0]);
 		fleet_host_start(&sys, 0);
-		fleet_await_state(&sys, 0, id[0], "running");
-		assert_int_equal(fleet_cancel(&sys, 0, id[0]), 200);
+		fleet_await_state(&sys, 0, id, "running");
+		assert_int_equal(fleet_cancel(&sys, 0, id), 200);
 		await_running(&sys, 0);
-		fleet_await_state(&sys, 1, id[0], "cancelled");
+		fleet_await_state(&sys, 1, id, "cancelled");
 		g_free(record);
 		g_free(record_key);
 		g_free(state_text);
