--- a/regress/test_core_fleet.c
+++ b/regress/test_core_fleet.c
@@ -691,6 +691,40 @@
 	world_clear(&w);
 }
 
+/*
+ * A job of best-effort tasks that lacks capacity beside long-running tasks runs
+ * one task at a time.  It waited anew before each of them, so that it was seen
+ * without a run again and again.  Found by a played day, haddad-laces, random
+ * day 6021.
+ */
+static void test_starved_job_goes_on(void **state)
+{
+	gh_step_t long_running = one_task;
+	gh_step_t best_effort = one_task;
+	world_t w;
+	int i;
+
+	(void)state;
+	long_running.long_running = true;
+	long_running.tail_bound_ms = 24;
+	best_effort.best_effort = true;
+	best_effort.size.cores_milli = 30000;
+	best_effort.tasks = 4;
+	world_init(&w);
+	add_worker(&w, "w1", 32000)->tail_ms = 22;
+	add_job(&w, LONG_RUNNING_JOB_ID, 1, &long_running, NULL);
+	advance_time(&w, 2000);
+	add_job(&w, "0000000000000002", 1, &best_effort, NULL);
+	advance_time(&w, 2500);
+	for (i = 0; i < 3; i++) {
+		assert_int_equal(w.workers[0].n_runs, 2);
+		end_run(&w.workers[0], 1, GH_RUN_DONE);
+		advance_time(&w, 500);
+	}
+	assert_int_equal(w.workers[0].n_runs, 2);
+	world_clear(&w);
+}
+
 /*
  * A job of many tasks and many small jobs of the same queue arrive at once and
  * ask for four times the capacity.  The small jobs do not wait for the large
@@ -813,6 +847,7 @@
 		cmocka_unit_test(test_burst),
 		cmocka_unit_test(test_slow_start),
 		cmocka_unit_test(test_fill_overdue),
+		cmocka_unit_test(test_starved_job_goes_on),
 		cmocka_unit_test(test_waiting_is_reported),
 	};
 
