core_fleet_plan: a best-effort job that lacks capacity keeps one run

Cause: a job waits for JOB_IDLE_MAX_USEC before a task may start beyond the share of a worker's best-effort tasks. The wait began anew after each task.

Change: a job whose last task started that way starts its next one at once when it has no run, until a task finds capacity within the share.

Result: test_starved_job_goes_on passes.

--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -485,13 +485,16 @@
 	 * starts even if the run will be slow.
 	 */
 	bool overdue =
-		!job->open_runs && now - job->idle_since > JOB_IDLE_MAX_USEC;
+		!job->open_runs &&
+		(job->starved || now - job->idle_since > JOB_IDLE_MAX_USEC);
+	double best_share = 0;
 	uint32_t best = GH_NONE;
 	int64_t best_cost = INT64_MAX;
 	uint32_t i;
 
 	for (i = 0; i < fleet->workers->len; i++) {
 		fleet_worker_t *worker = fleet_worker(fleet, i);
+		double candidate_share = 0;
 		int64_t cost;
 
 		if (i == excluded_worker || !worker->in_use ||
@@ -505,6 +508,7 @@
 
 			if (share > BEST_EFFORT_SHARE_MAX && !overdue)
 				continue;
+			candidate_share = share;
 			cost += (int64_t)((share + weight) *
 					  COST_BEST_EFFORT_SHARE);
 		}
@@ -513,8 +517,11 @@
 		if (cost < best_cost) {
 			best_cost = cost;
 			best = i;
+			best_share = candidate_share;
 		}
 	}
+	if (step->best_effort && best != GH_NONE)
+		job->starved = best_share > BEST_EFFORT_SHARE_MAX;
 	return best;
 }
 
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -143,6 +143,8 @@
 	 * yet.
 	 */
 	gh_time_t idle_since;
+	/* The last task that started waited for JOB_IDLE_MAX_USEC. */
+	bool starved;
 	uint64_t version, committed_version;
 	gh_job_phase_t committed_phase;
 	/* Phase in the job record that is being committed. */
