--- a/core_fleet_record.c
+++ b/core_fleet_record.c
@@ -373,8 +373,8 @@
 		fleet_worker(fleet, handle)->listed = false;
 	}
 	worker = fleet_worker(fleet, handle);
-	worker->latest_lease_end = MAX(
-		worker->latest_lease_end,
-		fleet_lease_end(fleet, fleet->setup.previous_grants_end));
+	worker->latest_lease_end =
+		MAX(worker->latest_lease_end,
+		    fleet_lease_end(fleet, fleet->setup.previous_grants_end));
 	return handle;
 }
