--- a/counter_list.h
+++ b/counter_list.h
@@ -151,6 +151,8 @@
 COUNTER(RUN_HANGS, "run_hangs", "runs stopped because they made no progress")
 COUNTER(WORKER_QUARANTINES, "worker_quarantines",
 	"times that a worker was quarantined")
+COUNTER(JOBS_HELD, "jobs_held",
+	"jobs not continued as their stored progress can't be decoded")
 COUNTER(PACE_CHANGES, "paces",
 	"orders that changed the pace of a best-effort task")
 COUNTER(RUNS_MOVED, "runs_moved",
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -397,6 +397,7 @@
 		{ CTR_RUN_HANGS, offsetof(gh_fleet_counts_t, hangs) },
 		{ CTR_WORKER_QUARANTINES,
 		  offsetof(gh_fleet_counts_t, quarantines) },
+		{ CTR_JOBS_HELD, offsetof(gh_fleet_counts_t, held) },
 		{ CTR_PACE_CHANGES, offsetof(gh_fleet_counts_t, paced) },
 		{ CTR_RUNS_MOVED, offsetof(gh_fleet_counts_t, moved) },
 	};
