--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -190,8 +190,8 @@
 	bool in_use;	   /* the array entry is used */
 	bool listed;	   /* service discovery lists the worker */
 	bool has_reported; /* this incarnation has sent this owner a report */
-	gh_time_t
-		restart_known_at; /* when the last restart got known; 0: none */
+	/* When the worker's last restart became known; 0: none. */
+	gh_time_t restart_known_at;
 	/*
 	 * Declared sizes of the worker's open runs, added up; the cores exclude
 	 * best-effort runs.
