--- a/regress/test_core_fleet_late.c
+++ b/regress/test_core_fleet_late.c
@@ -576,6 +576,37 @@
 	}
 }
 
+/*
+ * A previous owner's renewal that was meant for a former life of the worker
+ * grants the longest lease that the worker accepts.  The worker then took up a
+ * run, the previous owner failed, and the next one can't reach the worker: the
+ * task may not start elsewhere before that lease has ended.
+ */
+static void test_lease_of_new_life_after_takeover(void **state)
+{
+	gh_report_run_t run = { .task = { .job = JOB }, .run = 1 };
+	scripted_worker_t *worker;
+	gh_time_t granted_at;
+	world_t w;
+
+	(void)state;
+	world_init(&w);
+	/* Granted just before the claim of the new owner. */
+	granted_at = w.now;
+	add_job(&w, JOB, 1, &long_running_step,
+		"progress1\n0 open 0 1 - 1@w1\n");
+	worker = add_worker(&w, "w1", 4000);
+	worker->runs[worker->n_runs++] = run;
+	worker->unreachable = true;
+	add_worker(&w, "w2", 4000);
+	while (!w.n_orders && w.now - granted_at < 20000 * MS)
+		advance_time(&w, 10);
+	print_message("started again after %d ms\n",
+		      (int)((w.now - granted_at) / MS));
+	assert_true(w.now - granted_at > LEASE_MAX_MS * MS);
+	world_clear(&w);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -587,6 +618,7 @@
 		cmocka_unit_test(test_overtaken_report),
 		cmocka_unit_test(test_stop_of_unknown_run),
 		cmocka_unit_test(test_silence_after_takeover),
+		cmocka_unit_test(test_lease_of_new_life_after_takeover),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
