--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -656,6 +656,57 @@
 	assert_int_equal(running, 2);
 }
 
+/*
+ * The store is down for as long as on the users' days: what runs keeps running.
+ */
+static void test_outage(void **state)
+{
+	fleet_system_t sys;
+	int64_t starts;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-outage", 2, 3, 1);
+	assert_int_equal(
+		fleet_submit(&sys, 0, ID("01"), "60000 lasts", LONG_RUNNING),
+		200);
+	proc_wait_until(two_running, &sys, "two long-running runs");
+	g_usleep(2 * G_USEC_PER_SEC);
+	json_decref(proc_control(sys.platform_address,
+				 "{\"store\":\"busy\",\"keep_leases\":true}"));
+	g_usleep(6400 * 1000);
+	json_decref(proc_control(sys.platform_address,
+				 "{\"store\":\"up\",\"keep_leases\":false}"));
+	g_usleep(3 * G_USEC_PER_SEC);
+	starts = fleet_platform_counter(&sys, "starts");
+	print_message("starts %d\n", (int)starts);
+	fleet_system_stop(&sys);
+	assert_int_equal(starts, 2);
+}
+
+/*
+ * The reply to the write that restores a lapsed owner record is lost: the host
+ * still owns the shard.
+ */
+static void test_restore_unanswered(void **state)
+{
+	fleet_system_t sys;
+	int64_t claims;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-restore", 1, 3, 1);
+	json_decref(proc_control(
+		sys.platform_address,
+		"{\"hold_txn\":{\"prefix\":\"gh/d/own\",\"ms\":1300}}"));
+	json_decref(proc_control(sys.platform_address, "{\"lapse\":true}"));
+	g_usleep(1000 * 1000);
+	json_decref(proc_control(sys.platform_address, "{\"hold_txn\":{}}"));
+	g_usleep(5 * G_USEC_PER_SEC);
+	claims = fleet_host_counter(&sys, 0, "shards_claimed");
+	print_message("claims %d\n", (int)claims);
+	fleet_system_stop(&sys);
+	assert_int_equal(claims, 1);
+}
+
 /* test-platform [NAME] runs all tests, or those whose names match. */
 int main(int argc, char **argv)
 {
@@ -674,6 +725,8 @@
 		cmocka_unit_test(test_all_hosts_killed),
 		cmocka_unit_test(test_release_during_commit),
 		cmocka_unit_test(test_worker_and_owner_lost),
+		cmocka_unit_test(test_outage),
+		cmocka_unit_test(test_restore_unanswered),
 	};
 
 	if (argc > 1)
