--- a/regress/test_core_fleet_record.c
+++ b/regress/test_core_fleet_record.c
@@ -146,11 +146,65 @@
 	world_clear(&w);
 }
 
+/* The runs of a held job go on, so they take up capacity. */
+static void test_capacity_of_held(void **state)
+{
+	gh_report_run_t run = { .task = { .job = JOB }, .run = 1 };
+	scripted_worker_t *worker;
+	world_t w;
+
+	(void)state;
+	world_init(&w);
+	assert_false(load_job(&w, "unreadable"));
+	worker = add_worker(&w, "w1", 1000);
+	worker->runs[worker->n_runs++] = run;
+	advance_time(&w, 1000);
+	add_job(&w, "0000000000000002", 1, &one_task, NULL);
+	advance_time(&w, 1000);
+	assert_int_equal(count_orders(&w, GH_ORDER_START, 0), 0);
+	world_clear(&w);
+}
+
+/*
+ * A worker lists its first ends only: those of a held job must not keep the
+ * others from being acknowledged.
+ */
+static void test_acks_beside_held(void **state)
+{
+	gh_report_run_t run = { .task = { .job = JOB }, .run = 1 };
+	scripted_worker_t *worker;
+	size_t i;
+	world_t w;
+
+	(void)state;
+	world_init(&w);
+	assert_false(load_job(&w, "unreadable"));
+	worker = add_worker(&w, "w1", 8000);
+	worker->runs[worker->n_runs++] = run;
+	end_run(worker, 0, GH_RUN_DONE);
+	for (i = 0; i < 10; i++) {
+		char id[GH_JOB_ID_MAX + 1];
+
+		g_snprintf(id, sizeof(id), "00000000000001%02zu", i);
+		add_job(&w, id, 1, &one_task, NULL);
+		advance_time(&w, 300);
+		assert_int_equal(worker->n_runs, 1);
+		end_run(worker, 0, GH_RUN_DONE);
+		advance_time(&w, 300);
+	}
+	advance_time(&w, 3000);
+	print_message("ends listed: %zu\n", worker->n_ends);
+	assert_true(worker->n_ends <= 1);
+	world_clear(&w);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_records),
 		cmocka_unit_test(test_cancel_held),
+		cmocka_unit_test(test_capacity_of_held),
+		cmocka_unit_test(test_acks_beside_held),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -707,6 +707,35 @@
 	assert_int_equal(claims, 1);
 }
 
+/*
+ * A read of the progress records has no reply: the new owner reads them again
+ * and keeps the shard.
+ */
+static void test_progress_unanswered(void **state)
+{
+	fleet_system_t sys;
+	int64_t claims;
+	int owner;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-pages", 2, 3, 1);
+	owner = fleet_shard_owner(&sys, 0);
+	assert_true(owner >= 0);
+	json_decref(proc_control(
+		sys.platform_address,
+		"{\"hold_range\":{\"prefix\":\"gh/p/\",\"ms\":1300}}"));
+	proc_kill(&sys.hosts[owner]);
+	while (fleet_host_counter(&sys, !owner, "shards_claimed") < 1)
+		g_usleep(20 * 1000);
+	g_usleep(1250 * 1000);
+	json_decref(proc_control(sys.platform_address, "{\"hold_range\":{}}"));
+	g_usleep(5 * G_USEC_PER_SEC);
+	claims = fleet_host_counter(&sys, !owner, "shards_claimed");
+	print_message("claims %d\n", (int)claims);
+	fleet_system_stop(&sys);
+	assert_int_equal(claims, 1);
+}
+
 /* test-platform [NAME] runs all tests, or those whose names match. */
 int main(int argc, char **argv)
 {
@@ -727,6 +756,7 @@
 		cmocka_unit_test(test_worker_and_owner_lost),
 		cmocka_unit_test(test_outage),
 		cmocka_unit_test(test_restore_unanswered),
+		cmocka_unit_test(test_progress_unanswered),
 	};
 
 	if (argc > 1)
