--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -736,6 +736,44 @@
 	assert_int_equal(claims, 1);
 }
 
+/*
+ * A worker and the owner fail, and 5 s later the next owner as well: the wait
+ * for the worker's runs does not begin anew.
+ */
+static void test_two_owners_lost(void **state)
+{
+	fleet_system_t sys;
+	gint64 failed_at, waited;
+	owner_arg_t old = { .sys = &sys };
+	int64_t first_left;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-owners", 3, 3, 1);
+	old.owner = fleet_shard_owner(&sys, 0);
+	assert_int_equal(
+		fleet_submit(&sys, 0, ID("01"), "60000 lasts", LONG_RUNNING),
+		200);
+	proc_wait_until(two_running, &sys, "two long-running runs");
+	json_decref(proc_control(sys.platform_address,
+				 "{\"worker\":\"i-0 dead\"}"));
+	failed_at = g_get_monotonic_time();
+	proc_kill(&sys.hosts[old.owner]);
+	first_left = fleet_platform_counter(&sys, "running");
+	print_message("running after the failure %d\n", (int)first_left);
+	assert_true(first_left < 2);
+	proc_wait_until(owner_changed, &old, "another owner");
+	while (g_get_monotonic_time() < failed_at + 5 * G_USEC_PER_SEC)
+		g_usleep(20 * 1000);
+	proc_kill(&sys.hosts[fleet_shard_owner(&sys, 0)]);
+	while (!two_running(&sys) &&
+	       g_get_monotonic_time() < failed_at + 25 * G_USEC_PER_SEC)
+		g_usleep(20 * 1000);
+	waited = g_get_monotonic_time() - failed_at;
+	print_message("runs again after %d ms\n", (int)(waited / 1000));
+	fleet_system_stop(&sys);
+	assert_true(waited < RESTART_MAX_USEC);
+}
+
 /* test-platform [NAME] runs all tests, or those whose names match. */
 int main(int argc, char **argv)
 {
@@ -757,6 +795,7 @@
 		cmocka_unit_test(test_outage),
 		cmocka_unit_test(test_restore_unanswered),
 		cmocka_unit_test(test_progress_unanswered),
+		cmocka_unit_test(test_two_owners_lost),
 	};
 
 	if (argc > 1)
