--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -774,6 +774,43 @@
 	assert_true(waited < RESTART_MAX_USEC);
 }
 
+static int64_t cpu_ticks(const proc_t *proc)
+{
+	char *path = g_strdup_printf("/proc/%d/stat", (int)proc->pid);
+	char *text = NULL;
+	unsigned long user = 0, system = 0;
+
+	if (g_file_get_contents(path, &text, NULL, NULL))
+		sscanf(strrchr(text, ')') + 2,
+		       "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu",
+		       &user, &system);
+	g_free(text);
+	g_free(path);
+	return (int64_t)(user + system);
+}
+
+/* A job record whose state this host does not know costs no processor time. */
+static void test_record_without_state(void **state)
+{
+	fleet_system_t sys;
+	int64_t ticks;
+	char *text;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-spin", 1, 3, 1);
+	text = g_strdup("pipeline1 " ID("01") " r-q svc 1 0 0 0 1\n"
+			"1 1000 0 0 100 0 0 0 0 0 - - -\n50");
+	fleet_platform_put(&sys, "gh/w/0/" ID("01"), text);
+	g_free(text);
+	g_usleep(500 * 1000);
+	ticks = cpu_ticks(&sys.hosts[0]);
+	g_usleep(2 * G_USEC_PER_SEC);
+	ticks = cpu_ticks(&sys.hosts[0]) - ticks;
+	print_message("ticks in 2 s: %d\n", (int)ticks);
+	fleet_system_stop(&sys);
+	assert_true(ticks < 50);
+}
+
 /* test-platform [NAME] runs all tests, or those whose names match. */
 int main(int argc, char **argv)
 {
@@ -796,6 +833,7 @@
 		cmocka_unit_test(test_restore_unanswered),
 		cmocka_unit_test(test_progress_unanswered),
 		cmocka_unit_test(test_two_owners_lost),
+		cmocka_unit_test(test_record_without_state),
 	};
 
 	if (argc > 1)
