--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -656,6 +656,161 @@
 	assert_int_equal(running, 2);
 }
 
+/*
+ * The store is down for as long as on the users' days: what runs keeps running.
+ */
+static void test_outage(void **state)
+{
+	fleet_system_t sys;
+	int64_t starts;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-outage", 2, 3, 1);
+	assert_int_equal(
+		fleet_submit(&sys, 0, ID("01"), "60000 lasts", LONG_RUNNING),
+		200);
+	proc_wait_until(two_running, &sys, "two long-running runs");
+	g_usleep(2 * G_USEC_PER_SEC);
+	json_decref(proc_control(sys.platform_address,
+				 "{\"store\":\"busy\",\"keep_leases\":true}"));
+	g_usleep(6400 * 1000);
+	json_decref(proc_control(sys.platform_address,
+				 "{\"store\":\"up\",\"keep_leases\":false}"));
+	g_usleep(3 * G_USEC_PER_SEC);
+	starts = fleet_platform_counter(&sys, "starts");
+	print_message("starts %d\n", (int)starts);
+	fleet_system_stop(&sys);
+	assert_int_equal(starts, 2);
+}
+
+/*
+ * The reply to the write that restores a lapsed owner record is lost: the host
+ * still owns the shard.
+ */
+static void test_restore_unanswered(void **state)
+{
+	fleet_system_t sys;
+	int64_t claims;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-restore", 1, 3, 1);
+	json_decref(proc_control(
+		sys.platform_address,
+		"{\"hold_txn\":{\"prefix\":\"gh/d/own\",\"ms\":1300}}"));
+	json_decref(proc_control(sys.platform_address, "{\"lapse\":true}"));
+	g_usleep(1000 * 1000);
+	json_decref(proc_control(sys.platform_address, "{\"hold_txn\":{}}"));
+	g_usleep(5 * G_USEC_PER_SEC);
+	claims = fleet_host_counter(&sys, 0, "shards_claimed");
+	print_message("claims %d\n", (int)claims);
+	fleet_system_stop(&sys);
+	assert_int_equal(claims, 1);
+}
+
+/*
+ * A read of the progress records has no reply: the new owner reads them again
+ * and keeps the shard.
+ */
+static void test_progress_unanswered(void **state)
+{
+	fleet_system_t sys;
+	int64_t claims;
+	int owner;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-pages", 2, 3, 1);
+	owner = fleet_shard_owner(&sys, 0);
+	assert_true(owner >= 0);
+	json_decref(proc_control(
+		sys.platform_address,
+		"{\"hold_range\":{\"prefix\":\"gh/p/\",\"ms\":1300}}"));
+	proc_kill(&sys.hosts[owner]);
+	while (fleet_host_counter(&sys, !owner, "shards_claimed") < 1)
+		g_usleep(20 * 1000);
+	g_usleep(1250 * 1000);
+	json_decref(proc_control(sys.platform_address, "{\"hold_range\":{}}"));
+	g_usleep(5 * G_USEC_PER_SEC);
+	claims = fleet_host_counter(&sys, !owner, "shards_claimed");
+	print_message("claims %d\n", (int)claims);
+	fleet_system_stop(&sys);
+	assert_int_equal(claims, 1);
+}
+
+/*
+ * A worker and the owner fail, and 5 s later the next owner as well: the wait
+ * for the worker's runs does not begin anew.
+ */
+static void test_two_owners_lost(void **state)
+{
+	fleet_system_t sys;
+	gint64 failed_at, waited;
+	owner_arg_t old = { .sys = &sys };
+	int64_t first_left;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-owners", 3, 3, 1);
+	old.owner = fleet_shard_owner(&sys, 0);
+	assert_int_equal(
+		fleet_submit(&sys, 0, ID("01"), "60000 lasts", LONG_RUNNING),
+		200);
+	proc_wait_until(two_running, &sys, "two long-running runs");
+	json_decref(proc_control(sys.platform_address,
+				 "{\"worker\":\"i-0 dead\"}"));
+	failed_at = g_get_monotonic_time();
+	proc_kill(&sys.hosts[old.owner]);
+	first_left = fleet_platform_counter(&sys, "running");
+	print_message("running after the failure %d\n", (int)first_left);
+	assert_true(first_left < 2);
+	proc_wait_until(owner_changed, &old, "another owner");
+	while (g_get_monotonic_time() < failed_at + 5 * G_USEC_PER_SEC)
+		g_usleep(20 * 1000);
+	proc_kill(&sys.hosts[fleet_shard_owner(&sys, 0)]);
+	while (!two_running(&sys) &&
+	       g_get_monotonic_time() < failed_at + 25 * G_USEC_PER_SEC)
+		g_usleep(20 * 1000);
+	waited = g_get_monotonic_time() - failed_at;
+	print_message("runs again after %d ms\n", (int)(waited / 1000));
+	fleet_system_stop(&sys);
+	assert_true(waited < RESTART_MAX_USEC);
+}
+
+static int64_t cpu_ticks(const proc_t *proc)
+{
+	char *path = g_strdup_printf("/proc/%d/stat", (int)proc->pid);
+	char *text = NULL;
+	unsigned long user = 0, system = 0;
+
+	if (g_file_get_contents(path, &text, NULL, NULL))
+		sscanf(strrchr(text, ')') + 2,
+		       "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu",
+		       &user, &system);
+	g_free(text);
+	g_free(path);
+	return (int64_t)(user + system);
+}
+
+/* A job record whose state this host does not know costs no processor time. */
+static void test_record_without_state(void **state)
+{
+	fleet_system_t sys;
+	int64_t ticks;
+	char *text;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-spin", 1, 3, 1);
+	text = g_strdup("pipeline1 " ID("01") " r-q svc 1 0 0 0 1\n"
+			"1 1000 0 0 100 0 0 0 0 0 - - -\n50");
+	fleet_platform_put(&sys, "gh/w/0/" ID("01"), text);
+	g_free(text);
+	g_usleep(500 * 1000);
+	ticks = cpu_ticks(&sys.hosts[0]);
+	g_usleep(2 * G_USEC_PER_SEC);
+	ticks = cpu_ticks(&sys.hosts[0]) - ticks;
+	print_message("ticks in 2 s: %d\n", (int)ticks);
+	fleet_system_stop(&sys);
+	assert_true(ticks < 50);
+}
+
 /* test-platform [NAME] runs all tests, or those whose names match. */
 int main(int argc, char **argv)
 {
@@ -674,6 +829,11 @@
 		cmocka_unit_test(test_all_hosts_killed),
 		cmocka_unit_test(test_release_during_commit),
 		cmocka_unit_test(test_worker_and_owner_lost),
+		cmocka_unit_test(test_outage),
+		cmocka_unit_test(test_restore_unanswered),
+		cmocka_unit_test(test_progress_unanswered),
+		cmocka_unit_test(test_two_owners_lost),
+		cmocka_unit_test(test_record_without_state),
 	};
 
 	if (argc > 1)
