--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -798,8 +798,9 @@
 
 	(void)state;
 	fleet_system_start(&sys, "platform-spin", 1, 3, 1);
-	text = g_strdup("pipeline1 " ID("01") " r-q svc 1 0 0 0 1\n"
-			"1 1000 0 0 100 0 0 0 0 0 - - -\n50");
+	text = g_strdup(
+		"pipeline1 " ID("01") " r-q svc 1 0 0 0 1\n"
+				      "1 1000 0 0 100 0 0 0 0 0 - - -\n50");
 	fleet_platform_put(&sys, "gh/w/0/" ID("01"), text);
 	g_free(text);
 	g_usleep(500 * 1000);
@@ -811,6 +812,45 @@
 	assert_true(ticks < 50);
 }
 
+/*
+ * A worker fails and the shard's owners are shut down one after the other: each
+ * tells the next how long the leases that were granted can last, so the wait
+ * for the worker's runs goes on and does not begin anew.
+ */
+static void test_worker_lost_before_drains(void **state)
+{
+	fleet_system_t sys;
+	gint64 failed_at, waited;
+	owner_arg_t old = { .sys = &sys };
+	int i;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-drains", 3, 3, 1);
+	assert_int_equal(
+		fleet_submit(&sys, 0, ID("01"), "60000 lasts", LONG_RUNNING),
+		200);
+	proc_wait_until(two_running, &sys, "two long-running runs");
+	json_decref(proc_control(sys.platform_address,
+				 "{\"worker\":\"i-0 dead\"}"));
+	failed_at = g_get_monotonic_time();
+	assert_true(fleet_platform_counter(&sys, "running") < 2);
+	for (i = 0; i < 2; i++) {
+		old.owner = fleet_shard_owner(&sys, 0);
+		assert_true(old.owner >= 0);
+		proc_send_term(&sys.hosts[old.owner]);
+		proc_wait_until(owner_changed, &old, "another owner");
+		g_usleep(2 * G_USEC_PER_SEC);
+	}
+	while (!two_running(&sys) &&
+	       g_get_monotonic_time() < failed_at + 25 * G_USEC_PER_SEC)
+		g_usleep(20 * 1000);
+	waited = g_get_monotonic_time() - failed_at;
+	print_message("runs again after %d ms\n", (int)(waited / 1000));
+	fleet_system_stop(&sys);
+	/* The lease of 4.5 s, with 3 % for a slow clock, and 2 s for delays. */
+	assert_true(waited < 6700 * 1000);
+}
+
 /* test-platform [NAME] runs all tests, or those whose names match. */
 int main(int argc, char **argv)
 {
@@ -833,6 +873,7 @@
 		cmocka_unit_test(test_restore_unanswered),
 		cmocka_unit_test(test_progress_unanswered),
 		cmocka_unit_test(test_two_owners_lost),
+		cmocka_unit_test(test_worker_lost_before_drains),
 		cmocka_unit_test(test_record_without_state),
 	};
 
