fleet_owner: a release tells the next owner of the last grant of a lease

Cause: each new owner waited for the longest that a previous owner's leases can last, counted from its own claim. The wait began anew with each take-over, also where the previous owner had released the shard and knew better.

Change: the commit that releases a shard writes the time of the last grant that may still hold a run alive into the chain record, relative to the release. The next owner counts from its read of that record, which can only be later. A releasing owner grants nothing more, so the time holds.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -822,6 +822,20 @@
 	return fleet->fenced;
 }
 
+gh_time_t gh_fleet_last_grant(const gh_fleet_t *fleet)
+{
+	gh_time_t latest_end = 0;
+	uint32_t i;
+
+	for (i = 0; i < fleet->workers->len; i++) {
+		const fleet_worker_t *worker = fleet_worker(fleet, i);
+
+		if (worker->in_use && worker->n_runs)
+			latest_end = MAX(latest_end, worker->latest_lease_end);
+	}
+	return latest_end - fleet_lease_end(fleet, 0);
+}
+
 void gh_fleet_load(const gh_fleet_t *fleet, gh_shard_load_t *load,
 		   gh_time_t now)
 {
--- a/core_fleet.h
+++ b/core_fleet.h
@@ -325,6 +325,11 @@
 bool gh_fleet_fenced(const gh_fleet_t *fleet);
 
 bool gh_fleet_has_changes(const gh_fleet_t *fleet);
+/*
+ * Time of the last grant whose lease may still hold a run alive, as far as this
+ * owner knows; for the next owner's gh_fleet_setup_t.previous_grants_end.
+ */
+gh_time_t gh_fleet_last_grant(const gh_fleet_t *fleet);
 /* Load of the fleet by its usable workers and its jobs that have not ended. */
 void gh_fleet_load(const gh_fleet_t *fleet, gh_shard_load_t *load,
 		   gh_time_t now);
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -60,10 +60,18 @@
  * no job has it.
  */
 #define INTERFERENCE_ID "images"
+/*
+ * In the chain record of an owner that has released its shard, before the
+ * time of its last grant of a lease, in ms relative to the release.
+ */
+#define CHAIN_RELEASED " released "
 #define INTERFERENCE_PERIOD_USEC (3 * GH_USEC_PER_SEC)
 /* Min time between two writes of the shard's load. */
 #define LOAD_PERIOD_USEC (500 * GH_USEC_PER_MSEC)
 
+/* Index, in a commit, of the entry that writes the chain record. */
+#define CHAIN_ENTRY 1
+
 typedef enum phase {
 	PHASE_IDLE,
 	PHASE_CLAIMING,
@@ -98,6 +106,11 @@
 	char *own_key;
 	char *chain_key;
 	char *progress_prefix;
+	/*
+	 * No previous owner grants leases to workers after this time; 0: the
+	 * last one has not told, as it did not release the shard.
+	 */
+	gh_time_t previous_grants_end;
 	bool record_known;  /* the owner record was read at least once */
 	bool record_absent; /* no host has an owner record for the shard */
 	loop_timer_t timer;
@@ -165,6 +178,7 @@
 static void start_claim(fleet_owner_t *owner);
 static void on_claim_lease(void *ctx, const fleet_reply_t *reply);
 static void on_claim_chain(void *ctx, const fleet_reply_t *reply);
+static void parse_chain(fleet_owner_t *owner, const char *text);
 static void commit_claim(fleet_owner_t *owner);
 static void on_claimed(void *ctx, const fleet_reply_t *reply);
 static void note_owner_record(fleet_owner_t *owner, uint64_t revision);
@@ -201,6 +215,8 @@
 static void batch_conflict(fleet_owner_t *owner, const fleet_reply_t *reply);
 static void batch_send(fleet_owner_t *owner);
 static batch_t *batch_new(fleet_owner_t *owner);
+static void batch_mark_release(fleet_owner_t *owner, batch_t *batch,
+			       gh_time_t now);
 static bool batch_add_change(fleet_owner_t *owner, batch_t *batch,
 			     gh_fleet_change_t *change);
 static void batch_add_entry(batch_t *batch, fleet_entry_kind_t kind, char *key,
@@ -458,11 +474,11 @@
 		return;
 	owner->epoch = 0;
 	owner->chain_revision = 0;
+	owner->previous_grants_end = 0;
 	if (reply->result == FLEET_OK && reply->n_items &&
 	    reply->items[0].value) {
 		owner->chain_revision = reply->items[0].revision;
-		owner->epoch =
-			g_ascii_strtoull(reply->items[0].value, NULL, 10);
+		parse_chain(owner, reply->items[0].value);
 	} else if (reply->result != FLEET_NOT_FOUND) {
 		schedule_claim_retry(owner);
 		return;
@@ -472,6 +488,19 @@
 	commit_claim(owner);
 }
 
+/* Reads the epoch and, if the last owner has released the shard, its grants. */
+static void parse_chain(fleet_owner_t *owner, const char *text)
+{
+	const char *released = strstr(text, CHAIN_RELEASED);
+
+	owner->epoch = g_ascii_strtoull(text, NULL, 10);
+	if (released)
+		owner->previous_grants_end =
+			clock_boot() +
+			gh_time_from_ms(g_ascii_strtoll(
+				released + strlen(CHAIN_RELEASED), NULL, 10));
+}
+
 static void commit_claim(fleet_owner_t *owner)
 {
 	char *text = chain_text(owner);
@@ -543,7 +572,10 @@
 	gh_fleet_setup_t setup = owner->setup.fleet;
 
 	owner->phase = PHASE_LOADING;
-	setup.previous_grants_end = clock_boot() + WORKER_RENEWAL_LIMIT_USEC;
+	setup.previous_grants_end =
+		owner->previous_grants_end ?
+			owner->previous_grants_end :
+			clock_boot() + WORKER_RENEWAL_LIMIT_USEC;
 	owner->fleet = gh_fleet_new(&setup, &sink, clock_boot());
 	memset(&owner->reported, 0, sizeof(owner->reported));
 	if (owner->config)
@@ -948,9 +980,7 @@
 		delete_old_states(owner, batch, now);
 	if (owner->phase == PHASE_RELEASING &&
 	    !gh_fleet_has_changes(owner->fleet)) {
-		batch_add_entry(batch, FLEET_DELETE, g_strdup(owner->own_key),
-				NULL, 0, 0);
-		batch->releases = true;
+		batch_mark_release(owner, batch, now);
 	} else if (!batch->changes->len && batch->n <= 2) {
 		batch_free(batch);
 		return;
@@ -969,11 +999,30 @@
 	batch->chain_value = chain_text(owner);
 	batch_add_entry(batch, FLEET_EXPECT, g_strdup(owner->chain_key), NULL,
 			owner->chain_revision, 0);
-	batch_add_entry(batch, FLEET_PUT, g_strdup(owner->chain_key),
-			g_strdup(batch->chain_value), 0, 0);
+	batch_add_entry(batch, FLEET_PUT, g_strdup(owner->chain_key), NULL, 0,
+			0);
 	return batch;
 }
 
+/*
+ * Makes the commit release the shard: it deletes the owner record, and the
+ * chain record tells the next owner of the last grant of a lease to a worker.
+ */
+static void batch_mark_release(fleet_owner_t *owner, batch_t *batch,
+			       gh_time_t now)
+{
+	gh_time_t last_grant = gh_fleet_last_grant(owner->fleet);
+	char *text = g_strdup_printf("%s" CHAIN_RELEASED "%" PRId64,
+				     batch->chain_value,
+				     gh_time_to_ms(last_grant - now) + 1);
+
+	g_free(batch->chain_value);
+	batch->chain_value = text;
+	batch_add_entry(batch, FLEET_DELETE, g_strdup(owner->own_key), NULL, 0,
+			0);
+	batch->releases = true;
+}
+
 /*
  * Adds a job's change to a commit and takes ownership of the change's progress
  * text.  Returns false if the job's state is not known yet: the change is then
@@ -1039,6 +1088,7 @@
 
 static void batch_send(fleet_owner_t *owner)
 {
+	owner->batch->entries[CHAIN_ENTRY].value = owner->batch->chain_value;
 	owner->batch->sent_at = clock_boot();
 	owner->setup.store->ops->commit(owner->setup.store,
 					owner->batch->entries, owner->batch->n,
@@ -1310,7 +1360,7 @@
 
 /*
  * Text of the shard's chain record, unique to each commit: "EPOCH SEQUENCE HOST
- * LEASE".
+ * LEASE", and after a release "released MS".
  */
 static char *chain_text(const fleet_owner_t *owner)
 {
