fleet_owner: a lost reply no longer ends the ownership of a shard

What callers saw: nothing of a shard was decided for about 2 s, and the wait for runs of a previous owner began anew (LOST).

Cause: after a restore of the owner record without a reply, the second restore met the record that the first one had written and took it for another host's. A claim without a reply was repeated until its own record had expired. One failed read of progress records gave the shard up. A restore did not expect the chain record, so a host that had been replaced could put its owner record back between two other owners.

Class: a lost reply is taken for a refusal, and the host's own write for another host's.

Change: the chain record shows whether an unanswered claim took effect; a restore is repeated with the same lease, expects the chain record, and knows its own record by name and revision; reads of progress are repeated. A change whose job has no known state waits before it is tried again, as it kept the owner busy.

--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -43,6 +43,7 @@
  */
 #define COMMIT_INTERVAL_MIN_USEC (6 * GH_USEC_PER_MSEC)
 #define COMMIT_RETRY_DELAY_USEC (60 * GH_USEC_PER_MSEC)
+#define LOAD_RETRY_DELAY_USEC (60 * GH_USEC_PER_MSEC)
 /*
  * Period at which states of ended jobs whose retention time is over are
  * deleted.
@@ -120,6 +121,9 @@
 	 * record is bound.
 	 */
 	uint64_t lease_id;
+	uint64_t record_revision; /* of the host's last known write of it */
+	/* Lease to which the record is bound by a restore; 0: none granted. */
+	uint64_t restore_lease_id;
 	bool record_lost; /* the lease has ended, and the owner record with it
 			   */
 	bool restoring;	  /* a call that restores the record is in flight */
@@ -131,6 +135,10 @@
 	gh_fleet_t *fleet;
 	/* Job id to progress text, while the shard is being loaded. */
 	GHashTable *progress;
+	/* Last key of the progress read so far; NULL: none was read. */
+	char *last_progress_key;
+	/* When a read of progress that failed is repeated. */
+	gh_time_t load_retry_at;
 	/* gh_pipeline_t, while the shard is being loaded; then NULL. */
 	GPtrArray *parsed_jobs;
 	fleet_watch_t *job_watch;
@@ -181,10 +189,12 @@
 static void parse_chain(fleet_owner_t *owner, const char *text);
 static void commit_claim(fleet_owner_t *owner);
 static void on_claimed(void *ctx, const fleet_reply_t *reply);
+static void on_claim_reread(void *ctx, const fleet_reply_t *reply);
+static void claim_succeeded(fleet_owner_t *owner, uint64_t revision);
 static void note_owner_record(fleet_owner_t *owner, uint64_t revision);
 static void schedule_claim_retry(fleet_owner_t *owner);
 static void start_loading(fleet_owner_t *owner);
-static void load_progress_page(fleet_owner_t *owner, const char *after);
+static void load_progress_page(fleet_owner_t *owner);
 static void on_progress_page(void *ctx, const fleet_reply_t *reply);
 static void on_job_record(void *ctx, const fleet_item_t *item);
 static void on_job_records_synced(void *ctx);
@@ -198,6 +208,10 @@
 static void on_lease_renewed(void *ctx, const fleet_reply_t *reply);
 static void restore_owner_record(fleet_owner_t *owner);
 static void on_restore_lease(void *ctx, const fleet_reply_t *reply);
+static void commit_restore(fleet_owner_t *owner);
+static void on_owner_record_restored(void *ctx, const fleet_reply_t *reply);
+static void restore_succeeded(fleet_owner_t *owner, uint64_t revision);
+static void restore_conflict(fleet_owner_t *owner, const fleet_reply_t *reply);
 static void send_worker_calls(fleet_owner_t *owner, gh_time_t now);
 static void on_renewal_reply(void *ctx, const char *worker,
 			     gh_order_reply_t reply,
@@ -370,6 +384,11 @@
 	}
 	if (owner->phase >= PHASE_LOADING)
 		renew_owner_lease(owner, now);
+	if (owner->phase == PHASE_LOADING) {
+		if (now >= owner->load_retry_at)
+			load_progress_page(owner);
+		next = owner->load_retry_at;
+	}
 	if (owner->phase >= PHASE_OWNING) {
 		if (gh_fleet_fenced(owner->fleet)) {
 			end_ownership(owner, "a worker reports a newer epoch");
@@ -528,16 +547,41 @@
 
 	if (!owner)
 		return;
-	if (reply->result != FLEET_OK) {
-		/*
-		 * If the failed claim takes effect nevertheless, its owner
-		 * record ends with the claim's lease, which nobody renews.
-		 */
+	if (reply->result == FLEET_OK)
+		claim_succeeded(owner, reply->revision);
+	else if (reply->result == FLEET_OUTCOME_UNKNOWN)
+		owner->setup.store->ops->get(
+			owner->setup.store, FLEET_KEYSPACE_OWN,
+			owner->chain_key, on_claim_reread, call_new(owner));
+	else
 		schedule_claim_retry(owner);
+}
+
+/* Handles the chain record that was read after a claim without a reply. */
+static void on_claim_reread(void *ctx, const fleet_reply_t *reply)
+{
+	fleet_owner_t *owner = call_finish(ctx);
+	char *text;
+
+	if (!owner)
 		return;
-	}
-	owner->chain_revision = reply->revision;
-	note_owner_record(owner, reply->revision);
+	text = chain_text(owner);
+	/*
+	 * If the claim takes effect later, its owner record ends with the
+	 * claim's lease, which nobody renews.
+	 */
+	if (reply->result == FLEET_OK && reply->n_items &&
+	    !g_strcmp0(reply->items[0].value, text))
+		claim_succeeded(owner, reply->items[0].revision);
+	else
+		schedule_claim_retry(owner);
+	g_free(text);
+}
+
+static void claim_succeeded(fleet_owner_t *owner, uint64_t revision)
+{
+	owner->chain_revision = revision;
+	note_owner_record(owner, revision);
 	log_event(LOG_INFO, "shard_owned", "shard", log_num(owner->setup.shard),
 		  "epoch", log_num((int64_t)owner->epoch), NULL);
 	counter_inc(CTR_SHARD_CLAIMED);
@@ -548,6 +592,7 @@
 static void note_owner_record(fleet_owner_t *owner, uint64_t revision)
 {
 	owner->record_absent = false;
+	owner->record_revision = revision;
 	fleet_jobs_note_owner(owner->setup.jobs, owner->setup.shard,
 			      owner->setup.host, revision);
 }
@@ -585,11 +630,16 @@
 	owner->parsed_jobs = g_ptr_array_new();
 	owner->renew_at = clock_boot();
 	owner->dirty = true;
-	load_progress_page(owner, "");
+	g_clear_pointer(&owner->last_progress_key, g_free);
+	load_progress_page(owner);
 }
 
-static void load_progress_page(fleet_owner_t *owner, const char *after)
+static void load_progress_page(fleet_owner_t *owner)
 {
+	const char *after =
+		owner->last_progress_key ? owner->last_progress_key : "";
+
+	owner->load_retry_at = GH_TIME_NEVER;
 	owner->setup.store->ops->range(owner->setup.store, FLEET_KEYSPACE_OWN,
 				       owner->progress_prefix, after,
 				       on_progress_page, call_new(owner));
@@ -606,7 +656,8 @@
 	if (!owner)
 		return;
 	if (reply->result != FLEET_OK) {
-		end_ownership(owner, "cannot read job progress");
+		owner->load_retry_at = clock_boot() + LOAD_RETRY_DELAY_USEC;
+		owner->dirty = true;
 		return;
 	}
 	for (i = 0; i < reply->n_items; i++)
@@ -617,7 +668,10 @@
 					 strlen(owner->progress_prefix)),
 				g_strdup(reply->items[i].value));
 	if (reply->more && reply->n_items) {
-		load_progress_page(owner, reply->items[reply->n_items - 1].key);
+		g_free(owner->last_progress_key);
+		owner->last_progress_key =
+			g_strdup(reply->items[reply->n_items - 1].key);
+		load_progress_page(owner);
 		return;
 	}
 	listener.ctx = owner;
@@ -762,6 +816,7 @@
 	owner->job_watch = owner->worker_watch = NULL;
 	g_clear_pointer(&owner->fleet, gh_fleet_free);
 	g_clear_pointer(&owner->progress, g_hash_table_destroy);
+	g_clear_pointer(&owner->last_progress_key, g_free);
 	if (owner->parsed_jobs)
 		g_ptr_array_set_free_func(owner->parsed_jobs,
 					  (GDestroyNotify)gh_pipeline_free);
@@ -769,6 +824,7 @@
 	g_clear_pointer(&owner->batch, batch_free);
 	g_clear_pointer(&owner->load_saved, g_free);
 	owner->record_lost = owner->restoring = false;
+	owner->restore_lease_id = 0;
 	owner->claim_at = clock_boot() + CLAIM_RETRY_DELAY_USEC;
 	owner->timer.at = owner->claim_at;
 }
@@ -817,6 +873,11 @@
 	if (owner->restoring)
 		return;
 	owner->restoring = true;
+	/* A restore without a reply is tried again with the same lease. */
+	if (owner->restore_lease_id) {
+		commit_restore(owner);
+		return;
+	}
 	owner->renewal_sent_at = clock_boot();
 	log_event(LOG_WARN, "owner_record_lapsed", "shard",
 		  log_num(owner->setup.shard), NULL);
@@ -824,47 +885,102 @@
 					     on_restore_lease, call_new(owner));
 }
 
-static void on_owner_record_restored(void *ctx, const fleet_reply_t *reply)
+static void on_restore_lease(void *ctx, const fleet_reply_t *reply)
 {
 	fleet_owner_t *owner = call_finish(ctx);
 
 	if (!owner)
 		return;
-	owner->restoring = false;
-	owner->renew_at = clock_boot() + LEASE_RENEWAL_PERIOD_USEC;
-	if (reply->result == FLEET_OK) {
-		owner->record_lost = false;
-		owner->renewed_at = owner->renewal_sent_at;
-		note_owner_record(owner, reply->revision);
-	} else if (reply->result == FLEET_CONFLICT) {
-		end_ownership(owner, "another host wrote the owner record");
-	} else {
-		owner->renew_at = clock_boot() + COMMIT_RETRY_DELAY_USEC;
+	if (reply->result != FLEET_OK) {
+		owner->restoring = false;
+		return;
 	}
+	owner->restore_lease_id = reply->lease;
+	commit_restore(owner);
 }
 
-static void on_restore_lease(void *ctx, const fleet_reply_t *reply)
+static void commit_restore(fleet_owner_t *owner)
+{
+	fleet_entry_t entries[] = {
+		{ .kind = FLEET_EXPECT, .key = owner->own_key, .revision = 0 },
+		{ .kind = FLEET_EXPECT,
+		  .key = owner->chain_key,
+		  .revision = owner->chain_revision },
+		{ .kind = FLEET_PUT,
+		  .key = owner->own_key,
+		  .value = owner->setup.host,
+		  .lease = owner->restore_lease_id },
+	};
+
+	owner->setup.store->ops->commit(
+		owner->setup.store, entries, G_N_ELEMENTS(entries),
+		on_owner_record_restored, call_new(owner));
+}
+
+static void on_owner_record_restored(void *ctx, const fleet_reply_t *reply)
 {
 	fleet_owner_t *owner = call_finish(ctx);
-	fleet_entry_t entries[2];
 
 	if (!owner)
 		return;
-	if (reply->result != FLEET_OK) {
-		owner->restoring = false;
-		return;
+	owner->restoring = false;
+	owner->renew_at = clock_boot() + COMMIT_RETRY_DELAY_USEC;
+	switch (reply->result) {
+	case FLEET_OK:
+		restore_succeeded(owner, reply->revision);
+		break;
+	case FLEET_CONFLICT:
+		restore_conflict(owner, reply);
+		break;
+	case FLEET_NOT_FOUND: /* the lease has ended */
+		owner->restore_lease_id = 0;
+		break;
+	default:
+		break;
+	}
+}
+
+static void restore_succeeded(fleet_owner_t *owner, uint64_t revision)
+{
+	owner->record_lost = false;
+	owner->lease_id = owner->restore_lease_id;
+	owner->restore_lease_id = 0;
+	owner->renewed_at = owner->renewal_sent_at;
+	note_owner_record(owner, revision);
+}
+
+/*
+ * The owner record exists, or the chain record has changed.  The record can be
+ * the host's own: it was not gone, or an earlier restore without a reply has
+ * taken effect.  The chain changes with each of the host's commits as well.
+ */
+static void restore_conflict(fleet_owner_t *owner, const fleet_reply_t *reply)
+{
+	const fleet_item_t *record = NULL;
+	const fleet_item_t *chain = NULL;
+	size_t i;
+
+	for (i = 0; i < reply->n_items; i++) {
+		if (!strcmp(reply->items[i].key, owner->own_key))
+			record = &reply->items[i];
+		else if (!strcmp(reply->items[i].key, owner->chain_key))
+			chain = &reply->items[i];
+	}
+	if (record && record->value) {
+		if (strcmp(record->value, owner->setup.host) != 0) {
+			end_ownership(owner, "another host wrote the owner "
+					     "record");
+		} else if (record->revision == owner->record_revision) {
+			owner->record_lost = false;
+			owner->restore_lease_id = 0;
+		} else {
+			restore_succeeded(owner, record->revision);
+			owner->renew_at = clock_boot();
+		}
+	} else if (!owner->batch && chain &&
+		   chain->revision != owner->chain_revision) {
+		end_ownership(owner, "another owner took over");
 	}
-	owner->lease_id = reply->lease;
-	entries[0] = (fleet_entry_t){ .kind = FLEET_EXPECT,
-				      .key = owner->own_key,
-				      .revision = 0 };
-	entries[1] = (fleet_entry_t){ .kind = FLEET_PUT,
-				      .key = owner->own_key,
-				      .value = owner->setup.host,
-				      .lease = owner->lease_id };
-	owner->setup.store->ops->commit(owner->setup.store, entries, 2,
-					on_owner_record_restored,
-					call_new(owner));
 }
 
 /* Calls to workers. */
@@ -970,8 +1086,10 @@
 	 */
 	while (batch->n + CHANGE_ENTRIES_MAX + 2 < FLEET_ENTRIES_MAX &&
 	       gh_fleet_next_change(owner->fleet, &change))
-		if (!batch_add_change(owner, batch, &change))
+		if (!batch_add_change(owner, batch, &change)) {
+			owner->commit_at = now + COMMIT_RETRY_DELAY_USEC;
 			break;
+		}
 	if (batch->changes->len && now >= owner->interference_save_at)
 		save_interference(owner, batch, now);
 	if (now >= owner->load_save_at)
