Keep running tasks through outages of the store of 6.4 s; plan once without it

While no renewals were sent, each task whose run was over was planned and given up again in each tick (170 run numbers in 2 s in the test).

Cause: the bound for renewals without the store, 2 s, and a renewal that waits for up to 1 s just before it. Runs that were only planned ended with their worker's lease, although their start would grant a new one.

Change: 2.5 s, and renewals wait for 0.25 s at most once the owner's own lease was not renewed for 0.6 s. A planned run does not end with a lease.

Result: test_outage passes (2 starts, before 4), and so does test_worker_and_owner_lost; test_plan_without_lease is new: run 2 instead of 170.

--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -117,6 +117,8 @@
 } candidate_t;
 
 static void expire_leases(gh_fleet_t *fleet, gh_time_t now);
+static bool has_run_beyond_plan(const gh_fleet_t *fleet,
+				const fleet_worker_t *worker);
 static void retry_orders(gh_fleet_t *fleet, gh_time_t now);
 static void stop_long_running_on_draining(gh_fleet_t *fleet, gh_time_t now);
 static void collect_candidates(gh_fleet_t *fleet, GArray *candidates,
@@ -190,7 +192,10 @@
 	}
 }
 
-/* Ends the runs of each worker whose lease has expired with certainty. */
+/*
+ * Ends the runs of each worker whose lease has expired with certainty.  A run
+ * that is only planned needs no lease yet: its start order grants one.
+ */
 static void expire_leases(gh_fleet_t *fleet, gh_time_t now)
 {
 	uint32_t i;
@@ -198,14 +203,26 @@
 	for (i = 0; i < fleet->workers->len; i++) {
 		fleet_worker_t *worker = fleet_worker(fleet, i);
 
-		if (!worker->in_use || !worker->n_runs ||
-		    now <= worker->latest_lease_end)
+		if (!worker->in_use || now <= worker->latest_lease_end ||
+		    !has_run_beyond_plan(fleet, worker))
 			continue;
 		fleet_worker_end_runs(fleet, i, "its lease ran out", now);
 		fleet_worker_free_if_unused(fleet, i);
 	}
 }
 
+static bool has_run_beyond_plan(const gh_fleet_t *fleet,
+				const fleet_worker_t *worker)
+{
+	uint32_t ref;
+
+	for (ref = worker->first_run; ref != GH_NONE;
+	     ref = fleet_run(fleet, ref)->next)
+		if (fleet_run(fleet, ref)->state != RUN_PLANNED)
+			return true;
+	return false;
+}
+
 static void retry_orders(gh_fleet_t *fleet, gh_time_t now)
 {
 	uint32_t i;
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -28,7 +28,12 @@
  * last renewed.  The next owner waits for this time and a lease before it
  * starts the tasks of a worker that it cannot reach.
  */
-#define WORKER_RENEWAL_LIMIT_USEC (2 * GH_USEC_PER_SEC)
+#define WORKER_RENEWAL_LIMIT_USEC (2500 * GH_USEC_PER_MSEC)
+/*
+ * Max wait of a worker's reply once the owner's lease was not renewed for twice
+ * its period: the last lease is then granted shortly before the limit.
+ */
+#define WORKER_WAIT_ALONE_MS 250
 /*
  * Upper bound of the random delay before a claim, so that hosts don't claim a
  * shard all at once.
@@ -1015,9 +1020,13 @@
 	}
 	if (now > owner->renewed_at + WORKER_RENEWAL_LIMIT_USEC)
 		return;
-	while (gh_fleet_next_renewal(owner->fleet, &renewal, now))
+	while (gh_fleet_next_renewal(owner->fleet, &renewal, now)) {
+		if (now > owner->renewed_at + 2 * LEASE_RENEWAL_PERIOD_USEC)
+			renewal.max_wait_ms =
+				MIN(renewal.max_wait_ms, WORKER_WAIT_ALONE_MS);
 		ops->renew_lease(owner->setup.workers, &renewal, owner->epoch,
 				 on_renewal_reply, call_new(owner));
+	}
 }
 
 static void on_renewal_reply(void *ctx, const char *worker,
--- a/regress/fleet_world.c
+++ b/regress/fleet_world.c
@@ -248,7 +248,8 @@
 		/* Each step sends up to one lease renewal per worker and
 		 * handles the reply. */
 		for (i = 0; i < w->n_workers; i++)
-			if (gh_fleet_next_renewal(w->fleet, &renewal, w->now))
+			if (!w->renewals_stopped &&
+			    gh_fleet_next_renewal(w->fleet, &renewal, w->now))
 				reply_to_renewal(w, &renewal);
 		commit_changes(w);
 	}
--- a/regress/fleet_world.h
+++ b/regress/fleet_world.h
@@ -56,6 +56,7 @@
 					  start of the test */
 	size_t n_orders;
 	bool store_down;
+	bool renewals_stopped; /* no renewal is sent to any worker */
 	char *progress; /* text of the last job record committed, whichever the
 			   job */
 	gh_job_phase_t phase;
--- a/regress/test_core_fleet.c
+++ b/regress/test_core_fleet.c
@@ -65,6 +65,33 @@
 	world_clear(&w);
 }
 
+/*
+ * Without the store no renewals are sent, so the leases of all workers expire.
+ * A task whose run is over then is planned once, not again and again: a run
+ * that is only planned needs no lease.
+ */
+static void test_plan_without_lease(void **state)
+{
+	gh_step_t long_running = one_task;
+	world_t w;
+
+	(void)state;
+	long_running.long_running = true;
+	world_init(&w);
+	add_worker(&w, "w1", 1000);
+	add_job(&w, "0000000000000001", 1, &long_running, NULL);
+	advance_time(&w, 1000);
+	assert_int_equal(count_orders(&w, GH_ORDER_START, 0), 1);
+	w.store_down = w.renewals_stopped = true;
+	advance_time(&w, LEASE_MS + 2000);
+	w.store_down = w.renewals_stopped = false;
+	w.workers[0].n_runs = 0;
+	advance_time(&w, 1000);
+	assert_int_equal(count_orders(&w, GH_ORDER_START, 0), 2);
+	assert_int_equal(w.orders[w.n_orders - 1].run, 2);
+	world_clear(&w);
+}
+
 /*
  * Renewals without a reply extended the lease of a failed worker for ever, so
  * that its long-running task was never restarted elsewhere.  Found by hunt
@@ -825,6 +852,7 @@
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_order_of_steps),
 		cmocka_unit_test(test_store_down),
+		cmocka_unit_test(test_plan_without_lease),
 		cmocka_unit_test(test_dead_worker),
 		cmocka_unit_test(test_start_on_dead_worker),
 		cmocka_unit_test(test_lost_answer),
