core_balance: choose the shard in proportion to the free shares

All hosts decided for the shard with the largest free share, by loads of different ages: in the 117 jobs of the start up to 27 of 28 hosts sent their first job to the same shard, 47 and 70 in the end.

Change: a shard is chosen with a probability in proportion to the share that it has left, the id's hash standing for the random number. A shard that is nearly full gets next to nothing, and a report does not turn all hosts round at once.

--- a/core_balance.c
+++ b/core_balance.c
@@ -27,6 +27,9 @@
 };
 
 static gh_capacity_t long_running_size(const gh_pipeline_t *job);
+static uint32_t choose_by_share(const gh_balance_t *balance,
+				const gh_pipeline_t *job);
+static uint32_t scrambled_hash(const char *id);
 static double free_share(const shard_entry_t *shard, const gh_capacity_t *job);
 static double free_part(int64_t total, int64_t used, int64_t wanted);
 static void remove_placed(shard_entry_t *shard, bool reported, gh_time_t now);
@@ -75,27 +78,72 @@
 				.reported_at = now + REPORT_DELAY_USEC,
 				.expires_at = now + PLACED_MAX_USEC };
 	uint32_t best = hashed;
-	double best_share;
 	uint32_t i;
 
 	if (!gh_pipeline_is_long_running(job))
 		return hashed;
 	for (i = 0; i < balance->n_shards; i++)
 		remove_placed(&balance->shards[i], false, now);
-	best_share = free_share(&balance->shards[hashed], &placed.size);
-	for (i = 0; i < balance->n_shards && balance->shards[hashed].known;
-	     i++) {
-		double share = free_share(&balance->shards[i], &placed.size);
+	if (balance->shards[hashed].known)
+		best = choose_by_share(balance, job);
+	g_array_append_val(balance->shards[best].placed, placed);
+	return best;
+}
+
+/*
+ * Chooses a shard with a probability in proportion to the share that it has
+ * left once the job runs there, or the one with the largest if none has any.
+ * The id's hash stands for the random number.  Hosts that decided for the
+ * largest share would all choose the same shard until the next report.
+ */
+static uint32_t choose_by_share(const gh_balance_t *balance,
+				const gh_pipeline_t *job)
+{
+	gh_capacity_t size = long_running_size(job);
+	double position = (double)scrambled_hash(job->id) / UINT32_MAX;
+	double largest = -G_MAXDOUBLE;
+	double sum = 0;
+	uint32_t best = 0;
+	uint32_t i;
+
+	for (i = 0; i < balance->n_shards; i++) {
+		double share = free_share(&balance->shards[i], &size);
 
-		if (share > best_share) {
-			best_share = share;
+		sum += MAX(share, 0);
+		if (share > largest) {
+			largest = share;
 			best = i;
 		}
 	}
-	g_array_append_val(balance->shards[best].placed, placed);
+	position *= sum;
+	for (i = 0; sum > 0 && i < balance->n_shards; i++) {
+		double share = free_share(&balance->shards[i], &size);
+
+		if (share <= 0)
+			continue;
+		best = i;
+		position -= share;
+		if (position < 0)
+			break;
+	}
 	return best;
 }
 
+/*
+ * Hash of the id that is independent of the shard that its plain hash names.
+ * The constants are those of the finalizer of MurmurHash3.
+ */
+static uint32_t scrambled_hash(const char *id)
+{
+	uint32_t hash = g_str_hash(id);
+
+	hash ^= hash >> 16;
+	hash *= 0x85ebca6bU;
+	hash ^= hash >> 13;
+	hash *= 0xc2b2ae35U;
+	return hash ^ hash >> 16;
+}
+
 void gh_capacity_add(gh_capacity_t *sum, const gh_resources_t *size, uint32_t n)
 {
 	sum->cores_milli += (int64_t)size->cores_milli * n;
--- a/core_balance.h
+++ b/core_balance.h
@@ -1,11 +1,11 @@
 /*
  * Choice of the shard for a new job, which stays there until it ends.
  *
- * Long-running tasks keep their capacity, so a job with such tasks goes to the
- * shard that has the largest share of its capacity left for them.  Any other
- * job goes to the shard that the hash of its id names.  The owners report the
- * loads of their shards some time after the fact, so jobs that this host has
- * placed lately count in addition.
+ * Long-running tasks keep their capacity, so a job with such tasks goes to a
+ * shard with a probability in proportion to the share of its capacity that it
+ * has left for them.  Any other job goes to the shard that the hash of its id
+ * names.  The owners report the loads of their shards some time after the fact,
+ * so jobs that this host has placed lately count in addition.
  */
 #ifndef CORE_BALANCE_H
 #define CORE_BALANCE_H
@@ -39,8 +39,8 @@
 
 /*
  * Returns the shard for a job, and counts the job there.  hashed is the shard
- * that the job's id hashes to; it is chosen when its load is unknown.  A shard
- * of unknown load is otherwise chosen only if all of known load are full.
+ * that the job's id hashes to; it is chosen when its load is unknown.  A
+ * shard of unknown load is otherwise chosen only if all of known load are full.
  */
 uint32_t gh_balance_choose(gh_balance_t *balance, const gh_pipeline_t *job,
 			   uint32_t hashed, gh_time_t now);
