fleet_owner: a host that has won one shard leaves the next to others

Cause: the delay of a claim was fixed when the owner record was found absent. At a start all records are absent at once, so the delay for hosts that own a shard already was 0 for each of them.

Change: the delay is computed again when the claim is due.

--- a/fleet_host.c
+++ b/fleet_host.c
@@ -65,7 +65,7 @@
 static void on_config(void *ctx, const fleet_item_t *item);
 static void on_job(void *ctx, const char *id, const fleet_job_state_t *state);
 static void on_owner(void *ctx, uint32_t shard, const char *name);
-static gh_time_t claim_delay(const fleet_front_t *host);
+static gh_time_t claim_delay(void *ctx);
 static void on_synced(void *ctx);
 static bool run_on_loop(caller_call_t *call, loop_work_t work, GError **err);
 static void start_submit(void *ctx);
@@ -102,6 +102,8 @@
 			.ended_retention_ms = setup->ended_retention_ms,
 			.commit_interval_min = setup->commit_interval_min,
 			.shards = setup->shards,
+			.claim_delay = claim_delay,
+			.claim_delay_ctx = host,
 		};
 
 		host->owners[i] = fleet_owner_new(&owner);
@@ -209,16 +211,16 @@
 	fleet_front_t *host = ctx;
 
 	if (shard < host->setup.shards)
-		fleet_owner_record_changed(host->owners[shard], name,
-					   claim_delay(host));
+		fleet_owner_record_changed(host->owners[shard], name);
 }
 
 /*
  * Delay before this host claims a shard: short on hosts with many cores and few
  * shards.
  */
-static gh_time_t claim_delay(const fleet_front_t *host)
+static gh_time_t claim_delay(void *ctx)
 {
+	const fleet_front_t *host = ctx;
 	gh_time_t delay = 0;
 	uint32_t i;
 
@@ -226,7 +228,7 @@
 		delay = (CLAIM_DELAY_CORES_MILLI - host->setup.cores_milli) *
 			CLAIM_DELAY_MAX_USEC / CLAIM_DELAY_CORES_MILLI;
 	for (i = 0; i < host->setup.shards; i++)
-		if (!fleet_owner_is_idle(host->owners[i]))
+		if (host->owners[i] && !fleet_owner_is_idle(host->owners[i]))
 			delay += CLAIM_DELAY_PER_SHARD_USEC;
 	return delay;
 }
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -121,6 +121,7 @@
 	bool record_absent; /* no host has an owner record for the shard */
 	loop_timer_t timer;
 	gh_time_t claim_at;
+	gh_time_t claim_delay; /* delay that claim_at was set with */
 	/*
 	 * Members from here to renewal_sent_at: the lease to which the owner
 	 * record is bound.
@@ -188,6 +189,7 @@
 static fleet_owner_t *call_finish(void *ctx);
 static void advance(fleet_owner_t *owner, gh_time_t now);
 static void update_counters(fleet_owner_t *owner);
+static void postpone_claim(fleet_owner_t *owner);
 static void start_claim(fleet_owner_t *owner);
 static void on_claim_lease(void *ctx, const fleet_reply_t *reply);
 static void on_claim_chain(void *ctx, const fleet_reply_t *reply);
@@ -281,8 +283,7 @@
 	g_free(owner);
 }
 
-void fleet_owner_record_changed(fleet_owner_t *owner, const char *host,
-				gh_time_t delay)
+void fleet_owner_record_changed(fleet_owner_t *owner, const char *host)
 {
 	gh_time_t now = clock_boot();
 
@@ -290,12 +291,15 @@
 	owner->record_absent = !host;
 	if (!owner->record_absent)
 		return;
-	if (owner->phase == PHASE_IDLE)
+	if (owner->phase == PHASE_IDLE) {
+		owner->claim_delay =
+			owner->setup.claim_delay(owner->setup.claim_delay_ctx);
 		owner->claim_at =
-			now + delay +
+			now + owner->claim_delay +
 			g_random_int_range(0, (gint32)CLAIM_JITTER_MAX_USEC);
-	else if (owner->phase == PHASE_OWNING)
+	} else if (owner->phase == PHASE_OWNING) {
 		restore_owner_record(owner);
+	}
 	owner->timer.at = MIN(owner->timer.at, owner->claim_at);
 }
 
@@ -382,6 +386,8 @@
 	owner->dirty = false;
 	if (owner->phase == PHASE_IDLE && owner->record_known &&
 	    owner->record_absent && !owner->draining) {
+		if (now >= owner->claim_at)
+			postpone_claim(owner);
 		if (now >= owner->claim_at)
 			start_claim(owner);
 		else
@@ -464,6 +470,20 @@
  * and the chain record in one commit.
  */
 
+/*
+ * Leaves the shard to other hosts for longer if this host has got more to do
+ * since the claim was due, such as another shard that lost its owner as well.
+ */
+static void postpone_claim(fleet_owner_t *owner)
+{
+	gh_time_t delay =
+		owner->setup.claim_delay(owner->setup.claim_delay_ctx);
+
+	if (delay > owner->claim_delay)
+		owner->claim_at += delay - owner->claim_delay;
+	owner->claim_delay = delay;
+}
+
 static void start_claim(fleet_owner_t *owner)
 {
 	owner->phase = PHASE_CLAIMING;
--- a/fleet_owner.h
+++ b/fleet_owner.h
@@ -29,6 +29,9 @@
 	uint32_t shards; /* number of shards, the same on all hosts */
 	gh_time_t commit_interval_min;
 	int64_t ended_retention_ms; /* how long states of ended jobs are kept */
+	/* How long this host is to leave a shard without owner to others. */
+	gh_time_t (*claim_delay)(void *ctx);
+	void *claim_delay_ctx;
 } fleet_owner_setup_t;
 
 fleet_owner_t *fleet_owner_new(const fleet_owner_setup_t *setup);
@@ -36,11 +39,10 @@
 
 /*
  * Takes over the value of the shard's owner record: the name of a host, or NULL
- * when there is none.  Without a record the shard is claimed after the host's
- * delay for claims, or the record is written again if this host owns the shard.
+ * when there is none.  Without a record the shard is claimed after
+ * claim_delay(), or the record is written again if this host owns the shard.
  */
-void fleet_owner_record_changed(fleet_owner_t *owner, const char *host,
-				gh_time_t delay);
+void fleet_owner_record_changed(fleet_owner_t *owner, const char *host);
 /*
  * Takes over the queues of a configuration, which must stay valid until the
  * next call.
