--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -211,6 +211,7 @@
 static void on_worker_records_synced(void *ctx);
 static void finish_loading(fleet_owner_t *owner);
 static void end_ownership(fleet_owner_t *owner, const char *reason);
+static void clear_shard(fleet_owner_t *owner);
 static void renew_owner_lease(fleet_owner_t *owner, gh_time_t now);
 static void on_lease_renewed(void *ctx, const fleet_reply_t *reply);
 static void restore_owner_record(fleet_owner_t *owner);
@@ -839,6 +840,16 @@
 	fleet_watch_free(owner->job_watch);
 	fleet_watch_free(owner->worker_watch);
 	owner->job_watch = owner->worker_watch = NULL;
+	clear_shard(owner);
+	owner->record_lost = owner->restoring = false;
+	owner->restore_lease_id = 0;
+	owner->claim_at = clock_boot() + CLAIM_RETRY_DELAY_USEC;
+	owner->timer.at = owner->claim_at;
+}
+
+/* Frees what the owner knows of the shard's jobs and its commit in flight. */
+static void clear_shard(fleet_owner_t *owner)
+{
 	g_clear_pointer(&owner->fleet, gh_fleet_free);
 	g_clear_pointer(&owner->progress, g_hash_table_destroy);
 	g_clear_pointer(&owner->last_progress_key, g_free);
@@ -848,10 +859,6 @@
 	g_clear_pointer(&owner->parsed_jobs, g_ptr_array_unref);
 	g_clear_pointer(&owner->batch, batch_free);
 	g_clear_pointer(&owner->load_saved, g_free);
-	owner->record_lost = owner->restoring = false;
-	owner->restore_lease_id = 0;
-	owner->claim_at = clock_boot() + CLAIM_RETRY_DELAY_USEC;
-	owner->timer.at = owner->claim_at;
 }
 
 /* Renewal of the lease to which the shard's owner record is bound. */
