--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -130,8 +130,7 @@
 	uint64_t record_revision; /* of the host's last known write of it */
 	/* Lease to which the record is bound by a restore; 0: none granted. */
 	uint64_t restore_lease_id;
-	bool record_lost; /* the lease has ended, and the owner record with it
-			   */
+	bool record_lost; /* the lease and the record with it have ended */
 	bool restoring;	  /* a call that restores the record is in flight */
 	/* When the last successful lease renewal was sent. */
 	gh_time_t renewed_at;
@@ -639,7 +638,6 @@
 static void start_loading(fleet_owner_t *owner)
 {
 	gh_fleet_sink_t sink = { .on_event = log_fleet_event, .ctx = owner };
-
 	gh_fleet_setup_t setup = owner->setup.fleet;
 
 	owner->phase = PHASE_LOADING;
