worker_link: list unreachable workers over new connections

A worker's idle connections can all fail at once. The renewal that found the first of them silent took its timeout of 1 s, and the list call after it took the next idle connection from the pool, as silent as the first. The leases had expired before a list came, so the owner gave up every attempt on the worker, those that were done there included, and started their tasks again.

A call that only lists, which is made while a reply of the worker is missing, now opens a connection.

--- a/worker_link.c
+++ b/worker_link.c
@@ -19,10 +19,11 @@
 typedef struct exchange {
 	const worker_call_t *call;
 	const char *method;
-	char *path;	  /* freed by run_exchange() */
-	json_t *body;	  /* freed by run_exchange(); NULL for none */
-	bool once;	  /* the request must not be sent twice */
-	json_t *response; /* freed by the caller; NULL: no valid JSON */
+	char *path;	     /* freed by run_exchange() */
+	json_t *body;	     /* freed by run_exchange(); NULL for none */
+	bool once;	     /* the request must not be sent twice */
+	bool new_connection; /* use a new connection, not an idle one */
+	json_t *response;    /* freed by the caller; NULL: no valid JSON */
 } exchange_t;
 
 /* Makes the JSON body of a request. */
@@ -151,6 +152,12 @@
 		.call = call,
 		.method = renew ? "POST" : "GET",
 		.path = g_strdup(renew ? "/v1/renew" : "/v1/list"),
+		/*
+		 * A worker is listed while its reply to a renewal is missing.
+		 * The idle connections may have failed too, and the list must
+		 * be here before the leases have expired.
+		 */
+		.new_connection = !renew,
 	};
 	gh_reply_t reply;
 
@@ -239,6 +246,7 @@
 		.body_len = body ? strlen(body) : 0,
 		.deadline = ex->call->deadline,
 		.write_once = ex->once,
+		.new_connection = ex->new_connection,
 	};
 	http_response_t response;
 	gh_reply_t result = GH_REPLY_UNKNOWN;
--- a/worker_link.h
+++ b/worker_link.h
@@ -28,6 +28,7 @@
 			  char checkpoint[GH_CHECKPOINT_MAX + 1]);
 	/*
 	 * Lists the worker's tasks, and renews their leases if renew is true.
+	 * A call that renews none goes over a new connection.
 	 * The caller frees report->tasks with g_free().
 	 */
 	gh_reply_t (*poll)(worker_link_t *link, const worker_call_t *call,
