core_shard_report: bar only what a late enough list lacks

An attempt that a worker doesn't list is barred once its latest start time has passed, and ends as lost when the worker has barred it. The time was compared with the arrival of the list. A list that the worker made before the start came, and that took longer than the rest of the start window, had a running attempt barred if the reply to the start was lost; and as a worker also bars an attempt that has ended, a short task was lost when it was done, and ran again. The time that counts is the one at which the list was asked for.

test_list_made_before_start: case 0 ran twice before, each case once now.

--- a/core_shard_report.c
+++ b/core_shard_report.c
@@ -295,23 +295,26 @@
 
 /*
  * Handles open attempts that the worker's report does not list: such an attempt
- * has ended, or its start is still under way.  Once the latest start time of
- * the attempt has passed by any host's clock, the worker is asked to bar it;
- * the reply to this call ends the attempt.
+ * has ended, or its start is still under way.  If the latest start time of the
+ * attempt had passed by any host's clock when the report was asked for, the
+ * worker is asked to bar it; the reply to this call ends the attempt.  An
+ * earlier report may have been made before the start came, and a worker also
+ * bars an attempt that has run and ended since.
  */
 static void bar_unlisted_attempts(gh_shard_t *shard, gh_handle_t worker,
 				  const gh_report_t *report,
 				  const gh_now_t *now)
 {
 	gh_task_ref_t ref = gh_task_first_on_worker(shard->tasks, worker);
+	int64_t sent_ms =
+		now->wall_ms - gh_time_to_ms(now->boot - report->sent_at);
 
 	for (; ref != GH_TASK_NONE; ref = gh_task_at(shard->tasks, ref)->next) {
 		const gh_task_t *t = gh_task_at(shard->tasks, ref);
 
 		if (t->last_report == shard->report_number ||
 		    t->running_since >= report->sent_at ||
-		    now->wall_ms <=
-			    t->not_after_ms + shard->policy.clock_bound_ms)
+		    sent_ms <= t->not_after_ms + shard->policy.clock_bound_ms)
 			continue;
 		gh_shard_queue_action(shard, GH_ACTION_BAR, ref, false, 0);
 	}
--- a/regress/test_shard_core.c
+++ b/regress/test_shard_core.c
@@ -244,6 +244,66 @@
 	}
 }
 
+/* Times after the submission of a job, in ms. */
+typedef struct late_list_case {
+	int64_t listed_ms;  /* the worker is asked for its list and makes it */
+	int64_t started_ms; /* the start reaches the worker */
+	int64_t replied_ms; /* the list reaches the owner */
+} late_list_case_t;
+
+static const late_list_case_t late_list_cases[] = {
+	{ 100, 150, 2400 },   { 1400, 1450, 2400 }, { 1500, 1600, 2400 },
+	{ 1900, 1950, 2600 }, { 1900, 1950, 2900 },
+};
+
+/*
+ * A start reaches its worker after the worker made a list; the reply to the
+ * start is lost, and the list is read after the attempt's latest start time.
+ * The list doesn't show that the attempt never started: it ran, and runs once.
+ */
+static void test_list_made_before_start(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(late_list_cases); i++) {
+		const late_list_case_t *c = &late_list_cases[i];
+		sim_t *sim = sim_new(TWO_WORKERS);
+		gh_job_spec_t spec = job("j", "lace", 1, 3, 400);
+		gh_report_t report = { .renewed = true };
+		size_t n_runs = 0;
+		size_t k;
+
+		sim_run(sim, 1000);
+		for (k = 0; k < 2; k++)
+			sim->workers[k].mode = SIM_STARTS_DELAYED;
+		sim_submit(sim, &spec);
+		sim->poll_at = GH_TIME_NEVER;
+		sim_run(sim, c->listed_ms);
+		assert_int_equal(sim->delayed_starts->len, 1);
+		report.sent_at = sim->now.boot;
+		sim_run(sim, c->started_ms - c->listed_ms);
+		sim_deliver_starts(sim);
+		for (k = 0; k < 2; k++)
+			sim->workers[k].mode = SIM_UP;
+		sim_run(sim, c->replied_ms - c->started_ms);
+		for (k = 0; k < 2; k++)
+			if (sim->workers[k].runs->len)
+				gh_shard_handle_report(sim->shard,
+						       sim->workers[k].name,
+						       &report, &sim->now);
+		sim->poll_at = sim->now.boot + gh_time_from_ms(100);
+		sim_run(sim, 8000);
+		for (k = 0; k < 2; k++)
+			n_runs += sim->workers[k].runs->len;
+		if (n_runs != 1)
+			fail_msg("case %zu: %zu runs", i, n_runs);
+		assert_all_done(sim, "j");
+		assert_no_violation(sim);
+		sim_free(sim);
+	}
+}
+
 /*
  * A list call carries no epoch and so does not stop the renewals of a previous
  * owner: the new owner must still wait.
@@ -810,6 +870,7 @@
 		cmocka_unit_test(test_lost_replies),
 		cmocka_unit_test(test_cut_worker_waits_for_its_leases),
 		cmocka_unit_test(test_late_start),
+		cmocka_unit_test(test_list_made_before_start),
 		cmocka_unit_test(test_list_does_not_resolve),
 		cmocka_unit_test(test_takeover_with_cut_worker_waits),
 		cmocka_unit_test(test_paused_owner_is_fenced),
