test_request: stop a failed test's system after it

test_orders_go_on_beside_a_dead_host replaced the group's system by its own and put it back at its end. When it failed, the tests after it ran on a system whose entry host 0 is killed; test_graceful_end_cuts_nothing_off then waited 60 s for a request at that host. So a failure of the one was always a failure of both. The system is now set up and taken down outside the test.

--- a/regress/test_request.c
+++ b/regress/test_request.c
@@ -390,12 +390,10 @@
 	g_free(document);
 }
 
-/*
- * The only running host of its domain accepts non-idempotent requests while a
- * majority of all hosts is running to store the claim.  A retry at another
- * host finds the claim and is refused as a duplicate.
- */
-static void test_orders_go_on_beside_a_dead_host(void **state)
+static system_t *group_sys; /* sys of the group while a test has its own */
+
+/* Starts a system of two entry hosts in each domain for one test. */
+static int set_up_two_per_domain(void **state)
 {
 	static const system_options_t two_per_domain = {
 		.domains = 2,
@@ -403,15 +401,35 @@
 		.executors = 1,
 		.run_ms = 5,
 	};
+
+	(void)state;
+	group_sys = sys;
+	sys = system_new(&two_per_domain);
+	return 0;
+}
+
+static int tear_down_two_per_domain(void **state)
+{
+	(void)state;
+	system_free(sys);
+	sys = group_sys;
+	return 0;
+}
+
+/*
+ * The only running host of its domain accepts non-idempotent requests while a
+ * majority of all hosts is running to store the claim.  A retry at another
+ * host finds the claim and is refused as a duplicate.
+ */
+static void test_orders_go_on_beside_a_dead_host(void **state)
+{
 	static const char *const first_headers[] = { KEY_HEADER("alone"),
 						     FIRST_ATTEMPT, NULL };
 	static const char *const retry_headers[] = { KEY_HEADER("alone"),
 						     "X-Attempt: 1", NULL };
-	system_t *group_sys = sys;
 	proc_response_t response;
 
 	(void)state;
-	sys = system_new(&two_per_domain);
 	proc_kill(&sys->entries[0].proc);
 	response = send_call(1, "POST", "/r/order", first_headers, "body");
 	expect("first attempt", &response, 200, NULL, "done");
@@ -421,8 +439,6 @@
 	response = send_call(1, "POST", "/r/desk", first_headers, "body");
 	expect("two of four hosts killed", &response, 503, "claim_no_peer",
 	       "not_run");
-	system_free(sys);
-	sys = group_sys;
 }
 
 typedef struct slow_call {
@@ -484,7 +500,9 @@
 		cmocka_unit_test(test_reading_goes_on_past_silent_connections),
 		cmocka_unit_test(test_leaving_host),
 		cmocka_unit_test(test_spill),
-		cmocka_unit_test(test_orders_go_on_beside_a_dead_host),
+		cmocka_unit_test_setup_teardown(
+			test_orders_go_on_beside_a_dead_host,
+			set_up_two_per_domain, tear_down_two_per_domain),
 		cmocka_unit_test(test_graceful_end_cuts_nothing_off),
 	};
 
