--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -514,6 +514,7 @@
 		double candidate_share = 0;
 		int64_t cost;
 
+		fleet->counts.examined++;
 		if (i == excluded_worker || !worker->in_use ||
 		    find_obstacle(fleet, job, stage, i, now) != OBSTACLE_NONE)
 			continue;
--- a/counter_list.h
+++ b/counter_list.h
@@ -155,5 +155,7 @@
 	"jobs not continued as their stored progress can't be decoded")
 COUNTER(PACE_CHANGES, "paces",
 	"orders that changed the pace of a best-effort task")
+COUNTER(WORKERS_EXAMINED, "workers_examined",
+	"workers examined to place tasks, one for each worker and task")
 COUNTER(RUNS_MOVED, "runs_moved",
 	"slowed best-effort tasks stopped to continue on another worker")
--- a/fleet_loop.c
+++ b/fleet_loop.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "clock.h"
+#include "histogram.h"
 #include "log.h"
 
 #define EVENTS_MAX 64
@@ -77,6 +78,7 @@
 	while (!loop->stopping) {
 		int n = epoll_wait(loop->epoll_fd, events, EVENTS_MAX,
 				   sleep_time_ms(loop));
+		gh_time_t woken_at = clock_boot();
 
 		if (n < 0 && errno != EINTR) {
 			log_event(LOG_ERROR, "epoll_failed", "error",
@@ -92,6 +94,7 @@
 
 			hook->work(hook->ctx);
 		}
+		histogram_add(HIST_LOOP, clock_boot() - woken_at);
 	}
 }
 
--- a/histogram_list.h
+++ b/histogram_list.h
@@ -12,3 +12,5 @@
 HISTOGRAM(COMMIT, "commit_ms", "commit of an owner's changes to the store")
 HISTOGRAM(ORDER, "order_ms",
 	  "order to a worker, from request sent to reply received")
+HISTOGRAM(LOOP, "loop_ms",
+	  "iteration of the event loop, from its wake-up until it sleeps again")
