--- a/regress/test_core_fleet.c
+++ b/regress/test_core_fleet.c
@@ -847,6 +847,65 @@
 	}
 }
 
+/* Jobs that wait for capacity and the tasks of which never fit. */
+typedef struct backlog_case {
+	const char *name;
+	bool best_effort;
+	uint32_t cores_milli; /* size of each task */
+} backlog_case_t;
+
+static const backlog_case_t backlogs[] = {
+	{ .name = "fixed size", .cores_milli = 20000 },
+	{ .name = "best effort", .best_effort = true, .cores_milli = 20000 },
+};
+
+/* Workers examined in a second in which no task can start. */
+static uint64_t count_examined(const backlog_case_t *c, uint32_t n_jobs)
+{
+	gh_step_t step = one_task;
+	gh_fleet_counts_t before, after;
+	world_t w;
+	uint32_t i;
+
+	world_init(&w);
+	for (i = 0; i < G_N_ELEMENTS(w.workers); i++)
+		add_worker(&w, (char[]){ 'w', (char)('1' + i), '\0' }, 32000);
+	advance_time(&w, 100);
+	step.tasks = 4;
+	step.best_effort = c->best_effort;
+	for (i = 0; i < n_jobs; i++) {
+		char id[GH_JOB_ID_MAX + 1];
+
+		g_snprintf(id, sizeof(id), "%016x", i + 1);
+		step.size.cores_milli = c->cores_milli + i * 37 % 64;
+		add_job(&w, id, 1, &step, NULL);
+	}
+	advance_time(&w, 4000);
+	gh_fleet_counts(w.fleet, &before);
+	advance_time(&w, 1000);
+	gh_fleet_counts(w.fleet, &after);
+	assert_int_equal(before.started, after.started);
+	assert_true(after.pending_tasks >= n_jobs);
+	world_clear(&w);
+	return after.examined - before.examined;
+}
+
+/*
+ * Each decision examined every worker for every waiting job, so that a backlog
+ * used up the processor of the shard's owner.
+ */
+static void test_backlog_does_not_slow_decisions(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(backlogs); i++) {
+		print_message("%s\n", backlogs[i].name);
+		assert_true(count_examined(&backlogs[i], 80) <=
+			    2 * count_examined(&backlogs[i], 20));
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -876,6 +935,7 @@
 		cmocka_unit_test(test_slow_start),
 		cmocka_unit_test(test_fill_overdue),
 		cmocka_unit_test(test_starved_job_goes_on),
+		cmocka_unit_test(test_backlog_does_not_slow_decisions),
 		cmocka_unit_test(test_waiting_is_reported),
 	};
 
