--- a/core_fleet.c
+++ b/core_fleet.c
@@ -73,6 +73,8 @@
 	fleet->queues =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	fleet->changes = g_queue_new();
+	fleet->failed_placements =
+		g_array_new(FALSE, FALSE, sizeof(failed_placement_t));
 	fleet->interference = gh_interference_new();
 	fleet->load_periods = gh_load_periods_new();
 	fleet->interference_decayed_at = now;
@@ -103,6 +105,7 @@
 	g_hash_table_destroy(fleet->job_by_id);
 	g_hash_table_destroy(fleet->queues);
 	g_queue_free(fleet->changes);
+	g_array_free(fleet->failed_placements, TRUE);
 	gh_interference_free(fleet->interference);
 	gh_load_periods_free(fleet->load_periods);
 	g_free(fleet);
--- a/core_fleet_pace.c
+++ b/core_fleet_pace.c
@@ -155,6 +155,8 @@
 static double best_effort_cores(const gh_fleet_t *fleet,
 				const fleet_worker_t *worker);
 static double fixed_cores(const fleet_worker_t *worker);
+static double placeable_cores(gh_fleet_t *fleet, fleet_worker_t *worker,
+			      gh_time_t now);
 static void refresh_colocated(gh_fleet_t *fleet, fleet_worker_t *worker,
 			      gh_time_t now);
 static void set_pace(gh_fleet_t *fleet, uint32_t ref, double pace);
@@ -203,16 +205,9 @@
 			       gh_time_t now, double *weight)
 {
 	double cores = worker->best_effort_cores_milli + step->size.cores_milli;
-	double available_cores;
-	double share;
+	double share = cores / placeable_cores(fleet, worker, now);
 	uint32_t i;
 
-	if (worker->colocated_stale ||
-	    now - worker->colocated_at > COLOCATED_AGE_MAX_USEC)
-		refresh_colocated(fleet, worker, now);
-	available_cores = PLACED_CORES_MAX * worker->entry.size.cores_milli -
-			  fixed_cores(worker) - worker->forecast_cores_milli;
-	share = cores / MAX(available_cores, LEFT_CORES_MIN_MILLI);
 	*weight = 0;
 	for (i = 0; i < worker->n_colocated; i++) {
 		const fleet_colocated_t *entry = &worker->colocated[i];
@@ -235,6 +230,48 @@
 	return share;
 }
 
+double fleet_best_effort_room(gh_fleet_t *fleet, fleet_worker_t *worker,
+			      uint16_t image, gh_time_t now)
+{
+	double room =
+		BEST_EFFORT_SHARE_MAX * placeable_cores(fleet, worker, now) -
+		worker->best_effort_cores_milli;
+	uint32_t i;
+
+	for (i = 0; i < worker->n_colocated; i++) {
+		const fleet_colocated_t *entry = &worker->colocated[i];
+		double weight = gh_interference_weight(fleet->interference,
+						       entry->image_id, image);
+		double added =
+			entry->free_utilisation > FREE_UTILISATION_MIN ?
+				BEST_EFFORT_SHARE_MAX *
+						entry->free_utilisation /
+						PLACEMENT_INTERFERENCE_FACTOR -
+					entry->interference :
+				BEST_EFFORT_SHARE_MAX /
+					(PLACEMENT_INTERFERENCE_FACTOR *
+					 SHARE_WITHOUT_CAPACITY);
+
+		if (weight > 0)
+			room = MIN(room,
+				   added / weight *
+					   worker->entry.size.cores_milli);
+	}
+	return MAX(room, 0);
+}
+
+/* Milli-cores that placement may give to the worker's best-effort runs. */
+static double placeable_cores(gh_fleet_t *fleet, fleet_worker_t *worker,
+			      gh_time_t now)
+{
+	if (worker->colocated_stale ||
+	    now - worker->colocated_at > COLOCATED_AGE_MAX_USEC)
+		refresh_colocated(fleet, worker, now);
+	return MAX(PLACED_CORES_MAX * worker->entry.size.cores_milli -
+			   fixed_cores(worker) - worker->forecast_cores_milli,
+		   LEFT_CORES_MIN_MILLI);
+}
+
 /*
  * Learns loads and interference weights from the tail latencies of the worker's
  * last report.
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -66,11 +66,6 @@
 #define COST_BEST_EFFORT_SHARE 100000
 /* A job without a run for longer than this ignores BEST_EFFORT_SHARE_MAX. */
 #define JOB_IDLE_MAX_USEC (1500 * GH_USEC_PER_MSEC)
-/*
- * A best-effort task does not start on a worker whose fleet_best_effort_share()
- * is higher; it waits for another to end.
- */
-#define BEST_EFFORT_SHARE_MAX 1.0
 /* A best-effort run whose pace is low for longer than this is moved. */
 #define SLOW_BEFORE_MOVE_USEC (700 * GH_USEC_PER_MSEC)
 /* Cost of a worker with slow runs, multiplied by run_time_ratio - 1. */
@@ -134,6 +129,11 @@
 static uint32_t choose_worker(gh_fleet_t *fleet, fleet_job_t *job,
 			      uint32_t task, uint32_t excluded_worker,
 			      gh_time_t now);
+static void note_failed_placement(gh_fleet_t *fleet, const fleet_job_t *job,
+				  uint32_t stage, failed_placement_t placement,
+				  gh_time_t now);
+static bool is_known_to_fail(const gh_fleet_t *fleet,
+			     const failed_placement_t *placement);
 static obstacle_t find_obstacle(const gh_fleet_t *fleet, const fleet_job_t *job,
 				uint32_t stage, uint32_t handle, gh_time_t now);
 static bool has_label(const fleet_worker_t *worker, const char *label);
@@ -171,6 +171,7 @@
 				GH_USEC_PER_SEC);
 		fleet->interference_decayed_at = now;
 	}
+	g_array_set_size(fleet->failed_placements, 0);
 	collect_candidates(fleet, candidates, now, wall_ms);
 	g_array_sort(candidates, compare_candidates);
 	fleet->counts.pending_tasks = 0;
@@ -504,11 +505,20 @@
 	bool overdue =
 		!job->open_runs &&
 		(job->starved || now - job->idle_since > JOB_IDLE_MAX_USEC);
+	failed_placement_t placement = {
+		.service = job->spec->service,
+		.size = step->size,
+		.image_id = image,
+		.best_effort = step->best_effort,
+		.bounded = step->best_effort && !overdue,
+	};
 	double best_share = 0;
 	uint32_t best = GH_NONE;
 	int64_t best_cost = INT64_MAX;
 	uint32_t i;
 
+	if (is_known_to_fail(fleet, &placement))
+		return GH_NONE;
 	for (i = 0; i < fleet->workers->len; i++) {
 		fleet_worker_t *worker = fleet_worker(fleet, i);
 		double candidate_share = 0;
@@ -540,9 +550,81 @@
 	}
 	if (step->best_effort && best != GH_NONE)
 		job->starved = best_share > BEST_EFFORT_SHARE_MAX;
+	if (best == GH_NONE && excluded_worker == GH_NONE && !*step->label &&
+	    !step->max_per_worker)
+		note_failed_placement(fleet, job, stage, placement, now);
 	return best;
 }
 
+/*
+ * Remembers a placement that no worker can take.  If one dimension alone is the
+ * reason, the least size that fails in it is remembered.
+ */
+static void note_failed_placement(gh_fleet_t *fleet, const fleet_job_t *job,
+				  uint32_t stage, failed_placement_t placement,
+				  gh_time_t now)
+{
+	double cores = 0;
+	uint32_t memory_mb = 0;
+	uint32_t i;
+
+	for (i = 0; i < fleet->workers->len; i++) {
+		fleet_worker_t *worker = fleet_worker(fleet, i);
+		const gh_resources_t *size = &worker->entry.size;
+		const gh_resources_t *reserved = &worker->reserved;
+		obstacle_t obstacle;
+
+		if (!worker->in_use)
+			continue;
+		obstacle = find_obstacle(fleet, job, stage, i, now);
+		if (obstacle != OBSTACLE_NONE &&
+		    obstacle != OBSTACLE_NO_CAPACITY)
+			continue;
+		if (size->memory_mb > reserved->memory_mb)
+			memory_mb = MAX(memory_mb,
+					size->memory_mb - reserved->memory_mb);
+		if (placement.bounded)
+			cores = MAX(cores, fleet_best_effort_room(
+						   fleet, worker,
+						   placement.image_id, now));
+		else if (size->cores_milli > reserved->cores_milli)
+			cores = MAX(cores,
+				    size->cores_milli - reserved->cores_milli);
+	}
+	if (memory_mb < placement.size.memory_mb)
+		placement.size = (gh_resources_t){ .memory_mb = memory_mb + 1 };
+	else if ((placement.bounded || !placement.best_effort) &&
+		 cores < placement.size.cores_milli)
+		placement.size =
+			(gh_resources_t){ .cores_milli = (uint32_t)cores + 1 };
+	g_array_append_val(fleet->failed_placements, placement);
+}
+
+/* Whether a placement that asks for no more failed in this tick. */
+static bool is_known_to_fail(const gh_fleet_t *fleet,
+			     const failed_placement_t *placement)
+{
+	guint i;
+
+	for (i = 0; i < fleet->failed_placements->len; i++) {
+		const failed_placement_t *failed = &g_array_index(
+			fleet->failed_placements, failed_placement_t, i);
+
+		if (failed->best_effort != placement->best_effort ||
+		    failed->size.cores_milli > placement->size.cores_milli ||
+		    failed->size.memory_mb > placement->size.memory_mb ||
+		    failed->size.accelerators > placement->size.accelerators)
+			continue;
+		if (failed->bounded &&
+		    (!placement->bounded ||
+		     failed->image_id != placement->image_id))
+			continue;
+		if (!strcmp(failed->service, placement->service))
+			return true;
+	}
+	return false;
+}
+
 /* First reason for which the worker can't run a task of the stage now. */
 static obstacle_t find_obstacle(const gh_fleet_t *fleet, const fleet_job_t *job,
 				uint32_t stage, uint32_t handle, gh_time_t now)
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -19,6 +19,11 @@
  * Best-effort images tracked on one worker; further ones share the last entry.
  */
 #define GH_SOURCES_MAX 16
+/*
+ * A best-effort task does not start on a worker whose fleet_best_effort_share()
+ * is higher; it waits for another to end.
+ */
+#define BEST_EFFORT_SHARE_MAX 1.0
 /* Max open runs of one task: the first and one speculative copy. */
 #define GH_TASK_RUNS_MAX 2
 
@@ -277,6 +282,18 @@
 	gh_task_id_t task;
 } queued_order_t;
 
+/*
+ * A placement that failed in the present tick.  Placements only take capacity
+ * within a tick, so that no other task that asks for as much can be placed.
+ */
+typedef struct failed_placement {
+	const char *service;
+	gh_resources_t size;
+	uint16_t image_id;
+	bool best_effort;
+	bool bounded; /* by the best-effort share, not by capacity alone */
+} failed_placement_t;
+
 struct gh_fleet {
 	gh_fleet_setup_t setup;
 	gh_fleet_sink_t sink;
@@ -285,10 +302,11 @@
 	GArray *runs;	 /* fleet_run_t */
 	/* Handles (uint32_t) of unused array entries. */
 	GArray *free_runs, *free_jobs, *free_workers;
-	GHashTable *worker_by_id; /* id to handle + 1 */
-	GHashTable *job_by_id;	  /* id to handle + 1 */
-	GHashTable *queues;	  /* name to gh_queue_policy_t */
-	GQueue *changes;	  /* handles + 1 of jobs to be committed */
+	GHashTable *worker_by_id;  /* id to handle + 1 */
+	GHashTable *job_by_id;	   /* id to handle + 1 */
+	GHashTable *queues;	   /* name to gh_queue_policy_t */
+	GArray *failed_placements; /* failed_placement_t, of this tick */
+	GQueue *changes;	   /* handles + 1 of jobs to be committed */
 	/* orders to be sent to workers: queued_order_t */
 	GQueue *orders;
 	/* The last order taken from the queue, for the strings in it. */
@@ -434,6 +452,13 @@
 			       const gh_step_t *step, uint16_t image,
 			       gh_time_t now, double *weight);
 
+/*
+ * Most milli-cores of one more best-effort run of the image with which
+ * fleet_best_effort_share() is at most BEST_EFFORT_SHARE_MAX.
+ */
+double fleet_best_effort_room(gh_fleet_t *fleet, fleet_worker_t *worker,
+			      uint16_t image, gh_time_t now);
+
 /*
  * Passes one decision to the fleet's sink (gh_fleet_sink_t); worker may be
  * GH_NONE.
