--- a/console_api.c
+++ b/console_api.c
@@ -9,6 +9,7 @@
 #include "console_call.h"
 #include "console_status.h"
 #include "counter.h"
+#include "json_body.h"
 #include "log.h"
 
 /*
@@ -323,19 +324,15 @@
 		      GError **err)
 {
 	char *text = console_request_body(req, CONSOLE_JOB_MAX_BYTES, err);
-	json_error_t json_err;
 	json_t *json;
 	bool valid;
 
 	if (!text)
 		return false;
-	json = json_loads(text, JSON_REJECT_DUPLICATES, &json_err);
+	json = json_body_parse(text, strlen(text), JSON_REJECT_DUPLICATES, err);
 	g_free(text);
-	if (!json) {
-		gh_error_set(err, GH_E_SYNTAX, "job, line %d: %s",
-			     json_err.line, json_err.text);
+	if (!json)
 		return false;
-	}
 	valid = shard_job_parse(json, job, err);
 	json_decref(json);
 	return valid;
--- a/regress/test_platform_decode.c
+++ b/regress/test_platform_decode.c
@@ -11,6 +11,7 @@
 
 #include "error.h"
 #include "fleet_settings.h"
+#include "json_body.h"
 #include "platform/platform_decode.h"
 #include "proc.h"
 
@@ -280,6 +281,111 @@
 	}
 }
 
+typedef bool (*parser_t)(const char *text);
+
+static bool parse_worker(const char *text)
+{
+	gh_worker_entry_t entry;
+
+	return platform_parse_worker("i-1", text, &entry);
+}
+
+static bool parse_config(const char *text)
+{
+	fleet_config_t *config = platform_parse_config(text, NULL);
+
+	if (config)
+		fleet_config_unref(config);
+	return config != NULL;
+}
+
+static bool parse_pipeline(const char *text)
+{
+	gh_pipeline_t *pipeline =
+		platform_parse_pipeline(text, strlen(text), NULL);
+
+	gh_pipeline_free(pipeline);
+	return pipeline != NULL;
+}
+
+static bool parse_report(const char *text)
+{
+	gh_worker_report_t report = { 0 };
+	int64_t clock_ms;
+	bool ok = platform_parse_worker_report(text, strlen(text), &report,
+					       &clock_ms);
+
+	platform_clear_worker_report(&report);
+	return ok;
+}
+
+static bool parse_clock(const char *text)
+{
+	int64_t clock_ms;
+
+	return platform_parse_clock(text, strlen(text), &clock_ms);
+}
+
+/* A text that the parser accepts with some value in place of %s. */
+typedef struct nested_case {
+	const char *format;
+	parser_t parse;
+} nested_case_t;
+
+static const nested_case_t nested_cases[] = {
+	{ "{\"backend\":\"s\",\"address\":\"1.2.3.4:5\",\"state\":"
+	  "\"ready\"," CAPACITY ",\"labels\":[],\"x\":%s}",
+	  parse_worker },
+	{ "{\"version\":1,\"routes\":[],\"x\":%s}", parse_config },
+	{ "{\"task_spec\":\"[[[[\",\"pipeline\":[{\"count\":1}],\"x\":%s}",
+	  parse_pipeline },
+	{ "{\"clock_ms\":1,\"running\":[],\"finished\":[],\"x\":%s}",
+	  parse_report },
+	{ "{\"clock_ms\":1,\"x\":%s}", parse_clock },
+};
+
+static char *nest(const char *format, unsigned depth)
+{
+	char *open = g_strnfill(depth, '[');
+	char *close = g_strnfill(depth, ']');
+	char *value = g_strconcat(open, close, NULL);
+	char **parts = g_strsplit(format, "%s", 2);
+	char *text = g_strconcat(parts[0], value, parts[1], NULL);
+
+	g_strfreev(parts);
+	g_free(value);
+	g_free(close);
+	g_free(open);
+	return text;
+}
+
+static void test_nested(void **state)
+{
+	/* within the object */
+	static const struct {
+		unsigned depth;
+		bool ok;
+	} depths[] = {
+		{ JSON_BODY_DEPTH_MAX - 1, true },
+		{ JSON_BODY_DEPTH_MAX, false },
+		{ 2000, false },
+		{ 3000000, false },
+	};
+	size_t i, j;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(nested_cases); i++)
+		for (j = 0; j < G_N_ELEMENTS(depths); j++) {
+			char *text =
+				nest(nested_cases[i].format, depths[j].depth);
+
+			if (nested_cases[i].parse(text) != depths[j].ok)
+				fail_msg("case %zu, %u arrays deep", i,
+					 depths[j].depth);
+			g_free(text);
+		}
+}
+
 typedef struct settings_case {
 	const char *extra_lines;
 	gh_error_kind_t kind; /* expected error; GH_E_COUNT: text accepted */
@@ -327,9 +433,13 @@
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_worker), cmocka_unit_test(test_clock),
-		cmocka_unit_test(test_report), cmocka_unit_test(test_pipeline),
-		cmocka_unit_test(test_config), cmocka_unit_test(test_settings),
+		cmocka_unit_test(test_worker),
+		cmocka_unit_test(test_clock),
+		cmocka_unit_test(test_report),
+		cmocka_unit_test(test_pipeline),
+		cmocka_unit_test(test_config),
+		cmocka_unit_test(test_nested),
+		cmocka_unit_test(test_settings),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/store_http.c
+++ b/store_http.c
@@ -10,6 +10,7 @@
 #include "counter.h"
 #include "error.h"
 #include "http_client.h"
+#include "json_body.h"
 
 #define MAX_IDLE_HANDLES 8
 #define IDLE_MAX_USEC (2 * GH_USEC_PER_SEC)
@@ -433,7 +434,7 @@
 	}
 	if (!response->body_len)
 		return json_object();
-	reply = json_loadb(response->body, response->body_len, 0, NULL);
+	reply = json_body_parse(response->body, response->body_len, 0, NULL);
 	if (json_is_object(reply))
 		return reply;
 	fail_malformed(reply, request->is_write, err);
--- a/worker_link.c
+++ b/worker_link.c
@@ -6,6 +6,7 @@
 #include "clock.h"
 #include "counter.h"
 #include "http_client.h"
+#include "json_body.h"
 
 #define CONNECTION_IDLE_MAX_USEC (5 * GH_USEC_PER_SEC)
 #define HTTP_STATUS_OK 200
@@ -253,8 +254,8 @@
 
 	counter_inc(CTR_WORKER_CALLS);
 	if (http_client_call(link->client, &call, &response)) {
-		ex->response =
-			json_loadb(response.body, response.body_len, 0, NULL);
+		ex->response = json_body_parse(response.body, response.body_len,
+					       0, NULL);
 		result = response.status == HTTP_STATUS_OK ?
 				 GH_REPLY_OK :
 				 parse_error(ex->response);
