--- a/core_ini.c
+++ b/core_ini.c
@@ -1,14 +1,13 @@
 #include "core_ini.h"
 
-#include <arpa/inet.h>
 #include <inttypes.h>
 #include <string.h>
 
+#include "core_address.h"
 #include "core_document.h"
 #include "error.h"
 
 #define MILLI_DIGITS 3
-#define PORT_MAX 65535
 
 struct gh_ini {
 	GKeyFile *file;
@@ -39,7 +38,6 @@
 		       void *object, GError **err);
 static bool store_number(const gh_ini_place_t *place, int64_t number, void *out,
 			 GError **err);
-static bool is_ipv4_address(const char *text);
 
 gh_ini_t *gh_ini_parse(const char *text, size_t len, const char *source,
 		       GError **err)
@@ -177,7 +175,7 @@
 
 bool gh_ini_address(const gh_ini_place_t *place, void *out, GError **err)
 {
-	if (!is_ipv4_address(place->value))
+	if (!gh_address_is_ipv4(place->value))
 		return gh_ini_bad_value(place, err, "an IPv4 address a.b.c.d");
 	g_strlcpy(out, place->value, place->field->size);
 	return true;
@@ -185,19 +183,7 @@
 
 bool gh_ini_address_port(const gh_ini_place_t *place, void *out, GError **err)
 {
-	const char *colon = strchr(place->value, ':');
-	char *host = NULL;
-	char *end = NULL;
-	bool ok = false;
-
-	if (colon && g_ascii_isdigit(colon[1]) && colon[1] != '0') {
-		guint64 port = g_ascii_strtoull(colon + 1, &end, 10);
-
-		host = g_strndup(place->value, colon - place->value);
-		ok = is_ipv4_address(host) && !*end && port <= PORT_MAX;
-	}
-	g_free(host);
-	if (!ok)
+	if (!gh_address_has_port(place->value))
 		return gh_ini_bad_value(place, err,
 					"an IPv4 address and port a.b.c.d:n");
 	g_strlcpy(out, place->value, place->field->size);
@@ -380,14 +366,3 @@
 		*(int64_t *)out = number;
 	return true;
 }
-
-/* Accepts an IPv4 address in its canonical form only. */
-static bool is_ipv4_address(const char *text)
-{
-	char canonical[INET_ADDRSTRLEN];
-	struct in_addr addr;
-
-	return inet_pton(AF_INET, text, &addr) == 1 &&
-	       inet_ntop(AF_INET, &addr, canonical, sizeof(canonical)) &&
-	       !strcmp(canonical, text);
-}
--- a/regress/test_platform_decode.c
+++ b/regress/test_platform_decode.c
@@ -52,6 +52,48 @@
 	{ .text = "" },
 };
 
+static const struct {
+	const char *address;
+	bool ok;
+} address_cases[] = {
+	{ "1.2.3.4:1", true },
+	{ "1.2.3.4:65535", true },
+	{ "1.2.3.4:65536", false },
+	{ "1.2.3.4:99999", false },
+	{ "1.2.3.4:0", false },
+	{ "1.2.3.4:-1", false },
+	{ "1.2.3.4:", false },
+	{ "1.2.3.4", false },
+	{ "1.2.3.4:80x", false },
+	{ "1.2.3.4:80/x", false },
+	{ "1.2.3.4:80:81", false },
+	{ "1.2.3.4: 80", false },
+	{ ":80", false },
+	{ "u@1.2.3.4:80", false },
+	{ "1.2.3.256:80", false },
+	{ "1.2.3:80", false },
+	{ "1.2.3.4:18446744073709551696", false },
+};
+
+static void test_worker_address(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(address_cases); i++) {
+		char *text = g_strdup_printf(
+			"{\"backend\":\"s\",\"address\":\"%s\",\"state\":"
+			"\"ready\"," CAPACITY ",\"labels\":[]}",
+			address_cases[i].address);
+		gh_worker_entry_t entry;
+
+		if (platform_parse_worker("i-1", text, &entry) !=
+		    address_cases[i].ok)
+			fail_msg("%s", text);
+		g_free(text);
+	}
+}
+
 typedef struct clock_case {
 	const char *body;
 	int64_t clock_ms;
@@ -434,6 +476,7 @@
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_worker),
+		cmocka_unit_test(test_worker_address),
 		cmocka_unit_test(test_clock),
 		cmocka_unit_test(test_report),
 		cmocka_unit_test(test_pipeline),
