--- a/json_body.c
+++ b/json_body.c
@@ -1,9 +1,10 @@
 #include "json_body.h"
 
-#include <stdbool.h>
-
 #include "error.h"
 
+/* Above it, a double does not hold each integer. */
+#define REAL_MAX (INT64_C(1) << 53)
+
 static bool is_too_deep(const char *text, size_t len);
 
 json_t *json_body_parse(const char *text, size_t len, size_t flags,
@@ -56,3 +57,30 @@
 	}
 	return false;
 }
+
+int64_t json_body_number(const json_t *value, int64_t max, bool *ok)
+{
+	int64_t number = -1;
+
+	if (!value)
+		return 0;
+	if (json_is_integer(value)) {
+		number = json_integer_value(value);
+	} else if (json_is_real(value)) {
+		double real = json_real_value(value);
+
+		if (real >= 0 && real <= (double)REAL_MAX)
+			number = (int64_t)real;
+	}
+	if (number >= 0 && number <= max)
+		return number;
+	*ok = false;
+	return 0;
+}
+
+bool json_body_flag(const json_t *value, bool *ok)
+{
+	if (value && !json_is_boolean(value))
+		*ok = false;
+	return json_is_true(value);
+}
--- a/json_body.h
+++ b/json_body.h
@@ -7,7 +7,9 @@
 
 #include <glib.h>
 #include <jansson.h>
+#include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 /* Max levels of arrays and objects; no body of any interface has more. */
 #define JSON_BODY_DEPTH_MAX 32
@@ -16,4 +18,12 @@
 json_t *json_body_parse(const char *text, size_t len, size_t flags,
 			GError **err);
 
+/*
+ * Value of a number from 0 to max, without its fraction.  Returns 0 if there
+ * is none (NULL), and also clears *ok if it is of another type or out of range.
+ */
+int64_t json_body_number(const json_t *value, int64_t max, bool *ok);
+/* False if there is none (NULL); also clears *ok if it is of another type. */
+bool json_body_flag(const json_t *value, bool *ok);
+
 #endif
--- a/regress/test_platform_decode.c
+++ b/regress/test_platform_decode.c
@@ -52,6 +52,68 @@
 	{ .text = "" },
 };
 
+#define ENTRY(capacity, more)                                               \
+	"{\"backend\":\"s\",\"address\":\"1.2.3.4:5\",\"state\":\"ready\"," \
+	"\"capacity\":{" capacity "},\"labels\":[\"a\"]" more "}"
+
+/* An entry with numbers; born_ms and gpus are checked if it is accepted. */
+typedef struct entry_case {
+	const char *text;
+	bool ok;
+	uint32_t gpus;
+	int64_t born_ms;
+} entry_case_t;
+
+static const entry_case_t entry_cases[] = {
+	{ .text = ENTRY("\"cpu\":8000", ""), .ok = true },
+	{ .text = ENTRY("", ""), .ok = true },
+	{ .text = ENTRY("\"cpu\":8000,\"gpus\":2147483647",
+			",\"born\":1796378314971"),
+	  .ok = true,
+	  .gpus = 2147483647,
+	  .born_ms = 1796378314971 },
+	{ .text = ENTRY("\"cpu\":8e3,\"gpus\":1.5", ",\"born\":7.0"),
+	  .ok = true,
+	  .gpus = 1,
+	  .born_ms = 7 },
+	{ .text = ENTRY("\"cpu\":\"8000\"", "") },
+	{ .text = ENTRY("\"cpu\":null", "") },
+	{ .text = ENTRY("\"cpu\":-1", "") },
+	{ .text = ENTRY("\"cpu\":-0.5", "") },
+	{ .text = ENTRY("\"cpu\":2147483648", "") },
+	{ .text = ENTRY("\"cpu\":1e300", "") },
+	{ .text = ENTRY("\"cpu\":99999999999999999999", "") },
+	{ .text = ENTRY("\"cpu\":1e400", "") },
+	{ .text = ENTRY("\"mem_mb\":[1]", "") },
+	{ .text = ENTRY("\"mem_mb\":4294967297", "") },
+	{ .text = ENTRY("\"gpus\":1e18", "") },
+	{ .text = ENTRY("\"gpus\":1000000000000000000", "") },
+	{ .text = ENTRY("\"gpus\":2147483648", "") },
+	{ .text = ENTRY("\"gpus\":true", "") },
+	{ .text = ENTRY("", ",\"born\":1e300") },
+	{ .text = ENTRY("", ",\"born\":9223372036854775807") },
+	{ .text = ENTRY("", ",\"born\":-5") },
+	{ .text = ENTRY("", ",\"born\":\"7\"") },
+};
+
+static void test_worker_numbers(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(entry_cases); i++) {
+		const entry_case_t *c = &entry_cases[i];
+		gh_worker_entry_t entry;
+
+		if (platform_parse_worker("i-1", c->text, &entry) != c->ok)
+			fail_msg("case %zu: %s", i, c->text);
+		if (!c->ok)
+			continue;
+		assert_int_equal(entry.size.accelerators, c->gpus);
+		assert_int_equal(entry.incarnation_start_ms, c->born_ms);
+	}
+}
+
 static const struct {
 	const char *address;
 	bool ok;
@@ -106,6 +168,9 @@
 	  .clock_ms = 482113,
 	  .ok = true },
 	{ .body = "{\"clock_ms\":\"482113\"}" },
+	{ .body = "{\"clock_ms\":-1}" },
+	{ .body = "{\"clock_ms\":1e300}" },
+	{ .body = "{\"clock_ms\":9223372036854775807}" },
 	{ .body = "{\"reason\":\"late\"}" },
 	{ .body = "[]" },
 	{ .body = "{\"clock_ms\":4" },
@@ -172,7 +237,35 @@
 			     "[59,\"ab.0.1.8\",1]"),
 	  .ok = true,
 	  .numbers = { 58 } },
+	{ .body = REPORT("[\"ab.0.1.17\",4294967297,\"\",41,3]", ""),
+	  .ok = true },
+	{ .body = REPORT("[\"ab.0.1.17\",1e300,\"\",41,3]", ""), .ok = true },
+	{ .body = REPORT("[\"ab.0.1.-1\",2,\"\",41,3]", ""), .ok = true },
+	{ .body = REPORT("[\"ab.0.1.4294967296\",2,\"\",41,3]", ""),
+	  .ok = true },
+	{ .body = REPORT("[\"ab.0.1. 7\",2,\"\",41,3]", ""), .ok = true },
+	{ .body = REPORT("[\".0.1.7\",2,\"\",41,3]", ""), .ok = true },
+	{ .body = REPORT("", "[1e300,\"ab.0.1.9\",1,\"done\",\"\"]"),
+	  .ok = true },
+	{ .body = REPORT("", "[-58,\"ab.0.1.9\",1,\"done\",\"\"]"),
+	  .ok = true },
+	/* a run whose figures can't be read */
+	{ .body = REPORT("[\"ab.0.1.17\",2,\"\",1e300,-1e300]", ""),
+	  .ok = true,
+	  .complete = true,
+	  .n_runs = 1 },
+	{ .body = REPORT("[\"ab.0.1.17\",2,\"\",null]", ""),
+	  .ok = true,
+	  .complete = true,
+	  .n_runs = 1 },
 	/* no report */
+	{ .body = "{\"running\":[],\"finished\":[]}" },
+	{ .body = "{\"clock_ms\":\"5\",\"running\":[],\"finished\":[]}" },
+	{ .body = "{\"clock_ms\":1e300,\"running\":[],\"finished\":[]}" },
+	{ .body = "{\"clock_ms\":5,\"born\":1e300,\"running\":[],"
+		  "\"finished\":[]}" },
+	{ .body = "{\"clock_ms\":5,\"born\":\"7\",\"running\":[],"
+		  "\"finished\":[]}" },
 	{ .body = "{\"clock_ms\":5,\"running\":[]}" },
 	{ .body = "{\"clock_ms\":5,\"running\":{},\"finished\":[]}" },
 	{ .body = "" },
@@ -245,6 +338,35 @@
 	  GH_E_BAD_REQUEST },
 	{ "{\"task_spec\":\"x\",\"pipeline\":[{\"count\":1,\"after\":[99]}]}",
 	  GH_E_BAD_REQUEST },
+#define STEP(field) \
+	"{\"task_spec\":\"x\",\"pipeline\":[{\"count\":1," field "}]}"
+	{ STEP("\"cpu\":1500.5,\"est_runtime_ms\":9e2"), GH_E_COUNT },
+	{ STEP("\"cpu\":1e300"), GH_E_BAD_REQUEST },
+	{ STEP("\"cpu\":\"500\""), GH_E_BAD_REQUEST },
+	{ STEP("\"gpus\":4294967296"), GH_E_BAD_REQUEST },
+	{ STEP("\"est_runtime_ms\":1e18"), GH_E_BAD_REQUEST },
+	{ STEP("\"anti_affinity\":4294967297"), GH_E_BAD_REQUEST },
+	{ STEP("\"allow_miss\":-1"), GH_E_BAD_REQUEST },
+	{ STEP("\"target_ms\":\"24\""), GH_E_BAD_REQUEST },
+	{ STEP("\"gang_scheduled\":1"), GH_E_BAD_REQUEST },
+	{ STEP("\"long_running\":\"true\""), GH_E_BAD_REQUEST },
+	{ STEP("\"fill_count\":2000"), GH_E_COUNT },
+	{ STEP("\"fill_count\":\"yes\""), GH_E_BAD_REQUEST },
+	{ STEP("\"after\":0"), GH_E_BAD_REQUEST },
+	{ STEP("\"after\":[\"0\"]"), GH_E_BAD_REQUEST },
+	{ STEP("\"after\":[-1]"), GH_E_BAD_REQUEST },
+	{ "{\"task_spec\":\"x\",\"pipeline\":[{\"count\":4294967297}]}",
+	  GH_E_BAD_REQUEST },
+	{ "{\"task_spec\":\"x\",\"pipeline\":[7]}", GH_E_BAD_REQUEST },
+	{ "{\"task_spec\":\"x\",\"repeat_count\":1e300,\"pipeline\":"
+	  "[{\"count\":1}]}",
+	  GH_E_BAD_REQUEST },
+	{ "{\"task_spec\":\"x\",\"repeat_count\":2,\"interval_ms\":1e18,"
+	  "\"pipeline\":[{\"count\":1}]}",
+	  GH_E_BAD_REQUEST },
+	{ "{\"task_spec\":\"x\",\"start_at_ms\":\"now\",\"pipeline\":"
+	  "[{\"count\":1}]}",
+	  GH_E_BAD_REQUEST },
 	{ "[]", GH_E_BAD_REQUEST },
 	{ "", GH_E_BAD_REQUEST },
 	{ "{\"task_spec\":\"x\",\"pipeline\":[{\"count\":0}]}",
@@ -304,9 +426,22 @@
 	static const char good[] =
 		"{\"version\":7,\"routes\":[{\"name\":\"r\",\"hostname\":"
 		"\"h.example\",\"prefix\":\"/p/\",\"backend\":\"s\","
-		"\"attempts\":2,\"stretch\":1.5},{\"name\":5}],\"limits\":{}}";
-	static const char *const bad[] = { "", "{}", "{\"version\":\"x\"}",
-					   "{\"version\":1,\"routes\":3}" };
+		"\"attempts\":2,\"stretch\":1.5},{\"name\":5},"
+		"{\"name\":\"r2\",\"stretch\":1e300},"
+		"{\"name\":\"r3\",\"timeout_ms\":\"1\"},"
+		"{\"name\":\"r4\",\"attempts\":-1}],\"limits\":{}}";
+	static const char odd_limit[] =
+		"{\"version\":1,\"routes\":[],"
+		"\"limits\":{\"max_body_bytes\":\"1\"}}";
+	static const char *const bad[] = {
+		"",
+		"{}",
+		"{\"version\":\"x\"}",
+		"{\"version\":1,\"routes\":3}",
+		"{\"version\":-1,\"routes\":[]}",
+		"{\"version\":1e300,\"routes\":[]}",
+		odd_limit,
+	};
 	GError *err = NULL;
 	fleet_config_t *config = platform_parse_config(good, &err);
 	size_t i;
@@ -477,6 +612,7 @@
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_worker),
 		cmocka_unit_test(test_worker_address),
+		cmocka_unit_test(test_worker_numbers),
 		cmocka_unit_test(test_clock),
 		cmocka_unit_test(test_report),
 		cmocka_unit_test(test_pipeline),
