--- a/core_pipeline.c
+++ b/core_pipeline.c
@@ -28,6 +28,7 @@
 
 bool gh_pipeline_check(const gh_pipeline_t *pipeline, GError **err)
 {
+	uint32_t occurrences = gh_pipeline_occurrence_count(pipeline);
 	uint64_t tasks = 0;
 	uint32_t i;
 
@@ -42,12 +43,13 @@
 			return false;
 		tasks += pipeline->steps[i].tasks;
 	}
-	tasks *= gh_pipeline_occurrence_count(pipeline);
-	if (tasks <= GH_PIPELINE_TASKS_MAX)
+	/* The sum of the steps' tasks has at most 37 bits, the product 69. */
+	if (tasks <= GH_PIPELINE_TASKS_MAX / occurrences)
 		return true;
 	gh_error_set(err, GH_E_BAD_VALUE,
-		     "job %s has %" PRIu64 " tasks: expected at most %d",
-		     pipeline->id, tasks, GH_PIPELINE_TASKS_MAX);
+		     "job %s has %" PRIu64 " tasks in %u occurrences: expected "
+		     "at most %d",
+		     pipeline->id, tasks, occurrences, GH_PIPELINE_TASKS_MAX);
 	return false;
 }
 
--- a/regress/test_platform_decode.c
+++ b/regress/test_platform_decode.c
@@ -376,6 +376,11 @@
 	  GH_E_BAD_VALUE },
 	{ "{\"task_spec\":\"x\",\"pipeline\":[{\"count\":30000}]}",
 	  GH_E_BAD_VALUE },
+	/* 2^34 tasks, each 2^31 times: the product is 0 in 64 bits */
+	{ "{\"task_spec\":\"x\",\"repeat_count\":2147483648,\"pipeline\":"
+	  "[{\"count\":4294967295},{\"count\":4294967295},{\"count\":2},"
+	  "{\"count\":4294967295},{\"count\":4294967295},{\"count\":2}]}",
+	  GH_E_BAD_VALUE },
 };
 
 /* An accepted job must be the same after it is formatted for the store and
--- a/regress/test_platform_odd.c
+++ b/regress/test_platform_odd.c
@@ -46,10 +46,35 @@
 		assert_int_equal(statuses[i], 400);
 }
 
+/* Counts whose product is 0 in 64 bits. */
+#define WRAPPING_STEPS                                    \
+	"[{\"count\":4294967295},{\"count\":4294967295}," \
+	"{\"count\":4294967295},{\"count\":4294967295},"  \
+	"{\"count\":4}],\"repeat_count\":2147483648"
+
+static void test_wrapping_task_count(void **state)
+{
+	fleet_system_t sys;
+	int wrapping, next;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-wrapping", 2, 2, 1);
+	wrapping = fleet_submit(&sys, 0, ID("01"), "100", WRAPPING_STEPS);
+	g_usleep(500 * 1000);
+	next = fleet_submit(&sys, 1, ID("02"), "100", ONE_STEP);
+	print_message("status %d, of the next job %d\n", wrapping, next);
+	if (next == 200)
+		fleet_await_state(&sys, 1, ID("02"), "completed");
+	fleet_system_stop(&sys);
+	assert_int_equal(wrapping, 400);
+	assert_int_equal(next, 200);
+}
+
 int main(int argc, char **argv)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_nested_submission),
+		cmocka_unit_test(test_wrapping_task_count),
 	};
 
 	if (argc > 1)
