--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -148,6 +148,8 @@
 	GPtrArray *parsed_jobs;
 	fleet_watch_t *job_watch;
 	fleet_watch_t *worker_watch;
+	/* Keys of workers' records that were logged as unusable. */
+	GHashTable *unread_workers;
 	const fleet_config_t *config;
 	batch_t *batch; /* commit that awaits its outcome, or NULL */
 	gh_time_t commit_at;
@@ -746,6 +748,8 @@
 		add_job(owner, pipelines->pdata[i], "load");
 	g_ptr_array_free(pipelines, TRUE);
 	g_clear_pointer(&owner->progress, g_hash_table_destroy);
+	owner->unread_workers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	owner->worker_watch =
 		fleet_watch_new(owner->setup.loop, owner->setup.store,
 				FLEET_KEYSPACE_WORKERS, "", &listener);
@@ -786,17 +790,24 @@
 	fleet_owner_t *owner = ctx;
 	gh_worker_entry_t entry;
 	gh_time_t now = clock_boot();
+	GError *err = NULL;
 
 	if (g_str_hash(item->key) % owner->setup.shards != owner->setup.shard)
 		return;
 	owner->dirty = true;
 	if (item->value && owner->setup.store->ops->parse_worker(
-				   item->key, item->value, &entry)) {
+				   item->key, item->value, &entry, &err)) {
+		g_hash_table_remove(owner->unread_workers, item->key);
 		gh_fleet_worker_set(owner->fleet, &entry, now);
 		return;
 	}
-	if (item->value)
-		log_event(LOG_WARN, "worker_unread", "worker", item->key, NULL);
+	/* A record that another writer renews is logged once. */
+	if (!item->value)
+		g_hash_table_remove(owner->unread_workers, item->key);
+	else if (g_hash_table_add(owner->unread_workers, g_strdup(item->key)))
+		log_event(LOG_WARN, "worker_unread", "worker", item->key,
+			  "message", err->message, NULL);
+	g_clear_error(&err);
 	gh_fleet_worker_unlist(owner->fleet, item->key);
 }
 
@@ -838,6 +849,7 @@
 	fleet_watch_free(owner->job_watch);
 	fleet_watch_free(owner->worker_watch);
 	owner->job_watch = owner->worker_watch = NULL;
+	g_clear_pointer(&owner->unread_workers, g_hash_table_destroy);
 	clear_shard(owner);
 	owner->record_lost = owner->restoring = false;
 	owner->restore_lease_id = 0;
--- a/fleet_port.h
+++ b/fleet_port.h
@@ -115,7 +115,7 @@
 	 * NULL: the text is unusable.
 	 */
 	bool (*parse_worker)(const char *id, const char *value,
-			     gh_worker_entry_t *entry);
+			     gh_worker_entry_t *entry, GError **err);
 	fleet_config_t *(*parse_config)(const char *value, GError **err);
 	/* Key of the current configuration in FLEET_KEYSPACE_CONFIG. */
 	const char *config_key;
--- a/regress/test_platform_decode.c
+++ b/regress/test_platform_decode.c
@@ -96,6 +96,46 @@
 	{ .text = ENTRY("", ",\"born\":\"7\"") },
 };
 
+typedef struct odd_case {
+	const char *id;
+	const char *text;
+	gh_error_kind_t kind;
+	const char *named; /* part of the message */
+} odd_case_t;
+
+static const odd_case_t odd_cases[] = {
+	{ "", ENTRY("", ""), GH_E_BAD_VALUE, "id" },
+	{ "i\r\nHost: x", ENTRY("", ""), GH_E_BAD_VALUE, "id" },
+	{ "i-1", "{", GH_E_SYNTAX, "line 1" },
+	{ "i-1", "[]", GH_E_BAD_VALUE, "backend" },
+	{ "i-1", "{\"backend\":\"s\"}", GH_E_BAD_VALUE, "address" },
+	{ "i-1", "{\"backend\":\"s\",\"address\":\"1.2.3.4:5\"}",
+	  GH_E_BAD_VALUE, "state" },
+	{ "i-1", ENTRY("\"cpu\":-1", ""), GH_E_BAD_VALUE, "capacity" },
+	{ "i-1", ENTRY("", ",\"labels\":[7]"), GH_E_BAD_VALUE, "labels" },
+	{ "i-1", ENTRY("", ",\"labels\":{}"), GH_E_BAD_VALUE, "labels" },
+	{ "i-1", ENTRY("", ",\"born\":\"x\""), GH_E_BAD_VALUE, "born" },
+};
+
+static void test_worker_errors(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(odd_cases); i++) {
+		const odd_case_t *c = &odd_cases[i];
+		gh_worker_entry_t entry;
+		GError *err = NULL;
+
+		assert_false(
+			platform_parse_worker(c->id, c->text, &entry, &err));
+		assert_int_equal(gh_error_kind(err), c->kind);
+		if (!strstr(err->message, c->named))
+			fail_msg("case %zu: %s", i, err->message);
+		g_error_free(err);
+	}
+}
+
 static void test_worker_numbers(void **state)
 {
 	size_t i;
@@ -105,7 +145,8 @@
 		const entry_case_t *c = &entry_cases[i];
 		gh_worker_entry_t entry;
 
-		if (platform_parse_worker("i-1", c->text, &entry) != c->ok)
+		if (platform_parse_worker("i-1", c->text, &entry, NULL) !=
+		    c->ok)
 			fail_msg("case %zu: %s", i, c->text);
 		if (!c->ok)
 			continue;
@@ -149,7 +190,7 @@
 			address_cases[i].address);
 		gh_worker_entry_t entry;
 
-		if (platform_parse_worker("i-1", text, &entry) !=
+		if (platform_parse_worker("i-1", text, &entry, NULL) !=
 		    address_cases[i].ok)
 			fail_msg("%s", text);
 		g_free(text);
@@ -308,7 +349,8 @@
 		const worker_case_t *c = &worker_cases[i];
 		gh_worker_entry_t entry;
 
-		if (platform_parse_worker("i-1", c->text, &entry) != c->ok)
+		if (platform_parse_worker("i-1", c->text, &entry, NULL) !=
+		    c->ok)
 			fail_msg("case %zu: %s", i, c->text);
 		if (!c->ok)
 			continue;
@@ -469,7 +511,7 @@
 {
 	gh_worker_entry_t entry;
 
-	return platform_parse_worker("i-1", text, &entry);
+	return platform_parse_worker("i-1", text, &entry, NULL);
 }
 
 static bool parse_config(const char *text)
@@ -618,6 +660,7 @@
 		cmocka_unit_test(test_worker),
 		cmocka_unit_test(test_worker_address),
 		cmocka_unit_test(test_worker_numbers),
+		cmocka_unit_test(test_worker_errors),
 		cmocka_unit_test(test_clock),
 		cmocka_unit_test(test_report),
 		cmocka_unit_test(test_pipeline),
