--- a/core_fleet.c
+++ b/core_fleet.c
@@ -34,6 +34,7 @@
 static void stop_task_runs(gh_fleet_t *fleet, uint32_t handle, uint32_t from,
 			   uint32_t n, const char *why, gh_time_t now);
 static void free_job(gh_fleet_t *fleet, uint32_t handle);
+static bool run_fits(const gh_fleet_t *fleet, const fleet_run_t *run);
 static bool order_is_due(gh_order_kind_t kind, run_state_t state);
 static void free_worker(gh_fleet_t *fleet, uint32_t handle);
 
@@ -624,12 +625,21 @@
 		job = fleet_job(fleet, run->job);
 		worker = fleet_worker(fleet, run->worker);
 		if (queued.kind == GH_ORDER_START) {
-			if (!run->order_sent &&
-			    (worker->entry.draining || !worker->listed)) {
+			bool fits = run_fits(fleet, run);
+
+			if (!run->order_sent && (worker->entry.draining ||
+						 !worker->listed || !fits)) {
 				fleet_run_end(fleet, queued.run,
 					      GH_RUN_NOT_STARTED, NULL, now);
 				continue;
 			}
+			/* An order without a reply may have started the run. */
+			if (!fits) {
+				fleet_run_stop(fleet, queued.run,
+					       "its worker's capacity shrank",
+					       now);
+				continue;
+			}
 			/*
 			 * The lease of an unreachable worker is not extended,
 			 * so that it can expire.
@@ -654,6 +664,23 @@
 	return false;
 }
 
+/*
+ * Whether the worker's capacity, which can have shrunk since the run was
+ * planned, still holds all its runs.
+ */
+static bool run_fits(const gh_fleet_t *fleet, const fleet_run_t *run)
+{
+	const fleet_worker_t *worker = fleet_worker(fleet, run->worker);
+	const gh_resources_t *size = &worker->entry.size;
+	const gh_resources_t *reserved = &worker->reserved;
+
+	return reserved->memory_mb <= size->memory_mb &&
+	       reserved->accelerators <= size->accelerators &&
+	       (reserved->cores_milli <= size->cores_milli ||
+		fleet_task_step(fleet_job(fleet, run->job), run->task)
+			->best_effort);
+}
+
 /*
  * Whether a queued order still fits the run's present state; else it is
  * dropped.
--- a/regress/fleet_world.c
+++ b/regress/fleet_world.c
@@ -59,10 +59,18 @@
 	g_strlcpy(entry.id, id, sizeof(entry.id));
 	g_strlcpy(worker->id, id, sizeof(worker->id));
 	worker->incarnation_start_ms = 1;
+	worker->entry = entry;
 	gh_fleet_worker_set(w->fleet, &entry, w->now);
 	return worker;
 }
 
+void set_worker_size(world_t *w, scripted_worker_t *worker,
+		     const gh_resources_t *size)
+{
+	worker->entry.size = *size;
+	gh_fleet_worker_set(w->fleet, &worker->entry, w->now);
+}
+
 gh_pipeline_t *make_job(const char *id, uint32_t n_steps,
 			const gh_step_t *steps)
 {
@@ -81,7 +89,10 @@
 	     const gh_step_t *steps, const char *progress)
 {
 	gh_pipeline_t *job = make_job(id, n_steps, steps);
+	world_job_t *known = &w->jobs[w->n_jobs++ % G_N_ELEMENTS(w->jobs)];
 
+	g_strlcpy(known->id, id, sizeof(known->id));
+	known->steps = steps;
 	job->accepted_ms = w->wall_ms;
 	assert_true(gh_fleet_job_add(w->fleet, job, progress, NULL));
 }
@@ -144,6 +155,39 @@
 	return false;
 }
 
+static const gh_step_t *find_step(const world_t *w, const gh_task_id_t *task)
+{
+	size_t n = MIN(w->n_jobs, G_N_ELEMENTS(w->jobs));
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (!strcmp(w->jobs[i].id, task->job))
+			return &w->jobs[i].steps[task->step];
+	return NULL;
+}
+
+/* Whether the start of the worker's last run needs more than it lists. */
+static bool is_over_capacity(const world_t *w, const scripted_worker_t *worker)
+{
+	const gh_resources_t *size = &worker->entry.size;
+	uint64_t cores = 0;
+	uint64_t memory = 0;
+	uint64_t accelerators = 0;
+	const gh_step_t *step = NULL;
+	size_t i;
+
+	for (i = 0; i < worker->n_runs; i++) {
+		step = find_step(w, &worker->runs[i].task);
+		if (!step)
+			return false;
+		cores += step->best_effort ? 0 : step->size.cores_milli;
+		memory += step->size.memory_mb;
+		accelerators += step->size.accelerators;
+	}
+	return (cores > size->cores_milli && !step->best_effort) ||
+	       memory > size->memory_mb || accelerators > size->accelerators;
+}
+
 static void execute_order(world_t *w, const gh_order_t *order)
 {
 	scripted_worker_t *worker = find_worker(w, order->worker);
@@ -166,6 +210,7 @@
 			(gh_report_run_t){ .task = order->task,
 					   .run = order->run };
 		worker->lease_until = order->lease_until;
+		w->n_over_capacity += is_over_capacity(w, worker);
 	} else if (order->kind == GH_ORDER_STOP && index < worker->n_runs) {
 		end_run(worker, index, GH_RUN_STOPPED);
 	}
--- a/regress/fleet_world.h
+++ b/regress/fleet_world.h
@@ -42,10 +42,17 @@
 	gh_report_run_t over[ENDS_MAX];
 	size_t n_over;
 	gh_time_t lease_until;
+	gh_worker_entry_t entry; /* as service discovery lists the worker */
 	int64_t tail_ms; /* tail latency that runs of LONG_RUNNING_JOB_ID
 			    report; 0: not reported */
 } scripted_worker_t;
 
+/* The steps of a job; the test keeps them. */
+typedef struct world_job {
+	char id[GH_JOB_ID_MAX + 1];
+	const gh_step_t *steps;
+} world_job_t;
+
 typedef struct world {
 	gh_fleet_t *fleet;
 	gh_time_t now;
@@ -55,6 +62,10 @@
 	gh_order_t orders[ORDERS_MAX]; /* all orders sent to workers since the
 					  start of the test */
 	size_t n_orders;
+	world_job_t jobs[8];
+	size_t n_jobs;
+	/* Starts that brought a worker over the capacity that it lists. */
+	size_t n_over_capacity;
 	bool store_down;
 	bool renewals_stopped; /* no renewal is sent to any worker */
 	char *progress; /* text of the last job record committed, whichever the
@@ -66,6 +77,9 @@
 void world_init(world_t *w);
 void world_clear(world_t *w);
 scripted_worker_t *add_worker(world_t *w, const char *id, uint32_t cores_milli);
+/* Changes the capacity that the worker lists. */
+void set_worker_size(world_t *w, scripted_worker_t *worker,
+		     const gh_resources_t *size);
 scripted_worker_t *find_worker(world_t *w, const char *id);
 gh_pipeline_t *make_job(const char *id, uint32_t n_steps,
 			const gh_step_t *steps);
