--- /dev/null
+++ b/json_body.c
@@ -0,0 +1,86 @@
+#include "json_body.h"
+
+#include "error.h"
+
+/* Above it, a double does not hold each integer. */
+#define REAL_MAX (INT64_C(1) << 53)
+
+static bool is_too_deep(const char *text, size_t len);
+
+json_t *json_body_parse(const char *text, size_t len, size_t flags,
+			GError **err)
+{
+	json_error_t json_err;
+	json_t *root;
+
+	if (is_too_deep(text, len)) {
+		gh_error_set(err, GH_E_SYNTAX,
+			     "JSON has more than %d levels of arrays and "
+			     "objects",
+			     JSON_BODY_DEPTH_MAX);
+		return NULL;
+	}
+	root = json_loadb(text, len, flags, &json_err);
+	if (!root)
+		gh_error_set(err, GH_E_SYNTAX, "JSON, line %d: %s",
+			     json_err.line, json_err.text);
+	return root;
+}
+
+static bool is_too_deep(const char *text, size_t len)
+{
+	bool in_string = false;
+	unsigned depth = 0;
+	size_t i;
+
+	for (i = 0; i < len; i++) {
+		switch (text[i]) {
+		case '\\':
+			i += in_string;
+			break;
+		case '"':
+			in_string = !in_string;
+			break;
+		case '[':
+		case '{':
+			if (!in_string && ++depth > JSON_BODY_DEPTH_MAX)
+				return true;
+			break;
+		case ']':
+		case '}':
+			if (!in_string && depth)
+				depth--;
+			break;
+		default:
+			break;
+		}
+	}
+	return false;
+}
+
+int64_t json_body_number(const json_t *value, int64_t max, bool *ok)
+{
+	int64_t number = -1;
+
+	if (!value)
+		return 0;
+	if (json_is_integer(value)) {
+		number = json_integer_value(value);
+	} else if (json_is_real(value)) {
+		double real = json_real_value(value);
+
+		if (real >= 0 && real <= (double)REAL_MAX)
+			number = (int64_t)real;
+	}
+	if (number >= 0 && number <= max)
+		return number;
+	*ok = false;
+	return 0;
+}
+
+bool json_body_flag(const json_t *value, bool *ok)
+{
+	if (value && !json_is_boolean(value))
+		*ok = false;
+	return json_is_true(value);
+}
--- a/regress/test_platform_decode.c
+++ b/regress/test_platform_decode.c
@@ -11,6 +11,7 @@
 
 #include "error.h"
 #include "fleet_settings.h"
+#include "json_body.h"
 #include "platform/platform_decode.h"
 #include "proc.h"
 
@@ -51,6 +52,151 @@
 	{ .text = "" },
 };
 
+#define ENTRY(capacity, more)                                               \
+	"{\"backend\":\"s\",\"address\":\"1.2.3.4:5\",\"state\":\"ready\"," \
+	"\"capacity\":{" capacity "},\"labels\":[\"a\"]" more "}"
+
+/* An entry with numbers; born_ms and gpus are checked if it is accepted. */
+typedef struct entry_case {
+	const char *text;
+	bool ok;
+	uint32_t gpus;
+	int64_t born_ms;
+} entry_case_t;
+
+static const entry_case_t entry_cases[] = {
+	{ .text = ENTRY("\"cpu\":8000", ""), .ok = true },
+	{ .text = ENTRY("", ""), .ok = true },
+	{ .text = ENTRY("\"cpu\":8000,\"gpus\":2147483647",
+			",\"born\":1796378314971"),
+	  .ok = true,
+	  .gpus = 2147483647,
+	  .born_ms = 1796378314971 },
+	{ .text = ENTRY("\"cpu\":8e3,\"gpus\":1.5", ",\"born\":7.0"),
+	  .ok = true,
+	  .gpus = 1,
+	  .born_ms = 7 },
+	{ .text = ENTRY("\"cpu\":\"8000\"", "") },
+	{ .text = ENTRY("\"cpu\":null", "") },
+	{ .text = ENTRY("\"cpu\":-1", "") },
+	{ .text = ENTRY("\"cpu\":-0.5", "") },
+	{ .text = ENTRY("\"cpu\":2147483648", "") },
+	{ .text = ENTRY("\"cpu\":1e300", "") },
+	{ .text = ENTRY("\"cpu\":99999999999999999999", "") },
+	{ .text = ENTRY("\"cpu\":1e400", "") },
+	{ .text = ENTRY("\"mem_mb\":[1]", "") },
+	{ .text = ENTRY("\"mem_mb\":4294967297", "") },
+	{ .text = ENTRY("\"gpus\":1e18", "") },
+	{ .text = ENTRY("\"gpus\":1000000000000000000", "") },
+	{ .text = ENTRY("\"gpus\":2147483648", "") },
+	{ .text = ENTRY("\"gpus\":true", "") },
+	{ .text = ENTRY("", ",\"born\":1e300") },
+	{ .text = ENTRY("", ",\"born\":9223372036854775807") },
+	{ .text = ENTRY("", ",\"born\":-5") },
+	{ .text = ENTRY("", ",\"born\":\"7\"") },
+};
+
+typedef struct odd_case {
+	const char *id;
+	const char *text;
+	gh_error_kind_t kind;
+	const char *named; /* part of the message */
+} odd_case_t;
+
+static const odd_case_t odd_cases[] = {
+	{ "", ENTRY("", ""), GH_E_BAD_VALUE, "id" },
+	{ "i\r\nHost: x", ENTRY("", ""), GH_E_BAD_VALUE, "id" },
+	{ "i-1", "{", GH_E_SYNTAX, "line 1" },
+	{ "i-1", "[]", GH_E_BAD_VALUE, "backend" },
+	{ "i-1", "{\"backend\":\"s\"}", GH_E_BAD_VALUE, "address" },
+	{ "i-1", "{\"backend\":\"s\",\"address\":\"1.2.3.4:5\"}",
+	  GH_E_BAD_VALUE, "state" },
+	{ "i-1", ENTRY("\"cpu\":-1", ""), GH_E_BAD_VALUE, "capacity" },
+	{ "i-1", ENTRY("", ",\"labels\":[7]"), GH_E_BAD_VALUE, "labels" },
+	{ "i-1", ENTRY("", ",\"labels\":{}"), GH_E_BAD_VALUE, "labels" },
+	{ "i-1", ENTRY("", ",\"born\":\"x\""), GH_E_BAD_VALUE, "born" },
+};
+
+static void test_worker_errors(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(odd_cases); i++) {
+		const odd_case_t *c = &odd_cases[i];
+		gh_worker_entry_t entry;
+		GError *err = NULL;
+
+		assert_false(
+			platform_parse_worker(c->id, c->text, &entry, &err));
+		assert_int_equal(gh_error_kind(err), c->kind);
+		if (!strstr(err->message, c->named))
+			fail_msg("case %zu: %s", i, err->message);
+		g_error_free(err);
+	}
+}
+
+static void test_worker_numbers(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(entry_cases); i++) {
+		const entry_case_t *c = &entry_cases[i];
+		gh_worker_entry_t entry;
+
+		if (platform_parse_worker("i-1", c->text, &entry, NULL) !=
+		    c->ok)
+			fail_msg("case %zu: %s", i, c->text);
+		if (!c->ok)
+			continue;
+		assert_int_equal(entry.size.accelerators, c->gpus);
+		assert_int_equal(entry.incarnation_start_ms, c->born_ms);
+	}
+}
+
+static const struct {
+	const char *address;
+	bool ok;
+} address_cases[] = {
+	{ "1.2.3.4:1", true },
+	{ "1.2.3.4:65535", true },
+	{ "1.2.3.4:65536", false },
+	{ "1.2.3.4:99999", false },
+	{ "1.2.3.4:0", false },
+	{ "1.2.3.4:-1", false },
+	{ "1.2.3.4:", false },
+	{ "1.2.3.4", false },
+	{ "1.2.3.4:80x", false },
+	{ "1.2.3.4:80/x", false },
+	{ "1.2.3.4:80:81", false },
+	{ "1.2.3.4: 80", false },
+	{ ":80", false },
+	{ "u@1.2.3.4:80", false },
+	{ "1.2.3.256:80", false },
+	{ "1.2.3:80", false },
+	{ "1.2.3.4:18446744073709551696", false },
+};
+
+static void test_worker_address(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(address_cases); i++) {
+		char *text = g_strdup_printf(
+			"{\"backend\":\"s\",\"address\":\"%s\",\"state\":"
+			"\"ready\"," CAPACITY ",\"labels\":[]}",
+			address_cases[i].address);
+		gh_worker_entry_t entry;
+
+		if (platform_parse_worker("i-1", text, &entry, NULL) !=
+		    address_cases[i].ok)
+			fail_msg("%s", text);
+		g_free(text);
+	}
+}
+
 typedef struct clock_case {
 	const char *body;
 	int64_t clock_ms;
@@ -63,6 +209,9 @@
 	  .clock_ms = 482113,
 	  .ok = true },
 	{ .body = "{\"clock_ms\":\"482113\"}" },
+	{ .body = "{\"clock_ms\":-1}" },
+	{ .body = "{\"clock_ms\":1e300}" },
+	{ .body = "{\"clock_ms\":9223372036854775807}" },
 	{ .body = "{\"reason\":\"late\"}" },
 	{ .body = "[]" },
 	{ .body = "{\"clock_ms\":4" },
@@ -129,7 +278,35 @@
 			     "[59,\"ab.0.1.8\",1]"),
 	  .ok = true,
 	  .numbers = { 58 } },
+	{ .body = REPORT("[\"ab.0.1.17\",4294967297,\"\",41,3]", ""),
+	  .ok = true },
+	{ .body = REPORT("[\"ab.0.1.17\",1e300,\"\",41,3]", ""), .ok = true },
+	{ .body = REPORT("[\"ab.0.1.-1\",2,\"\",41,3]", ""), .ok = true },
+	{ .body = REPORT("[\"ab.0.1.4294967296\",2,\"\",41,3]", ""),
+	  .ok = true },
+	{ .body = REPORT("[\"ab.0.1. 7\",2,\"\",41,3]", ""), .ok = true },
+	{ .body = REPORT("[\".0.1.7\",2,\"\",41,3]", ""), .ok = true },
+	{ .body = REPORT("", "[1e300,\"ab.0.1.9\",1,\"done\",\"\"]"),
+	  .ok = true },
+	{ .body = REPORT("", "[-58,\"ab.0.1.9\",1,\"done\",\"\"]"),
+	  .ok = true },
+	/* a run whose figures can't be read */
+	{ .body = REPORT("[\"ab.0.1.17\",2,\"\",1e300,-1e300]", ""),
+	  .ok = true,
+	  .complete = true,
+	  .n_runs = 1 },
+	{ .body = REPORT("[\"ab.0.1.17\",2,\"\",null]", ""),
+	  .ok = true,
+	  .complete = true,
+	  .n_runs = 1 },
 	/* no report */
+	{ .body = "{\"running\":[],\"finished\":[]}" },
+	{ .body = "{\"clock_ms\":\"5\",\"running\":[],\"finished\":[]}" },
+	{ .body = "{\"clock_ms\":1e300,\"running\":[],\"finished\":[]}" },
+	{ .body = "{\"clock_ms\":5,\"born\":1e300,\"running\":[],"
+		  "\"finished\":[]}" },
+	{ .body = "{\"clock_ms\":5,\"born\":\"7\",\"running\":[],"
+		  "\"finished\":[]}" },
 	{ .body = "{\"clock_ms\":5,\"running\":[]}" },
 	{ .body = "{\"clock_ms\":5,\"running\":{},\"finished\":[]}" },
 	{ .body = "" },
@@ -172,7 +349,8 @@
 		const worker_case_t *c = &worker_cases[i];
 		gh_worker_entry_t entry;
 
-		if (platform_parse_worker("i-1", c->text, &entry) != c->ok)
+		if (platform_parse_worker("i-1", c->text, &entry, NULL) !=
+		    c->ok)
 			fail_msg("case %zu: %s", i, c->text);
 		if (!c->ok)
 			continue;
@@ -202,6 +380,35 @@
 	  GH_E_BAD_REQUEST },
 	{ "{\"task_spec\":\"x\",\"pipeline\":[{\"count\":1,\"after\":[99]}]}",
 	  GH_E_BAD_REQUEST },
+#define STEP(field) \
+	"{\"task_spec\":\"x\",\"pipeline\":[{\"count\":1," field "}]}"
+	{ STEP("\"cpu\":1500.5,\"est_runtime_ms\":9e2"), GH_E_COUNT },
+	{ STEP("\"cpu\":1e300"), GH_E_BAD_REQUEST },
+	{ STEP("\"cpu\":\"500\""), GH_E_BAD_REQUEST },
+	{ STEP("\"gpus\":4294967296"), GH_E_BAD_REQUEST },
+	{ STEP("\"est_runtime_ms\":1e18"), GH_E_BAD_REQUEST },
+	{ STEP("\"anti_affinity\":4294967297"), GH_E_BAD_REQUEST },
+	{ STEP("\"allow_miss\":-1"), GH_E_BAD_REQUEST },
+	{ STEP("\"target_ms\":\"24\""), GH_E_BAD_REQUEST },
+	{ STEP("\"gang_scheduled\":1"), GH_E_BAD_REQUEST },
+	{ STEP("\"long_running\":\"true\""), GH_E_BAD_REQUEST },
+	{ STEP("\"fill_count\":2000"), GH_E_COUNT },
+	{ STEP("\"fill_count\":\"yes\""), GH_E_BAD_REQUEST },
+	{ STEP("\"after\":0"), GH_E_BAD_REQUEST },
+	{ STEP("\"after\":[\"0\"]"), GH_E_BAD_REQUEST },
+	{ STEP("\"after\":[-1]"), GH_E_BAD_REQUEST },
+	{ "{\"task_spec\":\"x\",\"pipeline\":[{\"count\":4294967297}]}",
+	  GH_E_BAD_REQUEST },
+	{ "{\"task_spec\":\"x\",\"pipeline\":[7]}", GH_E_BAD_REQUEST },
+	{ "{\"task_spec\":\"x\",\"repeat_count\":1e300,\"pipeline\":"
+	  "[{\"count\":1}]}",
+	  GH_E_BAD_REQUEST },
+	{ "{\"task_spec\":\"x\",\"repeat_count\":2,\"interval_ms\":1e18,"
+	  "\"pipeline\":[{\"count\":1}]}",
+	  GH_E_BAD_REQUEST },
+	{ "{\"task_spec\":\"x\",\"start_at_ms\":\"now\",\"pipeline\":"
+	  "[{\"count\":1}]}",
+	  GH_E_BAD_REQUEST },
 	{ "[]", GH_E_BAD_REQUEST },
 	{ "", GH_E_BAD_REQUEST },
 	{ "{\"task_spec\":\"x\",\"pipeline\":[{\"count\":0}]}",
@@ -211,6 +418,11 @@
 	  GH_E_BAD_VALUE },
 	{ "{\"task_spec\":\"x\",\"pipeline\":[{\"count\":30000}]}",
 	  GH_E_BAD_VALUE },
+	/* 2^34 tasks, each 2^31 times: the product is 0 in 64 bits */
+	{ "{\"task_spec\":\"x\",\"repeat_count\":2147483648,\"pipeline\":"
+	  "[{\"count\":4294967295},{\"count\":4294967295},{\"count\":2},"
+	  "{\"count\":4294967295},{\"count\":4294967295},{\"count\":2}]}",
+	  GH_E_BAD_VALUE },
 };
 
 /* An accepted job must be the same after it is formatted for the store and
@@ -261,9 +473,22 @@
 	static const char good[] =
 		"{\"version\":7,\"routes\":[{\"name\":\"r\",\"hostname\":"
 		"\"h.example\",\"prefix\":\"/p/\",\"backend\":\"s\","
-		"\"attempts\":2,\"stretch\":1.5},{\"name\":5}],\"limits\":{}}";
-	static const char *const bad[] = { "", "{}", "{\"version\":\"x\"}",
-					   "{\"version\":1,\"routes\":3}" };
+		"\"attempts\":2,\"stretch\":1.5},{\"name\":5},"
+		"{\"name\":\"r2\",\"stretch\":1e300},"
+		"{\"name\":\"r3\",\"timeout_ms\":\"1\"},"
+		"{\"name\":\"r4\",\"attempts\":-1}],\"limits\":{}}";
+	static const char odd_limit[] =
+		"{\"version\":1,\"routes\":[],"
+		"\"limits\":{\"max_body_bytes\":\"1\"}}";
+	static const char *const bad[] = {
+		"",
+		"{}",
+		"{\"version\":\"x\"}",
+		"{\"version\":1,\"routes\":3}",
+		"{\"version\":-1,\"routes\":[]}",
+		"{\"version\":1e300,\"routes\":[]}",
+		odd_limit,
+	};
 	GError *err = NULL;
 	fleet_config_t *config = platform_parse_config(good, &err);
 	size_t i;
@@ -280,6 +505,111 @@
 	}
 }
 
+typedef bool (*parser_t)(const char *text);
+
+static bool parse_worker(const char *text)
+{
+	gh_worker_entry_t entry;
+
+	return platform_parse_worker("i-1", text, &entry, NULL);
+}
+
+static bool parse_config(const char *text)
+{
+	fleet_config_t *config = platform_parse_config(text, NULL);
+
+	if (config)
+		fleet_config_unref(config);
+	return config != NULL;
+}
+
+static bool parse_pipeline(const char *text)
+{
+	gh_pipeline_t *pipeline =
+		platform_parse_pipeline(text, strlen(text), NULL);
+
+	gh_pipeline_free(pipeline);
+	return pipeline != NULL;
+}
+
+static bool parse_report(const char *text)
+{
+	gh_worker_report_t report = { 0 };
+	int64_t clock_ms;
+	bool ok = platform_parse_worker_report(text, strlen(text), &report,
+					       &clock_ms);
+
+	platform_clear_worker_report(&report);
+	return ok;
+}
+
+static bool parse_clock(const char *text)
+{
+	int64_t clock_ms;
+
+	return platform_parse_clock(text, strlen(text), &clock_ms);
+}
+
+/* A text that the parser accepts with some value in place of %s. */
+typedef struct nested_case {
+	const char *format;
+	parser_t parse;
+} nested_case_t;
+
+static const nested_case_t nested_cases[] = {
+	{ "{\"backend\":\"s\",\"address\":\"1.2.3.4:5\",\"state\":"
+	  "\"ready\"," CAPACITY ",\"labels\":[],\"x\":%s}",
+	  parse_worker },
+	{ "{\"version\":1,\"routes\":[],\"x\":%s}", parse_config },
+	{ "{\"task_spec\":\"[[[[\",\"pipeline\":[{\"count\":1}],\"x\":%s}",
+	  parse_pipeline },
+	{ "{\"clock_ms\":1,\"running\":[],\"finished\":[],\"x\":%s}",
+	  parse_report },
+	{ "{\"clock_ms\":1,\"x\":%s}", parse_clock },
+};
+
+static char *nest(const char *format, unsigned depth)
+{
+	char *open = g_strnfill(depth, '[');
+	char *close = g_strnfill(depth, ']');
+	char *value = g_strconcat(open, close, NULL);
+	char **parts = g_strsplit(format, "%s", 2);
+	char *text = g_strconcat(parts[0], value, parts[1], NULL);
+
+	g_strfreev(parts);
+	g_free(value);
+	g_free(close);
+	g_free(open);
+	return text;
+}
+
+static void test_nested(void **state)
+{
+	/* within the object */
+	static const struct {
+		unsigned depth;
+		bool ok;
+	} depths[] = {
+		{ JSON_BODY_DEPTH_MAX - 1, true },
+		{ JSON_BODY_DEPTH_MAX, false },
+		{ 2000, false },
+		{ 3000000, false },
+	};
+	size_t i, j;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(nested_cases); i++)
+		for (j = 0; j < G_N_ELEMENTS(depths); j++) {
+			char *text =
+				nest(nested_cases[i].format, depths[j].depth);
+
+			if (nested_cases[i].parse(text) != depths[j].ok)
+				fail_msg("case %zu, %u arrays deep", i,
+					 depths[j].depth);
+			g_free(text);
+		}
+}
+
 typedef struct settings_case {
 	const char *extra_lines;
 	gh_error_kind_t kind; /* expected error; GH_E_COUNT: text accepted */
@@ -327,9 +657,16 @@
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_worker), cmocka_unit_test(test_clock),
-		cmocka_unit_test(test_report), cmocka_unit_test(test_pipeline),
-		cmocka_unit_test(test_config), cmocka_unit_test(test_settings),
+		cmocka_unit_test(test_worker),
+		cmocka_unit_test(test_worker_address),
+		cmocka_unit_test(test_worker_numbers),
+		cmocka_unit_test(test_worker_errors),
+		cmocka_unit_test(test_clock),
+		cmocka_unit_test(test_report),
+		cmocka_unit_test(test_pipeline),
+		cmocka_unit_test(test_config),
+		cmocka_unit_test(test_nested),
+		cmocka_unit_test(test_settings),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
