--- a/regress/test_core_fleet.c
+++ b/regress/test_core_fleet.c
@@ -906,6 +906,48 @@
 	}
 }
 
+/*
+ * A gang that did not fit gave its capacity back, but tasks behind it were
+ * still not tried in that decision.
+ */
+static void test_gang_without_capacity_holds_nothing_back(void **state)
+{
+	static const struct {
+		const char *name;
+		gh_resources_t gang, other; /* sizes of a task */
+	} cases[] = {
+		{ "cores", { .cores_milli = 4000 }, { .cores_milli = 1000 } },
+		{ "memory", { .memory_mb = 100000 }, { .memory_mb = 1000 } },
+		{ "same size",
+		  { .cores_milli = 3000, .memory_mb = 60000 },
+		  { .cores_milli = 3000, .memory_mb = 60000 } },
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		gh_step_t gang = one_task;
+		gh_step_t other = one_task;
+		world_t w;
+
+		print_message("%s\n", cases[i].name);
+		gang.gang = true;
+		gang.tasks = 3;
+		gang.estimate_ms = 100; /* it is placed first */
+		gang.size = cases[i].gang;
+		other.size = cases[i].other;
+		world_init(&w);
+		add_worker(&w, "w1", 4000);
+		add_worker(&w, "w2", 4000);
+		advance_time(&w, 100);
+		add_job(&w, "0000000000000001", 1, &gang, NULL);
+		add_job(&w, "0000000000000002", 1, &other, NULL);
+		advance_time(&w, STEP_USEC / MS);
+		assert_int_equal(count_orders(&w, GH_ORDER_START, 0), 1);
+		world_clear(&w);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -936,6 +978,7 @@
 		cmocka_unit_test(test_fill_overdue),
 		cmocka_unit_test(test_starved_job_goes_on),
 		cmocka_unit_test(test_backlog_does_not_slow_decisions),
+		cmocka_unit_test(test_gang_without_capacity_holds_nothing_back),
 		cmocka_unit_test(test_waiting_is_reported),
 	};
 
