--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -457,6 +457,7 @@
 		&job->spec->steps[c->stage % job->spec->n_steps];
 	fleet_stage_t *stage = &job->stages[c->stage];
 	const char *checkpoint = NULL;
+	guint n_failed = fleet->failed_placements->len;
 	uint32_t number = 0;
 	uint32_t i;
 
@@ -483,9 +484,12 @@
 		return;
 	fleet->counts.pending_tasks += step->tasks;
 	job->tasks[stage->first_task].not_before = now + GANG_RETRY_USEC;
-	if (job->tasks[stage->first_task].runs[0] != GH_NONE)
-		fleet_run_end(fleet, job->tasks[stage->first_task].runs[0],
-			      GH_RUN_NOT_STARTED, NULL, now);
+	if (job->tasks[stage->first_task].runs[0] == GH_NONE)
+		return;
+	fleet_run_end(fleet, job->tasks[stage->first_task].runs[0],
+		      GH_RUN_NOT_STARTED, NULL, now);
+	/* The capacity of the gang's runs is free again. */
+	g_array_set_size(fleet->failed_placements, n_failed);
 }
 
 /* Worker with the lowest cost that may run the task, or GH_NONE. */
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -284,7 +284,8 @@
 
 /*
  * A placement that failed in the present tick.  Placements only take capacity
- * within a tick, so that no other task that asks for as much can be placed.
+ * within a tick, except for a gang that is rolled back, so that no other task
+ * that asks for as much can be placed.
  */
 typedef struct failed_placement {
 	const char *service;
