--- a/regress/fleet_world.c
+++ b/regress/fleet_world.c
@@ -11,30 +11,42 @@
 {
 	world_t *w = ctx;
 
-	(void)task;
 	(void)run;
 	(void)worker;
+	if (!strcmp(event, "job_ended") && !strcmp(detail, "failed"))
+		g_string_append_printf(w->failed, "%s ", task->job);
 	if (strcmp(event, "task_waiting") != 0)
 		return;
 	g_free(w->waiting);
 	w->waiting = g_strdup(detail);
 }
 
-void world_init(world_t *w)
+static void start_owner(world_t *w, gh_time_t previous_grants_end)
 {
-	static const gh_fleet_setup_t setup = {
+	gh_fleet_setup_t setup = {
 		.lease_ms = LEASE_MS,
 		.lease_max_ms = LEASE_MAX_MS,
-		.previous_grants_end =
-			START_TIME + PREVIOUS_GRANTS_MS * GH_USEC_PER_MSEC,
+		.previous_grants_end = previous_grants_end,
 		.stop_ms = STOP_MS,
 	};
 	gh_fleet_sink_t sink = { .on_event = record_event, .ctx = w };
 
+	w->fleet = gh_fleet_new(&setup, &sink, w->now);
+}
+
+void world_init(world_t *w)
+{
 	memset(w, 0, sizeof(*w));
 	w->now = START_TIME;
 	w->wall_ms = 5000000;
-	w->fleet = gh_fleet_new(&setup, &sink, w->now);
+	w->failed = g_string_new(NULL);
+	start_owner(w, START_TIME + PREVIOUS_GRANTS_MS * GH_USEC_PER_MSEC);
+}
+
+void replace_owner(world_t *w)
+{
+	gh_fleet_free(w->fleet);
+	start_owner(w, w->now);
 }
 
 void world_clear(world_t *w)
@@ -42,25 +54,36 @@
 	gh_fleet_free(w->fleet);
 	g_free(w->progress);
 	g_free(w->waiting);
+	g_string_free(w->failed, TRUE);
 }
 
 scripted_worker_t *add_worker(world_t *w, const char *id, uint32_t cores)
+{
+	scripted_worker_t *worker = &w->workers[w->n_workers++];
+
+	assert_true(w->n_workers <= WORKERS_MAX);
+	g_strlcpy(worker->id, id, sizeof(worker->id));
+	worker->incarnation_start_ms = 1;
+	worker->cores_milli = cores;
+	list_worker(w, worker, false);
+	return worker;
+}
+
+void list_worker(world_t *w, const scripted_worker_t *worker, bool draining)
 {
 	gh_worker_entry_t entry = {
 		.service = "svc",
 		.address = "127.0.0.1:1",
 		.n_labels = 2,
 		.labels = { "a", "r1" },
-		.size = { .cores_milli = cores, .memory_mb = 100000 },
-		.incarnation_start_ms = 1,
+		.size = { .cores_milli = worker->cores_milli,
+			  .memory_mb = 100000 },
+		.incarnation_start_ms = worker->incarnation_start_ms,
+		.draining = draining,
 	};
-	scripted_worker_t *worker = &w->workers[w->n_workers++];
 
-	g_strlcpy(entry.id, id, sizeof(entry.id));
-	g_strlcpy(worker->id, id, sizeof(worker->id));
-	worker->incarnation_start_ms = 1;
+	g_strlcpy(entry.id, worker->id, sizeof(entry.id));
 	gh_fleet_worker_set(w->fleet, &entry, w->now);
-	return worker;
 }
 
 gh_pipeline_t *make_job(const char *id, uint32_t n_steps,
@@ -107,10 +130,15 @@
 {
 	gh_report_end_t *end = &worker->ends[worker->n_ends++];
 
+	assert_true(worker->n_ends <= ENDS_MAX);
 	*end = (gh_report_end_t){ .number = ++worker->last_end,
 				  .task = worker->runs[index].task,
 				  .run = worker->runs[index].run,
 				  .outcome = outcome };
+	/* The oldest is forgotten. */
+	if (worker->n_over == ENDS_MAX)
+		memmove(worker->over, worker->over + 1,
+			--worker->n_over * sizeof(*worker->over));
 	worker->over[worker->n_over++] = worker->runs[index];
 	worker->runs[index] = worker->runs[--worker->n_runs];
 }
@@ -144,6 +172,12 @@
 	return false;
 }
 
+static gh_order_reply_t former_id_reply(const world_t *w)
+{
+	return w->former_ids_silent ? GH_ORDER_OUTCOME_UNKNOWN :
+				      GH_ORDER_OTHER_INCARNATION;
+}
+
 static void execute_order(world_t *w, const gh_order_t *order)
 {
 	scripted_worker_t *worker = find_worker(w, order->worker);
@@ -151,9 +185,15 @@
 	char id[GH_WORKER_ID_MAX + 1];
 	size_t index;
 
+	assert_true(w->n_orders < ORDERS_MAX);
+	g_strlcpy(id, order->worker, sizeof(id));
+	if (!worker) {
+		gh_fleet_handle_reply(w->fleet, order->kind, id, &order->task,
+				      order->run, former_id_reply(w), w->now);
+		return;
+	}
 	w->orders[w->n_orders++] = *order;
 	w->orders[w->n_orders - 1].worker = worker->id;
-	g_strlcpy(id, order->worker, sizeof(id));
 	index = find_listed_run(worker, order);
 	if (worker->unreachable || worker->loses_orders) {
 		reply = GH_ORDER_OUTCOME_UNKNOWN;
@@ -162,10 +202,13 @@
 	} else if (order->kind == GH_ORDER_START && is_over(worker, order)) {
 		reply = GH_ORDER_STALE_RUN;
 	} else if (order->kind == GH_ORDER_START && index == worker->n_runs) {
+		assert_true(worker->n_runs < RUNS_MAX);
 		worker->runs[worker->n_runs++] =
 			(gh_report_run_t){ .task = order->task,
 					   .run = order->run };
 		worker->lease_until = order->lease_until;
+		if (w->on_start)
+			w->on_start(w, worker, order);
 	} else if (order->kind == GH_ORDER_STOP && index < worker->n_runs) {
 		end_run(worker, index, GH_RUN_STOPPED);
 	}
@@ -179,18 +222,24 @@
 {
 	scripted_worker_t *worker = find_worker(w, renewal->worker);
 	gh_worker_report_t report = { .requested_at = w->now - 1,
-				      .incarnation_start_ms =
-					      worker->incarnation_start_ms,
 				      .complete = true };
 	char id[GH_WORKER_ID_MAX + 1];
 	size_t i, kept = 0;
 
 	g_strlcpy(id, renewal->worker, sizeof(id));
+	if (!worker) {
+		gh_fleet_handle_renewal_failure(w->fleet, id,
+						former_id_reply(w), w->now);
+		return;
+	}
+	report.incarnation_start_ms = worker->incarnation_start_ms;
 	if (worker->unreachable) {
 		gh_fleet_handle_renewal_failure(
 			w->fleet, id, GH_ORDER_OUTCOME_UNKNOWN, w->now);
 		return;
 	}
+	if (renewal->lease_until)
+		worker->lease_until = renewal->lease_until;
 	for (i = 0; i < worker->n_ends; i++)
 		if (worker->ends[i].number > renewal->acked_end)
 			worker->ends[kept++] = worker->ends[i];
--- a/regress/fleet_world.h
+++ b/regress/fleet_world.h
@@ -16,9 +16,10 @@
 #define PREVIOUS_GRANTS_MS 2000
 #define STOP_MS 500
 #define STEP_USEC (10 * MS)
-#define ORDERS_MAX 256
+#define ORDERS_MAX 4096
 #define RUNS_MAX 64
 #define ENDS_MAX 64
+#define WORKERS_MAX 12
 /* The runs of this job report a tail latency. */
 #define LONG_RUNNING_JOB_ID "00000000000000aa"
 
@@ -33,6 +34,7 @@
 	/* Reply to start orders, which are then not executed; OK: executed. */
 	gh_order_reply_t refusal;
 	int64_t incarnation_start_ms;
+	uint32_t cores_milli;
 	gh_report_run_t runs[RUNS_MAX];
 	size_t n_runs;
 	gh_report_end_t ends[ENDS_MAX];
@@ -46,11 +48,13 @@
 			    report; 0: not reported */
 } scripted_worker_t;
 
-typedef struct world {
+typedef struct world world_t;
+
+struct world {
 	gh_fleet_t *fleet;
 	gh_time_t now;
 	int64_t wall_ms;
-	scripted_worker_t workers[8];
+	scripted_worker_t workers[WORKERS_MAX];
 	size_t n_workers;
 	gh_order_t orders[ORDERS_MAX]; /* all orders sent to workers since the
 					  start of the test */
@@ -61,11 +65,24 @@
 			   job */
 	gh_job_phase_t phase;
 	char *waiting; /* detail of the last task_waiting event, or NULL */
-} world_t;
+	/* ids of the jobs that ended as failed, one after the other */
+	GString *failed;
+	/* Calls to an id that no worker has any more get no reply, instead of
+	 * one by another incarnation. */
+	bool former_ids_silent;
+	/* Called when a worker has executed a start order; may be NULL. */
+	void (*on_start)(world_t *w, scripted_worker_t *worker,
+			 const gh_order_t *order);
+};
 
 void world_init(world_t *w);
 void world_clear(world_t *w);
+/* Replaces the fleet by that of the next owner, which knows nothing of before
+ * but what the caller adds. */
+void replace_owner(world_t *w);
 scripted_worker_t *add_worker(world_t *w, const char *id, uint32_t cores_milli);
+/* Lists the worker in service discovery. */
+void list_worker(world_t *w, const scripted_worker_t *worker, bool draining);
 scripted_worker_t *find_worker(world_t *w, const char *id);
 gh_pipeline_t *make_job(const char *id, uint32_t n_steps,
 			const gh_step_t *steps);
--- /dev/null
+++ b/regress/test_core_fleet_crash.c
@@ -0,0 +1,529 @@
+/*
+ * Tests of the fleet scheduler with tasks that crash the workers that start
+ * them.  Such a task is given up after a few starts; a task that did not cause
+ * the crash never is.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <string.h>
+
+#include "fleet_world.h"
+
+#define DEADLY_JOB "dead00000000000" /* and a digit */
+#define DEADLY_JOBS_MAX 4
+/* No deadly task is started more than twice after three crashes under it. */
+#define STARTS_MAX 5
+/* What an innocent task reports when it is about to be done. */
+#define LAST_PERCENT 30
+#define STEP_MS 10
+
+typedef enum comeback {
+	BACK_NEW_ID, /* another id, at the same address */
+	BACK_SAME_ID,
+	BACK_ELSEWHERE, /* another id, while the former address is silent */
+} comeback_t;
+
+/* A test with a script of crashes. */
+typedef struct crash_world {
+	world_t w; /* first: the start callback gets its address */
+	/* For each worker: when it crashes and is back; 0: never. */
+	gh_time_t crash_at[WORKERS_MAX], back_at[WORKERS_MAX];
+	comeback_t comeback;
+	int64_t down_ms;
+	/* Deadly tasks run for this long before their worker crashes. */
+	int64_t crash_after_ms;
+	bool deadly_start_unanswered;
+	uint32_t lives;	    /* worker ids given out */
+	GHashTable *starts; /* deadly task's name to the number of its starts */
+	uint32_t max_starts; /* highest of these numbers */
+	uint32_t innocent_jobs;
+} crash_world_t;
+
+static bool is_deadly(const gh_task_id_t *task)
+{
+	return g_str_has_prefix(task->job, "dead") && !task->step;
+}
+
+static void count_deadly_start(world_t *w, scripted_worker_t *worker,
+			       const gh_order_t *order)
+{
+	crash_world_t *cw = (crash_world_t *)w;
+	size_t i = (size_t)(worker - w->workers);
+	gpointer starts;
+	char *name;
+
+	if (!is_deadly(&order->task))
+		return;
+	name = g_strdup_printf("%s.%u.%u", order->task.job,
+			       order->task.occurrence, order->task.index);
+	starts = g_hash_table_lookup(cw->starts, name);
+	cw->max_starts = MAX(cw->max_starts, GPOINTER_TO_UINT(starts) + 1);
+	g_hash_table_replace(cw->starts, name,
+			     GUINT_TO_POINTER(GPOINTER_TO_UINT(starts) + 1));
+	if (!cw->crash_at[i])
+		cw->crash_at[i] = w->now + cw->crash_after_ms * MS;
+	worker->drops_replies = cw->deadly_start_unanswered;
+}
+
+static void crash_world_init(crash_world_t *cw, size_t n_workers)
+{
+	char id[16];
+	size_t i;
+
+	memset(cw, 0, sizeof(*cw));
+	world_init(&cw->w);
+	cw->w.on_start = count_deadly_start;
+	cw->down_ms = 3400;
+	cw->crash_after_ms = STEP_MS;
+	cw->starts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	for (i = 0; i < n_workers; i++) {
+		g_snprintf(id, sizeof(id), "w%zu", i);
+		add_worker(&cw->w, id, 8000);
+	}
+	advance_time(&cw->w, 100);
+}
+
+static void crash_world_clear(crash_world_t *cw)
+{
+	g_hash_table_destroy(cw->starts);
+	world_clear(&cw->w);
+}
+
+static void crash_worker(crash_world_t *cw, size_t i)
+{
+	scripted_worker_t *worker = &cw->w.workers[i];
+
+	worker->unreachable = true;
+	worker->drops_replies = false;
+	worker->n_runs = 0;
+	cw->crash_at[i] = 0;
+	cw->back_at[i] = cw->w.now + cw->down_ms * MS;
+}
+
+static void restore_worker(crash_world_t *cw, size_t i)
+{
+	scripted_worker_t *worker = &cw->w.workers[i];
+
+	cw->back_at[i] = 0;
+	restart_worker(worker);
+	worker->unreachable = false;
+	if (cw->comeback != BACK_SAME_ID) {
+		gh_fleet_worker_unlist(cw->w.fleet, worker->id);
+		g_snprintf(worker->id, sizeof(worker->id), "w%zu.%u", i,
+			   ++cw->lives);
+	}
+	list_worker(&cw->w, worker, false);
+}
+
+/* Plays one step of time: crashes, returns, ends of tasks and of leases. */
+static void play_step(crash_world_t *cw)
+{
+	size_t i, r;
+
+	cw->w.former_ids_silent = cw->comeback == BACK_ELSEWHERE;
+	advance_time(&cw->w, STEP_MS);
+	for (i = 0; i < cw->w.n_workers; i++) {
+		scripted_worker_t *worker = &cw->w.workers[i];
+
+		if (cw->crash_at[i] && cw->w.now >= cw->crash_at[i])
+			crash_worker(cw, i);
+		if (cw->back_at[i] && cw->w.now >= cw->back_at[i])
+			restore_worker(cw, i);
+		for (r = worker->n_runs; r-- > 0;)
+			if (!is_deadly(&worker->runs[r].task) &&
+			    strcmp(worker->runs[r].task.job,
+				   LONG_RUNNING_JOB_ID) != 0 &&
+			    worker->runs[r].progress_percent >= LAST_PERCENT)
+				end_run(worker, r, GH_RUN_DONE);
+		if (cw->w.now > worker->lease_until)
+			worker->n_runs = 0;
+	}
+}
+
+static void play(crash_world_t *cw, int64_t ms)
+{
+	gh_time_t end = cw->w.now + ms * MS;
+
+	while (cw->w.now < end)
+		play_step(cw);
+}
+
+/* Plays for ms, with a new job of innocent tasks every 300 ms. */
+static void play_beside_jobs(crash_world_t *cw, int64_t ms)
+{
+	gh_step_t step = one_task;
+	char id[GH_JOB_ID_MAX + 1];
+
+	step.tasks = 6;
+	for (; ms > 0; ms -= 300) {
+		g_snprintf(id, sizeof(id), "100000000000%04u",
+			   cw->innocent_jobs++);
+		add_job(&cw->w, id, 1, &step, NULL);
+		play(cw, 300);
+	}
+}
+
+static uint32_t count_innocents_open(const crash_world_t *cw)
+{
+	char id[GH_JOB_ID_MAX + 1];
+	uint32_t open = 0;
+	uint32_t i;
+
+	for (i = 0; i < cw->innocent_jobs; i++) {
+		g_snprintf(id, sizeof(id), "100000000000%04u", i);
+		open += gh_fleet_has_job(cw->w.fleet, id) ||
+			strstr(cw->w.failed->str, id);
+	}
+	return open;
+}
+
+/* A deadly task and what happens beside it. */
+typedef struct deadly_case {
+	const char *name;
+	uint32_t jobs;	/* deadly jobs; 0: one */
+	uint32_t tasks; /* deadly tasks in each; 0: one */
+	uint32_t workers;
+	bool innocents; /* other jobs run all the while */
+	bool gang, speculative, long_running, unanswered;
+	comeback_t comeback;
+	int64_t down_ms;
+	int64_t crash_after_ms;
+	uint32_t occurrences;
+	/* The owner is replaced again and again, this long after the last
+	 * time; 0: never. */
+	int64_t owner_ms;
+	uint32_t starts; /* max starts of a deadly task */
+} deadly_case_t;
+
+static const deadly_case_t deadly_cases[] = {
+	{ .name = "alone", .workers = 8, .starts = 3 },
+	{ .name = "back under the same id",
+	  .workers = 8,
+	  .comeback = BACK_SAME_ID,
+	  .starts = 3 },
+	{ .name = "back elsewhere",
+	  .workers = 8,
+	  .comeback = BACK_ELSEWHERE,
+	  .starts = 3 },
+	{ .name = "back after the lease",
+	  .workers = 8,
+	  .down_ms = 8000,
+	  .starts = 3 },
+	{ .name = "no reply to the start",
+	  .workers = 8,
+	  .unanswered = true,
+	  .starts = 3 },
+	{ .name = "no reply, same id",
+	  .workers = 8,
+	  .unanswered = true,
+	  .comeback = BACK_SAME_ID,
+	  .starts = 3 },
+	{ .name = "beside others",
+	  .workers = 8,
+	  .innocents = true,
+	  .starts = 3 },
+	{ .name = "beside others, same id",
+	  .workers = 8,
+	  .innocents = true,
+	  .comeback = BACK_SAME_ID,
+	  .starts = 3 },
+	{ .name = "two of a job beside others",
+	  .workers = 12,
+	  .tasks = 2,
+	  .innocents = true,
+	  .starts = STARTS_MAX },
+	{ .name = "two jobs beside others",
+	  .workers = 12,
+	  .jobs = 2,
+	  .innocents = true,
+	  .starts = STARTS_MAX },
+	{ .name = "two workers only",
+	  .workers = 2,
+	  .innocents = true,
+	  .starts = STARTS_MAX },
+	{ .name = "a gang of three",
+	  .workers = 12,
+	  .tasks = 3,
+	  .gang = true,
+	  .innocents = true,
+	  .starts = STARTS_MAX },
+	{ .name = "copies", .workers = 8, .speculative = true, .starts = 3 },
+	{ .name = "copies beside others",
+	  .workers = 12,
+	  .speculative = true,
+	  .innocents = true,
+	  .starts = STARTS_MAX },
+	{ .name = "long-running",
+	  .workers = 8,
+	  .long_running = true,
+	  .innocents = true,
+	  .starts = 3 },
+	{ .name = "occurrences",
+	  .workers = 12,
+	  .occurrences = 3,
+	  .innocents = true,
+	  .starts = STARTS_MAX },
+	{ .name = "crashes after some time",
+	  .workers = 8,
+	  .crash_after_ms = 4000,
+	  .starts = STARTS_MAX },
+	{ .name = "crashes after some time beside others",
+	  .workers = 8,
+	  .crash_after_ms = 4000,
+	  .innocents = true,
+	  .starts = STARTS_MAX },
+	{ .name = "owner replaced",
+	  .workers = 8,
+	  .owner_ms = 9000,
+	  .starts = STARTS_MAX },
+};
+
+static void add_deadly_jobs(crash_world_t *cw, const deadly_case_t *c)
+{
+	gh_step_t step = one_task;
+	char id[GH_JOB_ID_MAX + 1];
+	gh_pipeline_t *job;
+	uint32_t i;
+
+	step.tasks = MAX(c->tasks, 1);
+	step.gang = c->gang;
+	step.speculative = c->speculative;
+	step.long_running = c->long_running;
+	for (i = 0; i < MAX(c->jobs, 1); i++) {
+		g_snprintf(id, sizeof(id), DEADLY_JOB "%u", i);
+		job = make_job(id, 1, &step);
+		job->accepted_ms = cw->w.wall_ms;
+		if (c->occurrences) {
+			job->first_due_ms = cw->w.wall_ms;
+			job->interval_ms = 500;
+			job->occurrences = c->occurrences;
+		}
+		assert_true(gh_fleet_job_add(cw->w.fleet, job, NULL, NULL));
+	}
+}
+
+/* Hands the only job over to the next owner, with its committed progress. */
+static void change_owner(crash_world_t *cw)
+{
+	char *progress = g_strdup(cw->w.progress);
+	size_t i;
+
+	replace_owner(&cw->w);
+	for (i = 0; i < cw->w.n_workers; i++)
+		if (!cw->w.workers[i].unreachable)
+			list_worker(&cw->w, &cw->w.workers[i], false);
+	add_job(&cw->w, DEADLY_JOB "0", 1, &one_task, progress);
+	g_free(progress);
+}
+
+/* Plays the case; whether all went as it should. */
+static bool play_deadly_case(const deadly_case_t *c)
+{
+	int64_t ms = c->owner_ms ? c->owner_ms : 6000;
+	char id[GH_JOB_ID_MAX + 1];
+	uint32_t failed = 0, open;
+	crash_world_t cw;
+	uint32_t i;
+	bool ok;
+
+	crash_world_init(&cw, c->workers);
+	cw.comeback = c->comeback;
+	cw.deadly_start_unanswered = c->unanswered;
+	if (c->down_ms)
+		cw.down_ms = c->down_ms;
+	if (c->crash_after_ms)
+		cw.crash_after_ms = c->crash_after_ms;
+	if (c->innocents)
+		play_beside_jobs(&cw, 1200);
+	add_deadly_jobs(&cw, c);
+	for (i = 0; i < 10; i++) {
+		if (c->innocents)
+			play_beside_jobs(&cw, ms);
+		else
+			play(&cw, ms);
+		if (c->owner_ms && cw.w.phase < GH_JOB_COMPLETED)
+			change_owner(&cw);
+	}
+	play(&cw, 6000);
+	for (i = 0; i < MAX(c->jobs, 1); i++) {
+		g_snprintf(id, sizeof(id), DEADLY_JOB "%u", i);
+		failed += strstr(cw.w.failed->str, id) != NULL;
+	}
+	open = count_innocents_open(&cw);
+	ok = cw.max_starts <= c->starts && failed == MAX(c->jobs, 1) && !open;
+	print_message("%s: %u starts, %u given up, %u innocent not done%s\n",
+		      c->name, cw.max_starts, failed, open, ok ? "" : " (!)");
+	crash_world_clear(&cw);
+	return ok;
+}
+
+static void test_deadly_task_is_given_up(void **state)
+{
+	size_t i, wrong = 0;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(deadly_cases); i++)
+		wrong += !play_deadly_case(&deadly_cases[i]);
+	assert_int_equal(wrong, 0);
+}
+
+/* What happens, some times, to a worker that runs an innocent task. */
+typedef struct innocent_case {
+	const char *name;
+	int times;
+	int64_t after_ms; /* how long after the start of the task */
+	uint32_t workers;
+	bool crash;	 /* the worker crashes */
+	bool all;	 /* and so do all others */
+	bool drains;	 /* it drains and leaves with the task's run */
+	bool stays_away; /* no worker with its id comes back */
+	comeback_t comeback;
+	int64_t silent_ms; /* it is cut off for this long, and works on */
+} innocent_case_t;
+
+static const innocent_case_t innocent_cases[] = {
+	{ .name = "cut off, lease kept",
+	  .workers = 2,
+	  .times = 8,
+	  .silent_ms = 2000 },
+	{ .name = "cut off, lease lapsed",
+	  .workers = 1,
+	  .times = 8,
+	  .silent_ms = 7000 },
+	{ .name = "cut off late, lease lapsed",
+	  .workers = 2,
+	  .times = 8,
+	  .after_ms = 2000,
+	  .silent_ms = 7000 },
+	{ .name = "drains", .workers = 8, .times = 8, .drains = true },
+	{ .name = "one crash at the start, same id",
+	  .workers = 2,
+	  .times = 2,
+	  .crash = true,
+	  .comeback = BACK_SAME_ID },
+	{ .name = "all workers crash",
+	  .workers = 8,
+	  .times = 4,
+	  .crash = true,
+	  .all = true,
+	  .comeback = BACK_SAME_ID },
+	{ .name = "all workers crash, new ids",
+	  .workers = 8,
+	  .times = 4,
+	  .crash = true,
+	  .all = true },
+	{ .name = "crashes late",
+	  .workers = 8,
+	  .times = 4,
+	  .after_ms = 3000,
+	  .crash = true },
+};
+
+/* Worker on which the innocent task starts next. */
+static size_t wait_for_start(crash_world_t *cw)
+{
+	size_t i;
+	int n;
+
+	for (n = 0; n < 2000; n++) {
+		for (i = 0; i < cw->w.n_workers; i++)
+			if (!cw->w.workers[i].unreachable &&
+			    cw->w.workers[i].n_runs)
+				return i;
+		play_step(cw);
+	}
+	fail_msg("the task did not start");
+	return 0;
+}
+
+static void strike(crash_world_t *cw, const innocent_case_t *c, size_t i)
+{
+	scripted_worker_t *worker = &cw->w.workers[i];
+	size_t other;
+
+	if (c->crash)
+		for (other = 0; other < cw->w.n_workers; other++)
+			if (c->all || other == i)
+				crash_worker(cw, other);
+	if (c->silent_ms) {
+		worker->unreachable = true;
+		play(cw, c->silent_ms);
+		worker->unreachable = false;
+	}
+	if (c->drains) {
+		list_worker(&cw->w, worker, true);
+		play(cw, 300);
+		worker->unreachable = true;
+		worker->n_runs = 0;
+		gh_fleet_worker_unlist(cw->w.fleet, worker->id);
+		cw->back_at[i] = cw->w.now + 3000 * MS;
+		play(cw, 200);
+	}
+	play(cw, 100);
+}
+
+static void test_innocent_task_is_not_given_up(void **state)
+{
+	size_t i;
+	int n;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(innocent_cases); i++) {
+		const innocent_case_t *c = &innocent_cases[i];
+		crash_world_t cw;
+
+		print_message("%s\n", c->name);
+		crash_world_init(&cw, c->workers);
+		cw.comeback = c->comeback;
+		add_job(&cw.w, LONG_RUNNING_JOB_ID, 1, &one_task, NULL);
+		for (n = 0; n < c->times; n++) {
+			size_t worker = wait_for_start(&cw);
+
+			play(&cw, c->after_ms);
+			strike(&cw, c, worker);
+		}
+		wait_for_start(&cw);
+		assert_string_equal(cw.w.failed->str, "");
+		crash_world_clear(&cw);
+	}
+}
+
+/* Workers crash all the time and no task is at fault. */
+static void test_crashes_without_deadly_task(void **state)
+{
+	crash_world_t cw;
+	uint32_t random = 1;
+	uint32_t i;
+
+	(void)state;
+	crash_world_init(&cw, 12);
+	for (i = 0; i < 30; i++) {
+		size_t worker;
+
+		random = random * 1664525 + 1013904223;
+		worker = (random >> 16) % cw.w.n_workers;
+		if (!cw.w.workers[worker].unreachable)
+			crash_worker(&cw, worker);
+		play_beside_jobs(&cw, 900);
+	}
+	play(&cw, 6000);
+	assert_string_equal(cw.w.failed->str, "");
+	assert_int_equal(count_innocents_open(&cw), 0);
+	crash_world_clear(&cw);
+}
+
+int main(void)
+{
+	static const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_deadly_task_is_given_up),
+		cmocka_unit_test(test_innocent_task_is_not_given_up),
+		cmocka_unit_test(test_crashes_without_deadly_task),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
