--- a/core_fleet.c
+++ b/core_fleet.c
@@ -73,6 +73,8 @@
 	fleet->queues =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	fleet->changes = g_queue_new();
+	fleet->outages = g_array_new(FALSE, FALSE, sizeof(gh_time_t));
+	fleet->doubts = g_array_new(FALSE, FALSE, sizeof(fleet_doubt_t));
 	fleet->interference = gh_interference_new();
 	fleet->load_periods = gh_load_periods_new();
 	fleet->interference_decayed_at = now;
@@ -103,6 +105,8 @@
 	g_hash_table_destroy(fleet->job_by_id);
 	g_hash_table_destroy(fleet->queues);
 	g_queue_free(fleet->changes);
+	g_array_free(fleet->outages, TRUE);
+	g_array_free(fleet->doubts, TRUE);
 	gh_interference_free(fleet->interference);
 	gh_load_periods_free(fleet->load_periods);
 	g_free(fleet);
@@ -130,6 +134,7 @@
 		.entry = *entry,
 		.in_use = true,
 		.first_run = GH_NONE,
+		.suspect_run = GH_NONE,
 		.pending_acks = g_queue_new(),
 		.run_time_ratio = 1,
 	};
@@ -213,6 +218,9 @@
 	if (handles->len)
 		fleet_emit_event(fleet, "worker_lost", NULL, 0, handle,
 				 "restarted");
+	if (handles->len && !fleet_worker(fleet, handle)->unreachable_since)
+		fleet_crash_note_outage(fleet, now);
+	fleet_crash_mark_runs(fleet, handle, false, now);
 	for (i = 0; i < handles->len; i++) {
 		fleet_run_t *run;
 
@@ -425,6 +433,7 @@
 	link_run(fleet, handle);
 	account_resources(fleet, run, true);
 	if (state == RUN_PLANNED) {
+		fleet_crash_handle_start(fleet, handle);
 		fleet_worker(fleet, worker)->last_placed_at = now;
 		if (parent->phase == GH_JOB_QUEUED)
 			parent->phase = GH_JOB_RUNNING;
@@ -447,6 +456,7 @@
 	fleet_emit_event(fleet, "run_ended", &id, run.run_number, run.worker,
 			 outcome_names[outcome]);
 	account_resources(fleet, &run, false);
+	fleet_crash_handle_end(fleet, handle);
 	unlink_run(fleet, handle);
 	fleet_run(fleet, handle)->state = RUN_FREE;
 	g_array_append_val(fleet->free_runs, handle);
@@ -469,6 +479,13 @@
 	fleet_job_mark_changed(fleet, run.job);
 	if (task->done)
 		return;
+	if (outcome == GH_RUN_LOST) {
+		fleet_crash_count(fleet, &run, now);
+		if (job->phase > GH_JOB_RUNNING)
+			return;
+	} else if (outcome == GH_RUN_FAILED) {
+		task->start_crashes = 0;
+	}
 	if (outcome == GH_RUN_DONE && !step->long_running)
 		complete_task(fleet, run.job, run.task, now);
 	else if (step->gang)
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -206,6 +206,7 @@
 		if (!worker->in_use || now <= worker->latest_lease_end ||
 		    !has_run_beyond_plan(fleet, worker))
 			continue;
+		fleet_crash_mark_runs(fleet, i, true, now);
 		fleet_worker_end_runs(fleet, i, "its lease ran out", now);
 		fleet_worker_free_if_unused(fleet, i);
 	}
@@ -401,6 +402,10 @@
 		    now < task->not_before)
 			continue;
 		worker = choose_worker(fleet, job, i, GH_NONE, now);
+		if (worker == GH_NONE && fleet_crash_needs_care(task)) {
+			fleet->counts.pending_tasks++;
+			continue;
+		}
 		if (worker == GH_NONE) {
 			fleet->counts.pending_tasks += first + step->tasks - i;
 			if (step->long_running)
@@ -515,7 +520,8 @@
 		int64_t cost;
 
 		if (i == excluded_worker || !worker->in_use ||
-		    find_obstacle(fleet, job, stage, i, now) != OBSTACLE_NONE)
+		    find_obstacle(fleet, job, stage, i, now) != OBSTACLE_NONE ||
+		    !fleet_crash_admits(fleet, i, &job->tasks[task], now))
 			continue;
 		cost = placement_cost(fleet, worker, step, rack, image);
 		if (step->best_effort) {
@@ -531,12 +537,16 @@
 		}
 		if (i == job->tasks[task].avoid_worker)
 			cost += COST_AVOIDED_WORKER;
+		cost += fleet_crash_cost(fleet, i, &job->tasks[task], now);
 		if (cost < best_cost) {
 			best_cost = cost;
 			best = i;
 			best_share = candidate_share;
 		}
 	}
+	if (best != GH_NONE && fleet_crash_needs_care(&job->tasks[task]) &&
+	    !fleet_crash_claim(fleet, best, &job->tasks[task], now))
+		return GH_NONE;
 	if (step->best_effort && best != GH_NONE)
 		job->starved = best_share > BEST_EFFORT_SHARE_MAX;
 	return best;
@@ -722,7 +732,8 @@
 		job = fleet_job(fleet, run->job);
 		if (!fleet_task_step(job, run->task)->speculative ||
 		    job->phase > GH_JOB_RUNNING || job->tasks[run->task].done ||
-		    job->tasks[run->task].runs[1] != GH_NONE)
+		    job->tasks[run->task].runs[1] != GH_NONE ||
+		    job->tasks[run->task].start_crashes)
 			continue;
 		stage = fleet_task_stage(job, run->task);
 		expected_ms = stage->n_run_times ?
--- a/core_fleet_record.c
+++ b/core_fleet_record.c
@@ -4,9 +4,11 @@
  * record is committed.
  *
  *   progress1
- *   INDEX done|open FAILURES LAST-RUN CHECKPOINT [RUN@WORKER ...]
+ *   INDEX done|open FAILURES LAST-RUN CHECKPOINT [CRASHES] [RUN@WORKER ...]
  *
- * One line for each task that was ever started, with its open runs.  A job
+ * One line for each task that was ever started, with its open runs.  CRASHES is
+ * crashes:N:S, the numbers of the task's crashes and of those at a start; it is
+ * absent if there were none.  A job
  * with a record that can't be parsed is held: none of its tasks is started, and
  * its record is not replaced.  The
  * name of the checkpoint is percent-encoded as in a URI; "-" stands for none.
@@ -20,6 +22,7 @@
 
 #define FORMAT_TAG "progress1"
 #define NO_CHECKPOINT "-"
+#define CRASHES_PREFIX "crashes:"
 
 /* An open run in a task's line, RUN@WORKER. */
 typedef struct run_field {
@@ -32,6 +35,7 @@
 	uint32_t index;
 	bool done;
 	uint16_t failures;
+	uint16_t crashes, start_crashes;
 	uint32_t last_run;
 	char *checkpoint;
 	run_field_t runs[GH_TASK_RUNS_MAX];
@@ -44,6 +48,7 @@
 			   GArray *tasks);
 static bool parse_task(const fleet_job_t *job, const char *line,
 		       task_line_t *parsed);
+static bool parse_crashes(const char *numbers, task_line_t *parsed);
 static bool parse_run(const char *field, task_line_t *parsed);
 static bool parse_number(const char *text, uint64_t min, uint64_t max,
 			 uint64_t *number);
@@ -239,6 +244,9 @@
 			       task->done ? "done" : "open", task->failures,
 			       task->last_run,
 			       escaped ? escaped : NO_CHECKPOINT);
+	if (task->crashes)
+		g_string_append_printf(text, " " CRASHES_PREFIX "%u:%u",
+				       task->crashes, task->start_crashes);
 	for (i = 0; i < GH_TASK_RUNS_MAX; i++) {
 		const fleet_run_t *run;
 
@@ -263,11 +271,14 @@
 	char **fields = g_strsplit(line, " ", -1);
 	guint n = g_strv_length(fields);
 	uint64_t index, failures, last_run;
+	guint first_run = 5;
 	bool ok;
 	guint i;
 
 	*parsed = (task_line_t){ 0 };
-	ok = n >= 5 && n <= 5 + GH_TASK_RUNS_MAX && job->n_tasks &&
+	if (n > 5 && g_str_has_prefix(fields[5], CRASHES_PREFIX))
+		first_run++;
+	ok = n >= 5 && n <= first_run + GH_TASK_RUNS_MAX && job->n_tasks &&
 	     parse_number(fields[0], 0, job->n_tasks - 1, &index) &&
 	     (!strcmp(fields[1], "done") || !strcmp(fields[1], "open")) &&
 	     parse_number(fields[2], 0, UINT16_MAX, &failures) &&
@@ -283,12 +294,30 @@
 			ok = parsed->checkpoint;
 		}
 	}
-	for (i = 5; ok && i < n; i++)
+	if (ok && first_run > 5)
+		ok = parse_crashes(fields[5] + strlen(CRASHES_PREFIX), parsed);
+	for (i = first_run; ok && i < n; i++)
 		ok = parse_run(fields[i], parsed);
 	g_strfreev(fields);
 	return ok;
 }
 
+static bool parse_crashes(const char *numbers, task_line_t *parsed)
+{
+	char **fields = g_strsplit(numbers, ":", -1);
+	uint64_t crashes, start_crashes;
+	bool ok = g_strv_length(fields) == 2 &&
+		  parse_number(fields[0], 1, UINT16_MAX, &crashes) &&
+		  parse_number(fields[1], 0, crashes, &start_crashes);
+
+	if (ok) {
+		parsed->crashes = (uint16_t)crashes;
+		parsed->start_crashes = (uint16_t)start_crashes;
+	}
+	g_strfreev(fields);
+	return ok;
+}
+
 static bool parse_run(const char *field, task_line_t *parsed)
 {
 	const char *separator = strchr(field, '@');
@@ -325,6 +354,8 @@
 
 	task->done = line->done;
 	task->failures = line->failures;
+	task->crashes = line->crashes;
+	task->start_crashes = line->start_crashes;
 	task->last_run = line->last_run;
 	task->checkpoint = g_steal_pointer(&line->checkpoint);
 	job->phase = job->committed_phase = GH_JOB_RUNNING;
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -87,9 +87,12 @@
 	if (worker->unreachable_since || !worker->has_reported)
 		fleet_emit_event(fleet, "worker_heard", NULL, 0, handle, NULL);
 	worker->renewal_pending = false;
+	if (!worker->has_reported)
+		worker->heard_since = now;
 	worker->has_reported = true;
 	worker->unreachable_since = 0;
 	worker->last_report_at = now;
+	fleet_crash_take_back(fleet, handle);
 	fleet->report_number++;
 	worker->has_unknown_run = false;
 	worker->first_listed_end = report->n_ends ? report->ends[0].number : 0;
@@ -135,11 +138,14 @@
 	}
 	if (!worker->unreachable_since) {
 		worker->unreachable_since = now;
+		if (worker->n_runs && worker->has_reported)
+			fleet_crash_note_outage(fleet, now);
 		fleet_emit_event(fleet, "worker_unheard", NULL, 0, handle,
 				 NULL);
 	}
 	if (why == GH_ORDER_OTHER_INCARNATION) {
 		worker->renewal_not_before = now + RENEWAL_RETRY_RESTARTED_USEC;
+		fleet_crash_mark_runs(fleet, handle, false, now);
 		fleet_worker_end_runs(fleet, handle,
 				      "another incarnation replied", now);
 	}
@@ -168,8 +174,12 @@
 	if (reply == GH_ORDER_OTHER_INCARNATION) {
 		/*
 		 * The order may have been sent before the worker restarted, so
-		 * the reply is evidence for this run only.
+		 * the reply is evidence for this run only.  A start that it
+		 * answers at once was not executed.
 		 */
+		run = fleet_run(fleet, ref);
+		if (run->state != RUN_STARTING || run->start_unanswered)
+			fleet_crash_mark_runs(fleet, worker, false, now);
 		fleet_run_end(fleet, ref, GH_RUN_LOST, NULL, now);
 		return;
 	}
@@ -207,6 +217,8 @@
 		 */
 		run->state = RUN_RUNNING;
 		run->replied_at = now;
+		if (reply == GH_ORDER_OK)
+			run->alive_since = now;
 		run->pace_effective_at = now;
 		fleet->counts.started++;
 		return;
@@ -363,6 +375,7 @@
 		run->progress_at = now;
 	}
 	run->gauge = listed->gauge;
+	fleet_crash_clear(fleet, ref, now);
 	task = &fleet_job(fleet, job)->tasks[run->task];
 	if (task->done) {
 		/*
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -33,6 +33,14 @@
 	RUN_ORPHAN
 } run_state_t;
 
+/* What the loss of a run's worker tells of the run's task. */
+typedef enum run_crash {
+	CRASH_NONE,
+	CRASH_LATER,	/* the run had settled */
+	CRASH_AT_START, /* as had not this one, nor others on the worker */
+	CRASH_ALONE	/* the only run on the worker that had not settled */
+} run_crash_t;
+
 typedef struct fleet_run {
 	run_state_t state;
 	/* Job and worker: handles; task: index in its job. */
@@ -83,6 +91,12 @@
 	 * Since when the run's tail latency exceeds its bound; 0: it does not.
 	 */
 	gh_time_t over_bound_since;
+	/* When the worker's first reply or report showed the run alive, and
+	 * time of the last report that lists it; 0: none yet. */
+	gh_time_t alive_since, listed_at;
+	run_crash_t crash;
+	bool crash_silent; /* the worker's lease ran out; no restart was seen */
+	bool suspect;	   /* counted in the worker's n_suspects */
 	/* gh_fleet.report_number of the last report that lists the run. */
 	uint32_t last_report;
 	/* Handles: neighbours in the list of the worker's runs. */
@@ -99,6 +113,11 @@
 	 * slow; or GH_NONE.
 	 */
 	uint32_t avoid_worker;
+	/* Runs that were lost with their workers, and those lost so at their
+	 * start; see core_fleet_crash.c. */
+	uint16_t crashes, start_crashes;
+	/* Since when the task waits for a worker of its own; 0: it does not. */
+	gh_time_t care_since;
 	/* no run of the task is started before this time */
 	gh_time_t not_before;
 	/* name of the task's latest checkpoint; NULL: none */
@@ -192,6 +211,7 @@
 	bool in_use;	   /* the array entry is used */
 	bool listed;	   /* service discovery lists the worker */
 	bool has_reported; /* this incarnation has sent this owner a report */
+	gh_time_t heard_since; /* time of its first report */
 	/* When the worker's last restart became known; 0: none. */
 	gh_time_t restart_known_at;
 	/*
@@ -238,6 +258,15 @@
 	uint32_t fail_streak;
 	uint32_t quarantines_in_row;
 	gh_time_t quarantined_until;
+	/* Number of open runs of suspect tasks that have not settled. */
+	uint32_t n_suspects;
+	/* Handle of the run beside which no other starts until it has settled,
+	 * or GH_NONE. */
+	uint32_t suspect_run;
+	/* The worker is kept for this task until kept_until; compared by
+	 * address only. */
+	const void *kept_for;
+	gh_time_t kept_until;
 	/* when the last run on the worker was planned */
 	gh_time_t last_placed_at;
 	/* Declared cores of the open best-effort runs. */
@@ -277,6 +306,15 @@
 	gh_task_id_t task;
 } queued_order_t;
 
+/* A crash counted for a worker that may be alive all the same. */
+typedef struct fleet_doubt {
+	char worker[GH_WORKER_ID_MAX + 1];
+	int64_t incarnation_start_ms;
+	gh_time_t counted_at;
+	gh_task_id_t task;
+	bool at_start;
+} fleet_doubt_t;
+
 struct gh_fleet {
 	gh_fleet_setup_t setup;
 	gh_fleet_sink_t sink;
@@ -293,6 +331,9 @@
 	GQueue *orders;
 	/* The last order taken from the queue, for the strings in it. */
 	queued_order_t last_order;
+	/* When workers with runs became unreachable or restarted: gh_time_t. */
+	GArray *outages;
+	GArray *doubts; /* fleet_doubt_t, by counted_at */
 	gh_interference_t *interference;
 	gh_load_periods_t *load_periods; /* shared by all load forecasts */
 	gh_time_t created_at;
@@ -420,6 +461,40 @@
  */
 bool fleet_health_is_usable(const fleet_worker_t *worker, gh_time_t now);
 
+/* Notes that a worker with runs became unreachable or has restarted. */
+void fleet_crash_note_outage(gh_fleet_t *fleet, gh_time_t now);
+/*
+ * Marks the runs of a worker that has crashed, so that their ends as lost count
+ * as crashes of their tasks.  silent: the worker's lease ran out, which is no
+ * proof.
+ */
+void fleet_crash_mark_runs(gh_fleet_t *fleet, uint32_t handle, bool silent,
+			   gh_time_t now);
+/* Counts a marked run, lost with its worker; may end the job as failed. */
+void fleet_crash_count(gh_fleet_t *fleet, const fleet_run_t *run,
+		       gh_time_t now);
+/* Takes note that a report lists the run: its worker has survived it so far. */
+void fleet_crash_clear(gh_fleet_t *fleet, uint32_t ref, gh_time_t now);
+/* Takes back the crashes counted for a worker that was only unreachable. */
+void fleet_crash_take_back(gh_fleet_t *fleet, uint32_t handle);
+/* Whether the task starts only where nothing else starts. */
+bool fleet_crash_needs_care(const fleet_task_t *task);
+/* Whether the task may start on the worker beside suspect tasks. */
+bool fleet_crash_admits(const gh_fleet_t *fleet, uint32_t handle,
+			const fleet_task_t *task, gh_time_t now);
+/* Cost of the worker for the task on account of suspects. */
+int64_t fleet_crash_cost(const gh_fleet_t *fleet, uint32_t handle,
+			 const fleet_task_t *task, gh_time_t now);
+/*
+ * Whether a task that needs care may start on the worker now; else the worker
+ * is kept for it for a while.
+ */
+bool fleet_crash_claim(gh_fleet_t *fleet, uint32_t handle, fleet_task_t *task,
+		       gh_time_t now);
+/* Updates the worker's suspects when a run is planned and when it ends. */
+void fleet_crash_handle_start(gh_fleet_t *fleet, uint32_t ref);
+void fleet_crash_handle_end(gh_fleet_t *fleet, uint32_t ref);
+
 /* Id, in the interference model, of the image that the run executes. */
 uint16_t fleet_run_image_id(const gh_fleet_t *fleet, const fleet_run_t *run);
 /* Sets the paces of the worker's best-effort runs. */
--- a/regress/test_core_fleet_crash.c
+++ b/regress/test_core_fleet_crash.c
@@ -164,6 +164,7 @@
 		g_snprintf(id, sizeof(id), "100000000000%04u",
 			   cw->innocent_jobs++);
 		add_job(&cw->w, id, 1, &step, NULL);
+		cw->w.n_orders = 0;
 		play(cw, 300);
 	}
 }
@@ -185,19 +186,19 @@
 /* A deadly task and what happens beside it. */
 typedef struct deadly_case {
 	const char *name;
-	uint32_t jobs;	/* deadly jobs; 0: one */
-	uint32_t tasks; /* deadly tasks in each; 0: one */
-	uint32_t workers;
-	bool innocents; /* other jobs run all the while */
-	bool gang, speculative, long_running, unanswered;
-	comeback_t comeback;
 	int64_t down_ms;
 	int64_t crash_after_ms;
-	uint32_t occurrences;
 	/* The owner is replaced again and again, this long after the last
 	 * time; 0: never. */
 	int64_t owner_ms;
+	uint32_t jobs;	/* deadly jobs; 0: one */
+	uint32_t tasks; /* deadly tasks in each; 0: one */
+	uint32_t workers;
+	uint32_t occurrences;
 	uint32_t starts; /* max starts of a deadly task */
+	comeback_t comeback;
+	bool innocents; /* other jobs run all the while */
+	bool gang, speculative, long_running, unanswered;
 } deadly_case_t;
 
 static const deadly_case_t deadly_cases[] = {
@@ -375,15 +376,14 @@
 /* What happens, some times, to a worker that runs an innocent task. */
 typedef struct innocent_case {
 	const char *name;
+	int64_t after_ms;  /* how long after the start of the task */
+	int64_t silent_ms; /* it is cut off for this long, and works on */
 	int times;
-	int64_t after_ms; /* how long after the start of the task */
 	uint32_t workers;
-	bool crash;	 /* the worker crashes */
-	bool all;	 /* and so do all others */
-	bool drains;	 /* it drains and leaves with the task's run */
-	bool stays_away; /* no worker with its id comes back */
 	comeback_t comeback;
-	int64_t silent_ms; /* it is cut off for this long, and works on */
+	bool crash;  /* the worker crashes */
+	bool all;    /* and so do all others */
+	bool drains; /* it drains and leaves with the task's run */
 } innocent_case_t;
 
 static const innocent_case_t innocent_cases[] = {
@@ -409,12 +409,14 @@
 	{ .name = "all workers crash",
 	  .workers = 8,
 	  .times = 4,
+	  .after_ms = 100,
 	  .crash = true,
 	  .all = true,
 	  .comeback = BACK_SAME_ID },
 	{ .name = "all workers crash, new ids",
 	  .workers = 8,
 	  .times = 4,
+	  .after_ms = 100,
 	  .crash = true,
 	  .all = true },
 	{ .name = "crashes late",
@@ -475,12 +477,15 @@
 	(void)state;
 	for (i = 0; i < G_N_ELEMENTS(innocent_cases); i++) {
 		const innocent_case_t *c = &innocent_cases[i];
+		gh_step_t step = one_task;
 		crash_world_t cw;
 
 		print_message("%s\n", c->name);
 		crash_world_init(&cw, c->workers);
 		cw.comeback = c->comeback;
-		add_job(&cw.w, LONG_RUNNING_JOB_ID, 1, &one_task, NULL);
+		step.tasks = c->all ? c->workers : 1;
+		step.max_per_worker = 1;
+		add_job(&cw.w, LONG_RUNNING_JOB_ID, 1, &step, NULL);
 		for (n = 0; n < c->times; n++) {
 			size_t worker = wait_for_start(&cw);
 
@@ -493,28 +498,54 @@
 	}
 }
 
-/* Workers crash all the time and no task is at fault. */
+/* Workers that crash all the time, and no task is at fault. */
+typedef struct crashes_case {
+	const char *name;
+	int64_t period_ms;
+	uint32_t at_once;
+	comeback_t comeback;
+} crashes_case_t;
+
+static const crashes_case_t crashes_cases[] = {
+	{ .name = "one", .at_once = 1, .period_ms = 900 },
+	{ .name = "one, same id",
+	  .at_once = 1,
+	  .period_ms = 900,
+	  .comeback = BACK_SAME_ID },
+	{ .name = "a third", .at_once = 4, .period_ms = 3600 },
+	{ .name = "all", .at_once = 12, .period_ms = 6000 },
+};
+
 static void test_crashes_without_deadly_task(void **state)
 {
-	crash_world_t cw;
-	uint32_t random = 1;
-	uint32_t i;
+	size_t i;
 
 	(void)state;
-	crash_world_init(&cw, 12);
-	for (i = 0; i < 30; i++) {
-		size_t worker;
-
-		random = random * 1664525 + 1013904223;
-		worker = (random >> 16) % cw.w.n_workers;
-		if (!cw.w.workers[worker].unreachable)
-			crash_worker(&cw, worker);
-		play_beside_jobs(&cw, 900);
+	for (i = 0; i < G_N_ELEMENTS(crashes_cases); i++) {
+		const crashes_case_t *c = &crashes_cases[i];
+		crash_world_t cw;
+		uint32_t random = 1;
+		int64_t ms;
+		uint32_t j;
+
+		print_message("%s\n", c->name);
+		crash_world_init(&cw, 12);
+		cw.comeback = c->comeback;
+		for (ms = 0; ms < 36000; ms += c->period_ms) {
+			random = random * 1664525 + 1013904223;
+			for (j = 0; j < c->at_once; j++) {
+				size_t worker = ((random >> 16) + j) % 12;
+
+				if (!cw.w.workers[worker].unreachable)
+					crash_worker(&cw, worker);
+			}
+			play_beside_jobs(&cw, c->period_ms);
+		}
+		play(&cw, 6000);
+		assert_string_equal(cw.w.failed->str, "");
+		assert_int_equal(count_innocents_open(&cw), 0);
+		crash_world_clear(&cw);
 	}
-	play(&cw, 6000);
-	assert_string_equal(cw.w.failed->str, "");
-	assert_int_equal(count_innocents_open(&cw), 0);
-	crash_world_clear(&cw);
 }
 
 int main(void)
--- a/regress/test_core_fleet_record.c
+++ b/regress/test_core_fleet_record.c
@@ -28,6 +28,9 @@
 	  .ok = true },
 	{ .progress = "progress1\n2 open 0 4 - 4@w1 3@w2\n", .ok = true },
 	{ .progress = "progress1\n0 done 65535 4294967295 -\n", .ok = true },
+	{ .progress = "progress1\n0 open 0 1 - crashes:1:0\n", .ok = true },
+	{ .progress = "progress1\n0 open 0 5 - crashes:4:2 4@w1 5@w2\n",
+	  .ok = true },
 	/* the format */
 	{ .progress = "" },
 	{ .progress = "progress2\n0 done 0 1 -\n" },
@@ -49,6 +52,15 @@
 	{ .progress = "progress1\n0 done 0 4294967296 -\n" },
 	{ .progress = "progress1\n0 done 0 0 -\n" },
 	{ .progress = "progress1\n0 done 0 1x -\n" },
+	/* crashes */
+	{ .progress = "progress1\n0 open 0 1 - crashes:\n" },
+	{ .progress = "progress1\n0 open 0 1 - crashes:1\n" },
+	{ .progress = "progress1\n0 open 0 1 - crashes:0:0\n" },
+	{ .progress = "progress1\n0 open 0 1 - crashes:1:2\n" },
+	{ .progress = "progress1\n0 open 0 1 - crashes:1:1:1\n" },
+	{ .progress = "progress1\n0 open 0 1 - crashes:65536:1\n" },
+	{ .progress = "progress1\n0 open 0 1 - 1@w1 crashes:1:1\n" },
+	{ .progress = "progress1\n0 open 0 1 - crashes:1:1 crashes:1:1\n" },
 	/* runs */
 	{ .progress = "progress1\n0 open 0 1 - 1\n" },
 	{ .progress = "progress1\n0 open 0 1 - 1@\n" },
