--- a/regress/fleet_world.h
+++ b/regress/fleet_world.h
@@ -16,9 +16,10 @@
 #define PREVIOUS_GRANTS_MS 2000
 #define STOP_MS 500
 #define STEP_USEC (10 * MS)
-#define ORDERS_MAX 256
+#define ORDERS_MAX 4096
 #define RUNS_MAX 64
 #define ENDS_MAX 64
+#define WORKERS_MAX 12
 /* The runs of this job report a tail latency. */
 #define LONG_RUNNING_JOB_ID "00000000000000aa"
 
@@ -42,9 +43,9 @@
 	gh_report_run_t over[ENDS_MAX];
 	size_t n_over;
 	gh_time_t lease_until;
-	gh_worker_entry_t entry; /* as service discovery lists the worker */
-	int64_t tail_ms; /* tail latency that runs of LONG_RUNNING_JOB_ID
-			    report; 0: not reported */
+	gh_resources_t size; /* capacity that service discovery lists */
+	int64_t tail_ms;     /* tail latency that runs of LONG_RUNNING_JOB_ID
+				report; 0: not reported */
 } scripted_worker_t;
 
 /* The steps of a job; the test keeps them. */
@@ -53,11 +54,13 @@
 	const gh_step_t *steps;
 } world_job_t;
 
-typedef struct world {
+typedef struct world world_t;
+
+struct world {
 	gh_fleet_t *fleet;
 	gh_time_t now;
 	int64_t wall_ms;
-	scripted_worker_t workers[8];
+	scripted_worker_t workers[WORKERS_MAX];
 	size_t n_workers;
 	gh_order_t orders[ORDERS_MAX]; /* all orders sent to workers since the
 					  start of the test */
@@ -72,14 +75,27 @@
 			   job */
 	gh_job_phase_t phase;
 	char *waiting; /* detail of the last task_waiting event, or NULL */
-} world_t;
+	/* ids of the jobs that ended as failed, one after the other */
+	GString *failed;
+	/* Calls to an id that no worker has any more get no reply, instead of
+	 * one by another incarnation. */
+	bool former_ids_silent;
+	/* Called when a worker has executed a start order; may be NULL. */
+	void (*on_start)(world_t *w, scripted_worker_t *worker,
+			 const gh_order_t *order);
+};
 
 void world_init(world_t *w);
 void world_clear(world_t *w);
+/* Replaces the fleet by that of the next owner, which knows nothing of before
+ * but what the caller adds. */
+void replace_owner(world_t *w);
 scripted_worker_t *add_worker(world_t *w, const char *id, uint32_t cores_milli);
 /* Changes the capacity that the worker lists. */
 void set_worker_size(world_t *w, scripted_worker_t *worker,
 		     const gh_resources_t *size);
+/* Lists the worker in service discovery. */
+void list_worker(world_t *w, const scripted_worker_t *worker, bool draining);
 scripted_worker_t *find_worker(world_t *w, const char *id);
 gh_pipeline_t *make_job(const char *id, uint32_t n_steps,
 			const gh_step_t *steps);
