--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -448,8 +448,7 @@
 		{ CTR_JOBS_HELD, offsetof(gh_fleet_counts_t, held) },
 		{ CTR_PACE_CHANGES, offsetof(gh_fleet_counts_t, paced) },
 		{ CTR_RUNS_MOVED, offsetof(gh_fleet_counts_t, moved) },
-		{ CTR_WORKERS_EXAMINED,
-		  offsetof(gh_fleet_counts_t, examined) },
+		{ CTR_WORKERS_EXAMINED, offsetof(gh_fleet_counts_t, examined) },
 	};
 	gh_fleet_counts_t counts;
 	size_t i;
