--- a/regress/fake_platform.c
+++ b/regress/fake_platform.c
@@ -30,6 +30,10 @@
  *   {"put":{"key":KEY,"text":TEXT}}
  *                         writes a key
  *   {"cores":MILLI}       size of each worker
+ *   {"capacity":{"worker":ID,"cores":MILLI}}
+ *                         size of one worker, which may run tasks
+ *   {"unguarded":true}    workers start what they can't hold; it is a violation
+ *                         if they could not hold it for GRACE_MS either
  *   {"workers":N}         adds N workers
  *   {"worker":"ID STATE"} state "ready" or "draining"; "silent" does not
  *                         respond; "dead" closes connections, and its runs no
@@ -51,6 +55,12 @@
 #define LATE_WRITE_MS 800 /* delay of a write in store mode "late" */
 #define LEASE_MAX_MS 10000 /* maximum duration of a worker's lease */
 #define STOP_MS 20
+/*
+ * A lower capacity counts this long after it was listed: contact_ms and a
+ * heartbeat.
+ */
+#define GRACE_MS 4000
+#define RUN_CORES_MILLI 1000
 
 typedef struct item {
 	char *key;
@@ -87,7 +97,10 @@
 	char id[32];
 	const char *state;
 	int64_t incarnation_start_ms; /* wall clock time */
-	int64_t fence_token;	      /* highest fence token received */
+	int64_t cores_milli;
+	int64_t former_cores_milli; /* before it last shrank */
+	int64_t shrunk_ms;	    /* when it did, boot clock */
+	int64_t fence_token;	    /* highest fence token received */
 	int64_t lease_until_ms; /* expiry by the boot clock; 0: no lease yet */
 	int64_t last_sequence;	/* sequence number of the last ended run */
 	int64_t acked_through;
@@ -117,6 +130,7 @@
 	bool keep_leases; /* leases do not expire */
 	int64_t last_lease_id;
 	int64_t worker_cores_milli;
+	bool unguarded; /* workers don't guard their capacity */
 	GPtrArray *workers;
 	GPtrArray *late_writes; /* json_t, bodies of delayed transactions */
 	GArray *late_due_ms; /* times at which late_writes are applied, int64_t,
@@ -536,6 +550,14 @@
 	return false;
 }
 
+/* Most cores that runs on the worker may need. */
+static int64_t cores_limit(const worker_t *w)
+{
+	if (fake_boot_ms() < w->shrunk_ms + GRACE_MS)
+		return MAX(w->cores_milli, w->former_cores_milli);
+	return w->cores_milli;
+}
+
 static const char *start_run(platform_t *p, worker_t *w, const json_t *body)
 {
 	const char *task = fake_json_string(body, "task_id", "");
@@ -550,15 +572,18 @@
 		return "late";
 	for (i = 0; i < w->runs->len; i++) {
 		run = w->runs->pdata[i];
-		used_cores_milli += 1000;
+		used_cores_milli += RUN_CORES_MILLI;
 		if (!strcmp(run->task, task))
 			return run->run_id == run_id ? NULL : "old";
 	}
 	if (GPOINTER_TO_INT(g_hash_table_lookup(w->last_ended_id, task)) >=
 	    run_id)
 		return "old";
-	if (used_cores_milli + 1000 > p->worker_cores_milli)
+	used_cores_milli += RUN_CORES_MILLI;
+	if (!p->unguarded && used_cores_milli > w->cores_milli)
 		return "room";
+	if (used_cores_milli > cores_limit(w))
+		record_violation(p, "started over the capacity", task);
 	if (is_running_anywhere(p, task))
 		record_violation(p, "runs twice", task);
 	if (g_hash_table_contains(p->acked_tasks, task))
@@ -767,7 +792,7 @@
 			"\"r1\"],\"born\":%" PRId64 ",\"sequence\":1}",
 			p->address,
 			strcmp(w->state, "draining") ? "ready" : "draining",
-			p->worker_cores_milli, w->incarnation_start_ms);
+			w->cores_milli, w->incarnation_start_ms);
 		put_text(p, key, text);
 		g_free(text);
 	}
@@ -789,6 +814,7 @@
 
 		g_snprintf(w->id, sizeof(w->id), "i-%d", (int)i);
 		w->state = "ready";
+		w->cores_milli = p->worker_cores_milli;
 		w->runs = g_ptr_array_new_with_free_func(free_run);
 		w->ended_runs = g_ptr_array_new_with_free_func(free_ended_run);
 		w->last_ended_id = g_hash_table_new_full(
@@ -819,6 +845,39 @@
 	return true;
 }
 
+static void set_all_cores(platform_t *p, int64_t cores_milli)
+{
+	guint i;
+
+	p->worker_cores_milli = cores_milli;
+	for (i = 0; i < p->workers->len; i++)
+		((worker_t *)p->workers->pdata[i])->cores_milli = cores_milli;
+}
+
+static bool set_capacity(platform_t *p, const json_t *value)
+{
+	worker_t *w = find_worker(p, fake_json_string(value, "worker", NULL));
+	int64_t cores_milli = fake_json_int(value, "cores", 0);
+
+	if (!w)
+		return false;
+	if (cores_milli < w->cores_milli) {
+		w->former_cores_milli = cores_limit(w);
+		w->shrunk_ms = fake_boot_ms();
+	}
+	w->cores_milli = cores_milli;
+	publish_worker(p, w);
+	return true;
+}
+
+static void put_config(platform_t *p, const json_t *value)
+{
+	char *config = json_dumps(value, JSON_COMPACT);
+
+	put_text(p, "op/config", config);
+	free(config);
+}
+
 static bool platform_set(void *self, const char *key, const json_t *value)
 {
 	static const char *const modes[] = { "up", "down", "busy", "lost",
@@ -827,7 +886,6 @@
 	const char *text = json_string_value(value);
 	bool ok = true;
 	int mode;
-	char *config;
 
 	pthread_mutex_lock(&p->lock);
 	if (!strcmp(key, "store") && text) {
@@ -853,7 +911,11 @@
 			g_strdup(fake_json_string(value, "prefix", NULL));
 		p->hold_txn_ms = fake_json_int(value, "ms", 0);
 	} else if (!strcmp(key, "cores")) {
-		p->worker_cores_milli = json_integer_value(value);
+		set_all_cores(p, json_integer_value(value));
+	} else if (!strcmp(key, "capacity")) {
+		ok = set_capacity(p, value);
+	} else if (!strcmp(key, "unguarded")) {
+		p->unguarded = json_is_true(value);
 	} else if (!strcmp(key, "workers")) {
 		add_workers(p, json_integer_value(value));
 	} else if (!strcmp(key, "worker") && text) {
@@ -862,9 +924,7 @@
 		put_text(p, fake_json_string(value, "key", ""),
 			 fake_json_string(value, "text", ""));
 	} else if (!strcmp(key, "config")) {
-		config = json_dumps(value, JSON_COMPACT);
-		put_text(p, "op/config", config);
-		free(config);
+		put_config(p, value);
 	} else {
 		ok = false;
 	}
--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -852,6 +852,74 @@
 	assert_true(waited < 6700 * 1000);
 }
 
+/* Sets the size of a worker, which then lists it. */
+static void set_capacity(fleet_system_t *sys, const char *worker, int cores)
+{
+	json_decref(
+		proc_control(sys->platform_address,
+			     "{\"capacity\":{\"worker\":\"%s\",\"cores\":%d}}",
+			     worker, cores));
+}
+
+/*
+ * A worker whose capacity shrinks below what runs there keeps its runs and gets
+ * none until it has grown; the platform records starts over the capacity.
+ */
+static void test_capacity_shrinks(void **state)
+{
+	fleet_system_t sys;
+	int64_t running;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-shrinks", 1, 2, 1);
+	json_decref(proc_control(sys.platform_address, "{\"unguarded\":true}"));
+	assert_int_equal(fleet_submit(&sys, 0, ID("01"), "60000",
+				      "[{\"count\":16,\"cpu\":1000}]"),
+			 200);
+	await_running(&sys, 16);
+	set_capacity(&sys, "i-0", 2000);
+	set_capacity(&sys, "i-1", 0);
+	assert_int_equal(fleet_submit(&sys, 0, ID("02"), "60000", LONG_RUNNING),
+			 200);
+	g_usleep(5 * G_USEC_PER_SEC);
+	running = fleet_platform_counter(&sys, "running");
+	set_capacity(&sys, "i-0", 10000);
+	await_running(&sys, 18);
+	fleet_system_stop(&sys);
+	assert_int_equal(running, 16);
+}
+
+/*
+ * Short tasks start all the time while a worker's capacity shrinks and grows,
+ * and the store refuses writes at times, so that starts are planned long before
+ * they are sent.
+ */
+static void test_capacity_swings(void **state)
+{
+	fleet_system_t sys;
+	int i;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-swings", 1, 2, 1);
+	json_decref(proc_control(sys.platform_address, "{\"unguarded\":true}"));
+	assert_int_equal(fleet_submit(&sys, 0, ID("01"), "100",
+				      "[{\"count\":1500,\"cpu\":1000}]"),
+			 200);
+	for (i = 0; i < 3; i++) {
+		json_decref(proc_control(sys.platform_address,
+					 "{\"store\":\"busy\"}"));
+		set_capacity(&sys, "i-0", 1000);
+		g_usleep(700 * 1000);
+		json_decref(proc_control(sys.platform_address,
+					 "{\"store\":\"up\"}"));
+		g_usleep(4500 * 1000);
+		set_capacity(&sys, "i-0", 8000);
+		g_usleep(500 * 1000);
+	}
+	fleet_await_state(&sys, 0, ID("01"), "completed");
+	fleet_system_stop(&sys);
+}
+
 /* test-platform [NAME] runs all tests, or those whose names match. */
 int main(int argc, char **argv)
 {
@@ -876,6 +944,8 @@
 		cmocka_unit_test(test_two_owners_lost),
 		cmocka_unit_test(test_worker_lost_before_drains),
 		cmocka_unit_test(test_record_without_state),
+		cmocka_unit_test(test_capacity_shrinks),
+		cmocka_unit_test(test_capacity_swings),
 	};
 
 	if (argc > 1)
