--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -126,6 +126,10 @@
 static int compare_candidates(gconstpointer a, gconstpointer b);
 static void place_stage(gh_fleet_t *fleet, const candidate_t *c, gh_time_t now);
 static void place_gang(gh_fleet_t *fleet, const candidate_t *c, gh_time_t now);
+static bool gang_may_fit(const gh_fleet_t *fleet, const fleet_job_t *job,
+			 uint32_t stage, gh_time_t now);
+static uint32_t count_fitting(const fleet_worker_t *worker,
+			      const gh_step_t *step);
 static uint32_t choose_worker(gh_fleet_t *fleet, fleet_job_t *job,
 			      uint32_t task, uint32_t excluded_worker,
 			      gh_time_t now);
@@ -463,6 +467,12 @@
 
 	if (stage->tasks_open || now < job->tasks[stage->first_task].not_before)
 		return;
+	if (!gang_may_fit(fleet, job, c->stage, now)) {
+		fleet->counts.pending_tasks += step->tasks;
+		job->tasks[stage->first_task].not_before =
+			now + GANG_RETRY_USEC;
+		return;
+	}
 	for (i = stage->first_task; i < stage->first_task + step->tasks; i++) {
 		number = MAX(number, job->tasks[i].last_run + 1);
 		if (job->tasks[i].checkpoint)
@@ -492,6 +502,47 @@
 	g_array_set_size(fleet->failed_placements, n_failed);
 }
 
+/*
+ * Whether the workers' free capacity suffices for the gang.  The best-effort
+ * share may still forbid it.
+ */
+static bool gang_may_fit(const gh_fleet_t *fleet, const fleet_job_t *job,
+			 uint32_t stage, gh_time_t now)
+{
+	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
+	uint64_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < fleet->workers->len && n < step->tasks; i++) {
+		const fleet_worker_t *worker = fleet_worker(fleet, i);
+
+		if (worker->in_use &&
+		    find_obstacle(fleet, job, stage, i, now) == OBSTACLE_NONE)
+			n += count_fitting(worker, step);
+	}
+	return n >= step->tasks;
+}
+
+/* How many tasks of the step fit into the worker's free capacity. */
+static uint32_t count_fitting(const fleet_worker_t *worker,
+			      const gh_step_t *step)
+{
+	const gh_resources_t *size = &worker->entry.size;
+	const gh_resources_t *reserved = &worker->reserved;
+	uint32_t n = step->max_per_worker ? step->max_per_worker : step->tasks;
+
+	if (step->size.memory_mb)
+		n = MIN(n, (size->memory_mb - reserved->memory_mb) /
+				   step->size.memory_mb);
+	if (step->size.accelerators)
+		n = MIN(n, (size->accelerators - reserved->accelerators) /
+				   step->size.accelerators);
+	if (step->size.cores_milli && !step->best_effort)
+		n = MIN(n, (size->cores_milli - reserved->cores_milli) /
+				   step->size.cores_milli);
+	return n;
+}
+
 /* Worker with the lowest cost that may run the task, or GH_NONE. */
 static uint32_t choose_worker(gh_fleet_t *fleet, fleet_job_t *job,
 			      uint32_t task, uint32_t excluded_worker,
--- a/regress/test_core_fleet.c
+++ b/regress/test_core_fleet.c
@@ -915,12 +915,21 @@
 	static const struct {
 		const char *name;
 		gh_resources_t gang, other; /* sizes of a task */
+		bool best_effort;
 	} cases[] = {
-		{ "cores", { .cores_milli = 4000 }, { .cores_milli = 1000 } },
-		{ "memory", { .memory_mb = 100000 }, { .memory_mb = 1000 } },
-		{ "same size",
-		  { .cores_milli = 3000, .memory_mb = 60000 },
-		  { .cores_milli = 3000, .memory_mb = 60000 } },
+		{ .name = "cores",
+		  .gang = { .cores_milli = 4000 },
+		  .other = { .cores_milli = 1000 } },
+		{ .name = "memory",
+		  .gang = { .memory_mb = 100000 },
+		  .other = { .memory_mb = 1000 } },
+		{ .name = "same size",
+		  .gang = { .cores_milli = 3000, .memory_mb = 60000 },
+		  .other = { .cores_milli = 3000, .memory_mb = 60000 } },
+		{ .name = "best effort",
+		  .gang = { .cores_milli = 3000 },
+		  .other = { .cores_milli = 3000 },
+		  .best_effort = true },
 	};
 	size_t i;
 
@@ -936,6 +945,7 @@
 		gang.estimate_ms = 100; /* it is placed first */
 		gang.size = cases[i].gang;
 		other.size = cases[i].other;
+		gang.best_effort = other.best_effort = cases[i].best_effort;
 		world_init(&w);
 		add_worker(&w, "w1", 4000);
 		add_worker(&w, "w2", 4000);
@@ -948,6 +958,34 @@
 	}
 }
 
+/*
+ * Each attempt at a gang that did not fit was committed to the store, and the
+ * job was shown as running.
+ */
+static void test_gang_that_does_not_fit_changes_nothing(void **state)
+{
+	gh_step_t gang = one_task;
+	world_t w;
+
+	(void)state;
+	gang.gang = true;
+	gang.tasks = 3;
+	gang.size.cores_milli = 4000;
+	world_init(&w);
+	add_worker(&w, "w1", 4000);
+	add_worker(&w, "w2", 4000);
+	advance_time(&w, 100);
+	add_job(&w, "0000000000000001", 1, &gang, NULL);
+	advance_time(&w, 1000);
+	assert_null(w.progress);
+	assert_int_equal(w.phase, GH_JOB_QUEUED);
+	add_worker(&w, "w3", 4000);
+	advance_time(&w, 1000);
+	assert_int_equal(count_orders(&w, GH_ORDER_START, 0), 3);
+	assert_int_equal(w.orders[0].run, 1);
+	world_clear(&w);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -979,6 +1017,7 @@
 		cmocka_unit_test(test_starved_job_goes_on),
 		cmocka_unit_test(test_backlog_does_not_slow_decisions),
 		cmocka_unit_test(test_gang_without_capacity_holds_nothing_back),
+		cmocka_unit_test(test_gang_that_does_not_fit_changes_nothing),
 		cmocka_unit_test(test_waiting_is_reported),
 	};
 
