--- a/regress/test_core_fleet.c
+++ b/regress/test_core_fleet.c
@@ -852,11 +852,13 @@
 	const char *name;
 	bool best_effort;
 	uint32_t cores_milli; /* size of each task */
+	uint32_t max_per_worker;
 } backlog_case_t;
 
 static const backlog_case_t backlogs[] = {
 	{ .name = "fixed size", .cores_milli = 20000 },
 	{ .name = "best effort", .best_effort = true, .cores_milli = 20000 },
+	{ .name = "spread", .cores_milli = 20000, .max_per_worker = 1 },
 };
 
 /* Workers examined in a second in which no task can start. */
@@ -873,6 +875,7 @@
 	advance_time(&w, 100);
 	step.tasks = 4;
 	step.best_effort = c->best_effort;
+	step.max_per_worker = c->max_per_worker;
 	for (i = 0; i < n_jobs; i++) {
 		char id[GH_JOB_ID_MAX + 1];
 
