--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -16,6 +16,8 @@
 #define VERY_LATE_OBJECTIVES 3
 /* A job gets 1/20 of its remaining work as extra slack: large jobs yield. */
 #define REMAINING_WORK_DIVISOR 20
+/* Upper bound of a job's remaining work, in core-milliseconds. */
+#define REMAINING_CORE_MS_MAX 1e15
 /*
  * Added to the priority of a job past its objective; larger than any priority.
  */
@@ -364,17 +366,19 @@
 /* Estimated work of the job's tasks that are not done, in core-milliseconds. */
 static int64_t remaining_core_ms(const fleet_job_t *job)
 {
-	int64_t sum = 0;
+	/* The estimates of an accepted job can exceed 64 bits. */
+	double sum = 0;
 	uint32_t s;
 
 	for (s = 0; s < job->n_stages; s++) {
 		const gh_step_t *step =
 			&job->spec->steps[s % job->spec->n_steps];
 
-		sum += (int64_t)(step->tasks - job->stages[s].tasks_done) *
-		       step->estimate_ms * step->size.cores_milli / 1000;
+		sum += (double)(step->tasks - job->stages[s].tasks_done) *
+		       (double)step->estimate_ms * step->size.cores_milli /
+		       1000;
 	}
-	return sum;
+	return (int64_t)MIN(sum, REMAINING_CORE_MS_MAX);
 }
 
 static int compare_candidates(gconstpointer a, gconstpointer b)
--- a/regress/test_core_fleet.c
+++ b/regress/test_core_fleet.c
@@ -989,6 +989,29 @@
 	world_clear(&w);
 }
 
+/*
+ * The remaining work of a job with the largest estimates overflowed, which put
+ * it before all others.
+ */
+static void test_largest_job_yields(void **state)
+{
+	gh_step_t large = one_task;
+	world_t w;
+
+	(void)state;
+	large.tasks = 20000;
+	large.size.cores_milli = INT32_MAX;
+	large.estimate_ms = INT32_MAX;
+	world_init(&w);
+	add_job(&w, "0000000000000001", 1, &large, NULL);
+	add_job(&w, "0000000000000002", 1, &one_task, NULL);
+	add_worker(&w, "w1", INT32_MAX);
+	advance_time(&w, 1000);
+	assert_in_range(w.n_orders, 1, ORDERS_MAX);
+	assert_string_equal(w.orders[0].task.job, "0000000000000002");
+	world_clear(&w);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -1022,6 +1045,7 @@
 		cmocka_unit_test(test_gang_without_capacity_holds_nothing_back),
 		cmocka_unit_test(test_gang_that_does_not_fit_changes_nothing),
 		cmocka_unit_test(test_waiting_is_reported),
+		cmocka_unit_test(test_largest_job_yields),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
