--- a/core_fleet_pace.c
+++ b/core_fleet_pace.c
@@ -55,6 +55,8 @@
  * each run) get new values.
  */
 #define SAMPLE_PERIOD_USEC (240 * GH_USEC_PER_MSEC)
+/* Period in which paces are updated while decisions are late. */
+#define LATE_SAMPLE_PERIOD_USEC (1000 * GH_USEC_PER_MSEC)
 /*
  * A reported gauge covers a period in the past; age of the middle of that
  * period when the report is processed.
@@ -155,6 +157,7 @@
 static double best_effort_cores(const gh_fleet_t *fleet,
 				const fleet_worker_t *worker);
 static double fixed_cores(const fleet_worker_t *worker);
+static gh_time_t sample_period(const gh_fleet_t *fleet);
 static double placeable_cores(gh_fleet_t *fleet, fleet_worker_t *worker,
 			      gh_time_t now);
 static void refresh_colocated(gh_fleet_t *fleet, fleet_worker_t *worker,
@@ -173,7 +176,7 @@
 	 * The reported gauges (tail latencies, cores in use) get no new values
 	 * within one period.
 	 */
-	if (now - worker->tails_sampled_at < SAMPLE_PERIOD_USEC)
+	if (now - worker->tails_sampled_at < sample_period(fleet))
 		return;
 	worker->tails_sampled_at = now;
 	measured = collect_sources(fleet, worker, PACE_BASIS_MEASURED);
@@ -200,6 +203,16 @@
 	}
 }
 
+/*
+ * Each new pace is a call to a worker.  If decisions are late, as the owner's
+ * processor is used up, paces are updated less often.
+ */
+static gh_time_t sample_period(const gh_fleet_t *fleet)
+{
+	return fleet_is_late(fleet) ? LATE_SAMPLE_PERIOD_USEC :
+				      SAMPLE_PERIOD_USEC;
+}
+
 double fleet_best_effort_share(gh_fleet_t *fleet, fleet_worker_t *worker,
 			       const gh_step_t *step, uint16_t image,
 			       gh_time_t now, double *weight)
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -28,6 +28,12 @@
  * unreachable for longer than this.
  */
 #define START_REPLY_TIMEOUT_USEC (GH_USEC_PER_SEC)
+/* Number of ticks over which the mean time between them is taken. */
+#define TICK_GAP_SAMPLES 16
+/* Ticks further apart than this on average are late. */
+#define LATE_TICK_GAP_USEC (40 * GH_USEC_PER_MSEC)
+/* A longer time between two ticks counts as this, in microseconds. */
+#define TICK_GAP_MAX ((double)GH_USEC_PER_SEC)
 #define GANG_RETRY_USEC (100 * GH_USEC_PER_MSEC)
 #define STRAGGLER_CHECK_PERIOD_USEC (100 * GH_USEC_PER_MSEC)
 #define DECAY_PERIOD_USEC GH_USEC_PER_SEC
@@ -113,6 +119,7 @@
 	int64_t slack_ms;
 } candidate_t;
 
+static void note_tick(gh_fleet_t *fleet, gh_time_t now);
 static void expire_leases(gh_fleet_t *fleet, gh_time_t now);
 static bool has_run_beyond_plan(const gh_fleet_t *fleet,
 				const fleet_worker_t *worker);
@@ -166,6 +173,7 @@
 	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
 	guint i;
 
+	note_tick(fleet, now);
 	expire_leases(fleet, now);
 	retry_orders(fleet, now);
 	stop_long_running_on_draining(fleet, now);
@@ -199,6 +207,22 @@
 	}
 }
 
+bool fleet_is_late(const gh_fleet_t *fleet)
+{
+	return fleet->mean_tick_gap > LATE_TICK_GAP_USEC;
+}
+
+/* Updates the mean time between ticks. */
+static void note_tick(gh_fleet_t *fleet, gh_time_t now)
+{
+	if (fleet->ticked_at)
+		fleet->mean_tick_gap +=
+			(MIN((double)(now - fleet->ticked_at), TICK_GAP_MAX) -
+			 fleet->mean_tick_gap) /
+			TICK_GAP_SAMPLES;
+	fleet->ticked_at = now;
+}
+
 /*
  * Ends the runs of each worker whose lease has expired with certainty.  A run
  * that is only planned needs no lease yet: its start order grants one.
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -309,7 +309,8 @@
 		return ack_is_due(worker) &&
 		       (worker->acked_end > worker->acked_end_sent ||
 			report_is_old);
-	*wait_ms = worker->n_long_running && worker->n_best_effort ?
+	*wait_ms = worker->n_long_running && worker->n_best_effort &&
+				   !fleet_is_late(fleet) ?
 			   RENEWAL_WAIT_PACED_MAX_MS :
 			   RENEWAL_WAIT_MAX_MS;
 	return true;
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -356,6 +356,9 @@
 	gh_interference_t *interference;
 	gh_load_periods_t *load_periods; /* shared by all load forecasts */
 	gh_time_t created_at;
+	gh_time_t ticked_at; /* time of the last tick; 0: none */
+	/* Moving mean of the time between ticks, in microseconds. */
+	double mean_tick_gap;
 	bool fenced; /* a worker has seen a newer owner */
 	/* Number of reports received from all workers so far. */
 	uint32_t report_number;
@@ -456,6 +459,11 @@
 void fleet_order_enqueue(gh_fleet_t *fleet, gh_order_kind_t kind,
 			 uint32_t handle);
 
+/*
+ * Whether ticks come late, as the owner's processor is used up, so that calls
+ * which can be spared are spared.
+ */
+bool fleet_is_late(const gh_fleet_t *fleet);
 /* Ends all runs of a worker whose lease expired or which has restarted. */
 void fleet_worker_end_runs(gh_fleet_t *fleet, uint32_t handle, const char *why,
 			   gh_time_t now);
--- a/regress/test_core_fleet.c
+++ b/regress/test_core_fleet.c
@@ -989,6 +989,72 @@
 	world_clear(&w);
 }
 
+/* How often an owner decides, and how many changes of pace it may order. */
+typedef struct late_case {
+	const char *name;
+	int64_t tick_gap_ms;
+	size_t min_paces, max_paces; /* orders within 6 s for one run */
+	int64_t report_wait_ms;	     /* max wait for the next report */
+} late_case_t;
+
+static const late_case_t late_cases[] = {
+	{ .name = "in time",
+	  .tick_gap_ms = 10,
+	  .min_paces = 8,
+	  .max_paces = 30,
+	  .report_wait_ms = 250 },
+	{ .name = "late",
+	  .tick_gap_ms = 100,
+	  .min_paces = 2,
+	  .max_paces = 7,
+	  .report_wait_ms = 1000 },
+};
+
+/*
+ * An owner without processor time spent what it had on reports and on changes
+ * of the paces of best-effort runs, and its starts came later still.
+ */
+static void test_late_owner_makes_fewer_calls(void **state)
+{
+	gh_step_t long_running = one_task;
+	gh_worker_renewal_t renewal;
+	size_t i;
+
+	(void)state;
+	long_running.long_running = true;
+	long_running.tail_bound_ms = 24;
+	for (i = 0; i < G_N_ELEMENTS(late_cases); i++) {
+		const late_case_t *c = &late_cases[i];
+		scripted_worker_t *worker;
+		size_t n, first = 0;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		world_init(&w);
+		worker = add_worker(&w, "w1", 32000);
+		worker->tail_ms = 6;
+		add_job(&w, LONG_RUNNING_JOB_ID, 1, &long_running, NULL);
+		advance_time(&w, 1500);
+		add_job(&w, "0000000000000002", 1, &best_effort_step, NULL);
+		advance_time(&w, 1000);
+		for (n = 0; n < 9000 / (size_t)c->tick_gap_ms; n++) {
+			gh_time_t gap = (c->tick_gap_ms - STEP_USEC / MS) * MS;
+
+			if (n == 3000 / (size_t)c->tick_gap_ms)
+				first = count_orders(&w, GH_ORDER_PACE, 0);
+			w.now += gap;
+			w.wall_ms += gap / MS;
+			worker->tail_ms = w.now / (300 * MS) % 2 ? 200 : 5;
+			advance_time(&w, STEP_USEC / MS);
+		}
+		assert_in_range(count_orders(&w, GH_ORDER_PACE, 0) - first,
+				c->min_paces, c->max_paces);
+		assert_true(gh_fleet_next_renewal(w.fleet, &renewal, w.now));
+		assert_int_equal(renewal.max_wait_ms, c->report_wait_ms);
+		world_clear(&w);
+	}
+}
+
 /*
  * The remaining work of a job with the largest estimates overflowed, which put
  * it before all others.
@@ -1045,6 +1111,7 @@
 		cmocka_unit_test(test_gang_without_capacity_holds_nothing_back),
 		cmocka_unit_test(test_gang_that_does_not_fit_changes_nothing),
 		cmocka_unit_test(test_waiting_is_reported),
+		cmocka_unit_test(test_late_owner_makes_fewer_calls),
 		cmocka_unit_test(test_largest_job_yields),
 	};
 
