--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -42,8 +42,8 @@
 typedef enum run_crash {
 	CRASH_NONE,
 	CRASH_LATER,	/* the run had settled */
-	CRASH_AT_START, /* as had not this one, nor others on the worker */
-	CRASH_ALONE	/* the only run on the worker that had not settled */
+	CRASH_AT_START, /* neither the run nor others there had settled */
+	CRASH_ALONE	/* the run was the only one that had not settled */
 } run_crash_t;
 
 typedef struct fleet_run {
@@ -96,8 +96,10 @@
 	 * Since when the run's tail latency exceeds its bound; 0: it does not.
 	 */
 	gh_time_t over_bound_since;
-	/* When the worker's first reply or report showed the run alive, and
-	 * time of the last report that lists it; 0: none yet. */
+	/*
+	 * When a reply or report of the worker first showed the run alive, and
+	 * time of the last report that lists it; 0: none yet.
+	 */
 	gh_time_t alive_since, listed_at;
 	run_crash_t crash;
 	bool crash_silent; /* the worker's lease ran out; no restart was seen */
@@ -118,8 +120,10 @@
 	 * slow; or GH_NONE.
 	 */
 	uint32_t avoid_worker;
-	/* Runs that were lost with their workers, and those lost so at their
-	 * start; see core_fleet_crash.c. */
+	/*
+	 * Number of runs that were lost with their workers, and of those that
+	 * had not settled; see core_fleet_crash.c.
+	 */
 	uint16_t crashes, start_crashes;
 	/* Since when the task waits for a worker of its own; 0: it does not. */
 	gh_time_t care_since;
@@ -265,11 +269,15 @@
 	gh_time_t quarantined_until;
 	/* Number of open runs of suspect tasks that have not settled. */
 	uint32_t n_suspects;
-	/* Handle of the run beside which no other starts until it has settled,
-	 * or GH_NONE. */
+	/*
+	 * Handle of the run beside which no other starts until it has settled,
+	 * or GH_NONE.
+	 */
 	uint32_t suspect_run;
-	/* The worker is kept for this task until kept_until; compared by
-	 * address only. */
+	/*
+	 * The worker is kept for this task until kept_until; compared by
+	 * address only.
+	 */
 	const void *kept_for;
 	gh_time_t kept_until;
 	/* when the last run on the worker was planned */
