core_fleet_pace: a late owner stops what harms in time

A report that came within the second was not looked at, so that the time over the bound was noticed up to two seconds late, and best-effort tasks are only set to pace 0 once a tail latency is seen to exceed its bound for 1.5 s.

The time over the bound is now noted with each report that can have new gauges, and an owner that may not see the next report for a second acts that much earlier. It makes no call more but those that set pace 0.

test_late_owner_stops_what_harms failed before, with reports 600 ms apart: "pace 0 after 3510 ms", where 3400 ms are allowed (4 s less 100 ms until a pace is in force and the 500 ms that a gauge covers); 3010 and 3210 ms with reports 1000 and 900 ms apart. Now 2010, 1410 and 1710 ms.

--- a/core_fleet_pace.c
+++ b/core_fleet_pace.c
@@ -158,6 +158,13 @@
 				const fleet_worker_t *worker);
 static double fixed_cores(const fleet_worker_t *worker);
 static gh_time_t sample_period(const gh_fleet_t *fleet);
+static bool has_tail(const gh_step_t *step, const fleet_run_t *run);
+static void note_over_bound(gh_fleet_t *fleet, const fleet_worker_t *worker,
+			    gh_time_t now);
+static bool is_over_bound(const gh_fleet_t *fleet, const fleet_worker_t *worker,
+			  const fleet_run_t *run);
+static bool has_run_over_bound(const gh_fleet_t *fleet,
+			       const fleet_worker_t *worker);
 static double placeable_cores(gh_fleet_t *fleet, fleet_worker_t *worker,
 			      gh_time_t now);
 static void refresh_colocated(gh_fleet_t *fleet, fleet_worker_t *worker,
@@ -168,6 +175,7 @@
 void fleet_pace_update(gh_fleet_t *fleet, uint32_t handle, gh_time_t now)
 {
 	fleet_worker_t *worker = fleet_worker(fleet, handle);
+	bool is_due = now - worker->tails_sampled_at >= sample_period(fleet);
 	source_list_t measured, ordered;
 	double max_pace;
 	uint32_t ref;
@@ -176,7 +184,11 @@
 	 * The reported gauges (tail latencies, cores in use) get no new values
 	 * within one period.
 	 */
-	if (now - worker->tails_sampled_at < sample_period(fleet))
+	if (!is_due && now - worker->gauges_read_at < SAMPLE_PERIOD_USEC)
+		return;
+	worker->gauges_read_at = now;
+	note_over_bound(fleet, worker, now);
+	if (!is_due && !has_run_over_bound(fleet, worker))
 		return;
 	worker->tails_sampled_at = now;
 	measured = collect_sources(fleet, worker, PACE_BASIS_MEASURED);
@@ -213,6 +225,61 @@
 				      SAMPLE_PERIOD_USEC;
 }
 
+/* Whether the run's gauge is a tail latency that has a bound. */
+static bool has_tail(const gh_step_t *step, const fleet_run_t *run)
+{
+	return step->long_running && step->tail_bound_ms && run->gauge > 0 &&
+	       run->progress_percent >= PACE_FULL_PERCENT;
+}
+
+/* Notes since when the tail latencies of the last report exceed their bounds.
+ */
+static void note_over_bound(gh_fleet_t *fleet, const fleet_worker_t *worker,
+			    gh_time_t now)
+{
+	uint32_t ref;
+
+	for (ref = worker->first_run; ref != GH_NONE;
+	     ref = fleet_run(fleet, ref)->next) {
+		fleet_run_t *run = fleet_run(fleet, ref);
+		const gh_step_t *step =
+			fleet_task_step(fleet_job(fleet, run->job), run->task);
+
+		if (!has_tail(step, run))
+			continue;
+		if (run->gauge <= step->tail_bound_ms)
+			run->over_bound_since = 0;
+		else if (!run->over_bound_since)
+			run->over_bound_since = now;
+	}
+}
+
+/*
+ * Whether the run's tail latency exceeds its bound for too long.  The next
+ * report to a late owner may come a sample period from now, so it acts that
+ * much earlier.
+ */
+static bool is_over_bound(const gh_fleet_t *fleet, const fleet_worker_t *worker,
+			  const fleet_run_t *run)
+{
+	return run->over_bound_since &&
+	       worker->last_report_at - run->over_bound_since >
+		       OVER_BOUND_MAX_USEC + SAMPLE_PERIOD_USEC -
+			       sample_period(fleet);
+}
+
+static bool has_run_over_bound(const gh_fleet_t *fleet,
+			       const fleet_worker_t *worker)
+{
+	uint32_t ref;
+
+	for (ref = worker->first_run; ref != GH_NONE;
+	     ref = fleet_run(fleet, ref)->next)
+		if (is_over_bound(fleet, worker, fleet_run(fleet, ref)))
+			return true;
+	return false;
+}
+
 double fleet_best_effort_share(gh_fleet_t *fleet, fleet_worker_t *worker,
 			       const gh_step_t *step, uint16_t image,
 			       gh_time_t now, double *weight)
@@ -307,18 +374,12 @@
 		const gh_step_t *step =
 			fleet_task_step(fleet_job(fleet, run->job), run->task);
 
-		if (!step->long_running || !step->tail_bound_ms ||
-		    run->gauge <= 0 ||
-		    run->progress_percent < PACE_FULL_PERCENT) {
+		if (!has_tail(step, run)) {
 			run->utilisation = 0;
 			continue;
 		}
 		run->utilisation = gh_interference_tail_utilisation(
 			run->gauge, step->tail_bound_ms);
-		if (run->gauge <= step->tail_bound_ms)
-			run->over_bound_since = 0;
-		else if (!run->over_bound_since)
-			run->over_bound_since = now;
 		if (!overcommitted)
 			learn_sample(fleet, run, measured, run->utilisation,
 				     now - GAUGE_AGE_USEC);
@@ -382,9 +443,7 @@
 
 		if (!run->utilisation)
 			continue;
-		if (run->over_bound_since &&
-		    worker->last_report_at - run->over_bound_since >
-			    OVER_BOUND_MAX_USEC)
+		if (is_over_bound(fleet, worker, run))
 			return 0;
 		weight = gh_interference_weight(model, other_image, image);
 		if (weight < WEIGHT_MIN)
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -284,7 +284,8 @@
 	gh_time_t last_placed_at;
 	/* Declared cores of the open best-effort runs. */
 	double best_effort_cores_milli;
-	gh_time_t tails_sampled_at;
+	gh_time_t gauges_read_at; /* time of the last report with new gauges */
+	gh_time_t tails_sampled_at; /* when they were last learned from */
 	/* Declared cores of the open long-running runs. */
 	double long_running_cores_milli;
 	fleet_colocated_t colocated[GH_COLOCATED_MAX];
--- a/regress/test_core_fleet.c
+++ b/regress/test_core_fleet.c
@@ -1055,6 +1055,76 @@
 	}
 }
 
+/* When the reports of a worker arrive at an owner whose decisions are late. */
+typedef struct over_bound_case {
+	const char *name;
+	int64_t report_gap_ms;
+	int64_t tick_gap_ms;
+} over_bound_case_t;
+
+static const over_bound_case_t over_bound_cases[] = {
+	{ .name = "in time", .report_gap_ms = 250, .tick_gap_ms = 10 },
+	{ .name = "late, no end", .report_gap_ms = 1000, .tick_gap_ms = 100 },
+	{ .name = "late, an end", .report_gap_ms = 900, .tick_gap_ms = 100 },
+	{ .name = "late, ends", .report_gap_ms = 600, .tick_gap_ms = 100 },
+	{ .name = "late, many ends", .report_gap_ms = 300, .tick_gap_ms = 100 },
+};
+
+/* Longest time over its bound that may be due to best-effort tasks. */
+#define OVER_BOUND_ALLOWED_MS 4000
+/* Time until a pace is in force and a tail latency no longer covers before. */
+#define PACE_IN_FORCE_MS 600
+
+static void test_late_owner_stops_what_harms(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(over_bound_cases); i++) {
+		const over_bound_case_t *c = &over_bound_cases[i];
+		gh_time_t report_at = 0, over_since = 0, stopped_at = 0;
+		size_t n_seen = 0;
+		scripted_worker_t *worker;
+		int64_t ms;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		world_init(&w);
+		worker = add_worker(&w, "w1", 1400);
+		worker->tail_ms = 6;
+		add_job(&w, LONG_RUNNING_JOB_ID, 1, &long_running_step, NULL);
+		advance_time(&w, 1500);
+		add_job(&w, "0000000000000002", 1, &best_effort_step, NULL);
+		advance_time(&w, 1000);
+		for (ms = 0; ms < 12000 && !stopped_at; ms += c->tick_gap_ms) {
+			gh_time_t gap = (c->tick_gap_ms - STEP_USEC / MS) * MS;
+
+			w.now += gap;
+			w.wall_ms += gap / MS;
+			/* Just after a report, so that the next one tells. */
+			if (ms >= 5000 && !over_since && w.now < report_at) {
+				worker->tail_ms = 200;
+				over_since = w.now;
+			}
+			w.renewals_stopped = w.now < report_at;
+			if (!w.renewals_stopped)
+				report_at = w.now + c->report_gap_ms * MS;
+			advance_time(&w, STEP_USEC / MS);
+			for (; n_seen < w.n_orders; n_seen++)
+				if (over_since &&
+				    w.orders[n_seen].kind == GH_ORDER_PACE &&
+				    !w.orders[n_seen].pace_percent)
+					stopped_at = w.now;
+		}
+		assert_true(stopped_at);
+		print_message("pace 0 after %d ms\n",
+			      (int)((stopped_at - over_since) / MS));
+		assert_true(stopped_at - over_since <=
+			    (OVER_BOUND_ALLOWED_MS - PACE_IN_FORCE_MS) * MS);
+		world_clear(&w);
+	}
+}
+
 /*
  * The remaining work of a job with the largest estimates overflowed, which put
  * it before all others.
@@ -1112,6 +1182,7 @@
 		cmocka_unit_test(test_gang_that_does_not_fit_changes_nothing),
 		cmocka_unit_test(test_waiting_is_reported),
 		cmocka_unit_test(test_late_owner_makes_fewer_calls),
+		cmocka_unit_test(test_late_owner_stops_what_harms),
 		cmocka_unit_test(test_largest_job_yields),
 	};
 
