core_shard: log begin, reply, end and acknowledgement of attempts

The core reports events through a sink in its setup, as the fleet's core does; the shard's threads write them with log_event(), which bounds the lines a second and never waits. attempt_ended names the commit that holds its record, and tasks_committed says when the store has it. Calls to workers are not logged one by one; worker_unheard and worker_heard tell when replies stop and come back.

test_events_tell_why_a_task_starts_again is new: it compares the events of a task that is done, and of one that starts again after its worker was silent for longer than the leases.

--- a/core_shard.c
+++ b/core_shard.c
@@ -46,6 +46,8 @@
 	g_strlcpy(shard->domain, setup->domain, sizeof(shard->domain));
 	shard->index = setup->index;
 	shard->seed = setup->seed;
+	shard->on_event = setup->on_event;
+	shard->event_ctx = setup->event_ctx;
 	shard->tasks = gh_task_table_new(&callbacks);
 	shard->place = gh_place_new();
 	shard->quota = gh_quota_new();
@@ -332,6 +334,32 @@
 	return true;
 }
 
+void gh_shard_emit_attempt(gh_shard_t *shard, const char *name,
+			   gh_task_ref_t task, const char *why, bool recorded)
+{
+	const gh_task_t *t = gh_task_at(shard->tasks, task);
+	char text[GH_TASK_NAME_MAX + 1];
+	gh_shard_event_t event = {
+		.name = name,
+		.task = text,
+		.worker = gh_place_worker(shard->place, t->worker)->name,
+		.attempt = t->attempt,
+		.why = why,
+		.commit = recorded ? shard->next_commit : 0,
+	};
+
+	if (!shard->on_event)
+		return;
+	gh_task_name(shard->tasks, task, text);
+	gh_shard_emit(shard, &event);
+}
+
+void gh_shard_emit(const gh_shard_t *shard, const gh_shard_event_t *event)
+{
+	if (shard->on_event)
+		shard->on_event(shard->event_ctx, event);
+}
+
 /* Takes one step of the splitmix64 pseudorandom generator. */
 uint64_t gh_shard_random(gh_shard_t *shard)
 {
@@ -563,9 +591,12 @@
 	if (ref == GH_TASK_NONE)
 		return;
 	t = gh_task_at(shard->tasks, ref);
-	if (t->state == GH_TASK_STOPPING && t->attempt == action->attempt)
-		gh_task_end_attempt(shard->tasks, shard->records, ref,
-				    GH_END_NOT_STARTED, NULL);
+	if (t->state != GH_TASK_STOPPING || t->attempt != action->attempt)
+		return;
+	gh_shard_emit_attempt(shard, "attempt_ended", ref,
+			      "stopped before its start", true);
+	gh_task_end_attempt(shard->tasks, shard->records, ref,
+			    GH_END_NOT_STARTED, NULL);
 }
 
 static void fill_start_action(gh_shard_t *shard, gh_action_t *action,
--- a/core_shard.h
+++ b/core_shard.h
@@ -99,11 +99,30 @@
 	size_t n_tasks;
 } gh_report_t;
 
+/*
+ * Something that happened to an attempt or a worker, for the log.  Its texts
+ * are valid during the call.
+ */
+typedef struct gh_shard_event {
+	const char *name;
+	const char *task;   /* NULL: the event is about a worker */
+	const char *worker; /* NULL: not known */
+	uint32_t attempt;
+	const char *why;
+	/* number of the commit that holds the event's record; 0: none */
+	uint64_t commit;
+} gh_shard_event_t;
+
+typedef void (*gh_shard_event_fn_t)(void *ctx, const gh_shard_event_t *event);
+
 typedef struct gh_shard_setup {
 	const char *owner; /* name of this host, the shard's owner */
 	const char *domain;
 	uint32_t index;
 	uint64_t seed; /* seed of the shard's random choices */
+	/* called for each event, must not wait; NULL: none */
+	gh_shard_event_fn_t on_event;
+	void *event_ctx;
 } gh_shard_setup_t;
 
 /*
--- a/core_shard_report.c
+++ b/core_shard_report.c
@@ -49,7 +49,12 @@
 			   const gh_worker_health_t *health,
 			   const gh_now_t *now);
 static void end_attempt(gh_shard_t *shard, gh_task_ref_t task,
-			gh_task_end_t end, const char *checkpoint);
+			gh_task_end_t end, const char *checkpoint,
+			const char *why);
+static void emit_late_entry(gh_shard_t *shard, gh_handle_t worker,
+			    const gh_report_task_t *entry);
+static void emit_worker(gh_shard_t *shard, const char *name, gh_handle_t worker,
+			const char *why);
 static void clean_up_attempt(gh_shard_t *shard, gh_handle_t worker,
 			     const gh_report_task_t *entry);
 static void count_worker_failure(gh_shard_t *shard, gh_handle_t worker,
@@ -65,6 +70,23 @@
 	[GH_ACTION_THROTTLE] = handle_throttle_reply,
 };
 
+static const char *const reply_names[] = {
+	[GH_REPLY_OK] = "ok",
+	[GH_REPLY_RUNNING] = "running",
+	[GH_REPLY_REFUSED] = "refused",
+	[GH_REPLY_NO_CAPACITY] = "no capacity",
+	[GH_REPLY_NOT_SENT] = "not sent",
+	[GH_REPLY_UNKNOWN] = "no reply",
+	[GH_REPLY_NOT_FOUND] = "not found",
+	[GH_REPLY_FENCED] = "fenced",
+};
+
+static const char *const report_state_names[] = {
+	[GH_REPORT_RUNNING] = "running", [GH_REPORT_DONE] = "done",
+	[GH_REPORT_FAILED] = "failed",	 [GH_REPORT_STOPPED] = "stopped",
+	[GH_REPORT_EXPIRED] = "lapsed",
+};
+
 static const report_handler_t report_handlers[] = {
 	[GH_REPORT_RUNNING] = handle_running,
 	[GH_REPORT_DONE] = handle_done,
@@ -80,6 +102,14 @@
 	gh_task_ref_t ref = gh_task_find(shard->tasks, action->task);
 	const gh_task_t *t;
 
+	if (action->kind == GH_ACTION_FORGET)
+		gh_shard_emit(shard, &(gh_shard_event_t){
+					     .name = "attempt_acknowledged",
+					     .task = action->task,
+					     .worker = action->worker,
+					     .attempt = action->attempt,
+					     .why = reply_names[reply],
+				     });
 	if (ref == GH_TASK_NONE || !reply_handlers[action->kind])
 		return;
 	t = gh_task_at(shard->tasks, ref);
@@ -98,6 +128,9 @@
 	if (handle == GH_HANDLE_NONE)
 		return;
 	w = gh_shard_worker_at(shard, handle);
+	if (!w->health.reachable)
+		emit_worker(shard, "worker_heard", handle,
+			    report->renewed ? "renewal" : "list");
 	gh_worker_reply_received(&w->health);
 	w->full = false;
 	shard->report_number++;
@@ -119,6 +152,8 @@
 	if (handle == GH_HANDLE_NONE)
 		return;
 	health = &gh_shard_worker_at(shard, handle)->health;
+	if (health->reachable)
+		emit_worker(shard, "worker_unheard", handle, NULL);
 	gh_worker_reply_missing(health);
 	gh_shard_update_usable(shard, handle, now->boot);
 	for (ref = gh_task_first_on_worker(shard->tasks, handle);
@@ -128,7 +163,8 @@
 				    health, now))
 			continue;
 		shard->counts.lost++;
-		end_attempt(shard, ref, GH_END_LOST, NULL);
+		end_attempt(shard, ref, GH_END_LOST, NULL,
+			    "its leases expired unheard");
 	}
 }
 
@@ -139,6 +175,8 @@
 	const gh_task_t *t = gh_task_at(shard->tasks, task);
 
 	(void)checkpoint;
+	gh_shard_emit_attempt(shard, "attempt_replied", task,
+			      reply_names[reply], false);
 	if (reply == GH_REPLY_OK) {
 		shard->counts.started++;
 		shard->counts.resumed += t->checkpoint != NULL;
@@ -155,7 +193,7 @@
 		gh_shard_worker_at(shard, t->worker)->full = true;
 		gh_shard_update_usable(shard, t->worker, now->boot);
 	}
-	end_attempt(shard, task, GH_END_NOT_STARTED, NULL);
+	end_attempt(shard, task, GH_END_NOT_STARTED, NULL, reply_names[reply]);
 }
 
 static void handle_stop_reply(gh_shard_t *shard, gh_task_ref_t task,
@@ -171,7 +209,7 @@
 		stopped = (gh_report_task_t){ .attempt = t->attempt,
 					      .state = GH_REPORT_STOPPED };
 		gh_task_name(shard->tasks, task, stopped.task);
-		end_attempt(shard, task, GH_END_EVICTED, checkpoint);
+		end_attempt(shard, task, GH_END_EVICTED, checkpoint, "stopped");
 		clean_up_attempt(shard, worker, &stopped);
 	} else if (reply == GH_REPLY_NOT_FOUND &&
 		   now->wall_ms >
@@ -187,7 +225,7 @@
 	(void)checkpoint;
 	if (reply == GH_REPLY_OK) {
 		shard->counts.lost++;
-		end_attempt(shard, task, GH_END_LOST, NULL);
+		end_attempt(shard, task, GH_END_LOST, NULL, "barred");
 	} else if (reply == GH_REPLY_RUNNING &&
 		   gh_task_at(shard->tasks, task)->state == GH_TASK_INTENT) {
 		gh_task_set_running(shard->tasks, task, now->boot);
@@ -230,10 +268,10 @@
 	gh_handle_t worker = gh_task_at(shard->tasks, task)->worker;
 	gh_worker_health_t *health = &gh_shard_worker_at(shard, worker)->health;
 
-	(void)entry;
 	(void)now;
 	gh_worker_attempt_succeeded(health);
-	end_attempt(shard, task, GH_END_DONE, NULL);
+	end_attempt(shard, task, GH_END_DONE, NULL,
+		    report_state_names[entry->state]);
 }
 
 static void handle_failed(gh_shard_t *shard, gh_task_ref_t task,
@@ -241,8 +279,8 @@
 {
 	gh_handle_t worker = gh_task_at(shard->tasks, task)->worker;
 
-	(void)entry;
-	end_attempt(shard, task, GH_END_FAILED, NULL);
+	end_attempt(shard, task, GH_END_FAILED, NULL,
+		    report_state_names[entry->state]);
 	count_worker_failure(shard, worker, task, now->boot);
 }
 
@@ -251,16 +289,17 @@
 {
 	(void)now;
 	shard->counts.evicted++;
-	end_attempt(shard, task, GH_END_EVICTED, entry->checkpoint);
+	end_attempt(shard, task, GH_END_EVICTED, entry->checkpoint,
+		    report_state_names[entry->state]);
 }
 
 static void handle_expired(gh_shard_t *shard, gh_task_ref_t task,
 			   const gh_report_task_t *entry, const gh_now_t *now)
 {
-	(void)entry;
 	(void)now;
 	shard->counts.lost++;
-	end_attempt(shard, task, GH_END_LOST, NULL);
+	end_attempt(shard, task, GH_END_LOST, NULL,
+		    report_state_names[entry->state]);
 }
 
 static void handle_entry(gh_shard_t *shard, gh_handle_t worker,
@@ -278,6 +317,7 @@
 	t = gh_task_at(shard->tasks, ref);
 	if (!gh_task_has_open_attempt(t) || t->worker != worker ||
 	    t->attempt != entry->attempt) {
+		emit_late_entry(shard, worker, entry);
 		clean_up_attempt(shard, worker, entry);
 		return;
 	}
@@ -336,11 +376,13 @@
 }
 
 static void end_attempt(gh_shard_t *shard, gh_task_ref_t task,
-			gh_task_end_t end, const char *checkpoint)
+			gh_task_end_t end, const char *checkpoint,
+			const char *why)
 {
 	const gh_job_t *job =
 		gh_job_at(shard->tasks, gh_task_at(shard->tasks, task)->job);
 
+	gh_shard_emit_attempt(shard, "attempt_ended", task, why, true);
 	gh_task_end_attempt(shard->tasks, shard->records, task, end,
 			    checkpoint);
 	if (!gh_job_finished(job) || job->cancelled)
@@ -351,6 +393,32 @@
 		shard->counts.jobs_done++;
 }
 
+static void emit_late_entry(gh_shard_t *shard, gh_handle_t worker,
+			    const gh_report_task_t *entry)
+{
+	gh_shard_event_t event = {
+		.name = "attempt_listed_late",
+		.task = entry->task,
+		.worker = gh_place_worker(shard->place, worker)->name,
+		.attempt = entry->attempt,
+		.why = report_state_names[entry->state],
+	};
+
+	gh_shard_emit(shard, &event);
+}
+
+static void emit_worker(gh_shard_t *shard, const char *name, gh_handle_t worker,
+			const char *why)
+{
+	gh_shard_event_t event = {
+		.name = name,
+		.worker = gh_place_worker(shard->place, worker)->name,
+		.why = why,
+	};
+
+	gh_shard_emit(shard, &event);
+}
+
 /*
  * Stops a reported attempt on the worker if it runs, or lets the worker forget
  * it if it has ended.  The attempt is not, or no longer, the task's open
--- a/core_shard_state.h
+++ b/core_shard_state.h
@@ -55,6 +55,8 @@
 	uint32_t index;
 	uint64_t seed;
 	uint64_t epoch;
+	gh_shard_event_fn_t on_event;
+	void *event_ctx;
 	gh_policy_t policy;
 	gh_task_table_t *tasks;
 	gh_place_t *place;
@@ -100,6 +102,14 @@
  */
 bool gh_shard_evict(gh_shard_t *shard, gh_task_ref_t task);
 
+/*
+ * Reports an event of the task's open attempt.  recorded: its record is the
+ * last one of the next commit.
+ */
+void gh_shard_emit_attempt(gh_shard_t *shard, const char *name,
+			   gh_task_ref_t task, const char *why, bool recorded);
+void gh_shard_emit(const gh_shard_t *shard, const gh_shard_event_t *event);
+
 /* Returns the next number of the pseudorandom sequence of the shard's seed. */
 uint64_t gh_shard_random(gh_shard_t *shard);
 
--- a/core_shard_tick.c
+++ b/core_shard_tick.c
@@ -421,6 +421,7 @@
 		shard->commit_urgent = true;
 	gh_task_begin_attempt(shard->tasks, shard->records, task, worker,
 			      MIN(not_after_ms, starts_until_ms));
+	gh_shard_emit_attempt(shard, "attempt_begun", task, NULL, true);
 	gh_shard_queue_action(shard, GH_ACTION_START, task, false, 0);
 	gh_shard_update_usable(shard, worker, now->boot);
 }
--- a/regress/shard_sim.c
+++ b/regress/shard_sim.c
@@ -11,6 +11,7 @@
 /* Time from an owner's crash to the next owner. */
 #define TAKEOVER_WAIT_MS 4500
 
+static void note_event(void *ctx, const gh_shard_event_t *event);
 static void advance(sim_t *sim, int64_t ms);
 static void advance_run(sim_t *sim, sim_worker_t *w, sim_run_t *run,
 			int64_t ms);
@@ -75,6 +76,8 @@
 	g_array_free(sim->delayed_starts, TRUE);
 	g_hash_table_unref(sim->checkpoints);
 	g_string_free(sim->log, TRUE);
+	if (sim->events)
+		g_string_free(sim->events, TRUE);
 	gh_document_unref(sim->doc);
 	g_free(sim);
 }
@@ -83,7 +86,9 @@
 {
 	gh_shard_setup_t setup = { .owner = "entry",
 				   .domain = sim->doc->domains[0].name,
-				   .seed = 7 };
+				   .seed = 7,
+				   .on_event = note_event,
+				   .event_ctx = sim };
 	char **lines = g_strsplit(sim->log->str, "\n", -1);
 	GError *err = NULL;
 	size_t i;
@@ -240,6 +245,21 @@
 	return NULL;
 }
 
+static void note_event(void *ctx, const gh_shard_event_t *event)
+{
+	sim_t *sim = ctx;
+
+	if (!sim->events)
+		return;
+	g_string_append(sim->events, event->name);
+	if (event->task)
+		g_string_append_printf(sim->events, " %s/%u", event->task,
+				       event->attempt);
+	if (event->why)
+		g_string_append_printf(sim->events, ": %s", event->why);
+	g_string_append_c(sim->events, '\n');
+}
+
 static void advance(sim_t *sim, int64_t ms)
 {
 	size_t i;
--- a/regress/shard_sim.h
+++ b/regress/shard_sim.h
@@ -81,6 +81,8 @@
 	GHashTable *checkpoints; /* task name to the task's last checkpoint */
 	unsigned n_stops; /* number of stop calls in mode SIM_STOP_REPLIES_LOST
 			   */
+	GString *events;  /* "NAME TASK/ATTEMPT: WHY" lines of the owner's
+			     events,  or NULL: not kept */
 	GArray *delayed_starts; /* gh_action_t, starts not yet delivered */
 } sim_t;
 
--- a/regress/test_shard_core.c
+++ b/regress/test_shard_core.c
@@ -21,9 +21,9 @@
 #define WORKER(n)                                                       \
 	"[worker w" n "]\ndomain=bole\nrack=r" n "\naddress=127.0.1." n \
 	":1\ncores=4\nmemory_mb=4000\n"
-#define TWO_WORKERS                                                    \
-	POLICY DEPARTMENTS "[domain bole]\nregion=addis\n" WORKER("1") \
-		WORKER("2")
+#define ONE_WORKER \
+	POLICY DEPARTMENTS "[domain bole]\nregion=addis\n" WORKER("1")
+#define TWO_WORKERS ONE_WORKER WORKER("2")
 #define FOUR_WORKERS TWO_WORKERS WORKER("3") WORKER("4")
 
 static void assert_no_violation(const sim_t *sim)
@@ -862,6 +862,56 @@
 	sim_free(sim);
 }
 
+/* A worker that falls silent for a while, and the log of its task. */
+typedef struct event_case {
+	int64_t run_ms;
+	int64_t silent_ms; /* 0: the worker is never silent */
+	const char *events;
+} event_case_t;
+
+static const event_case_t event_cases[] = {
+	{ 400, 0,
+	  "attempt_begun j.0/1\n"
+	  "attempt_replied j.0/1: ok\n"
+	  "attempt_ended j.0/1: done\n"
+	  "attempt_acknowledged j.0/1: ok\n" },
+	{ 60000, 20000,
+	  "attempt_begun j.0/1\n"
+	  "attempt_replied j.0/1: ok\n"
+	  "worker_unheard\n"
+	  "attempt_ended j.0/1: its leases expired unheard\n"
+	  "worker_heard: list\n"
+	  "attempt_listed_late j.0/1: lapsed\n"
+	  "attempt_begun j.0/2\n"
+	  "attempt_acknowledged j.0/1: ok\n"
+	  "attempt_replied j.0/2: ok\n" },
+};
+
+/* Nothing told when and why a task was started again. */
+static void test_events_tell_why_a_task_starts_again(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(event_cases); i++) {
+		const event_case_t *c = &event_cases[i];
+		sim_t *sim = sim_new(ONE_WORKER);
+		gh_job_spec_t spec = job("j", "lace", 1, 3, c->run_ms);
+
+		sim_run(sim, 1000);
+		sim->events = g_string_new(NULL);
+		sim_submit(sim, &spec);
+		sim_run(sim, 2000);
+		if (c->silent_ms)
+			sim->workers[0].mode = SIM_UNREACHABLE;
+		sim_run(sim, c->silent_ms);
+		sim->workers[0].mode = SIM_UP;
+		sim_run(sim, 3000);
+		assert_string_equal(sim->events->str, c->events);
+		sim_free(sim);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -889,6 +939,7 @@
 		cmocka_unit_test(test_any_checkpoint_reads_back),
 		cmocka_unit_test(test_harm_throttles_batch),
 		cmocka_unit_test(test_calls_go_by_activity),
+		cmocka_unit_test(test_events_tell_why_a_task_starts_again),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/shard_run.c
+++ b/shard_run.c
@@ -100,6 +100,7 @@
 static bool load_shard(shard_run_t *run);
 static bool load_shard_once(shard_run_t *run, GError **err);
 static gh_shard_t *create_shard(shard_run_t *run);
+static void log_shard_event(void *ctx, const gh_shard_event_t *event);
 static bool replay_line(void *ctx, const char *text, GError **err);
 static void begin_ownership(shard_run_t *run);
 static void process_tick(shard_run_t *run);
@@ -432,7 +433,9 @@
 	gh_shard_setup_t setup = { .owner = run->owner,
 				   .domain = run->domain,
 				   .index = run->index,
-				   .seed = run->seed };
+				   .seed = run->seed,
+				   .on_event = log_shard_event,
+				   .event_ctx = run };
 	gh_shard_t *shard = gh_shard_new(&setup);
 	gh_now_t now = read_clocks();
 
@@ -440,6 +443,22 @@
 	return shard;
 }
 
+static void log_shard_event(void *ctx, const gh_shard_event_t *event)
+{
+	const shard_run_t *run = ctx;
+
+	if (event->task)
+		log_event(LOG_INFO, event->name, "shard", run->wire_name,
+			  "task", event->task, "attempt",
+			  log_num(event->attempt), "worker", event->worker,
+			  "why", event->why, "commit",
+			  log_num((int64_t)event->commit), "epoch",
+			  log_num((int64_t)run->epoch), NULL);
+	else
+		log_event(LOG_INFO, event->name, "shard", run->wire_name,
+			  "worker", event->worker, "why", event->why, NULL);
+}
+
 static bool replay_line(void *ctx, const char *text, GError **err)
 {
 	return gh_shard_replay(ctx, text, err);
@@ -622,9 +641,10 @@
 		char *snapshot = shard_log_needs_snapshot(run->log) ?
 					 gh_shard_snapshot(run->shard) :
 					 NULL;
+		gh_time_t started = clock_boot();
 		bool ok;
 
-		run->commit_started = clock_boot();
+		run->commit_started = started;
 		pthread_mutex_unlock(&run->lock);
 		ok = commit_records(run, records, &commit);
 		/*
@@ -640,6 +660,13 @@
 		if (!ok)
 			continue;
 		run->committed = commit;
+		if (records)
+			log_event(
+				LOG_INFO, "tasks_committed", "shard",
+				run->wire_name, "commit",
+				log_num((int64_t)commit), "ms",
+				log_num(gh_time_to_ms(clock_boot() - started)),
+				NULL);
 		gh_shard_confirm_commit(run->shard, commit);
 		queue_actions(run);
 		pthread_cond_broadcast(&run->wake);
