core_shard_report: end attempts unheard by a list sent after their leases

An attempt ended as lost when a call to its worker failed after the attempt's last lease, whenever that call had been sent. One slow list was enough. Only a list asked for after the end of the leases can find every attempt ended and tell how, so only the failure of such a call ends attempts now. The core gets the time at which the failed call was sent.

The price: the tasks of a failed worker move up to one call later (1 s, and the wait between calls to a worker that doesn't reply).

--- a/core_shard.h
+++ b/core_shard.h
@@ -190,12 +190,12 @@
 
 /*
  * Process a worker's report, or a lease renewal or list call to the worker that
- * failed.
+ * failed.  sent_at (boot clock) is the time just before the call was sent.
  */
 void gh_shard_handle_report(gh_shard_t *shard, const char *worker,
 			    const gh_report_t *report, const gh_now_t *now);
 void gh_shard_handle_poll_failure(gh_shard_t *shard, const char *worker,
-				  const gh_now_t *now);
+				  gh_time_t sent_at, const gh_now_t *now);
 
 /*
  * Boot-clock time of the next poll of the worker.  This is worker_poll_ms from
--- a/core_shard_report.c
+++ b/core_shard_report.c
@@ -46,8 +46,8 @@
 				  const gh_report_t *report,
 				  const gh_now_t *now);
 static bool leases_expired(const gh_shard_t *shard, const gh_task_t *task,
-			   const gh_worker_health_t *health,
-			   const gh_now_t *now);
+			   const gh_worker_health_t *health, int64_t wall_ms);
+static int64_t wall_time_of(gh_time_t boot, const gh_now_t *now);
 static void end_attempt(gh_shard_t *shard, gh_task_ref_t task,
 			gh_task_end_t end, const char *checkpoint,
 			const char *why);
@@ -141,9 +141,15 @@
 	gh_shard_update_usable(shard, handle, now->boot);
 }
 
+/*
+ * Ends the attempts whose leases had expired when the failed call was sent:
+ * from then on the worker could have told how they ended.  It may still reply
+ * to the next call if the failed one was sent earlier.
+ */
 void gh_shard_handle_poll_failure(gh_shard_t *shard, const char *worker,
-				  const gh_now_t *now)
+				  gh_time_t sent_at, const gh_now_t *now)
 {
+	int64_t sent_ms = wall_time_of(sent_at, now);
 	gh_handle_t handle = gh_place_find(shard->place, worker);
 	gh_worker_health_t *health;
 	gh_task_ref_t ref;
@@ -160,7 +166,7 @@
 	     ref != GH_TASK_NONE; ref = next) {
 		next = gh_task_at(shard->tasks, ref)->next;
 		if (!leases_expired(shard, gh_task_at(shard->tasks, ref),
-				    health, now))
+				    health, sent_ms))
 			continue;
 		shard->counts.lost++;
 		end_attempt(shard, ref, GH_END_LOST, NULL,
@@ -346,8 +352,7 @@
 				  const gh_now_t *now)
 {
 	gh_task_ref_t ref = gh_task_first_on_worker(shard->tasks, worker);
-	int64_t sent_ms =
-		now->wall_ms - gh_time_to_ms(now->boot - report->sent_at);
+	int64_t sent_ms = wall_time_of(report->sent_at, now);
 
 	for (; ref != GH_TASK_NONE; ref = gh_task_at(shard->tasks, ref)->next) {
 		const gh_task_t *t = gh_task_at(shard->tasks, ref);
@@ -361,18 +366,22 @@
 }
 
 /*
- * Whether every lease that the task's open attempt can have received has
- * expired, by any host's clock.
+ * Whether every lease that the task's open attempt can have received had
+ * expired at this time, by any host's clock.
  */
 static bool leases_expired(const gh_shard_t *shard, const gh_task_t *task,
-			   const gh_worker_health_t *health,
-			   const gh_now_t *now)
+			   const gh_worker_health_t *health, int64_t wall_ms)
 {
 	int64_t end_ms = MAX(health->lease_end_ms, task->not_after_ms);
 
 	if (task->unconfirmed)
 		end_ms = MAX(end_ms, gh_task_orphans_until(shard->tasks));
-	return now->wall_ms > end_ms + shard->policy.clock_bound_ms;
+	return wall_ms > end_ms + shard->policy.clock_bound_ms;
+}
+
+static int64_t wall_time_of(gh_time_t boot, const gh_now_t *now)
+{
+	return now->wall_ms - gh_time_to_ms(now->boot - boot);
 }
 
 static void end_attempt(gh_shard_t *shard, gh_task_ref_t task,
--- a/regress/shard_sim.c
+++ b/regress/shard_sim.c
@@ -379,7 +379,8 @@
 	if (renews)
 		gh_shard_extend_lease(sim->shard, w->name, lease);
 	if (w->mode == SIM_UNREACHABLE) {
-		gh_shard_handle_poll_failure(sim->shard, w->name, &sim->now);
+		gh_shard_handle_poll_failure(sim->shard, w->name, sim->now.boot,
+					     &sim->now);
 		return;
 	}
 	if (renews)
@@ -405,7 +406,8 @@
 		entry->tail_ms = run->tail_ms;
 	}
 	if (w->mode == SIM_REPLIES_LOST)
-		gh_shard_handle_poll_failure(sim->shard, w->name, &sim->now);
+		gh_shard_handle_poll_failure(sim->shard, w->name, sim->now.boot,
+					     &sim->now);
 	else
 		gh_shard_handle_report(sim->shard, w->name, &report, &sim->now);
 	g_free(report.tasks);
--- a/regress/test_shard_core.c
+++ b/regress/test_shard_core.c
@@ -304,6 +304,53 @@
 	}
 }
 
+typedef struct failed_list_case {
+	int64_t sent_ms;   /* after the last renewal */
+	int64_t failed_ms; /* after the last renewal */
+	bool ends;	   /* the task may start elsewhere */
+} failed_list_case_t;
+
+/* The leases last 10 s, and the clocks may differ by 200 ms. */
+static const failed_list_case_t failed_list_cases[] = {
+	{ 8000, 9000, false },	 { 9500, 10500, false }, { 9500, 60000, false },
+	{ 10000, 10600, false }, { 10500, 10500, true }, { 10500, 11500, true },
+};
+
+/* A task ran again as a list sent before its leases' end got no reply in time.
+ */
+static void test_list_sent_within_leases_ends_nothing(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(failed_list_cases); i++) {
+		const failed_list_case_t *c = &failed_list_cases[i];
+		sim_t *sim = sim_new(ONE_WORKER);
+		gh_job_spec_t spec = job("j", "lace", 1, 3, 8500);
+		gh_time_t sent_at;
+
+		sim_run(sim, 1000);
+		sim_submit(sim, &spec);
+		sim_run(sim, 50);
+		sim->poll_at = sim->now.boot;
+		sim_run(sim, 50);
+		sim->poll_at = GH_TIME_NEVER;
+		sim_run(sim, c->sent_ms - 50);
+		sent_at = sim->now.boot;
+		sim_run(sim, c->failed_ms - c->sent_ms);
+		gh_shard_handle_poll_failure(sim->shard, "w1", sent_at,
+					     &sim->now);
+		if ((sim_job(sim, "j")->count[GH_TASK_PENDING] != 0) != c->ends)
+			fail_msg("case %zu", i);
+		sim->poll_at = sim->now.boot;
+		sim_run(sim, 20000);
+		if (!c->ends)
+			assert_int_equal(sim->workers[0].runs->len, 1);
+		assert_all_done(sim, "j");
+		sim_free(sim);
+	}
+}
+
 /*
  * A list call carries no epoch and so does not stop the renewals of a previous
  * owner: the new owner must still wait.
@@ -921,6 +968,7 @@
 		cmocka_unit_test(test_cut_worker_waits_for_its_leases),
 		cmocka_unit_test(test_late_start),
 		cmocka_unit_test(test_list_made_before_start),
+		cmocka_unit_test(test_list_sent_within_leases_ends_nothing),
 		cmocka_unit_test(test_list_does_not_resolve),
 		cmocka_unit_test(test_takeover_with_cut_worker_waits),
 		cmocka_unit_test(test_paused_owner_is_fenced),
--- a/replay_shard.c
+++ b/replay_shard.c
@@ -257,7 +257,8 @@
 	size_t i;
 
 	if (host->mode == REPLAY_MODE_DOWN) {
-		gh_shard_handle_poll_failure(owner->shard, name, &now);
+		gh_shard_handle_poll_failure(owner->shard, name, now.boot,
+					     &now);
 		return;
 	}
 	if (gh_shard_should_renew(owner->shard, name))
--- a/shard_run.c
+++ b/shard_run.c
@@ -896,6 +896,7 @@
 	gh_report_t report = { .tasks = NULL };
 	gh_reply_t reply = GH_REPLY_NOT_SENT;
 	endpoint_t *endpoint;
+	gh_time_t sent_at;
 	gh_now_t now;
 	bool renew;
 	bool allowed;
@@ -911,6 +912,7 @@
 		gh_shard_extend_lease(run->shard, call->worker,
 				      target.lease_deadline_ms);
 	pthread_mutex_unlock(&run->lock);
+	sent_at = now.boot;
 	if (allowed)
 		reply = run->link->ops->poll(run->link, &target, renew,
 					     &report);
@@ -927,7 +929,7 @@
 					       &report, &now);
 		else
 			gh_shard_handle_poll_failure(run->shard, call->worker,
-						     &now);
+						     sent_at, &now);
 		endpoint->next_poll_at =
 			next_poll_time(run, endpoint, now.boot);
 	}
