core_shard_report: a task heard to be done before its next attempt is done

Callers saw a task of a task shard run again after it was done: when the leases of a worker that the owner couldn't hear had ended, its attempts were taken for lost. If the worker was heard again before a next attempt had begun, and told that the task was done, the owner let it forget the attempt and started the task again, often on this worker and for this report, as it made the worker usable.

A report that the last attempt of a waiting task is done, by the worker that had this attempt, is taken now: it is recorded as one more attempt that begins and is done at once. Owners of earlier versions can replay that; a record of its own they would refuse with the whole log.

--- a/core_shard_report.c
+++ b/core_shard_report.c
@@ -51,6 +51,8 @@
 static void end_attempt(gh_shard_t *shard, gh_task_ref_t task,
 			gh_task_end_t end, const char *checkpoint,
 			const char *why);
+static bool is_late_done(const gh_task_t *task, gh_handle_t worker,
+			 const gh_report_task_t *entry);
 static void emit_late_entry(gh_shard_t *shard, gh_handle_t worker,
 			    const gh_report_task_t *entry);
 static void emit_worker(gh_shard_t *shard, const char *name, gh_handle_t worker,
@@ -324,6 +326,12 @@
 	if (!gh_task_has_open_attempt(t) || t->worker != worker ||
 	    t->attempt != entry->attempt) {
 		emit_late_entry(shard, worker, entry);
+		if (is_late_done(t, worker, entry)) {
+			/* Earlier versions can replay these records, too. */
+			gh_task_begin_attempt(shard->tasks, shard->records, ref,
+					      worker, now->wall_ms);
+			handle_done(shard, ref, entry, now);
+		}
 		clean_up_attempt(shard, worker, entry);
 		return;
 	}
@@ -402,6 +410,19 @@
 		shard->counts.jobs_done++;
 }
 
+/*
+ * Whether the entry says that the task is done by its last attempt, which the
+ * owner took for lost, and the task waits for another one.  The task is then
+ * recorded as done by an attempt that begins and ends at once.
+ */
+static bool is_late_done(const gh_task_t *task, gh_handle_t worker,
+			 const gh_report_task_t *entry)
+{
+	return entry->state == GH_REPORT_DONE && task->attempt &&
+	       task->attempt == entry->attempt && task->last_worker == worker &&
+	       task->state == GH_TASK_PENDING;
+}
+
 static void emit_late_entry(gh_shard_t *shard, gh_handle_t worker,
 			    const gh_report_task_t *entry)
 {
--- a/regress/test_shard_core.c
+++ b/regress/test_shard_core.c
@@ -351,6 +351,64 @@
 	}
 }
 
+typedef struct late_done_case {
+	const char *document;
+	int64_t run_ms;
+	bool new_owner; /* the owner crashes after it gave the attempt up */
+	size_t runs;
+} late_done_case_t;
+
+static const late_done_case_t late_done_cases[] = {
+	{ ONE_WORKER, 400, false, 1 },
+	{ ONE_WORKER, 400, true, 1 },
+	/* the leases have ended the first attempt */
+	{ ONE_WORKER, 15000, false, 2 },
+	/* the other worker has run the second attempt */
+	{ TWO_WORKERS, 400, false, 2 },
+};
+
+/* A task ran again after its worker had told that it was done. */
+static void test_done_heard_before_next_attempt_counts(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(late_done_cases); i++) {
+		const late_done_case_t *c = &late_done_cases[i];
+		sim_t *sim = sim_new(c->document);
+		gh_job_spec_t spec = job("j", "lace", 1, 3, c->run_ms);
+		size_t n_runs = 0;
+		size_t k;
+
+		sim_run(sim, 1000);
+		sim_submit(sim, &spec);
+		sim_run(sim, 200);
+		for (k = 0; k < sim->n_workers; k++)
+			if (sim->workers[k].runs->len)
+				sim->workers[k].mode = SIM_UNREACHABLE;
+		sim_run(sim, 15000);
+		if (c->new_owner) {
+			assert_int_equal(
+				sim_job(sim, "j")->count[GH_TASK_PENDING], 1);
+			sim_crash(sim);
+			sim_take_over(sim, 0);
+		}
+		for (k = 0; k < sim->n_workers; k++)
+			sim->workers[k].mode = SIM_UP;
+		sim_run(sim, 30000);
+		assert_all_done(sim, "j");
+		for (k = 0; k < sim->n_workers; k++)
+			n_runs += sim->workers[k].runs->len;
+		if (n_runs != c->runs)
+			fail_msg("case %zu: %zu runs", i, n_runs);
+		sim_crash(sim);
+		sim_take_over(sim, 0);
+		assert_all_done(sim, "j");
+		assert_no_violation(sim);
+		sim_free(sim);
+	}
+}
+
 /*
  * A list call carries no epoch and so does not stop the renewals of a previous
  * owner: the new owner must still wait.
@@ -969,6 +1027,7 @@
 		cmocka_unit_test(test_late_start),
 		cmocka_unit_test(test_list_made_before_start),
 		cmocka_unit_test(test_list_sent_within_leases_ends_nothing),
+		cmocka_unit_test(test_done_heard_before_next_attempt_counts),
 		cmocka_unit_test(test_list_does_not_resolve),
 		cmocka_unit_test(test_takeover_with_cut_worker_waits),
 		cmocka_unit_test(test_paused_owner_is_fenced),
