core_fleet: runs of a held job take up capacity on their workers

A job whose progress record can't be read is held: nothing of it is started, and what runs goes on. But its runs had no entry, so their workers looked free: further runs were sent to them, and a worker that doesn't guard its capacity itself would have run more than it holds (LIMIT).

A run that a worker lists and that belongs to a held job gets an entry in a state of its own, RUN_HELD, with the size of its step. What looks for runs to stop, copy, move or pace asks for other states, so the run is left alone; it ends as other runs do, by the worker's list or lease, and its end changes no record while the job is held. A cancel stops it by an order, as any other run; until it is listed as ended it counts. Of more than two runs of one task the third and later ones are only noted, as all were before.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -413,6 +413,7 @@
 	fleet_job_t *parent = fleet_job(fleet, job);
 	fleet_task_t *t = &parent->tasks[task];
 	bool copy = t->runs[0] != GH_NONE;
+	bool foreign = state == RUN_ORPHAN || state == RUN_HELD;
 
 	*run = (fleet_run_t){
 		.state = state,
@@ -420,10 +421,10 @@
 		.task = task,
 		.worker = worker,
 		.run_number = number,
-		.planned_at = state == RUN_ORPHAN ? 0 : now,
+		.planned_at = foreign ? 0 : now,
 		.pace_percent = 100,
 		/* The pace that a previous owner ordered is not known. */
-		.pace_sent_percent = state == RUN_ORPHAN ? GH_NONE : 100,
+		.pace_sent_percent = foreign ? GH_NONE : 100,
 		.progress_at = now,
 	};
 	if (copy)
@@ -476,7 +477,8 @@
 		g_free(task->checkpoint);
 		task->checkpoint = g_strdup(checkpoint);
 	}
-	if (job->phase > GH_JOB_RUNNING) {
+	/* The record of a held job is not replaced. */
+	if (job->phase > GH_JOB_RUNNING || job->held) {
 		fleet_job_free_if_finished(fleet, run.job);
 		return;
 	}
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -52,6 +52,8 @@
 			      const gh_worker_report_t *report);
 static void record_listed_run(gh_fleet_t *fleet, uint32_t handle,
 			      const gh_report_run_t *listed, gh_time_t now);
+static void record_held_run(gh_fleet_t *fleet, uint32_t handle,
+			    const gh_report_run_t *listed, gh_time_t now);
 static void record_end(gh_fleet_t *fleet, uint32_t handle,
 		       const gh_report_end_t *end, gh_time_t now);
 static void end_unlisted_runs(gh_fleet_t *fleet, uint32_t handle,
@@ -355,8 +357,9 @@
 	fleet_run_t *run;
 	fleet_task_t *task;
 
-	if (ref == GH_NONE && job != GH_NONE && fleet_job(fleet, job)->held) {
-		fleet_worker(fleet, handle)->has_unknown_run = true;
+	if (job != GH_NONE && fleet_job(fleet, job)->held &&
+	    fleet_job(fleet, job)->phase <= GH_JOB_RUNNING) {
+		record_held_run(fleet, handle, listed, now);
 		return;
 	}
 	if (ref == GH_NONE) {
@@ -398,6 +401,26 @@
 	}
 }
 
+/* Takes note of a run of a held job, so that it takes up capacity. */
+static void record_held_run(gh_fleet_t *fleet, uint32_t handle,
+			    const gh_report_run_t *listed, gh_time_t now)
+{
+	uint32_t job;
+	uint32_t ref =
+		find_run(fleet, &listed->task, listed->run, handle, &job);
+	uint32_t task = fleet_task_find(fleet_job(fleet, job), &listed->task);
+
+	if (ref == GH_NONE && task != GH_NONE &&
+	    fleet_job(fleet, job)->tasks[task].runs[GH_TASK_RUNS_MAX - 1] ==
+		    GH_NONE)
+		ref = fleet_run_open(fleet, job, task, handle, listed->run,
+				     RUN_HELD, now);
+	if (ref != GH_NONE)
+		fleet_run(fleet, ref)->last_report = fleet->report_number;
+	else
+		fleet_worker(fleet, handle)->has_unknown_run = true;
+}
+
 /* Ends as lost the runs that the worker's report should list and does not. */
 static void end_unlisted_runs(gh_fleet_t *fleet, uint32_t handle,
 			      const gh_worker_report_t *report, gh_time_t now)
@@ -416,7 +439,8 @@
 		 */
 		bool is_lost =
 			run->last_report != fleet->report_number &&
-			((run->state == RUN_ORPHAN &&
+			(run->state == RUN_HELD ||
+			 (run->state == RUN_ORPHAN &&
 			  (replied_before || !run->replied_at)) ||
 			 (replied_before && (run->state == RUN_RUNNING ||
 					     run->state == RUN_STOPPING)));
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -35,7 +35,12 @@
 	/* a stop order is queued or sent; the run's end is not reported */
 	RUN_STOPPING,
 	/* started by a previous owner of the shard; no report lists it yet */
-	RUN_ORPHAN
+	RUN_ORPHAN,
+	/*
+	 * listed by its worker, of a job that is held: it takes up capacity and
+	 * is left alone
+	 */
+	RUN_HELD
 } run_state_t;
 
 /* What the loss of a run's worker tells of the run's task. */
--- a/regress/test_core_fleet_record.c
+++ b/regress/test_core_fleet_record.c
@@ -177,6 +177,84 @@
 	world_clear(&w);
 }
 
+typedef struct held_case {
+	gh_step_t step;	    /* of the held job */
+	size_t runs_at_end; /* of the held job */
+	bool stalled;	    /* the run makes no progress */
+	bool draining;	    /* its worker drains */
+	bool ends;	    /* the run ends */
+	bool other_starts; /* a job that needs all of the worker starts there */
+} held_case_t;
+
+static const held_case_t held_cases[] = {
+	{ .step = { .tasks = 1, .size = { 1000, 100, 0 } }, .runs_at_end = 1 },
+	{ .stalled = true,
+	  .step = { .tasks = 1, .size = { 1000, 100, 0 } },
+	  .runs_at_end = 1 },
+	{ .draining = true,
+	  .step = { .tasks = 1,
+		    .size = { 1000, 100, 0 },
+		    .long_running = true },
+	  .runs_at_end = 1 },
+	{ .step = { .tasks = 1,
+		    .size = { 1000, 100, 0 },
+		    .speculative = true,
+		    .estimate_ms = 1000 },
+	  .runs_at_end = 1 },
+	{ .step = { .tasks = 2, .gang = true, .size = { 500, 100, 0 } },
+	  .runs_at_end = 1 },
+	{ .ends = true,
+	  .step = { .tasks = 1, .size = { 1000, 100, 0 } },
+	  .other_starts = true },
+	{ .ends = true,
+	  .step = { .tasks = 2, .gang = true, .size = { 500, 100, 0 } },
+	  .other_starts = true },
+};
+
+/* No run of a held job is started or stopped, and its record stays. */
+static void test_held_runs_are_left_alone(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(held_cases); i++) {
+		const held_case_t *c = &held_cases[i];
+		gh_report_run_t run = { .task = { .job = JOB }, .run = 1 };
+		scripted_worker_t *worker, *other;
+		GError *err = NULL;
+		size_t starts;
+		world_t w;
+
+		world_init(&w);
+		assert_false(gh_fleet_job_add(w.fleet,
+					      make_job(JOB, 1, &c->step),
+					      "unreadable", &err));
+		g_clear_error(&err);
+		worker = add_worker(&w, "w1", 1000);
+		other = add_worker(&w, "w2", 1000);
+		worker->runs[worker->n_runs++] = run;
+		worker->stalled = c->stalled;
+		advance_time(&w, 1000);
+		if (c->draining)
+			list_worker(&w, worker, true);
+		if (c->ends)
+			end_run(worker, 0, GH_RUN_DONE);
+		advance_time(&w, 60000);
+		if (w.n_orders || w.progress ||
+		    worker->n_runs != c->runs_at_end || other->n_runs)
+			fail_msg("case %zu: %zu orders, %zu runs", i,
+				 w.n_orders, worker->n_runs);
+		set_worker_size(&w, other, &(gh_resources_t){ 0 });
+		advance_time(&w, 1000);
+		add_job(&w, "0000000000000002", 1, &one_task, NULL);
+		advance_time(&w, 1000);
+		starts = count_orders(&w, GH_ORDER_START, 0);
+		if ((starts != 0) != c->other_starts)
+			fail_msg("case %zu: %zu starts", i, starts);
+		world_clear(&w);
+	}
+}
+
 /*
  * A worker lists its first ends only: those of a held job must not keep the
  * others from being acknowledged.
@@ -216,6 +294,7 @@
 		cmocka_unit_test(test_records),
 		cmocka_unit_test(test_cancel_held),
 		cmocka_unit_test(test_capacity_of_held),
+		cmocka_unit_test(test_held_runs_are_left_alone),
 		cmocka_unit_test(test_acks_beside_held),
 	};
 
