shard_log: drop an unconfirmed write when the log is read again

A new owner of a task shard reads the log and appends its own record. If the previous owner commits in between, or the reply to the append is lost in an outage, it reads the log again and appends again. That append first wrote the unconfirmed text of the one before to the slot that was the next one now. But the text's header has the number of the segment that was the next one then: the log held two values with one number, and none with the other. Callers would have seen the shard's jobs stand still.

A read replaces what the log knows, so it drops the unconfirmed write, too. If that still arrives, it takes the slot that the next append expects to be unchanged, which then fails and leads to another read.

test_new_owner_after_late_commit reads again with a new shard_log_t, which the daemon does not. test_first_append_is_retried uses the same one: "incomplete segments in shard log t/tasks/d/0" before, passes now.

--- a/regress/test_shard_log.c
+++ b/regress/test_shard_log.c
@@ -188,6 +188,58 @@
 	shard_log_free(other);
 }
 
+/* What a new owner's first append meets. */
+typedef struct first_append_case {
+	bool late_commit; /* the previous owner commits just before it */
+	bool outage;	  /* it takes effect, then the store is down */
+	const char *lines;
+} first_append_case_t;
+
+static const first_append_case_t first_append_cases[] = {
+	{ false, false, "one;E2;three;" },
+	{ true, false, "one;two;E2;three;" },
+	{ false, true, "one;E2;E2;three;" },
+	{ true, true, "one;two;E2;E2;three;" },
+};
+
+/* No later owner could read the log after the retry of a first append. */
+static void test_first_append_is_retried(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(first_append_cases); i++) {
+		const first_append_case_t *c = &first_append_cases[i];
+		mem_store_t *store = mem_store_new();
+		shard_log_t *previous = open_log(store, "a");
+		shard_log_t *log = open_log(store, "b");
+		shard_log_t *next = open_log(store, "c");
+		GString *lines = g_string_new(NULL);
+		int tries = 0;
+
+		load_lines(previous, lines);
+		append(previous, 1, "one\n");
+		do {
+			load_lines(log, lines);
+			if (!tries && c->late_commit)
+				append(previous, 1, "two\n");
+			if (!tries && c->outage)
+				store->outage_at_write = store->write_count + 1;
+			tries++;
+		} while (!shard_log_append(log, 2, "E2\n", NULL) &&
+			 (mem_store_set_down(store, false), tries < 5));
+		append(log, 2, "three\n");
+		load_lines(next, lines);
+		if (strcmp(lines->str, c->lines) != 0)
+			fail_msg("case %zu: %s", i, lines->str);
+		g_string_free(lines, TRUE);
+		shard_log_free(next);
+		shard_log_free(log);
+		shard_log_free(previous);
+		store_free(&store->base);
+	}
+}
+
 static void test_snapshot_replaces_segments(void **state)
 {
 	fixture_t *fix = *state;
@@ -322,6 +374,7 @@
 		LOG_TEST(test_outage_after_effect),
 		LOG_TEST(test_overtaken_writer_fails),
 		LOG_TEST(test_new_owner_after_late_commit),
+		cmocka_unit_test(test_first_append_is_retried),
 		LOG_TEST(test_snapshot_replaces_segments),
 		LOG_TEST(test_snapshot_in_use_is_kept),
 		LOG_TEST(test_snapshot_that_fails),
--- a/shard_log.c
+++ b/shard_log.c
@@ -126,6 +126,11 @@
 	g_free(prefix);
 	if (!ok)
 		return false;
+	/*
+	 * The text of an unconfirmed write names the segment that was the next
+	 * one before this read.
+	 */
+	g_clear_pointer(&log->pending.text, g_free);
 	segments = collect_segments(log, values);
 	for (i = 0; i < segments->len; i++) {
 		const segment_t *s = &g_array_index(segments, segment_t, i);
