--- a/regress/test_shard_core.c
+++ b/regress/test_shard_core.c
@@ -21,9 +21,9 @@
 #define WORKER(n)                                                       \
 	"[worker w" n "]\ndomain=bole\nrack=r" n "\naddress=127.0.1." n \
 	":1\ncores=4\nmemory_mb=4000\n"
-#define TWO_WORKERS                                                    \
-	POLICY DEPARTMENTS "[domain bole]\nregion=addis\n" WORKER("1") \
-		WORKER("2")
+#define ONE_WORKER \
+	POLICY DEPARTMENTS "[domain bole]\nregion=addis\n" WORKER("1")
+#define TWO_WORKERS ONE_WORKER WORKER("2")
 #define FOUR_WORKERS TWO_WORKERS WORKER("3") WORKER("4")
 
 static void assert_no_violation(const sim_t *sim)
@@ -304,6 +304,111 @@
 	}
 }
 
+typedef struct failed_list_case {
+	int64_t sent_ms;   /* after the last renewal */
+	int64_t failed_ms; /* after the last renewal */
+	bool ends;	   /* the task may start elsewhere */
+} failed_list_case_t;
+
+/* The leases last 10 s, and the clocks may differ by 200 ms. */
+static const failed_list_case_t failed_list_cases[] = {
+	{ 8000, 9000, false },	 { 9500, 10500, false }, { 9500, 60000, false },
+	{ 10000, 10600, false }, { 10500, 10500, true }, { 10500, 11500, true },
+};
+
+/* A task ran again as a list sent before its leases' end got no reply in time.
+ */
+static void test_list_sent_within_leases_ends_nothing(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(failed_list_cases); i++) {
+		const failed_list_case_t *c = &failed_list_cases[i];
+		sim_t *sim = sim_new(ONE_WORKER);
+		gh_job_spec_t spec = job("j", "lace", 1, 3, 8500);
+		gh_time_t sent_at;
+
+		sim_run(sim, 1000);
+		sim_submit(sim, &spec);
+		sim_run(sim, 50);
+		sim->poll_at = sim->now.boot;
+		sim_run(sim, 50);
+		sim->poll_at = GH_TIME_NEVER;
+		sim_run(sim, c->sent_ms - 50);
+		sent_at = sim->now.boot;
+		sim_run(sim, c->failed_ms - c->sent_ms);
+		gh_shard_handle_poll_failure(sim->shard, "w1", sent_at,
+					     &sim->now);
+		if ((sim_job(sim, "j")->count[GH_TASK_PENDING] != 0) != c->ends)
+			fail_msg("case %zu", i);
+		sim->poll_at = sim->now.boot;
+		sim_run(sim, 20000);
+		if (!c->ends)
+			assert_int_equal(sim->workers[0].runs->len, 1);
+		assert_all_done(sim, "j");
+		sim_free(sim);
+	}
+}
+
+typedef struct late_done_case {
+	const char *document;
+	int64_t run_ms;
+	bool new_owner; /* the owner crashes after it gave the attempt up */
+	size_t runs;
+} late_done_case_t;
+
+static const late_done_case_t late_done_cases[] = {
+	{ ONE_WORKER, 400, false, 1 },
+	{ ONE_WORKER, 400, true, 1 },
+	/* the leases have ended the first attempt */
+	{ ONE_WORKER, 15000, false, 2 },
+	/* the other worker has run the second attempt */
+	{ TWO_WORKERS, 400, false, 2 },
+};
+
+/* A task ran again after its worker had told that it was done. */
+static void test_done_heard_before_next_attempt_counts(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(late_done_cases); i++) {
+		const late_done_case_t *c = &late_done_cases[i];
+		sim_t *sim = sim_new(c->document);
+		gh_job_spec_t spec = job("j", "lace", 1, 3, c->run_ms);
+		size_t n_runs = 0;
+		size_t k;
+
+		sim_run(sim, 1000);
+		sim_submit(sim, &spec);
+		sim_run(sim, 200);
+		for (k = 0; k < sim->n_workers; k++)
+			if (sim->workers[k].runs->len)
+				sim->workers[k].mode = SIM_UNREACHABLE;
+		sim_run(sim, 15000);
+		if (c->new_owner) {
+			assert_int_equal(
+				sim_job(sim, "j")->count[GH_TASK_PENDING], 1);
+			sim_crash(sim);
+			sim_take_over(sim, 0);
+		}
+		for (k = 0; k < sim->n_workers; k++)
+			sim->workers[k].mode = SIM_UP;
+		sim_run(sim, 30000);
+		assert_all_done(sim, "j");
+		for (k = 0; k < sim->n_workers; k++)
+			n_runs += sim->workers[k].runs->len;
+		if (n_runs != c->runs)
+			fail_msg("case %zu: %zu runs", i, n_runs);
+		sim_crash(sim);
+		sim_take_over(sim, 0);
+		assert_all_done(sim, "j");
+		assert_no_violation(sim);
+		sim_free(sim);
+	}
+}
+
 /*
  * A list call carries no epoch and so does not stop the renewals of a previous
  * owner: the new owner must still wait.
@@ -862,6 +967,56 @@
 	sim_free(sim);
 }
 
+/* A worker that falls silent for a while, and the log of its task. */
+typedef struct event_case {
+	int64_t run_ms;
+	int64_t silent_ms; /* 0: the worker is never silent */
+	const char *events;
+} event_case_t;
+
+static const event_case_t event_cases[] = {
+	{ 400, 0,
+	  "attempt_begun j.0/1\n"
+	  "attempt_replied j.0/1: ok\n"
+	  "attempt_ended j.0/1: done\n"
+	  "attempt_acknowledged j.0/1: ok\n" },
+	{ 60000, 20000,
+	  "attempt_begun j.0/1\n"
+	  "attempt_replied j.0/1: ok\n"
+	  "worker_unheard\n"
+	  "attempt_ended j.0/1: its leases expired unheard\n"
+	  "worker_heard: list\n"
+	  "attempt_listed_late j.0/1: lapsed\n"
+	  "attempt_begun j.0/2\n"
+	  "attempt_acknowledged j.0/1: ok\n"
+	  "attempt_replied j.0/2: ok\n" },
+};
+
+/* Nothing told when and why a task was started again. */
+static void test_events_tell_why_a_task_starts_again(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(event_cases); i++) {
+		const event_case_t *c = &event_cases[i];
+		sim_t *sim = sim_new(ONE_WORKER);
+		gh_job_spec_t spec = job("j", "lace", 1, 3, c->run_ms);
+
+		sim_run(sim, 1000);
+		sim->events = g_string_new(NULL);
+		sim_submit(sim, &spec);
+		sim_run(sim, 2000);
+		if (c->silent_ms)
+			sim->workers[0].mode = SIM_UNREACHABLE;
+		sim_run(sim, c->silent_ms);
+		sim->workers[0].mode = SIM_UP;
+		sim_run(sim, 3000);
+		assert_string_equal(sim->events->str, c->events);
+		sim_free(sim);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -871,6 +1026,8 @@
 		cmocka_unit_test(test_cut_worker_waits_for_its_leases),
 		cmocka_unit_test(test_late_start),
 		cmocka_unit_test(test_list_made_before_start),
+		cmocka_unit_test(test_list_sent_within_leases_ends_nothing),
+		cmocka_unit_test(test_done_heard_before_next_attempt_counts),
 		cmocka_unit_test(test_list_does_not_resolve),
 		cmocka_unit_test(test_takeover_with_cut_worker_waits),
 		cmocka_unit_test(test_paused_owner_is_fenced),
@@ -889,6 +1046,7 @@
 		cmocka_unit_test(test_any_checkpoint_reads_back),
 		cmocka_unit_test(test_harm_throttles_batch),
 		cmocka_unit_test(test_calls_go_by_activity),
+		cmocka_unit_test(test_events_tell_why_a_task_starts_again),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
