Test that a releasing owner grants nothing after its release

Ruled out. advance() sends calls to workers in PHASE_OWNING only, and the phase has changed before the commit is made, so nothing is granted after the time that the commit tells. The claimant counts that time from its own read of the chain, which is later than the commit's making however late the commit is carried out, and a second release commit tells the time anew.

The new test plays two owners on one store, in simulated time, with release commits that are refused, lost, sent again, without a reply, done seconds late, and with a record that lapses in between; the next owner can't reach the worker. It passes on.

--- /dev/null
+++ b/regress/test_owner_takeover.c
@@ -0,0 +1,1047 @@
+/*
+ * Tests of owners that follow each other, in simulated time: two hosts, a store
+ * and workers whose calls can be lost, refused or carried out late.  No task
+ * may run twice.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <inttypes.h>
+#include <pthread.h>
+#include <string.h>
+
+#include "clock.h"
+#include "fleet_owner.h"
+#include "fleet_world.h"
+
+#define HOSTS 2
+#define WORKERS 2
+#define CHANGES_MAX 8192
+#define ORDINARY_LEASE_MS 4500
+#define LONGEST_LEASE_MS 10000
+/* Time from a call to its execution, and from there to its reply. */
+#define LATENCY_USEC (1 * MS)
+#define STORE_TIMEOUT_USEC (400 * MS)
+#define ORDER_TIMEOUT_USEC (500 * MS)
+#define RENEWAL_TIMEOUT_MARGIN_USEC (800 * MS)
+#define WATCH_POLL_USEC (2 * MS)
+#define START_WALL_USEC (1700000000 * GH_USEC_PER_SEC)
+#define STEP_MS 10
+#define PATIENCE_MS 25000
+#define JOB "0000000000000001"
+#define OWNER_KEY "d/own/0"
+#define CHAIN_KEY "c/0"
+
+/* What becomes of the calls from one program to another. */
+typedef struct link {
+	bool cut;	   /* neither executed nor answered */
+	bool replies_lost; /* executed, not answered */
+	bool refused;	   /* answered, not executed */
+	gh_time_t late;	   /* executed later by this, not answered */
+} link_t;
+
+typedef enum store_call_kind {
+	CALL_RANGE,
+	CALL_GET,
+	CALL_WATCH,
+	CALL_COMMIT,
+	CALL_GRANT,
+	CALL_RENEW,
+	CALL_KINDS
+} store_call_kind_t;
+
+/* A write or, without value, a deletion of a key. */
+typedef struct change {
+	fleet_keyspace_t keyspace;
+	char *key;
+	char *value;
+	uint64_t revision;
+	uint64_t lease;
+	bool current; /* the last change of its key */
+} change_t;
+
+typedef struct sim sim_t;
+
+typedef struct sim_store {
+	fleet_store_t base;
+	sim_t *sim;
+	uint32_t host;
+	link_t links[CALL_KINDS];
+	unsigned n_calls[CALL_KINDS];
+	unsigned n_owner_reads; /* calls that read the owner record's key */
+} sim_store_t;
+
+typedef struct sim_workers {
+	fleet_workers_t base;
+	sim_t *sim;
+	uint32_t host;
+} sim_workers_t;
+
+typedef struct sim_worker {
+	char id[GH_WORKER_ID_MAX + 1];
+	int64_t born;
+	uint64_t fence;
+	gh_time_t lease_end;
+	gh_report_run_t run; /* of JOB; number 0: none */
+	link_t links[HOSTS];
+	gh_time_t granted_at; /* when a renewal last extended the lease */
+} sim_worker_t;
+
+typedef struct sim_host {
+	char name[8];
+	sim_store_t store;
+	sim_workers_t workers;
+	fleet_jobs_t *jobs;
+	fleet_owner_t *owner;
+} sim_host_t;
+
+struct sim {
+	loop_t *loop;
+	sim_host_t hosts[HOSTS];
+	sim_worker_t workers[WORKERS];
+	change_t changes[CHANGES_MAX];
+	size_t n_changes;
+	uint64_t revision;
+	uint64_t last_lease;
+	gh_time_t lease_ends[64]; /* indexed by lease */
+	GPtrArray *calls;	  /* sim_call_t in flight */
+	bool closed;
+	unsigned n_starts; /* runs begun */
+	unsigned n_twice;  /* runs begun while another worker ran the task */
+};
+
+/* A call in flight to the store or, with a worker, to a worker. */
+typedef struct sim_call {
+	sim_t *sim;
+	link_t *link;
+	loop_timer_t execute;
+	loop_timer_t reply;
+	gh_time_t sent_at;
+	bool answered;
+	/* to the store */
+	sim_store_t *store;
+	store_call_kind_t kind;
+	fleet_keyspace_t keyspace;
+	char *key;
+	uint64_t number; /* revision or lease */
+	gh_time_t wait_until;
+	fleet_entry_t entries[FLEET_ENTRIES_MAX];
+	size_t n_entries;
+	fleet_store_done_t store_done;
+	fleet_reply_t outcome;
+	GArray *items; /* fleet_item_t, of the reply */
+	/* to a worker */
+	sim_worker_t *worker;
+	uint32_t host;
+	uint64_t epoch;
+	int64_t born; /* of the incarnation that is meant */
+	int64_t executed_by;
+	gh_time_t lease_until;
+	gh_time_t wait;
+	gh_order_t order;
+	gh_order_reply_t result;
+	fleet_renewal_done_t renewal_done;
+	fleet_order_done_t order_done;
+	void *ctx;
+} sim_call_t;
+
+/* The clock and the loop of both hosts. */
+
+static gh_time_t sim_now;
+
+gh_time_t clock_boot(void)
+{
+	return sim_now;
+}
+
+gh_time_t clock_real(void)
+{
+	return START_WALL_USEC + sim_now;
+}
+
+void clock_cond_init(pthread_cond_t *cond)
+{
+	pthread_cond_init(cond, NULL);
+}
+
+void clock_wait_until(pthread_cond_t *cond, pthread_mutex_t *lock,
+		      gh_time_t deadline)
+{
+	(void)cond;
+	(void)lock;
+	(void)deadline;
+}
+
+typedef struct hook {
+	loop_work_t work;
+	void *ctx;
+} hook_t;
+
+struct loop {
+	GPtrArray *timers; /* loop_timer_t */
+	GArray *hooks;	   /* hook_t */
+};
+
+loop_t *loop_new(void)
+{
+	loop_t *loop = g_new0(loop_t, 1);
+
+	loop->timers = g_ptr_array_new();
+	loop->hooks = g_array_new(FALSE, FALSE, sizeof(hook_t));
+	return loop;
+}
+
+static void loop_free(loop_t *loop)
+{
+	g_ptr_array_free(loop->timers, TRUE);
+	g_array_free(loop->hooks, TRUE);
+	g_free(loop);
+}
+
+void loop_timer_add(loop_t *loop, loop_timer_t *timer)
+{
+	g_ptr_array_add(loop->timers, timer);
+}
+
+void loop_timer_remove(loop_t *loop, loop_timer_t *timer)
+{
+	g_ptr_array_remove_fast(loop->timers, timer);
+}
+
+void loop_after_iteration(loop_t *loop, loop_work_t work, void *ctx)
+{
+	hook_t hook = { .work = work, .ctx = ctx };
+
+	g_array_append_val(loop->hooks, hook);
+}
+
+void loop_post(loop_t *loop, loop_work_t work, void *ctx)
+{
+	(void)loop;
+	work(ctx);
+}
+
+static loop_timer_t *earliest_timer(const loop_t *loop)
+{
+	loop_timer_t *earliest = NULL;
+	guint i;
+
+	for (i = 0; i < loop->timers->len; i++) {
+		loop_timer_t *timer = loop->timers->pdata[i];
+
+		if (!earliest || timer->at < earliest->at)
+			earliest = timer;
+	}
+	return earliest;
+}
+
+static void run_for(sim_t *sim, int64_t ms)
+{
+	gh_time_t end = sim_now + ms * MS;
+	loop_timer_t *timer;
+	guint i;
+
+	while ((timer = earliest_timer(sim->loop)) && timer->at <= end) {
+		sim_now = MAX(sim_now, timer->at);
+		timer->at = GH_TIME_NEVER;
+		timer->run(timer->ctx, sim_now);
+		for (i = 0; i < sim->loop->hooks->len; i++) {
+			const hook_t *hook =
+				&g_array_index(sim->loop->hooks, hook_t, i);
+
+			hook->work(hook->ctx);
+		}
+	}
+	sim_now = end;
+}
+
+/* Calls. */
+
+static void call_free(sim_call_t *call)
+{
+	size_t i;
+
+	loop_timer_remove(call->sim->loop, &call->execute);
+	loop_timer_remove(call->sim->loop, &call->reply);
+	g_ptr_array_remove(call->sim->calls, call);
+	for (i = 0; i < call->n_entries; i++) {
+		g_free((char *)call->entries[i].key);
+		g_free((char *)call->entries[i].value);
+	}
+	for (i = 0; call->items && i < call->items->len; i++) {
+		fleet_item_t *item =
+			&g_array_index(call->items, fleet_item_t, i);
+
+		g_free(item->key);
+		g_free(item->value);
+	}
+	if (call->items)
+		g_array_free(call->items, TRUE);
+	g_free(call->key);
+	g_free(call);
+}
+
+static void call_free_if_over(sim_call_t *call)
+{
+	if (call->execute.at == GH_TIME_NEVER &&
+	    call->reply.at == GH_TIME_NEVER)
+		call_free(call);
+}
+
+static sim_call_t *call_new(sim_t *sim, link_t *link, void *ctx)
+{
+	sim_call_t *call = g_new0(sim_call_t, 1);
+
+	call->sim = sim;
+	call->link = link;
+	call->sent_at = sim_now;
+	call->ctx = ctx;
+	call->execute.at = call->reply.at = GH_TIME_NEVER;
+	call->execute.ctx = call->reply.ctx = call;
+	g_ptr_array_add(sim->calls, call);
+	loop_timer_add(sim->loop, &call->execute);
+	loop_timer_add(sim->loop, &call->reply);
+	return call;
+}
+
+static void call_send(sim_call_t *call, gh_time_t timeout)
+{
+	const link_t *link = call->link;
+
+	if (!link->cut && !link->refused)
+		call->execute.at = sim_now + LATENCY_USEC + link->late;
+	call->answered = !link->cut && !link->replies_lost && !link->late;
+	if (!call->answered)
+		call->reply.at = sim_now + timeout;
+	else if (link->refused)
+		call->reply.at = sim_now + 2 * LATENCY_USEC;
+}
+
+/* The store. */
+
+static change_t *find_item(sim_t *sim, fleet_keyspace_t keyspace,
+			   const char *key)
+{
+	size_t i;
+
+	for (i = 0; i < sim->n_changes; i++)
+		if (sim->changes[i].current && sim->changes[i].value &&
+		    sim->changes[i].keyspace == keyspace &&
+		    !strcmp(sim->changes[i].key, key))
+			return &sim->changes[i];
+	return NULL;
+}
+
+static void write_item(sim_t *sim, fleet_keyspace_t keyspace, const char *key,
+		       const char *value, uint64_t lease)
+{
+	change_t *old = find_item(sim, keyspace, key);
+
+	if (!old && !value)
+		return;
+	if (old)
+		old->current = false;
+	assert_true(sim->n_changes < CHANGES_MAX);
+	sim->changes[sim->n_changes++] = (change_t){
+		.keyspace = keyspace,
+		.key = g_strdup(key),
+		.value = g_strdup(value),
+		.revision = sim->revision,
+		.lease = lease,
+		.current = true,
+	};
+}
+
+static void put(sim_t *sim, fleet_keyspace_t keyspace, const char *key,
+		const char *value)
+{
+	sim->revision++;
+	write_item(sim, keyspace, key, value, 0);
+}
+
+static void end_leases(sim_t *sim)
+{
+	size_t n = sim->n_changes;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		const change_t *item = &sim->changes[i];
+
+		if (!item->current || !item->value || !item->lease ||
+		    sim_now <= sim->lease_ends[item->lease])
+			continue;
+		put(sim, item->keyspace, item->key, NULL);
+	}
+}
+
+static void add_reply_item(sim_call_t *call, const char *key,
+			   const change_t *item)
+{
+	fleet_item_t copy = { .key = g_strdup(key) };
+
+	if (item) {
+		copy.value = g_strdup(item->value);
+		copy.revision = item->revision;
+	}
+	g_array_append_val(call->items, copy);
+}
+
+static bool is_in(const sim_call_t *call, const change_t *change)
+{
+	return change->keyspace == call->keyspace &&
+	       g_str_has_prefix(change->key, call->key);
+}
+
+static void execute_commit(sim_call_t *call)
+{
+	sim_t *sim = call->sim;
+	size_t i;
+
+	for (i = 0; i < call->n_entries; i++) {
+		const fleet_entry_t *entry = &call->entries[i];
+		const change_t *item =
+			find_item(sim, FLEET_KEYSPACE_OWN, entry->key);
+
+		if (entry->kind == FLEET_EXPECT) {
+			add_reply_item(call, entry->key, item);
+			if ((item ? item->revision : 0) != entry->revision)
+				call->outcome.result = FLEET_CONFLICT;
+		} else if (entry->lease &&
+			   sim_now > sim->lease_ends[entry->lease]) {
+			call->outcome.result = FLEET_NOT_FOUND;
+		}
+	}
+	if (call->outcome.result != FLEET_OK)
+		return;
+	sim->revision++;
+	for (i = 0; i < call->n_entries; i++) {
+		const fleet_entry_t *entry = &call->entries[i];
+
+		if (entry->kind != FLEET_EXPECT)
+			write_item(sim, FLEET_KEYSPACE_OWN, entry->key,
+				   entry->value, entry->lease);
+	}
+}
+
+/* Returns false if the watch goes on waiting. */
+static bool execute_watch(sim_call_t *call)
+{
+	size_t i;
+
+	for (i = 0; i < call->sim->n_changes; i++) {
+		const change_t *change = &call->sim->changes[i];
+
+		if (change->revision > call->number && is_in(call, change))
+			add_reply_item(call, change->key, change);
+	}
+	return call->items->len || sim_now >= call->wait_until;
+}
+
+static void execute_store_call(void *ctx, gh_time_t now)
+{
+	sim_call_t *call = ctx;
+	sim_t *sim = call->sim;
+	const change_t *item;
+	size_t i;
+
+	(void)now;
+	end_leases(sim);
+	call->outcome.result = FLEET_OK;
+	switch (call->kind) {
+	case CALL_RANGE:
+		for (i = 0; i < sim->n_changes; i++) {
+			item = &sim->changes[i];
+			if (item->current && item->value && is_in(call, item))
+				add_reply_item(call, item->key, item);
+		}
+		break;
+	case CALL_GET:
+		item = find_item(sim, call->keyspace, call->key);
+		if (item)
+			add_reply_item(call, call->key, item);
+		else
+			call->outcome.result = FLEET_NOT_FOUND;
+		break;
+	case CALL_WATCH:
+		if (!execute_watch(call)) {
+			call->execute.at = sim_now + WATCH_POLL_USEC;
+			return;
+		}
+		if (call->link->cut)
+			call->outcome.result = FLEET_OUTCOME_UNKNOWN;
+		break;
+	case CALL_COMMIT:
+		execute_commit(call);
+		break;
+	case CALL_GRANT:
+		call->outcome.lease = ++sim->last_lease;
+		assert_true(sim->last_lease < G_N_ELEMENTS(sim->lease_ends));
+		sim->lease_ends[sim->last_lease] =
+			sim_now + gh_time_from_ms((int64_t)call->number);
+		break;
+	default:
+		if (sim_now > sim->lease_ends[call->number])
+			call->outcome.result = FLEET_NOT_FOUND;
+		else if (sim->lease_ends[call->number] != GH_TIME_NEVER)
+			sim->lease_ends[call->number] = sim_now + 1500 * MS;
+		break;
+	}
+	call->outcome.revision = sim->revision;
+	if (call->answered)
+		call->reply.at = sim_now + LATENCY_USEC;
+	call_free_if_over(call);
+}
+
+static void reply_store_call(void *ctx, gh_time_t now)
+{
+	sim_call_t *call = ctx;
+	fleet_reply_t reply = { .result = FLEET_OUTCOME_UNKNOWN };
+
+	(void)now;
+	if (call->sim->closed || (call->link->refused && call->answered))
+		reply.result = FLEET_REFUSED;
+	else if (call->answered)
+		reply = call->outcome;
+	reply.items = (const fleet_item_t *)call->items->data;
+	reply.n_items = call->items->len;
+	call->store_done(call->ctx, &reply);
+	call_free_if_over(call);
+}
+
+static sim_call_t *store_call_new(fleet_store_t *base, store_call_kind_t kind,
+				  const char *key, fleet_store_done_t done,
+				  void *ctx)
+{
+	sim_store_t *store = (sim_store_t *)base;
+	sim_call_t *call = call_new(store->sim, &store->links[kind], ctx);
+
+	store->n_calls[kind]++;
+	call->store = store;
+	call->kind = kind;
+	call->key = g_strdup(key);
+	call->store_done = done;
+	call->items = g_array_new(FALSE, FALSE, sizeof(fleet_item_t));
+	call->execute.run = execute_store_call;
+	call->reply.run = reply_store_call;
+	return call;
+}
+
+static void store_range(fleet_store_t *base, fleet_keyspace_t keyspace,
+			const char *prefix, const char *after_key,
+			fleet_store_done_t done, void *ctx)
+{
+	sim_call_t *call = store_call_new(base, CALL_RANGE, prefix, done, ctx);
+
+	assert_string_equal(after_key, "");
+	call->keyspace = keyspace;
+	call_send(call, STORE_TIMEOUT_USEC);
+}
+
+static void store_get(fleet_store_t *base, fleet_keyspace_t keyspace,
+		      const char *key, fleet_store_done_t done, void *ctx)
+{
+	sim_call_t *call = store_call_new(base, CALL_GET, key, done, ctx);
+
+	call->keyspace = keyspace;
+	call->store->n_owner_reads += !strcmp(key, OWNER_KEY);
+	call_send(call, STORE_TIMEOUT_USEC);
+}
+
+static void store_watch(fleet_store_t *base, fleet_keyspace_t keyspace,
+			const char *prefix, uint64_t after_revision,
+			int64_t wait_ms, fleet_store_done_t done, void *ctx)
+{
+	sim_call_t *call = store_call_new(base, CALL_WATCH, prefix, done, ctx);
+
+	call->keyspace = keyspace;
+	call->number = after_revision;
+	call->wait_until = sim_now + wait_ms * MS;
+	call_send(call, STORE_TIMEOUT_USEC);
+}
+
+static void store_commit(fleet_store_t *base, const fleet_entry_t *entries,
+			 size_t n, fleet_store_done_t done, void *ctx)
+{
+	sim_call_t *call = store_call_new(base, CALL_COMMIT, NULL, done, ctx);
+	size_t i;
+
+	call->n_entries = n;
+	for (i = 0; i < n; i++) {
+		call->entries[i] = entries[i];
+		call->entries[i].key = g_strdup(entries[i].key);
+		call->entries[i].value = g_strdup(entries[i].value);
+	}
+	call_send(call, STORE_TIMEOUT_USEC);
+}
+
+static void store_grant_lease(fleet_store_t *base, int64_t ttl_ms,
+			      fleet_store_done_t done, void *ctx)
+{
+	sim_call_t *call = store_call_new(base, CALL_GRANT, NULL, done, ctx);
+
+	call->number = (uint64_t)ttl_ms;
+	call_send(call, STORE_TIMEOUT_USEC);
+}
+
+static void store_renew_lease(fleet_store_t *base, uint64_t lease_id,
+			      fleet_store_done_t done, void *ctx)
+{
+	sim_call_t *call = store_call_new(base, CALL_RENEW, NULL, done, ctx);
+
+	call->number = lease_id;
+	call_send(call, STORE_TIMEOUT_USEC);
+}
+
+static bool store_parse_worker(const char *id, const char *value,
+			       gh_worker_entry_t *entry, GError **err)
+{
+	(void)err;
+	*entry = (gh_worker_entry_t){
+		.service = "svc",
+		.address = "127.0.0.1:1",
+		.size = { .cores_milli = 1000, .memory_mb = 100000 },
+		.incarnation_start_ms = g_ascii_strtoll(value, NULL, 10),
+	};
+	g_strlcpy(entry->id, id, sizeof(entry->id));
+	return true;
+}
+
+static const fleet_store_ops_t store_ops = {
+	.range = store_range,
+	.get = store_get,
+	.watch = store_watch,
+	.commit = store_commit,
+	.grant_lease = store_grant_lease,
+	.renew_lease = store_renew_lease,
+	.parse_worker = store_parse_worker,
+};
+
+/* The workers. */
+
+static void end_lapsed_run(sim_worker_t *worker)
+{
+	if (sim_now > worker->lease_end)
+		worker->run.run = 0;
+}
+
+/*
+ * Takes a deadline, which never shortens the lease.  A worker's clock may be
+ * 2 % slow.  A deadline on the clock of a former life, which had been up for
+ * long, is far ahead on the new clock and is cut to the longest lease.
+ */
+static void take_deadline(sim_worker_t *worker, int64_t born,
+			  gh_time_t lease_until)
+{
+	gh_time_t lease = lease_until - sim_now;
+
+	end_lapsed_run(worker);
+	if (!lease_until)
+		return;
+	if (born && born != worker->born)
+		lease = LONGEST_LEASE_MS * MS;
+	if (lease <= 0)
+		return;
+	worker->granted_at = sim_now;
+	worker->lease_end = MAX(worker->lease_end, sim_now + lease * 51 / 50);
+}
+
+static gh_order_reply_t execute_start(sim_call_t *call)
+{
+	sim_t *sim = call->sim;
+	sim_worker_t *worker = call->worker;
+	size_t i;
+
+	if (sim_now > worker->lease_end)
+		return GH_ORDER_LEASE_EXPIRED;
+	if (worker->run.run == call->order.run)
+		return GH_ORDER_OK;
+	if (worker->run.run)
+		return GH_ORDER_NO_CAPACITY;
+	for (i = 0; i < WORKERS; i++) {
+		end_lapsed_run(&sim->workers[i]);
+		if (sim->workers[i].run.run) {
+			print_message("%d ms: run %u beside run %u\n",
+				      (int)(sim_now / MS), call->order.run,
+				      sim->workers[i].run.run);
+			sim->n_twice++;
+		}
+	}
+	worker->run = (gh_report_run_t){ .task = call->order.task,
+					 .run = call->order.run,
+					 .progress_percent = 100 };
+	sim->n_starts++;
+	return GH_ORDER_OK;
+}
+
+static void execute_worker_call(void *ctx, gh_time_t now)
+{
+	sim_call_t *call = ctx;
+	sim_worker_t *worker = call->worker;
+
+	(void)now;
+	call->executed_by = worker->born;
+	if (call->epoch < worker->fence) {
+		call->result = GH_ORDER_FENCED;
+		call->wait = 0;
+	} else {
+		worker->fence = call->epoch;
+		call->result = GH_ORDER_OK;
+		take_deadline(worker, call->born, call->lease_until);
+		if (call->order_done && call->order.kind == GH_ORDER_START)
+			call->result = execute_start(call);
+		else if (call->order_done && call->order.kind == GH_ORDER_STOP)
+			worker->run.run = 0;
+	}
+	if (call->answered)
+		call->reply.at = sim_now + call->wait + LATENCY_USEC;
+	call_free_if_over(call);
+}
+
+static void reply_worker_call(void *ctx, gh_time_t now)
+{
+	sim_call_t *call = ctx;
+	sim_worker_t *worker = call->worker;
+	gh_worker_report_t report = { .requested_at = call->sent_at };
+	gh_order_reply_t result = call->result;
+
+	(void)now;
+	/* The channels of a worker that restarts or is cut off break. */
+	if (!call->answered || call->sim->closed || call->link->cut ||
+	    call->executed_by != worker->born)
+		result = GH_ORDER_OUTCOME_UNKNOWN;
+	if (call->order_done) {
+		call->order.worker = worker->id;
+		call->order_done(call->ctx, &call->order, result);
+		call_free_if_over(call);
+		return;
+	}
+	if (result == GH_ORDER_OK) {
+		end_lapsed_run(worker);
+		report.incarnation_start_ms = worker->born;
+		report.complete = true;
+		report.runs = &worker->run;
+		report.n_runs = worker->run.run != 0;
+	}
+	call->renewal_done(call->ctx, worker->id, result, &report);
+	call_free_if_over(call);
+}
+
+static sim_call_t *worker_call_new(fleet_workers_t *base, const char *id,
+				   uint64_t epoch, void *ctx)
+{
+	sim_workers_t *workers = (sim_workers_t *)base;
+	sim_worker_t *worker = workers->sim->workers;
+	sim_call_t *call;
+
+	while (strcmp(worker->id, id) != 0)
+		worker++;
+	call = call_new(workers->sim, &worker->links[workers->host], ctx);
+	call->worker = worker;
+	call->host = workers->host;
+	call->epoch = epoch;
+	call->execute.run = execute_worker_call;
+	call->reply.run = reply_worker_call;
+	return call;
+}
+
+static void workers_renew_lease(fleet_workers_t *base,
+				const gh_worker_renewal_t *renewal,
+				uint64_t epoch, fleet_renewal_done_t done,
+				void *ctx)
+{
+	sim_call_t *call = worker_call_new(base, renewal->worker, epoch, ctx);
+
+	call->renewal_done = done;
+	call->born = renewal->incarnation_start_ms;
+	call->lease_until = renewal->lease_until;
+	call->wait = renewal->max_wait_ms * MS;
+	call_send(call, call->wait + RENEWAL_TIMEOUT_MARGIN_USEC);
+}
+
+static void workers_send_order(fleet_workers_t *base, const gh_order_t *order,
+			       uint64_t epoch, fleet_order_done_t done,
+			       void *ctx)
+{
+	sim_call_t *call = worker_call_new(base, order->worker, epoch, ctx);
+
+	call->order_done = done;
+	call->order = *order;
+	call->born = order->incarnation_start_ms;
+	call->lease_until = order->lease_until;
+	call_send(call, ORDER_TIMEOUT_USEC);
+}
+
+static const fleet_workers_ops_t workers_ops = {
+	.renew_lease = workers_renew_lease,
+	.send_order = workers_send_order,
+};
+
+/* The hosts. */
+
+static void on_job(void *ctx, const char *id, const fleet_job_state_t *state)
+{
+	sim_host_t *host = ctx;
+
+	fleet_owner_job_changed(host->owner, id, state);
+}
+
+static void on_owner(void *ctx, uint32_t shard, const char *name)
+{
+	sim_host_t *host = ctx;
+
+	assert_int_equal(shard, 0);
+	fleet_owner_record_changed(host->owner, name);
+}
+
+static void on_synced(void *ctx)
+{
+	(void)ctx;
+}
+
+static gh_time_t claim_delay(void *ctx)
+{
+	(void)ctx;
+	return 0;
+}
+
+static void add_host(sim_t *sim, uint32_t index)
+{
+	sim_host_t *host = &sim->hosts[index];
+	fleet_jobs_listener_t listener = { .job_changed = on_job,
+					   .owner_changed = on_owner,
+					   .synced = on_synced,
+					   .ctx = host };
+
+	g_snprintf(host->name, sizeof(host->name), "h%u", index);
+	host->store.base.ops = &store_ops;
+	host->workers.base.ops = &workers_ops;
+	host->store.sim = host->workers.sim = sim;
+	host->store.host = host->workers.host = index;
+	host->jobs = fleet_jobs_new(sim->loop, &host->store.base, 1, &listener);
+	host->owner = fleet_owner_new(&(fleet_owner_setup_t){
+		.host = host->name,
+		.shards = 1,
+		.loop = sim->loop,
+		.store = &host->store.base,
+		.workers = &host->workers.base,
+		.jobs = host->jobs,
+		.fleet = { .lease_ms = ORDINARY_LEASE_MS,
+			   .lease_max_ms = LONGEST_LEASE_MS,
+			   .stop_ms = 500 },
+		.ended_retention_ms = 60000,
+		.claim_delay = claim_delay,
+	});
+}
+
+static void set_store_links(sim_host_t *host, link_t link)
+{
+	size_t i;
+
+	for (i = 0; i < CALL_KINDS; i++)
+		host->store.links[i] = link;
+}
+
+static void list_sim_worker(sim_t *sim, uint32_t index)
+{
+	sim_worker_t *worker = &sim->workers[index];
+	char text[24];
+
+	g_snprintf(text, sizeof(text), "%" PRId64, worker->born);
+	put(sim, FLEET_KEYSPACE_WORKERS, worker->id, text);
+}
+
+static bool is_owner(sim_t *sim, uint32_t host)
+{
+	const change_t *item = find_item(sim, FLEET_KEYSPACE_OWN, OWNER_KEY);
+
+	return item && !strcmp(item->value, sim->hosts[host].name);
+}
+
+/*
+ * h0 owns the shard and has started the job's lasting task on the worker w0.
+ * Then w1, which has capacity for the task, and h1 join; h1 can't reach w0.
+ */
+static sim_t *sim_new(void)
+{
+	sim_t *sim = g_new0(sim_t, 1);
+	fleet_job_state_t state = { .phase = GH_JOB_QUEUED, .queue = "q" };
+	gh_pipeline_t *job = make_job(JOB, 1, &long_running_step);
+	char *text;
+	uint32_t i;
+
+	g_random_set_seed(1);
+	sim_now = START_TIME;
+	sim->loop = loop_new();
+	sim->calls = g_ptr_array_new();
+	text = fleet_job_state_format(&state);
+	put(sim, FLEET_KEYSPACE_OWN, "d/state/" JOB, text);
+	g_free(text);
+	text = gh_pipeline_format(job);
+	put(sim, FLEET_KEYSPACE_OWN, "w/0/" JOB, text);
+	g_free(text);
+	gh_pipeline_free(job);
+	for (i = 0; i < WORKERS; i++) {
+		g_snprintf(sim->workers[i].id, sizeof(sim->workers[i].id),
+			   "w%u", i);
+		sim->workers[i].born = 1;
+	}
+	sim->workers[0].links[1].cut = true;
+	list_sim_worker(sim, 0);
+	add_host(sim, 0);
+	run_for(sim, 1000);
+	assert_true(is_owner(sim, 0));
+	assert_int_equal(sim->workers[0].run.run, 1);
+	list_sim_worker(sim, 1);
+	add_host(sim, 1);
+	run_for(sim, 1000);
+	return sim;
+}
+
+/* Answers all calls, as a host does when it closes, then frees the hosts. */
+static void sim_free(sim_t *sim)
+{
+	size_t i;
+
+	sim->closed = true;
+	for (i = 0; i < sim->calls->len; i++) {
+		sim_call_t *call = sim->calls->pdata[i];
+		bool pending =
+			call->reply.at != GH_TIME_NEVER ||
+			(call->answered && call->execute.at != GH_TIME_NEVER);
+
+		if (pending) {
+			call->reply.at = sim_now;
+			call->answered = true;
+		}
+		call->execute.at = GH_TIME_NEVER;
+	}
+	run_for(sim, 0);
+	for (i = 0; i < HOSTS; i++) {
+		fleet_owner_free(sim->hosts[i].owner);
+		fleet_jobs_free(sim->hosts[i].jobs);
+	}
+	for (i = sim->calls->len; i-- > 0;)
+		call_free(sim->calls->pdata[i]);
+	for (i = 0; i < sim->n_changes; i++) {
+		g_free(sim->changes[i].key);
+		g_free(sim->changes[i].value);
+	}
+	g_ptr_array_free(sim->calls, TRUE);
+	loop_free(sim->loop);
+	g_free(sim);
+}
+
+/*
+ * Waits for a start on w1, and lets the store answer h0 after links_ms; returns
+ * the time since the call, in ms.
+ */
+static int64_t wait_for_restart(sim_t *sim, int64_t links_ms)
+{
+	gh_time_t since = sim_now;
+	int64_t ms = 0;
+
+	for (; !sim->workers[1].run.run && ms < PATIENCE_MS; ms += STEP_MS) {
+		if (ms == links_ms)
+			set_store_links(&sim->hosts[0], (link_t){ 0 });
+		run_for(sim, STEP_MS);
+	}
+	return gh_time_to_ms(sim_now - since);
+}
+
+/* What the store does with a release. */
+typedef struct release_case {
+	const char *name;
+	link_t commits; /* of h0, for a while */
+	link_t gets;
+	link_t renewals;
+	int64_t links_ms; /* length of the while */
+	int64_t max_ms;	  /* latest restart, from the release */
+} release_case_t;
+
+static const release_case_t releases[] = {
+	{ .name = "done at once", .max_ms = 5500 },
+	{ .name = "refused for a second",
+	  .commits = { .refused = true },
+	  .links_ms = 1000,
+	  .max_ms = 6000 },
+	{ .name = "without a reply, done when sent again",
+	  .commits = { .cut = true },
+	  .links_ms = 1000,
+	  .max_ms = 6500 },
+	{ .name = "reply lost",
+	  .commits = { .replies_lost = true },
+	  .links_ms = 300,
+	  .max_ms = 5500 },
+	{ .name = "reply lost, and the reads of the chain",
+	  .commits = { .replies_lost = true },
+	  .gets = { .cut = true },
+	  .links_ms = 9000,
+	  .max_ms = 5500 },
+	{ .name = "done late",
+	  .commits = { .late = 1200 * MS },
+	  .gets = { .cut = true },
+	  .links_ms = 9000,
+	  .max_ms = 7000 },
+	{ .name = "done later",
+	  .commits = { .late = 3000 * MS },
+	  .gets = { .cut = true },
+	  .links_ms = 9000,
+	  .max_ms = 8500 },
+	{ .name = "done late, after the record has lapsed",
+	  .commits = { .late = 3000 * MS },
+	  .gets = { .cut = true },
+	  .renewals = { .cut = true },
+	  .links_ms = 9000,
+	  .max_ms = 10000 },
+	{ .name = "never done, the record lapses",
+	  .commits = { .cut = true },
+	  .gets = { .cut = true },
+	  .renewals = { .cut = true },
+	  .links_ms = 9000,
+	  .max_ms = 10000 },
+};
+
+/*
+ * The next owner waits for the leases that a releasing owner granted, however
+ * the store carries out the release.
+ */
+static void test_no_grant_after_release(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(releases); i++) {
+		const release_case_t *c = &releases[i];
+		sim_t *sim = sim_new();
+		sim_host_t *host = &sim->hosts[0];
+		gh_time_t released_at = sim_now;
+		int64_t ms;
+
+		print_message("%s\n", c->name);
+		host->store.links[CALL_COMMIT] = c->commits;
+		host->store.links[CALL_GET] = c->gets;
+		host->store.links[CALL_RENEW] = c->renewals;
+		fleet_owner_release(host->owner);
+		ms = wait_for_restart(sim, c->links_ms);
+		print_message(
+			"started again after %d ms, last grant %d ms\n",
+			(int)ms,
+			(int)((sim->workers[0].granted_at - released_at) / MS));
+		assert_int_equal(sim->n_twice, 0);
+		assert_true(sim->workers[0].granted_at <=
+			    released_at + LATENCY_USEC);
+		assert_in_range(ms, 4000, c->max_ms);
+		sim_free(sim);
+	}
+}
+
+int main(void)
+{
+	static const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_no_grant_after_release),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
