fleet_owner: give the shard up to the host that the directory names

What callers could see: two runs of one task.

Cause: fleet_owner_record_changed() ignored a record that names another host. An owner whose record was revoked, and claimed by another host, hears of the deletion if the directory passes every change, and then tries to write the record again, which shows it the other one. If the store has dropped the history meanwhile, the directory passes the last state only. The owner then went on for as long as the store renewed its lease: it extended the leases of workers that the next owner can't reach, past the 2.5 s for which the next owner waits, until it had something to commit.

Now an owner gives the shard up when the directory names another host. A name can't be an outdated one, as the directory is told of the host's own write of the record and passes no older value.

--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -291,6 +291,12 @@
 
 	owner->record_known = true;
 	owner->record_absent = !host;
+	/* The directory passes no value older than the host's own. */
+	if (host && owner->phase >= PHASE_LOADING &&
+	    strcmp(host, owner->setup.host) != 0) {
+		end_ownership(owner, "another host wrote the owner record");
+		return;
+	}
 	if (!owner->record_absent)
 		return;
 	if (owner->phase == PHASE_IDLE) {
--- a/fleet_owner.h
+++ b/fleet_owner.h
@@ -41,6 +41,7 @@
  * Takes over the value of the shard's owner record: the name of a host, or NULL
  * when there is none.  Without a record the shard is claimed after
  * claim_delay(), or the record is written again if this host owns the shard.
+ * With the name of another host, this host does not own the shard any more.
  */
 void fleet_owner_record_changed(fleet_owner_t *owner, const char *host);
 /*
--- a/regress/test_owner_takeover.c
+++ b/regress/test_owner_takeover.c
@@ -21,6 +21,11 @@
 #define CHANGES_MAX 8192
 #define ORDINARY_LEASE_MS 4500
 #define LONGEST_LEASE_MS 10000
+/*
+ * An owner extends workers' leases for this long after its own was renewed, and
+ * the next owner waits for it from the claim on.
+ */
+#define GRANTS_ALONE_MS 2500
 /* Time from a call to its execution, and from there to its reply. */
 #define LATENCY_USEC (1 * MS)
 #define STORE_TIMEOUT_USEC (400 * MS)
@@ -104,6 +109,7 @@
 	change_t changes[CHANGES_MAX];
 	size_t n_changes;
 	uint64_t revision;
+	uint64_t compacted; /* changes before this revision can't be watched */
 	uint64_t last_lease;
 	gh_time_t lease_ends[64]; /* indexed by lease */
 	GPtrArray *calls;	  /* sim_call_t in flight */
@@ -465,6 +471,10 @@
 			call->outcome.result = FLEET_NOT_FOUND;
 		break;
 	case CALL_WATCH:
+		if (call->number < sim->compacted) {
+			call->outcome.result = FLEET_COMPACTED;
+			break;
+		}
 		if (!execute_watch(call)) {
 			call->execute.at = sim_now + WATCH_POLL_USEC;
 			return;
@@ -1037,10 +1047,89 @@
 	}
 }
 
+/* What the first owner hears of the store after a gap. */
+typedef struct gap_case {
+	const char *name;
+	int64_t gap_ms;	 /* the store does not answer it for this time */
+	bool taken_over; /* its record is revoked, and claimed by h1 */
+	bool compacted;	 /* the history of the gap is gone after it */
+	link_t watches;	 /* after the gap */
+	link_t gets;
+} gap_case_t;
+
+static const gap_case_t gaps[] = {
+	{ .name = "none" },
+	{ .name = "2 s, its record is still there", .gap_ms = 2000 },
+	{ .name = "taken over, the directory tells at once",
+	  .gap_ms = 2000,
+	  .taken_over = true },
+	{ .name = "taken over, the directory tells the last state only",
+	  .gap_ms = 400,
+	  .taken_over = true,
+	  .compacted = true },
+};
+
+/* Keeps the lease of the owner record alive without renewals. */
+static void pause_lease(sim_t *sim)
+{
+	const change_t *item = find_item(sim, FLEET_KEYSPACE_OWN, OWNER_KEY);
+
+	sim->lease_ends[item->lease] = GH_TIME_NEVER;
+}
+
+/*
+ * The store goes on renewing the lease of an owner whose record is another
+ * host's.  That lets the owner grant no lease past the next owner's wait.
+ */
+static void test_renewals_of_an_owner_taken_over(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(gaps); i++) {
+		const gap_case_t *c = &gaps[i];
+		sim_t *sim = sim_new();
+		sim_host_t *host = &sim->hosts[0];
+		gh_time_t gap_start = sim_now;
+
+		print_message("%s\n", c->name);
+		pause_lease(sim);
+		set_store_links(host, (link_t){ .cut = true });
+		if (c->taken_over)
+			put(sim, FLEET_KEYSPACE_OWN, OWNER_KEY, NULL);
+		run_for(sim, c->gap_ms);
+		assert_true(is_owner(sim, c->taken_over));
+		if (c->compacted)
+			sim->compacted = sim->revision;
+		set_store_links(host, (link_t){ 0 });
+		host->store.links[CALL_WATCH] = c->watches;
+		host->store.links[CALL_GET] = c->gets;
+		run_for(sim, 12000);
+		print_message(
+			"%u starts, last grant after %d ms\n", sim->n_starts,
+			(int)((sim->workers[0].granted_at - gap_start) / MS));
+		assert_int_equal(sim->n_twice, 0);
+		assert_int_equal(sim->n_starts, c->taken_over ? 2 : 1);
+		assert_true(is_owner(sim, c->taken_over));
+		assert_int_equal(fleet_owner_is_idle(host->owner),
+				 c->taken_over && !c->gets.cut);
+		if (c->taken_over)
+			assert_true(sim->workers[0].granted_at - gap_start <=
+				    GRANTS_ALONE_MS * MS);
+		else
+			assert_true(sim_now - sim->workers[0].granted_at <=
+				    1500 * MS);
+		if (!c->gap_ms)
+			assert_int_equal(host->store.n_owner_reads, 0);
+		sim_free(sim);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_no_grant_after_release),
+		cmocka_unit_test(test_renewals_of_an_owner_taken_over),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
