fleet_owner: read the owner record after a gap between renewals

What callers could see: two runs of one task, after the store has not answered an owner's host for a while and another host has claimed the shard.

Cause: the time of the last renewal decides whether an owner sends starts (for 1.5 s) and extends workers' leases (for 2.5 s). A lease outlives the record if the record is deleted, so the first renewal that succeeded after a gap brought both back before the owner had seen that its record was another's. The next owner, if it can't reach a worker, waits for 2.5 s and a lease from its claim on.

Now, if more than two renewal periods lie between renewals that succeed, the owner reads its record, and neither starts nor grants are extended until the record was seen at the revision of the host's own write. The read is repeated with each renewal; while renewals come in time there is none, which the case "none" checks. A record that is gone or has been written again is restored or given up as before.

Not covered: a record that is deleted without a gap in the renewals while the directory does not tell.

--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -23,6 +23,11 @@
  */
 #define OWNER_LEASE_MS 1500
 #define LEASE_RENEWAL_PERIOD_USEC (300 * GH_USEC_PER_MSEC)
+/*
+ * Max time between two renewals that succeed; after a longer one the owner
+ * reads its record, which can have become another host's.
+ */
+#define RENEWAL_GAP_MAX_USEC (2 * LEASE_RENEWAL_PERIOD_USEC)
 /*
  * Workers' leases are extended for this long after the owner's own lease was
  * last renewed.  The next owner waits for this time and a lease before it
@@ -132,8 +137,11 @@
 	uint64_t restore_lease_id;
 	bool record_lost; /* the lease and the record with it have ended */
 	bool restoring;	  /* a call that restores the record is in flight */
-	/* When the last successful lease renewal was sent. */
-	gh_time_t renewed_at;
+	/*
+	 * When the last lease renewal was sent that succeeded, and the last one
+	 * that shows that the record is the host's as well.
+	 */
+	gh_time_t lease_renewed_at, renewed_at;
 	gh_time_t renew_at; /* due time of the next lease renewal */
 	gh_time_t renewal_sent_at;
 	/* Members used only while this host owns the shard. */
@@ -215,6 +223,8 @@
 static void clear_shard(fleet_owner_t *owner);
 static void renew_owner_lease(fleet_owner_t *owner, gh_time_t now);
 static void on_lease_renewed(void *ctx, const fleet_reply_t *reply);
+static void read_owner_record(fleet_owner_t *owner);
+static void on_owner_record_read(void *ctx, const fleet_reply_t *reply);
 static void restore_owner_record(fleet_owner_t *owner);
 static void on_restore_lease(void *ctx, const fleet_reply_t *reply);
 static void commit_restore(fleet_owner_t *owner);
@@ -513,7 +523,7 @@
 		return;
 	}
 	owner->lease_id = reply->lease;
-	owner->renewed_at = owner->renewal_sent_at;
+	owner->renewed_at = owner->lease_renewed_at = owner->renewal_sent_at;
 	owner->setup.store->ops->get(owner->setup.store, FLEET_KEYSPACE_OWN,
 				     owner->chain_key, on_claim_chain,
 				     call_new(owner));
@@ -903,15 +913,53 @@
 	fleet_owner_t *owner = call_finish(ctx);
 
 	/* A reply to an older renewal may be about a lease given up since. */
-	if (!owner || sent_at <= owner->renewed_at)
+	if (!owner || sent_at <= owner->lease_renewed_at)
 		return;
-	if (reply->result == FLEET_OK && !owner->record_lost)
-		owner->renewed_at = sent_at;
-	else if (reply->result == FLEET_NOT_FOUND)
+	if (reply->result == FLEET_OK && !owner->record_lost) {
+		owner->lease_renewed_at = sent_at;
+		if (sent_at <= owner->renewed_at + RENEWAL_GAP_MAX_USEC)
+			owner->renewed_at = sent_at;
+		else
+			read_owner_record(owner);
+	} else if (reply->result == FLEET_NOT_FOUND) {
 		restore_owner_record(owner);
+	}
 	owner->dirty = true;
 }
 
+/*
+ * Reads the owner record after a gap between renewals.  Its lease can outlive
+ * the record, which another host may then have written.
+ */
+static void read_owner_record(fleet_owner_t *owner)
+{
+	owner->setup.store->ops->get(owner->setup.store, FLEET_KEYSPACE_OWN,
+				     owner->own_key, on_owner_record_read,
+				     call_new(owner));
+}
+
+static void on_owner_record_read(void *ctx, const fleet_reply_t *reply)
+{
+	gh_time_t sent_at = ((const owner_call_t *)ctx)->sent_at;
+	fleet_owner_t *owner = call_finish(ctx);
+	const fleet_item_t *item;
+
+	if (!owner || owner->record_lost)
+		return;
+	if (reply->result != FLEET_OK && reply->result != FLEET_NOT_FOUND)
+		return;
+	owner->dirty = true;
+	item = reply->n_items ? &reply->items[0] : NULL;
+	if (item && item->value && strcmp(item->value, owner->setup.host) != 0)
+		end_ownership(owner, "another host wrote the owner record");
+	else if (item && item->value &&
+		 item->revision == owner->record_revision)
+		owner->renewed_at = MAX(owner->renewed_at,
+					MIN(sent_at, owner->lease_renewed_at));
+	else
+		restore_owner_record(owner);
+}
+
 /*
  * Writes the owner record again after its lease has expired.  The host still
  * owns the shard as long as no other host has changed the chain record.
@@ -994,7 +1042,7 @@
 	owner->record_lost = false;
 	owner->lease_id = owner->restore_lease_id;
 	owner->restore_lease_id = 0;
-	owner->renewed_at = owner->renewal_sent_at;
+	owner->renewed_at = owner->lease_renewed_at = owner->renewal_sent_at;
 	note_owner_record(owner, revision);
 }
 
--- a/regress/test_owner_takeover.c
+++ b/regress/test_owner_takeover.c
@@ -1067,6 +1067,23 @@
 	  .gap_ms = 400,
 	  .taken_over = true,
 	  .compacted = true },
+	{ .name = "taken over in 1 s, the directory does not tell",
+	  .gap_ms = 1000,
+	  .taken_over = true,
+	  .watches = { .cut = true } },
+	{ .name = "taken over in 2 s, the directory does not tell",
+	  .gap_ms = 2000,
+	  .taken_over = true,
+	  .watches = { .cut = true } },
+	{ .name = "taken over in 4 s, the directory does not tell",
+	  .gap_ms = 4000,
+	  .taken_over = true,
+	  .watches = { .cut = true } },
+	{ .name = "taken over, only renewals are answered",
+	  .gap_ms = 2000,
+	  .taken_over = true,
+	  .watches = { .cut = true },
+	  .gets = { .cut = true } },
 };
 
 /* Keeps the lease of the owner record alive without renewals. */
@@ -1112,7 +1129,7 @@
 		assert_int_equal(sim->n_starts, c->taken_over ? 2 : 1);
 		assert_true(is_owner(sim, c->taken_over));
 		assert_int_equal(fleet_owner_is_idle(host->owner),
-				 c->taken_over && !c->gets.cut);
+				 c->taken_over);
 		if (c->taken_over)
 			assert_true(sim->workers[0].granted_at - gap_start <=
 				    GRANTS_ALONE_MS * MS);
