fleet_owner: tell the next owner of a restarted worker's long lease

What callers could see: two runs of one task, where a worker restarts under its id shortly before its owner fails and the next owner can't reach it.

Cause: a renewal or start that was meant for a worker's former life grants on the new life's clock up to the longest lease that the worker accepts, 10 s. The owner counts with it once it knows of the restart (10.5 s), the next one with ordinary leases only (2.5 s from its claim and 4.8 s).

Now commits tell in the chain record ("grants MS") the last grant, by which the long lease counts as an ordinary one granted later, as a release does already. The claimant adds the time to that of its read, so that it waits for too long rather than too short; a claim passes the rest on. The time is told only if it is more than 2.5 s ahead, as the next owner waits for that anyway, and only while a worker with open runs has restarted within 3.2 s. A commit of its own tells it when nothing else changes, and another one that it is over, as its age can't be seen. The record of progress is not the place: parse_task() holds a job with a field that it does not know.

Against starting nothing on such a worker until a new lease outlasts the old one: it would keep the worker idle for 6 s after each such restart. Against waiting 10 s always: a worker and its owner that fail together would break LOST.

The test of the same name in test-core_fleet_late is replaced: its input was a record without any mark, from which no owner can tell such a worker from another. It now plays the whole story: first owner, restart, late renewal, run, second and third owner, silence. It asks for more than before, 1.02 longest leases instead of one, and for an upper bound.

Not covered: a restart that no owner has heard of before the first one failed; a call for the former life that is executed later than the owner's first report of the new one, which the first owner does not count with either.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -60,6 +60,7 @@
 	if (sink)
 		fleet->sink = *sink;
 	fleet->created_at = now;
+	fleet->grants_ahead_until = setup->previous_grants_end;
 	fleet->workers = g_array_new(FALSE, TRUE, sizeof(fleet_worker_t));
 	fleet->jobs = g_array_new(FALSE, TRUE, sizeof(fleet_job_t));
 	fleet->runs = g_array_new(FALSE, TRUE, sizeof(fleet_run_t));
@@ -261,10 +262,15 @@
 		 * far in the future of the new one's clock; it then counts as
 		 * the longest lease that the worker accepts.
 		 */
-		if (worker->latest_lease_end > now)
+		if (worker->latest_lease_end > now) {
 			worker->latest_lease_end =
 				MAX(worker->latest_lease_end,
 				    lease_end(now, fleet->setup.lease_max_ms));
+			fleet->grants_ahead_until =
+				MAX(fleet->grants_ahead_until,
+				    worker->latest_lease_end -
+					    fleet_lease_end(fleet, 0));
+		}
 		worker->has_reported = false;
 		worker->acked_end = 0;
 		worker->acked_end_sent = 0;
@@ -883,6 +889,15 @@
 	return latest_end - fleet_lease_end(fleet, 0);
 }
 
+gh_time_t gh_fleet_grant_ahead(const gh_fleet_t *fleet, gh_time_t from)
+{
+	gh_time_t grant = fleet->grants_ahead_until > from ?
+				  gh_fleet_last_grant(fleet) :
+				  0;
+
+	return grant > from ? grant : 0;
+}
+
 void gh_fleet_load(const gh_fleet_t *fleet, gh_shard_load_t *load,
 		   gh_time_t now)
 {
--- a/core_fleet.h
+++ b/core_fleet.h
@@ -34,7 +34,10 @@
 	int64_t lease_ms;
 	/* Longest lease that a worker accepts. */
 	int64_t lease_max_ms;
-	/* No previous owner grants or extends a lease after this time. */
+	/*
+	 * No previous owner grants or extends a lease after this time, where a
+	 * lease that is longer than an ordinary one counts as granted later.
+	 */
 	gh_time_t previous_grants_end;
 	int64_t stop_ms; /* max time that a worker takes to stop a task */
 } gh_fleet_setup_t;
@@ -331,6 +334,12 @@
  * owner knows; for the next owner's gh_fleet_setup_t.previous_grants_end.
  */
 gh_time_t gh_fleet_last_grant(const gh_fleet_t *fleet);
+/*
+ * The same if it is later than a time from now on, else 0.  The lease of a
+ * worker that has restarted can be longer than an ordinary one, and then counts
+ * as one that is granted later.
+ */
+gh_time_t gh_fleet_grant_ahead(const gh_fleet_t *fleet, gh_time_t from);
 /* Load of the fleet by its usable workers and its jobs that have not ended. */
 void gh_fleet_load(const gh_fleet_t *fleet, gh_shard_load_t *load,
 		   gh_time_t now);
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -364,6 +364,8 @@
 	gh_interference_t *interference;
 	gh_load_periods_t *load_periods; /* shared by all load forecasts */
 	gh_time_t created_at;
+	/* Until then a worker's lease can outlast an ordinary one. */
+	gh_time_t grants_ahead_until;
 	gh_time_t ticked_at; /* time of the last tick; 0: none */
 	/* Moving mean of the time between ticks, in microseconds. */
 	double mean_tick_gap;
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -76,6 +76,12 @@
  * time of its last grant of a lease, in ms relative to the release.
  */
 #define CHAIN_RELEASED " released "
+/*
+ * In the chain record, before the time of the last grant of a lease, in ms
+ * relative to the commit, if the next owner would not wait for it otherwise: a
+ * long lease counts as an ordinary one that is granted later.
+ */
+#define CHAIN_GRANTS " grants "
 #define INTERFERENCE_PERIOD_USEC (3 * GH_USEC_PER_SEC)
 /* Min time between two writes of the shard's load. */
 #define LOAD_PERIOD_USEC (500 * GH_USEC_PER_MSEC)
@@ -100,10 +106,11 @@
 	GArray *changes;
 	/* New value of the shard's chain record, which each commit rewrites. */
 	char *chain_value;
-	gh_time_t started_at; /* when the commit was first sent */
-	gh_time_t sent_at;    /* when it was last sent */
-	unsigned unanswered;  /* number of times that it got no reply */
-	bool releases;	      /* it deletes the owner record */
+	gh_time_t grants_told; /* last grant that chain_value tells; 0: none */
+	gh_time_t started_at;  /* when the commit was first sent */
+	gh_time_t sent_at;     /* when it was last sent */
+	unsigned unanswered;   /* number of times that it got no reply */
+	bool releases;	       /* it deletes the owner record */
 } batch_t;
 
 struct fleet_owner {
@@ -118,12 +125,16 @@
 	char *chain_key;
 	char *progress_prefix;
 	/*
-	 * No previous owner grants leases to workers after this time; 0: the
-	 * last one has not told, as it did not release the shard.
+	 * Last grant of a lease by a previous owner, as the chain record tells
+	 * it; 0: it does not.  One that has not released the shard may have
+	 * granted others since.
 	 */
 	gh_time_t previous_grants_end;
-	bool record_known;  /* the owner record was read at least once */
-	bool record_absent; /* no host has an owner record for the shard */
+	bool previous_released;
+	char *claim_value; /* value of the chain record that the claim writes */
+	gh_time_t grants_told; /* last grant in the chain record; 0: none */
+	bool record_known;     /* the owner record was read at least once */
+	bool record_absent;    /* no host has an owner record for the shard */
 	loop_timer_t timer;
 	gh_time_t claim_at;
 	gh_time_t claim_delay; /* delay that claim_at was set with */
@@ -247,7 +258,7 @@
 static void batch_failed(fleet_owner_t *owner);
 static void batch_conflict(fleet_owner_t *owner, const fleet_reply_t *reply);
 static void batch_send(fleet_owner_t *owner);
-static batch_t *batch_new(fleet_owner_t *owner);
+static batch_t *batch_new(fleet_owner_t *owner, gh_time_t now);
 static void batch_mark_release(fleet_owner_t *owner, batch_t *batch,
 			       gh_time_t now);
 static bool batch_add_change(fleet_owner_t *owner, batch_t *batch,
@@ -262,7 +273,10 @@
 			      gh_time_t now);
 static void load_interference(fleet_owner_t *owner);
 static void save_load(fleet_owner_t *owner, batch_t *batch, gh_time_t now);
-static char *chain_text(const fleet_owner_t *owner);
+static char *chain_text(const fleet_owner_t *owner, gh_time_t last_grant,
+			gh_time_t now);
+static gh_time_t grant_ahead(const fleet_owner_t *owner, gh_time_t now);
+static bool grants_have_changed(const fleet_owner_t *owner, gh_time_t now);
 static void log_fleet_event(void *ctx, const char *event,
 			    const gh_task_id_t *task, uint32_t run,
 			    const char *worker, const char *reason);
@@ -292,6 +306,7 @@
 	g_free(owner->own_key);
 	g_free(owner->chain_key);
 	g_free(owner->progress_prefix);
+	g_free(owner->claim_value);
 	g_free(owner);
 }
 
@@ -537,7 +552,8 @@
 		return;
 	owner->epoch = 0;
 	owner->chain_revision = 0;
-	owner->previous_grants_end = 0;
+	owner->previous_grants_end = owner->grants_told = 0;
+	owner->previous_released = false;
 	if (reply->result == FLEET_OK && reply->n_items &&
 	    reply->items[0].value) {
 		owner->chain_revision = reply->items[0].revision;
@@ -551,22 +567,27 @@
 	commit_claim(owner);
 }
 
-/* Reads the epoch and, if the last owner has released the shard, its grants. */
+/* Reads the epoch and what is told of the last owner's grants. */
 static void parse_chain(fleet_owner_t *owner, const char *text)
 {
 	const char *released = strstr(text, CHAIN_RELEASED);
+	const char *grants = strstr(text, CHAIN_GRANTS);
+	const char *ms = NULL;
 
 	owner->epoch = g_ascii_strtoull(text, NULL, 10);
+	owner->previous_released = released;
 	if (released)
+		ms = released + strlen(CHAIN_RELEASED);
+	else if (grants)
+		ms = grants + strlen(CHAIN_GRANTS);
+	if (ms)
 		owner->previous_grants_end =
 			clock_boot() +
-			gh_time_from_ms(g_ascii_strtoll(
-				released + strlen(CHAIN_RELEASED), NULL, 10));
+			gh_time_from_ms(g_ascii_strtoll(ms, NULL, 10));
 }
 
 static void commit_claim(fleet_owner_t *owner)
 {
-	char *text = chain_text(owner);
 	fleet_entry_t entries[] = {
 		{ .kind = FLEET_EXPECT, .key = owner->own_key, .revision = 0 },
 		{ .kind = FLEET_EXPECT,
@@ -576,13 +597,19 @@
 		  .key = owner->own_key,
 		  .value = owner->setup.host,
 		  .lease = owner->lease_id },
-		{ .kind = FLEET_PUT, .key = owner->chain_key, .value = text },
+		{ .kind = FLEET_PUT, .key = owner->chain_key },
 	};
 
+	if (owner->previous_grants_end >
+	    clock_boot() + WORKER_RENEWAL_LIMIT_USEC)
+		owner->grants_told = owner->previous_grants_end;
+	g_free(owner->claim_value);
+	owner->claim_value =
+		chain_text(owner, owner->grants_told, clock_boot());
+	entries[G_N_ELEMENTS(entries) - 1].value = owner->claim_value;
 	owner->setup.store->ops->commit(owner->setup.store, entries,
 					G_N_ELEMENTS(entries), on_claimed,
 					call_new(owner));
-	g_free(text);
 }
 
 static void on_claimed(void *ctx, const fleet_reply_t *reply)
@@ -605,21 +632,18 @@
 static void on_claim_reread(void *ctx, const fleet_reply_t *reply)
 {
 	fleet_owner_t *owner = call_finish(ctx);
-	char *text;
 
 	if (!owner)
 		return;
-	text = chain_text(owner);
 	/*
 	 * If the claim takes effect later, its owner record ends with the
 	 * claim's lease, which nobody renews.
 	 */
 	if (reply->result == FLEET_OK && reply->n_items &&
-	    !g_strcmp0(reply->items[0].value, text))
+	    !g_strcmp0(reply->items[0].value, owner->claim_value))
 		claim_succeeded(owner, reply->items[0].revision);
 	else
 		schedule_claim_retry(owner);
-	g_free(text);
 }
 
 static void claim_succeeded(fleet_owner_t *owner, uint64_t revision)
@@ -660,10 +684,11 @@
 	gh_fleet_setup_t setup = owner->setup.fleet;
 
 	owner->phase = PHASE_LOADING;
-	setup.previous_grants_end =
-		owner->previous_grants_end ?
-			owner->previous_grants_end :
-			clock_boot() + WORKER_RENEWAL_LIMIT_USEC;
+	setup.previous_grants_end = owner->previous_grants_end;
+	if (!owner->previous_released)
+		setup.previous_grants_end =
+			MAX(setup.previous_grants_end,
+			    clock_boot() + WORKER_RENEWAL_LIMIT_USEC);
 	owner->fleet = gh_fleet_new(&setup, &sink, clock_boot());
 	memset(&owner->reported, 0, sizeof(owner->reported));
 	if (owner->config)
@@ -1177,10 +1202,11 @@
 	batch_t *batch;
 
 	if (!gh_fleet_has_changes(owner->fleet) && now < owner->sweep_at &&
-	    now < owner->load_save_at && owner->phase != PHASE_RELEASING)
+	    now < owner->load_save_at && owner->phase != PHASE_RELEASING &&
+	    !grants_have_changed(owner, now))
 		return;
 	owner->sequence++;
-	batch = batch_new(owner);
+	batch = batch_new(owner, now);
 	/*
 	 * Leaves space in the commit for the learned interference, the shard's
 	 * load and the owner record.
@@ -1200,7 +1226,8 @@
 	if (owner->phase == PHASE_RELEASING &&
 	    !gh_fleet_has_changes(owner->fleet)) {
 		batch_mark_release(owner, batch, now);
-	} else if (!batch->changes->len && batch->n <= 2) {
+	} else if (!batch->changes->len && batch->n <= 2 &&
+		   !grants_have_changed(owner, now)) {
 		batch_free(batch);
 		return;
 	}
@@ -1209,13 +1236,14 @@
 	batch_send(owner);
 }
 
-static batch_t *batch_new(fleet_owner_t *owner)
+static batch_t *batch_new(fleet_owner_t *owner, gh_time_t now)
 {
 	batch_t *batch = g_new0(batch_t, 1);
 
 	batch->strings = g_ptr_array_new_with_free_func(g_free);
 	batch->changes = g_array_new(FALSE, FALSE, sizeof(gh_fleet_change_t));
-	batch->chain_value = chain_text(owner);
+	batch->grants_told = grant_ahead(owner, now);
+	batch->chain_value = chain_text(owner, batch->grants_told, now);
 	batch_add_entry(batch, FLEET_EXPECT, g_strdup(owner->chain_key), NULL,
 			owner->chain_revision, 0);
 	batch_add_entry(batch, FLEET_PUT, g_strdup(owner->chain_key), NULL, 0,
@@ -1394,6 +1422,7 @@
 		log_batch(owner, "committed");
 	owner->batch = NULL;
 	owner->chain_revision = revision;
+	owner->grants_told = batch->grants_told;
 	owner->commit_at = now + MAX(COMMIT_INTERVAL_MIN_USEC,
 				     owner->setup.commit_interval_min);
 	counter_inc(CTR_COMMITS);
@@ -1579,13 +1608,42 @@
 
 /*
  * Text of the shard's chain record, unique to each commit: "EPOCH SEQUENCE HOST
- * LEASE", and after a release "released MS".
+ * LEASE", then "grants MS" unless last_grant is 0, and after a release
+ * "released MS".
  */
-static char *chain_text(const fleet_owner_t *owner)
+static char *chain_text(const fleet_owner_t *owner, gh_time_t last_grant,
+			gh_time_t now)
 {
-	return g_strdup_printf("%" PRIu64 " %" PRIu64 " %s %" PRIu64,
-			       owner->epoch, owner->sequence, owner->setup.host,
-			       owner->lease_id);
+	GString *text = g_string_new(NULL);
+
+	g_string_printf(text, "%" PRIu64 " %" PRIu64 " %s %" PRIu64,
+			owner->epoch, owner->sequence, owner->setup.host,
+			owner->lease_id);
+	if (last_grant)
+		g_string_append_printf(text, CHAIN_GRANTS "%" PRId64,
+				       gh_time_to_ms(last_grant - now) + 1);
+	return g_string_free(text, FALSE);
+}
+
+/*
+ * Last grant that the chain record has to tell; 0: none, as the next owner
+ * waits for all until WORKER_RENEWAL_LIMIT_USEC after its claim.
+ */
+static gh_time_t grant_ahead(const fleet_owner_t *owner, gh_time_t now)
+{
+	return gh_fleet_grant_ahead(owner->fleet,
+				    now + WORKER_RENEWAL_LIMIT_USEC);
+}
+
+/*
+ * Whether the chain record tells too little of the grants or what is over.  It
+ * tells the time relative to the commit, so the next owner can't see its age.
+ */
+static bool grants_have_changed(const fleet_owner_t *owner, gh_time_t now)
+{
+	gh_time_t ahead = grant_ahead(owner, now);
+
+	return ahead > owner->grants_told || (owner->grants_told && !ahead);
 }
 
 static void log_fleet_event(void *ctx, const char *event,
--- a/regress/fleet_world.c
+++ b/regress/fleet_world.c
@@ -45,8 +45,10 @@
 
 void replace_owner(world_t *w)
 {
+	gh_time_t grant = gh_fleet_grant_ahead(w->fleet, w->now);
+
 	gh_fleet_free(w->fleet);
-	start_owner(w, w->now);
+	start_owner(w, MAX(grant, w->now));
 }
 
 void world_clear(world_t *w)
--- a/regress/fleet_world.h
+++ b/regress/fleet_world.h
@@ -88,7 +88,7 @@
 void world_init(world_t *w);
 void world_clear(world_t *w);
 /* Replaces the fleet by that of the next owner, which knows nothing of before
- * but what the caller adds. */
+ * but the last grant of a lease and what the caller adds. */
 void replace_owner(world_t *w);
 scripted_worker_t *add_worker(world_t *w, const char *id, uint32_t cores_milli);
 /* Changes the capacity that the worker lists. */
--- a/regress/test_core_fleet_late.c
+++ b/regress/test_core_fleet_late.c
@@ -576,6 +576,21 @@
 	}
 }
 
+/* How the first owner hears of a worker's restart, and who takes over. */
+typedef struct takeover_case {
+	const char *name;
+	bool from_discovery;
+	unsigned takeovers;
+} takeover_case_t;
+
+static const takeover_case_t takeovers[] = {
+	{ .name = "restart in a report", .takeovers = 1 },
+	{ .name = "restart in discovery",
+	  .from_discovery = true,
+	  .takeovers = 1 },
+	{ .name = "two owners fail", .takeovers = 2 },
+};
+
 /*
  * A previous owner's renewal that was meant for a former life of the worker
  * grants the longest lease that the worker accepts.  The worker then took up a
@@ -584,27 +599,48 @@
  */
 static void test_lease_of_new_life_after_takeover(void **state)
 {
-	gh_report_run_t run = { .task = { .job = JOB }, .run = 1 };
-	scripted_worker_t *worker;
-	gh_time_t granted_at;
-	world_t w;
+	size_t i, j;
 
 	(void)state;
-	world_init(&w);
-	/* Granted just before the claim of the new owner. */
-	granted_at = w.now;
-	add_job(&w, JOB, 1, &long_running_step,
-		"progress1\n0 open 0 1 - 1@w1\n");
-	worker = add_worker(&w, "w1", 4000);
-	worker->runs[worker->n_runs++] = run;
-	worker->unreachable = true;
-	add_worker(&w, "w2", 4000);
-	while (!w.n_orders && w.now - granted_at < 20000 * MS)
-		advance_time(&w, 10);
-	print_message("started again after %d ms\n",
-		      (int)((w.now - granted_at) / MS));
-	assert_true(w.now - granted_at > LEASE_MAX_MS * MS);
-	world_clear(&w);
+	for (i = 0; i < G_N_ELEMENTS(takeovers); i++) {
+		const takeover_case_t *c = &takeovers[i];
+		scripted_worker_t *worker;
+		gh_time_t granted_at;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		world_init(&w);
+		worker = add_worker(&w, "w1", 1000);
+		add_job(&w, JOB, 1, &long_running_step, NULL);
+		advance_time(&w, 1000);
+		restart_worker(worker);
+		/* The late renewal, executed at the latest as it is heard. */
+		granted_at = w.now;
+		if (c->from_discovery)
+			list_worker(&w, worker, false);
+		advance_time(&w, 300);
+		assert_int_equal(worker->n_runs, 1);
+		assert_int_equal(worker->runs[0].run, 2);
+		worker->unreachable = true;
+		for (j = 0; j < c->takeovers; j++) {
+			char *progress = g_strdup(w.progress);
+
+			replace_owner(&w);
+			add_job(&w, JOB, 1, &long_running_step, progress);
+			g_free(progress);
+			list_worker(&w, worker, false);
+			advance_time(&w, 200);
+		}
+		add_worker(&w, "w2", 1000);
+		w.n_orders = 0;
+		while (!w.n_orders && w.now - granted_at < 20000 * MS)
+			advance_time(&w, 10);
+		print_message("started again after %d ms\n",
+			      (int)((w.now - granted_at) / MS));
+		assert_in_range(w.now - granted_at, LEASE_MAX_MS * 51 / 50 * MS,
+				(LEASE_MAX_MS * 103 / 100 + 900) * MS);
+		world_clear(&w);
+	}
 }
 
 int main(void)
--- a/regress/test_owner_takeover.c
+++ b/regress/test_owner_takeover.c
@@ -114,6 +114,7 @@
 	gh_time_t lease_ends[64]; /* indexed by lease */
 	GPtrArray *calls;	  /* sim_call_t in flight */
 	bool closed;
+	unsigned n_late;   /* calls sent that are executed late */
 	unsigned n_starts; /* runs begun */
 	unsigned n_twice;  /* runs begun while another worker ran the task */
 };
@@ -318,6 +319,7 @@
 
 	if (!link->cut && !link->refused)
 		call->execute.at = sim_now + LATENCY_USEC + link->late;
+	call->sim->n_late += link->late != 0;
 	call->answered = !link->cut && !link->replies_lost && !link->late;
 	if (!call->answered)
 		call->reply.at = sim_now + timeout;
@@ -869,42 +871,60 @@
 	return item && !strcmp(item->value, sim->hosts[host].name);
 }
 
-/*
- * h0 owns the shard and has started the job's lasting task on the worker w0.
- * Then w1, which has capacity for the task, and h1 join; h1 can't reach w0.
- */
-static sim_t *sim_new(void)
+/* Hands in a job with one lasting task. */
+static void submit_job(sim_t *sim)
 {
-	sim_t *sim = g_new0(sim_t, 1);
 	fleet_job_state_t state = { .phase = GH_JOB_QUEUED, .queue = "q" };
 	gh_pipeline_t *job = make_job(JOB, 1, &long_running_step);
-	char *text;
-	uint32_t i;
+	char *text = fleet_job_state_format(&state);
 
-	g_random_set_seed(1);
-	sim_now = START_TIME;
-	sim->loop = loop_new();
-	sim->calls = g_ptr_array_new();
-	text = fleet_job_state_format(&state);
 	put(sim, FLEET_KEYSPACE_OWN, "d/state/" JOB, text);
 	g_free(text);
 	text = gh_pipeline_format(job);
 	put(sim, FLEET_KEYSPACE_OWN, "w/0/" JOB, text);
 	g_free(text);
 	gh_pipeline_free(job);
+}
+
+/* h0 owns the shard, with the worker w0. */
+static sim_t *sim_new(void)
+{
+	sim_t *sim = g_new0(sim_t, 1);
+	uint32_t i;
+
+	g_random_set_seed(1);
+	sim_now = START_TIME;
+	sim->loop = loop_new();
+	sim->calls = g_ptr_array_new();
 	for (i = 0; i < WORKERS; i++) {
 		g_snprintf(sim->workers[i].id, sizeof(sim->workers[i].id),
 			   "w%u", i);
 		sim->workers[i].born = 1;
 	}
-	sim->workers[0].links[1].cut = true;
 	list_sim_worker(sim, 0);
 	add_host(sim, 0);
 	run_for(sim, 1000);
 	assert_true(is_owner(sim, 0));
-	assert_int_equal(sim->workers[0].run.run, 1);
+	return sim;
+}
+
+/* h1 joins, which can't reach w0, and w1, which has capacity for the task. */
+static void add_rest(sim_t *sim)
+{
+	sim->workers[0].links[1].cut = true;
 	list_sim_worker(sim, 1);
 	add_host(sim, 1);
+}
+
+/* h0 has started the job's task on w0, and the rest has joined. */
+static sim_t *sim_with_run(void)
+{
+	sim_t *sim = sim_new();
+
+	submit_job(sim);
+	run_for(sim, 1000);
+	assert_int_equal(sim->workers[0].run.run, 1);
+	add_rest(sim);
 	run_for(sim, 1000);
 	return sim;
 }
@@ -1024,7 +1044,7 @@
 	(void)state;
 	for (i = 0; i < G_N_ELEMENTS(releases); i++) {
 		const release_case_t *c = &releases[i];
-		sim_t *sim = sim_new();
+		sim_t *sim = sim_with_run();
 		sim_host_t *host = &sim->hosts[0];
 		gh_time_t released_at = sim_now;
 		int64_t ms;
@@ -1105,7 +1125,7 @@
 	(void)state;
 	for (i = 0; i < G_N_ELEMENTS(gaps); i++) {
 		const gap_case_t *c = &gaps[i];
-		sim_t *sim = sim_new();
+		sim_t *sim = sim_with_run();
 		sim_host_t *host = &sim->hosts[0];
 		gh_time_t gap_start = sim_now;
 
@@ -1142,11 +1162,140 @@
 	}
 }
 
+/* How a worker gets the longest lease before its owner fails. */
+typedef struct rebirth_case {
+	const char *name;
+	/*
+	 * The worker restarts before the job comes, unseen, so that the start
+	 * order grants that lease; else a renewal does that is executed late.
+	 */
+	bool at_start;
+	bool released;	  /* the owner releases the shard, instead of failing */
+	int64_t later_ms; /* time from then on */
+	int64_t max_ms;	  /* latest restart, from its failure or release */
+} rebirth_case_t;
+
+static const rebirth_case_t rebirths[] = {
+	{ .name = "late renewal", .max_ms = 12000 },
+	{ .name = "late renewal, released", .released = true, .max_ms = 11000 },
+	{ .name = "start order", .at_start = true, .max_ms = 12500 },
+	{ .name = "start order, released",
+	  .at_start = true,
+	  .released = true,
+	  .max_ms = 11000 },
+	{ .name = "late renewal, long before",
+	  .later_ms = 9000,
+	  .max_ms = 9000 },
+	{ .name = "start order, long before",
+	  .at_start = true,
+	  .later_ms = 9000,
+	  .max_ms = 9000 },
+};
+
+/*
+ * Starts a new life of the worker, which knows nothing of before.  Its channels
+ * break, but calls on their way can still be executed.
+ */
+static void restart_sim_worker(sim_t *sim, sim_worker_t *worker)
+{
+	guint i;
+
+	for (i = 0; i < sim->calls->len; i++) {
+		sim_call_t *call = sim->calls->pdata[i];
+
+		if (call->worker != worker)
+			continue;
+		call->answered = false;
+		call->reply.at = sim_now;
+	}
+	worker->born++;
+	worker->fence = 0;
+	worker->lease_end = 0;
+	worker->run.run = 0;
+}
+
+/* A renewal for the former life of w0 is executed in the new one. */
+static void renew_for_former_life(sim_t *sim)
+{
+	sim_worker_t *worker = &sim->workers[0];
+
+	submit_job(sim);
+	run_for(sim, 1000);
+	assert_int_equal(worker->run.run, 1);
+	/* The next renewal is on its way for longer than the restart takes. */
+	worker->links[0].late = 100 * MS;
+	while (!sim->n_late)
+		run_for(sim, 1);
+	restart_sim_worker(sim, worker);
+	worker->links[0].late = 0;
+	run_for(sim, 100);
+	list_sim_worker(sim, 0);
+	while (!worker->run.run)
+		run_for(sim, 1);
+	assert_int_equal(worker->run.run, 2);
+}
+
+/* The start order for the former life of w0 is executed in the new one. */
+static void start_for_former_life(sim_t *sim)
+{
+	sim_worker_t *worker = &sim->workers[0];
+
+	restart_sim_worker(sim, worker);
+	submit_job(sim);
+	while (!worker->run.run)
+		run_for(sim, 1);
+	/* The owner hears of the restart. */
+	run_for(sim, 1100);
+	assert_int_equal(worker->run.run, 1);
+}
+
+/*
+ * A call that was meant for a former life of a worker grants the new one the
+ * longest lease.  The next owner can't reach the worker and waits for its end.
+ */
+static void test_lease_of_new_life_after_takeover(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(rebirths); i++) {
+		const rebirth_case_t *c = &rebirths[i];
+		sim_t *sim = sim_new();
+		sim_host_t *host = &sim->hosts[0];
+		sim_worker_t *worker = &sim->workers[0];
+		int64_t lease_ms;
+		int64_t ms;
+
+		print_message("%s\n", c->name);
+		if (c->at_start)
+			start_for_former_life(sim);
+		else
+			renew_for_former_life(sim);
+		add_rest(sim);
+		run_for(sim, 20 + c->later_ms);
+		lease_ms = gh_time_to_ms(worker->lease_end - sim_now);
+		assert_true(lease_ms > 8000 || c->later_ms);
+		if (c->released) {
+			fleet_owner_release(host->owner);
+		} else {
+			set_store_links(host, (link_t){ .cut = true });
+			worker->links[0].cut = true;
+		}
+		ms = wait_for_restart(sim, PATIENCE_MS);
+		print_message("lease %d ms, started again after %d ms\n",
+			      (int)lease_ms, (int)ms);
+		assert_int_equal(sim->n_twice, 0);
+		assert_in_range(ms, lease_ms, c->max_ms);
+		sim_free(sim);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_no_grant_after_release),
 		cmocka_unit_test(test_renewals_of_an_owner_taken_over),
+		cmocka_unit_test(test_lease_of_new_life_after_takeover),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
