core_fleet_report: ask at once whether a stopped run is gone

What callers could see: a task whose worker had restarted while a copy of its start order had no reply starts again up to two seconds late.

Cause: such a run is stopped, and only a report that is requested after the reply to the stop proves that it is gone. The next report was requested with the stop already in flight, with a wait of a second at a worker where nothing ends, and so was the one after it.

Fix: while a run is being stopped that the worker's last report does not list, reports are asked for without a wait, one after the reply to the stop at once, others each 150 ms.

Evidence: without the fix test_wait_for_report_after_stop fails,

[ ERROR ] --- gh_fleet_next_renewal(w.fleet, &renewal, w.now) regress/test_core_fleet_late.c:992: error: Failure!

as a renewal with a wait of 1000 ms is due before the stop is sent (printed in a trial). The delay of two seconds follows from two such waits; it was not measured with processes.

--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -61,6 +61,8 @@
 			       gh_order_reply_t reply, gh_time_t now);
 static bool renewal_is_due(gh_fleet_t *fleet, uint32_t handle, int64_t *wait_ms,
 			   gh_time_t now);
+static bool proof_is_awaited(const gh_fleet_t *fleet,
+			     const fleet_worker_t *worker, bool *is_due);
 static bool ack_is_due(const fleet_worker_t *worker);
 static uint32_t find_run(const gh_fleet_t *fleet, const gh_task_id_t *id,
 			 uint32_t number, uint32_t worker, uint32_t *job);
@@ -93,6 +95,7 @@
 	worker->has_reported = true;
 	worker->unreachable_since = 0;
 	worker->last_report_at = now;
+	worker->last_requested_at = report->requested_at;
 	fleet_crash_take_back(fleet, handle);
 	fleet->report_number++;
 	worker->has_unknown_run = false;
@@ -303,6 +306,7 @@
 {
 	const fleet_worker_t *worker = fleet_worker(fleet, handle);
 	bool report_is_old = now - worker->last_report_at > COMMIT_WAIT_USEC;
+	bool proof_is_due;
 
 	if (!worker->has_reported || worker->unreachable_since)
 		return worker->listed || worker->n_runs;
@@ -318,6 +322,8 @@
 		return ack_is_due(worker) &&
 		       (worker->acked_end > worker->acked_end_sent ||
 			report_is_old);
+	if (proof_is_awaited(fleet, worker, &proof_is_due))
+		return proof_is_due || report_is_old;
 	*wait_ms = worker->n_long_running && worker->n_best_effort &&
 				   !fleet_is_late(fleet) ?
 			   RENEWAL_WAIT_PACED_MAX_MS :
@@ -325,6 +331,31 @@
 	return true;
 }
 
+/*
+ * Whether the worker's last report does not list a run that is being stopped.
+ * Only one that is requested after the reply to the stop proves that the run is
+ * gone; *is_due tells whether the last one was requested before.
+ */
+static bool proof_is_awaited(const gh_fleet_t *fleet,
+			     const fleet_worker_t *worker, bool *is_due)
+{
+	bool is_awaited = false;
+	uint32_t ref;
+
+	*is_due = false;
+	for (ref = worker->first_run; ref != GH_NONE;
+	     ref = fleet_run(fleet, ref)->next) {
+		const fleet_run_t *run = fleet_run(fleet, ref);
+
+		if (run->state != RUN_STOPPING ||
+		    run->listed_at >= worker->last_report_at)
+			continue;
+		is_awaited = true;
+		*is_due |= run->replied_at >= worker->last_requested_at;
+	}
+	return is_awaited;
+}
+
 /*
  * Whether the worker is to forget ends.  It may have restarted since its last
  * report, with the numbering of ends begun anew, so nothing is acknowledged but
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -263,7 +263,8 @@
 	/* The worker's last report lists a run that belongs to no job here. */
 	bool has_unknown_run;
 	bool renewal_pending; /* a lease renewal awaits the worker's reply */
-	gh_time_t last_report_at;
+	/* When the last report arrived and when it was requested. */
+	gh_time_t last_report_at, last_requested_at;
 	gh_time_t renewal_not_before;
 	/* Since when the worker's lease renewals fail; 0: they do not. */
 	gh_time_t unreachable_since;
--- a/regress/test_core_fleet_late.c
+++ b/regress/test_core_fleet_late.c
@@ -964,6 +964,39 @@
 	}
 }
 
+/*
+ * A report that is asked for with a wait tells a second late that a stopped run
+ * is gone, so the task starts again late.
+ */
+static void test_wait_for_report_after_stop(void **state)
+{
+	gh_worker_report_t report = { .complete = true };
+	gh_worker_renewal_t renewal;
+	scripted_worker_t *worker;
+	world_t w;
+
+	(void)state;
+	world_init(&w);
+	worker = add_worker(&w, "w1", 4000);
+	advance_time(&w, 100);
+	begin_late_job(&w, &one_task, 2000);
+	settle(&w, worker);
+	w.renewals_stopped = true;
+	restart_worker(worker);
+	w.now += 10 * MS;
+	assert_true(gh_fleet_next_renewal(w.fleet, &renewal, w.now));
+	report.incarnation_start_ms = worker->incarnation_start_ms;
+	report.requested_at = w.now;
+	gh_fleet_handle_report(w.fleet, "w1", &report, w.now);
+	w.n_orders = 0;
+	assert_false(gh_fleet_next_renewal(w.fleet, &renewal, w.now));
+	advance_time(&w, 10);
+	assert_int_equal(count_orders(&w, GH_ORDER_STOP, 0), 1);
+	assert_true(gh_fleet_next_renewal(w.fleet, &renewal, w.now));
+	assert_int_equal(renewal.max_wait_ms, 0);
+	world_clear(&w);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -980,6 +1013,7 @@
 		cmocka_unit_test(test_start_waits_for_late_one),
 		cmocka_unit_test(test_wait_for_late_start_ends),
 		cmocka_unit_test(test_restart_without_late_start),
+		cmocka_unit_test(test_wait_for_report_after_stop),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
