core_fleet_late: count a task's awaited stops instead of searching them

Each reply to the stop of a late start looked at all kept orders for another of the same task. Nothing but the owner's time was at stake, and only if many workers restart at once.

--- a/core_fleet_late.c
+++ b/core_fleet_late.c
@@ -144,8 +144,11 @@
 
 	fleet_emit_event(fleet, "late_start_stopped", &late->task, late->run,
 			 handle, NULL);
-	if (!late->stop_awaited)
+	if (!late->stop_awaited) {
 		fleet->n_late_stops++;
+		if (task)
+			task->n_late_stops++;
+	}
 	late->stop_awaited = true;
 	late->stop_overtaken = late->stop_in_flight;
 	late->incarnation_start_ms = entry->incarnation_start_ms;
@@ -186,37 +189,17 @@
 	late->stop_overtaken = false;
 }
 
-/* Lets the task start again, unless another late start of it is awaited. */
+/* Lets the task start again, unless another stop of a run of it is awaited. */
 static void end_stop(gh_fleet_t *fleet, late_start_t *late)
 {
 	fleet_task_t *task = find_task(fleet, &late->task);
-	GHashTableIter iter;
-	gpointer value;
-	guint i;
 
 	if (!late->stop_awaited)
 		return;
 	late->stop_awaited = false;
 	fleet->n_late_stops--;
-	if (!task)
-		return;
-	task->late_until = 0;
-	if (!fleet->n_late_stops)
-		return;
-	g_hash_table_iter_init(&iter, fleet->late_starts);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const GArray *late_starts = value;
-
-		for (i = 0; i < late_starts->len; i++) {
-			const late_start_t *other =
-				&g_array_index(late_starts, late_start_t, i);
-
-			if (other->stop_awaited &&
-			    same_task(&other->task, &late->task))
-				task->late_until = MAX(task->late_until,
-						       other->wait_until);
-		}
-	}
+	if (task && task->n_late_stops && !--task->n_late_stops)
+		task->late_until = 0;
 }
 
 void fleet_late_check(gh_fleet_t *fleet, gh_time_t now)
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -136,10 +136,11 @@
 	/* no run of the task is started before this time */
 	gh_time_t not_before;
 	/*
-	 * The same, as a late start order may start the task; see
-	 * core_fleet_late.c; 0: none.
+	 * The same, as a late start order may start the task; 0: none; and the
+	 * number of stops awaited for that.  See core_fleet_late.c.
 	 */
 	gh_time_t late_until;
+	uint32_t n_late_stops;
 	/* name of the task's latest checkpoint; NULL: none */
 	char *checkpoint;
 } fleet_task_t;
