core_fleet_plan: place nothing beside a start that may still be executed

What callers could see: a worker that does not guard its capacity runs more than it holds. It restarts under the same id, its runs were given up before, another task is placed on it, and then a start order without a reply is executed there.

Cause: such a start is stopped as the worker is heard anew, but its capacity counted as free while the reply to that stop was awaited.

Fix: nothing is placed on the worker until the stops are replied to, at most for as long as the late task itself waits.

Evidence: without the fix test_full_by_late_start fails,

[ ERROR ] --- 0x1 != 0 regress/test_core_fleet_late.c:992: error: Failure!

one start brought the worker over its capacity. With it there is none, and the task starts once the stop is replied to.

--- a/core_fleet_late.c
+++ b/core_fleet_late.c
@@ -5,8 +5,8 @@
  * once it has restarted under the same id it knows nothing of before: a start
  * order that was delayed then runs the task again.  So such orders are kept
  * per worker id until they can't be executed any more.  When the worker is
- * heard anew, their runs are stopped there, and their tasks are not started
- * before the worker has replied to that.
+ * heard anew, their runs are stopped there, and neither their tasks nor others
+ * on that worker are started before the worker has replied to that.
  *
  * Orders of a previous owner are not kept: a worker refuses them from the first
  * call of the present owner on.
@@ -44,14 +44,16 @@
 
 static bool is_over_for_worker(const fleet_run_t *run,
 			       gh_run_outcome_t outcome);
+static void update_worker(gh_fleet_t *fleet, const char *id,
+			  const GArray *late_starts);
 static void begin_stop(gh_fleet_t *fleet, uint32_t handle, late_start_t *late,
 		       gh_time_t now);
 static void send_stop(gh_fleet_t *fleet, const char *id, late_start_t *late);
 static void end_stop(gh_fleet_t *fleet, late_start_t *late);
 static void remove_expired(gh_fleet_t *fleet, gh_time_t now);
 static void retry_stops(gh_fleet_t *fleet, gh_time_t now);
-static late_start_t *find_late(const gh_fleet_t *fleet, const char *id,
-			       const gh_task_id_t *task, uint32_t run);
+static late_start_t *find_late(GArray *late_starts, const gh_task_id_t *task,
+			       uint32_t run);
 static fleet_task_t *find_task(const gh_fleet_t *fleet, const gh_task_id_t *id);
 static bool same_task(const gh_task_id_t *a, const gh_task_id_t *b);
 static void free_late_starts(gpointer late_starts);
@@ -71,7 +73,7 @@
 void fleet_late_add(gh_fleet_t *fleet, const fleet_run_t *run,
 		    gh_run_outcome_t outcome, gh_time_t now)
 {
-	fleet_worker_t *worker = fleet_worker(fleet, run->worker);
+	const fleet_worker_t *worker = fleet_worker(fleet, run->worker);
 	bool is_over = is_over_for_worker(run, outcome);
 	late_start_t late = {
 		.run = run->run_number,
@@ -97,12 +99,9 @@
 	}
 	g_array_append_val(late_starts, late);
 	fleet->n_late_starts++;
-	worker->n_late_starts = late_starts->len;
+	update_worker(fleet, worker->entry.id, late_starts);
 	if (!is_over && worker->has_reported && !worker->unreachable_since)
-		begin_stop(fleet, run->worker,
-			   &g_array_index(late_starts, late_start_t,
-					  late_starts->len - 1),
-			   now);
+		fleet_late_stop(fleet, run->worker, now);
 }
 
 /* Whether the worker's present incarnation refuses to start the run again. */
@@ -115,13 +114,11 @@
 
 void fleet_late_stop(gh_fleet_t *fleet, uint32_t handle, gh_time_t now)
 {
-	fleet_worker_t *worker = fleet_worker(fleet, handle);
-	const gh_worker_entry_t *entry = &worker->entry;
+	const gh_worker_entry_t *entry = &fleet_worker(fleet, handle)->entry;
 	GArray *late_starts =
 		g_hash_table_lookup(fleet->late_starts, entry->id);
 	guint i;
 
-	worker->n_late_starts = late_starts ? late_starts->len : 0;
 	if (!late_starts || !*entry->address)
 		return;
 	for (i = 0; i < late_starts->len; i++) {
@@ -133,6 +130,31 @@
 		     late->incarnation_start_ms != entry->incarnation_start_ms))
 			begin_stop(fleet, handle, late, now);
 	}
+	update_worker(fleet, entry->id, late_starts);
+}
+
+/* Updates what the worker's entry, if there is one, tells of its late starts.
+ */
+static void update_worker(gh_fleet_t *fleet, const char *id,
+			  const GArray *late_starts)
+{
+	uint32_t handle = fleet_worker_find(fleet, id);
+	fleet_worker_t *worker;
+	guint i;
+
+	if (handle == GH_NONE)
+		return;
+	worker = fleet_worker(fleet, handle);
+	worker->n_late_starts = late_starts->len;
+	worker->late_until = 0;
+	for (i = 0; i < late_starts->len; i++) {
+		const late_start_t *late =
+			&g_array_index(late_starts, late_start_t, i);
+
+		if (late->stop_awaited)
+			worker->late_until =
+				MAX(worker->late_until, late->wait_until);
+	}
 }
 
 /* Stops the run in the worker's present incarnation. */
@@ -175,7 +197,8 @@
 			     const gh_task_id_t *task, uint32_t run,
 			     gh_order_reply_t reply, gh_time_t now)
 {
-	late_start_t *late = find_late(fleet, id, task, run);
+	GArray *late_starts = g_hash_table_lookup(fleet->late_starts, id);
+	late_start_t *late = find_late(late_starts, task, run);
 
 	if (!late || !late->stop_in_flight)
 		return;
@@ -187,6 +210,7 @@
 	else
 		end_stop(fleet, late);
 	late->stop_overtaken = false;
+	update_worker(fleet, id, late_starts);
 }
 
 /* Lets the task start again, unless another stop of a run of it is awaited. */
@@ -221,7 +245,7 @@
 	g_hash_table_iter_init(&iter, fleet->late_starts);
 	while (g_hash_table_iter_next(&iter, &id, &value)) {
 		GArray *late_starts = value;
-		uint32_t handle = fleet_worker_find(fleet, id);
+		guint n = late_starts->len;
 		guint i = 0;
 
 		while (i < late_starts->len) {
@@ -236,9 +260,8 @@
 			g_array_remove_index_fast(late_starts, i);
 			fleet->n_late_starts--;
 		}
-		if (handle != GH_NONE)
-			fleet_worker(fleet, handle)->n_late_starts =
-				late_starts->len;
+		if (late_starts->len < n)
+			update_worker(fleet, id, late_starts);
 		if (!late_starts->len)
 			g_hash_table_iter_remove(&iter);
 	}
@@ -275,10 +298,9 @@
 	}
 }
 
-static late_start_t *find_late(const gh_fleet_t *fleet, const char *id,
-			       const gh_task_id_t *task, uint32_t run)
+static late_start_t *find_late(GArray *late_starts, const gh_task_id_t *task,
+			       uint32_t run)
 {
-	GArray *late_starts = g_hash_table_lookup(fleet->late_starts, id);
 	guint i;
 
 	for (i = 0; late_starts && i < late_starts->len; i++) {
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -88,6 +88,7 @@
 	OBSTACLE_NOT_LISTED,
 	OBSTACLE_DRAINING,
 	OBSTACLE_UNREACHABLE, /* or without a report to this owner yet */
+	OBSTACLE_LATE_START,  /* stops of late starts are awaited */
 	OBSTACLE_NO_CAPACITY,
 	OBSTACLE_REFUSED_START, /* lately, for lack of capacity */
 	OBSTACLE_QUARANTINE,
@@ -102,6 +103,7 @@
 	[OBSTACLE_NOT_LISTED] = "unlisted",
 	[OBSTACLE_DRAINING] = "draining",
 	[OBSTACLE_UNREACHABLE] = "unheard",
+	[OBSTACLE_LATE_START] = "late_start",
 	[OBSTACLE_NO_CAPACITY] = "full",
 	[OBSTACLE_REFUSED_START] = "refused",
 	[OBSTACLE_QUARANTINE] = "quarantined",
@@ -738,6 +740,8 @@
 		return OBSTACLE_DRAINING;
 	if (!worker->has_reported || worker->unreachable_since)
 		return OBSTACLE_UNREACHABLE;
+	if (now < worker->late_until)
+		return OBSTACLE_LATE_START;
 	if (now < worker->full_until)
 		return OBSTACLE_REFUSED_START;
 	if (!step_fits(worker, step))
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -246,6 +246,11 @@
 	uint32_t first_run;
 	uint32_t n_runs;
 	uint32_t n_late_starts; /* its entries in gh_fleet.late_starts */
+	/*
+	 * Nothing is placed here before this time, as late starts may take the
+	 * capacity; 0: none.
+	 */
+	gh_time_t late_until;
 	/* deadline of the lease that was last granted */
 	gh_time_t lease_until;
 	/* No run on the worker is alive after this time. */
--- a/regress/fleet_world.c
+++ b/regress/fleet_world.c
@@ -337,7 +337,8 @@
 	w->orders[w->n_orders++] = *order;
 	w->orders[w->n_orders - 1].worker = worker->id;
 	index = find_listed_run(worker, order);
-	if (worker->unreachable || worker->loses_orders) {
+	if (worker->unreachable || worker->loses_orders ||
+	    (worker->loses_stops && order->kind == GH_ORDER_STOP)) {
 		reply = GH_ORDER_OUTCOME_UNKNOWN;
 	} else if (order->kind == GH_ORDER_START && worker->refusal) {
 		reply = worker->refusal;
--- a/regress/fleet_world.h
+++ b/regress/fleet_world.h
@@ -32,6 +32,7 @@
 	bool drops_replies; /* executes orders but its replies are lost */
 	bool loses_orders;  /* reports, but neither executes nor answers orders
 			     */
+	bool loses_stops;   /* the same for stop orders only */
 	/* Start orders get no reply and are executed so much later, in whatever
 	 * life the worker then has; 0: at once. */
 	int64_t start_delay_ms;
--- a/regress/test_core_fleet_late.c
+++ b/regress/test_core_fleet_late.c
@@ -964,6 +964,40 @@
 	}
 }
 
+/*
+ * A late order may take the capacity of a worker that is heard anew, so that
+ * another task beside it would be one too many.
+ */
+static void test_full_by_late_start(void **state)
+{
+	scripted_worker_t *worker;
+	world_t w;
+
+	(void)state;
+	world_init(&w);
+	w.leases_end = true;
+	worker = add_worker(&w, "w1", 1000);
+	advance_time(&w, 100);
+	begin_late_job(&w, &one_task, 8000);
+	settle(&w, worker);
+	gh_fleet_job_cancel(w.fleet, JOB, w.now);
+	worker->unreachable = true;
+	advance_time(&w, 5500);
+	restart_worker(worker);
+	worker->loses_stops = true;
+	worker->unreachable = false;
+	add_job(&w, "00000000000000b0", 1, &one_task, NULL);
+	while (w.n_late_orders)
+		advance_time(&w, 10);
+	assert_int_equal(w.n_over_capacity, 0);
+	worker->loses_stops = false;
+	advance_time(&w, 500);
+	assert_int_equal(worker->n_runs, 1);
+	assert_string_equal(worker->runs[0].task.job, "00000000000000b0");
+	assert_int_equal(w.n_over_capacity, 0);
+	world_clear(&w);
+}
+
 /*
  * A report that is asked for with a wait tells a second late that a stopped run
  * is gone, so the task starts again late.
@@ -1013,6 +1047,7 @@
 		cmocka_unit_test(test_start_waits_for_late_one),
 		cmocka_unit_test(test_wait_for_late_start_ends),
 		cmocka_unit_test(test_restart_without_late_start),
+		cmocka_unit_test(test_full_by_late_start),
 		cmocka_unit_test(test_wait_for_report_after_stop),
 	};
 
