--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -88,6 +88,7 @@
 	OBSTACLE_NOT_LISTED,
 	OBSTACLE_DRAINING,
 	OBSTACLE_UNREACHABLE, /* or without a report to this owner yet */
+	OBSTACLE_LATE_START,  /* stops of late starts are awaited */
 	OBSTACLE_NO_CAPACITY,
 	OBSTACLE_REFUSED_START, /* lately, for lack of capacity */
 	OBSTACLE_QUARANTINE,
@@ -102,6 +103,7 @@
 	[OBSTACLE_NOT_LISTED] = "unlisted",
 	[OBSTACLE_DRAINING] = "draining",
 	[OBSTACLE_UNREACHABLE] = "unheard",
+	[OBSTACLE_LATE_START] = "late_start",
 	[OBSTACLE_NO_CAPACITY] = "full",
 	[OBSTACLE_REFUSED_START] = "refused",
 	[OBSTACLE_QUARANTINE] = "quarantined",
@@ -176,6 +178,7 @@
 	note_tick(fleet, now);
 	expire_leases(fleet, now);
 	retry_orders(fleet, now);
+	fleet_late_check(fleet, now);
 	stop_long_running_on_draining(fleet, now);
 	fleet_health_check(fleet, now);
 	if (now - fleet->interference_decayed_at >= DECAY_PERIOD_USEC) {
@@ -432,7 +435,7 @@
 		uint32_t worker;
 
 		if (task->done || task->runs[0] != GH_NONE ||
-		    now < task->not_before)
+		    now < task->not_before || now < task->late_until)
 			continue;
 		worker = choose_worker(fleet, job, i, GH_NONE, now);
 		if (worker == GH_NONE && fleet_crash_needs_care(task)) {
@@ -500,6 +503,9 @@
 
 	if (stage->tasks_open || now < job->tasks[stage->first_task].not_before)
 		return;
+	for (i = stage->first_task; i < stage->first_task + step->tasks; i++)
+		if (now < job->tasks[i].late_until)
+			return;
 	if (!gang_may_fit(fleet, job, c->stage, now)) {
 		fleet->counts.pending_tasks += step->tasks;
 		job->tasks[stage->first_task].not_before =
@@ -734,6 +740,8 @@
 		return OBSTACLE_DRAINING;
 	if (!worker->has_reported || worker->unreachable_since)
 		return OBSTACLE_UNREACHABLE;
+	if (now < worker->late_until)
+		return OBSTACLE_LATE_START;
 	if (now < worker->full_until)
 		return OBSTACLE_REFUSED_START;
 	if (!step_fits(worker, step))
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -6,8 +6,6 @@
 
 #include <string.h>
 
-/* Wait before an order without a reply from the worker is resent. */
-#define ORDER_RETRY_USEC (100 * GH_USEC_PER_MSEC)
 /*
  * Wait before another start order to a worker that refused one for lack of
  * capacity.
@@ -54,6 +52,7 @@
 			      const gh_report_run_t *listed, gh_time_t now);
 static void record_held_run(gh_fleet_t *fleet, uint32_t handle,
 			    const gh_report_run_t *listed, gh_time_t now);
+static void note_execution(fleet_run_t *run);
 static void record_end(gh_fleet_t *fleet, uint32_t handle,
 		       const gh_report_end_t *end, gh_time_t now);
 static void end_unlisted_runs(gh_fleet_t *fleet, uint32_t handle,
@@ -64,6 +63,8 @@
 			       gh_order_reply_t reply, gh_time_t now);
 static bool renewal_is_due(gh_fleet_t *fleet, uint32_t handle, int64_t *wait_ms,
 			   gh_time_t now);
+static bool proof_is_awaited(const gh_fleet_t *fleet,
+			     const fleet_worker_t *worker, bool *is_due);
 static bool ack_is_due(const fleet_worker_t *worker);
 static uint32_t find_run(const gh_fleet_t *fleet, const gh_task_id_t *id,
 			 uint32_t number, uint32_t worker, uint32_t *job);
@@ -86,14 +87,17 @@
 				     report->incarnation_start_ms, now);
 	worker = fleet_worker(fleet, handle);
 	fleet_lease_bound(fleet, worker, now);
-	if (worker->unreachable_since || !worker->has_reported)
+	if (worker->unreachable_since || !worker->has_reported) {
 		fleet_emit_event(fleet, "worker_heard", NULL, 0, handle, NULL);
+		fleet_late_stop(fleet, handle, now);
+	}
 	worker->renewal_pending = false;
 	if (!worker->has_reported)
 		worker->heard_since = now;
 	worker->has_reported = true;
 	worker->unreachable_since = 0;
 	worker->last_report_at = now;
+	worker->last_requested_at = report->requested_at;
 	fleet_crash_take_back(fleet, handle);
 	fleet->report_number++;
 	worker->has_unknown_run = false;
@@ -168,24 +172,31 @@
 		fleet->fenced = true;
 		return;
 	}
-	if (worker == GH_NONE)
-		return;
-	ref = find_run(fleet, task, number, worker, &job);
-	if (ref == GH_NONE)
+	ref = worker == GH_NONE ? GH_NONE :
+				  find_run(fleet, task, number, worker, &job);
+	if (ref == GH_NONE) {
+		if (kind == GH_ORDER_STOP)
+			fleet_late_handle_reply(fleet, id, task, number, reply,
+						now);
 		return;
+	}
+	run = fleet_run(fleet, ref);
+	if (kind == GH_ORDER_START) {
+		run->start_unanswered |= run->start_in_flight &&
+					 reply == GH_ORDER_OUTCOME_UNKNOWN;
+		run->start_in_flight = false;
+	}
 	if (reply == GH_ORDER_OTHER_INCARNATION) {
 		/*
 		 * The order may have been sent before the worker restarted, so
 		 * the reply is evidence for this run only.  A start that it
 		 * answers at once was not executed.
 		 */
-		run = fleet_run(fleet, ref);
 		if (run->state != RUN_STARTING || run->start_unanswered)
 			fleet_crash_mark_runs(fleet, worker, false, now);
 		fleet_run_end(fleet, ref, GH_RUN_LOST, NULL, now);
 		return;
 	}
-	run = fleet_run(fleet, ref);
 	if (kind == GH_ORDER_START && run->state == RUN_STARTING) {
 		handle_start_reply(fleet, ref, reply, now);
 	} else if (kind == GH_ORDER_STOP && run->state == RUN_STOPPING) {
@@ -225,7 +236,6 @@
 		fleet->counts.started++;
 		return;
 	case GH_ORDER_OUTCOME_UNKNOWN:
-		run->start_unanswered = true;
 		run->retry_at = now + ORDER_RETRY_USEC;
 		return;
 	case GH_ORDER_NO_CAPACITY:
@@ -298,6 +308,7 @@
 {
 	const fleet_worker_t *worker = fleet_worker(fleet, handle);
 	bool report_is_old = now - worker->last_report_at > COMMIT_WAIT_USEC;
+	bool proof_is_due;
 
 	if (!worker->has_reported || worker->unreachable_since)
 		return worker->listed || worker->n_runs;
@@ -307,10 +318,14 @@
 	 */
 	if (worker->last_listed_end > worker->acked_end)
 		return report_is_old;
-	if (!worker->n_runs && !worker->has_unknown_run)
+	/* A restart of a worker with late starts has to be heard of soon. */
+	if (!worker->n_runs && !worker->has_unknown_run &&
+	    !worker->n_late_starts)
 		return ack_is_due(worker) &&
 		       (worker->acked_end > worker->acked_end_sent ||
 			report_is_old);
+	if (proof_is_awaited(fleet, worker, &proof_is_due))
+		return proof_is_due || report_is_old;
 	*wait_ms = worker->n_long_running && worker->n_best_effort &&
 				   !fleet_is_late(fleet) ?
 			   RENEWAL_WAIT_PACED_MAX_MS :
@@ -318,6 +333,31 @@
 	return true;
 }
 
+/*
+ * Whether the worker's last report does not list a run that is being stopped.
+ * Only one that is requested after the reply to the stop proves that the run is
+ * gone; *is_due tells whether the last one was requested before.
+ */
+static bool proof_is_awaited(const gh_fleet_t *fleet,
+			     const fleet_worker_t *worker, bool *is_due)
+{
+	bool is_awaited = false;
+	uint32_t ref;
+
+	*is_due = false;
+	for (ref = worker->first_run; ref != GH_NONE;
+	     ref = fleet_run(fleet, ref)->next) {
+		const fleet_run_t *run = fleet_run(fleet, ref);
+
+		if (run->state != RUN_STOPPING ||
+		    run->listed_at >= worker->last_report_at)
+			continue;
+		is_awaited = true;
+		*is_due |= run->replied_at >= worker->last_requested_at;
+	}
+	return is_awaited;
+}
+
 /*
  * Whether the worker is to forget ends.  It may have restarted since its last
  * report, with the numbering of ends begun anew, so nothing is acknowledged but
@@ -340,8 +380,10 @@
 		return;
 	worker->last_listed_end = end->number;
 	run = find_run(fleet, &end->task, end->run, handle, &job);
-	if (run != GH_NONE)
+	if (run != GH_NONE) {
+		note_execution(fleet_run(fleet, run));
 		fleet_run_end(fleet, run, end->outcome, end->checkpoint, now);
+	}
 	/* Ending the job's last run may have freed the job. */
 	if (job != GH_NONE && !fleet_job(fleet, job)->spec)
 		job = GH_NONE;
@@ -368,6 +410,7 @@
 	}
 	run = fleet_run(fleet, ref);
 	run->last_report = fleet->report_number;
+	note_execution(run);
 	if (run->state == RUN_ORPHAN || run->state == RUN_STARTING) {
 		run->state = RUN_RUNNING;
 		run->replied_at = now;
@@ -421,6 +464,14 @@
 		fleet_worker(fleet, handle)->has_unknown_run = true;
 }
 
+/* Takes note that a report shows a start of the run to be executed. */
+static void note_execution(fleet_run_t *run)
+{
+	/* Of several start orders it may be any. */
+	if (!run->start_unanswered)
+		run->start_in_flight = false;
+}
+
 /* Ends as lost the runs that the worker's report should list and does not. */
 static void end_unlisted_runs(gh_fleet_t *fleet, uint32_t handle,
 			      const gh_worker_report_t *report, gh_time_t now)
@@ -461,19 +512,12 @@
 			     const gh_report_run_t *listed)
 {
 	fleet_worker_t *worker = fleet_worker(fleet, handle);
-	queued_order_t queued = { .kind = GH_ORDER_STOP,
-				  .run = GH_NONE,
-				  .run_number = listed->run,
-				  .task = listed->task };
-
-	/* The worker may be freed before the order is sent. */
-	g_strlcpy(queued.worker, worker->entry.id, sizeof(queued.worker));
-	g_strlcpy(queued.address, worker->entry.address,
-		  sizeof(queued.address));
+
 	worker->has_unknown_run = true;
 	fleet_emit_event(fleet, "run_unknown", &listed->task, listed->run,
 			 handle, NULL);
-	g_queue_push_tail(fleet->orders, g_memdup2(&queued, sizeof(queued)));
+	fleet_stop_enqueue(fleet, worker->entry.id, worker->entry.address,
+			   &listed->task, listed->run);
 }
 
 static uint32_t find_run(const gh_fleet_t *fleet, const gh_task_id_t *id,
