core_fleet_crash: starts that may have been lost give no task up

Every start order that was sent counted as a crash at the start if its worker's lease ran out or another incarnation replied, also when the order may never have arrived; five such counts give a task up. Workers that are cut off and idle, thus not known to be lost, are the cheapest ones for a task under suspicion, so one lost start drew others.

A crash now counts only with a sign that the run began: a reply to its start, a report that lists it, or a worker that was heard 300 ms before the start at most and has restarted since. Other starts make the task suspect (care in placement) and never give it up. A task under suspicion starts only on a worker that has just been heard, which the fleet asks for, so that a worker which dies at such a start is proof: the tasks that kill their workers before any reply are still given up. If a silent worker's address answers later as another incarnation, a lost start that had such a sign turns into a crash.

test_lost_starts_give_no_task_up failed before in 9 of 15 cases ("never back: 5 starts lost, given up", "counts in the record, never back: 1 starts lost, given up", ...) and passes. The new cases of test_deadly_task_is_given_up passed before with 5 starts ("no sign of the start ...") and guard the other side; they pass with 3 to 5.

Workers of the fleet's test world have an address each, as that tells who answers.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -488,7 +488,7 @@
 		if (job->phase > GH_JOB_RUNNING)
 			return;
 	} else if (outcome == GH_RUN_FAILED) {
-		task->start_crashes = 0;
+		task->start_crashes = task->lost_starts = 0;
 	}
 	if (outcome == GH_RUN_DONE && !step->long_running)
 		complete_task(fleet, run.job, run.task, now);
--- a/core_fleet_crash.c
+++ b/core_fleet_crash.c
@@ -2,15 +2,19 @@
  * Tasks that crash the workers that start them.
  *
  * A run that is lost with its worker counts a crash of its task, unless the
- * worker was draining.  A run that no report has shown alive for
- * SETTLE_USEC yet counts as crashed at its start.  A task with SUSPECT_CRASHES
- * of these starts only on a worker without other such runs, and nothing else
- * starts there until the run has settled.  If that worker crashes as well, the
- * task is the cause and its job fails.  A crash later in a run has no single
- * suspect, so it takes CRASHES_MAX of them.
+ * worker was draining.  That takes a sign that the run began: a reply to its
+ * start, a report that lists it, or a worker that was heard just before the
+ * start and has restarted since.  Without one the start may have been lost on
+ * its way, which makes the task suspect but never gives it up.  A run that no
+ * report has shown alive for SETTLE_USEC yet counts as crashed at its start.  A
+ * task with SUSPECT_CRASHES of these starts only on a worker without other such
+ * runs, and nothing else starts there until the run has settled.  If that
+ * worker crashes as well, the task is the cause and its job fails.  A crash
+ * later in a run has no single suspect, so it takes CRASHES_MAX of them.
  *
  * A worker whose lease ran out may merely be unreachable: if it comes back as
- * the same incarnation, the crashes counted for it are taken back.
+ * the same incarnation, what was counted for it is taken back.  If another
+ * incarnation answers in its place, a lost start can turn into a crash.
  */
 #include "core_fleet_state.h"
 
@@ -47,7 +51,12 @@
 #define TOGETHER_MIN 3
 /* A worker is new for this long after its first report. */
 #define NEW_WORKER_USEC (10 * GH_USEC_PER_SEC)
-/* How long a silent worker's crashes can be taken back. */
+/*
+ * A worker that reported this long before a run was planned is taken to have
+ * been alive at its start.
+ */
+#define HEARD_USEC (300 * GH_USEC_PER_MSEC)
+/* How long what was counted for a silent worker can be revised. */
 #define DOUBT_USEC (60 * GH_USEC_PER_SEC)
 /* Costs, in the unit of core_fleet_plan.c, of a worker for a suspect. */
 #define COST_RUN_BESIDE_SUSPECT 20000
@@ -62,13 +71,29 @@
 static gh_time_t seen_alive(const fleet_run_t *run);
 static bool has_settled(const fleet_run_t *run);
 static bool many_were_lost(const gh_fleet_t *fleet, gh_time_t at);
-static bool was_alive_after(const fleet_worker_t *worker,
-			    const fleet_run_t *run);
+static run_crash_t judge_run(const fleet_worker_t *worker,
+			     const fleet_run_t *run, const gh_step_t *step,
+			     bool alone);
+static bool was_alive_at_start(const fleet_worker_t *worker,
+			       const fleet_run_t *run);
+static void count_crash(gh_fleet_t *fleet, uint32_t handle,
+			const fleet_doubt_t *lost, uint32_t worker,
+			const char *how, gh_time_t now);
+static bool has_run_alive(const gh_fleet_t *fleet, const fleet_task_t *task);
+static bool doubts_worker(const fleet_doubt_t *doubt,
+			  const fleet_worker_t *worker);
+static void resolve_doubts(gh_fleet_t *fleet, uint32_t handle, bool is_back,
+			   gh_time_t now);
+static void resolve_doubt(gh_fleet_t *fleet, const fleet_doubt_t *doubt,
+			  bool is_back, gh_time_t now);
 static bool is_kept(const gh_fleet_t *fleet, const fleet_worker_t *worker,
 		    gh_time_t now);
 static uint32_t count_unsettled(const gh_fleet_t *fleet,
 				const fleet_worker_t *worker);
-static void add_doubt(gh_fleet_t *fleet, const fleet_run_t *run, gh_time_t now);
+static fleet_doubt_t describe_lost(const gh_fleet_t *fleet,
+				   const fleet_run_t *run, gh_time_t now);
+static void add_doubt(gh_fleet_t *fleet, const fleet_doubt_t *doubt,
+		      gh_time_t now);
 
 void fleet_crash_note_outage(gh_fleet_t *fleet, gh_time_t now)
 {
@@ -99,44 +124,76 @@
 
 		if (run->crash || !may_have_run(run))
 			continue;
-		if (!has_settled(run))
-			run->crash = alone && was_alive_after(worker, run) ?
-					     CRASH_ALONE :
-					     CRASH_AT_START;
-		else if (!step->long_running &&
-			 seen_alive(run) < ALIVE_LONG_USEC)
-			run->crash = CRASH_LATER;
+		run->crash = judge_run(worker, run, step, alone);
 		run->crash_silent = silent;
 	}
 }
 
+/* What the run tells of its task if the worker has crashed. */
+static run_crash_t judge_run(const fleet_worker_t *worker,
+			     const fleet_run_t *run, const gh_step_t *step,
+			     bool alone)
+{
+	if (has_settled(run))
+		return step->long_running ||
+				       seen_alive(run) >= ALIVE_LONG_USEC ?
+			       CRASH_NONE :
+			       CRASH_LATER;
+	if (!run->alive_since && !was_alive_at_start(worker, run))
+		return CRASH_UNPROVEN;
+	return alone ? CRASH_ALONE : CRASH_AT_START;
+}
+
 void fleet_crash_count(gh_fleet_t *fleet, const fleet_run_t *run, gh_time_t now)
 {
-	fleet_job_t *job = fleet_job(fleet, run->job);
-	fleet_task_t *task = &job->tasks[run->task];
-	gh_task_id_t id = fleet_task_id(job, run->task);
+	fleet_doubt_t lost;
+	fleet_task_t *task;
 	char *detail;
-	bool caused;
 
 	if (!run->crash)
 		return;
+	lost = describe_lost(fleet, run, now);
+	if (run->crash_silent)
+		add_doubt(fleet, &lost, now);
+	if (lost.counted) {
+		count_crash(fleet, run->job, &lost, run->worker,
+			    run->crash_silent ? ", silent" : "", now);
+		return;
+	}
+	task = &fleet_job(fleet, run->job)->tasks[run->task];
+	task->lost_starts++;
+	detail = g_strdup_printf("%u starts lost%s", task->lost_starts,
+				 run->crash_silent ? ", silent" : "");
+	fleet_emit_event(fleet, "start_lost", &lost.task, run->run_number,
+			 run->worker, detail);
+	g_free(detail);
+}
+
+/* Counts a crash of the job's task; how ends the detail of the event. */
+static void count_crash(gh_fleet_t *fleet, uint32_t handle,
+			const fleet_doubt_t *lost, uint32_t worker,
+			const char *how, gh_time_t now)
+{
+	fleet_job_t *job = fleet_job(fleet, handle);
+	fleet_task_t *task = &job->tasks[fleet_task_find(job, &lost->task)];
+	bool alone = lost->crash == CRASH_ALONE;
+	bool caused;
+	char *detail;
+
 	task->crashes++;
-	if (run->crash != CRASH_LATER)
+	if (lost->crash != CRASH_LATER)
 		task->start_crashes++;
-	if (run->crash_silent)
-		add_doubt(fleet, run, now);
-	caused = task->crashes >= CRASHES_MAX ||
-		 (run->crash == CRASH_ALONE &&
-		  task->start_crashes >= START_CRASHES_MAX);
+	caused = !has_run_alive(fleet, task) &&
+		 (task->crashes >= CRASHES_MAX ||
+		  (alone && task->start_crashes >= START_CRASHES_MAX));
 	detail = g_strdup_printf("%u crashes, %u at the start%s%s",
 				 task->crashes, task->start_crashes,
-				 run->crash == CRASH_ALONE ? ", alone" : "",
-				 run->crash_silent ? ", silent" : "");
-	fleet_emit_event(fleet, caused ? "task_given_up" : "task_crashed", &id,
-			 run->run_number, run->worker, detail);
+				 alone ? ", alone" : "", how);
+	fleet_emit_event(fleet, caused ? "task_given_up" : "task_crashed",
+			 &lost->task, lost->run_number, worker, detail);
 	g_free(detail);
 	if (caused)
-		fleet_job_end(fleet, run->job, GH_JOB_FAILED, now);
+		fleet_job_end(fleet, handle, GH_JOB_FAILED, now);
 }
 
 void fleet_crash_clear(gh_fleet_t *fleet, uint32_t ref, gh_time_t now)
@@ -159,64 +216,137 @@
 		fleet_worker(fleet, run->worker)->n_suspects--;
 	run->suspect = false;
 	if (job->phase > GH_JOB_RUNNING || task->done ||
-	    (!task->start_crashes && (!task->crashes || !works)))
+	    (!fleet_crash_is_suspect(task) && (!task->crashes || !works)))
 		return;
-	task->start_crashes = 0;
+	task->start_crashes = task->lost_starts = 0;
 	if (works)
 		task->crashes = 0;
 	fleet_job_mark_changed(fleet, run->job);
 }
 
-static void add_doubt(gh_fleet_t *fleet, const fleet_run_t *run, gh_time_t now)
+static fleet_doubt_t describe_lost(const gh_fleet_t *fleet,
+				   const fleet_run_t *run, gh_time_t now)
 {
-	const fleet_worker_t *worker = fleet_worker(fleet, run->worker);
-	const fleet_job_t *job = fleet_job(fleet, run->job);
-	fleet_doubt_t doubt = {
-		.incarnation_start_ms = worker->entry.incarnation_start_ms,
+	const gh_worker_entry_t *entry =
+		&fleet_worker(fleet, run->worker)->entry;
+	fleet_doubt_t lost = {
+		.incarnation_start_ms = entry->incarnation_start_ms,
 		.counted_at = now,
-		.task = fleet_task_id(job, run->task),
-		.at_start = run->crash != CRASH_LATER,
+		.task = fleet_task_id(fleet_job(fleet, run->job), run->task),
+		.run_number = run->run_number,
+		.crash = run->crash,
+		/*
+		 * A silent worker proves no crash by a run that may not have
+		 * begun.
+		 */
+		.counted = run->crash != CRASH_UNPROVEN &&
+			   (run->alive_since || !run->crash_silent),
 	};
 
-	g_strlcpy(doubt.worker, worker->entry.id, sizeof(doubt.worker));
+	g_strlcpy(lost.worker, entry->id, sizeof(lost.worker));
+	g_strlcpy(lost.address, entry->address, sizeof(lost.address));
+	return lost;
+}
+
+static void add_doubt(gh_fleet_t *fleet, const fleet_doubt_t *doubt,
+		      gh_time_t now)
+{
 	while (fleet->doubts->len &&
 	       now - g_array_index(fleet->doubts, fleet_doubt_t, 0).counted_at >
 		       DOUBT_USEC)
 		g_array_remove_index(fleet->doubts, 0);
-	g_array_append_val(fleet->doubts, doubt);
+	g_array_append_vals(fleet->doubts, doubt, 1);
+}
+
+void fleet_crash_handle_report(gh_fleet_t *fleet, uint32_t handle,
+			       gh_time_t now)
+{
+	resolve_doubts(fleet, handle, true, now);
+}
+
+void fleet_crash_handle_restart(gh_fleet_t *fleet, uint32_t handle,
+				gh_time_t now)
+{
+	resolve_doubts(fleet, handle, false, now);
 }
 
-void fleet_crash_take_back(gh_fleet_t *fleet, uint32_t handle)
+/* is_back: the worker has reported; else another incarnation has replied. */
+static void resolve_doubts(gh_fleet_t *fleet, uint32_t handle, bool is_back,
+			   gh_time_t now)
 {
-	const gh_worker_entry_t *entry = &fleet_worker(fleet, handle)->entry;
+	const fleet_worker_t *worker = fleet_worker(fleet, handle);
 	guint i = 0;
 
 	while (i < fleet->doubts->len) {
 		fleet_doubt_t doubt =
 			g_array_index(fleet->doubts, fleet_doubt_t, i);
-		uint32_t job = fleet_job_find(fleet, doubt.task.job);
-		uint32_t index;
-		fleet_task_t *task;
 
-		if (strcmp(doubt.worker, entry->id) != 0) {
+		if (!doubts_worker(&doubt, worker)) {
 			i++;
 			continue;
 		}
 		g_array_remove_index(fleet->doubts, i);
-		if (doubt.incarnation_start_ms != entry->incarnation_start_ms ||
-		    job == GH_NONE ||
-		    fleet_job(fleet, job)->phase > GH_JOB_RUNNING)
-			continue;
-		index = fleet_task_find(fleet_job(fleet, job), &doubt.task);
-		if (index == GH_NONE)
-			continue;
-		task = &fleet_job(fleet, job)->tasks[index];
+		resolve_doubt(
+			fleet, &doubt,
+			is_back && !strcmp(doubt.worker, worker->entry.id) &&
+				doubt.incarnation_start_ms ==
+					worker->entry.incarnation_start_ms,
+			now);
+	}
+}
+
+/* Whether the doubt is about the worker or a former one at its address. */
+static bool doubts_worker(const fleet_doubt_t *doubt,
+			  const fleet_worker_t *worker)
+{
+	return !strcmp(doubt->worker, worker->entry.id) ||
+	       (*doubt->address &&
+		!strcmp(doubt->address, worker->entry.address));
+}
+
+/* is_back: the run's worker was only unreachable; else it has crashed. */
+static void resolve_doubt(gh_fleet_t *fleet, const fleet_doubt_t *doubt,
+			  bool is_back, gh_time_t now)
+{
+	uint32_t handle = fleet_job_find(fleet, doubt->task.job);
+	uint32_t index;
+	fleet_task_t *task;
+
+	if (handle == GH_NONE ||
+	    fleet_job(fleet, handle)->phase > GH_JOB_RUNNING)
+		return;
+	index = fleet_task_find(fleet_job(fleet, handle), &doubt->task);
+	if (index == GH_NONE)
+		return;
+	task = &fleet_job(fleet, handle)->tasks[index];
+	if (!doubt->counted) {
+		if (task->done || (!is_back && doubt->crash == CRASH_UNPROVEN))
+			return;
+		if (task->lost_starts)
+			task->lost_starts--;
+		if (!is_back)
+			count_crash(fleet, handle, doubt, GH_NONE,
+				    ", seen later", now);
+	} else if (is_back) {
 		if (task->crashes)
 			task->crashes--;
-		if (doubt.at_start && task->start_crashes)
+		if (doubt->crash != CRASH_LATER && task->start_crashes)
 			task->start_crashes--;
-		fleet_job_mark_changed(fleet, job);
+	} else {
+		return;
 	}
+	fleet_job_mark_changed(fleet, handle);
+}
+
+static bool has_run_alive(const gh_fleet_t *fleet, const fleet_task_t *task)
+{
+	uint32_t i;
+
+	for (i = 0; i < GH_TASK_RUNS_MAX; i++)
+		if (task->runs[i] != GH_NONE &&
+		    fleet_run(fleet, task->runs[i])->alive_since)
+			return true;
+	return false;
 }
 
 /* Whether the worker may have begun the run before it was lost. */
@@ -251,11 +381,12 @@
 	       n >= g_hash_table_size(fleet->worker_by_id) / TOGETHER_DIVISOR;
 }
 
-/* An idle worker may have crashed unnoticed before the start was sent. */
-static bool was_alive_after(const fleet_worker_t *worker,
-			    const fleet_run_t *run)
+/* An idle worker may have been lost unnoticed before the start was sent. */
+static bool was_alive_at_start(const fleet_worker_t *worker,
+			       const fleet_run_t *run)
 {
-	return run->alive_since || worker->last_report_at > run->planned_at;
+	return run->planned_at &&
+	       worker->last_report_at + HEARD_USEC >= run->planned_at;
 }
 
 /* Number of the worker's open runs that have not settled. */
@@ -271,10 +402,26 @@
 	return n;
 }
 
+bool fleet_crash_is_suspect(const fleet_task_t *task)
+{
+	return task->start_crashes || task->lost_starts;
+}
+
+bool fleet_crash_has_any(const fleet_task_t *task)
+{
+	return task->crashes || task->lost_starts;
+}
+
 bool fleet_crash_needs_care(const fleet_task_t *task)
 {
-	return task->start_crashes >= SUSPECT_CRASHES ||
-	       task->crashes >= SUSPECT_CRASHES_ANY;
+	return task->start_crashes + task->lost_starts >= SUSPECT_CRASHES ||
+	       task->crashes + task->lost_starts >= SUSPECT_CRASHES_ANY;
+}
+
+bool fleet_crash_wants_report(const fleet_worker_t *worker, gh_time_t now)
+{
+	return now < worker->kept_until &&
+	       now - worker->last_report_at > HEARD_USEC;
 }
 
 bool fleet_crash_admits(const gh_fleet_t *fleet, uint32_t handle,
@@ -294,7 +441,8 @@
 	const fleet_worker_t *worker = fleet_worker(fleet, handle);
 	int64_t cost = (int64_t)COST_SUSPECT * worker->n_suspects;
 
-	if (task->start_crashes || task->crashes >= SUSPECT_CRASHES_ANY) {
+	if (fleet_crash_is_suspect(task) ||
+	    task->crashes >= SUSPECT_CRASHES_ANY) {
 		cost += (int64_t)COST_RUN_BESIDE_SUSPECT * worker->n_runs;
 		if (now - worker->heard_since < NEW_WORKER_USEC)
 			cost += COST_NEW_WORKER;
@@ -325,7 +473,8 @@
 	if (kept &&
 	    kept >= g_hash_table_size(fleet->worker_by_id) / KEPT_DIVISOR)
 		return false;
-	if (!count_unsettled(fleet, worker))
+	if (!count_unsettled(fleet, worker) &&
+	    now - worker->last_report_at <= HEARD_USEC)
 		return true;
 	worker->kept_for = task;
 	worker->kept_until = now + KEEP_USEC;
@@ -347,7 +496,8 @@
 	fleet_task_t *task = &fleet_job(fleet, run->job)->tasks[run->task];
 
 	task->care_since = 0;
-	run->suspect = task->start_crashes || fleet_crash_needs_care(task);
+	run->suspect =
+		fleet_crash_is_suspect(task) || fleet_crash_needs_care(task);
 	if (!run->suspect)
 		return;
 	worker->n_suspects++;
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -602,7 +602,7 @@
 	};
 	double best_share = 0;
 	/* Workers admit a task with crashes by other criteria. */
-	bool has_crashes = job->tasks[task].crashes > 0;
+	bool has_crashes = fleet_crash_has_any(&job->tasks[task]);
 	uint32_t best = GH_NONE;
 	int64_t best_cost = INT64_MAX;
 	uint32_t i;
@@ -902,7 +902,7 @@
 		if (!fleet_task_step(job, run->task)->speculative ||
 		    job->phase > GH_JOB_RUNNING || job->tasks[run->task].done ||
 		    job->tasks[run->task].runs[1] != GH_NONE ||
-		    job->tasks[run->task].start_crashes)
+		    fleet_crash_is_suspect(&job->tasks[run->task]))
 			continue;
 		stage = fleet_task_stage(job, run->task);
 		expected_ms = stage->n_run_times ?
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -92,7 +92,7 @@
 	worker->has_reported = true;
 	worker->unreachable_since = 0;
 	worker->last_report_at = now;
-	fleet_crash_take_back(fleet, handle);
+	fleet_crash_handle_report(fleet, handle, now);
 	fleet->report_number++;
 	worker->has_unknown_run = false;
 	worker->first_listed_end = report->n_ends ? report->ends[0].number : 0;
@@ -146,6 +146,7 @@
 	if (why == GH_ORDER_OTHER_INCARNATION) {
 		worker->renewal_not_before = now + RENEWAL_RETRY_RESTARTED_USEC;
 		fleet_crash_mark_runs(fleet, handle, false, now);
+		fleet_crash_handle_restart(fleet, handle, now);
 		fleet_worker_end_runs(fleet, handle,
 				      "another incarnation replied", now);
 	}
@@ -305,6 +306,8 @@
 	 */
 	if (worker->last_listed_end > worker->acked_end)
 		return report_is_old;
+	if (fleet_crash_wants_report(worker, now))
+		return true;
 	if (!worker->n_runs && !worker->has_unknown_run)
 		return ack_is_due(worker) &&
 		       (worker->acked_end > worker->acked_end_sent ||
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -41,6 +41,8 @@
 /* What the loss of a run's worker tells of the run's task. */
 typedef enum run_crash {
 	CRASH_NONE,
+	/* The start may have been lost on its way; no proof of a crash. */
+	CRASH_UNPROVEN,
 	CRASH_LATER,	/* the run had settled */
 	CRASH_AT_START, /* neither the run nor others there had settled */
 	CRASH_ALONE	/* the run was the only one that had not settled */
@@ -125,6 +127,11 @@
 	 * had not settled; see core_fleet_crash.c.
 	 */
 	uint16_t crashes, start_crashes;
+	/*
+	 * Number of starts that may have been lost on their way to workers that
+	 * were lost; not kept in the progress record.
+	 */
+	uint16_t lost_starts;
 	/* Since when the task waits for a worker of its own; 0: it does not. */
 	gh_time_t care_since;
 	/* no run of the task is started before this time */
@@ -332,13 +339,17 @@
 	bool bounded; /* by the best-effort share, not by capacity alone */
 } failed_placement_t;
 
-/* A crash counted for a worker that may be alive all the same. */
+/* A lost run whose worker may be alive all the same. */
 typedef struct fleet_doubt {
 	char worker[GH_WORKER_ID_MAX + 1];
+	char address[GH_ADDRESS_MAX + 1];
 	int64_t incarnation_start_ms;
 	gh_time_t counted_at;
 	gh_task_id_t task;
-	bool at_start;
+	uint32_t run_number;
+	/* What the run tells of its task if the worker has crashed. */
+	run_crash_t crash;
+	bool counted; /* as a crash; else as a lost start */
 } fleet_doubt_t;
 
 struct gh_fleet {
@@ -505,13 +516,32 @@
  */
 void fleet_crash_mark_runs(gh_fleet_t *fleet, uint32_t handle, bool silent,
 			   gh_time_t now);
-/* Counts a marked run, lost with its worker; may end the job as failed. */
+/*
+ * Counts a marked run, lost with its worker, as a crash or as a lost start; a
+ * crash may end the job as failed.
+ */
 void fleet_crash_count(gh_fleet_t *fleet, const fleet_run_t *run,
 		       gh_time_t now);
 /* Takes note that a report lists the run: its worker has survived it so far. */
 void fleet_crash_clear(gh_fleet_t *fleet, uint32_t ref, gh_time_t now);
-/* Takes back the crashes counted for a worker that was only unreachable. */
-void fleet_crash_take_back(gh_fleet_t *fleet, uint32_t handle);
+/*
+ * Resolves doubts when the worker has reported: takes back what was counted for
+ * this life of the worker, which was only unreachable, and counts as crashes
+ * what was lost with a former life at the same id or address.
+ */
+void fleet_crash_handle_report(gh_fleet_t *fleet, uint32_t handle,
+			       gh_time_t now);
+/*
+ * Resolves doubts when another incarnation has replied at the worker's address.
+ */
+void fleet_crash_handle_restart(gh_fleet_t *fleet, uint32_t handle,
+				gh_time_t now);
+/* Whether runs of the task may have crashed their workers at their start. */
+bool fleet_crash_is_suspect(const fleet_task_t *task);
+/* Whether a crash or a lost start is counted for the task. */
+bool fleet_crash_has_any(const fleet_task_t *task);
+/* Whether the worker's next report is needed at once. */
+bool fleet_crash_wants_report(const fleet_worker_t *worker, gh_time_t now);
 /* Whether the task starts only where nothing else starts. */
 bool fleet_crash_needs_care(const fleet_task_t *task);
 /* Whether the task may start on the worker beside suspect tasks. */
--- a/regress/fleet_world.c
+++ b/regress/fleet_world.c
@@ -63,6 +63,8 @@
 
 	assert_true(w->n_workers <= WORKERS_MAX);
 	g_strlcpy(worker->id, id, sizeof(worker->id));
+	g_snprintf(worker->address, sizeof(worker->address), "127.0.0.1:%zu",
+		   w->n_workers);
 	worker->incarnation_start_ms = 1;
 	worker->size =
 		(gh_resources_t){ .cores_milli = cores, .memory_mb = 100000 };
@@ -74,7 +76,6 @@
 {
 	gh_worker_entry_t entry = {
 		.service = "svc",
-		.address = "127.0.0.1:1",
 		.n_labels = 2,
 		.labels = { "a", "r1" },
 		.size = worker->size,
@@ -83,6 +84,7 @@
 	};
 
 	g_strlcpy(entry.id, worker->id, sizeof(entry.id));
+	g_strlcpy(entry.address, worker->address, sizeof(entry.address));
 	gh_fleet_worker_set(w->fleet, &entry, w->now);
 }
 
@@ -238,6 +240,8 @@
 	w->orders[w->n_orders++] = *order;
 	w->orders[w->n_orders - 1].worker = worker->id;
 	index = find_listed_run(worker, order);
+	if (w->before_order)
+		w->before_order(w, worker, order);
 	if (worker->unreachable || worker->loses_orders) {
 		reply = GH_ORDER_OUTCOME_UNKNOWN;
 	} else if (order->kind == GH_ORDER_START && worker->refusal) {
--- a/regress/fleet_world.h
+++ b/regress/fleet_world.h
@@ -26,6 +26,7 @@
 /* A simulated worker, controlled by the test. */
 typedef struct scripted_worker {
 	char id[GH_WORKER_ID_MAX + 1];
+	char address[GH_ADDRESS_MAX + 1];
 	bool unreachable;   /* replies to nothing and executes nothing */
 	bool stalled;	    /* runs on the worker make no progress */
 	bool drops_replies; /* executes orders but its replies are lost */
@@ -80,6 +81,9 @@
 	/* Calls to an id that no worker has any more get no reply, instead of
 	 * one by another incarnation. */
 	bool former_ids_silent;
+	/* Called before a worker gets an order; may be NULL. */
+	void (*before_order)(world_t *w, scripted_worker_t *worker,
+			     const gh_order_t *order);
 	/* Called when a worker has executed a start order; may be NULL. */
 	void (*on_start)(world_t *w, scripted_worker_t *worker,
 			 const gh_order_t *order);
--- a/regress/test_core_fleet_crash.c
+++ b/regress/test_core_fleet_crash.c
@@ -37,6 +37,14 @@
 	/* Deadly tasks run for this long before their worker crashes. */
 	int64_t crash_after_ms;
 	bool deadly_start_unanswered;
+	/* Deadly tasks crash their worker before it replies to anything. */
+	bool dies_at_once;
+	/* Workers that are back have not restarted. */
+	bool same_life;
+	const struct lost_start_case *lost;
+	uint32_t lost_starts;
+	uint32_t last_lost_run;
+	gh_time_t last_lost_at;
 	uint32_t lives;	    /* worker ids given out */
 	GHashTable *starts; /* deadly task's name to the number of its starts */
 	uint32_t max_starts; /* highest of these numbers */
@@ -66,7 +74,8 @@
 			     GUINT_TO_POINTER(GPOINTER_TO_UINT(starts) + 1));
 	if (!cw->crash_at[i])
 		cw->crash_at[i] = w->now + cw->crash_after_ms * MS;
-	worker->drops_replies = cw->deadly_start_unanswered;
+	worker->drops_replies = cw->deadly_start_unanswered || cw->dies_at_once;
+	worker->unreachable = cw->dies_at_once;
 }
 
 static void crash_world_init(crash_world_t *cw, size_t n_workers)
@@ -110,13 +119,18 @@
 	scripted_worker_t *worker = &cw->w.workers[i];
 
 	cw->back_at[i] = 0;
-	restart_worker(worker);
 	worker->unreachable = false;
+	if (cw->same_life)
+		return;
+	restart_worker(worker);
 	if (cw->comeback != BACK_SAME_ID) {
 		gh_fleet_worker_unlist(cw->w.fleet, worker->id);
 		g_snprintf(worker->id, sizeof(worker->id), "w%zu.%u", i,
 			   ++cw->lives);
 	}
+	if (cw->comeback == BACK_ELSEWHERE)
+		g_snprintf(worker->address, sizeof(worker->address),
+			   "127.0.0.2:%u", cw->lives);
 	list_worker(&cw->w, worker, false);
 }
 
@@ -198,7 +212,7 @@
 	uint32_t starts; /* max starts of a deadly task */
 	comeback_t comeback;
 	bool innocents; /* other jobs run all the while */
-	bool gang, speculative, long_running, unanswered;
+	bool gang, speculative, long_running, unanswered, dies_at_once;
 } deadly_case_t;
 
 static const deadly_case_t deadly_cases[] = {
@@ -278,6 +292,36 @@
 	  .crash_after_ms = 4000,
 	  .innocents = true,
 	  .starts = STARTS_MAX },
+	{ .name = "no sign of the start",
+	  .workers = 8,
+	  .dies_at_once = true,
+	  .starts = STARTS_MAX },
+	{ .name = "no sign of the start, same id",
+	  .workers = 8,
+	  .dies_at_once = true,
+	  .comeback = BACK_SAME_ID,
+	  .starts = STARTS_MAX },
+	{ .name = "no sign of the start, back after the lease",
+	  .workers = 8,
+	  .dies_at_once = true,
+	  .down_ms = 8000,
+	  .starts = STARTS_MAX },
+	{ .name = "no sign of the start, same id after the lease",
+	  .workers = 8,
+	  .dies_at_once = true,
+	  .down_ms = 8000,
+	  .comeback = BACK_SAME_ID,
+	  .starts = STARTS_MAX },
+	{ .name = "no sign of the start beside others",
+	  .workers = 8,
+	  .dies_at_once = true,
+	  .innocents = true,
+	  .starts = STARTS_MAX },
+	{ .name = "no sign of the start, copies",
+	  .workers = 8,
+	  .dies_at_once = true,
+	  .speculative = true,
+	  .starts = STARTS_MAX },
 	{ .name = "owner replaced",
 	  .workers = 8,
 	  .owner_ms = 9000,
@@ -335,6 +379,7 @@
 	crash_world_init(&cw, c->workers);
 	cw.comeback = c->comeback;
 	cw.deadly_start_unanswered = c->unanswered;
+	cw.dies_at_once = c->dies_at_once;
 	if (c->down_ms)
 		cw.down_ms = c->down_ms;
 	if (c->crash_after_ms)
@@ -498,6 +543,146 @@
 	}
 }
 
+/* Workers that are cut off when, or before, a start is sent to them. */
+typedef struct lost_start_case {
+	const char *name;
+	/* Record of the task when it is added; NULL: none. */
+	const char *progress;
+	/* All workers but one are cut off this long before the first start; 0:
+	 * each when a start is sent to it. */
+	int64_t cut_before_ms;
+	/* How long after the start the worker is back; 0: never. */
+	int64_t back_ms;
+	/* The owner is replaced this long after each start; 0: never. */
+	int64_t owner_ms;
+	/* It is back as another incarnation. */
+	bool reborn;
+	comeback_t comeback; /* if it is */
+} lost_start_case_t;
+
+#define NEARLY_GIVEN_UP "progress1\n0 open 0 4 - crashes:4:4\n"
+
+static const lost_start_case_t lost_start_cases[] = {
+	{ .name = "never back" },
+	{ .name = "back in the same life", .back_ms = 7000 },
+	{ .name = "cut off before, never back", .cut_before_ms = 1000 },
+	{ .name = "cut off before, back in the same life",
+	  .cut_before_ms = 1000,
+	  .back_ms = 7000 },
+	{ .name = "back elsewhere",
+	  .back_ms = 7000,
+	  .reborn = true,
+	  .comeback = BACK_ELSEWHERE },
+	{ .name = "cut off before, another id",
+	  .cut_before_ms = 1000,
+	  .back_ms = 3000,
+	  .reborn = true },
+	{ .name = "cut off before, same id",
+	  .cut_before_ms = 1000,
+	  .back_ms = 3000,
+	  .reborn = true,
+	  .comeback = BACK_SAME_ID },
+	{ .name = "cut off before, another id after the lease",
+	  .cut_before_ms = 1000,
+	  .back_ms = 7000,
+	  .reborn = true },
+	{ .name = "cut off before, same id after the lease",
+	  .cut_before_ms = 1000,
+	  .back_ms = 7000,
+	  .reborn = true,
+	  .comeback = BACK_SAME_ID },
+	{ .name = "counts in the record, never back",
+	  .progress = NEARLY_GIVEN_UP },
+	{ .name = "counts in the record, back in the same life",
+	  .progress = NEARLY_GIVEN_UP,
+	  .back_ms = 7000 },
+	{ .name = "owner replaced, never back", .owner_ms = 500 },
+	{ .name = "owner replaced, back in the same life",
+	  .owner_ms = 500,
+	  .back_ms = 10000 },
+	{ .name = "owner replaced, counts in the record",
+	  .progress = NEARLY_GIVEN_UP,
+	  .owner_ms = 500 },
+	{ .name = "owner replaced, another id",
+	  .cut_before_ms = 1000,
+	  .owner_ms = 500,
+	  .back_ms = 3000,
+	  .reborn = true },
+};
+
+/* Starts of the task that are lost if its workers are cut off at each. */
+#define LOST_STARTS 8
+
+static void lose_start(world_t *w, scripted_worker_t *worker,
+		       const gh_order_t *order)
+{
+	crash_world_t *cw = (crash_world_t *)w;
+	const lost_start_case_t *c = cw->lost;
+
+	if (order->kind != GH_ORDER_START || order->run <= cw->last_lost_run ||
+	    cw->lost_starts == LOST_STARTS)
+		return;
+	if (!c->cut_before_ms)
+		worker->unreachable = true;
+	if (!worker->unreachable)
+		return;
+	cw->lost_starts++;
+	cw->last_lost_run = order->run;
+	cw->last_lost_at = w->now;
+	if (c->back_ms)
+		cw->back_at[worker - w->workers] = w->now + c->back_ms * MS;
+}
+
+/* Plays until no start has been lost for 20 s; whether all went well. */
+static bool play_lost_start_case(const lost_start_case_t *c)
+{
+	crash_world_t cw;
+	size_t i, runs = 0;
+	bool ok;
+
+	crash_world_init(&cw, WORKERS_MAX);
+	cw.lost = c;
+	cw.comeback = c->comeback;
+	cw.same_life = !c->reborn;
+	cw.w.on_start = NULL;
+	cw.w.before_order = lose_start;
+	for (i = 0; c->cut_before_ms && i < WORKERS_MAX - 1; i++)
+		cw.w.workers[i].unreachable = true;
+	play(&cw, c->cut_before_ms);
+	add_job(&cw.w, DEADLY_JOB "0", 1, &one_task, c->progress);
+	cw.last_lost_at = cw.w.now;
+	while (cw.w.now - cw.last_lost_at < 20000 * MS) {
+		uint32_t lost = cw.lost_starts;
+
+		play_step(&cw);
+		if (c->owner_ms && cw.lost_starts > lost &&
+		    cw.w.phase <= GH_JOB_RUNNING) {
+			play(&cw, c->owner_ms);
+			change_owner(&cw);
+		}
+	}
+	for (i = 0; i < cw.w.n_workers; i++)
+		runs += cw.w.workers[i].unreachable ? 0 :
+						      cw.w.workers[i].n_runs;
+	ok = !*cw.w.failed->str && runs == 1;
+	print_message("%s: %u starts lost, %s, %zu runs%s\n", c->name,
+		      cw.lost_starts,
+		      *cw.w.failed->str ? "given up" : "not given up", runs,
+		      ok ? "" : " (!)");
+	crash_world_clear(&cw);
+	return ok;
+}
+
+static void test_lost_starts_give_no_task_up(void **state)
+{
+	size_t i, wrong = 0;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(lost_start_cases); i++)
+		wrong += !play_lost_start_case(&lost_start_cases[i]);
+	assert_int_equal(wrong, 0);
+}
+
 /* Workers that crash all the time, and no task is at fault. */
 typedef struct crashes_case {
 	const char *name;
@@ -553,6 +738,7 @@
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_deadly_task_is_given_up),
 		cmocka_unit_test(test_innocent_task_is_not_given_up),
+		cmocka_unit_test(test_lost_starts_give_no_task_up),
 		cmocka_unit_test(test_crashes_without_deadly_task),
 	};
 
