core_fleet: 421 from elsewhere is no proof that a worker is gone

The fleet now remembers where a worker was last heard, and where it was first listed until it is. A 421 is proof only of a call that went there. To another call it is like no reply: the worker counts as unreachable, its lease is not extended and decides. A start that a 421 answers at once was not executed, whoever answers.

The cases of a worker that crashed show that its runs still end at once.

The test world now delivers calls by address, so that a worker that moves must move in the test as well (test_other_incarnation).

Open: an entry that is wrong already when an owner first reads it, with runs of the previous owner on its worker.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -172,6 +172,9 @@
 	if (!entry->incarnation_start_ms)
 		worker->entry.incarnation_start_ms = start_ms;
 	worker->listed = true;
+	if (!*worker->heard_address)
+		g_strlcpy(worker->heard_address, entry->address,
+			  sizeof(worker->heard_address));
 	set_rack(worker);
 	if (entry->draining && !was_draining)
 		fleet_emit_event(fleet, "worker_draining", NULL, 0, handle,
@@ -286,6 +289,11 @@
 		fleet_run_end(fleet, worker->first_run, GH_RUN_LOST, NULL, now);
 }
 
+bool fleet_worker_heard_at(const fleet_worker_t *worker, const char *address)
+{
+	return !strcmp(worker->heard_address, address);
+}
+
 void gh_fleet_queue_set(gh_fleet_t *fleet, const gh_queue_policy_t *policy)
 {
 	gh_queue_policy_t *copy = g_new(gh_queue_policy_t, 1);
@@ -672,6 +680,8 @@
 			order->checkpoint = job->tasks[run->task].checkpoint;
 		}
 		run->order_sent = true;
+		if (!fleet_worker_heard_at(worker, worker->entry.address))
+			run->sent_elsewhere = true;
 		order->pace_percent = run->pace_percent;
 		order->task = fleet_task_id(job, run->task);
 		order->run = run->run_number;
--- a/core_fleet_crash.c
+++ b/core_fleet_crash.c
@@ -227,10 +227,9 @@
 static fleet_doubt_t describe_lost(const gh_fleet_t *fleet,
 				   const fleet_run_t *run, gh_time_t now)
 {
-	const gh_worker_entry_t *entry =
-		&fleet_worker(fleet, run->worker)->entry;
+	const fleet_worker_t *worker = fleet_worker(fleet, run->worker);
 	fleet_doubt_t lost = {
-		.incarnation_start_ms = entry->incarnation_start_ms,
+		.incarnation_start_ms = worker->entry.incarnation_start_ms,
 		.counted_at = now,
 		.task = fleet_task_id(fleet_job(fleet, run->job), run->task),
 		.run_number = run->run_number,
@@ -243,8 +242,8 @@
 			   (run->alive_since || !run->crash_silent),
 	};
 
-	g_strlcpy(lost.worker, entry->id, sizeof(lost.worker));
-	g_strlcpy(lost.address, entry->address, sizeof(lost.address));
+	g_strlcpy(lost.worker, worker->entry.id, sizeof(lost.worker));
+	g_strlcpy(lost.address, worker->heard_address, sizeof(lost.address));
 	return lost;
 }
 
@@ -301,7 +300,7 @@
 {
 	return !strcmp(doubt->worker, worker->entry.id) ||
 	       (*doubt->address &&
-		!strcmp(doubt->address, worker->entry.address));
+		fleet_worker_heard_at(worker, doubt->address));
 }
 
 /* is_back: the run's worker was only unreachable; else it has crashed. */
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -83,6 +83,9 @@
 	fleet_worker_set_incarnation(fleet, handle,
 				     report->incarnation_start_ms, now);
 	worker = fleet_worker(fleet, handle);
+	if (*worker->renewal_address)
+		g_strlcpy(worker->heard_address, worker->renewal_address,
+			  sizeof(worker->heard_address));
 	fleet_lease_bound(fleet, worker, now);
 	if (worker->unreachable_since || !worker->has_reported)
 		fleet_emit_event(fleet, "worker_heard", NULL, 0, handle, NULL);
@@ -145,10 +148,13 @@
 	}
 	if (why == GH_ORDER_OTHER_INCARNATION) {
 		worker->renewal_not_before = now + RENEWAL_RETRY_RESTARTED_USEC;
-		fleet_crash_mark_runs(fleet, handle, false, now);
-		fleet_crash_handle_restart(fleet, handle, now);
-		fleet_worker_end_runs(fleet, handle,
-				      "another incarnation replied", now);
+		if (fleet_worker_heard_at(worker, worker->renewal_address)) {
+			fleet_crash_mark_runs(fleet, handle, false, now);
+			fleet_crash_handle_restart(fleet, handle, now);
+			fleet_worker_end_runs(fleet, handle,
+					      "another incarnation replied",
+					      now);
+		}
 	}
 	fleet_worker_free_if_unused(fleet, handle);
 }
@@ -172,19 +178,25 @@
 	ref = find_run(fleet, task, number, worker, &job);
 	if (ref == GH_NONE)
 		return;
+	run = fleet_run(fleet, ref);
 	if (reply == GH_ORDER_OTHER_INCARNATION) {
+		/* A start that this answers at once was not executed. */
+		bool unexecuted =
+			run->state == RUN_STARTING && !run->start_unanswered;
+
 		/*
 		 * The order may have been sent before the worker restarted, so
-		 * the reply is evidence for this run only.  A start that it
-		 * answers at once was not executed.
+		 * the reply is evidence for this run only.
 		 */
-		run = fleet_run(fleet, ref);
-		if (run->state != RUN_STARTING || run->start_unanswered)
-			fleet_crash_mark_runs(fleet, worker, false, now);
-		fleet_run_end(fleet, ref, GH_RUN_LOST, NULL, now);
-		return;
+		if (unexecuted || !run->sent_elsewhere) {
+			if (!unexecuted)
+				fleet_crash_mark_runs(fleet, worker, false,
+						      now);
+			fleet_run_end(fleet, ref, GH_RUN_LOST, NULL, now);
+			return;
+		}
+		reply = GH_ORDER_OUTCOME_UNKNOWN;
 	}
-	run = fleet_run(fleet, ref);
 	if (kind == GH_ORDER_START && run->state == RUN_STARTING) {
 		handle_start_reply(fleet, ref, reply, now);
 	} else if (kind == GH_ORDER_STOP && run->state == RUN_STOPPING) {
@@ -269,6 +281,8 @@
 		if (!renewal_is_due(fleet, handle, &wait_ms, now))
 			continue;
 		worker->renewal_pending = true;
+		g_strlcpy(worker->renewal_address, worker->entry.address,
+			  sizeof(worker->renewal_address));
 		*renewal = (gh_worker_renewal_t){
 			.worker = worker->entry.id,
 			.address = worker->entry.address,
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -66,6 +66,8 @@
 	/* when a start or stop order without a reply is resent */
 	gh_time_t retry_at;
 	bool order_sent; /* an order for this run was sent */
+	/* One was sent elsewhere than to the worker's heard_address. */
+	bool sent_elsewhere;
 	/* A start order got no reply and may be executed even later. */
 	bool start_unanswered;
 	/* progress of the run in the worker's last report */
@@ -227,6 +229,14 @@
 	bool in_use;	   /* the array entry is used */
 	bool listed;	   /* service discovery lists the worker */
 	bool has_reported; /* this incarnation has sent this owner a report */
+	/*
+	 * Where the worker was last heard; until it is, where it was first
+	 * listed.  The entry can name another address, at which another worker
+	 * replies while the runs go on here.
+	 */
+	char heard_address[GH_ADDRESS_MAX + 1];
+	/* Where the last lease renewal was sent. */
+	char renewal_address[GH_ADDRESS_MAX + 1];
 	gh_time_t heard_since; /* time of its first report */
 	/* When the worker's last restart became known; 0: none. */
 	gh_time_t restart_known_at;
@@ -486,6 +496,8 @@
 /* Ends all runs of a worker whose lease expired or which has restarted. */
 void fleet_worker_end_runs(gh_fleet_t *fleet, uint32_t handle, const char *why,
 			   gh_time_t now);
+/* Whether the worker was last heard at the address. */
+bool fleet_worker_heard_at(const fleet_worker_t *worker, const char *address);
 
 /*
  * Queues the acknowledgement of a run's end, to be sent to the worker once the
--- a/regress/fleet_world.c
+++ b/regress/fleet_world.c
@@ -217,16 +217,35 @@
 	       memory > size->memory_mb || accelerators > size->accelerators;
 }
 
-static gh_order_reply_t former_id_reply(const world_t *w)
+/*
+ * Worker that a call reaches by its address and id.  NULL: none; reply tells
+ * whether another answers there.
+ */
+static scripted_worker_t *find_addressee(world_t *w, const char *address,
+					 const char *id,
+					 gh_order_reply_t *reply)
 {
-	return w->former_ids_silent ? GH_ORDER_OUTCOME_UNKNOWN :
-				      GH_ORDER_OTHER_INCARNATION;
+	size_t i;
+
+	*reply = GH_ORDER_OUTCOME_UNKNOWN;
+	for (i = 0; i < w->n_workers; i++) {
+		scripted_worker_t *worker = &w->workers[i];
+
+		if (strcmp(worker->address, address) != 0)
+			continue;
+		if (!strcmp(worker->id, id))
+			return worker;
+		if (!worker->unreachable)
+			*reply = GH_ORDER_OTHER_INCARNATION;
+	}
+	return NULL;
 }
 
 static void execute_order(world_t *w, const gh_order_t *order)
 {
-	scripted_worker_t *worker = find_worker(w, order->worker);
-	gh_order_reply_t reply = GH_ORDER_OK;
+	gh_order_reply_t reply;
+	scripted_worker_t *worker =
+		find_addressee(w, order->address, order->worker, &reply);
 	char id[GH_WORKER_ID_MAX + 1];
 	size_t index;
 
@@ -234,9 +253,10 @@
 	g_strlcpy(id, order->worker, sizeof(id));
 	if (!worker) {
 		gh_fleet_handle_reply(w->fleet, order->kind, id, &order->task,
-				      order->run, former_id_reply(w), w->now);
+				      order->run, reply, w->now);
 		return;
 	}
+	reply = GH_ORDER_OK;
 	w->orders[w->n_orders++] = *order;
 	w->orders[w->n_orders - 1].worker = worker->id;
 	index = find_listed_run(worker, order);
@@ -268,7 +288,9 @@
 
 static void reply_to_renewal(world_t *w, const gh_worker_renewal_t *renewal)
 {
-	scripted_worker_t *worker = find_worker(w, renewal->worker);
+	gh_order_reply_t reply;
+	scripted_worker_t *worker =
+		find_addressee(w, renewal->address, renewal->worker, &reply);
 	gh_worker_report_t report = { .requested_at = w->now - 1,
 				      .complete = true };
 	char id[GH_WORKER_ID_MAX + 1];
@@ -276,8 +298,7 @@
 
 	g_strlcpy(id, renewal->worker, sizeof(id));
 	if (!worker) {
-		gh_fleet_handle_renewal_failure(w->fleet, id,
-						former_id_reply(w), w->now);
+		gh_fleet_handle_renewal_failure(w->fleet, id, reply, w->now);
 		return;
 	}
 	report.incarnation_start_ms = worker->incarnation_start_ms;
--- a/regress/fleet_world.h
+++ b/regress/fleet_world.h
@@ -78,9 +78,6 @@
 	char *waiting; /* detail of the last task_waiting event, or NULL */
 	/* ids of the jobs that ended as failed, one after the other */
 	GString *failed;
-	/* Calls to an id that no worker has any more get no reply, instead of
-	 * one by another incarnation. */
-	bool former_ids_silent;
 	/* Called before a worker gets an order; may be NULL. */
 	void (*before_order)(world_t *w, scripted_worker_t *worker,
 			     const gh_order_t *order);
--- a/regress/test_core_fleet_crash.c
+++ b/regress/test_core_fleet_crash.c
@@ -139,7 +139,6 @@
 {
 	size_t i, r;
 
-	cw->w.former_ids_silent = cw->comeback == BACK_ELSEWHERE;
 	advance_time(&cw->w, STEP_MS);
 	for (i = 0; i < cw->w.n_workers; i++) {
 		scripted_worker_t *worker = &cw->w.workers[i];
--- a/regress/test_core_fleet_late.c
+++ b/regress/test_core_fleet_late.c
@@ -317,6 +317,8 @@
 		advance_time(&w, 300);
 		task = worker->runs[0].task;
 		restart_worker(worker);
+		g_strlcpy(worker->address, entry.address,
+			  sizeof(worker->address));
 		gh_fleet_worker_set(w.fleet, &entry, w.now);
 		advance_time(&w, 1500);
 		assert_int_equal(worker->n_runs, 2);
