--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -86,6 +86,9 @@
 	fleet_worker_set_incarnation(fleet, handle,
 				     report->incarnation_start_ms, now);
 	worker = fleet_worker(fleet, handle);
+	if (*worker->renewal_address)
+		g_strlcpy(worker->heard_address, worker->renewal_address,
+			  sizeof(worker->heard_address));
 	fleet_lease_bound(fleet, worker, now);
 	if (worker->unreachable_since || !worker->has_reported) {
 		fleet_emit_event(fleet, "worker_heard", NULL, 0, handle, NULL);
@@ -98,7 +101,7 @@
 	worker->unreachable_since = 0;
 	worker->last_report_at = now;
 	worker->last_requested_at = report->requested_at;
-	fleet_crash_take_back(fleet, handle);
+	fleet_crash_handle_report(fleet, handle, now);
 	fleet->report_number++;
 	worker->has_unknown_run = false;
 	worker->first_listed_end = report->n_ends ? report->ends[0].number : 0;
@@ -151,9 +154,13 @@
 	}
 	if (why == GH_ORDER_OTHER_INCARNATION) {
 		worker->renewal_not_before = now + RENEWAL_RETRY_RESTARTED_USEC;
-		fleet_crash_mark_runs(fleet, handle, false, now);
-		fleet_worker_end_runs(fleet, handle,
-				      "another incarnation replied", now);
+		if (fleet_worker_heard_at(worker, worker->renewal_address)) {
+			fleet_crash_mark_runs(fleet, handle, false, now);
+			fleet_crash_handle_restart(fleet, handle, now);
+			fleet_worker_end_runs(fleet, handle,
+					      "another incarnation replied",
+					      now);
+		}
 	}
 	fleet_worker_free_if_unused(fleet, handle);
 }
@@ -187,15 +194,22 @@
 		run->start_in_flight = false;
 	}
 	if (reply == GH_ORDER_OTHER_INCARNATION) {
+		/* A start that this answers at once was not executed. */
+		bool unexecuted =
+			run->state == RUN_STARTING && !run->start_unanswered;
+
 		/*
 		 * The order may have been sent before the worker restarted, so
-		 * the reply is evidence for this run only.  A start that it
-		 * answers at once was not executed.
+		 * the reply is evidence for this run only.
 		 */
-		if (run->state != RUN_STARTING || run->start_unanswered)
-			fleet_crash_mark_runs(fleet, worker, false, now);
-		fleet_run_end(fleet, ref, GH_RUN_LOST, NULL, now);
-		return;
+		if (unexecuted || !run->sent_elsewhere) {
+			if (!unexecuted)
+				fleet_crash_mark_runs(fleet, worker, false,
+						      now);
+			fleet_run_end(fleet, ref, GH_RUN_LOST, NULL, now);
+			return;
+		}
+		reply = GH_ORDER_OUTCOME_UNKNOWN;
 	}
 	if (kind == GH_ORDER_START && run->state == RUN_STARTING) {
 		handle_start_reply(fleet, ref, reply, now);
@@ -280,6 +294,8 @@
 		if (!renewal_is_due(fleet, handle, &wait_ms, now))
 			continue;
 		worker->renewal_pending = true;
+		g_strlcpy(worker->renewal_address, worker->entry.address,
+			  sizeof(worker->renewal_address));
 		*renewal = (gh_worker_renewal_t){
 			.worker = worker->entry.id,
 			.address = worker->entry.address,
@@ -318,6 +334,8 @@
 	 */
 	if (worker->last_listed_end > worker->acked_end)
 		return report_is_old;
+	if (fleet_crash_wants_report(worker, now))
+		return true;
 	/* A restart of a worker with late starts has to be heard of soon. */
 	if (!worker->n_runs && !worker->has_unknown_run &&
 	    !worker->n_late_starts)
