core_fleet_crash: silence alone proves no crash later in a run

A task could be given up, its job shown as failed (LOST), for workers that were merely cut off: a run that had been at work for a while counted a crash when its worker's lease ran out, for good if the worker never came back; and what was counted for a silent worker was kept in the progress record, while only the owner that had counted it could take it back when the worker was heard again.

A run that has settled now counts only when another incarnation has answered in its worker's place. Crashes in doubt are left out of the progress record, so that the next owner doesn't count them.

test_innocent_task_is_not_given_up failed before in each of its three new cases ("cut off late, never back": the task did not start, its job had failed; "cut off, lease lapsed, owner replaced" and the same later in the run: the job was given up), and passes. test_deadly_task_is_given_up is as before.

--- a/core_fleet_crash.c
+++ b/core_fleet_crash.c
@@ -14,7 +14,8 @@
  *
  * A worker whose lease ran out may merely be unreachable: if it comes back as
  * the same incarnation, what was counted for it is taken back.  If another
- * incarnation answers in its place, a lost start can turn into a crash.
+ * incarnation answers in its place, a lost run can turn into a crash.  What is
+ * in doubt is not left to the next owner, who could not take it back.
  */
 #include "core_fleet_state.h"
 
@@ -160,6 +161,8 @@
 			    run->crash_silent ? ", silent" : "", now);
 		return;
 	}
+	if (run->crash == CRASH_LATER)
+		return;
 	task = &fleet_job(fleet, run->job)->tasks[run->task];
 	task->lost_starts++;
 	detail = g_strdup_printf("%u starts lost%s", task->lost_starts,
@@ -235,11 +238,12 @@
 		.run_number = run->run_number,
 		.crash = run->crash,
 		/*
-		 * A silent worker proves no crash by a run that may not have
-		 * begun.
+		 * Silence is a sign of a crash only if it follows at once on
+		 * the start of a run that has certainly begun.
 		 */
 		.counted = run->crash != CRASH_UNPROVEN &&
-			   (run->alive_since || !run->crash_silent),
+			   (!run->crash_silent ||
+			    (run->alive_since && run->crash != CRASH_LATER)),
 	};
 
 	g_strlcpy(lost.worker, worker->entry.id, sizeof(lost.worker));
@@ -321,7 +325,7 @@
 	if (!doubt->counted) {
 		if (task->done || (!is_back && doubt->crash == CRASH_UNPROVEN))
 			return;
-		if (task->lost_starts)
+		if (doubt->crash != CRASH_LATER && task->lost_starts)
 			task->lost_starts--;
 		if (!is_back)
 			count_crash(fleet, handle, doubt, GH_NONE,
@@ -331,12 +335,27 @@
 			task->crashes--;
 		if (doubt->crash != CRASH_LATER && task->start_crashes)
 			task->start_crashes--;
-	} else {
-		return;
 	}
 	fleet_job_mark_changed(fleet, handle);
 }
 
+uint32_t fleet_crash_doubted(const gh_fleet_t *fleet, const gh_task_id_t *id)
+{
+	uint32_t n = 0;
+	guint i;
+
+	for (i = 0; i < fleet->doubts->len; i++) {
+		const fleet_doubt_t *doubt =
+			&g_array_index(fleet->doubts, fleet_doubt_t, i);
+
+		n += doubt->counted && !strcmp(doubt->task.job, id->job) &&
+		     doubt->task.occurrence == id->occurrence &&
+		     doubt->task.step == id->step &&
+		     doubt->task.index == id->index;
+	}
+	return n;
+}
+
 static bool has_run_alive(const gh_fleet_t *fleet, const fleet_task_t *task)
 {
 	uint32_t i;
--- a/core_fleet_record.c
+++ b/core_fleet_record.c
@@ -7,8 +7,8 @@
  *   INDEX done|open FAILURES LAST-RUN CHECKPOINT [CRASHES] [RUN@WORKER ...]
  *
  * One line for each task that was ever started, with its open runs.  CRASHES is
- * crashes:N:S, the numbers of the task's crashes and of those at a start; it is
- * absent if there were none.  A job
+ * crashes:N:S, the numbers of the task's crashes and of those at a start, but
+ * for what is in doubt; it is absent if there were none.  A job
  * with a record that can't be parsed is held: none of its tasks is started, and
  * its record is not replaced.  The
  * name of the checkpoint is percent-encoded as in a URI; "-" stands for none.
@@ -44,6 +44,8 @@
 
 static void append_task(const gh_fleet_t *fleet, GString *text,
 			const fleet_job_t *job, uint32_t index);
+static void append_crashes(const gh_fleet_t *fleet, GString *text,
+			   const fleet_job_t *job, uint32_t index);
 static bool parse_progress(const fleet_job_t *job, const char *progress,
 			   GArray *tasks);
 static bool parse_task(const fleet_job_t *job, const char *line,
@@ -244,9 +246,7 @@
 			       task->done ? "done" : "open", task->failures,
 			       task->last_run,
 			       escaped ? escaped : NO_CHECKPOINT);
-	if (task->crashes)
-		g_string_append_printf(text, " " CRASHES_PREFIX "%u:%u",
-				       task->crashes, task->start_crashes);
+	append_crashes(fleet, text, job, index);
 	for (i = 0; i < GH_TASK_RUNS_MAX; i++) {
 		const fleet_run_t *run;
 
@@ -261,6 +261,25 @@
 	g_free(escaped);
 }
 
+static void append_crashes(const gh_fleet_t *fleet, GString *text,
+			   const fleet_job_t *job, uint32_t index)
+{
+	const fleet_task_t *task = &job->tasks[index];
+	gh_task_id_t id;
+	uint32_t doubted;
+
+	if (!task->crashes)
+		return;
+	id = fleet_task_id(job, index);
+	doubted = fleet_crash_doubted(fleet, &id);
+	if (task->crashes > doubted)
+		g_string_append_printf(
+			text, " " CRASHES_PREFIX "%u:%u",
+			task->crashes - doubted,
+			task->start_crashes -
+				MIN(task->start_crashes, doubted));
+}
+
 /*
  * Parses a task's line.  Nothing of a record is used unless all of it is valid,
  * since a task that it wrongly shows as not started would run again.
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -359,7 +359,7 @@
 	uint32_t run_number;
 	/* What the run tells of its task if the worker has crashed. */
 	run_crash_t crash;
-	bool counted; /* as a crash; else as a lost start */
+	bool counted; /* as a crash; else as a lost start or not at all */
 } fleet_doubt_t;
 
 struct gh_fleet {
@@ -548,6 +548,8 @@
  */
 void fleet_crash_handle_restart(gh_fleet_t *fleet, uint32_t handle,
 				gh_time_t now);
+/* Number of crashes counted for the task that can still be taken back. */
+uint32_t fleet_crash_doubted(const gh_fleet_t *fleet, const gh_task_id_t *id);
 /* Whether runs of the task may have crashed their workers at their start. */
 bool fleet_crash_is_suspect(const fleet_task_t *task);
 /* Whether a crash or a lost start is counted for the task. */
--- a/regress/test_core_fleet_crash.c
+++ b/regress/test_core_fleet_crash.c
@@ -352,7 +352,7 @@
 }
 
 /* Hands the only job over to the next owner, with its committed progress. */
-static void change_owner(crash_world_t *cw)
+static void change_owner(crash_world_t *cw, const char *job)
 {
 	char *progress = g_strdup(cw->w.progress);
 	size_t i;
@@ -361,7 +361,7 @@
 	for (i = 0; i < cw->w.n_workers; i++)
 		if (!cw->w.workers[i].unreachable)
 			list_worker(&cw->w, &cw->w.workers[i], false);
-	add_job(&cw->w, DEADLY_JOB "0", 1, &one_task, progress);
+	add_job(&cw->w, job, 1, &one_task, progress);
 	g_free(progress);
 }
 
@@ -392,7 +392,7 @@
 		else
 			play(&cw, ms);
 		if (c->owner_ms && cw.w.phase < GH_JOB_COMPLETED)
-			change_owner(&cw);
+			change_owner(&cw, DEADLY_JOB "0");
 	}
 	play(&cw, 6000);
 	for (i = 0; i < MAX(c->jobs, 1); i++) {
@@ -428,6 +428,9 @@
 	bool crash;  /* the worker crashes */
 	bool all;    /* and so do all others */
 	bool drains; /* it drains and leaves with the task's run */
+	bool gone;   /* the worker that was cut off is never back */
+	/* The owner is replaced while the worker is cut off. */
+	bool owner_replaced;
 } innocent_case_t;
 
 static const innocent_case_t innocent_cases[] = {
@@ -444,6 +447,23 @@
 	  .times = 8,
 	  .after_ms = 2000,
 	  .silent_ms = 7000 },
+	{ .name = "cut off late, never back",
+	  .workers = 12,
+	  .times = 8,
+	  .after_ms = 2000,
+	  .silent_ms = 7000,
+	  .gone = true },
+	{ .name = "cut off, lease lapsed, owner replaced",
+	  .workers = 2,
+	  .times = 8,
+	  .silent_ms = 7000,
+	  .owner_replaced = true },
+	{ .name = "cut off late, lease lapsed, owner replaced",
+	  .workers = 2,
+	  .times = 8,
+	  .after_ms = 2000,
+	  .silent_ms = 7000,
+	  .owner_replaced = true },
 	{ .name = "drains", .workers = 8, .times = 8, .drains = true },
 	{ .name = "one crash at the start, same id",
 	  .workers = 2,
@@ -499,7 +519,9 @@
 	if (c->silent_ms) {
 		worker->unreachable = true;
 		play(cw, c->silent_ms);
-		worker->unreachable = false;
+		if (c->owner_replaced)
+			change_owner(cw, LONG_RUNNING_JOB_ID);
+		worker->unreachable = c->gone;
 	}
 	if (c->drains) {
 		list_worker(&cw->w, worker, true);
@@ -657,7 +679,7 @@
 		if (c->owner_ms && cw.lost_starts > lost &&
 		    cw.w.phase <= GH_JOB_RUNNING) {
 			play(&cw, c->owner_ms);
-			change_owner(&cw);
+			change_owner(&cw, DEADLY_JOB "0");
 		}
 	}
 	for (i = 0; i < cw.w.n_workers; i++)
