fleet_owner: send a worker's last renewal right at the limit

In an outage of the store, the owner renews workers' leases until 2.5 s after its own lease was last renewed.

The reply to the last but one renewal is asked for 50 ms before the limit now. The limit, which the next owner counts with, stays.

test_last_renewal_is_sent_at_the_limit: "first 0, delay 10 ms: the last of 10 at 2340 ms" with the former wait; passes.

--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -31,9 +31,14 @@
 #define WORKER_RENEWAL_LIMIT_USEC (2500 * GH_USEC_PER_MSEC)
 /*
  * Max wait of a worker's reply once the owner's lease was not renewed for twice
- * its period: the last lease is then granted shortly before the limit.
+ * its period.
  */
 #define WORKER_WAIT_ALONE_MS 250
+/*
+ * The last renewal of a worker's lease is sent within this time before the
+ * limit; a reply before it has as long to arrive.
+ */
+#define LAST_RENEWAL_USEC (50 * GH_USEC_PER_MSEC)
 /*
  * Upper bound of the random delay before a claim, so that hosts don't claim a
  * shard all at once.
@@ -1033,6 +1038,7 @@
 	const fleet_workers_ops_t *ops = owner->setup.workers->ops;
 	bool owner_lease_valid =
 		now < owner->renewed_at + gh_time_from_ms(OWNER_LEASE_MS);
+	gh_time_t limit = owner->renewed_at + WORKER_RENEWAL_LIMIT_USEC;
 	gh_order_t order;
 	gh_worker_renewal_t renewal;
 
@@ -1056,17 +1062,27 @@
 		ops->send_order(owner->setup.workers, &order, owner->epoch,
 				on_order_reply, call_new(owner));
 	}
-	if (now > owner->renewed_at + WORKER_RENEWAL_LIMIT_USEC)
+	if (now > limit)
 		return;
 	while (gh_fleet_next_renewal(owner->fleet, &renewal, now)) {
 		if (now > owner->renewed_at + 2 * LEASE_RENEWAL_PERIOD_USEC)
 			renewal.max_wait_ms =
-				MIN(renewal.max_wait_ms, WORKER_WAIT_ALONE_MS);
+				MIN(renewal.max_wait_ms,
+				    fleet_owner_wait_alone_ms(limit - now));
 		ops->renew_lease(owner->setup.workers, &renewal, owner->epoch,
 				 on_renewal_reply, call_new(owner));
 	}
 }
 
+int64_t fleet_owner_wait_alone_ms(gh_time_t left)
+{
+	gh_time_t before_last = left - LAST_RENEWAL_USEC;
+
+	if (before_last <= 0)
+		return WORKER_WAIT_ALONE_MS;
+	return MIN(WORKER_WAIT_ALONE_MS, gh_time_to_ms(before_last));
+}
+
 static void on_renewal_reply(void *ctx, const char *worker,
 			     gh_order_reply_t reply,
 			     const gh_worker_report_t *report)
--- a/fleet_owner.h
+++ b/fleet_owner.h
@@ -59,4 +59,11 @@
 void fleet_owner_release(fleet_owner_t *owner);
 bool fleet_owner_is_idle(const fleet_owner_t *owner);
 
+/*
+ * Max wait for a worker's reply to a lease renewal while the owner's own lease
+ * is not renewed.  left is the time until the last renewal that may be sent:
+ * the reply comes in time for one more to be sent shortly before.
+ */
+int64_t fleet_owner_wait_alone_ms(gh_time_t left);
+
 #endif
--- a/regress/test_fleet_owner.c
+++ b/regress/test_fleet_owner.c
@@ -115,10 +115,49 @@
 	}
 }
 
+#define RENEWAL_LIMIT (2500 * GH_USEC_PER_MSEC)
+#define REPLY_DELAY_MAX (40 * GH_USEC_PER_MSEC)
+#define RENEWAL_STEP (10 * GH_USEC_PER_MSEC)
+/* The last lease counts from no earlier than this before the limit. */
+#define LAST_RENEWAL_MAX (50 * GH_USEC_PER_MSEC)
+#define RENEWALS_MAX 16
+
+/* Running tasks ended in an outage that a lease from the limit outlasts. */
+static void test_last_renewal_is_sent_at_the_limit(void **state)
+{
+	gh_time_t first;
+	gh_time_t delay;
+
+	(void)state;
+	for (first = 0; first < RENEWAL_LIMIT / 2; first += RENEWAL_STEP)
+		for (delay = 0; delay <= REPLY_DELAY_MAX;
+		     delay += RENEWAL_STEP) {
+			gh_time_t sent = first;
+			gh_time_t next = first;
+			unsigned renewals = 0;
+
+			for (; next <= RENEWAL_LIMIT; renewals++) {
+				sent = next;
+				next += delay +
+					gh_time_from_ms(
+						fleet_owner_wait_alone_ms(
+							RENEWAL_LIMIT - sent));
+			}
+			if (sent < RENEWAL_LIMIT - LAST_RENEWAL_MAX ||
+			    renewals > RENEWALS_MAX)
+				fail_msg("first %d, delay %d ms: the last of "
+					 "%u at %d ms",
+					 (int)gh_time_to_ms(first),
+					 (int)gh_time_to_ms(delay), renewals,
+					 (int)gh_time_to_ms(sent));
+		}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_second_claim_is_delayed),
+		cmocka_unit_test(test_last_renewal_is_sent_at_the_limit),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
