search_tasks: reports of workers that arrive late or never

In the model a call to a worker took no time, so it could not produce a list made before a start and read after its window, nor a list sent before the end of the leases that fails after it. Both had tasks run again after they were done. A worker's report can now be 900 ms on its way, with starts, ends and other calls meanwhile, or fail after that time. A run counts as heard unless a call made after its end got no reply, no longer unless one failed after it. The leases of the model's policy are no multiple of the interval between calls, as the second fault needs a list between two of them.

--- a/regress/search_tasks.c
+++ b/regress/search_tasks.c
@@ -1,7 +1,8 @@
 /*
  * Fault search over one shard: owners that crash, or go on while another has
- * taken over; workers that are unreachable, lose replies, get starts late, fail
- * every task or leave; store outages; jobs, cancellations and urgent jobs.
+ * taken over; workers that are unreachable, lose replies, get starts late,
+ * report late, fail every task or leave; store outages; jobs, cancellations and
+ * urgent jobs.
  */
 #include <string.h>
 
@@ -19,7 +20,7 @@
 	"cores=4\nmemory_mb=4000\n"
 #define DOCUMENT                                                        \
 	"[policy]\nattempts_max=3\nbackoff_ms=100\neject_ms=2000\n"     \
-	"task_lease_ms=6000\nrenew_alone_ms=15000\n"                    \
+	"task_lease_ms=6500\nrenew_alone_ms=15000\n"                    \
 	"evictions_per_minute=600\n"                                    \
 	"[department a]\nguarantee_percent=50\nlimit_percent=100\n"     \
 	"jobs_max=1000\n"                                               \
@@ -50,6 +51,7 @@
 static void on_restart(tasks_model_t *m, uint32_t a, uint32_t b);
 static void on_store(tasks_model_t *m, uint32_t a, uint32_t b);
 static void on_leave(tasks_model_t *m, uint32_t a, uint32_t b);
+static void on_late(tasks_model_t *m, uint32_t a, uint32_t b);
 static void renew_as_replaced_owner(tasks_model_t *m, sim_worker_t *w);
 static void *create(void);
 static void destroy(void *model);
@@ -61,11 +63,13 @@
 	{ "run", 30 },	  { "submit", 14 },    { "cancel", 2 }, { "die", 5 },
 	{ "replace", 4 }, { "old-renews", 6 }, { "mode", 8 },	{ "heal", 8 },
 	{ "deliver", 5 }, { "restart", 1 },    { "store", 4 },	{ "leave", 8 },
+	{ "late", 6 },
 };
 
 static const event_fn events[G_N_ELEMENTS(kinds)] = {
-	on_run,	 on_submit, on_cancel,	on_die,	    on_replace, on_old_renews,
-	on_mode, on_heal,   on_deliver, on_restart, on_store,	on_leave,
+	on_run,	       on_submit, on_cancel, on_die,	 on_replace,
+	on_old_renews, on_mode,	  on_heal,   on_deliver, on_restart,
+	on_store,      on_leave,  on_late,
 };
 
 const search_model_t search_tasks = {
@@ -251,6 +255,14 @@
 	gh_shard_configure(m->sim->shard, m->sim->doc, &m->sim->now);
 }
 
+static void on_late(tasks_model_t *m, uint32_t a, uint32_t b)
+{
+	sim_worker_t *w = pick_worker(m, a);
+
+	w->reports_late = b & 1;
+	w->reports_fail = b & 2;
+}
+
 static sim_worker_t *pick_worker(tasks_model_t *m, uint32_t a)
 {
 	return &m->sim->workers[a % m->sim->n_workers];
--- a/regress/shard_sim.c
+++ b/regress/shard_sim.c
@@ -8,6 +8,8 @@
 
 #define STEP_MS 50
 #define WALL_START_MS 1000000
+/* Time until a late report arrives, shorter than the limit of a call. */
+#define LATE_REPORT_USEC (900 * GH_USEC_PER_MSEC)
 /* Time from an owner's crash to the next owner. */
 #define TAKEOVER_WAIT_MS 4500
 
@@ -19,6 +21,8 @@
 static void make_calls(sim_t *sim);
 static void poll_workers(sim_t *sim);
 static void poll_worker(sim_t *sim, sim_worker_t *w);
+static void deliver_late_reports(sim_t *sim);
+static void drop_late_report(sim_worker_t *w);
 static bool crashes_here(sim_t *sim, bool after_effect);
 static sim_run_t *find_run(sim_worker_t *w, const char *task, uint32_t attempt);
 static gh_reply_t start_run(sim_t *sim, sim_worker_t *w, const gh_action_t *a);
@@ -109,6 +113,10 @@
 
 void sim_crash(sim_t *sim)
 {
+	size_t i;
+
+	for (i = 0; i < sim->n_workers; i++)
+		drop_late_report(&sim->workers[i]);
 	gh_shard_free(sim->shard);
 	sim->shard = NULL;
 	g_free(sim->uncommitted);
@@ -129,6 +137,8 @@
 		commit(sim);
 		if (sim->shard)
 			make_calls(sim);
+		if (sim->shard)
+			deliver_late_reports(sim);
 		if (sim->shard && sim->now.boot >= sim->poll_at)
 			poll_workers(sim);
 		advance(sim, STEP_MS);
@@ -376,6 +386,8 @@
 			       .usage_at_ms = sim->now.wall_ms };
 	guint i;
 
+	if (w->late_report.tasks)
+		return;
 	if (renews)
 		gh_shard_extend_lease(sim->shard, w->name, lease);
 	if (w->mode == SIM_UNREACHABLE) {
@@ -385,7 +397,7 @@
 	}
 	if (renews)
 		w->epoch = MAX(w->epoch, sim->epoch);
-	report.tasks = g_new0(gh_report_task_t, w->runs->len);
+	report.tasks = g_new0(gh_report_task_t, w->runs->len + 1);
 	for (i = 0; i < w->runs->len; i++) {
 		sim_run_t *run = &g_array_index(w->runs, sim_run_t, i);
 		gh_report_task_t *entry = &report.tasks[report.n_tasks];
@@ -405,6 +417,10 @@
 		entry->memory_mb = run->size.memory_mb;
 		entry->tail_ms = run->tail_ms;
 	}
+	if (w->reports_late && w->mode != SIM_REPLIES_LOST) {
+		w->late_report = report;
+		return;
+	}
 	if (w->mode == SIM_REPLIES_LOST)
 		gh_shard_handle_poll_failure(sim->shard, w->name, sim->now.boot,
 					     &sim->now);
@@ -413,6 +429,39 @@
 	g_free(report.tasks);
 }
 
+static void deliver_late_reports(sim_t *sim)
+{
+	size_t i;
+
+	for (i = 0; i < sim->n_workers; i++) {
+		sim_worker_t *w = &sim->workers[i];
+		const gh_report_t *report = &w->late_report;
+
+		if (!report->tasks ||
+		    sim->now.boot < report->sent_at + LATE_REPORT_USEC)
+			continue;
+		if (w->reports_fail) {
+			w->replies_lost_at_ms =
+				MAX(w->replies_lost_at_ms,
+				    sim->now.wall_ms -
+					    gh_time_to_ms(LATE_REPORT_USEC));
+			gh_shard_handle_poll_failure(sim->shard, w->name,
+						     report->sent_at,
+						     &sim->now);
+		} else {
+			gh_shard_handle_report(sim->shard, w->name, report,
+					       &sim->now);
+		}
+		drop_late_report(w);
+	}
+}
+
+static void drop_late_report(sim_worker_t *w)
+{
+	g_free(w->late_report.tasks);
+	w->late_report = (gh_report_t){ .tasks = NULL };
+}
+
 static sim_run_t *find_run(sim_worker_t *w, const char *task, uint32_t attempt)
 {
 	guint i;
--- a/regress/shard_sim.h
+++ b/regress/shard_sim.h
@@ -42,9 +42,13 @@
 	gh_resources_t size;
 	sim_worker_mode_t mode;
 	uint64_t epoch;
-	int64_t replies_lost_at_ms; /* time at which the last reply was lost */
+	int64_t replies_lost_at_ms; /* time at which the last call was made
+				       whose reply was lost */
 	GArray *runs;		    /* runs on the worker, of type sim_run_t */
 	GHashTable *barred; /* task name to highest barred attempt number */
+	bool reports_late;  /* reports arrive late */
+	bool reports_fail;  /* late reports do not arrive at all */
+	gh_report_t late_report; /* on its way; tasks is NULL: none */
 	bool ignores_bars;
 	bool ignores_not_after; /* accepts starts after their not_after time, as
 				   with a slow clock */
