fleet_owner: count no renewals while the directory hears nothing

What callers could see: two runs of one task, where an owner's record is deleted while the store goes on renewing its lease and its watch of the records is not answered.

Cause: without a gap between renewals nothing but the directory tells an owner that its record is another host's. If the directory hears nothing from the store, the owner went on for as long as renewals succeeded, or until its next commit.

Now a renewal counts only if the directory has heard the store, or the owner has seen its record, within the 1.5 s before; the directory's watch is answered each second at the latest. Otherwise the owner reads its record, about once in 1.5 s until the directory hears again. If the store renews the lease and answers nothing else, starts and grants end 2.5 s after the last word of the record, for which the next owner waits. While the store answers nothing at all they end as before, 2.5 s after the last renewal, so that running tasks survive outages as long.

--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -28,6 +28,11 @@
  * reads its record, which can have become another host's.
  */
 #define RENEWAL_GAP_MAX_USEC (2 * LEASE_RENEWAL_PERIOD_USEC)
+/*
+ * Max time since the job directory heard the store, which it does each second;
+ * after a longer one the owner reads its record itself.
+ */
+#define DIRECTORY_SILENCE_MAX_USEC (1500 * GH_USEC_PER_MSEC)
 /*
  * Workers' leases are extended for this long after the owner's own lease was
  * last renewed.  The next owner waits for this time and a lease before it
@@ -153,6 +158,8 @@
 	 * that shows that the record is the host's as well.
 	 */
 	gh_time_t lease_renewed_at, renewed_at;
+	/* When a call was sent that read or wrote the record as the host's. */
+	gh_time_t record_seen_at;
 	gh_time_t renew_at; /* due time of the next lease renewal */
 	gh_time_t renewal_sent_at;
 	/* Members used only while this host owns the shard. */
@@ -234,8 +241,12 @@
 static void clear_shard(fleet_owner_t *owner);
 static void renew_owner_lease(fleet_owner_t *owner, gh_time_t now);
 static void on_lease_renewed(void *ctx, const fleet_reply_t *reply);
+static void note_renewal(fleet_owner_t *owner, gh_time_t sent_at);
+static gh_time_t record_known_at(const fleet_owner_t *owner);
+static bool record_is_doubtful(const fleet_owner_t *owner, gh_time_t now);
 static void read_owner_record(fleet_owner_t *owner);
 static void on_owner_record_read(void *ctx, const fleet_reply_t *reply);
+static void note_record_seen(fleet_owner_t *owner, gh_time_t at);
 static void restore_owner_record(fleet_owner_t *owner);
 static void on_restore_lease(void *ctx, const fleet_reply_t *reply);
 static void commit_restore(fleet_owner_t *owner);
@@ -661,6 +672,7 @@
 {
 	owner->record_absent = false;
 	owner->record_revision = revision;
+	owner->record_seen_at = owner->renewal_sent_at;
 	fleet_jobs_note_owner(owner->setup.jobs, owner->setup.shard,
 			      owner->setup.host, revision);
 }
@@ -940,22 +952,48 @@
 	/* A reply to an older renewal may be about a lease given up since. */
 	if (!owner || sent_at <= owner->lease_renewed_at)
 		return;
-	if (reply->result == FLEET_OK && !owner->record_lost) {
-		owner->lease_renewed_at = sent_at;
-		if (sent_at <= owner->renewed_at + RENEWAL_GAP_MAX_USEC)
-			owner->renewed_at = sent_at;
-		else
-			read_owner_record(owner);
-	} else if (reply->result == FLEET_NOT_FOUND) {
+	if (reply->result == FLEET_OK && !owner->record_lost)
+		note_renewal(owner, sent_at);
+	else if (reply->result == FLEET_NOT_FOUND)
 		restore_owner_record(owner);
-	}
 	owner->dirty = true;
 }
 
 /*
- * Reads the owner record after a gap between renewals.  Its lease can outlive
- * the record, which another host may then have written.
+ * Notes that the lease was renewed.  It can outlive the record, which another
+ * host may then have written, so the renewal counts only if the host would have
+ * heard of that.
+ */
+static void note_renewal(fleet_owner_t *owner, gh_time_t sent_at)
+{
+	owner->lease_renewed_at = sent_at;
+	if (sent_at > owner->renewed_at + RENEWAL_GAP_MAX_USEC ||
+	    sent_at > record_known_at(owner) + DIRECTORY_SILENCE_MAX_USEC)
+		read_owner_record(owner);
+	else
+		owner->renewed_at = sent_at;
+}
+
+/* Last time at which the host would have heard of another owner record. */
+static gh_time_t record_known_at(const fleet_owner_t *owner)
+{
+	return MAX(owner->record_seen_at,
+		   fleet_jobs_last_reply_at(owner->setup.jobs));
+}
+
+/*
+ * Whether the store goes on renewing the lease, but has not shown for long that
+ * the record is still the host's.
  */
+static bool record_is_doubtful(const fleet_owner_t *owner, gh_time_t now)
+{
+	gh_time_t known_at = record_known_at(owner);
+
+	return owner->lease_renewed_at >
+		       known_at + DIRECTORY_SILENCE_MAX_USEC &&
+	       now > known_at + WORKER_RENEWAL_LIMIT_USEC;
+}
+
 static void read_owner_record(fleet_owner_t *owner)
 {
 	owner->setup.store->ops->get(owner->setup.store, FLEET_KEYSPACE_OWN,
@@ -979,12 +1017,18 @@
 		end_ownership(owner, "another host wrote the owner record");
 	else if (item && item->value &&
 		 item->revision == owner->record_revision)
-		owner->renewed_at = MAX(owner->renewed_at,
-					MIN(sent_at, owner->lease_renewed_at));
+		note_record_seen(owner, sent_at);
 	else
 		restore_owner_record(owner);
 }
 
+static void note_record_seen(fleet_owner_t *owner, gh_time_t at)
+{
+	owner->record_seen_at = at;
+	owner->renewed_at =
+		MAX(owner->renewed_at, MIN(at, owner->lease_renewed_at));
+}
+
 /*
  * Writes the owner record again after its lease has expired.  The host still
  * owns the shard as long as no other host has changed the chain record.
@@ -1110,7 +1154,9 @@
 static void send_worker_calls(fleet_owner_t *owner, gh_time_t now)
 {
 	const fleet_workers_ops_t *ops = owner->setup.workers->ops;
+	bool doubtful = record_is_doubtful(owner, now);
 	bool owner_lease_valid =
+		!doubtful &&
 		now < owner->renewed_at + gh_time_from_ms(OWNER_LEASE_MS);
 	gh_order_t order;
 	gh_worker_renewal_t renewal;
@@ -1135,7 +1181,7 @@
 		ops->send_order(owner->setup.workers, &order, owner->epoch,
 				on_order_reply, call_new(owner));
 	}
-	if (now > owner->renewed_at + WORKER_RENEWAL_LIMIT_USEC)
+	if (doubtful || now > owner->renewed_at + WORKER_RENEWAL_LIMIT_USEC)
 		return;
 	while (gh_fleet_next_renewal(owner->fleet, &renewal, now)) {
 		if (now > owner->renewed_at + 2 * LEASE_RENEWAL_PERIOD_USEC)
--- a/regress/test_owner_takeover.c
+++ b/regress/test_owner_takeover.c
@@ -1087,6 +1087,15 @@
 	  .gap_ms = 400,
 	  .taken_over = true,
 	  .compacted = true },
+	{ .name = "none, the directory does not tell",
+	  .watches = { .cut = true } },
+	{ .name = "taken over without a gap, the directory does not tell",
+	  .taken_over = true,
+	  .watches = { .cut = true } },
+	{ .name = "taken over without a gap, only renewals are answered",
+	  .taken_over = true,
+	  .watches = { .cut = true },
+	  .gets = { .cut = true } },
 	{ .name = "taken over in 1 s, the directory does not tell",
 	  .gap_ms = 1000,
 	  .taken_over = true,
@@ -1131,11 +1140,13 @@
 
 		print_message("%s\n", c->name);
 		pause_lease(sim);
-		set_store_links(host, (link_t){ .cut = true });
+		if (c->gap_ms)
+			set_store_links(host, (link_t){ .cut = true });
+		host->store.links[CALL_WATCH].cut |= c->watches.cut;
 		if (c->taken_over)
 			put(sim, FLEET_KEYSPACE_OWN, OWNER_KEY, NULL);
 		run_for(sim, c->gap_ms);
-		assert_true(is_owner(sim, c->taken_over));
+		assert_true(is_owner(sim, c->taken_over) || !c->gap_ms);
 		if (c->compacted)
 			sim->compacted = sim->revision;
 		set_store_links(host, (link_t){ 0 });
@@ -1156,7 +1167,7 @@
 		else
 			assert_true(sim_now - sim->workers[0].granted_at <=
 				    1500 * MS);
-		if (!c->gap_ms)
+		if (!c->gap_ms && !c->watches.cut)
 			assert_int_equal(host->store.n_owner_reads, 0);
 		sim_free(sim);
 	}
