fleet_owner: let the loop sleep while the owner record is restored

What callers could see: the host's processor used up, and late decisions, while an owner whose record has lapsed waits for the store's reply to a restore; each such wait lasts up to the call's time limit.

Cause: the due time of the next lease renewal is past then, as renewals wait for the restore, and it went into the owner's timer all the same. The loop ran without a pause until the reply.

Evidence: test_restore_does_not_keep_loop_busy failed before, "timers go on without time passing" (more than 1000 timers at one simulated time), and passes now.

The renewal's due time counts only while no restore is in flight, and the end of a restore sets the timer anew.

--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -461,7 +461,7 @@
 		if (!owner->batch && gh_fleet_has_changes(owner->fleet))
 			next = MIN(next, MAX(owner->commit_at, now));
 	}
-	if (owner->phase >= PHASE_LOADING)
+	if (owner->phase >= PHASE_LOADING && !owner->restoring)
 		next = MIN(next, owner->renew_at);
 	owner->timer.at = next;
 	update_counters(owner);
@@ -1059,6 +1059,7 @@
 		return;
 	if (reply->result != FLEET_OK) {
 		owner->restoring = false;
+		owner->dirty = true;
 		return;
 	}
 	owner->restore_lease_id = reply->lease;
@@ -1090,6 +1091,7 @@
 	if (!owner)
 		return;
 	owner->restoring = false;
+	owner->dirty = true;
 	owner->renew_at = clock_boot() + COMMIT_RETRY_DELAY_USEC;
 	switch (reply->result) {
 	case FLEET_OK:
--- a/regress/test_owner_takeover.c
+++ b/regress/test_owner_takeover.c
@@ -34,6 +34,8 @@
 #define WATCH_POLL_USEC (2 * MS)
 #define START_WALL_USEC (1700000000 * GH_USEC_PER_SEC)
 #define STEP_MS 10
+/* Timers that run at one time; more show that the loop never sleeps. */
+#define TIMERS_AT_ONCE_MAX 1000
 #define PATIENCE_MS 25000
 #define JOB "0000000000000001"
 #define OWNER_KEY "d/own/0"
@@ -247,10 +249,14 @@
 static void run_for(sim_t *sim, int64_t ms)
 {
 	gh_time_t end = sim_now + ms * MS;
+	unsigned n_at_once = 0;
 	loop_timer_t *timer;
 	guint i;
 
 	while ((timer = earliest_timer(sim->loop)) && timer->at <= end) {
+		n_at_once = timer->at > sim_now ? 0 : n_at_once + 1;
+		if (n_at_once > TIMERS_AT_ONCE_MAX)
+			fail_msg("timers go on without time passing");
 		sim_now = MAX(sim_now, timer->at);
 		timer->at = GH_TIME_NEVER;
 		timer->run(timer->ctx, sim_now);
@@ -1173,6 +1179,41 @@
 	}
 }
 
+/* A call by which an owner restores its record, and gets no reply. */
+typedef struct restore_case {
+	const char *name;
+	store_call_kind_t unanswered;
+} restore_case_t;
+
+static const restore_case_t restores[] = {
+	{ .name = "grant of a lease", .unanswered = CALL_GRANT },
+	{ .name = "commit", .unanswered = CALL_COMMIT },
+};
+
+/* The loop sleeps while an owner waits for a reply to restore its record. */
+static void test_restore_does_not_keep_loop_busy(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(restores); i++) {
+		const restore_case_t *c = &restores[i];
+		sim_t *sim = sim_with_run();
+		sim_store_t *store = &sim->hosts[0].store;
+
+		print_message("%s\n", c->name);
+		set_store_links(&sim->hosts[1], (link_t){ .cut = true });
+		store->links[c->unanswered].cut = true;
+		put(sim, FLEET_KEYSPACE_OWN, OWNER_KEY, NULL);
+		run_for(sim, 3000);
+		store->links[c->unanswered].cut = false;
+		run_for(sim, 1000);
+		assert_true(is_owner(sim, 0));
+		assert_int_equal(sim->n_starts, 1);
+		sim_free(sim);
+	}
+}
+
 /* How a worker gets the longest lease before its owner fails. */
 typedef struct rebirth_case {
 	const char *name;
@@ -1306,6 +1347,7 @@
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_no_grant_after_release),
 		cmocka_unit_test(test_renewals_of_an_owner_taken_over),
+		cmocka_unit_test(test_restore_does_not_keep_loop_busy),
 		cmocka_unit_test(test_lease_of_new_life_after_takeover),
 	};
 
