--- a/regress/test_owner_takeover.c
+++ b/regress/test_owner_takeover.c
@@ -296,6 +296,12 @@
 	g_free(call);
 }
 
+static bool is_awaited(const sim_call_t *call)
+{
+	return call->reply.at != GH_TIME_NEVER ||
+	       (call->answered && call->execute.at != GH_TIME_NEVER);
+}
+
 static void call_free_if_over(sim_call_t *call)
 {
 	if (call->execute.at == GH_TIME_NEVER &&
@@ -943,11 +949,8 @@
 	sim->closed = true;
 	for (i = 0; i < sim->calls->len; i++) {
 		sim_call_t *call = sim->calls->pdata[i];
-		bool pending =
-			call->reply.at != GH_TIME_NEVER ||
-			(call->answered && call->execute.at != GH_TIME_NEVER);
 
-		if (pending) {
+		if (is_awaited(call)) {
 			call->reply.at = sim_now;
 			call->answered = true;
 		}
@@ -1255,7 +1258,7 @@
 	for (i = 0; i < sim->calls->len; i++) {
 		sim_call_t *call = sim->calls->pdata[i];
 
-		if (call->worker != worker)
+		if (call->worker != worker || !is_awaited(call))
 			continue;
 		call->answered = false;
 		call->reply.at = sim_now;
