test-owner_takeover: a stopped run can't start later

The workers of the platform refuse the start of a run that is not higher than one stopped or ended there; those of the test did not, which shows only with random events (trial).

--- a/regress/test_owner_takeover.c
+++ b/regress/test_owner_takeover.c
@@ -92,6 +92,7 @@
 	uint64_t fence;
 	gh_time_t lease_end;
 	gh_report_run_t run; /* of JOB; number 0: none */
+	uint32_t last_over;  /* highest run that was stopped or has ended */
 	link_t links[HOSTS];
 	gh_time_t granted_at; /* when a renewal last extended the lease */
 } sim_worker_t;
@@ -644,10 +645,18 @@
 
 /* The workers. */
 
+/* Ends a run, and refuses its start and those of earlier ones from now on. */
+static void end_run_up_to(sim_worker_t *worker, uint32_t number)
+{
+	worker->last_over = MAX(worker->last_over, number);
+	if (worker->run.run <= number)
+		worker->run.run = 0;
+}
+
 static void end_lapsed_run(sim_worker_t *worker)
 {
 	if (sim_now > worker->lease_end)
-		worker->run.run = 0;
+		end_run_up_to(worker, worker->run.run);
 }
 
 /*
@@ -679,6 +688,8 @@
 
 	if (sim_now > worker->lease_end)
 		return GH_ORDER_LEASE_EXPIRED;
+	if (call->order.run <= worker->last_over)
+		return GH_ORDER_STALE_RUN;
 	if (worker->run.run == call->order.run)
 		return GH_ORDER_OK;
 	if (worker->run.run)
@@ -716,7 +727,7 @@
 		if (call->order_done && call->order.kind == GH_ORDER_START)
 			call->result = execute_start(call);
 		else if (call->order_done && call->order.kind == GH_ORDER_STOP)
-			worker->run.run = 0;
+			end_run_up_to(worker, call->order.run);
 	}
 	if (call->answered)
 		call->reply.at = sim_now + call->wait + LATENCY_USEC;
@@ -1266,7 +1277,7 @@
 	worker->born++;
 	worker->fence = 0;
 	worker->lease_end = 0;
-	worker->run.run = 0;
+	worker->run.run = worker->last_over = 0;
 }
 
 /* A renewal for the former life of w0 is executed in the new one. */
