--- a/regress/test_owner_takeover.c
+++ b/regress/test_owner_takeover.c
@@ -130,6 +130,7 @@
 	loop_timer_t reply;
 	gh_time_t sent_at;
 	bool answered;
+	bool refused;
 	/* to the store */
 	sim_store_t *store;
 	store_call_kind_t kind;
@@ -333,6 +334,7 @@
 	if (!link->cut && !link->refused)
 		call->execute.at = sim_now + LATENCY_USEC + link->late;
 	call->sim->n_late += link->late != 0;
+	call->refused = link->refused;
 	call->answered = !link->cut && !link->replies_lost && !link->late;
 	if (!call->answered)
 		call->reply.at = sim_now + timeout;
@@ -525,7 +527,7 @@
 	fleet_reply_t reply = { .result = FLEET_OUTCOME_UNKNOWN };
 
 	(void)now;
-	if (call->sim->closed || (call->link->refused && call->answered))
+	if (call->sim->closed || (call->refused && call->answered))
 		reply.result = FLEET_REFUSED;
 	else if (call->answered)
 		reply = call->outcome;
