--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -75,6 +75,9 @@
 	bool order_sent; /* an order for this run was sent */
 	/* One was sent elsewhere than to the worker's heard_address. */
 	bool sent_elsewhere;
+	bool stop_in_flight; /* the last stop order awaits its reply */
+	/* The worker has restarted since the stop in flight was sent. */
+	bool stop_overtaken;
 	gh_time_t start_sent_at; /* when the last start order was sent */
 	/* The last start order awaits its reply, and may not be executed yet.
 	 */
