Soak of the fleet scheduler on a model of workers, store and hosts

The model plays the users' protocol in simulated time: lives of workers under the same or another id, calls without replies, late and overtaking each other, cuts, entries in discovery that lag, vanish or turn unreadable, commits without a reply or done seconds later, hosts that freeze, are killed or release, and owners beside each other.

--- /dev/null
+++ b/regress/fleet_model.h
@@ -0,0 +1,74 @@
+/*
+ * Simulated environment of the fleet scheduler: workers, the store and hosts
+ * that own the shard in turn, in simulated time and with disruptions.  One seed
+ * determines a whole run.  The model keeps to the users' protocol, and checks
+ * the starts of runs on the workers.
+ */
+#ifndef FLEET_MODEL_H
+#define FLEET_MODEL_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+typedef enum model_disruption {
+	/* Calls to a worker: without replies, slow, or executed later. */
+	DISRUPT_REPLIES,
+	DISRUPT_SLOW,
+	DISRUPT_LATE,
+	DISRUPT_CUT, /* between one host and one worker */
+	DISRUPT_UNHEALTHY,
+	DISRUPT_CRASH,	 /* another worker follows at the address */
+	DISRUPT_RESTART, /* under the same id */
+	DISRUPT_MOVE,	 /* the same, at another address */
+	DISRUPT_DRAIN,
+	/* The worker's entry in service discovery. */
+	DISRUPT_VANISH,
+	DISRUPT_UNREADABLE,
+	DISRUPT_SHRINK,
+	DISRUPT_STORE_REPLIES,
+	DISRUPT_STORE_LATE,
+	DISRUPT_STORE_CUT, /* between one host and the store */
+	DISRUPT_STORE_DOWN,
+	DISRUPT_RECORD, /* the owner record is deleted */
+	DISRUPT_FREEZE,
+	DISRUPT_KILL,
+	DISRUPT_RELEASE,
+	/*
+	 * Off by default: an entry names another worker's address or another
+	 * start for a while; a call reaches the next life under the same id.
+	 */
+	DISRUPT_WRONG_ADDRESS,
+	DISRUPT_WRONG_START,
+	DISRUPT_LATE_NEXT_LIFE,
+	DISRUPTIONS
+} model_disruption_t;
+
+/* Rules whose breach ends a run, as bits. */
+typedef enum model_rule {
+	RULE_TWICE = 1,
+	RULE_ORDER = 2, /* of a job's steps */
+	RULE_CAPACITY = 4
+} model_rule_t;
+
+typedef struct model_options {
+	unsigned rules;
+	uint64_t seed;
+	int64_t duration_ms;
+	uint32_t weights[DISRUPTIONS]; /* relative frequency; 0: off */
+} model_options_t;
+
+typedef struct model_result {
+	/* Events up to the first breach of a rule; NULL: none was broken. */
+	char *breach;
+	uint32_t starts, done, lives, owners;
+} model_result_t;
+
+const char *model_disruption_name(model_disruption_t disruption);
+/* Weights of all disruptions that are on by default. */
+void model_default_weights(uint32_t weights[DISRUPTIONS]);
+/* Runs the model; the caller frees the breach of the result. */
+void model_run(const model_options_t *options, model_result_t *result);
+
+#endif
--- /dev/null
+++ b/regress/fleet_model_private.h
@@ -0,0 +1,333 @@
+/* State of the fleet model, shared by its files. */
+#ifndef FLEET_MODEL_PRIVATE_H
+#define FLEET_MODEL_PRIVATE_H
+
+#include "core_fleet.h"
+#include "fleet_model.h"
+#include "platform/platform_clock.h"
+
+#define MODEL_SLOTS 7 /* addresses of workers */
+#define MODEL_HOSTS 3
+#define MODEL_LEASE_MS 4500
+#define MODEL_LEASE_MAX_MS 10000
+#define MODEL_STOP_MS 500
+#define MODEL_CAPACITY_MILLI 4000
+#define MODEL_NONE UINT32_MAX
+
+typedef struct model model_t;
+typedef struct host host_t;
+typedef struct life life_t;
+
+typedef void (*model_work_t)(model_t *m, void *data);
+
+typedef struct sim_event {
+	gh_time_t at;
+	uint64_t sequence; /* order of events at the same time */
+	model_work_t run;
+	void *data;
+} sim_event_t;
+
+typedef struct log_line {
+	gh_time_t at;
+	bool has_task;
+	gh_task_id_t task;
+	const char *text;
+} log_line_t;
+
+/* A call from a host to the worker at an address. */
+typedef enum call_kind {
+	CALL_START = GH_ORDER_START,
+	CALL_STOP = GH_ORDER_STOP,
+	CALL_PACE = GH_ORDER_PACE,
+	CALL_RENEWAL
+} call_kind_t;
+
+typedef struct worker_call {
+	call_kind_t kind;
+	host_t *host;
+	uint32_t boot;
+	uint64_t generation;
+	char worker[GH_WORKER_ID_MAX + 1];
+	uint32_t slot;
+	life_t *sent_to; /* the life at the address as the call was sent */
+	gh_time_t sent_at;
+	bool loses_reply;
+	bool late;
+	bool finished; /* replied to, or out of time */
+	uint64_t epoch;
+	int64_t deadline_ms; /* on the worker's clock; 0: none */
+	uint64_t acked_end;
+	int64_t max_wait_ms;
+	gh_task_id_t task;
+	uint32_t run;
+	gh_order_reply_t reply;
+	int64_t clock_ms; /* of the worker that replied; 0: none */
+	gh_worker_report_t report;
+} worker_call_t;
+
+typedef struct live_run {
+	gh_task_id_t task;
+	uint32_t run;
+	bool stopping;
+	gh_time_t started_at;
+} live_run_t;
+
+typedef struct life_end {
+	uint64_t number;
+	gh_task_id_t task;
+	uint32_t run;
+	gh_run_outcome_t outcome;
+	gh_time_t at;
+} life_end_t;
+
+/* One life of a worker process. */
+struct life {
+	char id[GH_WORKER_ID_MAX + 1];
+	uint32_t slot;
+	int64_t start_ms;
+	gh_time_t started_at;
+	double clock_rate;
+	bool up;
+	bool draining;
+	uint64_t epoch;
+	int64_t deadline_ms; /* of its lease, on its own clock */
+	gh_time_t lapsed_at;
+	uint32_t capacity_milli;
+	uint64_t last_end;
+	GArray *runs; /* live_run_t */
+	GArray *ends; /* life_end_t, that are not forgotten */
+	GArray *over; /* life_end_t: highest run of each task that is over */
+	GPtrArray *waiting; /* worker_call_t: renewals that wait for an end */
+};
+
+/* A worker's entry in service discovery. */
+typedef struct model_entry {
+	char id[GH_WORKER_ID_MAX + 1];
+	bool exists;
+	bool unreadable;
+	gh_worker_entry_t value;
+} model_entry_t;
+
+/* Disruptions of the calls to one worker. */
+typedef struct model_link {
+	gh_time_t loses_replies_until;
+	gh_time_t slow_until;
+	gh_time_t late_until;
+	gh_time_t unhealthy_until;
+	gh_time_t request_cut_until[MODEL_HOSTS];
+	gh_time_t reply_cut_until[MODEL_HOSTS];
+} model_link_t;
+
+/* An end of a task as done. */
+typedef struct done_end {
+	const life_t *life;
+	uint64_t number;
+	gh_time_t at;
+	bool noted;
+	bool void_for_good; /* the worker's lease lapsed before it was noted */
+	bool started_after;
+} done_end_t;
+
+typedef struct model_task {
+	GArray *done; /* done_end_t; NULL: none */
+} model_task_t;
+
+typedef struct model_job {
+	gh_pipeline_t *pipeline;
+	char *text; /* of the pipeline */
+	uint32_t n_tasks;
+	model_task_t *tasks;
+	/* Records in the store. */
+	bool exists;
+	bool cancelled;
+	const char *progress;
+} model_job_t;
+
+typedef struct job_change {
+	model_job_t *job;
+	gh_job_phase_t phase;
+	bool phase_changed;
+	uint64_t version;
+	const char *progress;
+} job_change_t;
+
+typedef enum store_kind {
+	STORE_GRANT,
+	STORE_RENEW,
+	STORE_GET_CHAIN,
+	STORE_CLAIM,
+	STORE_RESTORE,
+	STORE_COMMIT,
+	STORE_LOAD
+} store_kind_t;
+
+typedef enum store_result {
+	STORE_OK,
+	STORE_REFUSED,
+	STORE_CONFLICT,
+	STORE_NOT_FOUND,
+	STORE_UNKNOWN
+} store_result_t;
+
+typedef struct store_call {
+	store_kind_t kind;
+	host_t *host;
+	uint32_t boot;
+	uint64_t generation;
+	gh_time_t sent_at;
+	bool loses_reply;
+	bool finished;
+	uint64_t lease; /* to renew or to bind the record to; granted one */
+	uint64_t chain_revision;
+	const char *chain_text;
+	bool releases;
+	job_change_t *changes;
+	size_t n_changes;
+	/* Reply; for a conflict, the present records. */
+	store_result_t result;
+	uint64_t revision;
+	const char *chain_now;
+	uint64_t chain_revision_now;
+	uint32_t owner_now;
+	uint64_t record_revision_now;
+} store_call_t;
+
+typedef struct store_lease {
+	gh_time_t ends_at;
+	bool ended;
+} store_lease_t;
+
+typedef struct model_store {
+	uint64_t revision;
+	const char *chain_text; /* NULL: none yet */
+	uint64_t chain_revision;
+	uint32_t owner; /* host in the owner record, or MODEL_NONE */
+	uint64_t record_revision;
+	uint64_t record_lease;
+	GArray *leases;	   /* store_lease_t, by id - 1 */
+	bool leases_pause; /* while the store is down */
+	gh_time_t down_until;
+	gh_time_t loses_replies_until;
+	gh_time_t late_until;
+} model_store_t;
+
+typedef enum host_phase {
+	HOST_IDLE,
+	HOST_CLAIMING,
+	HOST_LOADING,
+	HOST_OWNING,
+	HOST_RELEASING
+} host_phase_t;
+
+/* A host and, while it owns the shard, its fleet; see fleet_owner.c. */
+struct host {
+	model_t *m;
+	uint32_t index;
+	bool up;
+	uint32_t boot;
+	gh_time_t frozen_until;
+	gh_time_t store_cut_until;
+	host_phase_t phase;
+	bool draining;
+	bool record_absent;
+	uint64_t generation;
+	uint64_t epoch;
+	uint64_t sequence;
+	uint64_t chain_revision;
+	uint64_t lease;
+	uint64_t restore_lease;
+	uint64_t record_revision;
+	bool record_lost;
+	bool restoring;
+	gh_time_t renewed_at;
+	gh_time_t renew_at;
+	gh_time_t renewal_sent_at;
+	gh_time_t previous_grants_end;
+	gh_time_t claim_at;
+	gh_time_t commit_at;
+	gh_time_t reread_at;
+	gh_time_t load_at;
+	store_call_t *batch; /* commit that awaits its outcome */
+	gh_fleet_t *fleet;
+	platform_clocks_t *clocks;
+};
+
+struct model {
+	const model_options_t *options;
+	model_result_t *result;
+	uint64_t random_state;
+	uint32_t weights[DISRUPTIONS];
+	gh_time_t now;
+	gh_time_t end;
+	uint64_t sequence;
+	GArray *events; /* sim_event_t: binary heap */
+	GPtrArray *arena;
+	GArray *log; /* log_line_t */
+	life_t *slots[MODEL_SLOTS];
+	model_link_t links[MODEL_SLOTS];
+	GPtrArray *lives;
+	GPtrArray *entries;
+	uint32_t last_worker;
+	int64_t last_start_ms;
+	GPtrArray *jobs;
+	host_t hosts[MODEL_HOSTS];
+	model_store_t store;
+	bool workers_check_capacity;
+	bool late_before_old; /* precedence of a worker's refusals */
+	bool capacity_changed;
+};
+
+/* Random numbers and events. */
+uint64_t model_random(model_t *m, uint64_t below);
+bool model_chance(model_t *m, uint32_t percent);
+/* Random time between two bounds in ms. */
+gh_time_t model_random_ms(model_t *m, int64_t from_ms, int64_t to_ms);
+void model_post(model_t *m, gh_time_t at, model_work_t run, void *data);
+/* Zeroed memory that lives as long as the model. */
+void *model_alloc(model_t *m, size_t size);
+const char *model_strdup(model_t *m, const char *text);
+void model_log(model_t *m, const gh_task_id_t *task, const char *fmt, ...)
+	G_GNUC_PRINTF(3, 4);
+/* Ends the run with the events of the task so far, if the rule counts. */
+void model_breach(model_t *m, model_rule_t rule, const gh_task_id_t *task,
+		  const char *what);
+bool model_same_task(const gh_task_id_t *a, const gh_task_id_t *b);
+model_job_t *model_job_find(const model_t *m, const char *id);
+const gh_step_t *model_step(const model_t *m, const gh_task_id_t *task);
+uint32_t model_task_index(const model_job_t *job, const gh_task_id_t *task);
+
+/* Rules; see fleet_model_rules.c. */
+void model_check_start(model_t *m, const life_t *life, const gh_task_id_t *task,
+		       uint32_t run);
+void model_note_end(model_t *m, const life_t *life, const life_end_t *end);
+/* The worker is told that it may forget its ends up to a number. */
+void model_note_ack(model_t *m, const life_t *life, uint64_t number);
+
+/* Workers. */
+life_t *life_start(model_t *m, const char *id, uint32_t slot);
+void life_crash(model_t *m, life_t *life);
+void life_free(life_t *life);
+void life_register(model_t *m, void *data);
+int64_t life_clock_ms(const model_t *m, const life_t *life);
+void worker_call_send(model_t *m, worker_call_t *call);
+void entry_changed(model_t *m, model_entry_t *entry);
+model_entry_t *entry_find(const model_t *m, const char *id);
+
+/* Store and hosts. */
+void store_call_send(model_t *m, store_call_t *call);
+void store_delete_record(model_t *m);
+void store_go_down(model_t *m, gh_time_t until);
+void host_boot(host_t *h);
+void host_kill(host_t *h);
+void host_release(host_t *h);
+void host_on_worker_reply(host_t *h, worker_call_t *call);
+void host_on_store_reply(host_t *h, store_call_t *call);
+/* Runs an event of a host: later if it is frozen, not at all if it is gone. */
+bool host_is_ready(model_t *m, const host_t *h, uint32_t boot, model_work_t run,
+		   void *data);
+void hosts_record_changed(model_t *m);
+void hosts_entry_changed(model_t *m, model_entry_t *entry);
+void hosts_job_changed(model_t *m, model_job_t *job);
+void hosts_free(model_t *m);
+
+#endif
