--- a/regress/test_owner_takeover.c
+++ b/regress/test_owner_takeover.c
@@ -18,7 +18,7 @@
 
 #define HOSTS 2
 #define WORKERS 2
-#define CHANGES_MAX 8192
+#define CHANGES_MAX 16384
 #define ORDINARY_LEASE_MS 4500
 #define LONGEST_LEASE_MS 10000
 /*
@@ -37,6 +37,8 @@
 /* Timers that run at one time; more show that the loop never sleeps. */
 #define TIMERS_AT_ONCE_MAX 1000
 #define PATIENCE_MS 25000
+#define RANDOM_SEEDS 50
+#define RANDOM_TIME_MS 60000
 #define JOB "0000000000000001"
 #define OWNER_KEY "d/own/0"
 #define CHAIN_KEY "c/0"
@@ -114,8 +116,8 @@
 	uint64_t revision;
 	uint64_t compacted; /* changes before this revision can't be watched */
 	uint64_t last_lease;
-	gh_time_t lease_ends[64]; /* indexed by lease */
-	GPtrArray *calls;	  /* sim_call_t in flight */
+	gh_time_t lease_ends[1024]; /* indexed by lease */
+	GPtrArray *calls;	    /* sim_call_t in flight */
 	bool closed;
 	unsigned n_late;   /* calls sent that are executed late */
 	unsigned n_starts; /* runs begun */
@@ -1358,6 +1360,96 @@
 	}
 }
 
+static link_t random_link(GRand *random)
+{
+	link_t link = { 0 };
+
+	switch (g_rand_int_range(random, 0, 8)) {
+	case 0:
+		link.cut = true;
+		break;
+	case 1:
+		link.replies_lost = true;
+		break;
+	case 2:
+		link.refused = true;
+		break;
+	case 3:
+		link.late = g_rand_int_range(random, 50, 3000) * MS;
+		break;
+	default:
+		break;
+	}
+	return link;
+}
+
+/*
+ * The store treats the owner's kinds of calls differently for a while, and the
+ * other host may not reach the worker with the run.
+ */
+static void disturb(sim_t *sim, GRand *random)
+{
+	uint32_t owner = is_owner(sim, 1);
+	uint32_t at = sim->workers[1].run.run != 0;
+	link_t *links = sim->hosts[owner].store.links;
+	size_t i;
+
+	if (g_rand_int_range(random, 0, 4))
+		sim->workers[at].links[!owner].cut = true;
+	if (g_rand_boolean(random) && is_owner(sim, owner))
+		pause_lease(sim);
+	for (i = 0; i < CALL_KINDS; i++)
+		if (g_rand_boolean(random))
+			links[i] = random_link(random);
+	if (g_rand_boolean(random))
+		sim->workers[at].links[owner].late =
+			g_rand_int_range(random, 1, 2500) * MS;
+	run_for(sim, g_rand_int_range(random, 1, 2000));
+	if (g_rand_boolean(random))
+		put(sim, FLEET_KEYSPACE_OWN, OWNER_KEY, NULL);
+	run_for(sim, g_rand_int_range(random, 1, 2500));
+	if (g_rand_boolean(random))
+		sim->compacted = sim->revision;
+	for (i = 0; i < CALL_KINDS; i++)
+		if (g_rand_boolean(random))
+			links[i] = (link_t){ 0 };
+	run_for(sim, g_rand_int_range(random, 1, 11000));
+}
+
+static void calm(sim_t *sim, GRand *random)
+{
+	size_t i;
+
+	for (i = 0; i < HOSTS; i++)
+		set_store_links(&sim->hosts[i], (link_t){ 0 });
+	for (i = 0; i < WORKERS; i++)
+		memset(sim->workers[i].links, 0, sizeof(sim->workers[i].links));
+	run_for(sim, g_rand_int_range(random, 500, 4000));
+}
+
+/* Owners that the store treats oddly run no task twice. */
+static void test_random_faults_of_store(void **state)
+{
+	uint32_t seed;
+
+	(void)state;
+	for (seed = 0; seed < RANDOM_SEEDS; seed++) {
+		GRand *random = g_rand_new_with_seed(seed);
+		sim_t *sim = sim_with_run();
+		gh_time_t end = sim_now + RANDOM_TIME_MS * MS;
+
+		calm(sim, random);
+		while (sim_now < end && !sim->n_twice) {
+			disturb(sim, random);
+			calm(sim, random);
+		}
+		if (sim->n_twice)
+			fail_msg("seed %u", seed);
+		sim_free(sim);
+		g_rand_free(random);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -1365,6 +1457,7 @@
 		cmocka_unit_test(test_renewals_of_an_owner_taken_over),
 		cmocka_unit_test(test_restore_does_not_keep_loop_busy),
 		cmocka_unit_test(test_lease_of_new_life_after_takeover),
+		cmocka_unit_test(test_random_faults_of_store),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
