--- a/core_fleet.c
+++ b/core_fleet.c
@@ -60,6 +60,7 @@
 	if (sink)
 		fleet->sink = *sink;
 	fleet->created_at = now;
+	fleet->grants_ahead_until = setup->previous_grants_end;
 	fleet->workers = g_array_new(FALSE, TRUE, sizeof(fleet_worker_t));
 	fleet->jobs = g_array_new(FALSE, TRUE, sizeof(fleet_job_t));
 	fleet->runs = g_array_new(FALSE, TRUE, sizeof(fleet_run_t));
@@ -176,6 +177,9 @@
 	if (!entry->incarnation_start_ms)
 		worker->entry.incarnation_start_ms = start_ms;
 	worker->listed = true;
+	if (!*worker->heard_address)
+		g_strlcpy(worker->heard_address, entry->address,
+			  sizeof(worker->heard_address));
 	set_rack(worker);
 	if (is_new)
 		fleet_late_stop(fleet, handle, now);
@@ -271,10 +275,15 @@
 		 * far in the future of the new one's clock; it then counts as
 		 * the longest lease that the worker accepts.
 		 */
-		if (worker->latest_lease_end > now)
+		if (worker->latest_lease_end > now) {
 			worker->latest_lease_end =
 				MAX(worker->latest_lease_end,
 				    lease_end(now, fleet->setup.lease_max_ms));
+			fleet->grants_ahead_until =
+				MAX(fleet->grants_ahead_until,
+				    worker->latest_lease_end -
+					    fleet_lease_end(fleet, 0));
+		}
 		worker->has_reported = false;
 		worker->acked_end = 0;
 		worker->acked_end_sent = 0;
@@ -296,6 +305,11 @@
 		fleet_run_end(fleet, worker->first_run, GH_RUN_LOST, NULL, now);
 }
 
+bool fleet_worker_heard_at(const fleet_worker_t *worker, const char *address)
+{
+	return !strcmp(worker->heard_address, address);
+}
+
 void gh_fleet_queue_set(gh_fleet_t *fleet, const gh_queue_policy_t *policy)
 {
 	gh_queue_policy_t *copy = g_new(gh_queue_policy_t, 1);
@@ -423,6 +437,7 @@
 	fleet_job_t *parent = fleet_job(fleet, job);
 	fleet_task_t *t = &parent->tasks[task];
 	bool copy = t->runs[0] != GH_NONE;
+	bool foreign = state == RUN_ORPHAN || state == RUN_HELD;
 
 	*run = (fleet_run_t){
 		.state = state,
@@ -430,10 +445,10 @@
 		.task = task,
 		.worker = worker,
 		.run_number = number,
-		.planned_at = state == RUN_ORPHAN ? 0 : now,
+		.planned_at = foreign ? 0 : now,
 		.pace_percent = 100,
 		/* The pace that a previous owner ordered is not known. */
-		.pace_sent_percent = state == RUN_ORPHAN ? GH_NONE : 100,
+		.pace_sent_percent = foreign ? GH_NONE : 100,
 		.progress_at = now,
 	};
 	if (copy)
@@ -487,7 +502,8 @@
 		g_free(task->checkpoint);
 		task->checkpoint = g_strdup(checkpoint);
 	}
-	if (job->phase > GH_JOB_RUNNING) {
+	/* The record of a held job is not replaced. */
+	if (job->phase > GH_JOB_RUNNING || job->held) {
 		fleet_job_free_if_finished(fleet, run.job);
 		return;
 	}
@@ -499,7 +515,7 @@
 		if (job->phase > GH_JOB_RUNNING)
 			return;
 	} else if (outcome == GH_RUN_FAILED) {
-		task->start_crashes = 0;
+		task->start_crashes = task->lost_starts = 0;
 	}
 	if (outcome == GH_RUN_DONE && !step->long_running)
 		complete_task(fleet, run.job, run.task, now);
@@ -701,6 +717,8 @@
 		}
 		run->order_sent = true;
 		run->stop_in_flight |= queued.kind == GH_ORDER_STOP;
+		if (!fleet_worker_heard_at(worker, worker->entry.address))
+			run->sent_elsewhere = true;
 		order->pace_percent = run->pace_percent;
 		order->task = fleet_task_id(job, run->task);
 		order->run = run->run_number;
@@ -915,6 +933,15 @@
 	return latest_end - fleet_lease_end(fleet, 0);
 }
 
+gh_time_t gh_fleet_grant_ahead(const gh_fleet_t *fleet, gh_time_t from)
+{
+	gh_time_t grant = fleet->grants_ahead_until > from ?
+				  gh_fleet_last_grant(fleet) :
+				  0;
+
+	return grant > from ? grant : 0;
+}
+
 void gh_fleet_load(const gh_fleet_t *fleet, gh_shard_load_t *load,
 		   gh_time_t now)
 {
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -50,6 +50,8 @@
 			      const gh_worker_report_t *report);
 static void record_listed_run(gh_fleet_t *fleet, uint32_t handle,
 			      const gh_report_run_t *listed, gh_time_t now);
+static void record_held_run(gh_fleet_t *fleet, uint32_t handle,
+			    const gh_report_run_t *listed, gh_time_t now);
 static void note_execution(fleet_run_t *run);
 static void record_end(gh_fleet_t *fleet, uint32_t handle,
 		       const gh_report_end_t *end, gh_time_t now);
@@ -84,6 +86,9 @@
 	fleet_worker_set_incarnation(fleet, handle,
 				     report->incarnation_start_ms, now);
 	worker = fleet_worker(fleet, handle);
+	if (*worker->renewal_address)
+		g_strlcpy(worker->heard_address, worker->renewal_address,
+			  sizeof(worker->heard_address));
 	fleet_lease_bound(fleet, worker, now);
 	if (worker->unreachable_since || !worker->has_reported) {
 		fleet_emit_event(fleet, "worker_heard", NULL, 0, handle, NULL);
@@ -96,7 +101,7 @@
 	worker->unreachable_since = 0;
 	worker->last_report_at = now;
 	worker->last_requested_at = report->requested_at;
-	fleet_crash_take_back(fleet, handle);
+	fleet_crash_handle_report(fleet, handle, now);
 	fleet->report_number++;
 	worker->has_unknown_run = false;
 	worker->first_listed_end = report->n_ends ? report->ends[0].number : 0;
@@ -149,9 +154,13 @@
 	}
 	if (why == GH_ORDER_OTHER_INCARNATION) {
 		worker->renewal_not_before = now + RENEWAL_RETRY_RESTARTED_USEC;
-		fleet_crash_mark_runs(fleet, handle, false, now);
-		fleet_worker_end_runs(fleet, handle,
-				      "another incarnation replied", now);
+		if (fleet_worker_heard_at(worker, worker->renewal_address)) {
+			fleet_crash_mark_runs(fleet, handle, false, now);
+			fleet_crash_handle_restart(fleet, handle, now);
+			fleet_worker_end_runs(fleet, handle,
+					      "another incarnation replied",
+					      now);
+		}
 	}
 	fleet_worker_free_if_unused(fleet, handle);
 }
@@ -185,15 +194,22 @@
 		run->start_in_flight = false;
 	}
 	if (reply == GH_ORDER_OTHER_INCARNATION) {
+		/* A start that this answers at once was not executed. */
+		bool unexecuted =
+			run->state == RUN_STARTING && !run->start_unanswered;
+
 		/*
 		 * The order may have been sent before the worker restarted, so
-		 * the reply is evidence for this run only.  A start that it
-		 * answers at once was not executed.
+		 * the reply is evidence for this run only.
 		 */
-		if (run->state != RUN_STARTING || run->start_unanswered)
-			fleet_crash_mark_runs(fleet, worker, false, now);
-		fleet_run_end(fleet, ref, GH_RUN_LOST, NULL, now);
-		return;
+		if (unexecuted || !run->sent_elsewhere) {
+			if (!unexecuted)
+				fleet_crash_mark_runs(fleet, worker, false,
+						      now);
+			fleet_run_end(fleet, ref, GH_RUN_LOST, NULL, now);
+			return;
+		}
+		reply = GH_ORDER_OUTCOME_UNKNOWN;
 	}
 	if (kind == GH_ORDER_START && run->state == RUN_STARTING) {
 		handle_start_reply(fleet, ref, reply, now);
@@ -282,6 +298,8 @@
 		if (!renewal_is_due(fleet, handle, &wait_ms, now))
 			continue;
 		worker->renewal_pending = true;
+		g_strlcpy(worker->renewal_address, worker->entry.address,
+			  sizeof(worker->renewal_address));
 		*renewal = (gh_worker_renewal_t){
 			.worker = worker->entry.id,
 			.address = worker->entry.address,
@@ -320,6 +338,8 @@
 	 */
 	if (worker->last_listed_end > worker->acked_end)
 		return report_is_old;
+	if (fleet_crash_wants_report(worker, now))
+		return true;
 	/* A restart of a worker with late starts has to be heard of soon. */
 	if (!worker->n_runs && !worker->has_unknown_run &&
 	    !worker->n_late_starts)
@@ -401,8 +421,9 @@
 	fleet_run_t *run;
 	fleet_task_t *task;
 
-	if (ref == GH_NONE && job != GH_NONE && fleet_job(fleet, job)->held) {
-		fleet_worker(fleet, handle)->has_unknown_run = true;
+	if (job != GH_NONE && fleet_job(fleet, job)->held &&
+	    fleet_job(fleet, job)->phase <= GH_JOB_RUNNING) {
+		record_held_run(fleet, handle, listed, now);
 		return;
 	}
 	if (ref == GH_NONE) {
@@ -445,6 +466,26 @@
 	}
 }
 
+/* Takes note of a run of a held job, so that it takes up capacity. */
+static void record_held_run(gh_fleet_t *fleet, uint32_t handle,
+			    const gh_report_run_t *listed, gh_time_t now)
+{
+	uint32_t job;
+	uint32_t ref =
+		find_run(fleet, &listed->task, listed->run, handle, &job);
+	uint32_t task = fleet_task_find(fleet_job(fleet, job), &listed->task);
+
+	if (ref == GH_NONE && task != GH_NONE &&
+	    fleet_job(fleet, job)->tasks[task].runs[GH_TASK_RUNS_MAX - 1] ==
+		    GH_NONE)
+		ref = fleet_run_open(fleet, job, task, handle, listed->run,
+				     RUN_HELD, now);
+	if (ref != GH_NONE)
+		fleet_run(fleet, ref)->last_report = fleet->report_number;
+	else
+		fleet_worker(fleet, handle)->has_unknown_run = true;
+}
+
 /* Takes note that a report shows a start of the run to be executed. */
 static void note_execution(fleet_run_t *run)
 {
@@ -471,7 +512,8 @@
 		 */
 		bool is_lost =
 			run->last_report != fleet->report_number &&
-			((run->state == RUN_ORPHAN &&
+			(run->state == RUN_HELD ||
+			 (run->state == RUN_ORPHAN &&
 			  (replied_before || !run->replied_at)) ||
 			 (replied_before && (run->state == RUN_RUNNING ||
 					     run->state == RUN_STOPPING)));
--- a/regress/fleet_world.c
+++ b/regress/fleet_world.c
@@ -46,9 +46,11 @@
 
 void replace_owner(world_t *w)
 {
+	gh_time_t grant = gh_fleet_grant_ahead(w->fleet, w->now);
+
 	gh_fleet_free(w->fleet);
 	w->epoch++;
-	start_owner(w, w->now);
+	start_owner(w, MAX(grant, w->now));
 }
 
 void world_clear(world_t *w)
@@ -65,6 +67,8 @@
 
 	assert_true(w->n_workers <= WORKERS_MAX);
 	g_strlcpy(worker->id, id, sizeof(worker->id));
+	g_snprintf(worker->address, sizeof(worker->address), "127.0.0.1:%zu",
+		   w->n_workers);
 	worker->incarnation_start_ms = 1;
 	worker->size =
 		(gh_resources_t){ .cores_milli = cores, .memory_mb = 100000 };
@@ -76,7 +80,6 @@
 {
 	gh_worker_entry_t entry = {
 		.service = "svc",
-		.address = "127.0.0.1:1",
 		.n_labels = 2,
 		.labels = { "a", "r1" },
 		.size = worker->size,
@@ -85,6 +88,7 @@
 	};
 
 	g_strlcpy(entry.id, worker->id, sizeof(entry.id));
+	g_strlcpy(entry.address, worker->address, sizeof(entry.address));
 	gh_fleet_worker_set(w->fleet, &entry, w->now);
 }
 
@@ -314,16 +318,35 @@
 			end_run(&w->workers[i], 0, GH_RUN_LEASE_EXPIRED);
 }
 
-static gh_order_reply_t former_id_reply(const world_t *w)
+/*
+ * Worker that a call reaches by its address and id.  NULL: none; reply tells
+ * whether another answers there.
+ */
+static scripted_worker_t *find_addressee(world_t *w, const char *address,
+					 const char *id,
+					 gh_order_reply_t *reply)
 {
-	return w->former_ids_silent ? GH_ORDER_OUTCOME_UNKNOWN :
-				      GH_ORDER_OTHER_INCARNATION;
+	size_t i;
+
+	*reply = GH_ORDER_OUTCOME_UNKNOWN;
+	for (i = 0; i < w->n_workers; i++) {
+		scripted_worker_t *worker = &w->workers[i];
+
+		if (strcmp(worker->address, address) != 0)
+			continue;
+		if (!strcmp(worker->id, id))
+			return worker;
+		if (!worker->unreachable)
+			*reply = GH_ORDER_OTHER_INCARNATION;
+	}
+	return NULL;
 }
 
 static void execute_order(world_t *w, const gh_order_t *order)
 {
-	scripted_worker_t *worker = find_worker(w, order->worker);
-	gh_order_reply_t reply = GH_ORDER_OK;
+	gh_order_reply_t reply;
+	scripted_worker_t *worker =
+		find_addressee(w, order->address, order->worker, &reply);
 	char id[GH_WORKER_ID_MAX + 1];
 	size_t index;
 
@@ -331,12 +354,15 @@
 	g_strlcpy(id, order->worker, sizeof(id));
 	if (!worker) {
 		gh_fleet_handle_reply(w->fleet, order->kind, id, &order->task,
-				      order->run, former_id_reply(w), w->now);
+				      order->run, reply, w->now);
 		return;
 	}
+	reply = GH_ORDER_OK;
 	w->orders[w->n_orders++] = *order;
 	w->orders[w->n_orders - 1].worker = worker->id;
 	index = find_listed_run(worker, order);
+	if (w->before_order)
+		w->before_order(w, worker, order);
 	if (worker->unreachable || worker->loses_orders ||
 	    (worker->loses_stops && order->kind == GH_ORDER_STOP)) {
 		reply = GH_ORDER_OUTCOME_UNKNOWN;
@@ -364,7 +390,9 @@
 
 static void reply_to_renewal(world_t *w, const gh_worker_renewal_t *renewal)
 {
-	scripted_worker_t *worker = find_worker(w, renewal->worker);
+	gh_order_reply_t reply;
+	scripted_worker_t *worker =
+		find_addressee(w, renewal->address, renewal->worker, &reply);
 	gh_worker_report_t report = { .requested_at = w->now - 1,
 				      .complete = true };
 	char id[GH_WORKER_ID_MAX + 1];
@@ -372,8 +400,7 @@
 
 	g_strlcpy(id, renewal->worker, sizeof(id));
 	if (!worker) {
-		gh_fleet_handle_renewal_failure(w->fleet, id,
-						former_id_reply(w), w->now);
+		gh_fleet_handle_renewal_failure(w->fleet, id, reply, w->now);
 		return;
 	}
 	report.incarnation_start_ms = worker->incarnation_start_ms;
--- a/regress/fleet_world.h
+++ b/regress/fleet_world.h
@@ -27,6 +27,7 @@
 /* A simulated worker, controlled by the test. */
 typedef struct scripted_worker {
 	char id[GH_WORKER_ID_MAX + 1];
+	char address[GH_ADDRESS_MAX + 1];
 	bool unreachable;   /* replies to nothing and executes nothing */
 	bool stalled;	    /* runs on the worker make no progress */
 	bool drops_replies; /* executes orders but its replies are lost */
@@ -104,9 +105,9 @@
 	char *waiting; /* detail of the last task_waiting event, or NULL */
 	/* ids of the jobs that ended as failed, one after the other */
 	GString *failed;
-	/* Calls to an id that no worker has any more get no reply, instead of
-	 * one by another incarnation. */
-	bool former_ids_silent;
+	/* Called before a worker gets an order; may be NULL. */
+	void (*before_order)(world_t *w, scripted_worker_t *worker,
+			     const gh_order_t *order);
 	/* Called when a worker has executed a start order; may be NULL. */
 	void (*on_start)(world_t *w, scripted_worker_t *worker,
 			 const gh_order_t *order);
@@ -115,7 +116,7 @@
 void world_init(world_t *w);
 void world_clear(world_t *w);
 /* Replaces the fleet by that of the next owner, which knows nothing of before
- * but what the caller adds. */
+ * but the last grant of a lease and what the caller adds. */
 void replace_owner(world_t *w);
 scripted_worker_t *add_worker(world_t *w, const char *id, uint32_t cores_milli);
 /* Changes the capacity that the worker lists. */
