--- a/core_fleet_late.c
+++ b/core_fleet_late.c
@@ -200,10 +200,19 @@
 {
 	GArray *late_starts = g_hash_table_lookup(fleet->late_starts, id);
 	late_start_t *late = find_late(late_starts, task, run);
+	uint32_t handle = fleet_worker_find(fleet, id);
 
 	if (!late || !late->stop_in_flight)
 		return;
 	late->stop_in_flight = false;
+	if (reply == GH_ORDER_OTHER_INCARNATION) {
+		/* Nothing is stopped: the worker may still be heard again. */
+		late->incarnation_start_ms = 0;
+		if (handle != GH_NONE &&
+		    !fleet_worker_heard_at(fleet_worker(fleet, handle),
+					   late->address))
+			reply = GH_ORDER_OUTCOME_UNKNOWN;
+	}
 	if (late->stop_overtaken)
 		late->retry_at = now;
 	else if (reply == GH_ORDER_OUTCOME_UNKNOWN || reply == GH_ORDER_REFUSED)
--- a/regress/test_core_fleet_late.c
+++ b/regress/test_core_fleet_late.c
@@ -1069,6 +1069,66 @@
 	world_clear(&w);
 }
 
+/* Where the entry of a restarted worker says that it is, for a while. */
+typedef struct elsewhere_case {
+	const char *name;
+	const char *address;
+} elsewhere_case_t;
+
+static const elsewhere_case_t elsewheres[] = {
+	{ .name = "same address", .address = "127.0.0.1:1" },
+	{ .name = "another worker's address", .address = "127.0.0.1:2" },
+};
+
+/*
+ * Another worker at the address that an entry names for a while refuses the
+ * stop of a late start; the worker itself has not replied to it then.
+ */
+static void test_late_start_stopped_elsewhere(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(elsewheres); i++) {
+		const elsewhere_case_t *c = &elsewheres[i];
+		gh_worker_entry_t entry = {
+			.id = "w1",
+			.service = "svc",
+			.size = { .cores_milli = 4000, .memory_mb = 100000 },
+			.incarnation_start_ms = 2,
+		};
+		scripted_worker_t *worker;
+		gh_order_t order;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		g_strlcpy(entry.address, c->address, sizeof(entry.address));
+		world_init(&w);
+		w.leases_end = true;
+		worker = add_worker(&w, "w1", 4000);
+		advance_time(&w, 100);
+		begin_late_job(&w, &one_task, 8000);
+		settle(&w, worker);
+		gh_fleet_job_cancel(w.fleet, JOB, w.now);
+		worker->unreachable = true;
+		advance_time(&w, 5500);
+		restart_worker(worker);
+		gh_fleet_worker_set(w.fleet, &entry, w.now);
+		assert_true(gh_fleet_next_order(w.fleet, &order, w.now));
+		assert_int_equal(order.kind, GH_ORDER_STOP);
+		assert_string_equal(order.address, c->address);
+		gh_fleet_handle_reply(w.fleet, GH_ORDER_STOP, "w1", &order.task,
+				      order.run, GH_ORDER_OTHER_INCARNATION,
+				      w.now);
+		list_worker(&w, worker, false);
+		worker->unreachable = false;
+		advance_time(&w, 4000);
+		assert_int_equal(w.n_late_orders, 0);
+		assert_int_equal(w.n_late_starts, 0);
+		world_clear(&w);
+	}
+}
+
 /* The reply to a stop that was in flight as its worker restarted. */
 typedef struct former_reply_case {
 	const char *name;
@@ -1163,6 +1223,7 @@
 		cmocka_unit_test(test_restart_without_late_start),
 		cmocka_unit_test(test_full_by_late_start),
 		cmocka_unit_test(test_wait_for_report_after_stop),
+		cmocka_unit_test(test_late_start_stopped_elsewhere),
 		cmocka_unit_test(test_stop_reply_of_former_life),
 	};
 
