--- a/regress/test_platform_workers.c
+++ b/regress/test_platform_workers.c
@@ -267,11 +267,108 @@
 	assert_int_equal(play.wrong, 0);
 }
 
+/* Two starts, one after the other on one connection. */
+typedef struct resend {
+	loop_t *loop;
+	fleet_workers_t *workers;
+	char address[32];
+	gint requests; /* of the second start */
+	int listen_fd;
+	gh_order_reply_t results[2];
+	size_t n_results;
+} resend_t;
+
+static void send_start(resend_t *resend);
+
+static void on_start_reply(void *ctx, const gh_order_t *order,
+			   gh_order_reply_t reply)
+{
+	resend_t *resend = ctx;
+
+	(void)order;
+	resend->results[resend->n_results++] = reply;
+	if (resend->n_results < G_N_ELEMENTS(resend->results))
+		send_start(resend);
+	else
+		loop_stop(resend->loop);
+}
+
+static void send_start(resend_t *resend)
+{
+	resend->workers->ops->send_order(
+		resend->workers,
+		&(gh_order_t){ .kind = GH_ORDER_START,
+			       .worker = "w1",
+			       .address = resend->address,
+			       .task = { .job = "e000000000000000" },
+			       .run = (uint32_t)resend->n_results + 1,
+			       .payload = "payload" },
+		EPOCH, on_start_reply, resend);
+}
+
+static void respond(int fd)
+{
+	static const char text[] = "HTTP/1.1 200 x\r\nContent-Length: 14\r\n"
+				   "\r\n" CLOCK;
+
+	if (write(fd, text, strlen(text)) < 0)
+		print_message("write failed\n");
+}
+
+/* Reads the second start on the first connection and closes that. */
+static gpointer serve_broken(gpointer arg)
+{
+	resend_t *resend = arg;
+	int fd = accept(resend->listen_fd, NULL, NULL);
+
+	if (read_request(fd))
+		respond(fd);
+	if (read_request(fd))
+		g_atomic_int_inc(&resend->requests);
+	close(fd);
+	while ((fd = accept(resend->listen_fd, NULL, NULL)) >= 0) {
+		if (read_request(fd)) {
+			g_atomic_int_inc(&resend->requests);
+			respond(fd);
+		}
+		close(fd);
+	}
+	return NULL;
+}
+
+/* Of two copies of a start the first may be executed in a later life. */
+static void test_twice_by_start_sent_again_below(void **state)
+{
+	resend_t resend = { .loop = loop_new() };
+	play_t play = { 0 };
+	GThread *server;
+
+	(void)state;
+	listen_on_free_port(&play);
+	resend.listen_fd = play.listen_fd;
+	g_strlcpy(resend.address, play.address, sizeof(resend.address));
+	server = g_thread_new("worker", serve_broken, &resend);
+	resend.workers = platform_workers_new(resend.loop);
+	send_start(&resend);
+	loop_run(resend.loop);
+	platform_workers_close(resend.workers);
+	platform_workers_free(resend.workers);
+	shutdown(resend.listen_fd, SHUT_RDWR);
+	g_thread_join(server);
+	close(resend.listen_fd);
+	print_message("%d copies, result %d\n", resend.requests,
+		      (int)resend.results[1]);
+	assert_int_equal(resend.results[0], GH_ORDER_OK);
+	assert_int_equal(resend.results[1], GH_ORDER_OUTCOME_UNKNOWN);
+	assert_int_equal(resend.requests, 1);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			test_only_a_refusal_says_that_nothing_was_done),
+		cmocka_unit_test(test_twice_by_start_sent_again_below),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
