core_fleet: remember late grants of a worker that was unlisted

Evidence: "restart after the lease, unlisted before" of test_lease_of_new_life failed before,

[ ERROR ] --- 4640000 is not within the range 7140000-8110000

"the same life, unlisted before" and "restart long after the lease, unlisted before" show that nothing more is waited for there.

What the next entry has to know is kept by id until it is over. Keeping the worker's own entry instead was tried and failed test_crashes_without_deadly_task, "a third": the workers that are known count when many are lost together.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -37,6 +37,8 @@
 static bool run_fits(const gh_fleet_t *fleet, const fleet_run_t *run);
 static bool order_is_due(gh_order_kind_t kind, run_state_t state);
 static void free_worker(gh_fleet_t *fleet, uint32_t handle);
+static void keep_late_grant(gh_fleet_t *fleet, const fleet_worker_t *worker);
+static gboolean late_grant_is_over(gpointer id, gpointer late, gpointer fleet);
 
 static const char *const phase_names[GH_JOB_PHASES] = {
 	[GH_JOB_QUEUED] = "queued",	  [GH_JOB_RUNNING] = "running",
@@ -80,6 +82,8 @@
 	fleet->outages = g_array_new(FALSE, FALSE, sizeof(gh_time_t));
 	fleet->doubts = g_array_new(FALSE, FALSE, sizeof(fleet_doubt_t));
 	fleet->late_starts = fleet_late_new();
+	fleet->late_grants =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fleet->interference = gh_interference_new();
 	fleet->load_periods = gh_load_periods_new();
 	fleet->interference_decayed_at = now;
@@ -114,6 +118,7 @@
 	g_array_free(fleet->outages, TRUE);
 	g_array_free(fleet->doubts, TRUE);
 	g_hash_table_destroy(fleet->late_starts);
+	g_hash_table_destroy(fleet->late_grants);
 	gh_interference_free(fleet->interference);
 	gh_load_periods_free(fleet->load_periods);
 	g_free(fleet);
@@ -136,6 +141,8 @@
 {
 	uint32_t handle = alloc_entry(fleet->workers, fleet->free_workers);
 	fleet_worker_t *worker = fleet_worker(fleet, handle);
+	const fleet_late_grant_t *late =
+		g_hash_table_lookup(fleet->late_grants, entry->id);
 
 	*worker = (fleet_worker_t){
 		.entry = *entry,
@@ -145,6 +152,11 @@
 		.pending_acks = g_queue_new(),
 		.run_time_ratio = 1,
 	};
+	if (late) {
+		worker->late_grants_until = late->until;
+		worker->entry.incarnation_start_ms = late->incarnation_start_ms;
+		g_hash_table_remove(fleet->late_grants, entry->id);
+	}
 	set_rack(worker);
 	g_hash_table_insert(fleet->worker_by_id, g_strdup(entry->id),
 			    GUINT_TO_POINTER(handle + 1));
@@ -1095,8 +1107,31 @@
 {
 	fleet_worker_t *worker = fleet_worker(fleet, handle);
 
+	if (fleet->ticked_at < worker->late_grants_until)
+		keep_late_grant(fleet, worker);
 	g_hash_table_remove(fleet->worker_by_id, worker->entry.id);
 	g_queue_free_full(worker->pending_acks, g_free);
 	memset(worker, 0, sizeof(*worker));
 	g_array_append_val(fleet->free_workers, handle);
 }
+
+/* Keeps what the worker's next entry has to know, and forgets what is over. */
+static void keep_late_grant(gh_fleet_t *fleet, const fleet_worker_t *worker)
+{
+	fleet_late_grant_t late = {
+		.until = worker->late_grants_until,
+		.incarnation_start_ms = worker->entry.incarnation_start_ms,
+	};
+
+	g_hash_table_foreach_remove(fleet->late_grants, late_grant_is_over,
+				    fleet);
+	g_hash_table_replace(fleet->late_grants, g_strdup(worker->entry.id),
+			     g_memdup2(&late, sizeof(late)));
+}
+
+static gboolean late_grant_is_over(gpointer id, gpointer late, gpointer fleet)
+{
+	(void)id;
+	return ((const gh_fleet_t *)fleet)->ticked_at >=
+	       ((const fleet_late_grant_t *)late)->until;
+}
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -399,6 +399,12 @@
 	bool counted; /* as a crash; else as a lost start */
 } fleet_doubt_t;
 
+/* A worker that was freed while a call could still grant it a lease. */
+typedef struct fleet_late_grant {
+	gh_time_t until;
+	int64_t incarnation_start_ms;
+} fleet_late_grant_t;
+
 struct gh_fleet {
 	gh_fleet_setup_t setup;
 	gh_fleet_sink_t sink;
@@ -426,6 +432,7 @@
 	GHashTable *late_starts;
 	uint32_t n_late_starts, n_late_stops;
 	gh_time_t late_checked_at;
+	GHashTable *late_grants; /* fleet_late_grant_t by worker id */
 	gh_interference_t *interference;
 	gh_load_periods_t *load_periods; /* shared by all load forecasts */
 	gh_time_t created_at;
--- a/regress/test_core_fleet_late.c
+++ b/regress/test_core_fleet_late.c
@@ -201,6 +201,7 @@
 	bool restarts;
 	bool from_discovery;
 	int64_t silent_ms; /* for this long before the restart */
+	bool unlisted;	   /* meanwhile */
 	int64_t lease_ms;  /* longest lease that the worker can hold */
 } lease_case_t;
 
@@ -217,10 +218,24 @@
 	  .restarts = true,
 	  .silent_ms = 5500,
 	  .lease_ms = LEASE_MAX_MS },
+	{ .name = "restart after the lease, unlisted before",
+	  .restarts = true,
+	  .silent_ms = 5500,
+	  .unlisted = true,
+	  .lease_ms = LEASE_MAX_MS },
+	{ .name = "the same life, unlisted before",
+	  .silent_ms = 5500,
+	  .unlisted = true,
+	  .lease_ms = LEASE_MS },
 	{ .name = "restart long after the lease",
 	  .restarts = true,
 	  .silent_ms = 30000,
 	  .lease_ms = LEASE_MS },
+	{ .name = "restart long after the lease, unlisted before",
+	  .restarts = true,
+	  .silent_ms = 30000,
+	  .unlisted = true,
+	  .lease_ms = LEASE_MS },
 };
 
 /*
@@ -242,7 +257,7 @@
 			.size = { .cores_milli = 1000, .memory_mb = 100000 },
 			.incarnation_start_ms = 2,
 		};
-		size_t n_starts = c->restarts ? 2 : 1;
+		size_t n_starts = c->restarts || c->silent_ms ? 2 : 1;
 		scripted_worker_t *worker;
 		gh_time_t restarted_at;
 		world_t w;
@@ -253,11 +268,17 @@
 		add_job(&w, JOB, 1, &long_running_step, NULL);
 		advance_time(&w, 1000);
 		worker->unreachable = c->silent_ms;
+		if (c->unlisted)
+			gh_fleet_worker_unlist(w.fleet, "w1");
 		advance_time(&w, c->silent_ms);
 		worker->unreachable = false;
 		restarted_at = w.now;
 		if (c->restarts)
 			restart_worker(worker);
+		else if (c->silent_ms)
+			worker->n_runs = 0;
+		if (c->unlisted)
+			list_worker(&w, worker, false);
 		if (c->from_discovery)
 			gh_fleet_worker_set(w.fleet, &entry, w.now);
 		advance_time(&w, 300);
