core_fleet_crash: a held run is no unsettled start

What callers could see: a task that has crashed workers before starts up to 2 s late, where each worker runs something of a held job.

Cause: such a task waits for a worker without a run that reports have not shown alive for a while yet. Nothing is noted of held runs, so they never settled; since they have entries they made the task wait for its limit, and no crash beside one counted as alone.

Evidence: test_wait_for_held_run failed before, "2020000 is not within the range 0-500000", and passes.

--- a/core_fleet_crash.c
+++ b/core_fleet_crash.c
@@ -397,7 +397,8 @@
 
 	for (ref = worker->first_run; ref != GH_NONE;
 	     ref = fleet_run(fleet, ref)->next)
-		n += !has_settled(fleet_run(fleet, ref));
+		n += fleet_run(fleet, ref)->state != RUN_HELD &&
+		     !has_settled(fleet_run(fleet, ref));
 	return n;
 }
 
--- a/regress/test_core_fleet_record.c
+++ b/regress/test_core_fleet_record.c
@@ -255,6 +255,32 @@
 	}
 }
 
+/*
+ * A task that may have crashed its workers waits for one without new runs; the
+ * runs of a held job, of which no more is known, must not make it wait.
+ */
+static void test_wait_for_held_run(void **state)
+{
+	gh_report_run_t run = { .task = { .job = JOB }, .run = 1 };
+	scripted_worker_t *worker;
+	gh_time_t added_at;
+	world_t w;
+
+	(void)state;
+	world_init(&w);
+	assert_false(load_job(&w, "unreadable"));
+	worker = add_worker(&w, "w1", 8000);
+	worker->runs[worker->n_runs++] = run;
+	advance_time(&w, 5000);
+	added_at = w.now;
+	add_job(&w, "0000000000000002", 1, &one_task,
+		"progress1\n0 open 0 2 - crashes:2:2\n");
+	while (!w.n_orders && w.now - added_at < 10000 * MS)
+		advance_time(&w, 10);
+	assert_in_range(w.now - added_at, 0, 500 * MS);
+	world_clear(&w);
+}
+
 /*
  * A worker lists its first ends only: those of a held job must not keep the
  * others from being acknowledged.
@@ -295,6 +321,7 @@
 		cmocka_unit_test(test_cancel_held),
 		cmocka_unit_test(test_capacity_of_held),
 		cmocka_unit_test(test_held_runs_are_left_alone),
+		cmocka_unit_test(test_wait_for_held_run),
 		cmocka_unit_test(test_acks_beside_held),
 	};
 
