--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -26,6 +26,8 @@
 #define BEST_EFFORT_SHARE_MAX 1.0
 /* Wait before an order without a reply from the worker is resent. */
 #define ORDER_RETRY_USEC (100 * GH_USEC_PER_MSEC)
+/* A call without a reply is not executed later than this after it was sent. */
+#define CALL_DELAY_MAX_USEC (15 * GH_USEC_PER_SEC)
 /* Max open runs of one task: the first and one speculative copy. */
 #define GH_TASK_RUNS_MAX 2
 
@@ -75,15 +77,16 @@
 	bool order_sent; /* an order for this run was sent */
 	/* One was sent elsewhere than to the worker's heard_address. */
 	bool sent_elsewhere;
-	bool stop_in_flight; /* the last stop order awaits its reply */
-	/* The worker has restarted since the stop in flight was sent. */
-	bool stop_overtaken;
 	gh_time_t start_sent_at; /* when the last start order was sent */
-	/* The last start order awaits its reply, and may not be executed yet.
+	/*
+	 * The last start order awaits its reply, and may not be executed yet.
 	 */
 	bool start_in_flight;
 	/* A start order got no reply and may be executed even later. */
 	bool start_unanswered;
+	uint32_t stops_in_flight; /* stop orders that await their replies */
+	/* The worker has restarted since those in flight were sent. */
+	bool stops_overtaken;
 	/* progress of the run in the worker's last report */
 	uint32_t progress_percent;
 	gh_time_t progress_at; /* time of the last change of progress_percent */
@@ -280,7 +283,14 @@
 	gh_time_t lease_until;
 	/* No run on the worker is alive after this time. */
 	gh_time_t latest_lease_end;
-	uint64_t acked_end; /* ends of runs up to this number are committed */
+	/*
+	 * Until then a call without a reply may be executed that grants a
+	 * lease; 0: none.
+	 */
+	gh_time_t late_grants_until;
+	gh_time_t renewal_sent_at;
+	bool renewal_grants; /* the last renewal that was sent grants a lease */
+	uint64_t acked_end;  /* ends of runs up to this number are committed */
 	/* Highest number of an end of a run that the worker has reported. */
 	uint64_t last_listed_end;
 	/* Lowest number of an end in the worker's last report; 0: none. */
@@ -390,6 +400,12 @@
 	bool counted; /* as a crash; else as a lost start or not at all */
 } fleet_doubt_t;
 
+/* A worker that was freed while a call could still grant it a lease. */
+typedef struct fleet_late_grant {
+	gh_time_t until;
+	int64_t incarnation_start_ms;
+} fleet_late_grant_t;
+
 struct gh_fleet {
 	gh_fleet_setup_t setup;
 	gh_fleet_sink_t sink;
@@ -417,6 +433,7 @@
 	GHashTable *late_starts;
 	uint32_t n_late_starts, n_late_stops;
 	gh_time_t late_checked_at;
+	GHashTable *late_grants; /* fleet_late_grant_t by worker id */
 	gh_interference_t *interference;
 	gh_load_periods_t *load_periods; /* shared by all load forecasts */
 	gh_time_t created_at;
@@ -474,6 +491,8 @@
  */
 gh_time_t fleet_lease_extend(gh_fleet_t *fleet, fleet_worker_t *worker,
 			     gh_time_t now);
+/* Notes that a call of a time that grants a lease got no reply. */
+void fleet_lease_note_unanswered(fleet_worker_t *worker, gh_time_t sent_at);
 /*
  * Notes that the worker has replied to a renewal of this owner: the worker
  * takes no order of a previous owner any more, so that its lease ends no later
--- a/regress/test_core_fleet_late.c
+++ b/regress/test_core_fleet_late.c
@@ -200,7 +200,9 @@
 	const char *name;
 	bool restarts;
 	bool from_discovery;
-	int64_t lease_ms; /* longest lease that the worker can hold */
+	int64_t silent_ms; /* for this long before the restart */
+	bool unlisted;	   /* meanwhile */
+	int64_t lease_ms;  /* longest lease that the worker can hold */
 } lease_case_t;
 
 static const lease_case_t leases[] = {
@@ -212,6 +214,28 @@
 	  .restarts = true,
 	  .from_discovery = true,
 	  .lease_ms = LEASE_MAX_MS },
+	{ .name = "restart after the lease",
+	  .restarts = true,
+	  .silent_ms = 5500,
+	  .lease_ms = LEASE_MAX_MS },
+	{ .name = "restart after the lease, unlisted before",
+	  .restarts = true,
+	  .silent_ms = 5500,
+	  .unlisted = true,
+	  .lease_ms = LEASE_MAX_MS },
+	{ .name = "the same life, unlisted before",
+	  .silent_ms = 5500,
+	  .unlisted = true,
+	  .lease_ms = LEASE_MS },
+	{ .name = "restart long after the lease",
+	  .restarts = true,
+	  .silent_ms = 30000,
+	  .lease_ms = LEASE_MS },
+	{ .name = "restart long after the lease, unlisted before",
+	  .restarts = true,
+	  .silent_ms = 30000,
+	  .unlisted = true,
+	  .lease_ms = LEASE_MS },
 };
 
 /*
@@ -233,7 +257,7 @@
 			.size = { .cores_milli = 1000, .memory_mb = 100000 },
 			.incarnation_start_ms = 2,
 		};
-		size_t n_starts = c->restarts ? 2 : 1;
+		size_t n_starts = c->restarts || c->silent_ms ? 2 : 1;
 		scripted_worker_t *worker;
 		gh_time_t restarted_at;
 		world_t w;
@@ -243,9 +267,18 @@
 		worker = add_worker(&w, "w1", 1000);
 		add_job(&w, JOB, 1, &long_running_step, NULL);
 		advance_time(&w, 1000);
+		worker->unreachable = c->silent_ms;
+		if (c->unlisted)
+			gh_fleet_worker_unlist(w.fleet, "w1");
+		advance_time(&w, c->silent_ms);
+		worker->unreachable = false;
 		restarted_at = w.now;
 		if (c->restarts)
 			restart_worker(worker);
+		else if (c->silent_ms)
+			worker->n_runs = 0;
+		if (c->unlisted)
+			list_worker(&w, worker, false);
 		if (c->from_discovery)
 			gh_fleet_worker_set(w.fleet, &entry, w.now);
 		advance_time(&w, 300);
@@ -1036,6 +1069,150 @@
 	world_clear(&w);
 }
 
+/* What is known of a run when the reply to its stop arrives late. */
+typedef struct former_stop_case {
+	const char *name;
+	bool ended; /* a report has told of its end */
+} former_stop_case_t;
+
+static const former_stop_case_t former_stops[] = {
+	{ .name = "open run" },
+	{ .name = "run that has ended", .ended = true },
+};
+
+/*
+ * The reply to a stop that a former life of the worker executed proves nothing
+ * of the new one, which a late order may still reach.
+ */
+static void test_twice_by_stop_of_former_life(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(former_stops); i++) {
+		const former_stop_case_t *c = &former_stops[i];
+		scripted_worker_t *worker;
+		gh_order_t order;
+		gh_task_id_t task;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		world_init(&w);
+		worker = add_worker(&w, "w1", 4000);
+		advance_time(&w, 100);
+		begin_late_job(&w, &one_task, 3000);
+		settle(&w, worker);
+		gh_fleet_job_cancel(w.fleet, JOB, w.now);
+		assert_true(gh_fleet_next_order(w.fleet, &order, w.now));
+		assert_int_equal(order.kind, GH_ORDER_STOP);
+		task = order.task;
+		if (c->ended) {
+			end_run(worker, 0, GH_RUN_STOPPED);
+			advance_time(&w, 100);
+		}
+		restart_worker(worker);
+		worker->loses_stops = true;
+		list_worker(&w, worker, false);
+		gh_fleet_handle_reply(w.fleet, GH_ORDER_STOP, "w1", &task, 1,
+				      GH_ORDER_OK, w.now);
+		advance_time(&w, 1000);
+		worker->loses_stops = false;
+		advance_time(&w, 3000);
+		print_message("  %zu late starts\n", w.n_late_starts);
+		assert_int_equal(w.n_late_orders, 0);
+		assert_int_equal(w.n_late_starts, 0);
+		world_clear(&w);
+	}
+}
+
+/* What the entry of a restarted worker says at first. */
+typedef struct stop_address_case {
+	const char *name;
+	bool unlisted; /* the entry was gone before, and the worker forgotten */
+	bool gone;     /* the worker is gone, and another at its address */
+	int64_t min_ms, max_ms; /* start elsewhere, after the entry changes */
+} stop_address_case_t;
+
+/* For this long the entry names the address of another worker. */
+#define ELSEWHERE_MS 1000
+
+static const stop_address_case_t stop_addresses[] = {
+	{ .name = "address of another worker",
+	  .min_ms = ELSEWHERE_MS,
+	  .max_ms = ELSEWHERE_MS + 500 },
+	{ .name = "address of another worker, unlisted before",
+	  .unlisted = true,
+	  .min_ms = ELSEWHERE_MS,
+	  .max_ms = ELSEWHERE_MS + 500 },
+	{ .name = "another worker at its address",
+	  .gone = true,
+	  .max_ms = 300 },
+};
+
+/*
+ * Another worker's refusal of a stop proves only of the address where the late
+ * start was sent that no life there can execute it.
+ */
+static void test_twice_by_late_stop_elsewhere(void **state)
+{
+	size_t n_wrong = 0;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(stop_addresses); i++) {
+		const stop_address_case_t *c = &stop_addresses[i];
+		scripted_worker_t *worker, entry;
+		gh_time_t changed_at, started_at;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		world_init(&w);
+		w.leases_end = true;
+		worker = add_worker(&w, "w1", 4000);
+		advance_time(&w, 100);
+		begin_late_job(&w, &one_task, 9000);
+		settle(&w, worker);
+		worker->unreachable = true;
+		advance_time(&w, 5500);
+		if (c->unlisted) {
+			gh_fleet_worker_unlist(w.fleet, "w1");
+			advance_time(&w, 100);
+		}
+		worker->unreachable = false;
+		restart_worker(worker);
+		entry = *worker;
+		add_worker(&w, "w2", 4000);
+		if (c->gone) {
+			g_strlcpy(worker->id, "w9", sizeof(worker->id));
+			/* It refuses an order for another id. */
+			w.n_late_orders = 0;
+		} else {
+			g_strlcpy(entry.address, w.workers[1].address,
+				  sizeof(entry.address));
+		}
+		w.n_orders = 0;
+		changed_at = w.now;
+		list_worker(&w, &entry, false);
+		for (started_at = 0; w.now - changed_at < 8000 * MS;) {
+			advance_time(&w, 10);
+			if (!started_at && count_orders(&w, GH_ORDER_START, 0))
+				started_at = w.now;
+			if (!c->gone && w.now - changed_at == ELSEWHERE_MS * MS)
+				list_worker(&w, worker, false);
+		}
+		print_message("  started after %d ms, %zu late starts\n",
+			      (int)((started_at - changed_at) / MS),
+			      w.n_late_starts);
+		assert_int_equal(w.n_late_orders, 0);
+		n_wrong += !started_at ||
+			   started_at - changed_at < c->min_ms * MS ||
+			   started_at - changed_at > c->max_ms * MS ||
+			   w.n_late_starts || w.n_twice;
+		world_clear(&w);
+	}
+	assert_int_equal(n_wrong, 0);
+}
+
 /*
  * A report that is asked for with a wait tells a second late that a stopped run
  * is gone, so the task starts again late.
@@ -1222,6 +1399,8 @@
 		cmocka_unit_test(test_wait_for_late_start_ends),
 		cmocka_unit_test(test_restart_without_late_start),
 		cmocka_unit_test(test_full_by_late_start),
+		cmocka_unit_test(test_twice_by_stop_of_former_life),
+		cmocka_unit_test(test_twice_by_late_stop_elsewhere),
 		cmocka_unit_test(test_wait_for_report_after_stop),
 		cmocka_unit_test(test_late_start_stopped_elsewhere),
 		cmocka_unit_test(test_stop_reply_of_former_life),
