--- a/regress/fleet_model.h
+++ b/regress/fleet_model.h
@@ -31,14 +31,15 @@
 	DISRUPT_STORE_LATE,
 	DISRUPT_STORE_CUT, /* between one host and the store */
 	DISRUPT_STORE_DOWN,
-	DISRUPT_RECORD, /* the owner record is deleted */
 	DISRUPT_FREEZE,
 	DISRUPT_KILL,
 	DISRUPT_RELEASE,
 	/*
-	 * Off by default: an entry names another worker's address or another
+	 * Off by default: the owner record is deleted while its lease is alive;
+	 * an entry names another worker's address or another
 	 * start for a while; a call reaches the next life under the same id.
 	 */
+	DISRUPT_RECORD,
 	DISRUPT_WRONG_ADDRESS,
 	DISRUPT_WRONG_START,
 	DISRUPT_LATE_NEXT_LIFE,
--- a/regress/fleet_model_private.h
+++ b/regress/fleet_model_private.h
@@ -51,8 +51,10 @@
 	uint32_t slot;
 	life_t *sent_to; /* the life at the address as the call was sent */
 	gh_time_t sent_at;
+	gh_time_t times_out_at;
 	bool loses_reply;
 	bool late;
+	bool sent_again;
 	bool finished; /* replied to, or out of time */
 	uint64_t epoch;
 	int64_t deadline_ms; /* on the worker's clock; 0: none */
@@ -175,6 +177,7 @@
 	uint32_t boot;
 	uint64_t generation;
 	gh_time_t sent_at;
+	gh_time_t times_out_at;
 	bool loses_reply;
 	bool finished;
 	uint64_t lease; /* to renew or to bind the record to; granted one */
@@ -226,7 +229,9 @@
 	bool up;
 	uint32_t boot;
 	gh_time_t frozen_until;
+	bool advance_posted;
 	gh_time_t store_cut_until;
+	bool store_refuses; /* instead of giving no reply */
 	host_phase_t phase;
 	bool draining;
 	bool record_absent;
--- a/regress/fleet_model_worker.c
+++ b/regress/fleet_model_worker.c
@@ -13,6 +13,7 @@
 /* Share of calls that a disruption of replies or lateness hits. */
 #define HIT_PERCENT 50
 #define FAIL_PERCENT 8
+#define RESEND_PERCENT 30
 #define CLOCK_SLOW_RATE 0.98
 
 /* An event of a run; ignored if the run is over by then. */
@@ -187,8 +188,9 @@
 		call->late = call->loses_reply = true;
 		delay = model_random_ms(m, 300, 12000);
 	}
+	call->times_out_at = m->now + gh_time_from_ms(timeout_ms);
 	model_post(m, m->now + delay, on_arrival, call);
-	model_post(m, m->now + gh_time_from_ms(timeout_ms), on_timeout, call);
+	model_post(m, call->times_out_at, on_timeout, call);
 }
 
 static void on_timeout(model_t *m, void *data)
@@ -226,6 +228,16 @@
 	}
 	if (life != call->sent_to && !m->weights[DISRUPT_LATE_NEXT_LIFE])
 		return;
+	/* A client sends a call again whose connection broke. */
+	if (!call->sent_again && call->loses_reply &&
+	    model_chance(m, RESEND_PERCENT)) {
+		worker_call_t *copy = model_alloc(m, sizeof(*copy));
+
+		*copy = *call;
+		copy->sent_again = true;
+		model_post(m, m->now + model_random_ms(m, 1, 100), on_arrival,
+			   copy);
+	}
 	execute(m, life, call);
 }
 
@@ -277,6 +289,9 @@
 	    m->now < m->links[call->slot].reply_cut_until[call->host->index] ||
 	    !host_is_ready(m, call->host, call->boot, on_reply, call))
 		return;
+	/* After a freeze, the time limit can come first. */
+	if (m->now > call->times_out_at && model_chance(m, 50))
+		return;
 	call->finished = true;
 	host_on_worker_reply(call->host, call);
 }
