core_fleet: no start beside a run that no job knows

LIMIT, found by the soak of the core: just after a take-over a start brought a worker over its capacity. The previous owner had committed the end of a job and was still stopping its runs; the next owner lists them as unknown, stops them and counted nothing for them, as their sizes went with the job.

Now nothing is placed on a worker while its last report lists an unknown run, and a start that was planned before is not sent.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -703,8 +703,9 @@
 		if (queued.kind == GH_ORDER_START) {
 			bool fits = run_fits(fleet, run);
 
-			if (!run->order_sent && (worker->entry.draining ||
-						 !worker->listed || !fits)) {
+			if (!run->order_sent &&
+			    (worker->entry.draining || !worker->listed ||
+			     worker->has_unknown_run || !fits)) {
 				fleet_run_end(fleet, queued.run,
 					      GH_RUN_NOT_STARTED, NULL, now);
 				continue;
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -89,6 +89,7 @@
 	OBSTACLE_DRAINING,
 	OBSTACLE_UNREACHABLE, /* or without a report to this owner yet */
 	OBSTACLE_LATE_START,  /* stops of late starts are awaited */
+	OBSTACLE_UNKNOWN_RUN, /* which takes up capacity until it has ended */
 	OBSTACLE_NO_CAPACITY,
 	OBSTACLE_REFUSED_START, /* lately, for lack of capacity */
 	OBSTACLE_QUARANTINE,
@@ -104,6 +105,7 @@
 	[OBSTACLE_DRAINING] = "draining",
 	[OBSTACLE_UNREACHABLE] = "unheard",
 	[OBSTACLE_LATE_START] = "late_start",
+	[OBSTACLE_UNKNOWN_RUN] = "unknown_run",
 	[OBSTACLE_NO_CAPACITY] = "full",
 	[OBSTACLE_REFUSED_START] = "refused",
 	[OBSTACLE_QUARANTINE] = "quarantined",
@@ -742,6 +744,8 @@
 		return OBSTACLE_UNREACHABLE;
 	if (now < worker->late_until)
 		return OBSTACLE_LATE_START;
+	if (worker->has_unknown_run)
+		return OBSTACLE_UNKNOWN_RUN;
 	if (now < worker->full_until)
 		return OBSTACLE_REFUSED_START;
 	if (!step_fits(worker, step))
