--- a/regress/fleet_model.h
+++ b/regress/fleet_model.h
@@ -36,8 +36,8 @@
 	DISRUPT_RELEASE,
 	/*
 	 * Off by default: the owner record is deleted while its lease is alive;
-	 * an entry names another worker's address or another
-	 * start for a while; a call reaches the next life under the same id.
+	 * an entry names another worker's address or another start for a while;
+	 * a call reaches the next life under the same id.
 	 */
 	DISRUPT_RECORD,
 	DISRUPT_WRONG_ADDRESS,
