--- a/regress/test_core_fleet_late.c
+++ b/regress/test_core_fleet_late.c
@@ -200,8 +200,8 @@
 	const char *name;
 	bool restarts;
 	bool from_discovery;
+	bool unlisted;	   /* during the silence */
 	int64_t silent_ms; /* for this long before the restart */
-	bool unlisted;	   /* meanwhile */
 	int64_t lease_ms;  /* longest lease that the worker can hold */
 } lease_case_t;
 
