--- a/core_fleet.c
+++ b/core_fleet.c
@@ -34,6 +34,8 @@
 static void stop_task_runs(gh_fleet_t *fleet, uint32_t handle, uint32_t from,
 			   uint32_t n, const char *why, gh_time_t now);
 static void free_job(gh_fleet_t *fleet, uint32_t handle);
+static bool prepare_start(gh_fleet_t *fleet, uint32_t handle, gh_order_t *order,
+			  gh_time_t now);
 static bool run_fits(const gh_fleet_t *fleet, const fleet_run_t *run);
 static bool order_is_due(gh_order_kind_t kind, run_state_t state);
 static void free_worker(gh_fleet_t *fleet, uint32_t handle);
@@ -679,8 +681,7 @@
 	while ((next = g_queue_pop_head(fleet->orders))) {
 		queued_order_t queued = *next;
 		fleet_run_t *run;
-		fleet_job_t *job;
-		fleet_worker_t *worker;
+		const fleet_worker_t *worker;
 
 		g_free(next);
 		*order = (gh_order_t){ .kind = queued.kind };
@@ -698,44 +699,17 @@
 			continue;
 		if (!order_is_due(queued.kind, run->state))
 			continue;
-		job = fleet_job(fleet, run->job);
 		worker = fleet_worker(fleet, run->worker);
-		if (queued.kind == GH_ORDER_START) {
-			bool fits = run_fits(fleet, run);
-
-			if (!run->order_sent &&
-			    (worker->entry.draining || !worker->listed ||
-			     worker->has_unknown_run || !fits)) {
-				fleet_run_end(fleet, queued.run,
-					      GH_RUN_NOT_STARTED, NULL, now);
-				continue;
-			}
-			/* An order without a reply may have started the run. */
-			if (!fits) {
-				fleet_run_stop(fleet, queued.run,
-					       "its worker's capacity shrank",
-					       now);
-				continue;
-			}
-			/*
-			 * The lease of an unreachable worker is not extended,
-			 * so that it can expire.
-			 */
-			order->lease_until =
-				worker->unreachable_since ?
-					worker->lease_until :
-					fleet_lease_extend(fleet, worker, now);
-			run->start_sent_at = now;
-			run->start_in_flight = true;
-			order->payload = job->spec->payload;
-			order->checkpoint = job->tasks[run->task].checkpoint;
-		}
+		if (queued.kind == GH_ORDER_START &&
+		    !prepare_start(fleet, queued.run, order, now))
+			continue;
 		run->stops_in_flight += queued.kind == GH_ORDER_STOP;
 		run->order_sent = true;
 		if (!fleet_worker_heard_at(worker, worker->entry.address))
 			run->sent_elsewhere = true;
 		order->pace_percent = run->pace_percent;
-		order->task = fleet_task_id(job, run->task);
+		order->task =
+			fleet_task_id(fleet_job(fleet, run->job), run->task);
 		order->run = run->run_number;
 		order->worker = worker->entry.id;
 		order->address = worker->entry.address;
@@ -746,6 +720,40 @@
 	return false;
 }
 
+/*
+ * Fills in what only a start order has.  Returns false if the run is ended or
+ * stopped instead, as its worker can't take it any more.
+ */
+static bool prepare_start(gh_fleet_t *fleet, uint32_t handle, gh_order_t *order,
+			  gh_time_t now)
+{
+	fleet_run_t *run = fleet_run(fleet, handle);
+	const fleet_job_t *job = fleet_job(fleet, run->job);
+	fleet_worker_t *worker = fleet_worker(fleet, run->worker);
+	bool fits = run_fits(fleet, run);
+
+	if (!run->order_sent && (worker->entry.draining || !worker->listed ||
+				 worker->has_unknown_run || !fits)) {
+		fleet_run_end(fleet, handle, GH_RUN_NOT_STARTED, NULL, now);
+		return false;
+	}
+	/* An order without a reply may have started the run. */
+	if (!fits) {
+		fleet_run_stop(fleet, handle, "its worker's capacity shrank",
+			       now);
+		return false;
+	}
+	/* The lease of an unreachable worker is not extended, so it expires. */
+	order->lease_until = worker->unreachable_since ?
+				     worker->lease_until :
+				     fleet_lease_extend(fleet, worker, now);
+	run->start_sent_at = now;
+	run->start_in_flight = true;
+	order->payload = job->spec->payload;
+	order->checkpoint = job->tasks[run->task].checkpoint;
+	return true;
+}
+
 /*
  * Whether the worker's capacity, which can have shrunk since the run was
  * planned, still holds all its runs.
--- a/regress/fleet_model.c
+++ b/regress/fleet_model.c
@@ -189,6 +189,7 @@
 static void post_boot(model_t *m, const char *id, uint32_t slot, gh_time_t at);
 static char *format_log(const model_t *m, const gh_task_id_t *task,
 			const char *what);
+static void start_workers_and_hosts(model_t *m);
 static void clear_model(model_t *m);
 
 const char *model_disruption_name(model_disruption_t disruption)
@@ -232,6 +233,17 @@
 	for (i = 0; i < DISRUPTIONS; i++)
 		if (model_chance(m, USED_PERCENT))
 			m->weights[i] = options->weights[i];
+	start_workers_and_hosts(m);
+	model_post(m, m->now, submit_job, NULL);
+	model_post(m, m->now + model_random_ms(m, 1000, 2000), disrupt, NULL);
+	run_events(m);
+	clear_model(m);
+}
+
+static void start_workers_and_hosts(model_t *m)
+{
+	uint32_t i;
+
 	for (i = 0; i < FIRST_WORKERS; i++) {
 		char id[GH_WORKER_ID_MAX + 1];
 
@@ -243,10 +255,6 @@
 		m->hosts[i].index = i;
 		host_boot(&m->hosts[i]);
 	}
-	model_post(m, m->now, submit_job, NULL);
-	model_post(m, m->now + model_random_ms(m, 1000, 2000), disrupt, NULL);
-	run_events(m);
-	clear_model(m);
 }
 
 static void clear_model(model_t *m)
