test_platform_reads: the lapse waits for the first claim of both hosts

The host that did not own the shard had found it without an owner as it started, and its claim, delayed by up to 100 ms, was still due: it came 16 ms after the test had deleted the record and was right (shard_owned on h1 at 21.637 s, the deletion at 21.621, the owner's own restore at 21.698). The test means the claim that a late read of the directory causes.

The test lets the first claims pass before it deletes the record; its checks are as they were.

--- a/regress/test_platform_reads.c
+++ b/regress/test_platform_reads.c
@@ -25,6 +25,8 @@
 #define REPLY_USEC (50 * 1000) /* replies on their way arrive within this */
 #define SETTLE_USEC (3 * 1000 * 1000)
 #define POLL_USEC (10 * 1000)
+/* A host that has found no owner of a shard claims it within this time. */
+#define FIRST_CLAIM_USEC (500 * 1000)
 
 static bool four_running(void *arg)
 {
@@ -372,6 +374,8 @@
 
 	(void)state;
 	fleet_system_start(&sys, "platform-record", 2, 3, 1);
+	/* The other host may have found no owner yet. */
+	g_usleep(FIRST_CLAIM_USEC);
 	owner = fleet_shard_owner(&sys, 0);
 	claims = count_claims(&sys);
 	json_decref(proc_control(sys.platform_address,
