core_fleet_crash: the next owner goes on from the same evidence

What tells a crash from a lost start is a reply or a report that the run had begun, and only the owner that had got it knew: a run of a previous owner counted as a lost start, lost starts were not in the progress record, and since the crashes of silent workers were left out of it, too. So each new owner began to count anew.

The progress record now holds the lost starts, the runs of suspect tasks that have begun and not settled, whether anything else was starting beside them, and the crashes in doubt with the life of the worker that they are about. The next owner counts a begun run as the one before would have done, and takes a crash back when that life is heard again. A run of a previous owner that a complete report does not list counts as a lost start. From three crashes and lost starts on, a task waits up to 8 s, instead of 2, for a worker on which the next crash is proof.

--- a/core_fleet_crash.c
+++ b/core_fleet_crash.c
@@ -14,8 +14,13 @@
  *
  * A worker whose lease ran out may merely be unreachable: if it comes back as
  * the same incarnation, what was counted for it is taken back.  If another
- * incarnation answers in its place, a lost run can turn into a crash.  What is
- * in doubt is not left to the next owner, who could not take it back.
+ * incarnation answers in its place, a lost run can turn into a crash.
+ *
+ * The next owner goes on from the same evidence.  The progress record holds the
+ * counts, the runs of suspect tasks that have begun and not settled, and the
+ * crashes that can still be taken back.  Without these a task whose workers
+ * and owners fail in turn would be started again without end, and one whose
+ * workers were only cut off would be given up.
  */
 #include "core_fleet_state.h"
 
@@ -38,6 +43,12 @@
 #define CRASHES_MAX 5
 /* A suspect waits this long for a worker of its own, then starts anywhere. */
 #define CARE_WAIT_USEC (2 * GH_USEC_PER_SEC)
+/*
+ * The same from so many crashes and lost starts on: what comes of another start
+ * has to be proof.
+ */
+#define PROOF_CRASHES 3
+#define PROOF_WAIT_USEC (8 * GH_USEC_PER_SEC)
 /* How long a worker is kept free for a suspect that waits for it. */
 #define KEEP_USEC (500 * GH_USEC_PER_MSEC)
 /* At most half of the workers are kept for suspects, but one may always be. */
@@ -72,6 +83,7 @@
 static gh_time_t seen_alive(const fleet_run_t *run);
 static bool has_settled(const fleet_run_t *run);
 static bool many_were_lost(const gh_fleet_t *fleet, gh_time_t at);
+static void mark_run(gh_fleet_t *fleet, uint32_t ref, bool silent, bool alone);
 static run_crash_t judge_run(const fleet_worker_t *worker,
 			     const fleet_run_t *run, const gh_step_t *step,
 			     bool alone);
@@ -111,23 +123,28 @@
 	gh_time_t lost_at =
 		worker->unreachable_since ? worker->unreachable_since : now;
 	uint32_t n_starting = count_unsettled(fleet, worker);
-	bool alone = n_starting == 1 && worker->has_reported &&
-		     !many_were_lost(fleet, lost_at);
+	bool together = many_were_lost(fleet, lost_at);
+	bool only_start = n_starting == 1 && worker->has_reported;
 	uint32_t ref;
 
-	if (worker->entry.draining)
-		return;
 	for (ref = worker->first_run; ref != GH_NONE;
-	     ref = fleet_run(fleet, ref)->next) {
-		fleet_run_t *run = fleet_run(fleet, ref);
-		const gh_step_t *step =
-			fleet_task_step(fleet_job(fleet, run->job), run->task);
+	     ref = fleet_run(fleet, ref)->next)
+		mark_run(fleet, ref, silent,
+			 (only_start || worker->suspect_run == ref) &&
+				 !together);
+}
 
-		if (run->crash || !may_have_run(run))
-			continue;
-		run->crash = judge_run(worker, run, step, alone);
-		run->crash_silent = silent;
-	}
+static void mark_run(gh_fleet_t *fleet, uint32_t ref, bool silent, bool alone)
+{
+	fleet_run_t *run = fleet_run(fleet, ref);
+	const fleet_worker_t *worker = fleet_worker(fleet, run->worker);
+
+	if (worker->entry.draining || run->crash || !may_have_run(run))
+		return;
+	run->crash = judge_run(
+		worker, run,
+		fleet_task_step(fleet_job(fleet, run->job), run->task), alone);
+	run->crash_silent = silent;
 }
 
 /* What the run tells of its task if the worker has crashed. */
@@ -145,6 +162,16 @@
 	return alone ? CRASH_ALONE : CRASH_AT_START;
 }
 
+void fleet_crash_mark_unlisted(gh_fleet_t *fleet, uint32_t ref, gh_time_t now)
+{
+	const fleet_run_t *run = fleet_run(fleet, ref);
+
+	if (run->state == RUN_ORPHAN)
+		mark_run(fleet, ref, false,
+			 fleet_worker(fleet, run->worker)->suspect_run == ref &&
+				 !many_were_lost(fleet, now));
+}
+
 void fleet_crash_count(gh_fleet_t *fleet, const fleet_run_t *run, gh_time_t now)
 {
 	fleet_doubt_t lost;
@@ -199,6 +226,54 @@
 		fleet_job_end(fleet, handle, GH_JOB_FAILED, now);
 }
 
+void fleet_crash_note_begun(gh_fleet_t *fleet, uint32_t ref, gh_time_t now)
+{
+	fleet_run_t *run = fleet_run(fleet, ref);
+
+	if (run->alive_since)
+		return;
+	run->alive_since = now;
+	if (run->suspect)
+		fleet_job_mark_changed(fleet, run->job);
+}
+
+bool fleet_crash_is_begun_suspect(const fleet_run_t *run)
+{
+	return run->suspect && run->alive_since && !has_settled(run);
+}
+
+void fleet_crash_load_begun(gh_fleet_t *fleet, uint32_t ref, bool alone,
+			    int64_t incarnation_start_ms)
+{
+	fleet_run_t *run = fleet_run(fleet, ref);
+	fleet_worker_t *worker = fleet_worker(fleet, run->worker);
+
+	run->alive_since = fleet->created_at;
+	run->suspect = true;
+	worker->n_suspects++;
+	if (alone)
+		worker->suspect_run = ref;
+	if (!worker->entry.incarnation_start_ms)
+		worker->entry.incarnation_start_ms = incarnation_start_ms;
+}
+
+void fleet_crash_load_doubt(gh_fleet_t *fleet, const gh_task_id_t *task,
+			    uint32_t run, const char *worker,
+			    int64_t incarnation_start_ms)
+{
+	fleet_doubt_t doubt = {
+		.incarnation_start_ms = incarnation_start_ms,
+		.counted_at = fleet->created_at,
+		.task = *task,
+		.run_number = run,
+		.crash = CRASH_AT_START,
+		.counted = true,
+	};
+
+	g_strlcpy(doubt.worker, worker, sizeof(doubt.worker));
+	add_doubt(fleet, &doubt, fleet->created_at);
+}
+
 void fleet_crash_clear(gh_fleet_t *fleet, uint32_t ref, gh_time_t now)
 {
 	fleet_run_t *run = fleet_run(fleet, ref);
@@ -206,8 +281,7 @@
 	fleet_task_t *task = &job->tasks[run->task];
 	bool works;
 
-	if (!run->alive_since)
-		run->alive_since = now;
+	fleet_crash_note_begun(fleet, ref, now);
 	run->listed_at = now;
 	run->crash = CRASH_NONE;
 	if (!has_settled(run))
@@ -339,21 +413,21 @@
 	fleet_job_mark_changed(fleet, handle);
 }
 
-uint32_t fleet_crash_doubted(const gh_fleet_t *fleet, const gh_task_id_t *id)
+const fleet_doubt_t *fleet_crash_next_doubt(const gh_fleet_t *fleet,
+					    const gh_task_id_t *id,
+					    uint32_t *next)
 {
-	uint32_t n = 0;
-	guint i;
-
-	for (i = 0; i < fleet->doubts->len; i++) {
+	while (*next < fleet->doubts->len) {
 		const fleet_doubt_t *doubt =
-			&g_array_index(fleet->doubts, fleet_doubt_t, i);
+			&g_array_index(fleet->doubts, fleet_doubt_t, (*next)++);
 
-		n += doubt->counted && !strcmp(doubt->task.job, id->job) &&
-		     doubt->task.occurrence == id->occurrence &&
-		     doubt->task.step == id->step &&
-		     doubt->task.index == id->index;
+		if (doubt->counted && !strcmp(doubt->task.job, id->job) &&
+		    doubt->task.occurrence == id->occurrence &&
+		    doubt->task.step == id->step &&
+		    doubt->task.index == id->index)
+			return doubt;
 	}
-	return n;
+	return NULL;
 }
 
 static bool has_run_alive(const gh_fleet_t *fleet, const fleet_task_t *task)
@@ -475,15 +549,17 @@
 }
 
 bool fleet_crash_claim(gh_fleet_t *fleet, uint32_t handle, fleet_task_t *task,
-		       gh_time_t now)
+		       bool long_running, gh_time_t now)
 {
 	fleet_worker_t *worker = fleet_worker(fleet, handle);
+	bool proof = task->crashes + task->lost_starts >= PROOF_CRASHES &&
+		     !long_running;
 	uint32_t kept = 0;
 	uint32_t i;
 
 	if (!task->care_since)
 		task->care_since = now;
-	if (now - task->care_since > CARE_WAIT_USEC)
+	if (now - task->care_since > (proof ? PROOF_WAIT_USEC : CARE_WAIT_USEC))
 		return true;
 	for (i = 0; i < fleet->workers->len; i++)
 		kept += fleet_worker(fleet, i)->in_use &&
--- a/core_fleet_record.c
+++ b/core_fleet_record.c
@@ -4,14 +4,20 @@
  * record is committed.
  *
  *   progress1
- *   INDEX done|open FAILURES LAST-RUN CHECKPOINT [CRASHES] [RUN@WORKER ...]
+ *   INDEX done|open FAILURES LAST-RUN CHECKPOINT [CRASHES] [RUN ...] [DOUBT
+ * ...]
  *
- * One line for each task that was ever started, with its open runs.  CRASHES is
- * crashes:N:S, the numbers of the task's crashes and of those at a start, but
- * for what is in doubt; it is absent if there were none.  A job
- * with a record that can't be parsed is held: none of its tasks is started, and
- * its record is not replaced.  The
- * name of the checkpoint is percent-encoded as in a URI; "-" stands for none.
+ * One line for each task that was ever started.  CRASHES is crashes:N:S:L, the
+ * numbers of the task's crashes, of those at a start, and of lost starts; it is
+ * absent if there were none, and without L in records of earlier versions.
+ * Each RUN is open, NUMBER@WORKER.  If the task is a suspect and the run has
+ * begun and not settled, begun:T: stands before it, or alone:T: if nothing else
+ * was starting on that worker, whose incarnation started at T.  Each DOUBT,
+ * silent:T:NUMBER@WORKER, is a crash among the N that is taken back if that
+ * incarnation is heard again.  See core_fleet_crash.c.  A job with a record
+ * that can't be parsed is held: none of its tasks is started, and its record is
+ * not replaced.  The name of the checkpoint is percent-encoded as in a URI; "-"
+ * stands for none.
  */
 #include "core_fleet_state.h"
 
@@ -23,11 +29,30 @@
 #define FORMAT_TAG "progress1"
 #define NO_CHECKPOINT "-"
 #define CRASHES_PREFIX "crashes:"
-
-/* An open run in a task's line, RUN@WORKER. */
+/* Crashes in doubt in a task's line; further ones can't be taken back. */
+#define DOUBTS_MAX 5
+
+typedef enum run_field_kind {
+	FIELD_RUN,
+	FIELD_BEGUN,
+	FIELD_ALONE,
+	FIELD_SILENT,
+	FIELD_KINDS
+} run_field_kind_t;
+
+static const char *const field_prefixes[FIELD_KINDS] = {
+	[FIELD_RUN] = "",
+	[FIELD_BEGUN] = "begun:",
+	[FIELD_ALONE] = "alone:",
+	[FIELD_SILENT] = "silent:",
+};
+
+/* A run in a task's line. */
 typedef struct run_field {
+	run_field_kind_t kind;
 	uint32_t number;
 	char worker[GH_WORKER_ID_MAX + 1];
+	int64_t incarnation_start_ms; /* not in FIELD_RUN */
 } run_field_t;
 
 /* A line of a progress record. */
@@ -35,25 +60,29 @@
 	uint32_t index;
 	bool done;
 	uint16_t failures;
-	uint16_t crashes, start_crashes;
+	uint16_t crashes, start_crashes, lost_starts;
 	uint32_t last_run;
 	char *checkpoint;
-	run_field_t runs[GH_TASK_RUNS_MAX];
-	uint32_t n_runs;
+	run_field_t runs[GH_TASK_RUNS_MAX + DOUBTS_MAX];
+	uint32_t n_runs, n_doubts; /* doubts are among the runs, too */
 } task_line_t;
 
 static void append_task(const gh_fleet_t *fleet, GString *text,
 			const fleet_job_t *job, uint32_t index);
-static void append_crashes(const gh_fleet_t *fleet, GString *text,
-			   const fleet_job_t *job, uint32_t index);
+static void append_run(const gh_fleet_t *fleet, GString *text, uint32_t ref);
+static void append_doubts(const gh_fleet_t *fleet, GString *text,
+			  const fleet_job_t *job, uint32_t index);
 static bool parse_progress(const fleet_job_t *job, const char *progress,
 			   GArray *tasks);
 static bool parse_task(const fleet_job_t *job, const char *line,
 		       task_line_t *parsed);
 static bool parse_crashes(const char *numbers, task_line_t *parsed);
 static bool parse_run(const char *field, task_line_t *parsed);
+static const char *parse_run_kind(const char *field, run_field_t *run);
 static bool parse_number(const char *text, uint64_t min, uint64_t max,
 			 uint64_t *number);
+static void load_run(gh_fleet_t *fleet, uint32_t handle, uint32_t index,
+		     const run_field_t *line);
 static void load_task(gh_fleet_t *fleet, uint32_t handle, task_line_t *line);
 static void hold_job(gh_fleet_t *fleet, uint32_t handle);
 static void clear_task_line(gpointer line);
@@ -246,38 +275,53 @@
 			       task->done ? "done" : "open", task->failures,
 			       task->last_run,
 			       escaped ? escaped : NO_CHECKPOINT);
-	append_crashes(fleet, text, job, index);
-	for (i = 0; i < GH_TASK_RUNS_MAX; i++) {
-		const fleet_run_t *run;
-
-		if (task->runs[i] == GH_NONE)
-			continue;
-		run = fleet_run(fleet, task->runs[i]);
-		g_string_append_printf(
-			text, " %u@%s", run->run_number,
-			fleet_worker(fleet, run->worker)->entry.id);
-	}
+	if (fleet_crash_has_any(task))
+		g_string_append_printf(text, " " CRASHES_PREFIX "%u:%u:%u",
+				       task->crashes, task->start_crashes,
+				       task->lost_starts);
+	for (i = 0; i < GH_TASK_RUNS_MAX; i++)
+		if (task->runs[i] != GH_NONE)
+			append_run(fleet, text, task->runs[i]);
+	if (task->crashes)
+		append_doubts(fleet, text, job, index);
 	g_string_append_c(text, '\n');
 	g_free(escaped);
 }
 
-static void append_crashes(const gh_fleet_t *fleet, GString *text,
-			   const fleet_job_t *job, uint32_t index)
+static void append_run(const gh_fleet_t *fleet, GString *text, uint32_t ref)
 {
-	const fleet_task_t *task = &job->tasks[index];
-	gh_task_id_t id;
-	uint32_t doubted;
+	const fleet_run_t *run = fleet_run(fleet, ref);
+	const fleet_worker_t *worker = fleet_worker(fleet, run->worker);
 
-	if (!task->crashes)
-		return;
-	id = fleet_task_id(job, index);
-	doubted = fleet_crash_doubted(fleet, &id);
-	if (task->crashes > doubted)
+	g_string_append_c(text, ' ');
+	if (fleet_crash_is_begun_suspect(run))
 		g_string_append_printf(
-			text, " " CRASHES_PREFIX "%u:%u",
-			task->crashes - doubted,
-			task->start_crashes -
-				MIN(task->start_crashes, doubted));
+			text, "%s%" G_GINT64_FORMAT ":",
+			field_prefixes[worker->suspect_run == ref ?
+					       FIELD_ALONE :
+					       FIELD_BEGUN],
+			worker->entry.incarnation_start_ms);
+	g_string_append_printf(text, "%u@%s", run->run_number,
+			       worker->entry.id);
+}
+
+static void append_doubts(const gh_fleet_t *fleet, GString *text,
+			  const fleet_job_t *job, uint32_t index)
+{
+	gh_task_id_t id = fleet_task_id(job, index);
+	const fleet_doubt_t *doubt;
+	uint32_t next = 0;
+	int n;
+
+	for (n = 0; n < DOUBTS_MAX; n++) {
+		doubt = fleet_crash_next_doubt(fleet, &id, &next);
+		if (!doubt)
+			break;
+		g_string_append_printf(text, " %s%" G_GINT64_FORMAT ":%u@%s",
+				       field_prefixes[FIELD_SILENT],
+				       doubt->incarnation_start_ms,
+				       doubt->run_number, doubt->worker);
+	}
 }
 
 /*
@@ -297,7 +341,8 @@
 	*parsed = (task_line_t){ 0 };
 	if (n > 5 && g_str_has_prefix(fields[5], CRASHES_PREFIX))
 		first_run++;
-	ok = n >= 5 && n <= first_run + GH_TASK_RUNS_MAX && job->n_tasks &&
+	ok = n >= 5 && n <= first_run + G_N_ELEMENTS(parsed->runs) &&
+	     job->n_tasks &&
 	     parse_number(fields[0], 0, job->n_tasks - 1, &index) &&
 	     (!strcmp(fields[1], "done") || !strcmp(fields[1], "open")) &&
 	     parse_number(fields[2], 0, UINT16_MAX, &failures) &&
@@ -324,14 +369,19 @@
 static bool parse_crashes(const char *numbers, task_line_t *parsed)
 {
 	char **fields = g_strsplit(numbers, ":", -1);
-	uint64_t crashes, start_crashes;
-	bool ok = g_strv_length(fields) == 2 &&
-		  parse_number(fields[0], 1, UINT16_MAX, &crashes) &&
-		  parse_number(fields[1], 0, crashes, &start_crashes);
+	uint64_t crashes, start_crashes, lost_starts = 0;
+	guint n = g_strv_length(fields);
+	bool ok = (n == 2 || n == 3) &&
+		  parse_number(fields[0], 0, UINT16_MAX, &crashes) &&
+		  parse_number(fields[1], 0, crashes, &start_crashes) &&
+		  (n == 2 ||
+		   parse_number(fields[2], 0, UINT16_MAX, &lost_starts)) &&
+		  (crashes || lost_starts);
 
 	if (ok) {
 		parsed->crashes = (uint16_t)crashes;
 		parsed->start_crashes = (uint16_t)start_crashes;
+		parsed->lost_starts = (uint16_t)lost_starts;
 	}
 	g_strfreev(fields);
 	return ok;
@@ -339,12 +389,15 @@
 
 static bool parse_run(const char *field, task_line_t *parsed)
 {
-	const char *separator = strchr(field, '@');
 	run_field_t *run = &parsed->runs[parsed->n_runs++];
+	const char *separator;
 	uint64_t number;
 	char *text;
+	uint32_t i;
 	bool ok;
 
+	field = parse_run_kind(field, run);
+	separator = field ? strchr(field, '@') : NULL;
 	if (!separator || !separator[1] ||
 	    g_strlcpy(run->worker, separator + 1, sizeof(run->worker)) >=
 		    sizeof(run->worker))
@@ -353,8 +406,39 @@
 	ok = parse_number(text, 1, parsed->last_run, &number);
 	g_free(text);
 	run->number = ok ? (uint32_t)number : 0;
-	return ok &&
-	       (parsed->n_runs == 1 || run->number != parsed->runs[0].number);
+	parsed->n_doubts += run->kind == FIELD_SILENT;
+	for (i = 0; ok && i < parsed->n_runs - 1; i++)
+		ok = run->number != parsed->runs[i].number;
+	return ok && parsed->n_doubts <= parsed->crashes &&
+	       parsed->n_runs - parsed->n_doubts <= GH_TASK_RUNS_MAX;
+}
+
+/*
+ * Sets what stands before the run's number; returns where that begins, or NULL
+ * if the field is invalid.
+ */
+static const char *parse_run_kind(const char *field, run_field_t *run)
+{
+	uint64_t start_ms;
+	const char *end;
+	char *text;
+	bool ok;
+
+	run->kind = FIELD_KINDS;
+	while (--run->kind > FIELD_RUN &&
+	       !g_str_has_prefix(field, field_prefixes[run->kind]))
+		;
+	if (run->kind == FIELD_RUN)
+		return field;
+	field += strlen(field_prefixes[run->kind]);
+	end = strchr(field, ':');
+	if (!end)
+		return NULL;
+	text = g_strndup(field, (gsize)(end - field));
+	ok = parse_number(text, 0, G_MAXINT64, &start_ms);
+	g_free(text);
+	run->incarnation_start_ms = ok ? (int64_t)start_ms : 0;
+	return ok ? end + 1 : NULL;
 }
 
 static bool parse_number(const char *text, uint64_t min, uint64_t max,
@@ -375,6 +459,7 @@
 	task->failures = line->failures;
 	task->crashes = line->crashes;
 	task->start_crashes = line->start_crashes;
+	task->lost_starts = line->lost_starts;
 	task->last_run = line->last_run;
 	task->checkpoint = g_steal_pointer(&line->checkpoint);
 	job->phase = job->committed_phase = GH_JOB_RUNNING;
@@ -382,10 +467,26 @@
 	    ++stage->tasks_done == fleet_task_step(job, line->index)->tasks)
 		job->stages_done++;
 	for (i = 0; i < line->n_runs; i++)
-		fleet_run_open(fleet, handle, line->index,
-			       find_or_add_worker(fleet, line->runs[i].worker),
-			       line->runs[i].number, RUN_ORPHAN,
-			       fleet->created_at);
+		load_run(fleet, handle, line->index, &line->runs[i]);
+}
+
+static void load_run(gh_fleet_t *fleet, uint32_t handle, uint32_t index,
+		     const run_field_t *line)
+{
+	gh_task_id_t id = fleet_task_id(fleet_job(fleet, handle), index);
+	uint32_t ref;
+
+	if (line->kind == FIELD_SILENT) {
+		fleet_crash_load_doubt(fleet, &id, line->number, line->worker,
+				       line->incarnation_start_ms);
+		return;
+	}
+	ref = fleet_run_open(fleet, handle, index,
+			     find_or_add_worker(fleet, line->worker),
+			     line->number, RUN_ORPHAN, fleet->created_at);
+	if (line->kind != FIELD_RUN)
+		fleet_crash_load_begun(fleet, ref, line->kind == FIELD_ALONE,
+				       line->incarnation_start_ms);
 }
 
 /* Keeps all tasks of a job from being started. */
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -250,7 +250,7 @@
 		run->state = RUN_RUNNING;
 		run->replied_at = now;
 		if (reply == GH_ORDER_OK)
-			run->alive_since = now;
+			fleet_crash_note_begun(fleet, ref, now);
 		run->pace_effective_at = now;
 		fleet->counts.started++;
 		return;
@@ -539,6 +539,7 @@
 					     run->state == RUN_STOPPING)));
 
 		if (is_lost) {
+			fleet_crash_mark_unlisted(fleet, ref, now);
 			fleet_run_end(fleet, ref, GH_RUN_LOST, NULL, now);
 			/*
 			 * Ending a run can end other runs of its job on this
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -148,7 +148,7 @@
 	uint16_t crashes, start_crashes;
 	/*
 	 * Number of starts that may have been lost on their way to workers that
-	 * were lost; not kept in the progress record.
+	 * were lost.
 	 */
 	uint16_t lost_starts;
 	/* Since when the task waits for a worker of its own; 0: it does not. */
@@ -632,8 +632,32 @@
  */
 void fleet_crash_handle_restart(gh_fleet_t *fleet, uint32_t handle,
 				gh_time_t now);
-/* Number of crashes counted for the task that can still be taken back. */
-uint32_t fleet_crash_doubted(const gh_fleet_t *fleet, const gh_task_id_t *id);
+/*
+ * Takes note of a complete report that does not list a run of a previous owner:
+ * its worker has restarted since, or its start was never executed.
+ */
+void fleet_crash_mark_unlisted(gh_fleet_t *fleet, uint32_t ref, gh_time_t now);
+/* Takes note of the first sign that the run has begun. */
+void fleet_crash_note_begun(gh_fleet_t *fleet, uint32_t ref, gh_time_t now);
+/* Whether the next owner has to know that the run of a suspect has begun. */
+bool fleet_crash_is_begun_suspect(const fleet_run_t *run);
+/*
+ * Restores such a run of a previous owner; alone: nothing else was starting on
+ * its worker, whose start time (wall clock, ms) was incarnation_start_ms.
+ */
+void fleet_crash_load_begun(gh_fleet_t *fleet, uint32_t ref, bool alone,
+			    int64_t incarnation_start_ms);
+/*
+ * Next crash that is counted for the task and can still be taken back, or NULL;
+ * *next is 0 before the first call.
+ */
+const fleet_doubt_t *fleet_crash_next_doubt(const gh_fleet_t *fleet,
+					    const gh_task_id_t *id,
+					    uint32_t *next);
+/* Restores one that a previous owner has counted. */
+void fleet_crash_load_doubt(gh_fleet_t *fleet, const gh_task_id_t *task,
+			    uint32_t run, const char *worker,
+			    int64_t incarnation_start_ms);
 /* Whether runs of the task may have crashed their workers at their start. */
 bool fleet_crash_is_suspect(const fleet_task_t *task);
 /* Whether a crash or a lost start is counted for the task. */
@@ -653,7 +677,7 @@
  * is kept for it for a while.
  */
 bool fleet_crash_claim(gh_fleet_t *fleet, uint32_t handle, fleet_task_t *task,
-		       gh_time_t now);
+		       bool long_running, gh_time_t now);
 /* Updates the worker's suspects when a run is planned and when it ends. */
 void fleet_crash_handle_start(gh_fleet_t *fleet, uint32_t ref);
 void fleet_crash_handle_end(gh_fleet_t *fleet, uint32_t ref);
--- a/regress/test_core_fleet_crash.c
+++ b/regress/test_core_fleet_crash.c
@@ -204,6 +204,8 @@
 	/* The owner is replaced again and again, this long after the last
 	 * time; 0: never. */
 	int64_t owner_ms;
+	/* It is replaced this long after each start; 0: never. */
+	int64_t owner_after_start_ms;
 	uint32_t jobs;	/* deadly jobs; 0: one */
 	uint32_t tasks; /* deadly tasks in each; 0: one */
 	uint32_t workers;
@@ -325,6 +327,36 @@
 	  .workers = 8,
 	  .owner_ms = 9000,
 	  .starts = STARTS_MAX },
+	{ .name = "owner replaced after each start",
+	  .workers = 8,
+	  .owner_after_start_ms = 100,
+	  .starts = STARTS_MAX },
+	{ .name = "owner replaced after each start, same id",
+	  .workers = 8,
+	  .owner_after_start_ms = 100,
+	  .comeback = BACK_SAME_ID,
+	  .starts = STARTS_MAX },
+	{ .name = "owner replaced after each start, back elsewhere",
+	  .workers = 8,
+	  .owner_after_start_ms = 100,
+	  .comeback = BACK_ELSEWHERE,
+	  .starts = STARTS_MAX },
+	{ .name = "owner replaced after each start, back after the lease",
+	  .workers = 8,
+	  .down_ms = 12000,
+	  .owner_after_start_ms = 2000,
+	  .starts = STARTS_MAX },
+	{ .name = "owner replaced after each loss",
+	  .workers = 8,
+	  .down_ms = 20000,
+	  .owner_after_start_ms = 5000,
+	  .starts = STARTS_MAX },
+	{ .name = "owner replaced after each loss, same id",
+	  .workers = 8,
+	  .down_ms = 20000,
+	  .owner_after_start_ms = 5000,
+	  .comeback = BACK_SAME_ID,
+	  .starts = STARTS_MAX },
 };
 
 static void add_deadly_jobs(crash_world_t *cw, const deadly_case_t *c)
@@ -365,6 +397,23 @@
 	g_free(progress);
 }
 
+/* Plays with an owner that is replaced after each start of the deadly task. */
+static void play_changes_of_owner(crash_world_t *cw, int64_t after_ms)
+{
+	gh_time_t end = cw->w.now + 120000 * MS;
+	uint32_t starts = 0;
+
+	while (cw->w.now < end && cw->w.phase < GH_JOB_COMPLETED) {
+		play_step(cw);
+		if (cw->max_starts == starts)
+			continue;
+		starts = cw->max_starts;
+		play(cw, after_ms);
+		if (cw->w.phase < GH_JOB_COMPLETED)
+			change_owner(cw, DEADLY_JOB "0");
+	}
+}
+
 /* Plays the case; whether all went as it should. */
 static bool play_deadly_case(const deadly_case_t *c)
 {
@@ -386,6 +435,8 @@
 	if (c->innocents)
 		play_beside_jobs(&cw, 1200);
 	add_deadly_jobs(&cw, c);
+	if (c->owner_after_start_ms)
+		play_changes_of_owner(&cw, c->owner_after_start_ms);
 	for (i = 0; i < 10; i++) {
 		if (c->innocents)
 			play_beside_jobs(&cw, ms);
@@ -464,6 +515,12 @@
 	  .after_ms = 2000,
 	  .silent_ms = 7000,
 	  .owner_replaced = true },
+	{ .name = "cut off just after its start, owner replaced",
+	  .workers = 4,
+	  .times = 8,
+	  .after_ms = 50,
+	  .silent_ms = 7000,
+	  .owner_replaced = true },
 	{ .name = "drains", .workers = 8, .times = 8, .drains = true },
 	{ .name = "one crash at the start, same id",
 	  .workers = 2,
--- a/regress/test_core_fleet_record.c
+++ b/regress/test_core_fleet_record.c
@@ -31,6 +31,12 @@
 	{ .progress = "progress1\n0 open 0 1 - crashes:1:0\n", .ok = true },
 	{ .progress = "progress1\n0 open 0 5 - crashes:4:2 4@w1 5@w2\n",
 	  .ok = true },
+	{ .progress = "progress1\n0 open 0 1 - crashes:1:1:1\n", .ok = true },
+	{ .progress = "progress1\n0 open 0 1 - crashes:0:0:1\n", .ok = true },
+	{ .progress = "progress1\n0 open 0 1 - begun:0:1@w1\n", .ok = true },
+	{ .progress = "progress1\n0 open 0 3 - crashes:1:1:0 "
+		      "begun:1796378314971:2@w1 alone:7:3@w2 silent:7:1@w3\n",
+	  .ok = true },
 	/* the format */
 	{ .progress = "" },
 	{ .progress = "progress2\n0 done 0 1 -\n" },
@@ -57,7 +63,10 @@
 	{ .progress = "progress1\n0 open 0 1 - crashes:1\n" },
 	{ .progress = "progress1\n0 open 0 1 - crashes:0:0\n" },
 	{ .progress = "progress1\n0 open 0 1 - crashes:1:2\n" },
-	{ .progress = "progress1\n0 open 0 1 - crashes:1:1:1\n" },
+	{ .progress = "progress1\n0 open 0 1 - crashes:0:0:0\n" },
+	{ .progress = "progress1\n0 open 0 1 - crashes:1:1:x\n" },
+	{ .progress = "progress1\n0 open 0 1 - crashes:1:1:65536\n" },
+	{ .progress = "progress1\n0 open 0 1 - crashes:1:1:1:1\n" },
 	{ .progress = "progress1\n0 open 0 1 - crashes:65536:1\n" },
 	{ .progress = "progress1\n0 open 0 1 - 1@w1 crashes:1:1\n" },
 	{ .progress = "progress1\n0 open 0 1 - crashes:1:1 crashes:1:1\n" },
@@ -69,6 +78,18 @@
 	{ .progress = "progress1\n0 open 0 1 - 0@w1\n" },
 	{ .progress = "progress1\n0 open 0 2 - 2@w1 2@w2\n" },
 	{ .progress = "progress1\n0 open 0 3 - 1@w1 2@w2 3@w1\n" },
+	{ .progress = "progress1\n0 open 0 3 - 1@w1 begun:0:2@w2 3@w1\n" },
+	{ .progress = "progress1\n0 open 0 1 - begun:1@w1\n" },
+	{ .progress = "progress1\n0 open 0 1 - begun:x:1@w1\n" },
+	{ .progress = "progress1\n0 open 0 1 - begun:9223372036854775808:"
+		      "1@w1\n" },
+	{ .progress = "progress1\n0 open 0 1 - begun:0:2@w1\n" },
+	{ .progress = "progress1\n0 open 0 1 - begun:0:\n" },
+	{ .progress = "progress1\n0 open 0 1 - silent:0:1@w1\n" },
+	{ .progress = "progress1\n0 open 0 2 - crashes:1:1 silent:0:1@w1 "
+		      "silent:0:2@w1\n" },
+	{ .progress = "progress1\n0 open 0 1 - crashes:1:1 1@w1 "
+		      "silent:0:1@w1\n" },
 	{ .progress = "progress1\n0 open 0 1 - 1@"
 		      "01234567890123456789012345678901234567890123456789012345"
 		      "67890123"
