core_fleet_reserve: a long-running task that waits reserves a worker

A long-running task waited for as long as short tasks kept all workers of its shard full: each part of a worker that became free was taken by a smaller task at once, so no worker ever had the free capacity that the larger task needs.

Once such a task has waited for half a second, the worker with the most free cores among those that could hold it beside their long-running runs is reserved for it, as for a suspect of crashes: nothing else starts there until the task does. Nothing is stopped; at most a quarter of the workers are reserved.

test_long_running_among_short_tasks fails without the reservation in its first case (no long-running run after 3 s) and passes in all five.

--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -6,7 +6,8 @@
  * time left after their remaining critical path.  Jobs past their objective
  * come next, and jobs several objectives late come last, because their result
  * is of little use by then.  A stage starts as many tasks as fit; the others
- * wait without reserving capacity, so that smaller tasks behind them can start.
+ * wait without reserving capacity, so that smaller tasks behind them can start,
+ * but for long-running tasks; see core_fleet_reserve.c.
  */
 #include "core_fleet_state.h"
 
@@ -153,6 +154,10 @@
 			     const failed_placement_t *placement);
 static obstacle_t find_obstacle(const gh_fleet_t *fleet, const fleet_job_t *job,
 				uint32_t stage, uint32_t handle, gh_time_t now);
+static obstacle_t find_state_obstacle(const fleet_worker_t *worker,
+				      gh_time_t now);
+static obstacle_t find_mismatch(const gh_fleet_t *fleet, const fleet_job_t *job,
+				uint32_t stage, uint32_t handle, gh_time_t now);
 static bool has_label(const fleet_worker_t *worker, const char *label);
 static bool step_fits(const fleet_worker_t *worker, const gh_step_t *step);
 static void report_waiting_stage(gh_fleet_t *fleet, const candidate_t *c,
@@ -446,8 +451,11 @@
 		}
 		if (worker == GH_NONE) {
 			fleet->counts.pending_tasks += first + step->tasks - i;
-			if (step->long_running)
+			if (step->long_running) {
 				report_waiting_stage(fleet, c, i, now);
+				fleet_reserve_worker(fleet, c->job, c->stage, i,
+						     now);
+			}
 			return;
 		}
 		fleet_run_open(fleet, c->job, i, worker, task->last_run + 1,
@@ -736,7 +744,29 @@
 {
 	const fleet_worker_t *worker = fleet_worker(fleet, handle);
 	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
+	obstacle_t obstacle = find_state_obstacle(worker, now);
+
+	if (obstacle == OBSTACLE_NONE && !step_fits(worker, step))
+		obstacle = OBSTACLE_NO_CAPACITY;
+	return obstacle == OBSTACLE_NONE ?
+		       find_mismatch(fleet, job, stage, handle, now) :
+		       obstacle;
+}
+
+bool fleet_plan_lacks_capacity(const gh_fleet_t *fleet, const fleet_job_t *job,
+			       uint32_t stage, uint32_t handle, gh_time_t now)
+{
+	const fleet_worker_t *worker = fleet_worker(fleet, handle);
+
+	return find_state_obstacle(worker, now) == OBSTACLE_NONE &&
+	       !step_fits(worker,
+			  &job->spec->steps[stage % job->spec->n_steps]) &&
+	       find_mismatch(fleet, job, stage, handle, now) == OBSTACLE_NONE;
+}
 
+static obstacle_t find_state_obstacle(const fleet_worker_t *worker,
+				      gh_time_t now)
+{
 	if (!worker->listed)
 		return OBSTACLE_NOT_LISTED;
 	if (worker->entry.draining)
@@ -747,10 +777,17 @@
 		return OBSTACLE_LATE_START;
 	if (worker->has_unknown_run)
 		return OBSTACLE_UNKNOWN_RUN;
-	if (now < worker->full_until)
-		return OBSTACLE_REFUSED_START;
-	if (!step_fits(worker, step))
-		return OBSTACLE_NO_CAPACITY;
+	return now < worker->full_until ? OBSTACLE_REFUSED_START :
+					  OBSTACLE_NONE;
+}
+
+/* Reasons that don't depend on the worker's free capacity. */
+static obstacle_t find_mismatch(const gh_fleet_t *fleet, const fleet_job_t *job,
+				uint32_t stage, uint32_t handle, gh_time_t now)
+{
+	const fleet_worker_t *worker = fleet_worker(fleet, handle);
+	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
+
 	if (!fleet_health_is_usable(worker, now))
 		return OBSTACLE_QUARANTINE;
 	if (strcmp(worker->entry.service, job->spec->service) != 0)
--- /dev/null
+++ b/core_fleet_reserve.c
@@ -0,0 +1,91 @@
+/*
+ * Reservation of workers for long-running tasks.
+ *
+ * Handles loads that keep all workers full with short tasks.  No worker ever
+ * has the free capacity that a larger, long-running task needs then, as smaller
+ * tasks take each part of it that becomes free.  A worker is reserved for such
+ * a task once it has waited for RESERVE_AFTER_USEC: nothing else starts there
+ * until the task does.  Nothing is stopped for it.
+ */
+#include "core_fleet_state.h"
+
+/* A long-running task that waits for longer than this reserves a worker. */
+#define RESERVE_AFTER_USEC (500 * GH_USEC_PER_MSEC)
+#define RESERVE_PERIOD_USEC (100 * GH_USEC_PER_MSEC)
+/* A reservation that is not renewed ends after this time. */
+#define RESERVED_USEC (200 * GH_USEC_PER_MSEC)
+/* At most a quarter of the workers are reserved, but one may always be. */
+#define RESERVED_DIVISOR 4
+
+static bool fits_beside_long_running(const gh_fleet_t *fleet,
+				     const fleet_worker_t *worker,
+				     const gh_step_t *step);
+static int64_t free_cores_milli(const fleet_worker_t *worker);
+
+void fleet_reserve_worker(gh_fleet_t *fleet, uint32_t handle, uint32_t stage,
+			  uint32_t task, gh_time_t now)
+{
+	fleet_job_t *job = fleet_job(fleet, handle);
+	const void *owner = &job->tasks[task];
+	uint32_t n_others = 0;
+	uint32_t best = GH_NONE;
+	uint32_t i;
+
+	if (now - job->stages[stage].waiting_since < RESERVE_AFTER_USEC ||
+	    now < job->stages[stage].reserve_at)
+		return;
+	job->stages[stage].reserve_at = now + RESERVE_PERIOD_USEC;
+	for (i = 0; i < fleet->workers->len; i++) {
+		const fleet_worker_t *worker = fleet_worker(fleet, i);
+		bool is_reserved = worker->in_use && now < worker->kept_until;
+		bool is_mine = is_reserved && worker->kept_for == owner;
+
+		if (is_reserved && !is_mine)
+			n_others++;
+		else if (worker->in_use &&
+			 fleet_plan_lacks_capacity(fleet, job, stage, i, now) &&
+			 fits_beside_long_running(fleet, worker,
+						  fleet_task_step(job, task)) &&
+			 (is_mine || best == GH_NONE ||
+			  free_cores_milli(worker) >
+				  free_cores_milli(fleet_worker(fleet, best))))
+			best = i;
+		if (is_mine && best == i)
+			break;
+	}
+	if (best == GH_NONE ||
+	    (n_others && n_others >= g_hash_table_size(fleet->worker_by_id) /
+					     RESERVED_DIVISOR))
+		return;
+	fleet_worker(fleet, best)->kept_for = owner;
+	fleet_worker(fleet, best)->kept_until = now + RESERVED_USEC;
+}
+
+/* Whether a task of the step fits once the worker's short tasks have ended. */
+static bool fits_beside_long_running(const gh_fleet_t *fleet,
+				     const fleet_worker_t *worker,
+				     const gh_step_t *step)
+{
+	gh_capacity_t used = { 0 };
+	uint32_t ref;
+
+	for (ref = worker->first_run; ref != GH_NONE;
+	     ref = fleet_run(fleet, ref)->next) {
+		const fleet_run_t *run = fleet_run(fleet, ref);
+		const gh_step_t *other =
+			fleet_task_step(fleet_job(fleet, run->job), run->task);
+
+		if (other->long_running)
+			gh_capacity_add(&used, &other->size, 1);
+	}
+	return used.cores_milli + step->size.cores_milli <=
+		       worker->entry.size.cores_milli &&
+	       used.memory_mb + step->size.memory_mb <=
+		       worker->entry.size.memory_mb;
+}
+
+static int64_t free_cores_milli(const fleet_worker_t *worker)
+{
+	return (int64_t)worker->entry.size.cores_milli -
+	       worker->reserved.cores_milli;
+}
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -181,6 +181,8 @@
 	 */
 	gh_time_t waiting_since;
 	gh_time_t wait_report_at;
+	/* When a worker is reserved for it, or reserved again. */
+	gh_time_t reserve_at;
 	/*
 	 * Load forecast that the stage's long-running tasks share; NULL: no
 	 * sample yet.
@@ -603,6 +605,14 @@
  */
 bool fleet_health_is_usable(const fleet_worker_t *worker, gh_time_t now);
 
+/* Whether free capacity is all that the worker lacks to run the stage's task.
+ */
+bool fleet_plan_lacks_capacity(const gh_fleet_t *fleet, const fleet_job_t *job,
+			       uint32_t stage, uint32_t handle, gh_time_t now);
+/* Reserves a worker for a long-running task that has waited for long. */
+void fleet_reserve_worker(gh_fleet_t *fleet, uint32_t job, uint32_t stage,
+			  uint32_t task, gh_time_t now);
+
 /* Notes that a worker with runs became unreachable or has restarted. */
 void fleet_crash_note_outage(gh_fleet_t *fleet, gh_time_t now);
 /*
--- a/regress/test_core_fleet.c
+++ b/regress/test_core_fleet.c
@@ -847,6 +847,118 @@
 	}
 }
 
+/* Short tasks that keep the workers full while a long-running one waits. */
+typedef struct full_case {
+	const char *name;
+	gh_resources_t size, long_running; /* sizes of a task */
+	uint32_t workers;
+	bool best_effort;	 /* the short tasks */
+	uint32_t max_per_worker; /* of the long-running step */
+} full_case_t;
+
+static const full_case_t full_cases[] = {
+	{ .name = "cores",
+	  .size = { .cores_milli = 1000 },
+	  .long_running = { .cores_milli = 3000 },
+	  .workers = 4 },
+	{ .name = "memory",
+	  .size = { .cores_milli = 10, .memory_mb = 25000 },
+	  .long_running = { .cores_milli = 10, .memory_mb = 75000 },
+	  .workers = 4 },
+	{ .name = "memory of best-effort tasks",
+	  .size = { .cores_milli = 10, .memory_mb = 25000 },
+	  .long_running = { .cores_milli = 10, .memory_mb = 75000 },
+	  .workers = 4,
+	  .best_effort = true },
+	{ .name = "one worker",
+	  .size = { .cores_milli = 1000 },
+	  .long_running = { .cores_milli = 4000 },
+	  .workers = 1 },
+	{ .name = "spread",
+	  .size = { .cores_milli = 1000 },
+	  .long_running = { .cores_milli = 2000 },
+	  .workers = 4,
+	  .max_per_worker = 1 },
+};
+
+#define LONG_RUNNING_WAIT_MS 3000
+#define SHORT_TASK_MS 400
+
+/* Ends short tasks at different times, so that little is free at a time. */
+static void end_short_tasks(world_t *w, int64_t ms)
+{
+	size_t i;
+
+	for (i = 0; i < w->n_workers; i++) {
+		scripted_worker_t *worker = &w->workers[i];
+		size_t r = worker->n_runs;
+
+		while (r-- > 0)
+			if (strcmp(worker->runs[r].task.job,
+				   LONG_RUNNING_JOB_ID) != 0 &&
+			    (ms + (int64_t)r * 100) % SHORT_TASK_MS == 0)
+				end_run(worker, r, GH_RUN_DONE);
+	}
+}
+
+static size_t count_long_running(const world_t *w)
+{
+	size_t n = 0, i, r;
+
+	for (i = 0; i < w->n_workers; i++)
+		for (r = 0; r < w->workers[i].n_runs; r++)
+			n += !strcmp(w->workers[i].runs[r].task.job,
+				     LONG_RUNNING_JOB_ID);
+	return n;
+}
+
+/*
+ * A long-running task waited for as long as short tasks kept all workers full,
+ * as none had so much free capacity at a time.
+ */
+static void test_long_running_among_short_tasks(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(full_cases); i++) {
+		const full_case_t *c = &full_cases[i];
+		gh_step_t step = one_task;
+		gh_step_t lasting = one_task;
+		int64_t ms;
+		world_t w;
+		uint32_t j;
+
+		world_init(&w);
+		for (j = 0; j < c->workers; j++)
+			add_worker(&w, (char[]){ 'w', (char)('1' + j), '\0' },
+				   4000);
+		advance_time(&w, 100);
+		step.tasks = 4000;
+		step.size = c->size;
+		step.best_effort = c->best_effort;
+		add_job(&w, "0000000000000001", 1, &step, NULL);
+		lasting.long_running = true;
+		lasting.size = c->long_running;
+		lasting.max_per_worker = c->max_per_worker;
+		for (ms = 0; ms < 1000; ms += 10) {
+			end_short_tasks(&w, ms);
+			advance_time(&w, 10);
+			w.n_orders = 0;
+		}
+		add_job(&w, LONG_RUNNING_JOB_ID, 1, &lasting, NULL);
+		for (ms = 0; ms < LONG_RUNNING_WAIT_MS; ms += 10) {
+			end_short_tasks(&w, ms);
+			advance_time(&w, 10);
+			w.n_orders = 0;
+		}
+		print_message("%s: %zu long-running\n", c->name,
+			      count_long_running(&w));
+		assert_int_equal(count_long_running(&w), 1);
+		world_clear(&w);
+	}
+}
+
 /* Jobs that wait for capacity and the tasks of which never fit. */
 typedef struct backlog_case {
 	const char *name;
@@ -1177,6 +1289,7 @@
 		cmocka_unit_test(test_slow_start),
 		cmocka_unit_test(test_fill_overdue),
 		cmocka_unit_test(test_starved_job_goes_on),
+		cmocka_unit_test(test_long_running_among_short_tasks),
 		cmocka_unit_test(test_backlog_does_not_slow_decisions),
 		cmocka_unit_test(test_gang_without_capacity_holds_nothing_back),
 		cmocka_unit_test(test_gang_that_does_not_fit_changes_nothing),
