fleet_jobs: a host that owns nothing reads changes once a second

An owner also made a call for each heartbeat of a worker, as watches of servers/ return at every write.

- A watch can pause after a reply with changes, so that those of some time arrive together: 1 s for the directory of jobs on a host that owns no shard, 50 ms on one that owns or claims one, as it has to hear of cancels, and 50 ms for workers' records.
- Owner records have a watch of their own, without a pause.
No shard is claimed before the directory was read.
- A caller who asks for a job that has not ended and that another host works on gets the state that the store has now, by one read, within 300 ms and at most 32 at a time; else what is known, with a log line that says how old that is.
- An owner knows the state of a new job from the job's own record, written in the same commit, and corrects it should a commit show that it is not so.

--- a/counter_list.h
+++ b/counter_list.h
@@ -131,6 +131,10 @@
 COUNTER(RETRY_STORE, "retry_store",
 	"retries of a caller's write or read at the store")
 COUNTER(SHARD_CLAIMED, "shards_claimed", "shards that this host took over")
+COUNTER(STATES_READ, "states_read",
+	"states of jobs read from the store for a caller")
+COUNTER(STATES_KNOWN_TOLD, "states_known_told",
+	"states told as known, as the store could not be read in time")
 COUNTER(COMMITS, "commits", "commits of an owner's changes")
 COUNTER(COMMITS_FAILED, "commits_failed", "commits that failed")
 COUNTER(COMMITS_UNKNOWN, "commits_unanswered",
--- a/fleet_host.c
+++ b/fleet_host.c
@@ -23,6 +23,13 @@
  */
 #define STORE_SILENCE_MAX_USEC (1800 * GH_USEC_PER_MSEC)
 #define RETRY_AFTER_MS 1000
+/*
+ * Max wait for the store when a job's state is known but may lag; then what is
+ * known is told.
+ */
+#define NEWER_STATE_WAIT_USEC (300 * GH_USEC_PER_MSEC)
+/* Max such reads at a time on one host. */
+#define NEWER_STATE_READS_MAX 32
 /* Hosts with fewer cores than this (in 1/1000) delay claims of shards. */
 #define CLAIM_DELAY_CORES_MILLI 250
 /* Delay of claims by a host with 0 cores; more cores shorten it. */
@@ -37,6 +44,7 @@
 	/* One owner per shard, indexed by shard number. */
 	fleet_owner_t **owners;
 	_Atomic bool draining;
+	_Atomic unsigned newer_state_reads; /* under way */
 	pthread_mutex_t lock;
 	/*
 	 * Operator's configuration in force, NULL until one was read; guarded
@@ -73,6 +81,8 @@
 static void start_refresh(void *ctx);
 static void on_call_done(void *ctx, const GError *err);
 static bool store_is_reachable(const fleet_front_t *host);
+static void read_newer_state(fleet_front_t *host, const char *id,
+			     gh_time_t deadline, fleet_job_state_t *state);
 
 fleet_front_t *fleet_host_new(const fleet_host_setup_t *setup)
 {
@@ -324,6 +334,8 @@
 				     "job %s does not exist", id);
 			return false;
 		}
+	} else if (fleet_jobs_may_lag(host->jobs, &state)) {
+		read_newer_state(host, id, deadline, &state);
 	}
 	if (strcmp(state.queue, queue->policy.name) != 0) {
 		gh_error_set(err, GH_E_JOB_UNKNOWN,
@@ -335,6 +347,32 @@
 	return true;
 }
 
+/*
+ * Reads the state of a job that another host works on.  Without a reply from
+ * the store the known state stays.
+ */
+static void read_newer_state(fleet_front_t *host, const char *id,
+			     gh_time_t deadline, fleet_job_state_t *state)
+{
+	caller_call_t call = { .host = host, .id = id };
+	gh_time_t now = clock_boot();
+	bool is_read = false;
+
+	call.deadline = MIN(deadline, now + NEWER_STATE_WAIT_USEC);
+	if (atomic_fetch_add(&host->newer_state_reads, 1) <
+		    NEWER_STATE_READS_MAX &&
+	    store_is_reachable(host) && call.deadline > now)
+		is_read = run_on_loop(&call, start_refresh, NULL);
+	atomic_fetch_sub(&host->newer_state_reads, 1);
+	counter_inc(is_read ? CTR_STATES_READ : CTR_STATES_KNOWN_TOLD);
+	if (is_read)
+		fleet_jobs_find(host->jobs, id, state);
+	else
+		log_event(LOG_INFO, "known_state_told", "job", id, "ms",
+			  log_num(gh_time_to_ms(fleet_jobs_age(host->jobs))),
+			  NULL);
+}
+
 bool fleet_front_cancel(fleet_front_t *host, const fleet_queue_t *queue,
 			const char *id, gh_time_t deadline, GError **err)
 {
--- a/fleet_jobs.c
+++ b/fleet_jobs.c
@@ -7,6 +7,7 @@
 
 #include <inttypes.h>
 #include <pthread.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -20,6 +21,10 @@
 #define STATE_PREFIX "state/"
 #define OWNER_PREFIX "own/"
 #define LOAD_PREFIX "load/"
+/* Pause between two reads of changes by a host that owns no shard. */
+#define CHANGES_PAUSE_USEC GH_USEC_PER_SEC
+/* The same for an owner, which has to hear of cancels soon. */
+#define OWNER_CHANGES_PAUSE_USEC (50 * GH_USEC_PER_MSEC)
 #define RETRY_DELAY_USEC (40 * GH_USEC_PER_MSEC)
 /*
  * A caller's request fails after this many tries that had no effect in the
@@ -31,13 +36,17 @@
 typedef struct shard_records {
 	char *owner;
 	char *load;
+	_Atomic bool followed; /* see fleet_jobs_follow() */
 } shard_records_t;
 
 struct fleet_jobs {
 	loop_t *loop;
 	fleet_store_t *store;
 	fleet_watch_t *watch;
+	/* Of owner records; NULL until all jobs were read. */
+	fleet_watch_t *_Atomic owner_watch;
 	fleet_jobs_listener_t listener;
+	uint32_t n_followed;
 	uint32_t shards;
 	shard_records_t *records; /* indexed by shard */
 	gh_balance_t *balance;
@@ -79,6 +88,8 @@
 
 static void on_item(void *ctx, const fleet_item_t *item);
 static void on_synced(void *ctx);
+static void on_owner_item(void *ctx, const fleet_item_t *item);
+static void on_owners_synced(void *ctx);
 static void on_owner_record(fleet_jobs_t *jobs, uint32_t shard,
 			    const char *owner);
 static void set_owner(fleet_jobs_t *jobs, uint32_t shard, const char *owner);
@@ -139,6 +150,7 @@
 	loop_timer_add(loop, &jobs->timer);
 	jobs->watch = fleet_watch_new(loop, store, FLEET_KEYSPACE_OWN,
 				      DIRECTORY_PREFIX, &watch_listener);
+	fleet_watch_set_pause(jobs->watch, CHANGES_PAUSE_USEC);
 	return jobs;
 }
 
@@ -150,6 +162,7 @@
 	if (!jobs)
 		return;
 	fleet_watch_free(jobs->watch);
+	fleet_watch_free(jobs->owner_watch);
 	loop_timer_remove(jobs->loop, &jobs->timer);
 	while ((request = g_queue_pop_head(&jobs->requests))) {
 		g_free(request->record);
@@ -201,11 +214,44 @@
 
 gh_time_t fleet_jobs_last_reply_at(fleet_jobs_t *jobs)
 {
-	return fleet_watch_synced(jobs->watch) ?
-		       fleet_watch_last_reply_at(jobs->watch) :
+	gh_time_t heard_at = fleet_jobs_owners_heard_at(jobs);
+
+	return heard_at ?
+		       MAX(heard_at, fleet_watch_last_reply_at(jobs->watch)) :
+		       0;
+}
+
+gh_time_t fleet_jobs_owners_heard_at(fleet_jobs_t *jobs)
+{
+	fleet_watch_t *watch = jobs->owner_watch;
+
+	return watch && fleet_watch_synced(watch) ?
+		       fleet_watch_last_reply_at(watch) :
 		       0;
 }
 
+bool fleet_jobs_may_lag(fleet_jobs_t *jobs, const fleet_job_state_t *state)
+{
+	return state->phase <= GH_JOB_RUNNING &&
+	       !jobs->records[state->shard].followed;
+}
+
+gh_time_t fleet_jobs_age(fleet_jobs_t *jobs)
+{
+	return clock_boot() - fleet_watch_last_reply_at(jobs->watch);
+}
+
+void fleet_jobs_follow(fleet_jobs_t *jobs, uint32_t shard, bool follow)
+{
+	if (jobs->records[shard].followed == follow)
+		return;
+	jobs->records[shard].followed = follow;
+	jobs->n_followed += follow ? 1 : -1;
+	fleet_watch_set_pause(jobs->watch, jobs->n_followed ?
+						   OWNER_CHANGES_PAUSE_USEC :
+						   CHANGES_PAUSE_USEC);
+}
+
 /* The directory of all jobs. */
 
 static void on_item(void *ctx, const fleet_item_t *item)
@@ -213,10 +259,7 @@
 	fleet_jobs_t *jobs = ctx;
 	const char *key = item->key + strlen(DIRECTORY_PREFIX);
 
-	if (g_str_has_prefix(key, OWNER_PREFIX)) {
-		on_owner_record(jobs, parse_shard(key, OWNER_PREFIX),
-				item->value);
-	} else if (g_str_has_prefix(key, LOAD_PREFIX)) {
+	if (g_str_has_prefix(key, LOAD_PREFIX)) {
 		on_load_record(jobs, parse_shard(key, LOAD_PREFIX),
 			       item->value);
 	} else if (g_str_has_prefix(key, STATE_PREFIX)) {
@@ -236,6 +279,29 @@
 }
 
 static void on_synced(void *ctx)
+{
+	fleet_jobs_t *jobs = ctx;
+	fleet_watch_listener_t listener = { .item_changed = on_owner_item,
+					    .synced = on_owners_synced,
+					    .ctx = jobs };
+
+	/* No shard is claimed before the states of its jobs are known. */
+	if (!jobs->owner_watch)
+		jobs->owner_watch = fleet_watch_new(
+			jobs->loop, jobs->store, FLEET_KEYSPACE_OWN,
+			DIRECTORY_PREFIX OWNER_PREFIX, &listener);
+	jobs->listener.synced(jobs->listener.ctx);
+}
+
+static void on_owner_item(void *ctx, const fleet_item_t *item)
+{
+	on_owner_record(
+		ctx,
+		parse_shard(item->key + strlen(DIRECTORY_PREFIX), OWNER_PREFIX),
+		item->value);
+}
+
+static void on_owners_synced(void *ctx)
 {
 	fleet_jobs_t *jobs = ctx;
 	uint32_t i;
@@ -243,11 +309,10 @@
 	for (i = 0; i < jobs->shards; i++) {
 		char *key = owner_key(i);
 
-		if (!fleet_watch_has(jobs->watch, key))
+		if (!fleet_watch_has(jobs->owner_watch, key))
 			on_owner_record(jobs, i, NULL);
 		g_free(key);
 	}
-	jobs->listener.synced(jobs->listener.ctx);
 }
 
 static uint32_t parse_shard(const char *key, const char *prefix)
@@ -305,11 +370,45 @@
 {
 	char *key = owner_key(shard);
 
-	if (fleet_watch_note(jobs->watch, key, revision, true))
+	if (fleet_watch_note(jobs->owner_watch, key, revision, true))
 		set_owner(jobs, shard, owner);
 	g_free(key);
 }
 
+void fleet_jobs_note_submitted(fleet_jobs_t *jobs, uint32_t shard,
+			       const gh_pipeline_t *pipeline, uint64_t revision)
+{
+	fleet_job_state_t state = {
+		.phase = GH_JOB_QUEUED,
+		.accepted_ms = pipeline->accepted_ms,
+		.changed_ms = pipeline->accepted_ms,
+		.shard = shard,
+		.revision = revision,
+		.presumed = true,
+	};
+
+	g_strlcpy(state.queue, pipeline->queue, sizeof(state.queue));
+	fleet_jobs_update(jobs, pipeline->id, &state);
+}
+
+void fleet_jobs_correct(fleet_jobs_t *jobs, const char *id, const char *text,
+			uint64_t revision)
+{
+	fleet_job_state_t state;
+	char *key;
+
+	if (!fleet_jobs_find(jobs, id, &state) || !state.presumed)
+		return;
+	key = fleet_jobs_state_key(id);
+	fleet_watch_forget(jobs->watch, key);
+	g_free(key);
+	pthread_mutex_lock(&jobs->lock);
+	g_hash_table_remove(jobs->states, id);
+	pthread_mutex_unlock(&jobs->lock);
+	if (text)
+		fleet_jobs_update_text(jobs, id, text, revision);
+}
+
 void fleet_jobs_update_text(fleet_jobs_t *jobs, const char *id,
 			    const char *text, uint64_t revision)
 {
--- a/fleet_jobs.h
+++ b/fleet_jobs.h
@@ -3,6 +3,10 @@
  * by every host.  Jobs are submitted and cancelled by conditional writes to
  * the same records, so any host can do either.
  *
+ * A host that owns no shard reads the changes once a second, so that its calls
+ * to the store don't grow with the rate of jobs; what must be newer is read on
+ * demand by fleet_jobs_refresh().  Owner records are followed without delay.
+ *
  *   d/state/ID    "PHASE QUEUE ACCEPTED-MS CHANGED-MS SHARD"
  *   d/own/SHARD   name of the shard's owner, bound to the owner's lease
  *   d/load/SHARD  "OWNER CORES MEMORY CORES MEMORY": capacity of the shard's
@@ -28,6 +32,7 @@
 	int64_t changed_ms;  /* time of the last change of phase, wall clock */
 	uint32_t shard;
 	uint64_t revision; /* revision of the state's record in the store */
+	bool presumed;	   /* see fleet_jobs_note_submitted() */
 } fleet_job_state_t;
 
 /* Functions called on the loop's thread after the job directory was updated. */
@@ -67,10 +72,24 @@
 /* Number of the queue's jobs whose phase is GH_JOB_QUEUED. */
 uint32_t fleet_jobs_count_queued(fleet_jobs_t *jobs, const char *queue);
 /*
- * Time of the store's last reply; 0 until all jobs were read from the store
- * once.
+ * Time of the store's last reply; 0 until all jobs and owner records were read
+ * from the store once.
  */
 gh_time_t fleet_jobs_last_reply_at(fleet_jobs_t *jobs);
+/* The same for replies that tell of changed owner records. */
+gh_time_t fleet_jobs_owners_heard_at(fleet_jobs_t *jobs);
+/*
+ * Any thread: whether the state of a job that has not ended can be older than
+ * the store's, as another host owns its shard.
+ */
+bool fleet_jobs_may_lag(fleet_jobs_t *jobs, const fleet_job_state_t *state);
+/* Any thread: how old the directory's knowledge of other hosts' jobs is. */
+gh_time_t fleet_jobs_age(fleet_jobs_t *jobs);
+/*
+ * Loop's thread: this host owns the shard, or claims it, and has to hear of
+ * cancels; or it does so no longer.
+ */
+void fleet_jobs_follow(fleet_jobs_t *jobs, uint32_t shard, bool follow);
 
 /*
  * Submits or cancels a job; to be called on the loop's thread.  An id that was
@@ -93,6 +112,20 @@
 		       const fleet_job_state_t *state);
 void fleet_jobs_update_text(fleet_jobs_t *jobs, const char *id,
 			    const char *text, uint64_t revision);
+/*
+ * Notes that a job was submitted, as its record was read at this revision.  Its
+ * state is presumed to have been written in the same commit, at the same
+ * revision, until something else is known of it.
+ */
+void fleet_jobs_note_submitted(fleet_jobs_t *jobs, uint32_t shard,
+			       const gh_pipeline_t *pipeline,
+			       uint64_t revision);
+/*
+ * Corrects a presumed state by what the store has in its place; text is NULL if
+ * that is nothing.
+ */
+void fleet_jobs_correct(fleet_jobs_t *jobs, const char *id, const char *text,
+			uint64_t revision);
 /* Notes that this host has written a shard's owner record. */
 void fleet_jobs_note_owner(fleet_jobs_t *jobs, uint32_t shard,
 			   const char *owner, uint64_t revision);
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -55,6 +55,11 @@
  */
 #define CLAIM_JITTER_MAX_USEC (100 * GH_USEC_PER_MSEC)
 #define CLAIM_RETRY_DELAY_USEC (200 * GH_USEC_PER_MSEC)
+/*
+ * Pause between two reads of changed workers' records; most changes only show
+ * that a worker is alive.
+ */
+#define WORKER_CHANGES_PAUSE_USEC (50 * GH_USEC_PER_MSEC)
 /* Max time between two scheduling decisions, also without events. */
 #define TICK_PERIOD_USEC (25 * GH_USEC_PER_MSEC)
 /*
@@ -538,6 +543,7 @@
 {
 	owner->phase = PHASE_CLAIMING;
 	owner->generation++;
+	fleet_jobs_follow(owner->setup.jobs, owner->setup.shard, true);
 	owner->renewal_sent_at = clock_boot();
 	owner->setup.store->ops->grant_lease(owner->setup.store, OWNER_LEASE_MS,
 					     on_claim_lease, call_new(owner));
@@ -685,6 +691,7 @@
 static void schedule_claim_retry(fleet_owner_t *owner)
 {
 	owner->phase = PHASE_IDLE;
+	fleet_jobs_follow(owner->setup.jobs, owner->setup.shard, false);
 	owner->claim_at = clock_boot() + CLAIM_RETRY_DELAY_USEC +
 			  g_random_int_range(0, (gint32)CLAIM_JITTER_MAX_USEC);
 	owner->timer.at = owner->claim_at;
@@ -782,6 +789,8 @@
 		g_error_free(err);
 		return;
 	}
+	fleet_jobs_note_submitted(owner->setup.jobs, owner->setup.shard,
+				  pipeline, item->revision);
 	if (owner->parsed_jobs) {
 		g_ptr_array_add(owner->parsed_jobs, pipeline);
 		return;
@@ -812,6 +821,7 @@
 	owner->worker_watch =
 		fleet_watch_new(owner->setup.loop, owner->setup.store,
 				FLEET_KEYSPACE_WORKERS, "", &listener);
+	fleet_watch_set_pause(owner->worker_watch, WORKER_CHANGES_PAUSE_USEC);
 }
 
 /* Adds a job that is not known yet; takes ownership of the pipeline. */
@@ -905,6 +915,7 @@
 			  log_num((int64_t)owner->epoch), "why", reason, NULL);
 	owner->generation++;
 	owner->phase = PHASE_IDLE;
+	fleet_jobs_follow(owner->setup.jobs, owner->setup.shard, false);
 	fleet_watch_free(owner->job_watch);
 	fleet_watch_free(owner->worker_watch);
 	owner->job_watch = owner->worker_watch = NULL;
@@ -983,7 +994,7 @@
 static gh_time_t record_known_at(const fleet_owner_t *owner)
 {
 	return MAX(owner->record_seen_at,
-		   fleet_jobs_last_reply_at(owner->setup.jobs));
+		   fleet_jobs_owners_heard_at(owner->setup.jobs));
 }
 
 /*
@@ -1502,6 +1513,7 @@
 			state.phase = change->phase;
 			state.changed_ms = gh_time_to_ms(clock_real());
 			state.revision = revision;
+			state.presumed = false;
 			fleet_jobs_update(owner->setup.jobs, change->id,
 					  &state);
 		}
@@ -1563,11 +1575,15 @@
 				end_ownership(owner, "another owner took over");
 				return;
 			}
-		} else if (g_str_has_prefix(item->key, state_prefix) &&
-			   item->value) {
-			fleet_jobs_update_text(owner->setup.jobs,
-					       item->key + strlen(state_prefix),
-					       item->value, item->revision);
+		} else if (g_str_has_prefix(item->key, state_prefix)) {
+			const char *id = item->key + strlen(state_prefix);
+
+			fleet_jobs_correct(owner->setup.jobs, id, item->value,
+					   item->revision);
+			if (item->value)
+				fleet_jobs_update_text(owner->setup.jobs, id,
+						       item->value,
+						       item->revision);
 		}
 	}
 	batch_failed(owner);
--- a/fleet_watch.c
+++ b/fleet_watch.c
@@ -51,6 +51,9 @@
 	GQueue *gone_keys; /* gone_key_t, in the order of their arrival */
 	_Atomic gh_time_t last_reply_at;
 	gh_time_t retry_delay;
+	gh_time_t pause;      /* min time from a reply with changes to a call */
+	gh_time_t changes_at; /* time of the last such reply */
+	bool pausing;
 };
 
 static void start_call(fleet_watch_t *watch);
@@ -58,6 +61,7 @@
 static void on_page(void *ctx, const fleet_reply_t *reply);
 static void on_changes(void *ctx, const fleet_reply_t *reply);
 static void continue_watch(fleet_watch_t *watch);
+static void pause_watch(fleet_watch_t *watch);
 static void pass_listed_item(fleet_watch_t *watch, const fleet_item_t *item);
 static void finish_read(fleet_watch_t *watch);
 static void pass_item(fleet_watch_t *watch, const fleet_item_t *item);
@@ -100,6 +104,14 @@
 		destroy(watch);
 }
 
+void fleet_watch_set_pause(fleet_watch_t *watch, gh_time_t pause)
+{
+	watch->pause = pause;
+	if (watch->pausing)
+		watch->timer.at =
+			MIN(watch->timer.at, watch->changes_at + pause);
+}
+
 gh_time_t fleet_watch_last_reply_at(const fleet_watch_t *watch)
 {
 	return watch->last_reply_at;
@@ -133,6 +145,11 @@
 	return true;
 }
 
+void fleet_watch_forget(fleet_watch_t *watch, const char *key)
+{
+	g_hash_table_remove(watch->keys, key);
+}
+
 bool fleet_watch_has(const fleet_watch_t *watch, const char *key)
 {
 	const key_state_t *state = g_hash_table_lookup(watch->keys, key);
@@ -161,8 +178,11 @@
 
 static void on_timer(void *ctx, gh_time_t now)
 {
+	fleet_watch_t *watch = ctx;
+
 	(void)now;
-	start_call(ctx);
+	watch->pausing = false;
+	start_call(watch);
 }
 
 static void on_page(void *ctx, const fleet_reply_t *reply)
@@ -203,7 +223,18 @@
 	if (reply->revision > watch->revision)
 		watch->revision = reply->revision;
 	forget_gone_keys(watch);
-	continue_watch(watch);
+	if (reply->n_items && watch->pause && !watch->freed)
+		pause_watch(watch);
+	else
+		continue_watch(watch);
+}
+
+static void pause_watch(fleet_watch_t *watch)
+{
+	watch->call_pending = false;
+	watch->pausing = true;
+	watch->changes_at = clock_boot();
+	watch->timer.at = watch->changes_at + watch->pause;
 }
 
 /* Makes the next call, or destroys a watch that the listener has freed. */
--- a/fleet_watch.h
+++ b/fleet_watch.h
@@ -7,6 +7,9 @@
  * listener already knows, and changes since the first page are passed again.
  * The watch keeps the revision of each key and drops what is not newer, so the
  * changes of a key arrive in order and none arrives twice.
+ *
+ * With a pause, the changes of some time arrive together: a watch that makes a
+ * call for each change of a busy prefix costs the store hosts times changes.
  */
 #ifndef FLEET_WATCH_H
 #define FLEET_WATCH_H
@@ -32,6 +35,11 @@
 			       fleet_keyspace_t keyspace, const char *prefix,
 			       const fleet_watch_listener_t *listener);
 void fleet_watch_free(fleet_watch_t *watch);
+/*
+ * Loop's thread: sets the time from a reply with changes until the next call; 0
+ * at first.  A shorter pause takes effect at once.
+ */
+void fleet_watch_set_pause(fleet_watch_t *watch, gh_time_t pause);
 
 /*
  * Loop's thread: notes a change of a key that the caller has made or read by
@@ -40,6 +48,8 @@
  */
 bool fleet_watch_note(fleet_watch_t *watch, const char *key, uint64_t revision,
 		      bool exists);
+/* Loop's thread: takes back what was noted of a key. */
+void fleet_watch_forget(fleet_watch_t *watch, const char *key);
 /* Loop's thread: whether the key exists, as far as the watch knows. */
 bool fleet_watch_has(const fleet_watch_t *watch, const char *key);
 
--- a/regress/test_fleet_owner.c
+++ b/regress/test_fleet_owner.c
@@ -29,6 +29,7 @@
 	loop_t *loop;
 	loop_timer_t end;
 	fleet_owner_t *owners[SHARDS];
+	fleet_jobs_t *jobs;
 	gh_time_t delay_per_shard;
 } claims_t;
 
@@ -44,7 +45,21 @@
 	store->claimed_at[store->n_claims++] = clock_boot();
 }
 
-static const fleet_store_ops_t store_ops = { .grant_lease = store_grant_lease };
+/* The directory of jobs is never read. */
+static void store_range(fleet_store_t *base, fleet_keyspace_t keyspace,
+			const char *prefix, const char *after,
+			fleet_store_done_t done, void *ctx)
+{
+	(void)base;
+	(void)keyspace;
+	(void)prefix;
+	(void)after;
+	(void)done;
+	(void)ctx;
+}
+
+static const fleet_store_ops_t store_ops = { .grant_lease = store_grant_lease,
+					     .range = store_range };
 
 /* The more shards a host has or claims, the longer it leaves others alone. */
 static gh_time_t claim_delay(void *ctx)
@@ -76,6 +91,7 @@
 static void test_second_claim_is_delayed(void **state)
 {
 	fleet_reply_t refused = { .result = FLEET_REFUSED };
+	fleet_jobs_listener_t listener = { 0 };
 	size_t i;
 	unsigned shard;
 
@@ -85,6 +101,8 @@
 				    .delay_per_shard = delays[i] };
 
 		claims.loop = loops[i] = loop_new();
+		claims.jobs = fleet_jobs_new(claims.loop, &claims.store.base,
+					     SHARDS, &listener);
 		for (shard = 0; shard < SHARDS; shard++)
 			claims.owners[shard] =
 				fleet_owner_new(&(fleet_owner_setup_t){
@@ -92,6 +110,7 @@
 					.shard = shard,
 					.shards = SHARDS,
 					.loop = claims.loop,
+					.jobs = claims.jobs,
 					.store = &claims.store.base,
 					.claim_delay = claim_delay,
 					.claim_delay_ctx = &claims,
--- a/regress/test_fleet_watch.c
+++ b/regress/test_fleet_watch.c
@@ -8,6 +8,7 @@
 #include <cmocka.h>
 #include <string.h>
 
+#include "clock.h"
 #include "fleet_watch.h"
 
 #define PREFIX "w/0/"
@@ -235,10 +236,140 @@
 	}
 }
 
+#define PAUSED_RUN_USEC (400 * GH_USEC_PER_MSEC)
+
+/* A store that has a change for each watch call at once. */
+typedef struct busy_store {
+	fleet_store_t base;
+	loop_t *loop;
+	fleet_store_done_t done;
+	void *ctx;
+	unsigned calls;
+} busy_store_t;
+
+static void reply_with_change(void *ctx)
+{
+	busy_store_t *store = ctx;
+	fleet_store_done_t done = store->done;
+	fleet_item_t item = { .key = (char *)PREFIX "a",
+			      .value = (char *)"value",
+			      .revision = 10 + store->calls };
+	fleet_reply_t reply = { .result = FLEET_OK,
+				.revision = item.revision,
+				.items = &item,
+				.n_items = 1 };
+
+	store->done = NULL;
+	if (done)
+		done(store->ctx, &reply);
+}
+
+static void busy_range(fleet_store_t *base, fleet_keyspace_t keyspace,
+		       const char *prefix, const char *after_key,
+		       fleet_store_done_t done, void *ctx)
+{
+	busy_store_t *store = (busy_store_t *)base;
+
+	(void)keyspace;
+	(void)prefix;
+	(void)after_key;
+	store->calls++;
+	store->done = done;
+	store->ctx = ctx;
+	loop_post(store->loop, reply_with_change, store);
+}
+
+static void busy_watch(fleet_store_t *base, fleet_keyspace_t keyspace,
+		       const char *prefix, uint64_t after_revision,
+		       int64_t wait_ms, fleet_store_done_t done, void *ctx)
+{
+	(void)after_revision;
+	(void)wait_ms;
+	busy_range(base, keyspace, prefix, "", done, ctx);
+}
+
+static const fleet_store_ops_t busy_ops = { .range = busy_range,
+					    .watch = busy_watch };
+
+typedef struct pause_case {
+	const char *name;
+	int64_t pause_ms, shorter_ms; /* the shorter one is set half-way */
+	unsigned calls_min, calls_max;
+} pause_case_t;
+
+static const pause_case_t pause_cases[] = {
+	{ "no pause", 0, 0, 100, UINT32_MAX },
+	{ "a pause", 50, 50, 4, 10 },
+	{ "longer than the run", 10000, 10000, 2, 2 },
+	{ "shorter from now on", 10000, 20, 5, 13 },
+};
+
+typedef struct pause_run {
+	const pause_case_t *c;
+	loop_t *loop;
+	fleet_watch_t *watch;
+	loop_timer_t half_way, end;
+} pause_run_t;
+
+static void set_shorter_pause(void *ctx, gh_time_t now)
+{
+	pause_run_t *run = ctx;
+
+	(void)now;
+	fleet_watch_set_pause(run->watch, gh_time_from_ms(run->c->shorter_ms));
+}
+
+static void end_run(void *ctx, gh_time_t now)
+{
+	(void)now;
+	loop_stop(((pause_run_t *)ctx)->loop);
+}
+
+static loop_t *pause_loops[G_N_ELEMENTS(pause_cases)];
+
+/* Changes of some time arrive together instead of with a call each. */
+static void test_pause(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(pause_cases); i++) {
+		const pause_case_t *c = &pause_cases[i];
+		GString *heard = g_string_new(NULL);
+		fleet_watch_listener_t listener = { .item_changed = on_item,
+						    .synced = on_synced,
+						    .ctx = heard };
+		busy_store_t store = { .base.ops = &busy_ops };
+		pause_run_t run = { .c = c };
+
+		run.loop = store.loop = pause_loops[i] = loop_new();
+		run.half_way = (loop_timer_t){ .at = clock_boot() +
+						     PAUSED_RUN_USEC / 2,
+					       .run = set_shorter_pause,
+					       .ctx = &run };
+		run.end = (loop_timer_t){ .at = clock_boot() + PAUSED_RUN_USEC,
+					  .run = end_run,
+					  .ctx = &run };
+		loop_timer_add(run.loop, &run.half_way);
+		loop_timer_add(run.loop, &run.end);
+		run.watch =
+			fleet_watch_new(run.loop, &store.base,
+					FLEET_KEYSPACE_OWN, PREFIX, &listener);
+		fleet_watch_set_pause(run.watch, gh_time_from_ms(c->pause_ms));
+		loop_run(run.loop);
+		print_message("%s: %u calls\n", c->name, store.calls);
+		assert_in_range(store.calls, c->calls_min, c->calls_max);
+		fleet_watch_free(run.watch);
+		reply_with_change(&store);
+		g_string_free(heard, TRUE);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_late_replies),
+		cmocka_unit_test(test_pause),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/regress/test_platform_reads.c
+++ b/regress/test_platform_reads.c
@@ -22,6 +22,8 @@
 
 #define HOLD_MS 1100 /* less than a host waits for a reply */
 #define SHORT_HOLD_MS 400
+/* After this time without changes all hosts wait for the next one. */
+#define CHANGES_PAUSE_USEC (1100 * 1000)
 #define REPLY_USEC (50 * 1000) /* replies on their way arrive within this */
 #define SETTLE_USEC (3 * 1000 * 1000)
 #define POLL_USEC (10 * 1000)
@@ -43,6 +45,9 @@
 	return fleet_platform_counter(arg, "running") == 0;
 }
 
+/* Two hosts read the job states and, apart from them, the owner records. */
+#define DIRECTORY_READS 4
+
 typedef struct held_arg {
 	fleet_system_t *sys;
 	int64_t reads;
@@ -150,8 +155,8 @@
 
 static const read_case_t read_cases[] = {
 	{ "gh/w/", 1 },
-	{ "gh/d/", 2 },
-	{ "gh/", 3 },
+	{ "gh/d/", DIRECTORY_READS },
+	{ "gh/", DIRECTORY_READS + 1 },
 };
 
 /* A job that has ended stays ended. */
@@ -226,18 +231,21 @@
 	(void)state;
 	fleet_system_start(&sys, "platform-unread", 2, 3, 1);
 	owner = (unsigned)fleet_shard_owner(&sys, 0);
-	hold_reads(&sys, "gh/", SHORT_HOLD_MS, 3);
+	g_usleep(CHANGES_PAUSE_USEC);
+	hold_reads(&sys, "gh/", SHORT_HOLD_MS, DIRECTORY_READS + 1);
 	assert_int_equal(fleet_submit(&sys, owner, ID("01"), "200", ONE_STEP),
 			 200);
 	assert_int_equal(fleet_cancel(&sys, owner, ID("01")), 200);
-	out.late = reads_held(&(held_arg_t){ .sys = &sys, .reads = 3 });
-	out.late = hold_next_reads(&sys, "gh/", 3) && out.late;
+	out.late = reads_held(
+		&(held_arg_t){ .sys = &sys, .reads = DIRECTORY_READS + 1 });
+	out.late =
+		hold_next_reads(&sys, "gh/", DIRECTORY_READS + 1) && out.late;
 	/* The owner's read of the job records arrives first. */
 	json_decref(proc_control(
 		sys.platform_address,
 		"{\"hold_range\":{\"prefix\":\"gh/d/\",\"ms\":0}}"));
 	g_usleep(4 * REPLY_USEC);
-	out.late = release_reads(&sys, 2) && out.late;
+	out.late = release_reads(&sys, DIRECTORY_READS) && out.late;
 	observe(&sys, ID("01"), "cancelled", &out);
 	fleet_system_stop(&sys);
 	check_outcome(&out, 0);
@@ -276,13 +284,17 @@
 		host = (unsigned)fleet_shard_owner(&sys, 0);
 		if (!c->to_owner)
 			host = !host;
-		hold_reads(&sys, "gh/d/", SHORT_HOLD_MS, 2);
+		g_usleep(CHANGES_PAUSE_USEC);
+		hold_reads(&sys, "gh/d/", SHORT_HOLD_MS, DIRECTORY_READS);
 		assert_int_equal(fleet_submit(&sys, host, ID("01"), c->payload,
 					      ONE_STEP),
 				 200);
-		late = reads_held(&(held_arg_t){ .sys = &sys, .reads = 2 });
+		late = reads_held(
+			&(held_arg_t){ .sys = &sys, .reads = DIRECTORY_READS });
 		if (c->again)
-			late = hold_next_reads(&sys, "gh/d/", 2) && late;
+			late = hold_next_reads(&sys, "gh/d/",
+					       DIRECTORY_READS) &&
+			       late;
 		end = g_get_monotonic_time() + SETTLE_USEC;
 		while (g_get_monotonic_time() < end) {
 			char *actual = fleet_get_state(&sys, host, ID("01"));
@@ -382,10 +394,11 @@
 				 "{\"hold_range\":{\"prefix\":\"gh/d/\","
 				 "\"ms\":%d},\"lapse\":true,\"compact\":true}",
 				 HOLD_MS));
-	proc_wait_until(reads_held, &(held_arg_t){ .sys = &sys, .reads = 2 },
+	proc_wait_until(reads_held,
+			&(held_arg_t){ .sys = &sys, .reads = DIRECTORY_READS },
 			"reads of all records");
 	proc_wait_until(shard_owned, &sys, "owner record");
-	late = release_reads(&sys, 2);
+	late = release_reads(&sys, DIRECTORY_READS);
 	end = g_get_monotonic_time() + SETTLE_USEC;
 	while (g_get_monotonic_time() < end) {
 		unowned += !shard_owned(&sys);
