core_balance: short jobs of fixed size go where capacity is left

The hash sends as many urgent jobs to the full shards as to the others: in the former up to 14 stages waited, no worker with 16 free cores was left, while in the latter 38 and 40 workers were empty and nothing waited.

A job with a step of fixed size and no long-running one now goes to a shard in proportion to the cores, or memory, that long-running tasks leave there. Jobs of best-effort steps alone stay with the hash, as they take what the others don't use.

test_urgent_jobs_beside_long_running plays that load: 2,668 cores were wanted where 653 were left, now 568. test_choice: the case that a job without long-running tasks always goes to the hashed shard, full or not, was the fault; it now expects the shares of what is left, and five cases more say when the hash counts.

--- a/core_balance.c
+++ b/core_balance.c
@@ -27,8 +27,14 @@
 };
 
 static gh_capacity_t long_running_size(const gh_pipeline_t *job);
-static uint32_t choose_by_share(const gh_balance_t *balance,
-				const gh_pipeline_t *job);
+/* How much a shard is to be preferred for a job; negative: not at all. */
+typedef double (*weight_t)(const shard_entry_t *shard,
+			   const gh_capacity_t *size);
+
+static bool has_fixed_step(const gh_pipeline_t *job);
+static uint32_t choose_by_weight(const gh_balance_t *balance,
+				 const gh_pipeline_t *job, weight_t weigh);
+static double free_cores(const shard_entry_t *shard, const gh_capacity_t *job);
 static uint32_t scrambled_hash(const char *id);
 static double free_share(const shard_entry_t *shard, const gh_capacity_t *job);
 static double free_part(int64_t total, int64_t used, int64_t wanted);
@@ -77,27 +83,32 @@
 	placed_job_t placed = { .size = long_running_size(job),
 				.reported_at = now + REPORT_DELAY_USEC,
 				.expires_at = now + PLACED_MAX_USEC };
+	bool long_running = gh_pipeline_is_long_running(job);
 	uint32_t best = hashed;
 	uint32_t i;
 
-	if (!gh_pipeline_is_long_running(job))
+	if (!long_running && !has_fixed_step(job))
 		return hashed;
 	for (i = 0; i < balance->n_shards; i++)
 		remove_placed(&balance->shards[i], false, now);
 	if (balance->shards[hashed].known)
-		best = choose_by_share(balance, job);
+		best = long_running ?
+			       choose_by_weight(balance, job, free_share) :
+			       choose_by_weight(balance, job, free_cores);
+	if (!long_running)
+		return best;
 	g_array_append_val(balance->shards[best].placed, placed);
 	return best;
 }
 
 /*
- * Chooses a shard with a probability in proportion to the share that it has
- * left once the job runs there, or the one with the largest if none has any.
- * The id's hash stands for the random number.  Hosts that decided for the
- * largest share would all choose the same shard until the next report.
+ * Chooses a shard with a probability in proportion to its weight, or the one
+ * with the largest if none has any.  The id's hash stands for the random
+ * number.  Hosts that decided for the largest weight would all choose the same
+ * shard until the next report.
  */
-static uint32_t choose_by_share(const gh_balance_t *balance,
-				const gh_pipeline_t *job)
+static uint32_t choose_by_weight(const gh_balance_t *balance,
+				 const gh_pipeline_t *job, weight_t weigh)
 {
 	gh_capacity_t size = long_running_size(job);
 	double position = (double)scrambled_hash(job->id) / UINT32_MAX;
@@ -107,22 +118,22 @@
 	uint32_t i;
 
 	for (i = 0; i < balance->n_shards; i++) {
-		double share = free_share(&balance->shards[i], &size);
+		double weight = weigh(&balance->shards[i], &size);
 
-		sum += MAX(share, 0);
-		if (share > largest) {
-			largest = share;
+		sum += MAX(weight, 0);
+		if (weight > largest) {
+			largest = weight;
 			best = i;
 		}
 	}
 	position *= sum;
 	for (i = 0; sum > 0 && i < balance->n_shards; i++) {
-		double share = free_share(&balance->shards[i], &size);
+		double weight = weigh(&balance->shards[i], &size);
 
-		if (share <= 0)
+		if (weight <= 0)
 			continue;
 		best = i;
-		position -= share;
+		position -= weight;
 		if (position < 0)
 			break;
 	}
@@ -188,6 +199,35 @@
 	return MIN(cores, memory);
 }
 
+/*
+ * Milli-cores that long-running tasks leave; as many fewer as they leave less
+ * of the memory.
+ */
+static double free_cores(const shard_entry_t *shard, const gh_capacity_t *job)
+{
+	const gh_capacity_t *total = &shard->load.total;
+	const gh_capacity_t *used = &shard->load.long_running;
+	double cores, memory;
+
+	(void)job;
+	if (!shard->known || total->cores_milli <= 0 || total->memory_mb <= 0)
+		return 0;
+	cores = (double)(total->cores_milli - used->cores_milli);
+	memory = (double)(total->memory_mb - used->memory_mb) /
+		 (double)total->memory_mb;
+	return MIN(cores, memory * (double)total->cores_milli);
+}
+
+static bool has_fixed_step(const gh_pipeline_t *job)
+{
+	uint32_t i;
+
+	for (i = 0; i < job->n_steps; i++)
+		if (!job->steps[i].best_effort)
+			return true;
+	return false;
+}
+
 static double free_part(int64_t total, int64_t used, int64_t wanted)
 {
 	if (!wanted)
--- a/core_balance.h
+++ b/core_balance.h
@@ -3,9 +3,16 @@
  *
  * Long-running tasks keep their capacity, so a job with such tasks goes to a
  * shard with a probability in proportion to the share of its capacity that it
- * has left for them.  Any other job goes to the shard that the hash of its id
- * names.  The owners report the loads of their shards some time after the fact,
- * so jobs that this host has placed lately count in addition.
+ * has left for them.  A job with other tasks of fixed size can use only what
+ * the long-running ones leave, so it goes to a shard in proportion to that.  A
+ * job of best-effort tasks alone, which take what the others don't use, goes to
+ * the shard that the hash of its id names.
+ *
+ * Answers loads whose long-running tasks fill most of the capacity, and some
+ * shards almost whole: where the hash placed short urgent jobs, those of the
+ * full shards never started while others had workers to spare.  The owners
+ * report the loads of their shards some time after the fact, so jobs that this
+ * host has placed lately count in addition.
  */
 #ifndef CORE_BALANCE_H
 #define CORE_BALANCE_H
@@ -38,9 +45,10 @@
 		       const gh_shard_load_t *load, gh_time_t now);
 
 /*
- * Returns the shard for a job, and counts the job there.  hashed is the shard
- * that the job's id hashes to; it is chosen when its load is unknown.  A
- * shard of unknown load is otherwise chosen only if all of known load are full.
+ * Returns the shard for a job, and counts the job there if it has long-running
+ * tasks.  hashed is the shard that the job's id hashes to; it is chosen when
+ * its load is unknown.  A shard of unknown load is otherwise chosen only if all
+ * of known load are full.
  */
 uint32_t gh_balance_choose(gh_balance_t *balance, const gh_pipeline_t *job,
 			   uint32_t hashed, gh_time_t now);
--- a/regress/test_core_balance.c
+++ b/regress/test_core_balance.c
@@ -33,6 +33,7 @@
 	uint32_t others;
 	uint32_t cores;
 	uint32_t memory_mb;
+	bool best_effort; /* the other tasks */
 } demand_t;
 
 typedef struct choice_case {
@@ -46,62 +47,87 @@
 static const choice_case_t choice_cases[] = {
 	{ "no long-running task",
 	  { USED(90, 0), USED(0, 0), USED(0, 0) },
-	  { 0, 10, 1, 1 },
+	  { 0, 10, 1, 1, false },
+	  0,
+	  { 5, 47, 47 } },
+	{ "no long-running task, hashed shard full",
+	  { USED(100, 0), USED(75, 0), USED(25, 0) },
+	  { 0, 10, 1, 1, false },
+	  0,
+	  { 0, 25, 75 } },
+	{ "no long-running task, memory decides",
+	  { USED(10, 90), USED(10, 70), USED(40, 0) },
+	  { 0, 10, 1, 1, false },
+	  0,
+	  { 10, 30, 60 } },
+	{ "no long-running task, shards of unequal size",
+	  { { { 300000, 300 }, { 0, 0 } }, USED(0, 0), USED(100, 0) },
+	  { 0, 10, 1, 1, false },
+	  2,
+	  { 75, 25, 0 } },
+	{ "no long-running task, hashed shard unknown",
+	  { UNKNOWN, USED(0, 0), USED(0, 0) },
+	  { 0, 10, 1, 1, false },
+	  0,
+	  { 100, 0, 0 } },
+	{ "best-effort tasks only",
+	  { USED(90, 0), USED(0, 0), USED(0, 0) },
+	  { 0, 10, 1, 1, true },
 	  0,
 	  { 100, 0, 0 } },
 	{ "equal loads",
 	  { USED(40, 0), USED(40, 0), USED(40, 0) },
-	  { 10, 0, 1, 0 },
+	  { 10, 0, 1, 0, false },
 	  1,
 	  { 33, 33, 33 } },
 	{ "hashed shard full",
 	  { USED(95, 0), USED(90, 0), USED(20, 0) },
-	  { 10, 0, 1, 0 },
+	  { 10, 0, 1, 0, false },
 	  0,
 	  { 0, 0, 100 } },
 	{ "least memory decides",
 	  { USED(10, 90), USED(40, 50), USED(50, 60) },
-	  { 10, 0, 1, 1 },
+	  { 10, 0, 1, 1, false },
 	  0,
 	  { 0, 57, 43 } },
 	{ "memory not needed",
 	  { USED(10, 90), USED(40, 50), USED(50, 60) },
-	  { 10, 0, 1, 0 },
+	  { 10, 0, 1, 0, false },
 	  1,
 	  { 47, 29, 24 } },
 	{ "smaller shard, larger share left",
 	  { { { 1000000, 1000 }, { 600000, 0 } }, USED(30, 0), USED(90, 0) },
-	  { 10, 0, 1, 0 },
+	  { 10, 0, 1, 0, false },
 	  0,
 	  { 39, 61, 0 } },
 	{ "no usable worker, no shard with capacity",
 	  { { { 0, 100 }, { 0, 0 } }, USED(98, 0), USED(99, 0) },
-	  { 10, 0, 1, 0 },
+	  { 10, 0, 1, 0, false },
 	  0,
 	  { 0, 100, 0 } },
 	{ "other tasks don't count",
 	  { USED(40, 0), USED(55, 0), USED(90, 0) },
-	  { 1, 50, 1, 0 },
+	  { 1, 50, 1, 0, false },
 	  1,
 	  { 53, 39, 8 } },
 	{ "hashed shard unknown",
 	  { USED(0, 0), USED(0, 0), UNKNOWN },
-	  { 10, 0, 1, 0 },
+	  { 10, 0, 1, 0, false },
 	  2,
 	  { 0, 0, 100 } },
 	{ "another shard unknown",
 	  { USED(80, 0), USED(50, 0), UNKNOWN },
-	  { 10, 0, 1, 0 },
+	  { 10, 0, 1, 0, false },
 	  0,
 	  { 20, 80, 0 } },
 	{ "known shards full",
 	  { USED(95, 0), USED(95, 0), UNKNOWN },
-	  { 10, 0, 1, 0 },
+	  { 10, 0, 1, 0, false },
 	  0,
 	  { 0, 0, 100 } },
 	{ "nothing known",
 	  { UNKNOWN, UNKNOWN, UNKNOWN },
-	  { 10, 0, 1, 0 },
+	  { 10, 0, 1, 0, false },
 	  1,
 	  { 0, 100, 0 } },
 };
@@ -120,7 +146,7 @@
 {
 	gh_step_t steps[2] = {
 		{ .tasks = demand->long_running, .long_running = true },
-		{ .tasks = demand->others },
+		{ .tasks = demand->others, .best_effort = demand->best_effort },
 	};
 	gh_pipeline_t job = { .n_steps = 2, .steps = steps };
 
@@ -194,7 +220,7 @@
 
 static void test_placed(void **state)
 {
-	static const demand_t job = { 20, 0, 1, 0 };
+	static const demand_t job = { 20, 0, 1, 0, false };
 	static const gh_shard_load_t loads[SHARDS] = { USED(70, 0), USED(80, 0),
 						       USED(99, 0) };
 	size_t i;
@@ -261,7 +287,7 @@
 	int64_t next_job_ms;
 } sim_t;
 
-static const demand_t sim_job = { 14, 0, 13, 26000 };
+static const demand_t sim_job = { 14, 0, 13, 26000, false };
 
 static void sim_end_jobs(sim_t *sim, sim_shard_t *shard)
 {
@@ -403,9 +429,47 @@
 	}
 }
 
+#define URGENT_JOBS 4000
+#define URGENT_CORES 2 /* that such a job takes on average */
+
+/*
+ * Long-running tasks fill the shards unequally, as the first jobs come at once.
+ * Short urgent jobs come at a rate that all shards together can serve: no shard
+ * gets more than its long-running tasks leave.
+ */
+static void test_urgent_jobs_beside_long_running(void **state)
+{
+	static const gh_shard_load_t loads[SHARDS] = {
+		{ { 15136000, 60544 }, { 14483000, 27858 } },
+		{ { 16320000, 65280 }, { 11445000, 23820 } },
+		{ { 18624000, 74496 }, { 15475000, 31830 } },
+	};
+	gh_balance_t *balance = gh_balance_new(SHARDS);
+	demand_t job = { 0, 1, 1, 1, false };
+	uint32_t cores[SHARDS] = { 0 };
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < SHARDS; i++)
+		report(balance, i, &loads[i], 0);
+	for (i = 0; i < URGENT_JOBS; i++)
+		cores[choose(balance, &job, i, i % SHARDS, STEP_MS)] +=
+			URGENT_CORES;
+	for (i = 0; i < SHARDS; i++) {
+		int64_t left = loads[i].total.cores_milli -
+			       loads[i].long_running.cores_milli;
+
+		print_message("shard %u: %u cores wanted, %d left\n", i,
+			      cores[i], (int)(left / 1000));
+		assert_true(cores[i] * 1000LL <= left);
+	}
+	gh_balance_free(balance);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_urgent_jobs_beside_long_running),
 		cmocka_unit_test(test_choice),
 		cmocka_unit_test(test_placed),
 		cmocka_unit_test(test_hosts),
