fleet_jobs: a cancel has a record that its shard's owner follows

The host that cancels a job writes w/SHARD/cancel/ID in the same commit as the state. Owners follow w/SHARD/ without a pause; the record is deleted with the job. An owner now reads the directory's changes five times a second and the workers' records ten times.

--- a/fleet_jobs.c
+++ b/fleet_jobs.c
@@ -23,8 +23,8 @@
 #define LOAD_PREFIX "load/"
 /* Pause between two reads of changes by a host that owns no shard. */
 #define CHANGES_PAUSE_USEC GH_USEC_PER_SEC
-/* The same for an owner, which has to hear of cancels soon. */
-#define OWNER_CHANGES_PAUSE_USEC (50 * GH_USEC_PER_MSEC)
+/* The same for an owner, whose commits expect the states of its jobs. */
+#define OWNER_CHANGES_PAUSE_USEC (200 * GH_USEC_PER_MSEC)
 #define RETRY_DELAY_USEC (40 * GH_USEC_PER_MSEC)
 /*
  * A caller's request fails after this many tries that had no effect in the
@@ -484,6 +484,11 @@
 	return g_strdup_printf("w/%u/%s", shard, id);
 }
 
+char *fleet_jobs_cancel_key(uint32_t shard, const char *id)
+{
+	return g_strdup_printf("w/%u/" FLEET_CANCEL_PREFIX "%s", shard, id);
+}
+
 char *fleet_jobs_load_key(uint32_t shard)
 {
 	return g_strdup_printf(DIRECTORY_PREFIX LOAD_PREFIX "%u", shard);
@@ -646,8 +651,9 @@
 {
 	fleet_jobs_t *jobs = request->jobs;
 	char *state_key = fleet_jobs_state_key(request->id);
-	char *record_key =
-		fleet_jobs_record_key(request->state.shard, request->id);
+	uint32_t shard = request->state.shard;
+	char *record_key = fleet_jobs_record_key(shard, request->id);
+	char *cancel_key = fleet_jobs_cancel_key(shard, request->id);
 	fleet_job_state_t new_state = request->state;
 	fleet_entry_t entries[3];
 	size_t n = 0;
@@ -672,9 +678,14 @@
 		entries[n++] = (fleet_entry_t){ .kind = FLEET_PUT,
 						.key = record_key,
 						.value = request->record };
+	else
+		entries[n++] = (fleet_entry_t){ .kind = FLEET_PUT,
+						.key = cancel_key,
+						.value = text };
 	request->write_pending = true;
 	jobs->store->ops->commit(jobs->store, entries, n, on_written, request);
 	g_free(text);
+	g_free(cancel_key);
 	g_free(record_key);
 	g_free(state_key);
 }
--- a/fleet_jobs.h
+++ b/fleet_jobs.h
@@ -12,6 +12,9 @@
  *   d/load/SHARD  "OWNER CORES MEMORY CORES MEMORY": capacity of the shard's
  *                 workers and size of its long-running tasks
  *   w/SHARD/ID    the job as submitted, deleted when the job has ended
+ *   w/SHARD/cancel/ID
+ *                 written with the state of a job that is cancelled, so that
+ *                 the shard's owner hears of it at once; deleted with the job
  *
  * The shard of a job is chosen when the job is accepted and kept in its state.
  * Without SHARD, as earlier versions wrote it, the hash of the id is the shard.
@@ -23,6 +26,9 @@
 #include "fleet_loop.h"
 #include "fleet_port.h"
 
+/* In keys of jobs' records, before the id of a job that is cancelled. */
+#define FLEET_CANCEL_PREFIX "cancel/"
+
 typedef struct fleet_jobs fleet_jobs_t;
 
 typedef struct fleet_job_state {
@@ -138,6 +144,7 @@
 
 char *fleet_jobs_state_key(const char *id);
 char *fleet_jobs_record_key(uint32_t shard, const char *id);
+char *fleet_jobs_cancel_key(uint32_t shard, const char *id);
 char *fleet_jobs_load_key(uint32_t shard);
 char *fleet_job_state_format(const fleet_job_state_t *state);
 char *fleet_jobs_load_format(const char *owner, const gh_shard_load_t *load);
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -59,7 +59,7 @@
  * Pause between two reads of changed workers' records; most changes only show
  * that a worker is alive.
  */
-#define WORKER_CHANGES_PAUSE_USEC (50 * GH_USEC_PER_MSEC)
+#define WORKER_CHANGES_PAUSE_USEC (100 * GH_USEC_PER_MSEC)
 /* Max time between two scheduling decisions, also without events. */
 #define TICK_PERIOD_USEC (25 * GH_USEC_PER_MSEC)
 /*
@@ -80,7 +80,7 @@
  */
 #define SWEEP_JOBS_MAX 14
 /* Max number of commit entries that one job's change takes. */
-#define CHANGE_ENTRIES_MAX 4
+#define CHANGE_ENTRIES_MAX 5
 /*
  * The learned interference is stored beside the jobs' progress, under this id;
  * no job has it.
@@ -182,6 +182,8 @@
 	gh_time_t load_retry_at;
 	/* gh_pipeline_t, while the shard is being loaded; then NULL. */
 	GPtrArray *parsed_jobs;
+	/* Ids of jobs that were cancelled and have not been committed since. */
+	GHashTable *cancelled;
 	fleet_watch_t *job_watch;
 	fleet_watch_t *worker_watch;
 	/* Keys of workers' records that were logged as unusable. */
@@ -242,6 +244,7 @@
 static void on_progress_page(void *ctx, const fleet_reply_t *reply);
 static void on_job_record(void *ctx, const fleet_item_t *item);
 static void on_job_records_synced(void *ctx);
+static void on_cancel_record(fleet_owner_t *owner, const char *id);
 static void add_job(fleet_owner_t *owner, gh_pipeline_t *pipeline,
 		    const char *source);
 static void on_worker_record(void *ctx, const fleet_item_t *item);
@@ -276,6 +279,8 @@
 static void batch_committed(fleet_owner_t *owner, uint64_t revision);
 static void note_deleted_record(fleet_owner_t *owner, const char *id,
 				uint64_t revision);
+static bool is_cancelled(const fleet_owner_t *owner,
+			 const gh_fleet_change_t *change);
 static void batch_failed(fleet_owner_t *owner);
 static void batch_conflict(fleet_owner_t *owner, const fleet_reply_t *reply);
 static void batch_send(fleet_owner_t *owner);
@@ -720,6 +725,8 @@
 	owner->progress =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	owner->parsed_jobs = g_ptr_array_new();
+	owner->cancelled =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	owner->renew_at = clock_boot();
 	owner->dirty = true;
 	g_clear_pointer(&owner->last_progress_key, g_free);
@@ -780,8 +787,14 @@
 	GError *err = NULL;
 	gh_pipeline_t *pipeline;
 
+	const char *id = strstr(item->key, "/" FLEET_CANCEL_PREFIX);
+
 	if (!item->value)
 		return;
+	if (id) {
+		on_cancel_record(owner, id + strlen("/" FLEET_CANCEL_PREFIX));
+		return;
+	}
 	pipeline = gh_pipeline_parse(item->value, &err);
 	if (!pipeline) {
 		log_event(LOG_ERROR, "job_unread", "key", item->key, "message",
@@ -824,6 +837,14 @@
 	fleet_watch_set_pause(owner->worker_watch, WORKER_CHANGES_PAUSE_USEC);
 }
 
+/* A job that is still to be loaded is cancelled when it is added. */
+static void on_cancel_record(fleet_owner_t *owner, const char *id)
+{
+	g_hash_table_add(owner->cancelled, g_strdup(id));
+	gh_fleet_job_cancel(owner->fleet, id, clock_boot());
+	owner->dirty = true;
+}
+
 /* Adds a job that is not known yet; takes ownership of the pipeline. */
 static void add_job(fleet_owner_t *owner, gh_pipeline_t *pipeline,
 		    const char *source)
@@ -849,8 +870,9 @@
 			  "message", err->message, NULL);
 		g_error_free(err);
 	}
-	if (fleet_jobs_find(owner->setup.jobs, id, &state) &&
-	    state.phase == GH_JOB_CANCELLED)
+	if (g_hash_table_contains(owner->cancelled, id) ||
+	    (fleet_jobs_find(owner->setup.jobs, id, &state) &&
+	     state.phase == GH_JOB_CANCELLED))
 		gh_fleet_job_cancel(owner->fleet, id, clock_boot());
 }
 
@@ -937,6 +959,7 @@
 		g_ptr_array_set_free_func(owner->parsed_jobs,
 					  (GDestroyNotify)gh_pipeline_free);
 	g_clear_pointer(&owner->parsed_jobs, g_ptr_array_unref);
+	g_clear_pointer(&owner->cancelled, g_hash_table_destroy);
 	g_clear_pointer(&owner->batch, batch_free);
 	g_clear_pointer(&owner->load_saved, g_free);
 }
@@ -1381,6 +1404,11 @@
 			batch, FLEET_DELETE,
 			g_strconcat(owner->progress_prefix, change->id, NULL),
 			NULL, 0, 0);
+		if (is_cancelled(owner, change))
+			batch_add_entry(
+				batch, FLEET_DELETE,
+				fleet_jobs_cancel_key(shard, change->id), NULL,
+				0, 0);
 	} else {
 		batch_add_entry(
 			batch, FLEET_PUT,
@@ -1535,11 +1563,23 @@
 				uint64_t revision)
 {
 	char *key = fleet_jobs_record_key(owner->setup.shard, id);
+	char *cancel_key = fleet_jobs_cancel_key(owner->setup.shard, id);
 
 	fleet_watch_note(owner->job_watch, key, revision, false);
+	fleet_watch_note(owner->job_watch, cancel_key, revision, false);
+	g_hash_table_remove(owner->cancelled, id);
+	g_free(cancel_key);
 	g_free(key);
 }
 
+/* Whether the job may have a record of its cancel, which is to be deleted. */
+static bool is_cancelled(const fleet_owner_t *owner,
+			 const gh_fleet_change_t *change)
+{
+	return change->phase == GH_JOB_CANCELLED ||
+	       g_hash_table_contains(owner->cancelled, change->id);
+}
+
 static void batch_failed(fleet_owner_t *owner)
 {
 	batch_t *batch = owner->batch;
--- a/regress/test_platform_directory.c
+++ b/regress/test_platform_directory.c
@@ -107,12 +107,55 @@
 	g_free(actual);
 }
 
+#define CANCELS 10
+#define CANCEL_MAX_USEC (150 * 1000)
+
+static bool none_running(void *arg)
+{
+	return fleet_platform_counter(arg, "running") == 0;
+}
+
+static bool one_running(void *arg)
+{
+	return fleet_platform_counter(arg, "running") == 1;
+}
+
+/* A cancel at another host stops the job's runs as soon as one at the owner. */
+static void test_cancel_reaches_the_owner(void **state)
+{
+	gint64 longest = 0;
+	fleet_system_t sys;
+	unsigned owner, i;
+	char id[17];
+
+	(void)state;
+	fleet_system_start(&sys, "platform-cancel-elsewhere", 2, 4, 1);
+	owner = (unsigned)fleet_shard_owner(&sys, 0);
+	for (i = 0; i < CANCELS; i++) {
+		gint64 began;
+
+		g_snprintf(id, sizeof(id), "%016u", i);
+		assert_int_equal(
+			fleet_submit(&sys, !owner, id, "60000 lasts", LASTING),
+			200);
+		proc_wait_until(one_running, &sys, "a running task");
+		began = g_get_monotonic_time();
+		assert_int_equal(fleet_cancel(&sys, !owner, id), 200);
+		proc_wait_until(none_running, &sys, "no running task");
+		longest = MAX(longest, g_get_monotonic_time() - began);
+	}
+	print_message("longest: %d ms\n", (int)(longest / 1000));
+	fleet_system_stop(&sys);
+	assert_true(longest < CANCEL_MAX_USEC);
+}
+
 int main(int argc, char **argv)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_calls_do_not_grow_with_jobs),
 		cmocka_unit_test(test_end_is_told_everywhere),
 		cmocka_unit_test(test_known_state_without_store),
+		cmocka_unit_test(test_cancel_reaches_the_owner),
 	};
 
 	if (argc > 1)
