regress: fuzz what is read on the users' platform

Only documents, settings and the stand-ins' jobs were fuzzed. fuzz_platform mutates callers' submissions, stored jobs, workers' records and reports, configurations, progress records and learned interference.

--- a/Makefile
+++ b/Makefile
@@ -127,10 +127,12 @@
 N ?= 100000
 SEED ?= 1
 fuzz:
-	$(MAKE) $(FUZZ_BUILD)/test-fuzz-document BUILD=$(FUZZ_BUILD) \
+	$(MAKE) $(FUZZ_BUILD)/test-fuzz-document \
+		$(FUZZ_BUILD)/test-fuzz-platform BUILD=$(FUZZ_BUILD) \
 		OPT="-O1 -g" \
 		SAN="-fsanitize=address,undefined -fno-omit-frame-pointer"
 	FUZZ_N=$(N) FUZZ_SEED=$(SEED) $(FUZZ_BUILD)/test-fuzz-document
+	FUZZ_N=$(N) FUZZ_SEED=$(SEED) $(FUZZ_BUILD)/test-fuzz-platform
 
 # Benchmarks: the first four measure parts of the system, and each replay runs a
 # preset trace through the decision core.
