--- a/core_fleet_crash.c
+++ b/core_fleet_crash.c
@@ -549,11 +549,11 @@
 }
 
 bool fleet_crash_claim(gh_fleet_t *fleet, uint32_t handle, fleet_task_t *task,
-		       bool long_running, gh_time_t now)
+		       const gh_step_t *step, gh_time_t now)
 {
 	fleet_worker_t *worker = fleet_worker(fleet, handle);
 	bool proof = task->crashes + task->lost_starts >= PROOF_CRASHES &&
-		     !long_running;
+		     !step->long_running;
 	uint32_t kept = 0;
 	uint32_t i;
 
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -657,8 +657,7 @@
 		}
 	}
 	if (best != GH_NONE && fleet_crash_needs_care(&job->tasks[task]) &&
-	    !fleet_crash_claim(fleet, best, &job->tasks[task],
-			       step->long_running, now))
+	    !fleet_crash_claim(fleet, best, &job->tasks[task], step, now))
 		return GH_NONE;
 	if (step->best_effort && best != GH_NONE)
 		job->starved = best_share > BEST_EFFORT_SHARE_MAX;
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -609,8 +609,9 @@
  */
 bool fleet_plan_lacks_capacity(const gh_fleet_t *fleet, const fleet_job_t *job,
 			       uint32_t stage, uint32_t handle, gh_time_t now);
-/* Reserves a worker for a long-running task that has waited for long. */
-void fleet_reserve_worker(gh_fleet_t *fleet, uint32_t job, uint32_t stage,
+/* Reserves a worker for a long-running task of a job that has waited for long.
+ */
+void fleet_reserve_worker(gh_fleet_t *fleet, uint32_t handle, uint32_t stage,
 			  uint32_t task, gh_time_t now);
 
 /* Notes that a worker with runs became unreachable or has restarted. */
@@ -687,7 +688,7 @@
  * is kept for it for a while.
  */
 bool fleet_crash_claim(gh_fleet_t *fleet, uint32_t handle, fleet_task_t *task,
-		       bool long_running, gh_time_t now);
+		       const gh_step_t *step, gh_time_t now);
 /* Updates the worker's suspects when a run is planned and when it ends. */
 void fleet_crash_handle_start(gh_fleet_t *fleet, uint32_t ref);
 void fleet_crash_handle_end(gh_fleet_t *fleet, uint32_t ref);
