core_fleet_crash: no crash in doubt outlives the counts of its task

Found by reading the diff: a task that works clears its count of crashes, but the crashes in doubt stayed for up to a minute. Since these are written to the progress record, and with more of them than crashes the next owner refused the record and held the job, none of whose tasks would have started again.

The doubts go with the counts, and no more are written than there are crashes. test_record_after_counts_begin_anew failed before, as the record "crashes:1:0:0 5@w4 silent:1:1@w0 silent:1:4@w3" could not be read.

--- a/core_fleet_crash.c
+++ b/core_fleet_crash.c
@@ -93,6 +93,8 @@
 			const fleet_doubt_t *lost, uint32_t worker,
 			const char *how, gh_time_t now);
 static bool has_run_alive(const gh_fleet_t *fleet, const fleet_task_t *task);
+static void remove_doubts(gh_fleet_t *fleet, gh_task_id_t id);
+static bool is_about(const fleet_doubt_t *doubt, const gh_task_id_t *id);
 static bool doubts_worker(const fleet_doubt_t *doubt,
 			  const fleet_worker_t *worker);
 static void resolve_doubts(gh_fleet_t *fleet, uint32_t handle, bool is_back,
@@ -296,11 +298,31 @@
 	    (!fleet_crash_is_suspect(task) && (!task->crashes || !works)))
 		return;
 	task->start_crashes = task->lost_starts = 0;
-	if (works)
+	if (works) {
 		task->crashes = 0;
+		remove_doubts(fleet, fleet_task_id(job, run->task));
+	}
 	fleet_job_mark_changed(fleet, run->job);
 }
 
+/* Forgets the crashes of a task that can be taken back. */
+static void remove_doubts(gh_fleet_t *fleet, gh_task_id_t id)
+{
+	guint i = fleet->doubts->len;
+
+	while (i-- > 0)
+		if (is_about(&g_array_index(fleet->doubts, fleet_doubt_t, i),
+			     &id))
+			g_array_remove_index(fleet->doubts, i);
+}
+
+static bool is_about(const fleet_doubt_t *doubt, const gh_task_id_t *id)
+{
+	return !strcmp(doubt->task.job, id->job) &&
+	       doubt->task.occurrence == id->occurrence &&
+	       doubt->task.step == id->step && doubt->task.index == id->index;
+}
+
 static fleet_doubt_t describe_lost(const gh_fleet_t *fleet,
 				   const fleet_run_t *run, gh_time_t now)
 {
@@ -421,10 +443,7 @@
 		const fleet_doubt_t *doubt =
 			&g_array_index(fleet->doubts, fleet_doubt_t, (*next)++);
 
-		if (doubt->counted && !strcmp(doubt->task.job, id->job) &&
-		    doubt->task.occurrence == id->occurrence &&
-		    doubt->task.step == id->step &&
-		    doubt->task.index == id->index)
+		if (doubt->counted && is_about(doubt, id))
 			return doubt;
 	}
 	return NULL;
--- a/core_fleet_record.c
+++ b/core_fleet_record.c
@@ -4,8 +4,7 @@
  * record is committed.
  *
  *   progress1
- *   INDEX done|open FAILURES LAST-RUN CHECKPOINT [CRASHES] [RUN ...] [DOUBT
- * ...]
+ *   INDEX done|open FAILURES LAST-RUN CHECKPOINT [CRASHES] [RUN...] [DOUBT...]
  *
  * One line for each task that was ever started.  CRASHES is crashes:N:S:L, the
  * numbers of the task's crashes, of those at a start, and of lost starts; it is
@@ -311,9 +310,9 @@
 	gh_task_id_t id = fleet_task_id(job, index);
 	const fleet_doubt_t *doubt;
 	uint32_t next = 0;
-	int n;
+	uint32_t n;
 
-	for (n = 0; n < DOUBTS_MAX; n++) {
+	for (n = 0; n < MIN(DOUBTS_MAX, job->tasks[index].crashes); n++) {
 		doubt = fleet_crash_next_doubt(fleet, &id, &next);
 		if (!doubt)
 			break;
--- a/regress/test_core_fleet_crash.c
+++ b/regress/test_core_fleet_crash.c
@@ -761,6 +761,45 @@
 	assert_int_equal(wrong, 0);
 }
 
+/* Cuts the worker off for good that the task has just started on. */
+static void cut_off_at_start(crash_world_t *cw)
+{
+	size_t worker = wait_for_start(cw);
+
+	cw->w.workers[worker].unreachable = true;
+	play(cw, 7000);
+}
+
+/*
+ * The counts of a task that works after all begin anew, while workers that were
+ * lost before can still be heard again.  The next owner reads what is written
+ * then.
+ */
+static void test_record_after_counts_begin_anew(void **state)
+{
+	gh_fleet_counts_t counts;
+	crash_world_t cw;
+	size_t worker;
+
+	(void)state;
+	crash_world_init(&cw, WORKERS_MAX);
+	add_job(&cw.w, LONG_RUNNING_JOB_ID, 1, &one_task, NULL);
+	cut_off_at_start(&cw);
+	cut_off_at_start(&cw);
+	worker = wait_for_start(&cw);
+	play(&cw, 32000);
+	restart_worker(&cw.w.workers[worker]);
+	list_worker(&cw.w, &cw.w.workers[worker], false);
+	play(&cw, 100);
+	cut_off_at_start(&cw);
+	print_message("%s", cw.w.progress);
+	assert_non_null(strstr(cw.w.progress, "crashes:1:"));
+	change_owner(&cw, LONG_RUNNING_JOB_ID);
+	gh_fleet_counts(cw.w.fleet, &counts);
+	assert_int_equal(counts.held, 0);
+	crash_world_clear(&cw);
+}
+
 /* Workers that crash all the time, and no task is at fault. */
 typedef struct crashes_case {
 	const char *name;
@@ -817,6 +856,7 @@
 		cmocka_unit_test(test_deadly_task_is_given_up),
 		cmocka_unit_test(test_innocent_task_is_not_given_up),
 		cmocka_unit_test(test_lost_starts_give_no_task_up),
+		cmocka_unit_test(test_record_after_counts_begin_anew),
 		cmocka_unit_test(test_crashes_without_deadly_task),
 	};
 
