--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -942,6 +942,7 @@
 	fleet_watch_free(owner->worker_watch);
 	owner->job_watch = owner->worker_watch = NULL;
 	g_clear_pointer(&owner->unread_workers, g_hash_table_destroy);
+	g_clear_pointer(&owner->cancelled, g_hash_table_destroy);
 	clear_shard(owner);
 	owner->record_lost = owner->restoring = false;
 	owner->restore_lease_id = 0;
@@ -959,7 +960,6 @@
 		g_ptr_array_set_free_func(owner->parsed_jobs,
 					  (GDestroyNotify)gh_pipeline_free);
 	g_clear_pointer(&owner->parsed_jobs, g_ptr_array_unref);
-	g_clear_pointer(&owner->cancelled, g_hash_table_destroy);
 	g_clear_pointer(&owner->batch, batch_free);
 	g_clear_pointer(&owner->load_saved, g_free);
 }
