fleet_jobs: read the shards' loads when a long-running job is submitted

Cause: since a host hears of the shards' loads up to 1 s later, and an owner up to 200 ms later, so jobs that come one after the other were placed by loads of before the last ones, and a long-running job waited in a full shard beside one with room. A job that has started can't move, so the choice has to be right.

A host that is handed such a job reads the loads first, one call of 4 ms; without a reply, the loads that it knows decide.

--- a/fleet_jobs.c
+++ b/fleet_jobs.c
@@ -106,6 +106,7 @@
 			const char *text, fleet_job_state_t *state);
 static bool parse_load(const char *text, const char *owner,
 		       gh_shard_load_t *load);
+static void on_loads_read(void *ctx, const fleet_reply_t *reply);
 static uint32_t choose_shard(fleet_jobs_t *jobs, const gh_pipeline_t *pipeline);
 static void set_state(fleet_jobs_t *jobs, const char *id,
 		      const fleet_job_state_t *state);
@@ -560,10 +561,45 @@
 		.phase = GH_JOB_QUEUED,
 		.accepted_ms = pipeline->accepted_ms,
 		.changed_ms = pipeline->accepted_ms,
-		.shard = choose_shard(jobs, pipeline),
 	};
 	g_strlcpy(request->state.queue, pipeline->queue,
 		  sizeof(request->state.queue));
+	/* Long-running tasks stay where they are, so the latest loads count. */
+	if (jobs->shards > 1 && !jobs->closed &&
+	    gh_pipeline_is_long_running(pipeline)) {
+		jobs->store->ops->range(jobs->store, FLEET_KEYSPACE_OWN,
+					DIRECTORY_PREFIX LOAD_PREFIX, "",
+					on_loads_read, request);
+		return;
+	}
+	request->state.shard = choose_shard(jobs, pipeline);
+	request_try(request);
+}
+
+/* Without a reply, the loads that are known decide. */
+static void on_loads_read(void *ctx, const fleet_reply_t *reply)
+{
+	request_t *request = ctx;
+	fleet_jobs_t *jobs = request->jobs;
+	gh_pipeline_t *pipeline;
+	size_t i;
+
+	if (request->replied) {
+		request_finish(request, NULL);
+		return;
+	}
+	for (i = 0; reply->result == FLEET_OK && i < reply->n_items; i++) {
+		const char *key = reply->items[i].key;
+
+		on_load_record(jobs,
+			       parse_shard(key + strlen(DIRECTORY_PREFIX),
+					   LOAD_PREFIX),
+			       reply->items[i].value);
+	}
+	pipeline = gh_pipeline_parse(request->record, NULL);
+	if (pipeline)
+		request->state.shard = choose_shard(jobs, pipeline);
+	gh_pipeline_free(pipeline);
 	request_try(request);
 }
 
--- a/fleet_jobs.h
+++ b/fleet_jobs.h
@@ -5,7 +5,8 @@
  *
  * A host that owns no shard reads the changes once a second, so that its calls
  * to the store don't grow with the rate of jobs; what must be newer is read on
- * demand by fleet_jobs_refresh().  Owner records are followed without delay.
+ * demand: a job's state by fleet_jobs_refresh(), and the shards' loads when a
+ * long-running job is submitted.  Owner records are followed without delay.
  *
  *   d/state/ID    "PHASE QUEUE ACCEPTED-MS CHANGED-MS SHARD"
  *   d/own/SHARD   name of the shard's owner, bound to the owner's lease
