--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -9,6 +9,7 @@
 BODY='{"task_spec":"25000","pipeline":[{"count":1,"cpu":1000,"mem_mb":100,"est_runtime_ms":25000,"constraints":"rare"}]}'
 CUT_MS=5500
 # i-1 comes later.
+LABEL=rare
 LABELS[0]='\"rare\",\"r1\"'
 LABELS[1]='\"rare\",\"r1\"'
 
@@ -18,11 +19,6 @@
 	local left=$((began + $1 - $(date +%s%3N)))
 	[ $left -gt 0 ] && sleep "$((left / 1000)).$(printf %03d $((left % 1000)))"
 }
-republish() { # as the platform lists it, but reached through the gate
-	http GET "$NET.1:7000" "/api/kv-key?key=servers/$1"
-	local text=$(echo "$REPLY" | sed 's/.*"value": *"\([^"]*\)".*/\1/' | base64 -d | sed "s/$NET.1:7000/$(worker_address $1)/;s/\"labels\":\[\"a\"/\"labels\":[\"rare\"/;s/\"/\\\\\"/g")
-	ctl "{\"put\":{\"key\":\"servers/$1\",\"text\":\"$text\"}}"
-}
 
 ctl '{"worker":"i-1 dead"}'
 sleep 1
@@ -37,10 +33,9 @@
 	rules "drop - X-Expected-Instance: i-0"
 	note "i-0 is cut off"
 	at $CUT_MS
-	ctl '{"worker":"i-0 reborn"}'
-	republish i-0
-	# clock_ms of the stand-in platform is the time since the boot
+	# Its clock begins anew; the stand-in platform's is the time since the boot.
 	clock="clock $(awk '{ printf "%d", $1 * 1000 }' /proc/uptime) X-Expected-Instance: i-0"
+	restart i-0 reborn
 	rules "$clock"
 	note "i-0 has crashed and started again; the cut is over"
 	at 11700
@@ -51,8 +46,7 @@
 	began=$(date +%s%3N)
 	at 11700
 fi
-ctl '{"worker":"i-1 ready"}'
-republish i-1
+restart i-1 ready
 at $((11700 + CUT_MS))
 rules "$clock"
 at 20000
--- a/review/standin/lib.sh
+++ b/review/standin/lib.sh
@@ -96,9 +96,25 @@
 	ctl "{\"put\":{\"key\":\"servers/$1\",\"text\":\"{\\\"backend\\\":\\\"svc\\\",\\\"address\\\":\\\"$(worker_address $1)\\\",\\\"zone\\\":\\\"z\\\",\\\"version\\\":\\\"v1\\\",\\\"slots\\\":8,\\\"state\\\":\\\"${2:-ready}\\\",\\\"cold_remaining_ms\\\":0,\\\"capacity\\\":{\\\"cpu\\\":8000,\\\"mem_mb\\\":64000,\\\"gpus\\\":0},\\\"labels\\\":[${3:-\\\"a\\\",\\\"r1\\\"}],\\\"sequence\\\":1}\"}}"
 }
 
+# restart WORKER STATE: starts a new life of the worker, with state reborn or,
+# after dead, ready; LABEL is its kind.  The stand-in platform lists it under its
+# own address at first, so the entry is written again.  The owner pauses for
+# 100 ms after it has read another worker's entry and reads both at once.
+restart() {
+	local text
+	entry "i-$((WORKERS - 1))" ready
+	sleep 0.02
+	ctl "{\"worker\":\"$1 $2\"}"
+	http GET "$NET.1:7000" "/api/kv-key?key=servers/$1"
+	text=$(echo "$REPLY" | sed 's/.*"value": *"\([^"]*\)".*/\1/' | base64 -d |
+		sed "s/$NET.1:7000/$(worker_address $1)/;s/\"labels\":\[\"a\"/\"labels\":[\"$LABEL\"/;s/\"/\\\\\"/g")
+	ctl "{\"put\":{\"key\":\"servers/$1\",\"text\":\"$text\"}}"
+}
+
 # start HOSTS WORKERS ATTEMPTS
 start() {
 	local i
+	WORKERS=$2
 	for i in 1 2 3 4 5 6 7 8 9 10; do
 		NET=127.$((RANDOM % 200 + 30)).$((RANDOM % 250 + 1))
 		listening "$NET.1:7000" || break
