core_fleet_report: no start beside a run that the task has given up

What callers could see: TWICE. A late start order begins a run in a life of its worker that the owner has not heard of. The owner hears of that life, stops the run, and starts the task elsewhere while the run still takes its time to stop.

Cause: a listed run that is not open was stopped as belonging to no job, also if its task was known, so nothing held the task back; a run that was planned meanwhile was started all the same. And the reply to the stop of a late start (core_fleet_late.c) counted as proof that nothing runs, though it only proves that the run does not begin any more: one that has begun takes up to stop_ms.

Fix: a run of a known task that a report lists is opened and stopped, so that the task waits for its end like for that of any other run and the run takes its capacity; runs of the task that were planned and not sent are dropped. The stop of a late start is proven by a complete report that was asked for after the reply, which is asked for at once.

--- a/core_fleet_late.c
+++ b/core_fleet_late.c
@@ -6,7 +6,8 @@
  * order that was delayed then runs the task again.  So such orders are kept
  * per worker id until they can't be executed any more.  When the worker is
  * heard anew, their runs are stopped there, and neither their tasks nor others
- * on that worker are started before the worker has replied to that.
+ * on that worker are started before the worker has replied to that and then
+ * reported what runs there: a run that had begun takes a while to stop.
  *
  * Orders of a previous owner are not kept: a worker refuses them from the first
  * call of the present owner on.
@@ -32,8 +33,10 @@
 	char address[GH_ADDRESS_MAX + 1]; /* where the stop is sent */
 	/* Where the worker was last heard before the run ended. */
 	char heard_address[GH_ADDRESS_MAX + 1];
-	bool stop_awaited; /* no reply to a stop in this incarnation yet */
+	bool stop_awaited; /* the stop in this incarnation is not proven yet */
 	bool stop_in_flight;
+	/* When the worker replied to that stop; 0: not yet. */
+	gh_time_t replied_at;
 	/* The worker has restarted since the stop in flight was sent. */
 	bool stop_overtaken;
 	gh_time_t retry_at;
@@ -151,13 +154,15 @@
 	worker = fleet_worker(fleet, handle);
 	worker->n_late_starts = late_starts->len;
 	worker->late_until = 0;
+	worker->late_report_due = false;
 	for (i = 0; i < late_starts->len; i++) {
 		const late_start_t *late =
 			&g_array_index(late_starts, late_start_t, i);
 
-		if (late->stop_awaited)
-			worker->late_until =
-				MAX(worker->late_until, late->wait_until);
+		if (!late->stop_awaited)
+			continue;
+		worker->late_until = MAX(worker->late_until, late->wait_until);
+		worker->late_report_due |= late->replied_at != 0;
 	}
 }
 
@@ -176,6 +181,7 @@
 			task->n_late_stops++;
 	}
 	late->stop_awaited = true;
+	late->replied_at = 0;
 	late->stop_overtaken = late->stop_in_flight;
 	late->incarnation_start_ms = entry->incarnation_start_ms;
 	/*
@@ -214,12 +220,35 @@
 		late->retry_at = now;
 	else if (!is_proof(fleet, id, late, reply))
 		late->retry_at = now + ORDER_RETRY_USEC;
-	else
+	else if (reply == GH_ORDER_OTHER_INCARNATION)
 		end_stop(fleet, late);
+	else
+		late->replied_at = now;
 	late->stop_overtaken = false;
 	update_worker(fleet, id, late_starts);
 }
 
+void fleet_late_handle_report(gh_fleet_t *fleet, uint32_t handle,
+			      gh_time_t requested_at)
+{
+	const char *id = fleet_worker(fleet, handle)->entry.id;
+	GArray *late_starts;
+	guint i;
+
+	if (!fleet_worker(fleet, handle)->late_report_due)
+		return;
+	late_starts = g_hash_table_lookup(fleet->late_starts, id);
+	for (i = 0; late_starts && i < late_starts->len; i++) {
+		late_start_t *late =
+			&g_array_index(late_starts, late_start_t, i);
+
+		if (late->replied_at && requested_at > late->replied_at)
+			end_stop(fleet, late);
+	}
+	if (late_starts)
+		update_worker(fleet, id, late_starts);
+}
+
 /* Whether no life of the worker executes the late start after the reply. */
 static bool is_proof(const gh_fleet_t *fleet, const char *id,
 		     const late_start_t *late, gh_order_reply_t reply)
@@ -314,7 +343,7 @@
 				&g_array_index(late_starts, late_start_t, i);
 
 			if (!late->stop_awaited || late->stop_in_flight ||
-			    now < late->retry_at)
+			    late->replied_at || now < late->retry_at)
 				continue;
 			if (worker && *worker->entry.address)
 				g_strlcpy(late->address, worker->entry.address,
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -57,6 +57,11 @@
 		       const gh_report_end_t *end, gh_time_t now);
 static void end_unlisted_runs(gh_fleet_t *fleet, uint32_t handle,
 			      const gh_worker_report_t *report, gh_time_t now);
+static void end_unsent_runs(gh_fleet_t *fleet, fleet_task_t *task,
+			    gh_time_t now);
+static uint32_t open_unknown_run(gh_fleet_t *fleet, uint32_t handle,
+				 const gh_report_run_t *listed, uint32_t job,
+				 gh_time_t now);
 static void stop_unknown_run(gh_fleet_t *fleet, uint32_t handle,
 			     const gh_report_run_t *listed);
 static void handle_start_reply(gh_fleet_t *fleet, uint32_t ref,
@@ -117,8 +122,10 @@
 		record_end(fleet, handle, &report->ends[i], now);
 	for (i = 0; i < report->n_runs; i++)
 		record_listed_run(fleet, handle, &report->runs[i], now);
-	if (report->complete)
+	if (report->complete) {
 		end_unlisted_runs(fleet, handle, report, now);
+		fleet_late_handle_report(fleet, handle, report->requested_at);
+	}
 	fleet_acks_advance(fleet, handle);
 	fleet_pace_update(fleet, handle, now);
 	fleet_worker_free_if_unused(fleet, handle);
@@ -194,16 +201,15 @@
 		}
 		reply = GH_ORDER_OVERTAKEN;
 	}
+	/* A late start that has begun is an open run as well. */
+	if (kind == GH_ORDER_STOP)
+		fleet_late_handle_reply(fleet, order->worker, &order->task,
+					order->run, reply, now);
 	ref = worker == GH_NONE ?
 		      GH_NONE :
 		      find_run(fleet, &order->task, order->run, worker, &job);
-	if (ref == GH_NONE) {
-		if (kind == GH_ORDER_STOP)
-			fleet_late_handle_reply(fleet, order->worker,
-						&order->task, order->run, reply,
-						now);
+	if (ref == GH_NONE)
 		return;
-	}
 	run = fleet_run(fleet, ref);
 	if (kind == GH_ORDER_START) {
 		if (run->start_in_flight && reply == GH_ORDER_OUTCOME_UNKNOWN) {
@@ -372,7 +378,7 @@
 	 */
 	if (worker->last_listed_end > worker->acked_end)
 		return report_is_old;
-	if (fleet_crash_wants_report(worker, now))
+	if (fleet_crash_wants_report(worker, now) || worker->late_report_due)
 		return true;
 	/* A restart of a worker with late starts has to be heard of soon. */
 	if (!worker->n_runs && !worker->has_unknown_run &&
@@ -460,6 +466,8 @@
 		record_held_run(fleet, handle, listed, now);
 		return;
 	}
+	if (ref == GH_NONE)
+		ref = open_unknown_run(fleet, handle, listed, job, now);
 	if (ref == GH_NONE) {
 		stop_unknown_run(fleet, handle, listed);
 		return;
@@ -565,6 +573,61 @@
 	}
 }
 
+/* Ends the task's runs no order of which was sent. */
+static void end_unsent_runs(gh_fleet_t *fleet, fleet_task_t *task,
+			    gh_time_t now)
+{
+	uint32_t i = GH_TASK_RUNS_MAX;
+
+	/* From the last one on, as the others move up. */
+	while (i--) {
+		uint32_t ref = task->runs[i];
+		const fleet_run_t *run =
+			ref == GH_NONE ? NULL : fleet_run(fleet, ref);
+
+		if (run && (run->state == RUN_PLANNED ||
+			    (run->state == RUN_STARTING && !run->order_sent)))
+			fleet_run_end(fleet, ref, GH_RUN_NOT_STARTED, NULL,
+				      now);
+	}
+}
+
+/*
+ * Opens and stops a run of a task that has been given up or belongs to a start
+ * that was executed late, so that the task does not start again beside it.
+ * Returns GH_NONE if the task has no place for it.
+ */
+static uint32_t open_unknown_run(gh_fleet_t *fleet, uint32_t handle,
+				 const gh_report_run_t *listed, uint32_t job,
+				 gh_time_t now)
+{
+	const fleet_job_t *parent;
+	fleet_task_t *task;
+	uint32_t index, ref;
+
+	if (job == GH_NONE)
+		return GH_NONE;
+	parent = fleet_job(fleet, job);
+	index = fleet_task_find(parent, &listed->task);
+	if (index == GH_NONE ||
+	    fleet_run_find(fleet, parent, index, listed->run) != GH_NONE)
+		return GH_NONE;
+	task = &parent->tasks[index];
+	end_unsent_runs(fleet, task, now);
+	/* A member of a gang that ends ends the gang's other runs. */
+	if (task->runs[GH_TASK_RUNS_MAX - 1] != GH_NONE ||
+	    (task->runs[0] != GH_NONE && fleet_task_step(parent, index)->gang))
+		return GH_NONE;
+	fleet_emit_event(fleet, "run_unknown", &listed->task, listed->run,
+			 handle, NULL);
+	ref = fleet_run_open(fleet, job, index, handle, listed->run, RUN_ORPHAN,
+			     now);
+	/* It is alive, so the lease may be longer than the known one. */
+	fleet_lease_note_longest(fleet, fleet_worker(fleet, handle), now);
+	fleet_run_stop(fleet, ref, "its task has given it up", now);
+	return ref;
+}
+
 static void stop_unknown_run(gh_fleet_t *fleet, uint32_t handle,
 			     const gh_report_run_t *listed)
 {
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -283,6 +283,8 @@
 	 * capacity; 0: none.
 	 */
 	gh_time_t late_until;
+	/* A report is to show whether a late start had begun; see there. */
+	bool late_report_due;
 	/* deadline of the lease that was last granted */
 	gh_time_t lease_until;
 	/* No run on the worker is alive after this time. */
@@ -594,6 +596,12 @@
 void fleet_late_handle_reply(gh_fleet_t *fleet, const char *id,
 			     const gh_task_id_t *task, uint32_t run,
 			     gh_order_reply_t reply, gh_time_t now);
+/*
+ * Takes note of a complete report whose runs are recorded: a run that was being
+ * stopped by the time of the request is either listed or over.
+ */
+void fleet_late_handle_report(gh_fleet_t *fleet, uint32_t handle,
+			      gh_time_t requested_at);
 /* Forgets orders that can't be executed any more, and resends stops. */
 void fleet_late_check(gh_fleet_t *fleet, gh_time_t now);
 
--- a/regress/test_core_fleet_lives.c
+++ b/regress/test_core_fleet_lives.c
@@ -228,12 +228,90 @@
 	world_clear(&w);
 }
 
+/* What the owner has done with the task when it hears of the run. */
+typedef struct unknown_run_case {
+	const char *name;
+	const gh_step_t *step;
+	bool planned; /* the next run is planned and its intent not committed */
+} unknown_run_case_t;
+
+static const gh_step_t gang_step = { .tasks = 2,
+				     .size = { .cores_milli = 1000 },
+				     .estimate_ms = 1000,
+				     .gang = true };
+
+static const unknown_run_case_t unknown_runs[] = {
+	{ .name = "the task waits", .step = &one_task },
+	{ .name = "its next run is planned",
+	  .step = &one_task,
+	  .planned = true },
+	{ .name = "long-running, its next run is planned",
+	  .step = &long_running_step,
+	  .planned = true },
+	{ .name = "gang, its next runs are planned",
+	  .step = &gang_step,
+	  .planned = true },
+};
+
+/*
+ * TWICE: a late start begins a run in a life that the owner has not heard of,
+ * and the task starts elsewhere while that run is being stopped.
+ */
+static void test_twice_beside_unknown_run(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(unknown_runs); i++) {
+		const unknown_run_case_t *c = &unknown_runs[i];
+		scripted_worker_t *worker, *other;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		world_init(&w);
+		w.leases_end = true;
+		worker = add_worker(&w, "w1", 4000);
+		worker->stop_ms = STOP_MS - 100;
+		advance_time(&w, 100);
+		worker->start_delay_ms = 6000;
+		add_job(&w, JOB, 1, c->step, NULL);
+		while (!w.n_orders)
+			advance_time(&w, 10);
+		assert_int_equal(w.n_late_orders, c->step->tasks);
+		worker->start_delay_ms = 0;
+		advance_time(&w, 200);
+		worker->unreachable = true;
+		advance_time(&w, 5500);
+		w.store_down = true;
+		if (c->planned)
+			add_worker(&w, "w2", 4000);
+		advance_time(&w, 100);
+		restart_worker(worker);
+		while (w.n_late_orders)
+			advance_time(&w, 10);
+		assert_int_equal(w.n_late_starts, c->step->tasks);
+		worker->unreachable = false;
+		while (!count_orders(&w, GH_ORDER_STOP, 0))
+			advance_time(&w, 10);
+		w.store_down = false;
+		if (!c->planned)
+			add_worker(&w, "w2", 4000);
+		other = find_worker(&w, "w2");
+		advance_time(&w, 3000);
+		assert_int_equal(worker->n_runs + other->n_runs,
+				 c->step->tasks);
+		assert_int_equal(w.n_twice, 0);
+		world_clear(&w);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_offset_rises),
 		cmocka_unit_test(test_fenced_by_later_life),
 		cmocka_unit_test(test_twice_by_late_acknowledgement),
+		cmocka_unit_test(test_twice_beside_unknown_run),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
