fleet_jobs: a cancel that finds no job bars a late submission

Cause: the cancel only read that there is no state. The submission's write expects that there is none either, so nothing stood in its way later.

Fix: such a cancel writes the state of a cancelled job with the time of acceptance 0, under the condition that there is no state, before it answers 410. Late writes of the submission then fail their own condition. States still answer 410, and a submission that finds the record fails with job_cancelled (409): the job was not accepted and never runs. The record is deleted with those of other ended jobs, long after the last late write. If the store refuses the write, the cancel's outcome is unknown (504) instead of 410.

--- a/error_list.h
+++ b/error_list.h
@@ -90,6 +90,8 @@
 	      "ask for no more than the largest worker offers")
 GH_ERROR_KIND(JOB_EXISTS, "job_exists", NO, 409,
 	      "use a new name, or read the existing job")
+GH_ERROR_KIND(JOB_CANCELLED, "job_cancelled", NO, 409,
+	      "submit the job under a new id, unless its cancel was meant")
 GH_ERROR_KIND(JOB_UNKNOWN, "job_unknown", NO, 404, "check the job's name")
 GH_ERROR_KIND(JOB_TABLE_FULL, "job_table_full", NO, 503,
 	      "retry when other jobs have finished")
--- a/fleet_host.c
+++ b/fleet_host.c
@@ -337,7 +337,8 @@
 	} else if (fleet_jobs_may_lag(host->jobs, &state)) {
 		read_newer_state(host, id, deadline, &state);
 	}
-	if (strcmp(state.queue, queue->policy.name) != 0) {
+	if (strcmp(state.queue, queue->policy.name) != 0 ||
+	    !fleet_job_was_accepted(&state)) {
 		gh_error_set(err, GH_E_JOB_UNKNOWN,
 			     "job %s does not exist in queue %s", id,
 			     queue->policy.name);
--- a/fleet_jobs.c
+++ b/fleet_jobs.c
@@ -120,6 +120,7 @@
 static void on_written(void *ctx, const fleet_reply_t *reply);
 static void on_state_read(void *ctx, const fleet_reply_t *reply);
 static void request_resolve(request_t *request);
+static void begin_absent_state(request_t *request);
 static void request_fail(request_t *request);
 static GError *failure_error(const request_t *request);
 static void reply_overdue(fleet_jobs_t *jobs, gh_time_t now);
@@ -194,6 +195,11 @@
 	return found != NULL;
 }
 
+bool fleet_job_was_accepted(const fleet_job_state_t *state)
+{
+	return state->accepted_ms != 0;
+}
+
 uint32_t fleet_jobs_count_queued(fleet_jobs_t *jobs, const char *queue)
 {
 	GHashTableIter iter;
@@ -687,6 +693,8 @@
 {
 	fleet_jobs_t *jobs = request->jobs;
 	char *state_key = fleet_jobs_state_key(request->id);
+	bool is_first =
+		request->kind == REQUEST_SUBMIT || !request->state_known;
 	uint32_t shard = request->state.shard;
 	char *record_key = fleet_jobs_record_key(shard, request->id);
 	char *cancel_key = fleet_jobs_cancel_key(shard, request->id);
@@ -703,9 +711,7 @@
 	entries[n++] = (fleet_entry_t){
 		.kind = FLEET_EXPECT,
 		.key = state_key,
-		.revision = request->kind == REQUEST_SUBMIT ?
-				    0 :
-				    request->state.revision,
+		.revision = is_first ? 0 : request->state.revision,
 	};
 	entries[n++] = (fleet_entry_t){ .kind = FLEET_PUT,
 					.key = state_key,
@@ -714,7 +720,7 @@
 		entries[n++] = (fleet_entry_t){ .kind = FLEET_PUT,
 						.key = record_key,
 						.value = request->record };
-	else
+	else if (request->state_known)
 		entries[n++] = (fleet_entry_t){ .kind = FLEET_PUT,
 						.key = cancel_key,
 						.value = text };
@@ -739,8 +745,9 @@
 			request->state.changed_ms = gh_time_to_ms(clock_real());
 		}
 		request->state.revision = reply->revision;
+		request->state_known = true;
 		fleet_jobs_update(request->jobs, request->id, &request->state);
-		request_finish(request, NULL);
+		request_resolve(request);
 		return;
 	case FLEET_CONFLICT:
 		request->state_known = false;
@@ -811,25 +818,36 @@
 			request_write(request);
 			return;
 		}
-		if (strcmp(request->state.queue, request->queue) != 0)
+		if (!fleet_job_was_accepted(&request->state))
+			gh_error_set(&err, GH_E_JOB_CANCELLED,
+				     "job %s was cancelled before it was "
+				     "accepted",
+				     request->id);
+		else if (strcmp(request->state.queue, request->queue) != 0)
 			gh_error_set(&err, GH_E_JOB_EXISTS,
 				     "job %s exists in another queue",
 				     request->id);
 		break;
 	case REQUEST_CANCEL:
-		if (request->state_known &&
-		    !strcmp(request->state.queue, request->queue) &&
+		if (!request->state_known) {
+			/* A submission may still be carried out late. */
+			begin_absent_state(request);
+			request_write(request);
+			return;
+		}
+		if (!strcmp(request->state.queue, request->queue) &&
 		    request->state.phase <= GH_JOB_RUNNING) {
 			request_write(request);
 			return;
 		}
-		if (!request->state_known ||
+		if (!fleet_job_was_accepted(&request->state) ||
 		    strcmp(request->state.queue, request->queue) != 0)
 			gh_error_set(&err, GH_E_JOB_UNKNOWN,
 				     "job %s does not exist", request->id);
 		break;
 	case REQUEST_REFRESH:
-		if (!request->state_known)
+		if (!request->state_known ||
+		    !fleet_job_was_accepted(&request->state))
 			gh_error_set(&err, GH_E_JOB_UNKNOWN,
 				     "job %s does not exist", request->id);
 		break;
@@ -837,6 +855,18 @@
 	request_finish(request, err);
 }
 
+/* The state of a job that is cancelled before it is accepted. */
+static void begin_absent_state(request_t *request)
+{
+	request->state = (fleet_job_state_t){
+		.phase = GH_JOB_CANCELLED,
+		.changed_ms = gh_time_to_ms(clock_real()),
+		.shard = hashed_shard(request->jobs, request->id),
+	};
+	g_strlcpy(request->state.queue, request->queue,
+		  sizeof(request->state.queue));
+}
+
 static void request_retry(request_t *request)
 {
 	fleet_jobs_t *jobs = request->jobs;
--- a/fleet_jobs.h
+++ b/fleet_jobs.h
@@ -17,6 +17,10 @@
  *                 written with the state of a job that is cancelled, so that
  *                 the shard's owner hears of it at once; deleted with the job
  *
+ * A cancel that finds no job writes the state of a cancelled job that was never
+ * accepted, with ACCEPTED-MS 0: a submission whose outcome is unknown, and
+ * which the store may carry out later, expects that there is no state.
+ *
  * The shard of a job is chosen when the job is accepted and kept in its state.
  * Without SHARD, as earlier versions wrote it, the hash of the id is the shard.
  */
@@ -35,8 +39,9 @@
 typedef struct fleet_job_state {
 	gh_job_phase_t phase;
 	char queue[GH_QUEUE_MAX + 1];
-	int64_t accepted_ms; /* time of acceptance, wall clock */
-	int64_t changed_ms;  /* time of the last change of phase, wall clock */
+	/* Time of acceptance, wall clock; 0: cancelled before it. */
+	int64_t accepted_ms;
+	int64_t changed_ms; /* time of the last change of phase, wall clock */
 	uint32_t shard;
 	uint64_t revision; /* revision of the state's record in the store */
 	bool presumed;	   /* see fleet_jobs_note_submitted() */
@@ -76,6 +81,8 @@
  */
 bool fleet_jobs_find(fleet_jobs_t *jobs, const char *id,
 		     fleet_job_state_t *state);
+/* Whether there is a job; else a cancel came first, and there will be none. */
+bool fleet_job_was_accepted(const fleet_job_state_t *state);
 /* Number of the queue's jobs whose phase is GH_JOB_QUEUED. */
 uint32_t fleet_jobs_count_queued(fleet_jobs_t *jobs, const char *queue);
 /*
@@ -101,7 +108,9 @@
 /*
  * Submits or cancels a job; to be called on the loop's thread.  An id that was
  * already submitted to the same queue counts as success, and so does the cancel
- * of a job that has ended.
+ * of a job that has ended.  After GH_E_JOB_UNKNOWN from a cancel, no submission
+ * of the id has an effect as long as states of ended jobs are kept: it fails
+ * with GH_E_JOB_CANCELLED.
  */
 void fleet_jobs_submit(fleet_jobs_t *jobs, const gh_pipeline_t *pipeline,
 		       gh_time_t deadline, fleet_jobs_done_t done, void *ctx);
--- a/regress/test_platform_directory.c
+++ b/regress/test_platform_directory.c
@@ -149,6 +149,68 @@
 	assert_true(longest < CANCEL_MAX_USEC);
 }
 
+/* A submission on a thread of its own. */
+typedef struct submission {
+	fleet_system_t *sys;
+	unsigned host;
+	int status;
+} submission_t;
+
+static gpointer submit(gpointer arg)
+{
+	submission_t *submission = arg;
+
+	submission->status = fleet_submit(submission->sys, submission->host,
+					  ID("01"), "60000 lasts", LASTING);
+	return NULL;
+}
+
+#define LATE_WRITE_MAX_USEC (2500 * 1000)
+
+/*
+ * UNASKED: the store carries a submission out late, after a cancel that found
+ * no job was answered.
+ */
+static void test_cancel_before_late_submission(void **state)
+{
+	submission_t submission;
+	fleet_system_t sys;
+	char *states[2];
+	int status, again;
+	int64_t starts;
+	unsigned owner;
+	GThread *thread;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-cancel-early", 2, 4, 1);
+	owner = (unsigned)fleet_shard_owner(&sys, 0);
+	json_decref(proc_control(sys.platform_address, "{\"store\":\"late\"}"));
+	submission = (submission_t){ .sys = &sys, .host = !owner };
+	thread = g_thread_new("submission", submit, &submission);
+	g_usleep(200 * 1000);
+	json_decref(proc_control(sys.platform_address, "{\"store\":\"up\"}"));
+	status = fleet_cancel(&sys, owner, ID("01"));
+	g_usleep(LATE_WRITE_MAX_USEC);
+	g_thread_join(thread);
+	starts = fleet_platform_counter(&sys, "starts");
+	states[0] = fleet_get_state(&sys, 0, ID("01"));
+	states[1] = fleet_get_state(&sys, 1, ID("01"));
+	again = fleet_submit(&sys, owner, ID("01"), "60000 lasts", LASTING);
+	print_message("cancel %d, submission %d, %d starts, states %s, %s, "
+		      "submission again %d\n",
+		      status, submission.status, (int)starts, states[0],
+		      states[1], again);
+	fleet_system_stop(&sys);
+	assert_int_equal(status, 410);
+	assert_int_equal(starts, 0);
+	assert_int_equal(submission.status, 409);
+	assert_int_equal(again, 409);
+	assert_string_equal(states[0], "410");
+	assert_string_equal(states[1], "410");
+	g_free(states[0]);
+	g_free(states[1]);
+}
+
 int main(int argc, char **argv)
 {
 	static const struct CMUnitTest tests[] = {
@@ -156,6 +218,7 @@
 		cmocka_unit_test(test_end_is_told_everywhere),
 		cmocka_unit_test(test_known_state_without_store),
 		cmocka_unit_test(test_cancel_reaches_the_owner),
+		cmocka_unit_test(test_cancel_before_late_submission),
 	};
 
 	if (argc > 1)
