core_fleet: a job none of whose runs has begun is queued

Jobs whose starts were refused were shown as running and not counted as pending.

Cause: fleet_run_open() sets the phase when a run is planned, and nothing set it back when the run ended without having begun.

Fix: a job whose last run ends goes back to queued unless a run of it may have begun: one that the worker has listed or has replied to, a start without a reply, or a run of a previous owner. The phase goes into the commit that the end of the run needs anyway. A new owner takes a job for running if its progress shows an open run or what a run has left: done tasks, failures, crashes, a checkpoint.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -25,6 +25,7 @@
 static void unlink_run(gh_fleet_t *fleet, uint32_t handle);
 static void account_resources(gh_fleet_t *fleet, const fleet_run_t *run,
 			      bool add);
+static bool may_have_begun(const fleet_run_t *run, gh_run_outcome_t outcome);
 static void complete_task(gh_fleet_t *fleet, uint32_t handle, uint32_t index,
 			  gh_time_t now);
 static void handle_gang_member_end(gh_fleet_t *fleet, uint32_t handle,
@@ -533,6 +534,9 @@
 		return;
 	}
 	fleet_job_mark_changed(fleet, run.job);
+	job->begun |= may_have_begun(&run, outcome);
+	if (!job->begun && !job->open_runs)
+		job->phase = GH_JOB_QUEUED;
 	if (task->done)
 		return;
 	if (outcome == GH_RUN_LOST) {
@@ -555,6 +559,15 @@
 	}
 }
 
+static bool may_have_begun(const fleet_run_t *run, gh_run_outcome_t outcome)
+{
+	/* What a previous owner knew of its runs is not known. */
+	if (outcome == GH_RUN_LOST)
+		return run->alive_since || run->start_unanswered ||
+		       !run->planned_at;
+	return outcome != GH_RUN_NOT_STARTED;
+}
+
 static void complete_task(gh_fleet_t *fleet, uint32_t handle, uint32_t index,
 			  gh_time_t now)
 {
--- a/core_fleet_record.c
+++ b/core_fleet_record.c
@@ -461,7 +461,10 @@
 	task->lost_starts = line->lost_starts;
 	task->last_run = line->last_run;
 	task->checkpoint = g_steal_pointer(&line->checkpoint);
-	job->phase = job->committed_phase = GH_JOB_RUNNING;
+	job->begun |= line->done || line->failures || line->crashes ||
+		      task->checkpoint;
+	if (job->begun || line->n_runs)
+		job->phase = job->committed_phase = GH_JOB_RUNNING;
 	if (task->done &&
 	    ++stage->tasks_done == fleet_task_step(job, line->index)->tasks)
 		job->stages_done++;
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -194,6 +194,8 @@
 	/* The accepted job; NULL: the array entry is unused. */
 	gh_pipeline_t *spec;
 	gh_job_phase_t phase;
+	/* A run may have begun; else the job is queued again without runs. */
+	bool begun;
 	uint32_t tasks_per_occurrence;
 	uint32_t n_tasks, n_stages;
 	fleet_task_t *tasks;
--- a/regress/test_core_fleet.c
+++ b/regress/test_core_fleet.c
@@ -659,6 +659,74 @@
 	world_clear(&w);
 }
 
+/* How the starts of a job's only task end, and what the job is shown as. */
+typedef struct begun_case {
+	const char *name;
+	gh_order_reply_t refusal;
+	bool drops_replies, replaces_owner;
+	gh_job_phase_t phase;
+} begun_case_t;
+
+static const begun_case_t begun_cases[] = {
+	{ .name = "started", .phase = GH_JOB_RUNNING },
+	{ .name = "unhealthy",
+	  .refusal = GH_ORDER_REFUSED,
+	  .phase = GH_JOB_QUEUED },
+	{ .name = "unhealthy, and the owner changes",
+	  .refusal = GH_ORDER_REFUSED,
+	  .replaces_owner = true,
+	  .phase = GH_JOB_QUEUED },
+	{ .name = "no capacity",
+	  .refusal = GH_ORDER_NO_CAPACITY,
+	  .phase = GH_JOB_QUEUED },
+	{ .name = "without a reply",
+	  .drops_replies = true,
+	  .phase = GH_JOB_RUNNING },
+};
+
+/*
+ * MIXED: jobs whose starts were refused were shown as running and not counted
+ * as pending.
+ */
+static void test_job_without_start_is_pending(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(begun_cases); i++) {
+		const begun_case_t *c = &begun_cases[i];
+		scripted_worker_t *worker;
+		char *progress;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		world_init(&w);
+		worker = add_worker(&w, "w1", 2000);
+		advance_time(&w, 100);
+		worker->refusal = c->refusal;
+		worker->drops_replies = c->drops_replies;
+		add_job(&w, "0000000000000002", 1, &one_task, NULL);
+		advance_time(&w, 1000);
+		assert_true(w.n_orders > 0);
+		assert_int_equal(w.phase, c->phase);
+		if (c->replaces_owner) {
+			progress = g_strdup(w.progress);
+			replace_owner(&w);
+			list_worker(&w, worker, false);
+			add_job(&w, "0000000000000002", 1, &one_task, progress);
+			g_free(progress);
+			advance_time(&w, 500);
+			assert_int_equal(w.phase, c->phase);
+		}
+		worker->refusal = GH_ORDER_OK;
+		worker->drops_replies = false;
+		advance_time(&w, 3000);
+		assert_int_equal(worker->n_runs, 1);
+		assert_int_equal(w.phase, GH_JOB_RUNNING);
+		world_clear(&w);
+	}
+}
+
 /*
  * A long-running task that started slowly was treated as hung, and a worker
  * with long-running tasks was not used again after a quarantine.  Found by hunt
@@ -1286,6 +1354,7 @@
 		cmocka_unit_test(test_pace_after_takeover),
 		cmocka_unit_test(test_pace_after_lasting),
 		cmocka_unit_test(test_burst),
+		cmocka_unit_test(test_job_without_start_is_pending),
 		cmocka_unit_test(test_slow_start),
 		cmocka_unit_test(test_fill_overdue),
 		cmocka_unit_test(test_starved_job_goes_on),
