core_fleet_health: a long task does not hang for its whole percents

A task of more than 250 s was stopped again and again as hanging, its workers were quarantined, and its job never completed.

Cause: run_hangs() asked for a change of progress_percent within 2.5 s, whatever the task's size. Progress is reported in whole percents, so that of a task of 600 s rises every 6 s.

Fix: a run gets the time of two percents of its estimate more, and the whole time doubles with each run of the task that was stopped, as estimates can be far too low. Runs of the sites' tasks are judged as before: 2.5 s plus 0.03 s for a task of 1.4 s.

--- a/core_fleet_health.c
+++ b/core_fleet_health.c
@@ -14,8 +14,15 @@
 #define QUARANTINE_USEC (3 * GH_USEC_PER_SEC)
 #define QUARANTINE_DOUBLINGS_MAX 3
 #define HEALTH_CHECK_PERIOD_USEC (200 * GH_USEC_PER_MSEC)
-/* A run without progress for longer than this counts as hanging. */
+/*
+ * A run without progress for longer than this counts as hanging.  Progress is
+ * reported in whole percents, so a long task gets the time of two of them more.
+ * The time doubles with each run of the task that was stopped, up to a limit,
+ * as the estimate can be far too low.
+ */
 #define HANG_TIMEOUT_USEC (2500 * GH_USEC_PER_MSEC)
+#define HANG_PERCENTS 2
+#define HANG_DOUBLINGS_MAX 6
 /* For this long after a quarantine the worker gets a single run only. */
 #define PROBE_TIME_USEC (2 * GH_USEC_PER_SEC)
 /* weight of the latest run in a worker's run_time_ratio */
@@ -25,6 +32,7 @@
 static void quarantine_worker(gh_fleet_t *fleet, uint32_t handle,
 			      const char *why, gh_time_t now);
 static bool run_hangs(const gh_fleet_t *fleet, const fleet_run_t *run);
+static gh_time_t hang_timeout(const gh_step_t *step, const fleet_task_t *task);
 static void record_run_time(gh_fleet_t *fleet, const fleet_run_t *run,
 			    gh_time_t now);
 
@@ -94,6 +102,7 @@
 		if (run->state != RUN_RUNNING || !run_hangs(fleet, run))
 			continue;
 		fleet->counts.hangs++;
+		fleet_job(fleet, run->job)->tasks[run->task].hangs++;
 		quarantine_worker(fleet, run->worker, "a task made no progress",
 				  now);
 		fleet_run_stop(fleet, i, "it made no progress", now);
@@ -113,7 +122,16 @@
 		return false;
 	return worker->last_report_at -
 		       MAX(run->progress_at, run->running_since) >
-	       HANG_TIMEOUT_USEC;
+	       hang_timeout(step, &job->tasks[run->task]);
+}
+
+static gh_time_t hang_timeout(const gh_step_t *step, const fleet_task_t *task)
+{
+	gh_time_t percents =
+		gh_time_from_ms(step->estimate_ms) * HANG_PERCENTS / 100;
+
+	return (HANG_TIMEOUT_USEC + percents)
+	       << MIN(task->hangs, HANG_DOUBLINGS_MAX);
 }
 
 static void quarantine_worker(gh_fleet_t *fleet, uint32_t handle,
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -134,7 +134,8 @@
 typedef struct fleet_task {
 	bool done;
 	uint16_t failures;
-	uint32_t last_run;		 /* highest run number used */
+	uint16_t hangs;	   /* number of runs that were stopped as hanging */
+	uint32_t last_run; /* highest run number used */
 	uint32_t runs[GH_TASK_RUNS_MAX]; /* handles of open runs, or GH_NONE */
 	/*
 	 * Handle of a worker on which a run of the task failed, was lost or was
--- a/regress/fleet_world.h
+++ b/regress/fleet_world.h
@@ -28,8 +28,11 @@
 typedef struct scripted_worker {
 	char id[GH_WORKER_ID_MAX + 1];
 	char address[GH_ADDRESS_MAX + 1];
-	bool unreachable;   /* replies to nothing and executes nothing */
-	bool stalled;	    /* runs on the worker make no progress */
+	bool unreachable; /* replies to nothing and executes nothing */
+	bool stalled;	  /* runs on the worker make no progress */
+	/* Time in which a run's progress rises by one percent; 0: with each
+	 * report. */
+	int64_t percent_ms;
 	bool drops_replies; /* executes orders but its replies are lost */
 	bool loses_orders;  /* reports, but neither executes nor answers orders
 			     */
--- a/regress/test_core_fleet.c
+++ b/regress/test_core_fleet.c
@@ -659,6 +659,54 @@
 	world_clear(&w);
 }
 
+/* A task whose progress, in whole percents, rises slowly. */
+typedef struct slow_case {
+	const char *name;
+	uint32_t estimate_ms;
+	int64_t percent_ms; /* time that one percent takes */
+	size_t max_stops;   /* in two minutes */
+} slow_case_t;
+
+static const slow_case_t slow_cases[] = {
+	{ .name = "a long task",
+	  .estimate_ms = 600000,
+	  .percent_ms = 6000,
+	  .max_stops = 0 },
+	{ .name = "a long task that is estimated short",
+	  .estimate_ms = 1000,
+	  .percent_ms = 6000,
+	  .max_stops = 2 },
+	{ .name = "a task estimated at half of its time",
+	  .estimate_ms = 300000,
+	  .percent_ms = 6000,
+	  .max_stops = 0 },
+};
+
+/* LOST: tasks of more than 250 s were stopped again and again as hanging. */
+static void test_long_task_does_not_hang(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(slow_cases); i++) {
+		const slow_case_t *c = &slow_cases[i];
+		gh_step_t step = one_task;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		world_init(&w);
+		step.estimate_ms = c->estimate_ms;
+		add_worker(&w, "w1", 4000)->percent_ms = c->percent_ms;
+		add_worker(&w, "w2", 4000)->percent_ms = c->percent_ms;
+		add_job(&w, "0000000000000002", 1, &step, NULL);
+		advance_time(&w, 120000);
+		assert_in_range(count_orders(&w, GH_ORDER_STOP, 0), 0,
+				c->max_stops);
+		assert_int_equal(w.workers[0].n_runs + w.workers[1].n_runs, 1);
+		world_clear(&w);
+	}
+}
+
 /* How the starts of a job's only task end, and what the job is shown as. */
 typedef struct begun_case {
 	const char *name;
@@ -1354,6 +1402,7 @@
 		cmocka_unit_test(test_pace_after_takeover),
 		cmocka_unit_test(test_pace_after_lasting),
 		cmocka_unit_test(test_burst),
+		cmocka_unit_test(test_long_task_does_not_hang),
 		cmocka_unit_test(test_job_without_start_is_pending),
 		cmocka_unit_test(test_slow_start),
 		cmocka_unit_test(test_fill_overdue),
