core_fleet: count a gang's failure with the end of the first failed member

A gang was started once more than its queue's attempts allow.

Cause: the failure was counted when the last member had ended. Until then it was in memory only, while the failed member's end was already committed and acknowledged; the next owner did not hear of it.

Evidence: test_gang_failure_outlives_owner failed before, "0x6 != 0x4" starts of members after a change of owner, and passes.

Fix: the first member that fails counts the failure of all the gang's tasks at once, so that it is committed with that end.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -595,7 +595,8 @@
 
 /*
  * Stops the gang's other runs.  Once all have ended, the gang can be started
- * again; if a run failed, each task counts a failure.
+ * again.  The first run that fails counts a failure of each task, at once: the
+ * next owner hears of that failure from the record only.
  */
 static void handle_gang_member_end(gh_fleet_t *fleet, uint32_t handle,
 				   uint32_t index, gh_run_outcome_t outcome,
@@ -604,21 +605,21 @@
 	fleet_job_t *job = fleet_job(fleet, handle);
 	fleet_stage_t *stage = fleet_task_stage(job, index);
 	const gh_step_t *step = fleet_task_step(job, index);
+	bool is_first = outcome == GH_RUN_FAILED && !stage->gang_failed;
 	uint32_t i;
 
-	if (outcome == GH_RUN_FAILED)
+	if (is_first) {
 		stage->gang_failed = 1;
-	stop_task_runs(fleet, handle, stage->first_task, step->tasks,
-		       "a member of the gang ended", now);
-	if (stage->tasks_open)
-		return;
-	if (stage->gang_failed) {
-		stage->gang_failed = 0;
 		for (i = stage->first_task + 1;
 		     i < stage->first_task + step->tasks; i++)
 			job->tasks[i].failures++;
-		count_failure(fleet, handle, stage->first_task, now);
 	}
+	stop_task_runs(fleet, handle, stage->first_task, step->tasks,
+		       "a member of the gang ended", now);
+	if (!stage->tasks_open)
+		stage->gang_failed = 0;
+	if (is_first)
+		count_failure(fleet, handle, stage->first_task, now);
 }
 
 static void count_failure(gh_fleet_t *fleet, uint32_t handle, uint32_t index,
--- a/regress/test_core_fleet_record.c
+++ b/regress/test_core_fleet_record.c
@@ -335,6 +335,70 @@
 	world_clear(&w);
 }
 
+/* When the owner changes after the first member of a gang has failed. */
+typedef struct gang_failure_case {
+	const char *name;
+	bool replaces_owner;
+} gang_failure_case_t;
+
+static const gang_failure_case_t gang_failures[] = {
+	{ .name = "the same owner" },
+	{ .name = "the next owner", .replaces_owner = true },
+};
+
+/*
+ * BUDGET: the next owner did not hear of a gang's failure while a member of the
+ * gang had not ended, and started the gang once more than allowed.
+ */
+static void test_gang_failure_outlives_owner(void **state)
+{
+	static const gh_step_t gang = { .tasks = 2,
+					.gang = true,
+					.estimate_ms = 1000,
+					.size = { .cores_milli = 1000 } };
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(gang_failures); i++) {
+		const gang_failure_case_t *c = &gang_failures[i];
+		gh_queue_policy_t policy = { .name = "q",
+					     .attempts = 2,
+					     .stretch_milli = 2000 };
+		scripted_worker_t *worker;
+		char *progress;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		world_init(&w);
+		gh_fleet_queue_set(w.fleet, &policy);
+		worker = add_worker(&w, "w1", 4000);
+		worker->stop_ms = STOP_MS - 100;
+		advance_time(&w, 100);
+		add_job(&w, "0000000000000001", 1, &gang, NULL);
+		advance_time(&w, 200);
+		assert_int_equal(worker->n_runs, 2);
+		end_run(worker, 0, GH_RUN_FAILED);
+		advance_time(&w, 100);
+		assert_int_equal(worker->n_runs, 1);
+		if (c->replaces_owner) {
+			progress = g_strdup(w.progress);
+			replace_owner(&w);
+			gh_fleet_queue_set(w.fleet, &policy);
+			list_worker(&w, worker, false);
+			add_job(&w, "0000000000000001", 1, &gang, progress);
+			g_free(progress);
+		}
+		advance_time(&w, 4000);
+		assert_int_equal(worker->n_runs, 2);
+		assert_int_equal(count_orders(&w, GH_ORDER_START, 0), 4);
+		end_run(worker, 0, GH_RUN_FAILED);
+		advance_time(&w, 4000);
+		assert_int_equal(count_orders(&w, GH_ORDER_START, 0), 4);
+		assert_int_equal(w.phase, GH_JOB_FAILED);
+		world_clear(&w);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -344,6 +408,7 @@
 		cmocka_unit_test(test_held_runs_are_left_alone),
 		cmocka_unit_test(test_wait_for_held_run),
 		cmocka_unit_test(test_acks_beside_held),
+		cmocka_unit_test(test_gang_failure_outlives_owner),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
