core_fleet: order of fields and a function, as lint asks

close_run() and note_begun() come out of fleet_run_end(); bools of a worker and of the model's hosts stand together. No change of behaviour.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -25,7 +25,9 @@
 static void unlink_run(gh_fleet_t *fleet, uint32_t handle);
 static void account_resources(gh_fleet_t *fleet, const fleet_run_t *run,
 			      bool add);
-static bool may_have_begun(const fleet_run_t *run, gh_run_outcome_t outcome);
+static void close_run(gh_fleet_t *fleet, uint32_t handle, gh_time_t now);
+static void note_begun(fleet_job_t *job, const fleet_run_t *run,
+		       gh_run_outcome_t outcome);
 static void complete_task(gh_fleet_t *fleet, uint32_t handle, uint32_t index,
 			  gh_time_t now);
 static void handle_gang_member_end(gh_fleet_t *fleet, uint32_t handle,
@@ -504,7 +506,6 @@
 	fleet_run_t run = *fleet_run(fleet, handle);
 	fleet_job_t *job = fleet_job(fleet, run.job);
 	fleet_task_t *task = &job->tasks[run.task];
-	fleet_stage_t *stage = fleet_task_stage(job, run.task);
 	const gh_step_t *step = fleet_task_step(job, run.task);
 	gh_task_id_t id = fleet_task_id(job, run.task);
 
@@ -513,16 +514,7 @@
 	account_resources(fleet, &run, false);
 	fleet_crash_handle_end(fleet, handle);
 	fleet_late_add(fleet, &run, outcome, now);
-	unlink_run(fleet, handle);
-	fleet_run(fleet, handle)->state = RUN_FREE;
-	g_array_append_val(fleet->free_runs, handle);
-	if (task->runs[0] == handle)
-		task->runs[0] = task->runs[1];
-	task->runs[1] = GH_NONE;
-	if (!--job->open_runs)
-		job->idle_since = now;
-	if (task->runs[0] == GH_NONE)
-		stage->tasks_open--;
+	close_run(fleet, handle, now);
 	fleet_health_record_end(fleet, &run, outcome, now);
 	if (checkpoint && *checkpoint) {
 		g_free(task->checkpoint);
@@ -534,9 +526,7 @@
 		return;
 	}
 	fleet_job_mark_changed(fleet, run.job);
-	job->begun |= may_have_begun(&run, outcome);
-	if (!job->begun && !job->open_runs)
-		job->phase = GH_JOB_QUEUED;
+	note_begun(job, &run, outcome);
 	if (task->done)
 		return;
 	if (outcome == GH_RUN_LOST) {
@@ -559,13 +549,37 @@
 	}
 }
 
-static bool may_have_begun(const fleet_run_t *run, gh_run_outcome_t outcome)
+/* Takes the run out of its worker, task and job. */
+static void close_run(gh_fleet_t *fleet, uint32_t handle, gh_time_t now)
+{
+	fleet_run_t *run = fleet_run(fleet, handle);
+	fleet_job_t *job = fleet_job(fleet, run->job);
+	fleet_task_t *task = &job->tasks[run->task];
+
+	unlink_run(fleet, handle);
+	run->state = RUN_FREE;
+	g_array_append_val(fleet->free_runs, handle);
+	if (task->runs[0] == handle)
+		task->runs[0] = task->runs[1];
+	task->runs[1] = GH_NONE;
+	if (!--job->open_runs)
+		job->idle_since = now;
+	if (task->runs[0] == GH_NONE)
+		fleet_task_stage(job, run->task)->tasks_open--;
+}
+
+/* A job none of whose runs may have begun is queued again without runs. */
+static void note_begun(fleet_job_t *job, const fleet_run_t *run,
+		       gh_run_outcome_t outcome)
 {
-	/* What a previous owner knew of its runs is not known. */
 	if (outcome == GH_RUN_LOST)
-		return run->alive_since || run->start_unanswered ||
-		       !run->planned_at;
-	return outcome != GH_RUN_NOT_STARTED;
+		/* What a previous owner knew of its runs is not known. */
+		job->begun |= run->alive_since || run->start_unanswered ||
+			      !run->planned_at;
+	else
+		job->begun |= outcome != GH_RUN_NOT_STARTED;
+	if (!job->begun && !job->open_runs)
+		job->phase = GH_JOB_QUEUED;
 }
 
 static void complete_task(gh_fleet_t *fleet, uint32_t handle, uint32_t index,
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -257,6 +257,8 @@
 	bool in_use;	   /* the array entry is used */
 	bool listed;	   /* service discovery lists the worker */
 	bool has_reported; /* this incarnation has sent this owner a report */
+	/* A report is to show whether a late start had begun. */
+	bool late_report_due;
 	/*
 	 * Where the worker was last heard; until it is, where it was first
 	 * listed.  The entry can name another address, at which another worker
@@ -268,8 +270,6 @@
 	gh_time_t heard_since; /* time of its first report */
 	/* When the worker's last restart became known; 0: none. */
 	gh_time_t restart_known_at;
-	/* In all calls to this life; see fleet_fence_raise(). */
-	uint32_t fence_offset;
 	/*
 	 * Declared sizes of the worker's open runs, added up; the cores exclude
 	 * best-effort runs.
@@ -281,13 +281,13 @@
 	uint32_t first_run;
 	uint32_t n_runs;
 	uint32_t n_late_starts; /* its entries in gh_fleet.late_starts */
+	/* In all calls to this life; see fleet_fence_raise(). */
+	uint32_t fence_offset;
 	/*
 	 * Nothing is placed here before this time, as late starts may take the
 	 * capacity; 0: none.
 	 */
 	gh_time_t late_until;
-	/* A report is to show whether a late start had begun; see there. */
-	bool late_report_due;
 	/* deadline of the lease that was last granted */
 	gh_time_t lease_until;
 	/* No run on the worker is alive after this time. */
@@ -298,8 +298,7 @@
 	 */
 	gh_time_t late_grants_until;
 	gh_time_t renewal_sent_at;
-	bool renewal_grants; /* the last renewal that was sent grants a lease */
-	uint64_t acked_end;  /* ends of runs up to this number are committed */
+	uint64_t acked_end; /* ends of runs up to this number are committed */
 	/* Highest number of an end of a run that the worker has reported. */
 	uint64_t last_listed_end;
 	/* Lowest number of an end in the worker's last report; 0: none. */
@@ -314,6 +313,7 @@
 	bool has_unknown_run;
 	/* A lease renewal with fence_offset awaits the worker's reply. */
 	bool renewal_pending;
+	bool renewal_grants; /* the last renewal that was sent grants a lease */
 	/* When the last report arrived and when it was requested. */
 	gh_time_t last_report_at, last_requested_at;
 	gh_time_t renewal_not_before;
--- a/regress/fleet_model_private.h
+++ b/regress/fleet_model_private.h
@@ -245,11 +245,11 @@
 	uint64_t record_revision;
 	bool record_lost;
 	bool restoring;
+	bool previous_released;
 	gh_time_t renewed_at;
 	gh_time_t renew_at;
 	gh_time_t renewal_sent_at;
 	gh_time_t previous_grants_end;
-	bool previous_released;
 	gh_time_t grants_told; /* last grant that the chain tells; 0: none */
 	const char *claim_text;
 	gh_time_t claim_at;
--- a/regress/test_core_fleet_late.c
+++ b/regress/test_core_fleet_late.c
@@ -499,7 +499,7 @@
 			.size = { .cores_milli = 4000, .memory_mb = 100000 },
 			.incarnation_start_ms = 2,
 		};
-		gh_worker_renewal_t renewal;
+		gh_worker_renewal_t renewal = { .worker = NULL };
 		gh_time_t requested_at;
 		world_t w;
 
