--- a/core_fleet.c
+++ b/core_fleet.c
@@ -10,16 +10,10 @@
 /* Policy of a queue that is not configured yet. */
 #define QUEUE_ATTEMPTS_DEFAULT 3
 #define QUEUE_STRETCH_DEFAULT_MILLI 2000
-/* Extends a lease by 1/33 (3 %), as a worker's clock may be 2 % slow. */
-#define LEASE_DRIFT_DIVISOR 33
-/* Added to a lease: time for the reply to a lease renewal to arrive. */
-#define LEASE_MARGIN_USEC (200 * GH_USEC_PER_MSEC)
 
 static void init_tasks(fleet_job_t *job);
 static void handle_worker_restart(gh_fleet_t *fleet, uint32_t handle,
 				  gh_time_t now);
-static void note_calls_in_flight(gh_fleet_t *fleet, fleet_worker_t *worker);
-static gh_time_t lease_end(gh_time_t from, int64_t lease_ms);
 static uint32_t alloc_entry(GArray *table, GArray *free_entries);
 static void link_run(gh_fleet_t *fleet, uint32_t handle);
 static void unlink_run(gh_fleet_t *fleet, uint32_t handle);
@@ -306,22 +300,6 @@
 	worker->entry.incarnation_start_ms = start_ms;
 }
 
-/* Calls that await their replies may be executed by the next life. */
-static void note_calls_in_flight(gh_fleet_t *fleet, fleet_worker_t *worker)
-{
-	uint32_t ref;
-
-	if (worker->renewal_pending && worker->renewal_grants)
-		fleet_lease_note_unanswered(worker, worker->renewal_sent_at);
-	for (ref = worker->first_run; ref != GH_NONE;
-	     ref = fleet_run(fleet, ref)->next) {
-		const fleet_run_t *run = fleet_run(fleet, ref);
-
-		if (run->start_in_flight)
-			fleet_lease_note_unanswered(worker, run->start_sent_at);
-	}
-}
-
 void fleet_worker_end_runs(gh_fleet_t *fleet, uint32_t handle, const char *why,
 			   gh_time_t now)
 {
@@ -826,74 +804,6 @@
 	return state == required_state[kind];
 }
 
-gh_time_t fleet_lease_end(const gh_fleet_t *fleet, gh_time_t granted_at)
-{
-	return lease_end(granted_at, fleet->setup.lease_ms);
-}
-
-gh_time_t fleet_lease_longest_end(const gh_fleet_t *fleet, gh_time_t granted_at)
-{
-	return lease_end(granted_at,
-			 MAX(fleet->setup.lease_ms, fleet->setup.lease_max_ms));
-}
-
-gh_time_t fleet_lease_extend(gh_fleet_t *fleet, fleet_worker_t *worker,
-			     gh_time_t now)
-{
-	worker->lease_until = now + gh_time_from_ms(fleet->setup.lease_ms);
-	worker->latest_lease_end =
-		MAX(worker->latest_lease_end, fleet_lease_end(fleet, now));
-	return worker->lease_until;
-}
-
-void fleet_fence_raise(gh_fleet_t *fleet, fleet_worker_t *worker)
-{
-	/* The last one is shared by all lives that come after it. */
-	if (fleet->last_fence_offset < GH_FLEET_EPOCH_STEP - 1)
-		fleet->last_fence_offset++;
-	worker->fence_offset = fleet->last_fence_offset;
-	note_calls_in_flight(fleet, worker);
-	worker->renewal_pending = false;
-	worker->renewal_not_before = 0;
-}
-
-uint32_t fleet_fence_of(const gh_fleet_t *fleet, uint32_t handle)
-{
-	return handle == GH_NONE ? fleet->last_fence_offset :
-				   fleet_worker(fleet, handle)->fence_offset;
-}
-
-void fleet_lease_note_longest(gh_fleet_t *fleet, fleet_worker_t *worker,
-			      gh_time_t granted_at)
-{
-	worker->latest_lease_end =
-		MAX(worker->latest_lease_end,
-		    lease_end(granted_at, fleet->setup.lease_max_ms));
-	fleet->grants_ahead_until =
-		MAX(fleet->grants_ahead_until,
-		    worker->latest_lease_end - fleet_lease_end(fleet, 0));
-}
-
-void fleet_lease_note_unanswered(fleet_worker_t *worker, gh_time_t sent_at)
-{
-	worker->late_grants_until =
-		MAX(worker->late_grants_until, sent_at + CALL_DELAY_MAX_USEC);
-}
-
-void fleet_lease_bound(gh_fleet_t *fleet, fleet_worker_t *worker, gh_time_t now)
-{
-	worker->latest_lease_end = MIN(worker->latest_lease_end,
-				       fleet_lease_longest_end(fleet, now));
-}
-
-/* Latest time at which a lease that was granted at the time from can end. */
-static gh_time_t lease_end(gh_time_t from, int64_t lease_ms)
-{
-	gh_time_t lease = gh_time_from_ms(lease_ms);
-
-	return from + lease + lease / LEASE_DRIFT_DIVISOR + LEASE_MARGIN_USEC;
-}
-
 /* Lookups by handle, id and name. */
 
 fleet_worker_t *fleet_worker(const gh_fleet_t *fleet, uint32_t handle)
@@ -1016,29 +926,6 @@
 	return fleet->fenced;
 }
 
-gh_time_t gh_fleet_last_grant(const gh_fleet_t *fleet)
-{
-	gh_time_t latest_end = 0;
-	uint32_t i;
-
-	for (i = 0; i < fleet->workers->len; i++) {
-		const fleet_worker_t *worker = fleet_worker(fleet, i);
-
-		if (worker->in_use && worker->n_runs)
-			latest_end = MAX(latest_end, worker->latest_lease_end);
-	}
-	return latest_end - fleet_lease_end(fleet, 0);
-}
-
-gh_time_t gh_fleet_grant_ahead(const gh_fleet_t *fleet, gh_time_t from)
-{
-	gh_time_t grant = fleet->grants_ahead_until > from ?
-				  gh_fleet_last_grant(fleet) :
-				  0;
-
-	return grant > from ? grant : 0;
-}
-
 void gh_fleet_load(const gh_fleet_t *fleet, gh_shard_load_t *load,
 		   gh_time_t now)
 {
