--- a/core_fleet_late.c
+++ b/core_fleet_late.c
@@ -256,8 +256,7 @@
 	uint32_t handle;
 	const fleet_worker_t *worker;
 
-	if (reply == GH_ORDER_OUTCOME_UNKNOWN || reply == GH_ORDER_OVERTAKEN ||
-	    reply == GH_ORDER_REFUSED)
+	if (!fleet_stop_was_executed(reply))
 		return false;
 	if (reply != GH_ORDER_OTHER_INCARNATION ||
 	    !strcmp(late->address, late->heard_address))
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -309,14 +309,19 @@
 			return;
 		run->stops_overtaken = false;
 		run->retry_at = now;
-	} else if (reply == GH_ORDER_OUTCOME_UNKNOWN ||
-		   reply == GH_ORDER_OVERTAKEN || reply == GH_ORDER_REFUSED) {
+	} else if (!fleet_stop_was_executed(reply)) {
 		run->retry_at = now + ORDER_RETRY_USEC;
 	} else {
 		run->replied_at = now;
 	}
 }
 
+bool fleet_stop_was_executed(gh_order_reply_t reply)
+{
+	return reply != GH_ORDER_OUTCOME_UNKNOWN &&
+	       reply != GH_ORDER_OVERTAKEN && reply != GH_ORDER_REFUSED;
+}
+
 bool gh_fleet_next_renewal(gh_fleet_t *fleet, gh_worker_renewal_t *renewal,
 			   gh_time_t now)
 {
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -583,6 +583,10 @@
 			const char *address, const gh_task_id_t *task,
 			uint32_t run);
 
+/* Whether the worker that sent the reply has executed the stop, or needs none.
+ */
+bool fleet_stop_was_executed(gh_order_reply_t reply);
+
 /* An empty table for gh_fleet.late_starts. */
 GHashTable *fleet_late_new(void);
 /* Whether a start order of the run may still be executed late. */
