fleet_jobs, platform_store: tell what the store replied to each try

The log line of such an answer had the number of attempts, not what each was told, so a refused copy of a write, a status that proves nothing and a write that was not sent all looked alike.

Errors of submissions, cancels and reads now have the store's replies in order, request_retried tells them of each request that took several calls, and counters tell refused, unanswered and unsent calls apart, statuses that the store's protocol does not have, and second copies that were not written.

--- a/counter_list.h
+++ b/counter_list.h
@@ -124,6 +124,16 @@
 COUNTER(PLATFORM_CALLS, "platform_calls", "calls to the store and to workers")
 COUNTER(PLATFORM_UNANSWERED, "platform_unanswered",
 	"calls to the store and to workers without a complete reply")
+COUNTER(PLATFORM_COPIES_BARRED, "platform_copies_barred",
+	"calls not written a second time after their connection ended")
+COUNTER(STORE_REFUSED, "store_refused",
+	"calls that the store refused with 429 or 503")
+COUNTER(STORE_UNSENT, "store_unsent",
+	"calls to the store of which nothing was sent")
+COUNTER(STORE_UNANSWERED, "store_unanswered",
+	"calls to the store without a complete response")
+COUNTER(STORE_ODD_STATUS, "store_odd_status",
+	"calls that the store answered with a status that is not known")
 COUNTER(STORE_UNREACHABLE, "store_lost",
 	"times that the store became unreachable")
 COUNTER(STORE_REACHABLE_AGAIN, "store_regained",
--- a/fleet_jobs.c
+++ b/fleet_jobs.c
@@ -14,6 +14,7 @@
 #include "clock.h"
 #include "counter.h"
 #include "error.h"
+#include "fleet_tries.h"
 #include "fleet_watch.h"
 #include "log.h"
 
@@ -80,8 +81,9 @@
 	bool state_known;  /* the store has the job; state is its state there */
 	unsigned refusals; /* number of tries that had no effect in the store */
 	unsigned tries;
-	bool write_pending; /* a write was sent and awaits its reply */
-	bool replied;	    /* done() was called; don't call it again */
+	fleet_tries_t replies; /* what the store replied to the tries */
+	bool write_pending;    /* a write was sent and awaits its reply */
+	bool replied;	       /* done() was called; don't call it again */
 	fleet_jobs_done_t done;
 	void *ctx;
 } request_t;
@@ -117,6 +119,7 @@
 static void request_write(request_t *request);
 static void request_retry(request_t *request);
 static void request_finish(request_t *request, GError *err);
+static void log_retried(const request_t *request, const GError *err);
 static void on_written(void *ctx, const fleet_reply_t *reply);
 static void on_state_read(void *ctx, const fleet_reply_t *reply);
 static void request_resolve(request_t *request);
@@ -738,6 +741,7 @@
 	size_t i;
 
 	request->write_pending = false;
+	fleet_tries_add(&request->replies, reply->detail);
 	switch (reply->result) {
 	case FLEET_OK:
 		if (request->kind == REQUEST_CANCEL) {
@@ -780,6 +784,7 @@
 {
 	request_t *request = ctx;
 
+	fleet_tries_add(&request->replies, reply->detail);
 	if (reply->result == FLEET_NOT_FOUND) {
 		request->state_known = false;
 		request_resolve(request);
@@ -900,12 +905,15 @@
 	    request->kind != REQUEST_SUBMIT)
 		gh_error_set(&err, GH_E_STORE_UNKNOWN,
 			     "no definite reply from the store about job %s in "
-			     "%u attempts",
-			     request->id, request->tries);
+			     "%u attempts (%s)",
+			     request->id, request->tries,
+			     fleet_tries_text(&request->replies));
 	else
 		gh_error_set(&err, GH_E_STORE_DOWN,
-			     "the store refused to write job %s in %u attempts",
-			     request->id, request->tries);
+			     "the store refused to write job %s in %u attempts "
+			     "(%s)",
+			     request->id, request->tries,
+			     fleet_tries_text(&request->replies));
 	return err;
 }
 
@@ -957,6 +965,7 @@
 
 static void request_finish(request_t *request, GError *err)
 {
+	log_retried(request, err);
 	if (!request->replied)
 		request->done(request->ctx, err);
 	g_queue_remove(&request->jobs->requests, request);
@@ -964,3 +973,20 @@
 	g_free(request->record);
 	g_free(request);
 }
+
+static void log_retried(const request_t *request, const GError *err)
+{
+	static const char *const kinds[] = {
+		[REQUEST_SUBMIT] = "submit",
+		[REQUEST_CANCEL] = "cancel",
+		[REQUEST_REFRESH] = "read",
+	};
+
+	if (request->tries < 2)
+		return;
+	log_event(LOG_INFO, "request_retried", "job", request->id, "kind",
+		  kinds[request->kind], "replies",
+		  fleet_tries_text(&request->replies), "outcome",
+		  err ? gh_error_name(gh_error_kind(err)) : "ok", "late",
+		  request->replied ? "yes" : "no", NULL);
+}
--- a/fleet_port.h
+++ b/fleet_port.h
@@ -50,6 +50,8 @@
 
 typedef struct fleet_reply {
 	fleet_result_t result;
+	/* The reply as a word for logs, such as a status; may be NULL. */
+	const char *detail;
 	/* Current revision of the store, or that of the commit replied to. */
 	uint64_t revision;
 	const fleet_item_t *items;
