platform_store: a status that is not known proves nothing

Callers could see: a submission is answered 503, which says that the job never runs, and the job runs (REFUSED).

Cause: parse_result() took each status that it did not know, such as 500, 502, 504 and 408, for a refusal without effect. The store, or what stands before it, may have carried the call out: the store's protocol says only of 429 and 503 that nothing was done, and of 403 for keys that a host may not write. 410 and 412 counted for each kind of call, though only watches and commits have them.

Evidence: four new rows of test_call_sent_again_below failed before (500, 504 and 408 gave a refusal, 410 lost history).

--- a/counter_list.h
+++ b/counter_list.h
@@ -127,7 +127,7 @@
 COUNTER(PLATFORM_COPIES_BARRED, "platform_copies_barred",
 	"calls not written a second time after their connection ended")
 COUNTER(STORE_REFUSED, "store_refused",
-	"calls that the store refused with 429 or 503")
+	"calls that the store refused with 403, 429 or 503")
 COUNTER(STORE_UNSENT, "store_unsent",
 	"calls to the store of which nothing was sent")
 COUNTER(STORE_UNANSWERED, "store_unanswered",
--- a/regress/test_platform_resend.c
+++ b/regress/test_platform_resend.c
@@ -1,7 +1,7 @@
 /*
- * Tests of calls whose connection ends after the peer has read them: the peer
- * may have carried them out, so neither a second copy nor the reply to one may
- * say that nothing was done.
+ * Tests of calls that the peer may have carried out: their connection ends
+ * after the peer has read them, or the response does not say that nothing was
+ * done.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include <cmocka.h>
+#include <netinet/in.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -17,6 +18,8 @@
 #include "raw_server.h"
 
 #define EPOCH 7
+/* Connections that fill the queue of a socket with a backlog of 0. */
+#define QUEUED 4
 /* The result of a call that was not made. */
 #define NO_RESULT (-1)
 
@@ -30,6 +33,9 @@
 	const char *first_response, *second_response;
 	int ok, unknown; /* results of the first call and of the second */
 	bool refuses;	 /* the peer takes no connection after the first */
+	bool stalls;	 /* connections after the first are not completed */
+	/* Sent to the second call before its connection ends. */
+	const char *answer;
 } resend_case_t;
 
 struct resend {
@@ -39,6 +45,7 @@
 	fleet_store_t *store;
 	char address[RAW_ADDRESS_MAX];
 	int listen_fd;
+	int queued_fds[QUEUED];
 	gint copies; /* of the second call that the peer has read */
 	int results[2];
 	size_t n_results;
@@ -183,6 +190,54 @@
 	  .refuses = true,
 	  .ok = FLEET_OK,
 	  .unknown = FLEET_OUTCOME_UNKNOWN },
+	{ .name = "commit to a store that completes no connection",
+	  .start = commit,
+	  .first_response = REVISION,
+	  .stalls = true,
+	  .ok = FLEET_OK,
+	  .unknown = FLEET_OUTCOME_UNKNOWN },
+	{ .name = "commit, the response ends amid its body",
+	  .start = commit,
+	  .first_response = REVISION,
+	  .answer = RESPONSE("503", "{", "9"),
+	  .ok = FLEET_OK,
+	  .unknown = FLEET_OUTCOME_UNKNOWN },
+	{ .name = "commit, the response ends amid its headers",
+	  .start = commit,
+	  .first_response = REVISION,
+	  .answer = "HTTP/1.1 200 x\r\nContent-",
+	  .ok = FLEET_OK,
+	  .unknown = FLEET_OUTCOME_UNKNOWN },
+	{ .name = "commit, status 500",
+	  .start = commit,
+	  .first_response = REVISION,
+	  .answer = RESPONSE("500", "", "0"),
+	  .ok = FLEET_OK,
+	  .unknown = FLEET_OUTCOME_UNKNOWN },
+	{ .name = "commit, status 504 with a body",
+	  .start = commit,
+	  .first_response = REVISION,
+	  .answer = RESPONSE("504", "{}", "2"),
+	  .ok = FLEET_OK,
+	  .unknown = FLEET_OUTCOME_UNKNOWN },
+	{ .name = "commit, status 408",
+	  .start = commit,
+	  .first_response = REVISION,
+	  .answer = RESPONSE("408", "", "0"),
+	  .ok = FLEET_OK,
+	  .unknown = FLEET_OUTCOME_UNKNOWN },
+	{ .name = "commit, the status of a watch",
+	  .start = commit,
+	  .first_response = REVISION,
+	  .answer = RESPONSE("410", "{}", "2"),
+	  .ok = FLEET_OK,
+	  .unknown = FLEET_OUTCOME_UNKNOWN },
+	{ .name = "commit, refused",
+	  .start = commit,
+	  .first_response = REVISION,
+	  .answer = UNAVAILABLE,
+	  .ok = FLEET_OK,
+	  .unknown = FLEET_REFUSED },
 	{ .name = "lease of the store",
 	  .start = grant_store_lease,
 	  .first_response = REVISION,
@@ -203,6 +258,25 @@
 		print_message("write failed\n");
 }
 
+/* Makes the kernel drop further connection requests to the peer. */
+static void fill_queue(resend_t *resend)
+{
+	struct sockaddr_in address;
+	socklen_t len = sizeof(address);
+	size_t i;
+
+	if (listen(resend->listen_fd, 0) < 0 ||
+	    getsockname(resend->listen_fd, (struct sockaddr *)&address, &len) <
+		    0)
+		print_message("the queue was not filled\n");
+	for (i = 0; i < QUEUED; i++) {
+		resend->queued_fds[i] =
+			socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		connect(resend->queued_fds[i], (struct sockaddr *)&address,
+			sizeof(address));
+	}
+}
+
 /* Reads the second call on the first connection and closes that. */
 static gpointer serve(gpointer arg)
 {
@@ -213,8 +287,15 @@
 		respond(fd, resend->c->first_response);
 	if (raw_read_request(fd))
 		g_atomic_int_inc(&resend->copies);
+	if (resend->c->answer)
+		respond(fd, resend->c->answer);
 	if (resend->c->refuses)
 		shutdown(resend->listen_fd, SHUT_RDWR);
+	if (resend->c->stalls) {
+		fill_queue(resend);
+		close(fd);
+		return NULL;
+	}
 	close(fd);
 	while ((fd = accept(resend->listen_fd, NULL, NULL)) >= 0) {
 		if (raw_read_request(fd)) {
@@ -235,6 +316,7 @@
 			    .loop = loop,
 			    .results = { NO_RESULT, NO_RESULT } };
 	GThread *server;
+	size_t i;
 
 	resend.listen_fd = raw_listen(resend.address);
 	assert_true(resend.listen_fd >= 0);
@@ -250,6 +332,8 @@
 	shutdown(resend.listen_fd, SHUT_RDWR);
 	g_thread_join(server);
 	close(resend.listen_fd);
+	for (i = 0; c->stalls && i < QUEUED; i++)
+		close(resend.queued_fds[i]);
 	print_message("%s: %d copies, results %d, %d\n", c->name, resend.copies,
 		      resend.results[0], resend.results[1]);
 	return resend.results[0] == c->ok && resend.results[1] == c->unknown &&
