fleet_jobs: no second write over a state that can't be read

Callers could see: a submission, or a retry of one, waits until its time limit while its host writes to the store without a pause, for ever.

Cause: after a conflict whose state could not be read, a submission counted the job as absent and wrote it again at once, with the same condition. 445,138 writes in 0.7 s with a store that replies at once, 271,665 of them after the caller's answer.

Change: such a conflict leaves the outcome open. The state is read after a pause, and the caller is answered 504, not 503: an earlier try may have been accepted before the state became unreadable.

Evidence: the case failed before.

--- a/fleet_jobs.c
+++ b/fleet_jobs.c
@@ -766,18 +766,20 @@
 		if (request->state_known)
 			fleet_jobs_update(request->jobs, request->id,
 					  &request->state);
+		if (!request->state_known && request->kind == REQUEST_SUBMIT)
+			break; /* something unreadable is in its place */
 		request_resolve(request);
 		return;
 	case FLEET_OUTCOME_UNKNOWN:
-		request->write_uncertain = true;
-		request->state_known = false;
-		request_retry(request);
-		return;
+		break;
 	default:
 		request->refusals++;
 		request_retry(request);
 		return;
 	}
+	request->write_uncertain = true;
+	request->state_known = false;
+	request_retry(request);
 }
 
 static void on_state_read(void *ctx, const fleet_reply_t *reply)
--- /dev/null
+++ b/regress/test_fleet_jobs.c
@@ -0,0 +1,263 @@
+/*
+ * Tests of what a host tells the caller of a submission, with a store whose
+ * replies are scripted: after "not run" nothing of the job may be written.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "clock.h"
+#include "error.h"
+#include "fleet_jobs.h"
+
+#define JOB_ID "e000000000000000"
+#define QUEUE "r-q"
+#define DEADLINE_USEC (300 * GH_USEC_PER_MSEC)
+/* Longer than a request waits before a retry. */
+#define STOPPED_USEC (400 * GH_USEC_PER_MSEC)
+/* After the deadline and a retry that follows it. */
+#define RUN_USEC (700 * GH_USEC_PER_MSEC)
+#define REPLIES_MAX 4
+/* Calls that a request makes in RUN_USEC if it pauses between two. */
+#define CALLS_MAX 20
+#define STATE(phase) phase " " QUEUE " 1 1 0"
+
+/* How the store replies to a call, each call in turn; the last one repeats. */
+typedef struct reply {
+	fleet_result_t result;
+	gh_time_t delay;
+	gh_time_t stopped; /* the host stands still for this long after it */
+	const char *state; /* the job's state in the reply */
+} reply_t;
+
+typedef struct jobs_case {
+	const char *name;
+	unsigned n;
+	reply_t replies[REPLIES_MAX];
+	bool closed; /* the host shuts down after the first reply */
+	int kind;    /* of the error; -1: accepted */
+} jobs_case_t;
+
+typedef struct play {
+	fleet_store_t store;
+	const jobs_case_t *c;
+	loop_t *loop;
+	loop_timer_t reply_timer;
+	loop_timer_t end;
+	fleet_jobs_t *jobs;
+	unsigned n_calls;
+	fleet_store_done_t done;
+	void *ctx;
+	bool told;
+	int kind;
+	unsigned late_commits; /* sent after the caller was told */
+} play_t;
+
+static const jobs_case_t cases[] = {
+	{ .name = "written", .n = 1, .replies = { { FLEET_OK } }, .kind = -1 },
+	{ .name = "refused",
+	  .n = 1,
+	  .replies = { { FLEET_REFUSED } },
+	  .kind = GH_E_STORE_DOWN },
+	{ .name = "refused once",
+	  .n = 2,
+	  .replies = { { FLEET_REFUSED }, { FLEET_OK } },
+	  .kind = -1 },
+	{ .name = "no response, then refused",
+	  .n = 2,
+	  .replies = { { FLEET_OUTCOME_UNKNOWN }, { FLEET_REFUSED } },
+	  .kind = GH_E_STORE_UNKNOWN },
+	{ .name = "refused, no response, refused",
+	  .n = 3,
+	  .replies = { { FLEET_REFUSED },
+		       { FLEET_OUTCOME_UNKNOWN },
+		       { FLEET_REFUSED } },
+	  .kind = GH_E_STORE_UNKNOWN },
+	{ .name = "no response, absent, refused",
+	  .n = 3,
+	  .replies = { { FLEET_OUTCOME_UNKNOWN },
+		       { FLEET_NOT_FOUND },
+		       { FLEET_REFUSED } },
+	  .kind = GH_E_STORE_UNKNOWN },
+	{ .name = "no response, but written",
+	  .n = 2,
+	  .replies = { { FLEET_OUTCOME_UNKNOWN },
+		       { FLEET_OK, .state = STATE("running") } },
+	  .kind = -1 },
+	{ .name = "another copy was written",
+	  .n = 1,
+	  .replies = { { FLEET_CONFLICT, .state = STATE("queued") } },
+	  .kind = -1 },
+	{ .name = "the state in its place can't be read",
+	  .n = 1,
+	  .replies = { { FLEET_CONFLICT, .state = "odd" } },
+	  .kind = GH_E_STORE_UNKNOWN },
+	{ .name = "in flight at the deadline",
+	  .n = 1,
+	  .replies = { { FLEET_REFUSED, .delay = STOPPED_USEC } },
+	  .kind = GH_E_STORE_UNKNOWN },
+	{ .name = "stopped until the deadline before a retry",
+	  .n = 2,
+	  .replies = { { FLEET_REFUSED, .stopped = STOPPED_USEC },
+		       { FLEET_OK } },
+	  .kind = GH_E_STORE_UNKNOWN },
+	{ .name = "shut down before a retry",
+	  .n = 1,
+	  .replies = { { FLEET_REFUSED } },
+	  .closed = true,
+	  .kind = GH_E_STORE_DOWN },
+	{ .name = "shut down while the outcome is unknown",
+	  .n = 1,
+	  .replies = { { FLEET_OUTCOME_UNKNOWN } },
+	  .closed = true,
+	  .kind = GH_E_STORE_UNKNOWN },
+};
+
+static const reply_t *current_reply(const play_t *play)
+{
+	return &play->c->replies[MIN(play->n_calls, play->c->n) - 1];
+}
+
+static void reply_to_call(void *ctx, gh_time_t now)
+{
+	play_t *play = ctx;
+	const reply_t *script = current_reply(play);
+	fleet_item_t item = { .key = (char *)"d/state/" JOB_ID,
+			      .value = (char *)script->state,
+			      .revision = 7 };
+	fleet_reply_t reply = { .result = script->result,
+				.revision = 8,
+				.items = &item,
+				.n_items = script->state ? 1 : 0 };
+
+	(void)now;
+	play->done(play->ctx, &reply);
+	if (play->c->closed)
+		fleet_jobs_close(play->jobs);
+	if (script->stopped)
+		g_usleep((gulong)script->stopped);
+}
+
+static void keep_call(fleet_store_t *base, fleet_store_done_t done, void *ctx)
+{
+	play_t *play = (play_t *)base;
+
+	play->n_calls++;
+	play->done = done;
+	play->ctx = ctx;
+	play->reply_timer.at = clock_boot() + current_reply(play)->delay;
+}
+
+static void store_commit(fleet_store_t *base, const fleet_entry_t *entries,
+			 size_t n, fleet_store_done_t done, void *ctx)
+{
+	(void)entries;
+	(void)n;
+	((play_t *)base)->late_commits += ((play_t *)base)->told;
+	keep_call(base, done, ctx);
+}
+
+static void store_get(fleet_store_t *base, fleet_keyspace_t keyspace,
+		      const char *key, fleet_store_done_t done, void *ctx)
+{
+	(void)keyspace;
+	(void)key;
+	keep_call(base, done, ctx);
+}
+
+/* The directory is never read. */
+static void store_range(fleet_store_t *base, fleet_keyspace_t keyspace,
+			const char *prefix, const char *after,
+			fleet_store_done_t done, void *ctx)
+{
+	(void)base;
+	(void)keyspace;
+	(void)prefix;
+	(void)after;
+	(void)done;
+	(void)ctx;
+}
+
+static const fleet_store_ops_t store_ops = { .range = store_range,
+					     .get = store_get,
+					     .commit = store_commit };
+
+static void on_job_changed(void *ctx, const char *id,
+			   const fleet_job_state_t *state)
+{
+	(void)ctx;
+	(void)id;
+	(void)state;
+}
+
+static void on_told(void *ctx, const GError *err)
+{
+	play_t *play = ctx;
+
+	play->told = true;
+	play->kind = err ? (int)gh_error_kind(err) : -1;
+}
+
+static void stop_loop(void *ctx, gh_time_t now)
+{
+	(void)now;
+	loop_stop(ctx);
+}
+
+static bool play_case(const jobs_case_t *c)
+{
+	/* A loop is never freed. */
+	static loop_t *loops[G_N_ELEMENTS(cases)];
+	play_t play = { .store.ops = &store_ops, .c = c };
+	fleet_jobs_listener_t listener = { .job_changed = on_job_changed };
+	gh_pipeline_t pipeline = { .id = JOB_ID,
+				   .queue = QUEUE,
+				   .service = "svc",
+				   .accepted_ms = 1,
+				   .payload = (char *)"payload" };
+
+	play.loop = loops[c - cases] = loop_new();
+	play.reply_timer = (loop_timer_t){ .at = GH_TIME_NEVER,
+					   .run = reply_to_call,
+					   .ctx = &play };
+	play.end = (loop_timer_t){ .at = clock_boot() + RUN_USEC,
+				   .run = stop_loop,
+				   .ctx = play.loop };
+	loop_timer_add(play.loop, &play.reply_timer);
+	loop_timer_add(play.loop, &play.end);
+	play.jobs = fleet_jobs_new(play.loop, &play.store, 1, &listener);
+	fleet_jobs_submit(play.jobs, &pipeline, clock_boot() + DEADLINE_USEC,
+			  on_told, &play);
+	loop_run(play.loop);
+	fleet_jobs_free(play.jobs);
+	print_message("%s: told %d, %u calls, %u late commits\n", c->name,
+		      play.kind, play.n_calls, play.late_commits);
+	return play.told && play.kind == c->kind && !play.late_commits &&
+	       play.n_calls <= CALLS_MAX;
+}
+
+/* REFUSED: "not run" was told of a write whose outcome is open or to come. */
+static void test_refused_submission_is_not_written(void **state)
+{
+	size_t n_failed = 0;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		n_failed += !play_case(&cases[i]);
+	assert_int_equal(n_failed, 0);
+}
+
+int main(void)
+{
+	static const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_refused_submission_is_not_written),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
