fleet_jobs: a submission is not written after its answer

Callers could see: a submission is answered 504 by one host, then 503 by another, which says that the job never runs, and the job runs.

Cause: a submission whose first write got no response read the job's state, and wrote the job when that was absent, even if its deadline had passed in between and its caller been answered 504. Another host that the caller asked since could not know of that write.

Change: once the caller has its answer, the outcome of a submission is not looked up to write it again. A write that was sent before can still be carried out late, as the store may do.

Evidence: the new case of test_refused_submission_is_not_written, one write after the answer before, none now.

--- a/fleet_jobs.c
+++ b/fleet_jobs.c
@@ -117,6 +117,7 @@
 			      fleet_jobs_done_t done, void *ctx);
 static void request_try(request_t *request);
 static void request_write(request_t *request);
+static void commit_state(request_t *request);
 static void request_retry(request_t *request);
 static void request_finish(request_t *request, GError *err);
 static void log_retried(const request_t *request, const GError *err);
@@ -692,7 +693,19 @@
 	g_free(key);
 }
 
+/*
+ * Writes the job's state, unless it is a submission that is answered: another
+ * host may have refused the job since.
+ */
 static void request_write(request_t *request)
+{
+	if (request->kind == REQUEST_SUBMIT && request->replied)
+		request_finish(request, NULL);
+	else
+		commit_state(request);
+}
+
+static void commit_state(request_t *request)
 {
 	fleet_jobs_t *jobs = request->jobs;
 	char *state_key = fleet_jobs_state_key(request->id);
