fleet_owner: a refused copy of a commit is not the outcome of those before

Callers could see: a shard stands still for seconds without cause, a run is lost and started again (LOST), and the log says "another owner took over" where nobody did.

Cause: a commit without a reply is sent again. If that copy was refused, the owner took the commit for failed and made the next one, though the first copy could still be carried out; when it was, the owner found a chain record that it did not expect and ended its ownership. No rule but LOST was at risk, as no order goes out before its commit.

Change: once a copy of a commit had no reply, a refusal of a later one leaves the outcome to the chain record, which is read again.

--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -1467,7 +1467,12 @@
 			owner->chain_key, on_chain_reread, call_new(owner));
 		break;
 	default:
-		batch_failed(owner);
+		/* An earlier copy may still take effect. */
+		if (owner->batch->unanswered)
+			owner->reread_chain_at =
+				clock_boot() + COMMIT_RETRY_DELAY_USEC;
+		else
+			batch_failed(owner);
 		break;
 	}
 }
--- a/regress/test_owner_takeover.c
+++ b/regress/test_owner_takeover.c
@@ -901,7 +901,7 @@
 	return item && !strcmp(item->value, sim->hosts[host].name);
 }
 
-/* Hands in a job with one lasting task. */
+/* Hands in a job with one lasting task, in one commit. */
 static void submit_job(sim_t *sim)
 {
 	fleet_job_state_t state = { .phase = GH_JOB_QUEUED, .queue = "q" };
@@ -911,7 +911,7 @@
 	put(sim, FLEET_KEYSPACE_OWN, "d/state/" JOB, text);
 	g_free(text);
 	text = gh_pipeline_format(job);
-	put(sim, FLEET_KEYSPACE_OWN, "w/0/" JOB, text);
+	write_item(sim, FLEET_KEYSPACE_OWN, "w/0/" JOB, text, 0);
 	g_free(text);
 	gh_pipeline_free(job);
 }
@@ -1235,6 +1235,62 @@
 	}
 }
 
+/* What the store does with a commit, and with the copies sent after that. */
+typedef struct copy_case {
+	const char *name;
+	link_t first;
+	int64_t refused_ms; /* copies are refused for this time */
+} copy_case_t;
+
+static const copy_case_t copies[] = {
+	{ .name = "no reply, not done", .first = { .cut = true } },
+	{ .name = "no reply, not done, then refused",
+	  .first = { .cut = true },
+	  .refused_ms = 1500 },
+	{ .name = "no reply, done late",
+	  .first = { .late = 600 * MS },
+	  .refused_ms = 0 },
+	{ .name = "no reply, done late while the next copy is refused",
+	  .first = { .late = 600 * MS },
+	  .refused_ms = 1500 },
+	{ .name = "reply lost, then refused",
+	  .first = { .replies_lost = true },
+	  .refused_ms = 1500 },
+};
+
+/* LOST: a refused copy of a commit made its owner forget the one before. */
+static void test_commit_refused_after_copy_without_reply(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(copies); i++) {
+		const copy_case_t *c = &copies[i];
+		sim_t *sim = sim_new();
+		sim_store_t *store = &sim->hosts[0].store;
+		unsigned before;
+
+		add_host(sim, 1);
+		run_for(sim, 500);
+		before = store->n_calls[CALL_COMMIT];
+		store->links[CALL_COMMIT] = c->first;
+		submit_job(sim);
+		while (store->n_calls[CALL_COMMIT] == before)
+			run_for(sim, STEP_MS);
+		store->links[CALL_COMMIT] =
+			(link_t){ .refused = c->refused_ms != 0 };
+		run_for(sim, c->refused_ms);
+		store->links[CALL_COMMIT] = (link_t){ 0 };
+		run_for(sim, 2000);
+		print_message("%s: %u starts, owner h%d\n", c->name,
+			      sim->n_starts, !is_owner(sim, 0));
+		assert_int_equal(sim->n_starts, 1);
+		assert_true(is_owner(sim, 0));
+		assert_false(fleet_owner_is_idle(sim->hosts[0].owner));
+		sim_free(sim);
+	}
+}
+
 /* How a worker gets the longest lease before its owner fails. */
 typedef struct rebirth_case {
 	const char *name;
@@ -1459,6 +1515,7 @@
 		cmocka_unit_test(test_no_grant_after_release),
 		cmocka_unit_test(test_renewals_of_an_owner_taken_over),
 		cmocka_unit_test(test_restore_does_not_keep_loop_busy),
+		cmocka_unit_test(test_commit_refused_after_copy_without_reply),
 		cmocka_unit_test(test_lease_of_new_life_after_takeover),
 		cmocka_unit_test(test_random_faults_of_store),
 	};
