--- a/regress/fake_platform.c
+++ b/regress/fake_platform.c
@@ -14,7 +14,9 @@
  *   {"store":MODE}        mode of the key-value service: "up"; "down" does not
  *                         respond; "busy" responds 503; "lost" applies writes
  *                         without a response; "late" applies them later,
- *                         without a response
+ *                         without a response; "gateway" applies writes and
+ *                         responds 504; "crash" applies a write, closes its
+ *                         connection without a response and is "busy" then
  *   {"lapse":true}        expires all leases of the key-value service
  *   {"keep_leases":true}  lets no lease of it expire from now on
  *   {"compact":true}      discards the history of changes
@@ -753,6 +755,12 @@
 		apply_txn(p, req->json, reply);
 		if (!strcmp(p->store_mode, "lost"))
 			reply->delivery = FAKE_DELIVERY_NONE;
+		if (!strcmp(p->store_mode, "gateway"))
+			reply->status = 504;
+		if (!strcmp(p->store_mode, "crash") && reply->status == 200) {
+			reply->delivery = FAKE_DELIVERY_CLOSE;
+			p->store_mode = "busy";
+		}
 		hold_txn_reply(p, req->json);
 	} else {
 		fake_reply_error(reply, 404, "no such call");
@@ -880,8 +888,8 @@
 
 static bool platform_set(void *self, const char *key, const json_t *value)
 {
-	static const char *const modes[] = { "up", "down", "busy", "lost",
-					     "late" };
+	static const char *const modes[] = { "up",   "down",	"busy", "lost",
+					     "late", "gateway", "crash" };
 	platform_t *p = self;
 	const char *text = json_string_value(value);
 	bool ok = true;
