fleet_owner: tell when planned runs wait to be committed

shard_behind tells, once a second while a run has been planned for over a second, how many are planned and since when, what planned and begun runs hold, and how far decisions are apart; shards_behind counts these seconds.

--- a/core_fleet.h
+++ b/core_fleet.h
@@ -266,6 +266,17 @@
 	uint32_t jobs, workers, open_runs, pending_tasks;
 } gh_fleet_counts_t;
 
+/* How far an owner is behind with what it has decided. */
+typedef struct gh_fleet_backlog {
+	uint32_t planned_runs;	 /* placed, their intents not committed */
+	gh_time_t planned_since; /* when the oldest was placed; 0: none */
+	uint32_t begun_runs;	 /* committed, until their end */
+	uint32_t pending_tasks;	 /* ready, and not placed at the last tick */
+	/* Cores of all workers, and cores that planned and begun runs hold. */
+	int64_t cores_milli, planned_cores_milli, begun_cores_milli;
+	gh_time_t tick_gap; /* mean time between two ticks */
+} gh_fleet_backlog_t;
+
 gh_fleet_t *gh_fleet_new(const gh_fleet_setup_t *setup,
 			 const gh_fleet_sink_t *sink, gh_time_t now);
 void gh_fleet_free(gh_fleet_t *fleet);
@@ -366,6 +377,7 @@
 void gh_fleet_load(const gh_fleet_t *fleet, gh_shard_load_t *load,
 		   gh_time_t now);
 void gh_fleet_counts(const gh_fleet_t *fleet, gh_fleet_counts_t *counts);
+void gh_fleet_backlog(const gh_fleet_t *fleet, gh_fleet_backlog_t *backlog);
 const char *gh_job_phase_name(gh_job_phase_t phase);
 /* Job phase by its name, or GH_JOB_PHASES for an unknown name. */
 gh_job_phase_t gh_job_phase_by_name(const char *name);
--- a/counter_list.h
+++ b/counter_list.h
@@ -161,6 +161,8 @@
 COUNTER(RUNS_LOST, "runs_lost", "runs whose end was never reported")
 COUNTER(RUNS_NO_CAPACITY, "runs_no_room",
 	"run starts refused by a worker for lack of capacity")
+COUNTER(SHARD_BEHIND, "shards_behind",
+	"seconds in which a run waited for over a second to be committed")
 COUNTER(RUN_COPIES, "run_copies", "speculative copies started for slow tasks")
 COUNTER(RUN_HANGS, "run_hangs", "runs stopped because they made no progress")
 COUNTER(WORKER_QUARANTINES, "worker_quarantines",
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -81,6 +81,9 @@
 #define SWEEP_JOBS_MAX 14
 /* Max number of commit entries that one job's change takes. */
 #define CHANGE_ENTRIES_MAX 5
+#define BACKLOG_LOG_PERIOD_USEC GH_USEC_PER_SEC
+/* A run that is planned for longer is late. */
+#define BACKLOG_LOG_MIN_USEC GH_USEC_PER_SEC
 /*
  * The learned interference is stored beside the jobs' progress, under this id;
  * no job has it.
@@ -210,6 +213,7 @@
 	 * counters.
 	 */
 	gh_fleet_counts_t reported;
+	gh_time_t backlog_log_at;
 };
 
 /*
@@ -228,6 +232,7 @@
 static fleet_owner_t *call_finish(void *ctx);
 static void advance(fleet_owner_t *owner, gh_time_t now);
 static void update_counters(fleet_owner_t *owner);
+static void log_backlog(fleet_owner_t *owner, gh_time_t now);
 static void postpone_claim(fleet_owner_t *owner);
 static void start_claim(fleet_owner_t *owner);
 static void on_claim_lease(void *ctx, const fleet_reply_t *reply);
@@ -480,6 +485,34 @@
 		next = MIN(next, owner->renew_at);
 	owner->timer.at = next;
 	update_counters(owner);
+	log_backlog(owner, now);
+}
+
+/* Logs once a second what an owner has decided and not yet carried out. */
+static void log_backlog(fleet_owner_t *owner, gh_time_t now)
+{
+	gh_fleet_backlog_t backlog;
+	char cores[64];
+
+	if (owner->phase != PHASE_OWNING || now < owner->backlog_log_at)
+		return;
+	owner->backlog_log_at = now + BACKLOG_LOG_PERIOD_USEC;
+	gh_fleet_backlog(owner->fleet, &backlog);
+	if (!backlog.planned_runs ||
+	    now - backlog.planned_since < BACKLOG_LOG_MIN_USEC)
+		return;
+	counter_inc(CTR_SHARD_BEHIND);
+	g_snprintf(cores, sizeof(cores), "%" PRId64 "/%" PRId64 "/%" PRId64,
+		   backlog.planned_cores_milli / 1000,
+		   backlog.begun_cores_milli / 1000,
+		   backlog.cores_milli / 1000);
+	log_event(LOG_INFO, "shard_behind", "shard",
+		  log_num(owner->setup.shard), "planned",
+		  log_num(backlog.planned_runs), "planned_ms",
+		  log_num(gh_time_to_ms(now - backlog.planned_since)), "begun",
+		  log_num(backlog.begun_runs), "pending",
+		  log_num(backlog.pending_tasks), "cores", cores, "tick_gap_ms",
+		  log_num(gh_time_to_ms(backlog.tick_gap)), NULL);
 }
 
 /* Adds the increase of the fleet's counts to the process's counters. */
--- a/regress/test_core_fleet.c
+++ b/regress/test_core_fleet.c
@@ -65,6 +65,34 @@
 	world_clear(&w);
 }
 
+/* What is planned and not committed is told apart from what has begun. */
+static void test_backlog(void **state)
+{
+	gh_fleet_backlog_t backlog;
+	world_t w;
+
+	(void)state;
+	world_init(&w);
+	add_worker(&w, "w1", 4000);
+	w.store_down = true;
+	add_job(&w, "0000000000000001", 1, &one_task, NULL);
+	advance_time(&w, 500);
+	gh_fleet_backlog(w.fleet, &backlog);
+	assert_int_equal(backlog.planned_runs, 1);
+	assert_int_equal(backlog.planned_cores_milli,
+			 one_task.size.cores_milli);
+	assert_in_range(w.now - backlog.planned_since, 400 * MS, 500 * MS);
+	assert_int_equal(backlog.begun_runs, 0);
+	assert_int_equal(backlog.cores_milli, 4000);
+	w.store_down = false;
+	advance_time(&w, 100);
+	gh_fleet_backlog(w.fleet, &backlog);
+	assert_int_equal(backlog.planned_runs, 0);
+	assert_int_equal(backlog.planned_since, 0);
+	assert_int_equal(backlog.begun_cores_milli, one_task.size.cores_milli);
+	world_clear(&w);
+}
+
 /*
  * Without the store no renewals are sent, so the leases of all workers expire.
  * A task whose run is over then is planned once, not again and again: a run
@@ -1381,6 +1409,7 @@
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_order_of_steps),
 		cmocka_unit_test(test_store_down),
+		cmocka_unit_test(test_backlog),
 		cmocka_unit_test(test_plan_without_lease),
 		cmocka_unit_test(test_dead_worker),
 		cmocka_unit_test(test_start_on_dead_worker),
