fleet_owner: a pause between copies of a commit without outcome

Callers could see: all hosts of a deployment get 429 from the store, as an owner uses up its rate.

Cause: after a reply that proves nothing an owner reads the chain record and sends the commit again, both at once.

Change: from the second such reply on, the chain is read after the pause between tries of a commit.

--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -1494,10 +1494,12 @@
 		break;
 	case FLEET_OUTCOME_UNKNOWN:
 		counter_inc(CTR_COMMITS_UNKNOWN);
-		owner->batch->unanswered++;
-		owner->setup.store->ops->get(
-			owner->setup.store, FLEET_KEYSPACE_OWN,
-			owner->chain_key, on_chain_reread, call_new(owner));
+		/* The store may go on answering so at once. */
+		owner->reread_chain_at =
+			owner->batch->unanswered++ ?
+				clock_boot() + COMMIT_RETRY_DELAY_USEC :
+				0;
+		reread_chain(owner, clock_boot());
 		break;
 	default:
 		/* An earlier copy may still take effect. */
--- a/regress/test_owner_takeover.c
+++ b/regress/test_owner_takeover.c
@@ -36,6 +36,8 @@
 #define STEP_MS 10
 /* Timers that run at one time; more show that the loop never sleeps. */
 #define TIMERS_AT_ONCE_MAX 1000
+/* Commits in 3 s with a pause of 60 ms between two. */
+#define ODD_COMMITS_MAX 51
 #define PATIENCE_MS 25000
 #define RANDOM_SEEDS 50
 #define RANDOM_TIME_MS 60000
@@ -48,6 +50,7 @@
 	bool cut;	   /* neither executed nor answered */
 	bool replies_lost; /* executed, not answered */
 	bool refused;	   /* answered, not executed */
+	bool odd;	   /* answered by what proves nothing, not executed */
 	gh_time_t late;	   /* executed later by this, not answered */
 } link_t;
 
@@ -133,6 +136,7 @@
 	gh_time_t sent_at;
 	bool answered;
 	bool refused;
+	bool odd;
 	/* to the store */
 	sim_store_t *store;
 	store_call_kind_t kind;
@@ -334,14 +338,15 @@
 {
 	const link_t *link = call->link;
 
-	if (!link->cut && !link->refused)
+	if (!link->cut && !link->refused && !link->odd)
 		call->execute.at = sim_now + LATENCY_USEC + link->late;
 	call->sim->n_late += link->late != 0;
 	call->refused = link->refused;
+	call->odd = link->odd;
 	call->answered = !link->cut && !link->replies_lost && !link->late;
 	if (!call->answered)
 		call->reply.at = sim_now + timeout;
-	else if (link->refused)
+	else if (link->refused || link->odd)
 		call->reply.at = sim_now + 2 * LATENCY_USEC;
 }
 
@@ -532,7 +537,7 @@
 	(void)now;
 	if (call->sim->closed || (call->refused && call->answered))
 		reply.result = FLEET_REFUSED;
-	else if (call->answered)
+	else if (call->answered && !call->odd)
 		reply = call->outcome;
 	reply.items = (const fleet_item_t *)call->items->data;
 	reply.n_items = call->items->len;
@@ -1291,6 +1296,28 @@
 	}
 }
 
+/* A commit answered at once by what proves nothing was sent without a pause. */
+static void test_commit_with_odd_answers_pauses(void **state)
+{
+	sim_t *sim = sim_new();
+	sim_store_t *store = &sim->hosts[0].store;
+	unsigned commits;
+
+	(void)state;
+	run_for(sim, 500);
+	submit_job(sim);
+	store->links[CALL_COMMIT].odd = true;
+	commits = store->n_calls[CALL_COMMIT];
+	run_for(sim, 3000);
+	commits = store->n_calls[CALL_COMMIT] - commits;
+	store->links[CALL_COMMIT].odd = false;
+	run_for(sim, 1000);
+	print_message("%u commits in 3 s, %u starts\n", commits, sim->n_starts);
+	assert_in_range(commits, 1, ODD_COMMITS_MAX);
+	assert_int_equal(sim->n_starts, 1);
+	sim_free(sim);
+}
+
 /* How a worker gets the longest lease before its owner fails. */
 typedef struct rebirth_case {
 	const char *name;
@@ -1516,6 +1543,7 @@
 		cmocka_unit_test(test_renewals_of_an_owner_taken_over),
 		cmocka_unit_test(test_restore_does_not_keep_loop_busy),
 		cmocka_unit_test(test_commit_refused_after_copy_without_reply),
+		cmocka_unit_test(test_commit_with_odd_answers_pauses),
 		cmocka_unit_test(test_lease_of_new_life_after_takeover),
 		cmocka_unit_test(test_random_faults_of_store),
 	};
