fleet_jobs: no write without a pause over what a conflict does not tell

Cause: a conflict whose state could not be read, or that told the state that the write had expected, counted the job as absent and was followed by another write at once.

Change: one function takes over what a conflict tells, for each kind of request; what it does not tell leaves the outcome open, and the state is read after a pause.

--- a/fleet_jobs_request.c
+++ b/fleet_jobs_request.c
@@ -59,6 +59,7 @@
 static void request_finish(request_t *request, GError *err);
 static void log_retried(const request_t *request, const GError *err);
 static void on_written(void *ctx, const fleet_reply_t *reply);
+static bool take_conflict(request_t *request, const fleet_reply_t *reply);
 static void on_state_read(void *ctx, const fleet_reply_t *reply);
 static void request_resolve(request_t *request);
 static void begin_absent_state(request_t *request);
@@ -257,7 +258,6 @@
 static void on_written(void *ctx, const fleet_reply_t *reply)
 {
 	request_t *request = ctx;
-	size_t i;
 
 	request->write_pending = false;
 	fleet_tries_add(&request->replies, reply->detail);
@@ -273,20 +273,8 @@
 		request_resolve(request);
 		return;
 	case FLEET_CONFLICT:
-		request->state_known = false;
-		for (i = 0; i < reply->n_items; i++)
-			if (reply->items[i].value) {
-				request->state_known = fleet_jobs_parse_state(
-					request->jobs, request->id,
-					reply->items[i].value, &request->state);
-				request->state.revision =
-					reply->items[i].revision;
-			}
-		if (request->state_known)
-			fleet_jobs_update(request->jobs, request->id,
-					  &request->state);
-		if (!request->state_known && request->kind == REQUEST_SUBMIT)
-			break; /* something unreadable is in its place */
+		if (!take_conflict(request, reply))
+			break;
 		request_resolve(request);
 		return;
 	case FLEET_OUTCOME_UNKNOWN:
@@ -301,6 +289,36 @@
 	request_retry(request);
 }
 
+/*
+ * Takes over the state that a write found in place of the one it expected.
+ * Returns false if that can't be read or is what was expected.
+ */
+static bool take_conflict(request_t *request, const fleet_reply_t *reply)
+{
+	bool expected_absent =
+		request->kind == REQUEST_SUBMIT || !request->state_known;
+	char *key = fleet_jobs_state_key(request->id);
+	const fleet_item_t *item = NULL;
+	size_t i;
+
+	for (i = 0; i < reply->n_items; i++)
+		if (!strcmp(reply->items[i].key, key))
+			item = &reply->items[i];
+	g_free(key);
+	request->state_known = false;
+	if (!item || (!item->value && expected_absent))
+		return false;
+	if (!item->value)
+		return true;
+	if (!fleet_jobs_parse_state(request->jobs, request->id, item->value,
+				    &request->state))
+		return false;
+	request->state_known = true;
+	request->state.revision = item->revision;
+	fleet_jobs_update(request->jobs, request->id, &request->state);
+	return true;
+}
+
 static void on_state_read(void *ctx, const fleet_reply_t *reply)
 {
 	request_t *request = ctx;
