fleet_jobs: a repeat is not told that its job never runs beside an open write

Callers could see: a submission is accepted, or gets no answer, and a repeat of it, which the platform's pages allow, is answered 503 by the same host, which says that the job never runs.

Cause: a host answered each submission by the writes of that one alone.

Change: a submission of a job that the host's directory has as accepted in this queue is answered 200 without a call to the store. Writes of submissions that are in flight, or had no reply within the last 15 s, are kept by job; a submission that fails beside one is answered 504, also while the store is not heard or the host shuts down.

Evidence: three of five new cases of test_refused_submission_is_not_written failed before (503); in the other two 503 is true and stays.

--- a/fleet_host.c
+++ b/fleet_host.c
@@ -301,10 +301,19 @@
 			queue->policy.name);
 		ok = false;
 	}
-	if (ok && !store_is_reachable(host)) {
-		gh_error_set(err, GH_E_STORE_DOWN,
-			     "the store is not heard: job %s was not written",
-			     pipeline->id);
+	if (ok && !store_is_reachable(host) &&
+	    !fleet_jobs_is_accepted(host->jobs, pipeline->id,
+				    queue->policy.name)) {
+		if (fleet_jobs_is_open(host->jobs, pipeline->id))
+			gh_error_set(err, GH_E_STORE_UNKNOWN,
+				     "the store is not heard: an earlier "
+				     "submission of job %s is open",
+				     pipeline->id);
+		else
+			gh_error_set(err, GH_E_STORE_DOWN,
+				     "the store is not heard: job %s was not "
+				     "written",
+				     pipeline->id);
 		ok = false;
 	}
 	ok = ok && run_on_loop(&call, start_submit, err);
--- a/fleet_jobs.c
+++ b/fleet_jobs.c
@@ -100,6 +100,15 @@
 	return state->accepted_ms != 0;
 }
 
+bool fleet_jobs_is_accepted(fleet_jobs_t *jobs, const char *id,
+			    const char *queue)
+{
+	fleet_job_state_t state;
+
+	return fleet_jobs_find(jobs, id, &state) &&
+	       fleet_job_was_accepted(&state) && !strcmp(state.queue, queue);
+}
+
 uint32_t fleet_jobs_count_queued(fleet_jobs_t *jobs, const char *queue)
 {
 	GHashTableIter iter;
--- a/fleet_jobs.h
+++ b/fleet_jobs.h
@@ -83,6 +83,14 @@
 		     fleet_job_state_t *state);
 /* Whether there is a job; else a cancel came first, and there will be none. */
 bool fleet_job_was_accepted(const fleet_job_state_t *state);
+/* Any thread: whether the directory has the job, as accepted in this queue. */
+bool fleet_jobs_is_accepted(fleet_jobs_t *jobs, const char *id,
+			    const char *queue);
+/*
+ * Any thread: whether a submission of the job, made at this host, may still be
+ * carried out by the store: nobody may be told that the job never runs.
+ */
+bool fleet_jobs_is_open(fleet_jobs_t *jobs, const char *id);
 /* Number of the queue's jobs whose phase is GH_JOB_QUEUED. */
 uint32_t fleet_jobs_count_queued(fleet_jobs_t *jobs, const char *queue);
 /*
--- a/fleet_jobs_private.h
+++ b/fleet_jobs_private.h
@@ -40,6 +40,9 @@
 	GQueue requests;    /* request_t, all unfinished requests */
 	pthread_mutex_t lock;
 	GHashTable *states; /* job id to fleet_job_state_t; guarded by lock */
+	/* Job id to open_write_t, of submissions; guarded by lock. */
+	GHashTable *open_writes;
+	gh_time_t open_writes_checked_at;
 };
 
 /* Both leave the rest of jobs alone. */
--- a/fleet_jobs_request.c
+++ b/fleet_jobs_request.c
@@ -19,6 +19,9 @@
  * store.
  */
 #define REFUSALS_MAX 3
+/* The store may carry out a write without a reply for this long. */
+#define LATE_WRITE_MAX_USEC (15 * GH_USEC_PER_SEC)
+#define OPEN_WRITES_CHECK_USEC GH_USEC_PER_SEC
 
 typedef enum request_kind {
 	REQUEST_SUBMIT,
@@ -48,6 +51,12 @@
 	void *ctx;
 } request_t;
 
+/* Writes of a job's submissions that the store may still carry out. */
+typedef struct open_write {
+	unsigned in_flight;   /* sent, without an outcome yet */
+	gh_time_t open_until; /* those that had no reply */
+} open_write_t;
+
 static request_t *request_new(fleet_jobs_t *jobs, request_kind_t kind,
 			      const char *id, gh_time_t deadline,
 			      fleet_jobs_done_t done, void *ctx);
@@ -64,14 +73,20 @@
 static void request_resolve(request_t *request);
 static void begin_absent_state(request_t *request);
 static void request_fail(request_t *request);
+static bool may_be_written(const request_t *request);
 static GError *failure_error(const request_t *request);
 static void reply_overdue(fleet_jobs_t *jobs, gh_time_t now);
+static void note_write(const request_t *request);
+static void note_write_end(const request_t *request, bool open);
+static gboolean is_over(gpointer id, gpointer value, gpointer now);
 static void on_timer(void *ctx, gh_time_t now);
 
 void fleet_jobs_init_requests(fleet_jobs_t *jobs)
 {
 	g_queue_init(&jobs->retry_queue);
 	g_queue_init(&jobs->requests);
+	jobs->open_writes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	jobs->timer = (loop_timer_t){ .at = GH_TIME_NEVER,
 				      .run = on_timer,
 				      .ctx = jobs };
@@ -88,6 +103,67 @@
 		g_free(request);
 	}
 	g_queue_clear(&jobs->retry_queue);
+	g_hash_table_destroy(jobs->open_writes);
+}
+
+bool fleet_jobs_is_open(fleet_jobs_t *jobs, const char *id)
+{
+	const open_write_t *write;
+	bool open;
+
+	pthread_mutex_lock(&jobs->lock);
+	write = g_hash_table_lookup(jobs->open_writes, id);
+	open = write && (write->in_flight || clock_boot() < write->open_until);
+	pthread_mutex_unlock(&jobs->lock);
+	return open;
+}
+
+/* A write of a submission is sent. */
+static void note_write(const request_t *request)
+{
+	fleet_jobs_t *jobs = request->jobs;
+	gh_time_t now = clock_boot();
+	open_write_t *write;
+
+	if (request->kind != REQUEST_SUBMIT)
+		return;
+	pthread_mutex_lock(&jobs->lock);
+	if (now >= jobs->open_writes_checked_at + OPEN_WRITES_CHECK_USEC) {
+		jobs->open_writes_checked_at = now;
+		g_hash_table_foreach_remove(jobs->open_writes, is_over, &now);
+	}
+	write = g_hash_table_lookup(jobs->open_writes, request->id);
+	if (!write) {
+		write = g_new0(open_write_t, 1);
+		g_hash_table_insert(jobs->open_writes, g_strdup(request->id),
+				    write);
+	}
+	write->in_flight++;
+	pthread_mutex_unlock(&jobs->lock);
+}
+
+/* A write of a submission has ended, with or without an outcome. */
+static void note_write_end(const request_t *request, bool open)
+{
+	fleet_jobs_t *jobs = request->jobs;
+	open_write_t *write;
+
+	if (request->kind != REQUEST_SUBMIT)
+		return;
+	pthread_mutex_lock(&jobs->lock);
+	write = g_hash_table_lookup(jobs->open_writes, request->id);
+	write->in_flight--;
+	if (open)
+		write->open_until = clock_boot() + LATE_WRITE_MAX_USEC;
+	pthread_mutex_unlock(&jobs->lock);
+}
+
+static gboolean is_over(gpointer id, gpointer value, gpointer now)
+{
+	const open_write_t *write = value;
+
+	(void)id;
+	return !write->in_flight && write->open_until <= *(gh_time_t *)now;
 }
 
 void fleet_jobs_submit(fleet_jobs_t *jobs, const gh_pipeline_t *pipeline,
@@ -97,6 +173,10 @@
 					 deadline, done, ctx);
 
 	g_strlcpy(request->queue, pipeline->queue, sizeof(request->queue));
+	if (fleet_jobs_is_accepted(jobs, request->id, request->queue)) {
+		request_finish(request, NULL);
+		return;
+	}
 	request->record = gh_pipeline_format(pipeline);
 	request->state = (fleet_job_state_t){
 		.phase = GH_JOB_QUEUED,
@@ -181,8 +261,10 @@
 	char *key;
 
 	if (request->jobs->closed) {
-		gh_error_set(&err, GH_E_DRAINING, "this host is shutting down");
-		request_finish(request, err);
+		if (!may_be_written(request))
+			gh_error_set(&err, GH_E_DRAINING,
+				     "this host is shutting down");
+		request_finish(request, err ? err : failure_error(request));
 		return;
 	}
 	request->tries++;
@@ -248,6 +330,7 @@
 						.key = cancel_key,
 						.value = text };
 	request->write_pending = true;
+	note_write(request);
 	jobs->store->ops->commit(jobs->store, entries, n, on_written, request);
 	g_free(text);
 	g_free(cancel_key);
@@ -260,6 +343,7 @@
 	request_t *request = ctx;
 
 	request->write_pending = false;
+	note_write_end(request, reply->result == FLEET_OUTCOME_UNKNOWN);
 	fleet_tries_add(&request->replies, reply->detail);
 	switch (reply->result) {
 	case FLEET_OK:
@@ -433,6 +517,14 @@
 	request_finish(request, failure_error(request));
 }
 
+/* Whether a write of this submission, or of an earlier one, is open. */
+static bool may_be_written(const request_t *request)
+{
+	return request->kind == REQUEST_SUBMIT &&
+	       (request->write_uncertain || request->write_pending ||
+		fleet_jobs_is_open(request->jobs, request->id));
+}
+
 /*
  * Error of a failed request; the error's kind tells whether the request may
  * have taken effect.
@@ -441,8 +533,7 @@
 {
 	GError *err = NULL;
 
-	if (request->write_uncertain || request->write_pending ||
-	    request->kind != REQUEST_SUBMIT)
+	if (request->kind != REQUEST_SUBMIT || may_be_written(request))
 		gh_error_set(&err, GH_E_STORE_UNKNOWN,
 			     "no definite reply from the store about job %s in "
 			     "%u attempts (%s)",
--- a/regress/test_fleet_jobs.c
+++ b/regress/test_fleet_jobs.c
@@ -42,6 +42,9 @@
 	bool closed;  /* the host shuts down after the first reply */
 	bool cancels; /* the job is cancelled, not submitted */
 	int kind;     /* of the error; -1: accepted */
+	/* The job is submitted again after this many ms; 0: it is not. */
+	int64_t repeat_ms;
+	int repeat_kind; /* what the caller is told then */
 } jobs_case_t;
 
 typedef struct play {
@@ -122,6 +125,37 @@
 	  .n = 2,
 	  .replies = { { FLEET_NOT_FOUND }, { FLEET_CONFLICT } },
 	  .kind = GH_E_STORE_UNKNOWN },
+	{ .name = "accepted, and a repeat is refused",
+	  .n = 2,
+	  .replies = { { FLEET_OK }, { FLEET_REFUSED } },
+	  .kind = -1,
+	  .repeat_ms = 100,
+	  .repeat_kind = -1 },
+	{ .name = "no response, and a repeat is refused",
+	  .n = 2,
+	  .replies = { { FLEET_OUTCOME_UNKNOWN }, { FLEET_REFUSED } },
+	  .kind = GH_E_STORE_UNKNOWN,
+	  .repeat_ms = 350,
+	  .repeat_kind = GH_E_STORE_UNKNOWN },
+	{ .name = "in flight, and a repeat is refused",
+	  .n = 2,
+	  .replies = { { FLEET_REFUSED, .delay = STOPPED_USEC },
+		       { FLEET_REFUSED } },
+	  .kind = GH_E_STORE_UNKNOWN,
+	  .repeat_ms = 350,
+	  .repeat_kind = GH_E_STORE_UNKNOWN },
+	{ .name = "no response, and a repeat long after is refused",
+	  .n = 2,
+	  .replies = { { FLEET_OUTCOME_UNKNOWN }, { FLEET_REFUSED } },
+	  .kind = GH_E_STORE_UNKNOWN,
+	  .repeat_ms = 20000,
+	  .repeat_kind = GH_E_STORE_DOWN },
+	{ .name = "refused, and a repeat is refused",
+	  .n = 1,
+	  .replies = { { FLEET_REFUSED } },
+	  .kind = GH_E_STORE_DOWN,
+	  .repeat_ms = 350,
+	  .repeat_kind = GH_E_STORE_DOWN },
 	{ .name = "shut down before a retry",
 	  .n = 1,
 	  .replies = { { FLEET_REFUSED } },
@@ -219,16 +253,25 @@
 	play->kind = err ? (int)gh_error_kind(err) : -1;
 }
 
-static bool play_case(const jobs_case_t *c)
+static void submit(play_t *play)
 {
-	play_t play = { .store.ops = &store_ops, .c = c };
-	fleet_jobs_listener_t listener = { .job_changed = on_job_changed };
 	gh_pipeline_t pipeline = { .id = JOB_ID,
 				   .queue = QUEUE,
 				   .service = "svc",
 				   .accepted_ms = 1,
 				   .payload = (char *)"payload" };
 
+	play->told = false;
+	fleet_jobs_submit(play->jobs, &pipeline, clock_boot() + DEADLINE_USEC,
+			  on_told, play);
+}
+
+static bool play_case(const jobs_case_t *c)
+{
+	play_t play = { .store.ops = &store_ops, .c = c };
+	fleet_jobs_listener_t listener = { .job_changed = on_job_changed };
+	bool ok;
+
 	play.loop = loop_new();
 	play.reply_timer = (loop_timer_t){ .at = GH_TIME_NEVER,
 					   .run = reply_to_call,
@@ -239,15 +282,20 @@
 		fleet_jobs_cancel(play.jobs, JOB_ID, QUEUE,
 				  clock_boot() + DEADLINE_USEC, on_told, &play);
 	else
-		fleet_jobs_submit(play.jobs, &pipeline,
-				  clock_boot() + DEADLINE_USEC, on_told, &play);
-	sim_loop_run(play.loop, RUN_MS);
-	fleet_jobs_free(play.jobs);
-	sim_loop_free(play.loop);
+		submit(&play);
+	sim_loop_run(play.loop, c->repeat_ms ? c->repeat_ms : RUN_MS);
 	print_message("%s: told %d, %u calls, %u late commits\n", c->name,
 		      play.kind, play.n_calls, play.late_commits);
-	return play.told && play.kind == c->kind &&
-	       (c->cancels || !play.late_commits) && play.n_calls <= CALLS_MAX;
+	ok = play.told && play.kind == c->kind && play.n_calls <= CALLS_MAX;
+	if (c->repeat_ms) {
+		submit(&play);
+		sim_loop_run(play.loop, RUN_MS);
+		print_message("the repeat: told %d\n", play.kind);
+		ok &= play.told && play.kind == c->repeat_kind;
+	}
+	fleet_jobs_free(play.jobs);
+	sim_loop_free(play.loop);
+	return ok && (c->cancels || !play.late_commits);
 }
 
 /* REFUSED: "not run" was told of a write whose outcome is open or to come. */
