executor_link: a failed reconnect after a write is not "not sent"

A request whose kept connection ended while the executor ran it was answered "no_executor", "ran":"no"; or the host sent it to another executor, also one that may run once only, and it ran twice. Its slot was given back while the executor was still busy with it.

Cause: libcurl opens a new connection if a kept one ends before any byte of the response. write_once keeps it from writing the request there, but if that connection can't be made, the call ends with CURLE_COULDNT_CONNECT, which classify_result() took for a request of which nothing was sent, though http_client had noted the write.

Why it works: a request of which something was written is unsent in no case; the core then reports an unknown outcome, sends only an idempotent request again, and keeps the slot until the longest request has run out.

--- a/executor_link.c
+++ b/executor_link.c
@@ -191,8 +191,10 @@
 static gh_send_result_t classify_result(const response_check_t *check,
 					const http_response_t *response)
 {
+	/* Results of a request that may have been written. */
 	static const gh_send_result_t result_by_fault[HTTP_FAULT_COUNT] = {
-		[HTTP_FAULT_CONNECT] = GH_SEND_UNSENT,
+		/* libcurl failed to connect again after the write. */
+		[HTTP_FAULT_CONNECT] = GH_SEND_RESET,
 		[HTTP_FAULT_TIMEOUT] = GH_SEND_TIMEOUT,
 		[HTTP_FAULT_RESET] = GH_SEND_RESET,
 		[HTTP_FAULT_TRUNCATED] = GH_SEND_BAD_RESPONSE,
