front: no repeat is reported as not run

What callers saw: REFUSED on the product's own path. A repeat (X-Attempt 1) of a POST was answered "deadline_passed", "ran":"no", X-Outcome: not_run, and the first sending, which it had overtaken, ran after that.

Cause: the claims of a repeat show that no earlier sending has run so far, and this was taken for "none will". When the repeat could not be sent to an executor in time, its claims were released, which is what had kept an earlier sending from running.

Change: a refused repeat is "unknown", as it is for idempotent requests already. The claims are still released, so that the caller can repeat again; to keep them would turn down every further repeat as a duplicate until the claim window ends.

--- a/front_claim.c
+++ b/front_claim.c
@@ -66,12 +66,9 @@
 		*refusal = GH_E_CLAIM_UNKNOWN;
 		granted = false;
 	}
-	if (!granted) {
+	if (!granted)
 		front_release_claims(front, req);
-		return false;
-	}
-	req->earlier_run_excluded = true;
-	return true;
+	return granted;
 }
 
 void front_release_claims(front_t *front, const front_request_t *req)
--- a/front_internal.h
+++ b/front_internal.h
@@ -117,11 +117,6 @@
 	/* The members from here on are set while the request is handled. */
 	gh_document_t *doc;
 	gh_retry_state_t retry;
-	/*
-	 * No earlier attempt of the caller can have run, as the claims of the
-	 * idempotency key show.
-	 */
-	bool earlier_run_excluded;
 	gh_claim_key_t claim_key;
 	uint64_t attempt_id;
 	unsigned sends; /* number of sends to executors so far */
--- a/front_request.c
+++ b/front_request.c
@@ -375,14 +375,14 @@
 
 /*
  * What a refusal says about execution: "not run" only if no attempt of the
- * caller can have run, neither the current attempt nor an earlier one.
+ * caller has run or can run later.  An earlier attempt that has not run may
+ * still be on its way to a host, and runs there once the claims of this one are
+ * released.
  */
 static gh_ran_t ran_status(const front_request_t *req, gh_error_kind_t kind)
 {
-	bool repeat = req->attempt != 0 && !req->earlier_run_excluded;
+	bool repeat = is_idempotent(req) ? req->attempt > 0 : req->attempt != 0;
 
-	if (is_idempotent(req))
-		repeat = req->attempt > 0;
 	if (req->retry.written || repeat)
 		return GH_RAN_UNKNOWN;
 	return gh_error_ran(kind);
--- a/regress/search_requests.c
+++ b/regress/search_requests.c
@@ -178,7 +178,7 @@
 			   bool timed_out);
 static void dispatch_attempt(model_t *m, unsigned h, attempt_t *attempt);
 static void refuse_attempt(model_t *m, unsigned h, const attempt_t *attempt,
-			   gh_error_kind_t refusal, bool others_ruled_out);
+			   gh_error_kind_t refusal);
 static void release_claims(model_t *m, unsigned h, const attempt_t *attempt);
 static bool start_run(model_t *m, unsigned h, gh_time_t duration);
 static void advance_time(model_t *m, int64_t ms);
@@ -540,7 +540,7 @@
 		dispatch_attempt(m, h, &attempt);
 	else
 		refuse_attempt(m, h, &attempt,
-			       may_run ? GH_E_DEADLINE : refusal, may_run);
+			       may_run ? GH_E_DEADLINE : refusal);
 }
 
 static void dispatch_attempt(model_t *m, unsigned h, attempt_t *attempt)
@@ -548,20 +548,20 @@
 	if (start_run(m, h, ms_time(REQUEST_MAX_MS / 2)))
 		find_key(m, attempt->key)->runs++;
 	else
-		refuse_attempt(m, h, attempt, GH_E_NO_EXECUTOR, true);
+		refuse_attempt(m, h, attempt, GH_E_NO_EXECUTOR);
 }
 
 /*
- * Refuses an attempt as the front of an entry host does: a repeat is reported
- * as not run only if no other attempt can have run.
+ * Refuses an attempt as the front of an entry host does: a repeat is never
+ * reported as not run, as an earlier attempt can still run.
  */
 static void refuse_attempt(model_t *m, unsigned h, const attempt_t *attempt,
-			   gh_error_kind_t refusal, bool others_ruled_out)
+			   gh_error_kind_t refusal)
 {
 	request_key_t *key = find_key(m, attempt->key);
 
 	release_claims(m, h, attempt);
-	if (attempt->submission && !others_ruled_out)
+	if (attempt->submission)
 		return;
 	if (gh_error_ran(refusal) == GH_RAN_NO &&
 	    attempt->submission + 1 == key->submissions)
