store: a refused copy does not settle a write whose reply was lost

What callers could see: an operator's document that took effect is answered "race", "ran":"no", if its write lost the reply and another operator's document followed it before the write was repeated.

Cause: store_put_confirm() repeats a write without a reply. A conflict of the repeat, with the text of another writer in the key, was returned as a conflict, though that writer may have written after the first copy took effect; "lease lost" or "not found" of the repeat was returned without a look at the key.

Change: once a copy had no reply, only the text in the key shows that the write took effect, and nothing shows that it did not; the outcome is "store_unknown" then. shard_log and shard_owner read or write again after that and meet the conflict without a lost reply.

--- a/regress/test_store.c
+++ b/regress/test_store.c
@@ -239,6 +239,83 @@
 	assert_true(store_reachable(fix->store));
 }
 
+/* A write whose first copy has no reply: what follows, and the result. */
+typedef struct lost_case {
+	const char *text; /* text that the key holds then */
+	uint64_t version;
+	gh_error_kind_t second; /* error of the second copy */
+	gh_error_kind_t kind;	/* GH_E_COUNT: the write took effect */
+} lost_case_t;
+
+static const lost_case_t lost_cases[] = {
+	{ "own", 2, GH_E_CONFLICT, GH_E_COUNT },
+	{ "later", 3, GH_E_CONFLICT, GH_E_STORE_UNKNOWN },
+	{ "own", 2, GH_E_LEASE_LOST, GH_E_COUNT },
+	{ "old", 1, GH_E_LEASE_LOST, GH_E_STORE_UNKNOWN },
+	{ "later", 3, GH_E_NOT_FOUND, GH_E_STORE_UNKNOWN },
+};
+
+typedef struct scripted_store {
+	store_t base;
+	const lost_case_t *c;
+	unsigned writes;
+} scripted_store_t;
+
+static bool scripted_put(store_t *base, const char *key, const char *text,
+			 uint64_t expected, uint64_t lease, uint64_t *version,
+			 GError **err)
+{
+	scripted_store_t *store = (scripted_store_t *)base;
+
+	(void)text;
+	(void)expected;
+	(void)lease;
+	(void)version;
+	gh_error_set(err,
+		     store->writes++ ? store->c->second : GH_E_STORE_UNKNOWN,
+		     "%s", key);
+	return false;
+}
+
+static bool scripted_get(store_t *base, const char *key, store_value_t *value,
+			 GError **err)
+{
+	const lost_case_t *c = ((scripted_store_t *)base)->c;
+
+	(void)err;
+	*value = (store_value_t){ .key = g_strdup(key),
+				  .text = g_strdup(c->text),
+				  .version = c->version };
+	return true;
+}
+
+/* The result of the last copy of a write is no proof that none took effect. */
+static void test_refused_copy_after_lost_reply(void **state)
+{
+	static const store_ops_t ops = { .get = scripted_get,
+					 .put = scripted_put };
+	size_t n_failed = 0;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(lost_cases); i++) {
+		scripted_store_t store = { .base.ops = &ops,
+					   .c = &lost_cases[i] };
+		gh_error_kind_t kind = GH_E_COUNT;
+		GError *err = NULL;
+
+		if (!store_put_confirm(&store.base, "t/a", "own", 1, 0, NULL,
+				       &err))
+			kind = gh_error_kind(err);
+		g_clear_error(&err);
+		print_message("case %zu: %s\n", i,
+			      kind == GH_E_COUNT ? "written" :
+						   gh_error_name(kind));
+		n_failed += kind != store.c->kind;
+	}
+	assert_int_equal(n_failed, 0);
+}
+
 #define IDLE_CONNECTIONS 4
 
 /*
@@ -360,6 +437,7 @@
 		WITH_STORE(test_down_is_not_unknown),
 		WITH_STORE(test_closed_connection_leaves_write_unknown),
 		WITH_STORE(test_silent_connections_cost_one_call),
+		cmocka_unit_test(test_refused_copy_after_lost_reply),
 		cmocka_unit_test(test_bucket_bounds_the_rate),
 		cmocka_unit_test(test_bucket_serves_by_rank),
 		WITH_STORE(test_calls_wait_for_the_rate),
--- a/store.c
+++ b/store.c
@@ -30,18 +30,14 @@
 				    &cause))
 			return true;
 		kind = gh_error_kind(cause);
-		if (kind == GH_E_STORE_UNKNOWN ||
-		    (reply_lost && kind == GH_E_STORE_DOWN)) {
-			reply_lost = true;
-			g_error_free(cause);
-			continue;
-		}
-		if (!reply_lost || kind != GH_E_CONFLICT) {
+		reply_lost |= kind == GH_E_STORE_UNKNOWN;
+		if (!reply_lost) {
 			g_propagate_error(err, cause);
 			return false;
 		}
 		g_error_free(cause);
-		break;
+		if (kind != GH_E_STORE_UNKNOWN && kind != GH_E_STORE_DOWN)
+			break;
 	}
 	return resolve_put(store, key, text, expected, version, err);
 }
@@ -79,9 +75,9 @@
 
 /*
  * Reads the key to find out whether a write whose reply was lost took effect.
- * While the key has the expected version, the write may still arrive and its
- * outcome is unknown.  Any other version without this text means that another
- * writer wrote before or after that write.
+ * While the key has the expected version, the write may still arrive.  Any
+ * other version without this text means that another writer wrote instead of
+ * that write or after it.
  */
 static bool resolve_put(store_t *store, const char *key, const char *text,
 			uint64_t expected, uint64_t *version, GError **err)
@@ -98,12 +94,12 @@
 	written = current.text && !strcmp(current.text, text);
 	if (written && version)
 		*version = current.version;
-	if (!written && current.version == expected)
+	if (!written)
 		gh_error_set(err, GH_E_STORE_UNKNOWN,
-			     "no reply to the write of store key %s", key);
-	else if (!written)
-		gh_error_set(err, GH_E_CONFLICT,
-			     "store key %s was changed by another writer", key);
+			     "no reply to the write of store key %s%s", key,
+			     current.version == expected ?
+				     "" :
+				     ", which another writer has changed");
 	store_value_clear(&current);
 	return written;
 }
--- a/store.h
+++ b/store.h
@@ -102,8 +102,8 @@
  * Writes a value whose text no other writer produces.  After a lost reply it
  * repeats the write with the same expected version, then reads the key, and
  * succeeds if the key holds the text.  GH_E_STORE_UNKNOWN: the write may still
- * take effect.  GH_E_CONFLICT: the write will never take effect, or another
- * writer has already overwritten it.
+ * take effect, or another writer has overwritten it.  Any other error: the
+ * write never takes effect.
  */
 bool store_put_confirm(store_t *store, const char *key, const char *text,
 		       uint64_t expected, uint64_t lease, uint64_t *version,
