fleet_owner: the next owner hears of long leases of workers without runs

Callers saw two runs of a task at the same time, as its first worker was silent and the task started elsewhere while the run was still alive.

A call for a worker's former life can grant its next life the longest lease that it accepts. The owner told the next one of that in the chain record only if the worker had a run at that moment. The next owner then started a run on the idle worker, counted with the ordinary lease that it had granted itself, and took the run for ended seconds too early. A lease that outlasts an ordinary one by less than 2.5 s was not told at all, as only runs of the previous owner were thought of.

The chain record now tells of each grant that is ahead, also of workers without runs, and an owner counts with it for every worker, listed or not. Ordinary leases are not told, so that no take-over waits for longer unless a worker has restarted under its id within the last seconds.

test_twice_by_long_lease_of_idle_worker failed before in the cases "another owner" and "a third owner": the task started again after 4.74 s where the lease lasts for 7.14 s.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -151,6 +151,9 @@
 		.suspect_run = GH_NONE,
 		.pending_acks = g_queue_new(),
 		.run_time_ratio = 1,
+		/* A run that starts here has the lease that is there. */
+		.latest_lease_end =
+			fleet_lease_end(fleet, fleet->setup.told_grants_end),
 	};
 	fleet_fence_raise(fleet, worker);
 	if (late) {
--- a/core_fleet.h
+++ b/core_fleet.h
@@ -46,6 +46,8 @@
 	 * lease that is longer than an ordinary one counts as granted later.
 	 */
 	gh_time_t previous_grants_end;
+	/* The part of it that the previous owner told of; 0: none. */
+	gh_time_t told_grants_end;
 	int64_t stop_ms; /* max time that a worker takes to stop a task */
 } gh_fleet_setup_t;
 
@@ -353,7 +355,8 @@
 bool gh_fleet_has_changes(const gh_fleet_t *fleet);
 /*
  * Time of the last grant whose lease may still hold a run alive, as far as this
- * owner knows; for the next owner's gh_fleet_setup_t.previous_grants_end.
+ * owner knows, or one that the next owner starts; for the next owner's
+ * gh_fleet_setup_t.previous_grants_end.
  */
 gh_time_t gh_fleet_last_grant(const gh_fleet_t *fleet);
 /*
--- a/core_fleet_lease.c
+++ b/core_fleet_lease.c
@@ -97,15 +97,27 @@
 	}
 }
 
+bool fleet_lease_is_long(const gh_fleet_t *fleet, const fleet_worker_t *worker)
+{
+	return worker->latest_lease_end >
+	       fleet_lease_end(fleet, fleet->ticked_at);
+}
+
 gh_time_t gh_fleet_last_grant(const gh_fleet_t *fleet)
 {
 	gh_time_t latest_end = 0;
 	uint32_t i;
 
+	/* Of workers that are not listed yet as well. */
+	if (fleet->setup.told_grants_end > fleet->ticked_at)
+		latest_end =
+			fleet_lease_end(fleet, fleet->setup.told_grants_end);
+
 	for (i = 0; i < fleet->workers->len; i++) {
 		const fleet_worker_t *worker = fleet_worker(fleet, i);
 
-		if (worker->in_use && worker->n_runs)
+		if (worker->in_use &&
+		    (worker->n_runs || fleet_lease_is_long(fleet, worker)))
 			latest_end = MAX(latest_end, worker->latest_lease_end);
 	}
 	return latest_end - fleet_lease_end(fleet, 0);
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -523,6 +523,8 @@
 			      gh_time_t granted_at);
 /* Notes that a call of a time that grants a lease got no reply. */
 void fleet_lease_note_unanswered(fleet_worker_t *worker, gh_time_t sent_at);
+/* Whether the worker's lease can outlast one that is granted now. */
+bool fleet_lease_is_long(const gh_fleet_t *fleet, const fleet_worker_t *worker);
 /*
  * Notes that the worker has replied to a renewal of this owner: the worker
  * takes no order of a previous owner any more, so that its lease ends no later
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -627,8 +627,7 @@
 		{ .kind = FLEET_PUT, .key = owner->chain_key },
 	};
 
-	if (owner->previous_grants_end >
-	    clock_boot() + WORKER_RENEWAL_LIMIT_USEC)
+	if (owner->previous_grants_end > clock_boot())
 		owner->grants_told = owner->previous_grants_end;
 	g_free(owner->claim_value);
 	owner->claim_value =
@@ -713,7 +712,8 @@
 	gh_fleet_setup_t setup = owner->setup.fleet;
 
 	owner->phase = PHASE_LOADING;
-	setup.previous_grants_end = owner->previous_grants_end;
+	setup.told_grants_end = setup.previous_grants_end =
+		owner->previous_grants_end;
 	if (!owner->previous_released)
 		setup.previous_grants_end =
 			MAX(setup.previous_grants_end,
@@ -1750,14 +1750,10 @@
 	return g_string_free(text, FALSE);
 }
 
-/*
- * Last grant that the chain record has to tell; 0: none, as the next owner
- * waits for all until WORKER_RENEWAL_LIMIT_USEC after its claim.
- */
+/* Last grant that the chain record has to tell; 0: none is ahead. */
 static gh_time_t grant_ahead(const fleet_owner_t *owner, gh_time_t now)
 {
-	return gh_fleet_grant_ahead(owner->fleet,
-				    now + WORKER_RENEWAL_LIMIT_USEC);
+	return gh_fleet_grant_ahead(owner->fleet, now);
 }
 
 /*
--- a/regress/fleet_model_owner.c
+++ b/regress/fleet_model_owner.c
@@ -605,7 +605,6 @@
 /* Reads the chain before the claim, or after a claim without a reply. */
 static void claim_chain_read(host_t *h, const store_call_t *call)
 {
-	gh_time_t limit = h->m->now + gh_time_from_ms(WORKER_RENEWAL_LIMIT_MS);
 	store_call_t *claim;
 
 	if (h->epoch) {
@@ -629,7 +628,7 @@
 		read_grants(h, call->chain_now);
 	}
 	h->grants_told =
-		h->previous_grants_end > limit ? h->previous_grants_end : 0;
+		h->previous_grants_end > h->m->now ? h->previous_grants_end : 0;
 	h->epoch += GH_FLEET_EPOCH_STEP;
 	h->sequence = 0;
 	claim = host_call_store(h, STORE_CLAIM);
@@ -669,6 +668,7 @@
 	gh_fleet_setup_t setup = {
 		.lease_ms = MODEL_LEASE_MS,
 		.lease_max_ms = MODEL_LEASE_MAX_MS,
+		.told_grants_end = h->previous_grants_end,
 		.previous_grants_end =
 			h->previous_released ?
 				h->previous_grants_end :
@@ -940,8 +940,7 @@
 
 static void host_commit(host_t *h)
 {
-	gh_time_t ahead = gh_fleet_grant_ahead(
-		h->fleet, h->m->now + gh_time_from_ms(WORKER_RENEWAL_LIMIT_MS));
+	gh_time_t ahead = gh_fleet_grant_ahead(h->fleet, h->m->now);
 	gh_fleet_change_t change;
 	store_call_t *batch;
 
--- a/regress/fleet_world.c
+++ b/regress/fleet_world.c
@@ -21,12 +21,14 @@
 	w->waiting = g_strdup(detail);
 }
 
-static void start_owner(world_t *w, gh_time_t previous_grants_end)
+static void start_owner(world_t *w, gh_time_t previous_grants_end,
+			gh_time_t told_grants_end)
 {
 	gh_fleet_setup_t setup = {
 		.lease_ms = LEASE_MS,
 		.lease_max_ms = LEASE_MAX_MS,
 		.previous_grants_end = previous_grants_end,
+		.told_grants_end = told_grants_end,
 		.stop_ms = STOP_MS,
 	};
 	gh_fleet_sink_t sink = { .on_event = record_event, .ctx = w };
@@ -41,7 +43,7 @@
 	w->wall_ms = 5000000;
 	w->epoch = 1;
 	w->failed = g_string_new(NULL);
-	start_owner(w, START_TIME + PREVIOUS_GRANTS_MS * GH_USEC_PER_MSEC);
+	start_owner(w, START_TIME + PREVIOUS_GRANTS_MS * GH_USEC_PER_MSEC, 0);
 }
 
 void replace_owner(world_t *w)
@@ -50,7 +52,7 @@
 
 	gh_fleet_free(w->fleet);
 	w->epoch++;
-	start_owner(w, MAX(grant, w->now));
+	start_owner(w, MAX(grant, w->now), grant);
 }
 
 void world_clear(world_t *w)
--- a/regress/test_core_fleet_lives.c
+++ b/regress/test_core_fleet_lives.c
@@ -305,6 +305,76 @@
 	}
 }
 
+/* What happens while the worker has no runs but a long lease. */
+typedef struct idle_case {
+	const char *name;
+	bool restarts; /* unheard of until the next owner calls it */
+	unsigned takeovers;
+} idle_case_t;
+
+static const idle_case_t idle_cases[] = {
+	{ .name = "the owner stays" },
+	{ .name = "another owner", .takeovers = 1 },
+	{ .name = "a third owner", .takeovers = 2 },
+	{ .name = "a restart that only the next owner hears of",
+	  .restarts = true,
+	  .takeovers = 1 },
+};
+
+/*
+ * TWICE: a run that begins on a worker without runs has the lease that a call
+ * to the worker's former life has granted.
+ */
+static void test_twice_by_long_lease_of_idle_worker(void **state)
+{
+	size_t i, j;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(idle_cases); i++) {
+		const idle_case_t *c = &idle_cases[i];
+		scripted_worker_t *worker;
+		gh_time_t restarted_at;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		world_init(&w);
+		worker = add_worker(&w, "w1", 1000);
+		add_job(&w, JOB, 1, &long_running_step, NULL);
+		advance_time(&w, 4000);
+		assert_int_equal(worker->n_runs, 1);
+		restart_worker(worker);
+		restarted_at = w.now;
+		if (!c->restarts)
+			list_worker(&w, worker, false);
+		gh_fleet_job_cancel(w.fleet, JOB, w.now);
+		if (!c->restarts)
+			advance_time(&w, 100);
+		assert_int_equal(worker->n_runs, 0);
+		for (j = 0; j < c->takeovers; j++)
+			replace_owner(&w);
+		if (c->restarts) {
+			worker->incarnation_start_ms--;
+			list_worker(&w, worker, false);
+			worker->incarnation_start_ms++;
+		} else if (c->takeovers) {
+			list_worker(&w, worker, false);
+		}
+		add_job(&w, SECOND_JOB, 1, &long_running_step, NULL);
+		advance_time(&w, 300);
+		assert_int_equal(worker->n_runs, 1);
+		worker->unreachable = true;
+		add_worker(&w, "w2", 1000);
+		w.n_orders = 0;
+		while (!count_orders(&w, GH_ORDER_START, 0) &&
+		       w.now - restarted_at < 20000 * MS)
+			advance_time(&w, 10);
+		assert_in_range(w.now - restarted_at,
+				LEASE_MAX_MS * 51 / 50 * MS,
+				(LEASE_MAX_MS * 103 / 100 + 900) * MS);
+		world_clear(&w);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -312,6 +382,7 @@
 		cmocka_unit_test(test_fenced_by_later_life),
 		cmocka_unit_test(test_twice_by_late_acknowledgement),
 		cmocka_unit_test(test_twice_beside_unknown_run),
+		cmocka_unit_test(test_twice_by_long_lease_of_idle_worker),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
