core_fleet: an unlisted worker's long lease is kept

Callers saw two runs of a task at the same time. A worker that restarted under its id can hold the longest lease that it accepts. Once it had no run and its entry was gone for a moment, the owner forgot that lease with the worker, started a run there when the entry was back, and took the run for ended after an ordinary lease.

What is kept of such a worker now includes the end of its latest lease, which counts when it is listed again and is told to the next owner.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -158,6 +158,8 @@
 	fleet_fence_raise(fleet, worker);
 	if (late) {
 		worker->late_grants_until = late->until;
+		worker->latest_lease_end =
+			MAX(worker->latest_lease_end, late->lease_end);
 		worker->entry.incarnation_start_ms = late->incarnation_start_ms;
 		g_hash_table_remove(fleet->late_grants, entry->id);
 	}
@@ -1074,7 +1076,8 @@
 {
 	fleet_worker_t *worker = fleet_worker(fleet, handle);
 
-	if (fleet->ticked_at < worker->late_grants_until)
+	if (fleet->ticked_at < worker->late_grants_until ||
+	    fleet_lease_is_long(fleet, worker))
 		keep_late_grant(fleet, worker);
 	g_hash_table_remove(fleet->worker_by_id, worker->entry.id);
 	g_queue_free_full(worker->pending_acks, g_free);
@@ -1087,6 +1090,7 @@
 {
 	fleet_late_grant_t late = {
 		.until = worker->late_grants_until,
+		.lease_end = worker->latest_lease_end,
 		.incarnation_start_ms = worker->entry.incarnation_start_ms,
 	};
 
@@ -1099,6 +1103,8 @@
 static gboolean late_grant_is_over(gpointer id, gpointer late, gpointer fleet)
 {
 	(void)id;
+	const fleet_late_grant_t *grant = late;
+
 	return ((const gh_fleet_t *)fleet)->ticked_at >=
-	       ((const fleet_late_grant_t *)late)->until;
+	       MAX(grant->until, grant->lease_end);
 }
--- a/core_fleet_lease.c
+++ b/core_fleet_lease.c
@@ -106,6 +106,8 @@
 gh_time_t gh_fleet_last_grant(const gh_fleet_t *fleet)
 {
 	gh_time_t latest_end = 0;
+	GHashTableIter iter;
+	gpointer late;
 	uint32_t i;
 
 	/* Of workers that are not listed yet as well. */
@@ -120,6 +122,10 @@
 		    (worker->n_runs || fleet_lease_is_long(fleet, worker)))
 			latest_end = MAX(latest_end, worker->latest_lease_end);
 	}
+	g_hash_table_iter_init(&iter, fleet->late_grants);
+	while (g_hash_table_iter_next(&iter, NULL, &late))
+		latest_end = MAX(latest_end,
+				 ((const fleet_late_grant_t *)late)->lease_end);
 	return latest_end - fleet_lease_end(fleet, 0);
 }
 
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -410,9 +410,13 @@
 	bool counted; /* as a crash; else as a lost start or not at all */
 } fleet_doubt_t;
 
-/* A worker that was freed while a call could still grant it a lease. */
+/*
+ * A worker that was freed while it had a long lease or a call could still grant
+ * it one.
+ */
 typedef struct fleet_late_grant {
 	gh_time_t until;
+	gh_time_t lease_end; /* of its latest lease */
 	int64_t incarnation_start_ms;
 } fleet_late_grant_t;
 
--- a/regress/test_core_fleet_lives.c
+++ b/regress/test_core_fleet_lives.c
@@ -308,6 +308,7 @@
 /* What happens while the worker has no runs but a long lease. */
 typedef struct idle_case {
 	const char *name;
+	bool unlisted;
 	bool restarts; /* unheard of until the next owner calls it */
 	unsigned takeovers;
 } idle_case_t;
@@ -319,6 +320,8 @@
 	{ .name = "a restart that only the next owner hears of",
 	  .restarts = true,
 	  .takeovers = 1 },
+	{ .name = "unlisted and listed again", .unlisted = true },
+	{ .name = "unlisted, another owner", .unlisted = true, .takeovers = 1 },
 };
 
 /*
@@ -350,13 +353,15 @@
 		if (!c->restarts)
 			advance_time(&w, 100);
 		assert_int_equal(worker->n_runs, 0);
+		if (c->unlisted)
+			gh_fleet_worker_unlist(w.fleet, "w1");
 		for (j = 0; j < c->takeovers; j++)
 			replace_owner(&w);
 		if (c->restarts) {
 			worker->incarnation_start_ms--;
 			list_worker(&w, worker, false);
 			worker->incarnation_start_ms++;
-		} else if (c->takeovers) {
+		} else if (c->unlisted || c->takeovers) {
 			list_worker(&w, worker, false);
 		}
 		add_job(&w, SECOND_JOB, 1, &long_running_step, NULL);
