core_fleet: a start without a reply is sent again after a report only

Callers saw a task start again although an end of it as done was taken note of: a run or gang ended as done, one of its workers restarted under its id, and a further copy of the start began the run there once more.

The owner sent a start without a reply again each 0.6 s, for as long as the worker counted as reachable. Where replies alone are lost, the first copy is executed and can end, and by the time of a later copy the worker can be in another life, which knows nothing of the run.

A copy is now sent only after a report that was requested after the last one: it tells whether the run is there or has ended, and is heard from the life that gets the copy. Without such a report the start is given up and stopped as before. The report is asked for at once and without a wait, so that a start that was lost is repeated as soon as the worker is heard.

test_twice_by_resent_start failed before in its first case (a copy was sent without any report).

--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -287,7 +287,8 @@
 			  now - worker->unreachable_since >
 				  START_REPLY_TIMEOUT_USEC))
 			fleet_run_stop(fleet, i, "no reply to its start", now);
-		else
+		/* Without a report the run may have ended in a former life. */
+		else if (worker->last_requested_at > run->start_sent_at)
 			fleet_order_enqueue(fleet, GH_ORDER_START, i);
 	}
 }
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -403,7 +403,8 @@
 /*
  * Whether the worker's last report does not list a run that is being stopped.
  * Only one that is requested after the reply to the stop proves that the run is
- * gone; *is_due tells whether the last one was requested before.
+ * gone; *is_due tells whether the last one was requested before.  Likewise, a
+ * start without a reply is sent again only after such a report.
  */
 static bool proof_is_awaited(const gh_fleet_t *fleet,
 			     const fleet_worker_t *worker, bool *is_due)
@@ -416,6 +417,9 @@
 	     ref = fleet_run(fleet, ref)->next) {
 		const fleet_run_t *run = fleet_run(fleet, ref);
 
+		if (run->state == RUN_STARTING && run->start_unanswered &&
+		    worker->last_requested_at <= run->start_sent_at)
+			is_awaited = *is_due = true;
 		if (run->state != RUN_STOPPING ||
 		    run->listed_at >= worker->last_report_at)
 			continue;
--- a/regress/test_core_fleet_lives.c
+++ b/regress/test_core_fleet_lives.c
@@ -380,6 +380,59 @@
 	}
 }
 
+/* What becomes of a start without a reply, and whether reports come. */
+typedef struct resend_case {
+	const char *name;
+	bool executed;
+	bool silent;
+	bool resent; /* expected */
+} resend_case_t;
+
+static const resend_case_t resends[] = {
+	{ .name = "executed, no reply arrives",
+	  .executed = true,
+	  .silent = true },
+	{ .name = "executed, reported", .executed = true },
+	{ .name = "not executed, no reply arrives", .silent = true },
+	{ .name = "not executed, reported", .resent = true },
+};
+
+/*
+ * TWICE: a run ends as done, its worker restarts, and a copy of the start that
+ * the owner sends without having heard anything begins the run once more.
+ */
+static void test_twice_by_resent_start(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(resends); i++) {
+		const resend_case_t *c = &resends[i];
+		scripted_worker_t *worker;
+		size_t n;
+		world_t w;
+
+		print_message("%s\n", c->name);
+		world_init(&w);
+		worker = add_worker(&w, "w1", 1000);
+		advance_time(&w, 100);
+		worker->start_delay_ms = c->executed;
+		worker->loses_orders = !c->executed;
+		w.renewals_stopped = c->silent;
+		add_job(&w, JOB, 1, &one_task, NULL);
+		advance_time(&w, 900);
+		n = count_orders(&w, GH_ORDER_START, 0);
+		assert_int_equal(n > 1, c->resent);
+		if (c->executed && c->silent) {
+			end_run(worker, 0, GH_RUN_DONE);
+			restart_worker(worker);
+			advance_time(&w, 900);
+		}
+		assert_int_equal(worker->n_runs, c->executed && !c->silent);
+		world_clear(&w);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -388,6 +441,7 @@
 		cmocka_unit_test(test_twice_by_late_acknowledgement),
 		cmocka_unit_test(test_twice_beside_unknown_run),
 		cmocka_unit_test(test_twice_by_long_lease_of_idle_worker),
+		cmocka_unit_test(test_twice_by_resent_start),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
