--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -410,9 +410,13 @@
 	bool counted; /* as a crash; else as a lost start or not at all */
 } fleet_doubt_t;
 
-/* A worker that was freed while a call could still grant it a lease. */
+/*
+ * A worker that was freed while it had a long lease or a call could still grant
+ * it one.
+ */
 typedef struct fleet_late_grant {
 	gh_time_t until;
+	gh_time_t lease_end; /* of its latest lease */
 	int64_t incarnation_start_ms;
 } fleet_late_grant_t;
 
@@ -523,6 +527,8 @@
 			      gh_time_t granted_at);
 /* Notes that a call of a time that grants a lease got no reply. */
 void fleet_lease_note_unanswered(fleet_worker_t *worker, gh_time_t sent_at);
+/* Whether the worker's lease can outlast one that is granted now. */
+bool fleet_lease_is_long(const gh_fleet_t *fleet, const fleet_worker_t *worker);
 /*
  * Notes that the worker has replied to a renewal of this owner: the worker
  * takes no order of a previous owner any more, so that its lease ends no later
