core_fleet_unheard: the wait for a worker's runs goes on at a second take-over

Callers could see: LOST.

Cause: an owner has to take for granted that the one before has extended a lease until 2.5 s after its claim. The second owner knew that it had not, and until when the first one's leases could last, but told nobody.

Change: an owner tells in the chain record (`unheard REVISION:ID=MS,...`) which workers with runs it has not heard since its claim, and how long after that claim their leases can last. From the moment the list is written until a commit without the worker is known to be done, it grants that worker nothing. The next owner uses the time instead of its own bound, tells the list again in its claim, and grants nothing either until its own commit has dropped the worker.

Why it is safe: the time told is the one at which the second owner itself would have ended the runs, and nothing it may do afterwards moves it: a paused owner, one whose commits get no reply or are done late, and one that hears the worker again are all bound until the record has changed, and a call without a reply counted as a grant when it was sent, as before. No clock is shared: the time counts from the claim, and each host takes for the claim when it first heard of the owner record at that revision or later, which is after it. Hosts' clocks matter for the same 7.3 s as before. A worker known to have restarted is not told. Hosts of earlier versions skip the new part, and a record without it, or with an odd one, or naming a claim that the host has not heard of, means the wait of before.

Calls to the store: none more without such a worker (test_calm_takeover_costs_no_commit); else one commit when it is found and one when it is heard or its runs are over, unless another commit is due then.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -87,6 +87,7 @@
 	fleet->interference = gh_interference_new();
 	fleet->load_periods = gh_load_periods_new();
 	fleet->interference_decayed_at = now;
+	fleet_unheard_init(fleet);
 	return fleet;
 }
 
@@ -119,6 +120,7 @@
 	g_array_free(fleet->doubts, TRUE);
 	g_hash_table_destroy(fleet->late_starts);
 	g_hash_table_destroy(fleet->late_grants);
+	g_hash_table_destroy(fleet->told);
 	gh_interference_free(fleet->interference);
 	gh_load_periods_free(fleet->load_periods);
 	g_free(fleet);
@@ -762,9 +764,11 @@
 		return false;
 	}
 	/* The lease of an unreachable worker is not extended, so it expires. */
-	order->lease_until = worker->unreachable_since ?
-				     worker->lease_until :
-				     fleet_lease_extend(fleet, worker, now);
+	order->lease_until =
+		worker->unreachable_since ||
+				!fleet_unheard_may_grant(fleet, worker) ?
+			worker->lease_until :
+			fleet_lease_extend(fleet, worker, now);
 	run->start_sent_at = now;
 	run->start_in_flight = true;
 	order->payload = job->spec->payload;
--- a/core_fleet.h
+++ b/core_fleet.h
@@ -46,6 +46,15 @@
 	 * lease that is longer than an ordinary one counts as granted later.
 	 */
 	gh_time_t previous_grants_end;
+	/*
+	 * List that gh_fleet_unheard_find() has found, NULL: none, and when the
+	 * claim that it names was heard of.  Used by gh_fleet_new() only.
+	 */
+	const char *previous_unheard;
+	gh_time_t previous_unheard_from;
+	/* This owner's claim: its revision, and a time before it. */
+	uint64_t claim_revision;
+	gh_time_t claimed_at;
 	int64_t stop_ms; /* max time that a worker takes to stop a task */
 } gh_fleet_setup_t;
 
@@ -362,6 +371,26 @@
  * as one that is granted later.
  */
 gh_time_t gh_fleet_grant_ahead(const gh_fleet_t *fleet, gh_time_t from);
+/*
+ * In the chain record, before the list of workers that the owner has not heard
+ * and until when their leases can last (core_fleet_unheard.c).  The next owner
+ * waits for workers that are not in it as if nothing was told.
+ */
+#define GH_FLEET_UNHEARD " unheard "
+/*
+ * The list in a chain record, to be freed, and the revision of the claim that
+ * it names; NULL: none that can be used.
+ */
+char *gh_fleet_unheard_find(const char *chain, uint64_t *revision);
+/*
+ * The list for the next commit's chain record, to be freed, or NULL.  From now
+ * on the workers in it are granted no lease.
+ */
+char *gh_fleet_unheard_tell(gh_fleet_t *fleet, gh_time_t now);
+/* The record with the list that was told last is committed. */
+void gh_fleet_unheard_committed(gh_fleet_t *fleet);
+/* Whether a commit is due for the list's sake. */
+bool gh_fleet_unheard_is_due(const gh_fleet_t *fleet, gh_time_t now);
 /* Load of the fleet by its usable workers and its jobs that have not ended. */
 void gh_fleet_load(const gh_fleet_t *fleet, gh_shard_load_t *load,
 		   gh_time_t now);
--- a/core_fleet_record.c
+++ b/core_fleet_record.c
@@ -516,6 +516,7 @@
 {
 	uint32_t handle = fleet_worker_find(fleet, id);
 	fleet_worker_t *worker;
+	gh_time_t lease_end;
 
 	if (handle == GH_NONE) {
 		gh_worker_entry_t entry = { 0 };
@@ -526,8 +527,9 @@
 		fleet_worker(fleet, handle)->listed = false;
 	}
 	worker = fleet_worker(fleet, handle);
-	worker->latest_lease_end =
-		MAX(worker->latest_lease_end,
-		    fleet_lease_end(fleet, fleet->setup.previous_grants_end));
+	lease_end = fleet_unheard_lease_end(
+		fleet, worker,
+		fleet_lease_end(fleet, fleet->setup.previous_grants_end));
+	worker->latest_lease_end = MAX(worker->latest_lease_end, lease_end);
 	return handle;
 }
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -358,7 +358,8 @@
 		 * it can expire.
 		 */
 		worker->renewal_sent_at = now;
-		worker->renewal_grants = !worker->unreachable_since;
+		worker->renewal_grants = !worker->unreachable_since &&
+					 fleet_unheard_may_grant(fleet, worker);
 		if (worker->renewal_grants)
 			renewal->lease_until =
 				fleet_lease_extend(fleet, worker, now);
@@ -377,6 +378,9 @@
 
 	if (!worker->has_reported || worker->unreachable_since)
 		return worker->listed || worker->n_runs;
+	/* Its lease is extended once the chain record allows it. */
+	if (!fleet_unheard_may_grant(fleet, worker))
+		return report_is_old;
 	/*
 	 * The worker replies at once while the end of a run is not
 	 * acknowledged, so renewals are spaced by COMMIT_WAIT_USEC.
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -444,6 +444,11 @@
 	uint32_t n_late_starts, n_late_stops;
 	gh_time_t late_checked_at;
 	GHashTable *late_grants; /* fleet_late_grant_t by worker id */
+	/*
+	 * What the chain record may tell of workers that this owner has not
+	 * heard, by their ids; see core_fleet_unheard.c.
+	 */
+	GHashTable *told;
 	gh_interference_t *interference;
 	gh_load_periods_t *load_periods; /* shared by all load forecasts */
 	gh_time_t created_at;
@@ -502,6 +507,18 @@
  */
 gh_time_t fleet_lease_extend(gh_fleet_t *fleet, fleet_worker_t *worker,
 			     gh_time_t now);
+/* Takes in what the previous owner has told of workers it had not heard. */
+void fleet_unheard_init(gh_fleet_t *fleet);
+/*
+ * When the lease of a worker with runs of previous owners has certainly ended:
+ * bound, or earlier if they have told so.
+ */
+gh_time_t fleet_unheard_lease_end(const gh_fleet_t *fleet,
+				  const fleet_worker_t *worker,
+				  gh_time_t bound);
+/* Whether a lease may be granted: the chain record does not name the worker. */
+bool fleet_unheard_may_grant(const gh_fleet_t *fleet,
+			     const fleet_worker_t *worker);
 /*
  * Gives calls to the worker a new fence offset: once the worker's present life
  * has replied to one, it executes none that was sent before, to whichever life
--- a/fleet_jobs.c
+++ b/fleet_jobs.c
@@ -12,6 +12,7 @@
 #include <string.h>
 
 #include "clock.h"
+#include "core_heard.h"
 #include "counter.h"
 #include "error.h"
 #include "fleet_tries.h"
@@ -37,6 +38,7 @@
 typedef struct shard_records {
 	char *owner;
 	char *load;
+	gh_heard_t heard;      /* changes of the owner record */
 	_Atomic bool followed; /* see fleet_jobs_follow() */
 } shard_records_t;
 
@@ -241,6 +243,12 @@
 		       0;
 }
 
+gh_time_t fleet_jobs_owner_heard_at(const fleet_jobs_t *jobs, uint32_t shard,
+				    uint64_t revision)
+{
+	return gh_heard_at(&jobs->records[shard].heard, revision);
+}
+
 bool fleet_jobs_may_lag(fleet_jobs_t *jobs, const fleet_job_state_t *state)
 {
 	return state->phase <= GH_JOB_RUNNING &&
@@ -306,10 +314,14 @@
 
 static void on_owner_item(void *ctx, const fleet_item_t *item)
 {
-	on_owner_record(
-		ctx,
-		parse_shard(item->key + strlen(DIRECTORY_PREFIX), OWNER_PREFIX),
-		item->value);
+	fleet_jobs_t *jobs = ctx;
+	uint32_t shard =
+		parse_shard(item->key + strlen(DIRECTORY_PREFIX), OWNER_PREFIX);
+
+	if (shard < jobs->shards)
+		gh_heard_note(&jobs->records[shard].heard, item->revision,
+			      clock_boot());
+	on_owner_record(jobs, shard, item->value);
 }
 
 static void on_owners_synced(void *ctx)
@@ -381,6 +393,7 @@
 {
 	char *key = owner_key(shard);
 
+	gh_heard_note(&jobs->records[shard].heard, revision, clock_boot());
 	if (fleet_watch_note(jobs->owner_watch, key, revision, true))
 		set_owner(jobs, shard, owner);
 	g_free(key);
--- a/fleet_jobs.h
+++ b/fleet_jobs.h
@@ -92,6 +92,12 @@
 gh_time_t fleet_jobs_last_reply_at(fleet_jobs_t *jobs);
 /* The same for replies that tell of changed owner records. */
 gh_time_t fleet_jobs_owners_heard_at(fleet_jobs_t *jobs);
+/*
+ * Loop's thread: when the directory first heard of a shard's owner record as of
+ * a revision or later; 0: it has not.
+ */
+gh_time_t fleet_jobs_owner_heard_at(const fleet_jobs_t *jobs, uint32_t shard,
+				    uint64_t revision);
 /*
  * Any thread: whether the state of a job that has not ended can be older than
  * the store's, as another host owns its shard.
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -146,6 +146,13 @@
 	 */
 	gh_time_t previous_grants_end;
 	bool previous_released;
+	/*
+	 * As in gh_fleet_setup_t.  The claim tells the list again, which goes
+	 * on naming the previous owner's claim.
+	 */
+	char *previous_unheard;
+	gh_time_t previous_unheard_from;
+	gh_time_t claim_sent_at;
 	char *claim_value; /* value of the chain record that the claim writes */
 	gh_time_t grants_told; /* last grant in the chain record; 0: none */
 	bool record_known;     /* the owner record was read at least once */
@@ -300,7 +307,7 @@
 static void load_interference(fleet_owner_t *owner);
 static void save_load(fleet_owner_t *owner, batch_t *batch, gh_time_t now);
 static char *chain_text(const fleet_owner_t *owner, gh_time_t last_grant,
-			gh_time_t now);
+			const char *unheard, gh_time_t now);
 static gh_time_t grant_ahead(const fleet_owner_t *owner, gh_time_t now);
 static bool grants_have_changed(const fleet_owner_t *owner, gh_time_t now);
 static void log_fleet_event(void *ctx, const char *event,
@@ -333,6 +340,7 @@
 	g_free(owner->chain_key);
 	g_free(owner->progress_prefix);
 	g_free(owner->claim_value);
+	g_free(owner->previous_unheard);
 	g_free(owner);
 }
 
@@ -581,6 +589,7 @@
 	owner->chain_revision = 0;
 	owner->previous_grants_end = owner->grants_told = 0;
 	owner->previous_released = false;
+	g_clear_pointer(&owner->previous_unheard, g_free);
 	if (reply->result == FLEET_OK && reply->n_items &&
 	    reply->items[0].value) {
 		owner->chain_revision = reply->items[0].revision;
@@ -600,6 +609,7 @@
 	const char *released = strstr(text, CHAIN_RELEASED);
 	const char *grants = strstr(text, CHAIN_GRANTS);
 	const char *ms = NULL;
+	uint64_t claim;
 
 	owner->epoch = g_ascii_strtoull(text, NULL, 10);
 	owner->previous_released = released;
@@ -611,6 +621,13 @@
 		owner->previous_grants_end =
 			clock_boot() +
 			gh_time_from_ms(g_ascii_strtoll(ms, NULL, 10));
+	owner->previous_unheard = gh_fleet_unheard_find(text, &claim);
+	if (!owner->previous_unheard)
+		return;
+	owner->previous_unheard_from = fleet_jobs_owner_heard_at(
+		owner->setup.jobs, owner->setup.shard, claim);
+	if (!owner->previous_unheard_from)
+		g_clear_pointer(&owner->previous_unheard, g_free);
 }
 
 static void commit_claim(fleet_owner_t *owner)
@@ -631,9 +648,10 @@
 	    clock_boot() + WORKER_RENEWAL_LIMIT_USEC)
 		owner->grants_told = owner->previous_grants_end;
 	g_free(owner->claim_value);
-	owner->claim_value =
-		chain_text(owner, owner->grants_told, clock_boot());
+	owner->claim_value = chain_text(owner, owner->grants_told,
+					owner->previous_unheard, clock_boot());
 	entries[G_N_ELEMENTS(entries) - 1].value = owner->claim_value;
+	owner->claim_sent_at = clock_boot();
 	owner->setup.store->ops->commit(owner->setup.store, entries,
 					G_N_ELEMENTS(entries), on_claimed,
 					call_new(owner));
@@ -714,6 +732,10 @@
 
 	owner->phase = PHASE_LOADING;
 	setup.previous_grants_end = owner->previous_grants_end;
+	setup.previous_unheard = owner->previous_unheard;
+	setup.previous_unheard_from = owner->previous_unheard_from;
+	setup.claim_revision = owner->chain_revision;
+	setup.claimed_at = owner->claim_sent_at;
 	if (!owner->previous_released)
 		setup.previous_grants_end =
 			MAX(setup.previous_grants_end,
@@ -1298,10 +1320,12 @@
 {
 	gh_fleet_change_t change;
 	batch_t *batch;
+	bool chain_is_due = grants_have_changed(owner, now) ||
+			    gh_fleet_unheard_is_due(owner->fleet, now);
 
 	if (!gh_fleet_has_changes(owner->fleet) && now < owner->sweep_at &&
 	    now < owner->load_save_at && owner->phase != PHASE_RELEASING &&
-	    !grants_have_changed(owner, now))
+	    !chain_is_due)
 		return;
 	owner->sequence++;
 	batch = batch_new(owner, now);
@@ -1324,8 +1348,7 @@
 	if (owner->phase == PHASE_RELEASING &&
 	    !gh_fleet_has_changes(owner->fleet)) {
 		batch_mark_release(owner, batch, now);
-	} else if (!batch->changes->len && batch->n <= 2 &&
-		   !grants_have_changed(owner, now)) {
+	} else if (!batch->changes->len && batch->n <= 2 && !chain_is_due) {
 		batch_free(batch);
 		return;
 	}
@@ -1337,11 +1360,15 @@
 static batch_t *batch_new(fleet_owner_t *owner, gh_time_t now)
 {
 	batch_t *batch = g_new0(batch_t, 1);
+	char *unheard;
 
 	batch->strings = g_ptr_array_new_with_free_func(g_free);
 	batch->changes = g_array_new(FALSE, FALSE, sizeof(gh_fleet_change_t));
 	batch->grants_told = grant_ahead(owner, now);
-	batch->chain_value = chain_text(owner, batch->grants_told, now);
+	unheard = gh_fleet_unheard_tell(owner->fleet, now);
+	batch->chain_value =
+		chain_text(owner, batch->grants_told, unheard, now);
+	g_free(unheard);
 	batch_add_entry(batch, FLEET_EXPECT, g_strdup(owner->chain_key), NULL,
 			owner->chain_revision, 0);
 	batch_add_entry(batch, FLEET_PUT, g_strdup(owner->chain_key), NULL, 0,
@@ -1531,6 +1558,7 @@
 	owner->batch = NULL;
 	owner->chain_revision = revision;
 	owner->grants_told = batch->grants_told;
+	gh_fleet_unheard_committed(owner->fleet);
 	owner->commit_at = now + MAX(COMMIT_INTERVAL_MIN_USEC,
 				     owner->setup.commit_interval_min);
 	counter_inc(CTR_COMMITS);
@@ -1733,11 +1761,11 @@
 
 /*
  * Text of the shard's chain record, unique to each commit: "EPOCH SEQUENCE HOST
- * LEASE", then "grants MS" unless last_grant is 0, and after a release
- * "released MS".
+ * LEASE", then "grants MS" unless last_grant is 0, "unheard LIST" unless
+ * unheard is NULL, and after a release "released MS".
  */
 static char *chain_text(const fleet_owner_t *owner, gh_time_t last_grant,
-			gh_time_t now)
+			const char *unheard, gh_time_t now)
 {
 	GString *text = g_string_new(NULL);
 
@@ -1747,6 +1775,8 @@
 	if (last_grant)
 		g_string_append_printf(text, CHAIN_GRANTS "%" PRId64,
 				       gh_time_to_ms(last_grant - now) + 1);
+	if (unheard)
+		g_string_append_printf(text, GH_FLEET_UNHEARD "%s", unheard);
 	return g_string_free(text, FALSE);
 }
 
--- a/regress/fleet_model_owner.c
+++ b/regress/fleet_model_owner.c
@@ -74,7 +74,8 @@
 static void batch_committed(host_t *h, uint64_t revision);
 static void batch_failed(host_t *h);
 static void host_end_ownership(host_t *h, const char *why);
-static const char *chain_text(const host_t *h, gh_time_t last_grant);
+static const char *chain_text(const host_t *h, gh_time_t last_grant,
+			      const char *unheard);
 static void read_grants(host_t *h, const char *chain);
 static void log_fleet(void *ctx, const char *event, const gh_task_id_t *task,
 		      uint32_t run, const char *worker, const char *detail);
@@ -407,6 +408,8 @@
 	h->advance_posted = false;
 	h->phase = HOST_IDLE;
 	h->record_absent = h->m->store.owner == MODEL_NONE;
+	h->heard = (gh_heard_t){ 0 };
+	gh_heard_note(&h->heard, h->m->store.revision, h->m->now);
 	h->claim_at = h->m->now + model_random_ms(h->m, 1, CLAIM_JITTER_MS);
 	h->clocks = platform_clocks_new();
 	*event = (host_event_t){ .host = h, .boot = h->boot };
@@ -515,6 +518,7 @@
 	gh_time_t now = h->m->now;
 
 	h->record_absent = h->m->store.owner == MODEL_NONE;
+	gh_heard_note(&h->heard, h->m->store.revision, now);
 	if (!h->record_absent)
 		return;
 	if (h->phase == HOST_IDLE)
@@ -622,6 +626,7 @@
 	}
 	h->previous_grants_end = 0;
 	h->previous_released = false;
+	h->previous_unheard = NULL;
 	h->chain_revision = 0;
 	if (call->result == STORE_OK) {
 		h->chain_revision = call->chain_revision_now;
@@ -632,8 +637,10 @@
 		h->previous_grants_end > limit ? h->previous_grants_end : 0;
 	h->epoch += GH_FLEET_EPOCH_STEP;
 	h->sequence = 0;
+	h->claim_sent_at = h->m->now;
 	claim = host_call_store(h, STORE_CLAIM);
-	claim->chain_text = h->claim_text = chain_text(h, h->grants_told);
+	claim->chain_text = h->claim_text =
+		chain_text(h, h->grants_told, h->previous_unheard);
 	store_call_send(h->m, claim);
 }
 
@@ -643,7 +650,15 @@
 	const char *released = strstr(chain, RELEASED);
 	const char *grants = strstr(chain, GRANTS);
 	const char *ms = NULL;
-
+	uint64_t claim;
+	char *unheard = gh_fleet_unheard_find(chain, &claim);
+
+	if (unheard) {
+		h->previous_unheard_from = gh_heard_at(&h->heard, claim);
+		if (h->previous_unheard_from)
+			h->previous_unheard = model_strdup(h->m, unheard);
+		g_free(unheard);
+	}
 	if (released)
 		ms = released + strlen(RELEASED);
 	else if (grants)
@@ -675,11 +690,16 @@
 				MAX(h->previous_grants_end,
 				    now + gh_time_from_ms(
 						  WORKER_RENEWAL_LIMIT_MS)),
+		.previous_unheard = h->previous_unheard,
+		.previous_unheard_from = h->previous_unheard_from,
+		.claim_revision = revision,
+		.claimed_at = h->claim_sent_at,
 		.stop_ms = MODEL_STOP_MS,
 	};
 
 	h->m->result->owners++;
 	h->chain_revision = revision;
+	gh_heard_note(&h->heard, revision, now);
 	h->record_revision = revision;
 	h->record_absent = false;
 	h->phase = HOST_LOADING;
@@ -944,14 +964,18 @@
 		h->fleet, h->m->now + gh_time_from_ms(WORKER_RENEWAL_LIMIT_MS));
 	gh_fleet_change_t change;
 	store_call_t *batch;
+	char *unheard;
 
 	if (!gh_fleet_has_changes(h->fleet) && h->phase != HOST_RELEASING &&
-	    ahead <= h->grants_told && (ahead || !h->grants_told))
+	    ahead <= h->grants_told && (ahead || !h->grants_told) &&
+	    !gh_fleet_unheard_is_due(h->fleet, h->m->now))
 		return;
 	h->sequence++;
 	batch = host_call_store(h, STORE_COMMIT);
 	batch->grants_told = ahead;
-	batch->chain_text = chain_text(h, ahead);
+	unheard = gh_fleet_unheard_tell(h->fleet, h->m->now);
+	batch->chain_text = chain_text(h, ahead, unheard);
+	g_free(unheard);
 	batch->changes =
 		model_alloc(h->m, CHANGES_MAX * sizeof(*batch->changes));
 	while (batch->n_changes < CHANGES_MAX &&
@@ -1043,6 +1067,7 @@
 
 	h->batch = NULL;
 	h->grants_told = batch->grants_told;
+	gh_fleet_unheard_committed(h->fleet);
 	h->chain_revision = revision;
 	h->commit_at = h->m->now + gh_time_from_ms(COMMIT_INTERVAL_MS);
 	for (i = 0; i < batch->n_changes; i++)
@@ -1065,7 +1090,8 @@
 			h->fleet, batch->changes[i].job->pipeline->id);
 }
 
-static const char *chain_text(const host_t *h, gh_time_t last_grant)
+static const char *chain_text(const host_t *h, gh_time_t last_grant,
+			      const char *unheard)
 {
 	GString *text = g_string_new(NULL);
 	const char *kept;
@@ -1076,6 +1102,8 @@
 		g_string_append_printf(text, GRANTS "%" PRId64,
 				       gh_time_to_ms(last_grant - h->m->now) +
 					       1);
+	if (unheard)
+		g_string_append_printf(text, GH_FLEET_UNHEARD "%s", unheard);
 	kept = model_strdup(h->m, text->str);
 	g_string_free(text, TRUE);
 	return kept;
--- a/regress/fleet_model_private.h
+++ b/regress/fleet_model_private.h
@@ -3,6 +3,7 @@
 #define FLEET_MODEL_PRIVATE_H
 
 #include "core_fleet.h"
+#include "core_heard.h"
 #include "fleet_model.h"
 #include "platform/platform_clock.h"
 
@@ -250,6 +251,10 @@
 	gh_time_t renew_at;
 	gh_time_t renewal_sent_at;
 	gh_time_t previous_grants_end;
+	const char *previous_unheard;
+	gh_time_t previous_unheard_from;
+	gh_time_t claim_sent_at;
+	gh_heard_t heard;      /* changes of the owner record */
 	gh_time_t grants_told; /* last grant that the chain tells; 0: none */
 	const char *claim_text;
 	gh_time_t claim_at;
--- a/regress/test_owner_takeover.c
+++ b/regress/test_owner_takeover.c
@@ -1,5 +1,5 @@
 /*
- * Tests of owners that follow each other, in simulated time: two hosts, a store
+ * Tests of owners that follow each other, in simulated time: hosts, a store
  * and workers whose calls can be lost, refused or carried out late.  No task
  * may run twice.
  */
@@ -16,7 +16,7 @@
 #include "fleet_owner.h"
 #include "fleet_world.h"
 
-#define HOSTS 2
+#define HOSTS 4
 #define WORKERS 2
 #define CHANGES_MAX 16384
 #define ORDINARY_LEASE_MS 4500
@@ -161,7 +161,7 @@
 	void *ctx;
 } sim_call_t;
 
-/* The clock and the loop of both hosts. */
+/* The clock and the loop of all hosts. */
 
 static gh_time_t sim_now;
 
@@ -959,22 +959,37 @@
 	return sim;
 }
 
-/* Answers all calls, as a host does when it closes, then frees the hosts. */
-static void sim_free(sim_t *sim)
+/* Answers all calls in flight; returns whether there was one. */
+static bool answer_calls(sim_t *sim)
 {
+	bool any = false;
 	size_t i;
 
-	sim->closed = true;
 	for (i = 0; i < sim->calls->len; i++) {
 		sim_call_t *call = sim->calls->pdata[i];
 
 		if (is_awaited(call)) {
 			call->reply.at = sim_now;
 			call->answered = true;
+			any = true;
 		}
 		call->execute.at = GH_TIME_NEVER;
 	}
 	run_for(sim, 0);
+	return any;
+}
+
+/*
+ * Answers all calls, as a host does when it closes, and those that are made
+ * thereupon, then frees the hosts.
+ */
+static void sim_free(sim_t *sim)
+{
+	size_t i;
+
+	sim->closed = true;
+	while (answer_calls(sim))
+		;
 	for (i = 0; i < HOSTS; i++) {
 		fleet_owner_free(sim->hosts[i].owner);
 		fleet_jobs_free(sim->hosts[i].jobs);
@@ -1419,6 +1434,223 @@
 	}
 }
 
+/* What owners know of a worker while they fail one after the other. */
+typedef struct unheard_case {
+	const char *name;
+	int64_t apart_ms; /* time between the owners' failures */
+	/* Owner and worker reach each other from the first time to the other.
+	 */
+	int64_t heard_ms, fails_ms;
+	int64_t commits_ms, commits_end_ms; /* of the link commits */
+	int64_t max_ms;	    /* latest restart, from the first failure */
+	link_t worker;	    /* from the second owner to the worker */
+	link_t commits;	    /* of the second owner */
+	uint32_t n_failing; /* owners that fail, the first one at once */
+	bool lists_lost;    /* as if owners of an earlier version had claimed */
+} unheard_case_t;
+
+#define CUT                 \
+	{                   \
+		.cut = true \
+	}
+
+static const unheard_case_t unheard[] = {
+	{ .name = "worker fails, two owners fail 5 s apart",
+	  .n_failing = 2,
+	  .apart_ms = 5000,
+	  .worker = CUT,
+	  .max_ms = 9200 },
+	{ .name = "three owners",
+	  .n_failing = 3,
+	  .apart_ms = 2800,
+	  .worker = CUT,
+	  .max_ms = 9200 },
+	{ .name = "the second one fails right after its claim",
+	  .n_failing = 2,
+	  .apart_ms = 1600,
+	  .worker = CUT,
+	  .max_ms = 11000 },
+	{ .name = "its calls to the worker get no reply",
+	  .n_failing = 2,
+	  .apart_ms = 5000,
+	  .worker = { .replies_lost = true },
+	  .max_ms = 9200 },
+	{ .name = "its calls to the worker are executed late",
+	  .n_failing = 2,
+	  .apart_ms = 5000,
+	  .worker = { .late = 2500 * MS },
+	  .max_ms = 9200 },
+	{ .name = "its commits are refused at first",
+	  .n_failing = 2,
+	  .apart_ms = 5000,
+	  .worker = CUT,
+	  .commits = { .refused = true },
+	  .commits_ms = 1500,
+	  .commits_end_ms = 4500,
+	  .max_ms = 9200 },
+	{ .name = "it reaches the worker from the start",
+	  .n_failing = 2,
+	  .apart_ms = 5000,
+	  .heard_ms = 1,
+	  .fails_ms = 4900,
+	  .max_ms = 14200 },
+	{ .name = "it reaches the worker late",
+	  .n_failing = 2,
+	  .apart_ms = 5000,
+	  .worker = CUT,
+	  .heard_ms = 3500,
+	  .fails_ms = 4900,
+	  .max_ms = 14200 },
+	{ .name = "it reaches the worker late, commits are not done",
+	  .n_failing = 2,
+	  .apart_ms = 5000,
+	  .worker = CUT,
+	  .heard_ms = 3500,
+	  .fails_ms = 4900,
+	  .commits = CUT,
+	  .commits_ms = 3499,
+	  .max_ms = 9200 },
+	{ .name = "it reaches the worker late, commits get no reply",
+	  .n_failing = 2,
+	  .apart_ms = 5000,
+	  .worker = CUT,
+	  .heard_ms = 3500,
+	  .fails_ms = 4900,
+	  .commits = { .replies_lost = true },
+	  .commits_ms = 3499,
+	  .max_ms = 14200 },
+	{ .name = "it reaches the worker late, commits are done late",
+	  .n_failing = 2,
+	  .apart_ms = 5000,
+	  .worker = CUT,
+	  .heard_ms = 3500,
+	  .fails_ms = 4900,
+	  .commits = { .late = 1000 * MS },
+	  .commits_ms = 3499,
+	  .max_ms = 14200 },
+	{ .name = "it reaches the worker late, commits are refused",
+	  .n_failing = 2,
+	  .apart_ms = 5000,
+	  .worker = CUT,
+	  .heard_ms = 3500,
+	  .fails_ms = 4900,
+	  .commits = { .refused = true },
+	  .commits_ms = 3499,
+	  .max_ms = 9200 },
+	{ .name = "it loses the store and reaches the worker then",
+	  .n_failing = 2,
+	  .apart_ms = 3500,
+	  .worker = CUT,
+	  .heard_ms = 3500,
+	  .fails_ms = 20000,
+	  .max_ms = 9200 },
+	{ .name = "nothing is told",
+	  .n_failing = 2,
+	  .apart_ms = 5000,
+	  .worker = CUT,
+	  .lists_lost = true,
+	  .max_ms = 14200 },
+};
+
+/* Rewrites the chain record as an earlier version has it, at its revision. */
+static void drop_list(sim_t *sim)
+{
+	change_t *item = find_item(sim, FLEET_KEYSPACE_OWN, CHAIN_KEY);
+	char *list = strstr(item->value, " unheard ");
+
+	if (list)
+		*list = '\0';
+}
+
+static void allow_claims(sim_t *sim, size_t host, bool allowed)
+{
+	sim->hosts[host].store.links[CALL_GRANT].refused = !allowed;
+}
+
+static void step_unheard(sim_t *sim, const unheard_case_t *c, int64_t ms)
+{
+	sim_worker_t *worker = &sim->workers[0];
+	uint32_t i;
+
+	for (i = 0; i < c->n_failing; i++)
+		if (ms == i * c->apart_ms)
+			set_store_links(&sim->hosts[i],
+					(link_t){ .cut = true });
+	if (c->heard_ms && ms == c->heard_ms - 1)
+		worker->links[1] = (link_t){ 0 };
+	if (c->commits_ms && ms == c->commits_ms)
+		sim->hosts[1].store.links[CALL_COMMIT] = c->commits;
+	if (c->commits_end_ms && ms == c->commits_end_ms)
+		sim->hosts[1].store.links[CALL_COMMIT] = (link_t){ 0 };
+	if (c->fails_ms && ms == c->fails_ms)
+		worker->links[1].cut = true;
+	if (c->lists_lost)
+		drop_list(sim);
+	run_for(sim, 1);
+}
+
+/*
+ * LOST: each owner that could not reach a worker made the next one wait anew
+ * for the leases that the first one had granted.
+ */
+static void test_wait_goes_on_at_next_takeover(void **state)
+{
+	size_t i, j;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(unheard); i++) {
+		const unheard_case_t *c = &unheard[i];
+		sim_t *sim = sim_with_run();
+		sim_worker_t *worker = &sim->workers[0];
+		gh_time_t since;
+		int64_t ms;
+
+		print_message("%s\n", c->name);
+		for (j = 2; j <= c->n_failing; j++)
+			add_host(sim, (uint32_t)j);
+		/* h0 fails first, then h1, and so on. */
+		for (j = 2; j <= c->n_failing; j++)
+			allow_claims(sim, j, false);
+		do
+			run_for(sim, 1);
+		while (sim_now - worker->granted_at > LATENCY_USEC);
+		for (j = 0; j < HOSTS; j++)
+			worker->links[j].cut = true;
+		worker->links[1] = c->worker;
+		since = sim_now;
+		for (ms = 0; !sim->workers[1].run.run && ms < PATIENCE_MS;
+		     ms++) {
+			for (j = 2; j <= c->n_failing; j++)
+				if (ms == (int64_t)(j - 1) * c->apart_ms)
+					allow_claims(sim, j, true);
+			step_unheard(sim, c, ms);
+		}
+		print_message("started again after %d ms, last grant %d ms\n",
+			      (int)ms,
+			      (int)((worker->granted_at - since) / MS));
+		assert_int_equal(sim->n_twice, 0);
+		assert_true(is_owner(sim, c->n_failing));
+		assert_in_range(ms, 4500, c->max_ms);
+		sim_free(sim);
+	}
+}
+
+/* A new owner that reaches all workers commits its claim and no more. */
+static void test_calm_takeover_costs_no_commit(void **state)
+{
+	sim_t *sim = sim_with_run();
+	const sim_store_t *store = &sim->hosts[1].store;
+
+	(void)state;
+	sim->workers[0].links[1] = (link_t){ 0 };
+	set_store_links(&sim->hosts[0], (link_t){ .cut = true });
+	run_for(sim, 12000);
+	assert_true(is_owner(sim, 1));
+	assert_int_equal(sim->n_starts, 1);
+	assert_int_equal(store->n_calls[CALL_COMMIT], 1);
+	sim_free(sim);
+}
+
 static link_t random_link(GRand *random)
 {
 	link_t link = { 0 };
@@ -1517,6 +1749,8 @@
 		cmocka_unit_test(test_restore_does_not_keep_loop_busy),
 		cmocka_unit_test(test_commit_refused_after_copy_without_reply),
 		cmocka_unit_test(test_lease_of_new_life_after_takeover),
+		cmocka_unit_test(test_wait_goes_on_at_next_takeover),
+		cmocka_unit_test(test_calm_takeover_costs_no_commit),
 		cmocka_unit_test(test_random_faults_of_store),
 	};
 
