--- a/fleet_jobs_private.h
+++ b/fleet_jobs_private.h
@@ -8,6 +8,7 @@
 #include <pthread.h>
 #include <stdatomic.h>
 
+#include "core_heard.h"
 #include "fleet_jobs.h"
 #include "fleet_watch.h"
 
@@ -19,6 +20,7 @@
 typedef struct shard_records {
 	char *owner;
 	char *load;
+	gh_heard_t heard;      /* changes of the owner record */
 	_Atomic bool followed; /* see fleet_jobs_follow() */
 } shard_records_t;
 
