core_fleet: a stop that is not understood was not executed

Callers could see: a run goes on after its job's cancel, or a task starts elsewhere beside a late start, as a stop of the run counted as executed.

Cause: each reply to a stop but three counted as its execution, among them 400, which says that the worker did not understand the call.

Evidence: test_stop_is_sent_until_executed, third case, failed before.

--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -319,7 +319,8 @@
 bool fleet_stop_was_executed(gh_order_reply_t reply)
 {
 	return reply != GH_ORDER_OUTCOME_UNKNOWN &&
-	       reply != GH_ORDER_OVERTAKEN && reply != GH_ORDER_REFUSED;
+	       reply != GH_ORDER_OVERTAKEN && reply != GH_ORDER_REFUSED &&
+	       reply != GH_ORDER_INVALID;
 }
 
 bool gh_fleet_next_renewal(gh_fleet_t *fleet, gh_worker_renewal_t *renewal,
--- a/regress/test_core_fleet_late.c
+++ b/regress/test_core_fleet_late.c
@@ -109,6 +109,51 @@
 	}
 }
 
+/* A reply to a stop, and whether it shows that the stop was executed. */
+typedef struct stop_case {
+	const char *name;
+	gh_order_reply_t reply;
+	bool is_proof;
+} stop_case_t;
+
+static const stop_case_t stops[] = {
+	{ "executed", GH_ORDER_OK, true },
+	{ "unhealthy", GH_ORDER_REFUSED, false },
+	{ "not understood", GH_ORDER_INVALID, false },
+	{ "no reply", GH_ORDER_OUTCOME_UNKNOWN, false },
+};
+
+/* TWICE, UNASKED: a stop that was not executed was taken for one that was. */
+static void test_stop_is_sent_until_executed(void **state)
+{
+	size_t i, n;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(stops); i++) {
+		gh_order_t stop;
+		world_t w;
+
+		print_message("%s\n", stops[i].name);
+		world_init(&w);
+		add_worker(&w, "w1", 4000);
+		add_job(&w, JOB, 1, &long_running_step, NULL);
+		advance_time(&w, 500);
+		assert_int_equal(w.workers[0].n_runs, 1);
+		w.workers[0].loses_orders = true;
+		gh_fleet_job_cancel(w.fleet, JOB, w.now);
+		while (!count_orders(&w, GH_ORDER_STOP, 0))
+			advance_time(&w, 10);
+		stop = w.orders[find_order(&w, GH_ORDER_STOP, 1)];
+		handle_reply(&w, GH_ORDER_STOP, &stop.task, stop.run,
+			     stops[i].reply);
+		n = count_orders(&w, GH_ORDER_STOP, 0);
+		advance_time(&w, 1500);
+		assert_int_equal(count_orders(&w, GH_ORDER_STOP, 0) == n,
+				 stops[i].is_proof);
+		world_clear(&w);
+	}
+}
+
 /* What happens before and after a worker restarts under the same id. */
 typedef struct restart_case {
 	const char *name;
@@ -1454,6 +1499,7 @@
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_stop_is_sent_until_executed),
 		cmocka_unit_test(test_refused_after_silence),
 		cmocka_unit_test(test_ends_of_new_life),
 		cmocka_unit_test(test_lease_of_new_life),
