--- a/core_fleet.c
+++ b/core_fleet.c
@@ -1106,9 +1106,9 @@
 
 static gboolean late_grant_is_over(gpointer id, gpointer late, gpointer fleet)
 {
-	(void)id;
 	const fleet_late_grant_t *grant = late;
 
+	(void)id;
 	return ((const gh_fleet_t *)fleet)->ticked_at >=
 	       MAX(grant->until, grant->lease_end);
 }
