core_fleet: calls of former owners may grant leases to a next life

Callers could see two runs of a task at the same time: a worker restarts under its id shortly after a take-over, a call of the former owner grants its new life the longest lease, and the new owner, which starts a run there, counts with the ordinary lease that it granted itself.

Cause: an owner counted with late calls of its own only. Where its first call granted nothing, as the worker is told as unheard, or was not made before the entry named the new life, nothing was counted.

Change: for as long as a call may be late after the last grant of a former owner, a worker that is found to have restarted counts with the longest lease.

Evidence: test_twice_by_long_lease_of_unheard_worker and a new case of test_twice_by_long_lease_of_idle_worker failed before (4.64 s where the lease lasts for 7.14 s).

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -156,10 +156,15 @@
 		/* A run that starts here has the lease that is there. */
 		.latest_lease_end =
 			fleet_lease_end(fleet, fleet->setup.told_grants_end),
+		/* So may calls of a previous owner, to its former life. */
+		.late_grants_until = MAX(fleet->created_at,
+					 fleet->setup.previous_grants_end) +
+				     CALL_DELAY_MAX_USEC,
 	};
 	fleet_fence_raise(fleet, worker);
 	if (late) {
-		worker->late_grants_until = late->until;
+		worker->late_grants_until =
+			MAX(worker->late_grants_until, late->until);
 		worker->latest_lease_end =
 			MAX(worker->latest_lease_end, late->lease_end);
 		worker->entry.incarnation_start_ms = late->incarnation_start_ms;
--- a/regress/test_core_fleet_lives.c
+++ b/regress/test_core_fleet_lives.c
@@ -309,7 +309,8 @@
 typedef struct idle_case {
 	const char *name;
 	bool unlisted;
-	bool restarts; /* unheard of until the next owner calls it */
+	bool restarts;	  /* unheard of until the next owner calls it */
+	bool entry_tells; /* the next owner reads of it before that call */
 	unsigned takeovers;
 } idle_case_t;
 
@@ -320,6 +321,10 @@
 	{ .name = "a restart that only the next owner hears of",
 	  .restarts = true,
 	  .takeovers = 1 },
+	{ .name = "a restart of which the next owner reads in its entry",
+	  .restarts = true,
+	  .entry_tells = true,
+	  .takeovers = 1 },
 	{ .name = "unlisted and listed again", .unlisted = true },
 	{ .name = "unlisted, another owner", .unlisted = true, .takeovers = 1 },
 };
@@ -361,6 +366,8 @@
 			worker->incarnation_start_ms--;
 			list_worker(&w, worker, false);
 			worker->incarnation_start_ms++;
+			if (c->entry_tells)
+				list_worker(&w, worker, false);
 		} else if (c->unlisted || c->takeovers) {
 			list_worker(&w, worker, false);
 		}
@@ -380,6 +387,64 @@
 	}
 }
 
+/*
+ * TWICE: the same, where the next owner was told of the worker as unheard, so
+ * that its own calls, which are not answered either, granted nothing.
+ */
+static void test_twice_by_long_lease_of_unheard_worker(void **state)
+{
+	static const char *const lists[] = { NULL, "12:w1=3000" };
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(lists); i++) {
+		gh_fleet_setup_t setup = { .lease_ms = LEASE_MS,
+					   .lease_max_ms = LEASE_MAX_MS,
+					   .stop_ms = STOP_MS,
+					   .claim_revision = 14,
+					   .previous_unheard = lists[i] };
+		scripted_worker_t *worker;
+		gh_time_t heard_at;
+		world_t w;
+
+		print_message("list: %s\n", lists[i] ? lists[i] : "none");
+		world_init(&w);
+		worker = add_worker(&w, "w1", 1000);
+		advance_time(&w, 4000);
+		gh_fleet_free(w.fleet);
+		w.epoch++;
+		setup.previous_grants_end = w.now + 2000 * MS;
+		setup.previous_unheard_from = setup.claimed_at = w.now;
+		w.fleet = gh_fleet_new(&setup, NULL, w.now);
+		worker->unreachable = true;
+		list_worker(&w, worker, false);
+		advance_time(&w, 500);
+		/* It has no runs any more, so that a commit drops the list. */
+		g_free(gh_fleet_unheard_tell(w.fleet, w.now));
+		gh_fleet_unheard_committed(w.fleet);
+		advance_time(&w, 7000);
+		restart_worker(worker);
+		list_worker(&w, worker, false);
+		worker->unreachable = false;
+		advance_time(&w, 300);
+		heard_at = w.now;
+		add_job(&w, JOB, 1, &long_running_step, NULL);
+		advance_time(&w, 300);
+		assert_int_equal(worker->n_runs, 1);
+		worker->unreachable = true;
+		add_worker(&w, "w2", 1000);
+		w.n_orders = 0;
+		while (!count_orders(&w, GH_ORDER_START, 0) &&
+		       w.now - heard_at < 20000 * MS)
+			advance_time(&w, 10);
+		print_message("started again %d ms after it was heard\n",
+			      (int)((w.now - heard_at) / MS));
+		assert_true(w.now - heard_at >
+			    (LEASE_MAX_MS * 51 / 50 - 300) * MS);
+		world_clear(&w);
+	}
+}
+
 /* What becomes of a start without a reply, and whether reports come. */
 typedef struct resend_case {
 	const char *name;
@@ -441,6 +506,7 @@
 		cmocka_unit_test(test_twice_by_late_acknowledgement),
 		cmocka_unit_test(test_twice_beside_unknown_run),
 		cmocka_unit_test(test_twice_by_long_lease_of_idle_worker),
+		cmocka_unit_test(test_twice_by_long_lease_of_unheard_worker),
 		cmocka_unit_test(test_twice_by_resent_start),
 	};
 
