core_fleet_unheard: tell the life of a worker that is not heard

Callers could see two runs of a task at the same time: a worker restarts under its id after an owner has told until when its leases last, a start of the owner before begins in the new life, and the third owner, which reads of that life only, ends the run by the time told.

Cause: the list named a worker and not its life, so the third owner had nothing to compare the start in the entry with.

Change: the list carries the start that the teller knew, as ID=MS/START, and a worker that is in it is taken to have been in that life.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -161,6 +161,8 @@
 					 fleet->setup.previous_grants_end) +
 				     CALL_DELAY_MAX_USEC,
 	};
+	worker->entry.incarnation_start_ms =
+		fleet_unheard_start_ms(fleet, worker);
 	fleet_fence_raise(fleet, worker);
 	if (late) {
 		worker->late_grants_until =
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -520,6 +520,9 @@
 gh_time_t fleet_unheard_lease_end(const gh_fleet_t *fleet,
 				  const fleet_worker_t *worker,
 				  gh_time_t bound);
+/* Start of the life that the previous owner knew, as it told; 0: it did not. */
+int64_t fleet_unheard_start_ms(const gh_fleet_t *fleet,
+			       const fleet_worker_t *worker);
 /* Whether a lease may be granted: the chain record does not name the worker. */
 bool fleet_unheard_may_grant(const gh_fleet_t *fleet,
 			     const fleet_worker_t *worker);
--- a/core_fleet_unheard.c
+++ b/core_fleet_unheard.c
@@ -4,8 +4,9 @@
  * until a record that does not name it is committed.  So the next owner may
  * rely on that time and needs not wait anew.
  *
- * The list is REVISION:ID=MS,ID=MS.  The revision is that of the claim, of
- * which each host knows when it has heard.
+ * The list is REVISION:ID=MS/START,ID=MS.  The revision is that of the claim,
+ * of which each host knows when it has heard; START is the start of the
+ * worker's life that the owner knew, so that the next one notices a later life.
  */
 #include "core_fleet_state.h"
 
@@ -22,13 +23,14 @@
 typedef struct told {
 	/* As the previous owner told it; GH_TIME_NEVER: it did not. */
 	gh_time_t lease_end;
+	int64_t start_ms; /* of the life it knew, as it told; 0: it did not */
 	bool in_last_list;
 	bool committed; /* the record names it, as far as is known */
 } told_t;
 
 static bool parse_list(const char *list, GHashTable *told, gh_time_t from);
 static GHashTable *told_new(void);
-static void note_told(GHashTable *told, const char *id, gh_time_t lease_end);
+static told_t *note_told(GHashTable *told, const char *id, gh_time_t lease_end);
 static told_t *find_told(const gh_fleet_t *fleet, const fleet_worker_t *worker);
 static bool is_to_be_told(const gh_fleet_t *fleet, const fleet_worker_t *worker,
 			  gh_time_t now);
@@ -71,6 +73,14 @@
 	return told ? MIN(told->lease_end, bound) : bound;
 }
 
+int64_t fleet_unheard_start_ms(const gh_fleet_t *fleet,
+			       const fleet_worker_t *worker)
+{
+	const told_t *told = find_told(fleet, worker);
+
+	return told ? told->start_ms : 0;
+}
+
 bool fleet_unheard_may_grant(const gh_fleet_t *fleet,
 			     const fleet_worker_t *worker)
 {
@@ -102,6 +112,10 @@
 				       gh_time_to_ms(worker->latest_lease_end -
 						     fleet->setup.claimed_at) +
 					       1);
+		if (worker->entry.incarnation_start_ms)
+			g_string_append_printf(
+				list, "/%" PRId64,
+				worker->entry.incarnation_start_ms);
 	}
 	return g_string_free(list, !list->len);
 }
@@ -155,6 +169,7 @@
 	valid = fields[0] && g_strv_length(fields) <= TOLD_MAX;
 	for (i = 0; valid && fields[i]; i++) {
 		char *ms = strchr(fields[i], '=');
+		int64_t start_ms = 0;
 		int64_t left;
 
 		valid = ms && ms != fields[i];
@@ -162,10 +177,15 @@
 			break;
 		*ms++ = '\0';
 		left = g_ascii_strtoll(ms, &end, 10);
-		valid = end != ms && !*end && left > 0 && left <= TOLD_MS_MAX;
+		valid = end != ms && left > 0 && left <= TOLD_MS_MAX;
+		if (valid && *end == '/') {
+			start_ms = g_ascii_strtoll(end + 1, &end, 10);
+			valid = start_ms > 0;
+		}
+		valid = valid && !*end;
 		if (valid)
-			note_told(told, fields[i],
-				  from + gh_time_from_ms(left));
+			note_told(told, fields[i], from + gh_time_from_ms(left))
+				->start_ms = start_ms;
 	}
 	g_strfreev(fields);
 	return valid;
@@ -176,7 +196,7 @@
 	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
-static void note_told(GHashTable *told, const char *id, gh_time_t lease_end)
+static told_t *note_told(GHashTable *told, const char *id, gh_time_t lease_end)
 {
 	told_t *entry = g_hash_table_lookup(told, id);
 
@@ -186,6 +206,7 @@
 		g_hash_table_insert(told, g_strdup(id), entry);
 	}
 	entry->in_last_list = true;
+	return entry;
 }
 
 static told_t *find_told(const gh_fleet_t *fleet, const fleet_worker_t *worker)
--- a/regress/test_owner_takeover.c
+++ b/regress/test_owner_takeover.c
@@ -1551,6 +1551,60 @@
 	}
 }
 
+/*
+ * TWICE: a start for a worker's former life begins in the new one, of which the
+ * third owner reads first; the second one has told a time before it knew.
+ */
+static void test_twice_by_restart_of_unheard_worker(void **state)
+{
+	uint32_t lists_lost;
+
+	(void)state;
+	for (lists_lost = 0; lists_lost < 2; lists_lost++) {
+		sim_t *sim = sim_new();
+		sim_worker_t *worker = &sim->workers[0];
+		int64_t ms;
+		size_t j;
+
+		print_message("lists lost: %u\n", lists_lost);
+		add_host(sim, 2);
+		allow_claims(sim, 2, false);
+		worker->links[0].late = 2600 * MS;
+		submit_job(sim);
+		while (!sim->n_late)
+			run_for(sim, 1);
+		run_for(sim, 20);
+		set_store_links(&sim->hosts[0], (link_t){ .cut = true });
+		for (j = 0; j < HOSTS; j++)
+			worker->links[j] = (link_t)CUT;
+		add_rest(sim);
+		for (ms = 0; !sim->workers[1].run.run && ms < PATIENCE_MS;
+		     ms++) {
+			if (ms == 1000)
+				restart_sim_worker(sim, worker);
+			if (ms == 5000) {
+				allow_claims(sim, 2, true);
+				set_store_links(&sim->hosts[1],
+						(link_t){ .cut = true });
+			}
+			if (ms == 5500)
+				list_sim_worker(sim, 0);
+			if (lists_lost)
+				drop_list(sim);
+			run_for(sim, 1);
+		}
+		print_message("started again after %d ms, lease %d ms left, "
+			      "%u starts\n",
+			      (int)ms,
+			      (int)((worker->lease_end - sim_now) / MS),
+			      sim->n_starts);
+		assert_int_equal(sim->n_starts, 2);
+		assert_true(is_owner(sim, 2));
+		assert_int_equal(sim->n_twice, 0);
+		sim_free(sim);
+	}
+}
+
 /* A new owner that reaches all workers commits its claim and no more. */
 static void test_calm_takeover_costs_no_commit(void **state)
 {
@@ -1667,6 +1721,7 @@
 		cmocka_unit_test(test_commit_with_odd_answers_pauses),
 		cmocka_unit_test(test_lease_of_new_life_after_takeover),
 		cmocka_unit_test(test_wait_goes_on_at_next_takeover),
+		cmocka_unit_test(test_twice_by_restart_of_unheard_worker),
 		cmocka_unit_test(test_calm_takeover_costs_no_commit),
 		cmocka_unit_test(test_random_faults_of_store),
 	};
