--- a/regress/test_fleet_jobs.c
+++ b/regress/test_fleet_jobs.c
@@ -56,6 +56,8 @@
 	unsigned n_calls;
 	fleet_store_done_t done;
 	void *ctx;
+	fleet_store_done_t range_done;
+	void *range_ctx;
 	bool told;
 	int kind;
 	unsigned late_commits; /* sent after the caller was told */
@@ -220,17 +222,18 @@
 	keep_call(base, done, ctx);
 }
 
-/* The directory is never read. */
+/* The directory is not read before the end of the play. */
 static void store_range(fleet_store_t *base, fleet_keyspace_t keyspace,
 			const char *prefix, const char *after,
 			fleet_store_done_t done, void *ctx)
 {
-	(void)base;
+	play_t *play = (play_t *)base;
+
 	(void)keyspace;
 	(void)prefix;
 	(void)after;
-	(void)done;
-	(void)ctx;
+	play->range_done = done;
+	play->range_ctx = ctx;
 }
 
 static const fleet_store_ops_t store_ops = { .range = store_range,
@@ -294,6 +297,8 @@
 		ok &= play.told && play.kind == c->repeat_kind;
 	}
 	fleet_jobs_free(play.jobs);
+	play.range_done(play.range_ctx,
+			&(fleet_reply_t){ .result = FLEET_REFUSED });
 	sim_loop_free(play.loop);
 	return ok && (c->cancels || !play.late_commits);
 }
