core_fleet_idle: report jobs that wait with nothing running

The log has nothing for a best-effort task whose turn has come and that is not started, so that a run held open (L1), a wait of the task's own (L2) and workers that are not usable (L3) cannot be told apart.

Each job that has nothing running for more than 2 s although a task's turn has come now gets one line a second, job_idle: its open runs by state with the oldest and its worker, the task's own waits, and the workers by what is in the way. At most 16 lines a second are written; jobs_idle counts the others, and the counter jobs_idle all. Workers are examined for the lines written only.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -270,6 +270,7 @@
 		if (run->state == RUN_RUNNING &&
 		    !fleet_late_is_possible(run, now)) {
 			run->state = RUN_ORPHAN;
+			run->state_since = now;
 			run->pace_sent_percent = GH_NONE;
 		} else if (run->state == RUN_RUNNING ||
 			   (run->state == RUN_STARTING && run->order_sent)) {
@@ -466,6 +467,7 @@
 		.worker = worker,
 		.run_number = number,
 		.planned_at = foreign ? 0 : now,
+		.state_since = now,
 		.pace_percent = 100,
 		/* The pace that a previous owner ordered is not known. */
 		.pace_sent_percent = foreign ? GH_NONE : 100,
@@ -672,6 +674,7 @@
 	fleet_emit_event(fleet, "run_stopped", &id, run->run_number,
 			 run->worker, why);
 	run->state = RUN_STOPPING;
+	run->state_since = now;
 	run->replied_at = 0;
 	fleet_order_enqueue(fleet, GH_ORDER_STOP, handle);
 }
--- a/core_fleet.h
+++ b/core_fleet.h
@@ -274,6 +274,7 @@
 	uint64_t copies, hangs, quarantines, paced, moved;
 	uint64_t held;	   /* jobs whose progress record could not be parsed */
 	uint64_t examined; /* workers examined for the placement of a task */
+	uint64_t idle;	   /* jobs that waited with nothing running, a second */
 	uint32_t jobs, workers, open_runs, pending_tasks;
 } gh_fleet_counts_t;
 
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -97,6 +97,8 @@
 	OBSTACLE_OTHER_SERVICE,
 	OBSTACLE_LABEL,
 	OBSTACLE_STAGE_LIMIT, /* runs the stage's max tasks per worker */
+	OBSTACLE_KEPT,	      /* for another task */
+	OBSTACLE_SHARE,	      /* the best-effort share is used up */
 	OBSTACLES
 } obstacle_t;
 
@@ -113,6 +115,8 @@
 	[OBSTACLE_OTHER_SERVICE] = "other_service",
 	[OBSTACLE_LABEL] = "label",
 	[OBSTACLE_STAGE_LIMIT] = "spread",
+	[OBSTACLE_KEPT] = "kept",
+	[OBSTACLE_SHARE] = "share",
 };
 
 typedef struct candidate {
@@ -158,6 +162,12 @@
 				      gh_time_t now);
 static obstacle_t find_mismatch(const gh_fleet_t *fleet, const fleet_job_t *job,
 				uint32_t stage, uint32_t handle, gh_time_t now);
+static obstacle_t find_placement_obstacle(gh_fleet_t *fleet, fleet_job_t *job,
+					  uint32_t task, uint32_t handle,
+					  gh_time_t now);
+static bool is_overdue(const fleet_job_t *job, gh_time_t now);
+static failed_placement_t describe_placement(const fleet_job_t *job,
+					     uint32_t task, gh_time_t now);
 static bool has_label(const fleet_worker_t *worker, const char *label);
 static bool step_fits(const fleet_worker_t *worker, const gh_step_t *step);
 static void report_waiting_stage(gh_fleet_t *fleet, const candidate_t *c,
@@ -215,6 +225,7 @@
 		copy_stragglers(fleet, now);
 		move_slow_runs(fleet, now);
 	}
+	fleet_idle_check(fleet, now, wall_ms);
 }
 
 bool fleet_is_late(const gh_fleet_t *fleet)
@@ -474,12 +485,10 @@
 static void report_waiting_stage(gh_fleet_t *fleet, const candidate_t *c,
 				 uint32_t task, gh_time_t now)
 {
-	const fleet_job_t *job = fleet_job(fleet, c->job);
+	fleet_job_t *job = fleet_job(fleet, c->job);
 	fleet_stage_t *stage = &job->stages[c->stage];
-	uint32_t workers[OBSTACLES] = { 0 };
 	gh_task_id_t id;
 	GString *detail;
-	uint32_t i;
 
 	if (!stage->waiting_since) {
 		stage->waiting_since = now;
@@ -488,21 +497,60 @@
 	if (now < stage->wait_report_at)
 		return;
 	stage->wait_report_at = now + WAIT_REPORT_PERIOD_USEC;
-	for (i = 0; i < fleet->workers->len; i++)
-		if (fleet_worker(fleet, i)->in_use)
-			workers[find_obstacle(fleet, job, c->stage, i, now)]++;
 	detail = g_string_new(NULL);
-	g_string_printf(detail, "for %" G_GINT64_FORMAT " ms, workers:",
+	g_string_printf(detail, "for %" G_GINT64_FORMAT " ms, ",
 			gh_time_to_ms(now - stage->waiting_since));
-	for (i = 0; i < OBSTACLES; i++)
-		if (workers[i])
-			g_string_append_printf(detail, " %u %s", workers[i],
-					       obstacle_names[i]);
+	fleet_plan_append_obstacles(fleet, job, task, detail, now);
 	id = fleet_task_id(job, task);
 	fleet_emit_event(fleet, "task_waiting", &id, 0, GH_NONE, detail->str);
 	g_string_free(detail, TRUE);
 }
 
+void fleet_plan_append_obstacles(gh_fleet_t *fleet, fleet_job_t *job,
+				 uint32_t task, GString *text, gh_time_t now)
+{
+	failed_placement_t placement = describe_placement(job, task, now);
+	uint32_t workers[OBSTACLES] = { 0 };
+	uint32_t i;
+
+	for (i = 0; i < fleet->workers->len; i++)
+		if (fleet_worker(fleet, i)->in_use)
+			workers[find_placement_obstacle(fleet, job, task, i,
+							now)]++;
+	g_string_append(text, "workers:");
+	for (i = 0; i < OBSTACLES; i++)
+		if (workers[i])
+			g_string_append_printf(text, " %u %s", workers[i],
+					       obstacle_names[i]);
+	if (workers[OBSTACLE_NONE] && is_known_to_fail(fleet, &placement))
+		g_string_append(text, " known_to_fail");
+}
+
+uint32_t fleet_plan_next_task(const fleet_job_t *job, int64_t wall_ms)
+{
+	uint32_t open = GH_NONE;
+	uint32_t s, i;
+
+	for (s = 0; s < job->n_stages; s++) {
+		const fleet_stage_t *stage = &job->stages[s];
+		uint32_t tasks = job->spec->steps[s % job->spec->n_steps].tasks;
+
+		if (stage->tasks_done >= tasks ||
+		    !stage_is_ready(job, s, wall_ms))
+			continue;
+		for (i = stage->first_task; i < stage->first_task + tasks;
+		     i++) {
+			if (job->tasks[i].done)
+				continue;
+			if (job->tasks[i].runs[0] == GH_NONE)
+				return i;
+			if (open == GH_NONE)
+				open = i;
+		}
+	}
+	return open;
+}
+
 static void place_gang(gh_fleet_t *fleet, const candidate_t *c, gh_time_t now)
 {
 	fleet_job_t *job = fleet_job(fleet, c->job);
@@ -605,20 +653,8 @@
 	const char *rack = step->one_rack ? find_stage_rack(fleet, job, stage) :
 					    step->rack;
 	uint16_t image = job->image_ids[stage % job->spec->n_steps];
-	/*
-	 * A job without a run for JOB_IDLE_MAX_USEC must not starve: its task
-	 * starts even if the run will be slow.
-	 */
-	bool overdue =
-		!job->open_runs &&
-		(job->starved || now - job->idle_since > JOB_IDLE_MAX_USEC);
-	failed_placement_t placement = {
-		.service = job->spec->service,
-		.size = step->size,
-		.image_id = image,
-		.best_effort = step->best_effort,
-		.bounded = step->best_effort && !overdue,
-	};
+	bool overdue = is_overdue(job, now);
+	failed_placement_t placement = describe_placement(job, task, now);
 	double best_share = 0;
 	/* Workers admit a task with crashes by other criteria. */
 	bool has_crashes = fleet_crash_has_any(&job->tasks[task]);
@@ -671,6 +707,31 @@
 	return best;
 }
 
+/*
+ * A job without a run for JOB_IDLE_MAX_USEC must not starve: its task starts
+ * even if the run will be slow.
+ */
+static bool is_overdue(const fleet_job_t *job, gh_time_t now)
+{
+	return !job->open_runs &&
+	       (job->starved || now - job->idle_since > JOB_IDLE_MAX_USEC);
+}
+
+static failed_placement_t describe_placement(const fleet_job_t *job,
+					     uint32_t task, gh_time_t now)
+{
+	const gh_step_t *step = fleet_task_step(job, task);
+	uint32_t stage = fleet_stage_index(job, task);
+
+	return (failed_placement_t){
+		.service = job->spec->service,
+		.size = step->size,
+		.image_id = job->image_ids[stage % job->spec->n_steps],
+		.best_effort = step->best_effort,
+		.bounded = step->best_effort && !is_overdue(job, now),
+	};
+}
+
 /*
  * Remembers a placement that no worker can take.  If one dimension alone is the
  * reason, the least size that fails in it is remembered.
@@ -755,6 +816,28 @@
 		       obstacle;
 }
 
+/* The same for a task, with what depends on other tasks. */
+static obstacle_t find_placement_obstacle(gh_fleet_t *fleet, fleet_job_t *job,
+					  uint32_t task, uint32_t handle,
+					  gh_time_t now)
+{
+	const gh_step_t *step = fleet_task_step(job, task);
+	uint32_t stage = fleet_stage_index(job, task);
+	obstacle_t obstacle = find_obstacle(fleet, job, stage, handle, now);
+	double weight;
+
+	if (obstacle != OBSTACLE_NONE)
+		return obstacle;
+	if (!fleet_crash_admits(fleet, handle, &job->tasks[task], now))
+		return OBSTACLE_KEPT;
+	if (step->best_effort && !is_overdue(job, now) &&
+	    fleet_best_effort_share(fleet, fleet_worker(fleet, handle), step,
+				    job->image_ids[stage % job->spec->n_steps],
+				    now, &weight) > BEST_EFFORT_SHARE_MAX)
+		return OBSTACLE_SHARE;
+	return OBSTACLE_NONE;
+}
+
 bool fleet_plan_lacks_capacity(const gh_fleet_t *fleet, const fleet_job_t *job,
 			       uint32_t stage, uint32_t handle, gh_time_t now)
 {
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -65,6 +65,8 @@
 	/* version of the job record that holds the run's intent */
 	uint64_t version;
 	gh_time_t planned_at; /* when the run was planned; 0: orphan, unknown */
+	/* When it was opened, became an orphan or began to be stopped. */
+	gh_time_t state_since;
 	/* Time of the first worker report that lists the run; 0: none. */
 	gh_time_t running_since;
 	/*
@@ -210,6 +212,12 @@
 	gh_time_t idle_since;
 	/* The last task that started waited for JOB_IDLE_MAX_USEC. */
 	bool starved;
+	/*
+	 * Since when a task waits and nothing of the job runs, 0: it does not;
+	 * and when this is reported next.  See core_fleet_idle.c.
+	 */
+	gh_time_t waiting_since, wait_report_at;
+	gh_time_t seen_running_at; /* time of the last check that saw a run */
 	uint64_t version, committed_version;
 	gh_job_phase_t committed_phase;
 	/* Phase in the job record that is being committed. */
@@ -470,6 +478,10 @@
 	gh_time_t health_checked_at;
 	gh_time_t interference_decayed_at;
 	gh_time_t stragglers_checked_at;
+	/* Checks for idle jobs: the last, and the period of the reports. */
+	gh_time_t idle_checked_at, idle_period_at;
+	uint32_t n_idle_reports, n_idle_left_out; /* in this period */
+	uint32_t next_idle_job; /* handle at which the next check starts */
 	gh_fleet_counts_t counts;
 };
 
@@ -673,6 +685,19 @@
  */
 bool fleet_plan_lacks_capacity(const gh_fleet_t *fleet, const fleet_job_t *job,
 			       uint32_t stage, uint32_t handle, gh_time_t now);
+/*
+ * Appends how many workers can't run the task and for which reasons, "workers:"
+ * followed by a number and a name for each reason.
+ */
+void fleet_plan_append_obstacles(gh_fleet_t *fleet, fleet_job_t *job,
+				 uint32_t task, GString *text, gh_time_t now);
+/*
+ * A task of the job whose turn has come and that is not done, if possible one
+ * without an open run; GH_NONE: there is none.
+ */
+uint32_t fleet_plan_next_task(const fleet_job_t *job, int64_t wall_ms);
+/* Reports jobs that wait although nothing of them runs. */
+void fleet_idle_check(gh_fleet_t *fleet, gh_time_t now, int64_t wall_ms);
 /* Reserves a worker for a long-running task of a job that has waited for long.
  */
 void fleet_reserve_worker(gh_fleet_t *fleet, uint32_t handle, uint32_t stage,
--- a/counter_list.h
+++ b/counter_list.h
@@ -171,6 +171,9 @@
 	"jobs not continued as their stored progress can't be decoded")
 COUNTER(PACE_CHANGES, "paces",
 	"orders that changed the pace of a best-effort task")
+COUNTER(JOBS_IDLE, "jobs_idle",
+	"seconds in which a job had nothing running for over 2 s although a "
+	"task's turn had come")
 COUNTER(WORKERS_EXAMINED, "workers_examined",
 	"workers examined to place tasks, one for each worker and task")
 COUNTER(RUNS_MOVED, "runs_moved",
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -547,6 +547,7 @@
 		{ CTR_PACE_CHANGES, offsetof(gh_fleet_counts_t, paced) },
 		{ CTR_RUNS_MOVED, offsetof(gh_fleet_counts_t, moved) },
 		{ CTR_WORKERS_EXAMINED, offsetof(gh_fleet_counts_t, examined) },
+		{ CTR_JOBS_IDLE, offsetof(gh_fleet_counts_t, idle) },
 	};
 	gh_fleet_counts_t counts;
 	size_t i;
--- a/regress/fleet_world.c
+++ b/regress/fleet_world.c
@@ -15,10 +15,17 @@
 	(void)worker;
 	if (!strcmp(event, "job_ended") && !strcmp(detail, "failed"))
 		g_string_append_printf(w->failed, "%s ", task->job);
-	if (strcmp(event, "task_waiting") != 0)
-		return;
-	g_free(w->waiting);
-	w->waiting = g_strdup(detail);
+	if (!strcmp(event, "task_waiting")) {
+		g_free(w->waiting);
+		w->waiting = g_strdup(detail);
+	} else if (!strcmp(event, "job_idle")) {
+		g_free(w->idle);
+		w->idle = g_strdup(detail);
+		w->n_idle++;
+	} else if (!strcmp(event, "jobs_idle")) {
+		g_free(w->left_out);
+		w->left_out = g_strdup(detail);
+	}
 }
 
 static void start_owner(world_t *w, gh_time_t previous_grants_end,
@@ -60,6 +67,8 @@
 	gh_fleet_free(w->fleet);
 	g_free(w->progress);
 	g_free(w->waiting);
+	g_free(w->idle);
+	g_free(w->left_out);
 	g_string_free(w->failed, TRUE);
 }
 
--- a/regress/fleet_world.h
+++ b/regress/fleet_world.h
@@ -112,7 +112,10 @@
 	char *progress; /* text of the last job record committed, whichever the
 			   job */
 	gh_job_phase_t phase;
-	char *waiting; /* detail of the last task_waiting event, or NULL */
+	char *waiting;	/* detail of the last task_waiting event, or NULL */
+	char *idle;	/* the same of the last job_idle event */
+	size_t n_idle;	/* number of job_idle events */
+	char *left_out; /* detail of the last jobs_idle event, or NULL */
 	/* ids of the jobs that ended as failed, one after the other */
 	GString *failed;
 	/* Called before a worker gets an order; may be NULL. */
