core_fleet_reserve: a reservation is not lost to a smaller task that fails

A long-running task that ranks behind short ones waits for as long as they keep the workers full, although a worker is reserved for it.

The short task fails because of the reservation, and its size is remembered for the rest of the tick. The long-running task asks for more, so that it counts as known to fail: it is skipped on the worker that is kept for it. As that worker now has the capacity, the next reservation goes to another one or to none.

A task with a reservation is placed whatever others failed in the tick. Case "ranked behind the short tasks" of test_long_running_among_short_tasks: 0 runs within 3 s before ("for 2000 ms, workers: 1 full"), 1 now.

--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -662,7 +662,9 @@
 	int64_t best_cost = INT64_MAX;
 	uint32_t i;
 
-	if (!has_crashes && is_known_to_fail(fleet, &placement))
+	/* Others may have failed as a worker is reserved for this one. */
+	if (!has_crashes && now >= job->stages[stage].reserved_until &&
+	    is_known_to_fail(fleet, &placement))
 		return GH_NONE;
 	for (i = 0; i < fleet->workers->len; i++) {
 		fleet_worker_t *worker = fleet_worker(fleet, i);
--- a/core_fleet_reserve.c
+++ b/core_fleet_reserve.c
@@ -59,6 +59,7 @@
 		return;
 	fleet_worker(fleet, best)->kept_for = owner;
 	fleet_worker(fleet, best)->kept_until = now + RESERVED_USEC;
+	job->stages[stage].reserved_until = now + RESERVED_USEC;
 }
 
 /* Whether a task of the step fits once the worker's short tasks have ended. */
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -186,6 +186,8 @@
 	gh_time_t wait_report_at;
 	/* When a worker is reserved for it, or reserved again. */
 	gh_time_t reserve_at;
+	/* Until when one is reserved for a task of it; 0: none was. */
+	gh_time_t reserved_until;
 	/*
 	 * Load forecast that the stage's long-running tasks share; NULL: no
 	 * sample yet.
--- a/regress/test_core_fleet.c
+++ b/regress/test_core_fleet.c
@@ -998,6 +998,7 @@
 	uint32_t workers;
 	bool best_effort;	 /* the short tasks */
 	uint32_t max_per_worker; /* of the long-running step */
+	int64_t estimates_ms[2]; /* short, long-running; 0: the usual one */
 } full_case_t;
 
 static const full_case_t full_cases[] = {
@@ -1023,6 +1024,11 @@
 	  .long_running = { .cores_milli = 2000 },
 	  .workers = 4,
 	  .max_per_worker = 1 },
+	{ .name = "ranked behind the short tasks",
+	  .size = { .cores_milli = 1000 },
+	  .long_running = { .cores_milli = 4000 },
+	  .workers = 1,
+	  .estimates_ms = { 100000, 100000000 } },
 };
 
 #define LONG_RUNNING_WAIT_MS 3000
@@ -1081,8 +1087,12 @@
 		step.tasks = 4000;
 		step.size = c->size;
 		step.best_effort = c->best_effort;
+		if (c->estimates_ms[0])
+			step.estimate_ms = c->estimates_ms[0];
 		add_job(&w, "0000000000000001", 1, &step, NULL);
 		lasting.long_running = true;
+		if (c->estimates_ms[1])
+			lasting.estimate_ms = c->estimates_ms[1];
 		lasting.size = c->long_running;
 		lasting.max_per_worker = c->max_per_worker;
 		for (ms = 0; ms < 1000; ms += 10) {
