core_fleet: open runs of done tasks don't hold up their stage

The last tasks of a stage are not started, whatever workers are free, while a task of the stage that is done has another open run: a speculative copy, a late start that was found running, or one of a previous owner. Such a run at a worker that is gone stays open until the worker's lease is over.

The task counts twice, as done and as open, so that the stage seems to have no task left to start. A task that is done no longer counts as open.

test_copy_of_done_task_holds_nothing_up: no start in 0.5 s before, 1 now.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -478,7 +478,7 @@
 	else
 		t->runs[0] = handle;
 	t->last_run = MAX(t->last_run, number);
-	if (!copy)
+	if (!copy && !t->done)
 		fleet_task_stage(parent, task)->tasks_open++;
 	parent->open_runs++;
 	link_run(fleet, handle);
@@ -558,7 +558,7 @@
 	task->runs[1] = GH_NONE;
 	if (!--job->open_runs)
 		job->idle_since = now;
-	if (task->runs[0] == GH_NONE)
+	if (task->runs[0] == GH_NONE && !task->done)
 		fleet_task_stage(job, run->task)->tasks_open--;
 }
 
@@ -592,6 +592,8 @@
 		job->tasks[i].done = true;
 		g_clear_pointer(&job->tasks[i].checkpoint, g_free);
 		stage->tasks_done++;
+		if (job->tasks[i].runs[0] != GH_NONE)
+			stage->tasks_open--;
 	}
 	stop_task_runs(fleet, handle, from, n, "task is done", now);
 	if (stage->tasks_done < step->tasks)
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -703,8 +703,7 @@
 	if (step->best_effort && best != GH_NONE)
 		job->starved = best_share > BEST_EFFORT_SHARE_MAX;
 	if (best == GH_NONE && !has_crashes && excluded_worker == GH_NONE &&
-	    !*step->label &&
-	    (!step->max_per_worker || !job->stages[stage].tasks_open))
+	    !*step->label && (!step->max_per_worker || !job->open_runs))
 		note_failed_placement(fleet, job, stage, placement, now);
 	return best;
 }
