core_fleet_crash: the tasks of a gang are one suspect

A gang all of whose tasks have crashed workers at their start may never start again: no end of the wait within 40 s for four tasks on two free workers.

Each of its tasks waits for a worker of its own, where nothing else starts. The first ones planned in a tick hold their workers against the other members, so that the gang is rolled back; with that the wait of the planned ones begins anew, as it ends when a run is planned, not when it has been started.

Which member crashes a worker makes no difference, as the job fails as a whole. So the tasks of a gang now share the workers that are kept for one of them, and wait together. A wait ends with a run that was started, so that a plan that is dropped does not begin it anew.

test_gang_of_suspects_waits_once failed before: 0 of 4 starts after 2.5 s, and with its limits raised after 6, 20 and 40 s.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -393,8 +393,14 @@
 		next_task += job->spec->steps[i % job->spec->n_steps].tasks;
 	}
 	for (i = 0; i < job->n_tasks; i++) {
-		job->tasks[i].runs[0] = job->tasks[i].runs[1] = GH_NONE;
-		job->tasks[i].avoid_worker = GH_NONE;
+		fleet_task_t *task = &job->tasks[i];
+
+		task->runs[0] = task->runs[1] = GH_NONE;
+		task->avoid_worker = GH_NONE;
+		task->group = task;
+		if (fleet_task_step(job, i)->gang)
+			task->group = &job->tasks[fleet_task_stage(job, i)
+							  ->first_task];
 	}
 }
 
@@ -509,6 +515,8 @@
 	fleet_crash_handle_end(fleet, handle);
 	fleet_late_add(fleet, &run, outcome, now);
 	close_run(fleet, handle, now);
+	if (outcome != GH_RUN_NOT_STARTED)
+		task->care_since = 0;
 	fleet_health_record_end(fleet, &run, outcome, now);
 	if (checkpoint && *checkpoint) {
 		g_free(task->checkpoint);
--- a/core_fleet_crash.c
+++ b/core_fleet_crash.c
@@ -101,10 +101,14 @@
 			   gh_time_t now);
 static void resolve_doubt(gh_fleet_t *fleet, const fleet_doubt_t *doubt,
 			  bool is_back, gh_time_t now);
-static bool is_kept(const gh_fleet_t *fleet, const fleet_worker_t *worker,
-		    gh_time_t now);
+static bool is_kept_for_others(const gh_fleet_t *fleet,
+			       const fleet_worker_t *worker,
+			       const fleet_task_t *task, gh_time_t now);
 static uint32_t count_unsettled(const gh_fleet_t *fleet,
-				const fleet_worker_t *worker);
+				const fleet_worker_t *worker,
+				const fleet_task_t *except);
+static const fleet_task_t *suspect_group(const gh_fleet_t *fleet,
+					 const fleet_worker_t *worker);
 static fleet_doubt_t describe_lost(const gh_fleet_t *fleet,
 				   const fleet_run_t *run, gh_time_t now);
 static void add_doubt(gh_fleet_t *fleet, const fleet_doubt_t *doubt,
@@ -124,7 +128,7 @@
 	const fleet_worker_t *worker = fleet_worker(fleet, handle);
 	gh_time_t lost_at =
 		worker->unreachable_since ? worker->unreachable_since : now;
-	uint32_t n_starting = count_unsettled(fleet, worker);
+	uint32_t n_starting = count_unsettled(fleet, worker, NULL);
 	bool together = many_were_lost(fleet, lost_at);
 	bool only_start = n_starting == 1 && worker->has_reported;
 	uint32_t ref;
@@ -500,20 +504,42 @@
 	       worker->last_report_at + HEARD_USEC >= run->planned_at;
 }
 
-/* Number of the worker's open runs that have not settled. */
+/*
+ * Number of the worker's open runs that have not settled, without those of the
+ * group except.
+ */
 static uint32_t count_unsettled(const gh_fleet_t *fleet,
-				const fleet_worker_t *worker)
+				const fleet_worker_t *worker,
+				const fleet_task_t *except)
 {
 	uint32_t n = 0;
 	uint32_t ref;
 
 	for (ref = worker->first_run; ref != GH_NONE;
-	     ref = fleet_run(fleet, ref)->next)
-		n += fleet_run(fleet, ref)->state != RUN_HELD &&
-		     !has_settled(fleet_run(fleet, ref));
+	     ref = fleet_run(fleet, ref)->next) {
+		const fleet_run_t *run = fleet_run(fleet, ref);
+
+		n += run->state != RUN_HELD && !has_settled(run) &&
+		     fleet_job(fleet, run->job)->tasks[run->task].group !=
+			     except;
+	}
 	return n;
 }
 
+/* Group of the suspect beside which no other task starts, or NULL. */
+static const fleet_task_t *suspect_group(const gh_fleet_t *fleet,
+					 const fleet_worker_t *worker)
+{
+	const fleet_run_t *run;
+
+	if (worker->suspect_run == GH_NONE)
+		return NULL;
+	run = fleet_run(fleet, worker->suspect_run);
+	return has_settled(run) ?
+		       NULL :
+		       fleet_job(fleet, run->job)->tasks[run->task].group;
+}
+
 bool fleet_crash_is_suspect(const fleet_task_t *task)
 {
 	return task->start_crashes || task->lost_starts;
@@ -539,12 +565,8 @@
 bool fleet_crash_admits(const gh_fleet_t *fleet, uint32_t handle,
 			const fleet_task_t *task, gh_time_t now)
 {
-	const fleet_worker_t *worker = fleet_worker(fleet, handle);
-
-	if (worker->suspect_run != GH_NONE &&
-	    !has_settled(fleet_run(fleet, worker->suspect_run)))
-		return false;
-	return now >= worker->kept_until || worker->kept_for == task;
+	return !is_kept_for_others(fleet, fleet_worker(fleet, handle), task,
+				   now);
 }
 
 int64_t fleet_crash_cost(const gh_fleet_t *fleet, uint32_t handle,
@@ -561,10 +583,10 @@
 	}
 	if (!fleet_crash_needs_care(task))
 		return cost;
-	if (now < worker->kept_until && worker->kept_for == task)
+	if (now < worker->kept_until && worker->kept_for == task->group)
 		cost += COST_KEPT_WORKER;
-	return cost +
-	       (int64_t)COST_UNSETTLED_RUN * count_unsettled(fleet, worker);
+	return cost + (int64_t)COST_UNSETTLED_RUN *
+			      count_unsettled(fleet, worker, task->group);
 }
 
 bool fleet_crash_claim(gh_fleet_t *fleet, uint32_t handle, fleet_task_t *task,
@@ -582,25 +604,39 @@
 		return true;
 	for (i = 0; i < fleet->workers->len; i++)
 		kept += fleet_worker(fleet, i)->in_use &&
-			fleet_worker(fleet, i)->kept_for != task &&
-			is_kept(fleet, fleet_worker(fleet, i), now);
+			is_kept_for_others(fleet, fleet_worker(fleet, i), task,
+					   now);
 	if (kept &&
 	    kept >= g_hash_table_size(fleet->worker_by_id) / KEPT_DIVISOR)
 		return false;
-	if (!count_unsettled(fleet, worker) &&
+	if (!count_unsettled(fleet, worker, task->group) &&
 	    now - worker->last_report_at <= HEARD_USEC)
 		return true;
-	worker->kept_for = task;
+	worker->kept_for = task->group;
 	worker->kept_until = now + KEEP_USEC;
 	return false;
 }
 
-static bool is_kept(const gh_fleet_t *fleet, const fleet_worker_t *worker,
-		    gh_time_t now)
+void fleet_crash_join_waits(fleet_task_t *tasks, uint32_t n)
 {
-	return now < worker->kept_until ||
-	       (worker->suspect_run != GH_NONE &&
-		!has_settled(fleet_run(fleet, worker->suspect_run)));
+	gh_time_t since = GH_TIME_NEVER;
+	uint32_t i;
+
+	for (i = 0; i < n; i++)
+		if (tasks[i].care_since)
+			since = MIN(since, tasks[i].care_since);
+	for (i = 0; i < n && since != GH_TIME_NEVER; i++)
+		tasks[i].care_since = since;
+}
+
+static bool is_kept_for_others(const gh_fleet_t *fleet,
+			       const fleet_worker_t *worker,
+			       const fleet_task_t *task, gh_time_t now)
+{
+	const fleet_task_t *suspect = suspect_group(fleet, worker);
+
+	return (suspect && suspect != task->group) ||
+	       (now < worker->kept_until && worker->kept_for != task->group);
 }
 
 void fleet_crash_handle_start(gh_fleet_t *fleet, uint32_t ref)
@@ -609,15 +645,15 @@
 	fleet_worker_t *worker = fleet_worker(fleet, run->worker);
 	fleet_task_t *task = &fleet_job(fleet, run->job)->tasks[run->task];
 
-	task->care_since = 0;
 	run->suspect =
 		fleet_crash_is_suspect(task) || fleet_crash_needs_care(task);
 	if (!run->suspect)
 		return;
 	worker->n_suspects++;
-	if (fleet_crash_needs_care(task) && count_unsettled(fleet, worker) == 1)
+	if (fleet_crash_needs_care(task) &&
+	    count_unsettled(fleet, worker, NULL) == 1)
 		worker->suspect_run = ref;
-	if (worker->kept_for == task)
+	if (worker->kept_for == task->group)
 		worker->kept_until = 0;
 }
 
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -578,6 +578,7 @@
 		if (job->tasks[i].checkpoint)
 			checkpoint = job->tasks[i].checkpoint;
 	}
+	fleet_crash_join_waits(&job->tasks[stage->first_task], step->tasks);
 	for (i = stage->first_task; i < stage->first_task + step->tasks; i++) {
 		uint32_t worker = choose_worker(fleet, job, i, GH_NONE, now);
 
--- a/core_fleet_reserve.c
+++ b/core_fleet_reserve.c
@@ -26,7 +26,7 @@
 			  uint32_t task, gh_time_t now)
 {
 	fleet_job_t *job = fleet_job(fleet, handle);
-	const void *owner = &job->tasks[task];
+	const fleet_task_t *owner = job->tasks[task].group;
 	uint32_t n_others = 0;
 	uint32_t best = GH_NONE;
 	uint32_t i;
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -154,7 +154,10 @@
 	 * were lost.
 	 */
 	uint16_t lost_starts;
-	/* Since when the task waits for a worker of its own; 0: it does not. */
+	/*
+	 * Since when the task waits for a worker of its own, until a run of it
+	 * has ended that was started; 0: it does not.
+	 */
 	gh_time_t care_since;
 	/* no run of the task is started before this time */
 	gh_time_t not_before;
@@ -164,6 +167,8 @@
 	 */
 	gh_time_t late_until;
 	uint32_t n_late_stops;
+	/* The first task of the gang, or the task itself. */
+	const struct fleet_task *group;
 	/* name of the task's latest checkpoint; NULL: none */
 	char *checkpoint;
 } fleet_task_t;
@@ -349,10 +354,10 @@
 	 */
 	uint32_t suspect_run;
 	/*
-	 * The worker is kept for this task until kept_until; compared by
-	 * address only.
+	 * The worker is kept until kept_until for the tasks with this group;
+	 * compared by address only.
 	 */
-	const void *kept_for;
+	const fleet_task_t *kept_for;
 	gh_time_t kept_until;
 	/* when the last run on the worker was planned */
 	gh_time_t last_placed_at;
@@ -780,6 +785,8 @@
  */
 bool fleet_crash_claim(gh_fleet_t *fleet, uint32_t handle, fleet_task_t *task,
 		       const gh_step_t *step, gh_time_t now);
+/* Lets tasks that start together wait for workers of their own together. */
+void fleet_crash_join_waits(fleet_task_t *tasks, uint32_t n);
 /* Updates the worker's suspects when a run is planned and when it ends. */
 void fleet_crash_handle_start(gh_fleet_t *fleet, uint32_t ref);
 void fleet_crash_handle_end(gh_fleet_t *fleet, uint32_t ref);
--- a/regress/test_core_fleet_waits.c
+++ b/regress/test_core_fleet_waits.c
@@ -60,10 +60,70 @@
 	}
 }
 
+/* A gang all of whose tasks wait for workers of their own. */
+typedef struct gang_case {
+	const char *name;
+	uint32_t tasks, workers;
+	const char *crashes; /* of each task */
+	int64_t wait_ms;     /* the longest wait */
+} gang_case_t;
+
+static const gang_case_t gang_cases[] = {
+	{ .name = "suspects",
+	  .tasks = 4,
+	  .workers = 2,
+	  .crashes = "2:2:0",
+	  .wait_ms = 2500 },
+	{ .name = "suspects that need proof",
+	  .tasks = 4,
+	  .workers = 2,
+	  .crashes = "3:3:0",
+	  .wait_ms = 8500 },
+	{ .name = "lost starts",
+	  .tasks = 6,
+	  .workers = 3,
+	  .crashes = "0:0:2",
+	  .wait_ms = 2500 },
+};
+
+/* The tasks of a gang waited for workers of their own one after the other. */
+static void test_gang_of_suspects_waits_once(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(gang_cases); i++) {
+		const gang_case_t *c = &gang_cases[i];
+		GString *progress = g_string_new("progress1\n");
+		gh_step_t step = one_task;
+		world_t w;
+		uint32_t j;
+
+		world_init(&w);
+		for (j = 0; j < c->workers; j++)
+			add_worker(&w, (char[]){ 'w', (char)('1' + j), '\0' },
+				   2000);
+		for (j = 0; j < c->tasks; j++)
+			g_string_append_printf(progress,
+					       "%u open 0 3 - crashes:%s\n", j,
+					       c->crashes);
+		step.gang = true;
+		step.tasks = c->tasks;
+		add_job(&w, JOB_ID, 1, &step, progress->str);
+		advance_time(&w, c->wait_ms);
+		if (count_orders(&w, GH_ORDER_START, 0) != c->tasks)
+			fail_msg("%s: %zu starts", c->name,
+				 count_orders(&w, GH_ORDER_START, 0));
+		g_string_free(progress, TRUE);
+		world_clear(&w);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_copy_of_done_task_holds_nothing_up),
+		cmocka_unit_test(test_gang_of_suspects_waits_once),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
