core_fleet_plan: a job of which nothing runs may exceed the best-effort share

A best-effort job has nothing running for seconds although a worker has the memory for its task.

A job without an open run for 1.5 s may start a task beyond the share of cores that best-effort runs may use up. A run that is open and does not run, as its worker is gone, silent or has not ended it, took that right away until its worker's lease was over. A gang lost it with its first member that was planned, and each roll-back began its wait anew, without end.

test_job_with_nothing_running_exceeds_share failed before: no start within 3 s in the cases with a run of a previous owner, and after the first part of the fix, none in "gang a part of which fits".

--- a/core_fleet_idle.c
+++ b/core_fleet_idle.c
@@ -1,6 +1,7 @@
 /*
  * Reports jobs that have nothing running although the turn of a task has come:
  * which open runs, waits of the task or obstacles at the workers hold it up.
+ * Jobs whose open runs neither run nor start are noted for placement.
  *
  * Jobs are checked periodically.  The workers are examined for reported jobs
  * only, whose number is limited, so that many waiting jobs cost little.
@@ -25,6 +26,7 @@
 
 static void begin_period(gh_fleet_t *fleet, gh_time_t now);
 static void note_running_jobs(gh_fleet_t *fleet, gh_time_t now);
+static void note_stall(fleet_job_t *job, uint32_t task, gh_time_t now);
 static void report_job(gh_fleet_t *fleet, uint32_t handle, uint32_t task,
 		       gh_time_t now);
 static void append_open_runs(const gh_fleet_t *fleet, const fleet_job_t *job,
@@ -54,6 +56,7 @@
 		if (job->spec && job->phase <= GH_JOB_RUNNING &&
 		    job->seen_running_at != now)
 			task = fleet_plan_next_task(job, wall_ms);
+		note_stall(job, task, now);
 		if (task == GH_NONE) {
 			job->waiting_since = 0;
 			continue;
@@ -93,10 +96,25 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < fleet->runs->len; i++)
-		if (fleet_run(fleet, i)->state == RUN_RUNNING)
-			fleet_job(fleet, fleet_run(fleet, i)->job)
-				->seen_running_at = now;
+	for (i = 0; i < fleet->runs->len; i++) {
+		const fleet_run_t *run = fleet_run(fleet, i);
+
+		if (run->state == RUN_RUNNING)
+			fleet_job(fleet, run->job)->seen_running_at = now;
+		else if (run->state == RUN_PLANNED ||
+			 (run->state == RUN_STARTING &&
+			  !fleet_worker(fleet, run->worker)->unreachable_since))
+			fleet_job(fleet, run->job)->seen_starting_at = now;
+	}
+}
+
+/* Notes since when the open runs of a job that waits lead to nothing. */
+static void note_stall(fleet_job_t *job, uint32_t task, gh_time_t now)
+{
+	if (task == GH_NONE || !job->open_runs || job->seen_starting_at == now)
+		job->stalled_since = 0;
+	else if (!job->stalled_since)
+		job->stalled_since = now;
 }
 
 static void report_job(gh_fleet_t *fleet, uint32_t handle, uint32_t task,
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -579,6 +579,7 @@
 			checkpoint = job->tasks[i].checkpoint;
 	}
 	fleet_crash_join_waits(&job->tasks[stage->first_task], step->tasks);
+	job->gang_overdue = is_overdue(job, now);
 	for (i = stage->first_task; i < stage->first_task + step->tasks; i++) {
 		uint32_t worker = choose_worker(fleet, job, i, GH_NONE, now);
 
@@ -591,6 +592,7 @@
 		fleet_run_open(fleet, c->job, i, worker, number, RUN_PLANNED,
 			       now);
 	}
+	job->gang_overdue = false;
 	if (i == stage->first_task + step->tasks)
 		return;
 	fleet->counts.pending_tasks += step->tasks;
@@ -710,13 +712,17 @@
 }
 
 /*
- * A job without a run for JOB_IDLE_MAX_USEC must not starve: its task starts
- * even if the run will be slow.
+ * A job of which nothing runs for JOB_IDLE_MAX_USEC must not starve: its task
+ * starts even if the run will be slow.
  */
 static bool is_overdue(const fleet_job_t *job, gh_time_t now)
 {
-	return !job->open_runs &&
-	       (job->starved || now - job->idle_since > JOB_IDLE_MAX_USEC);
+	if (job->gang_overdue)
+		return true;
+	if (job->open_runs)
+		return job->stalled_since &&
+		       now - job->stalled_since > JOB_IDLE_MAX_USEC;
+	return job->starved || now - job->idle_since > JOB_IDLE_MAX_USEC;
 }
 
 static failed_placement_t describe_placement(const fleet_job_t *job,
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -213,8 +213,8 @@
 	uint32_t stages_done;
 	uint32_t open_runs;
 	/*
-	 * When the job's last run ended or the job was first planned; 0: not
-	 * yet.
+	 * When the job's last run that was started has ended, or the job was
+	 * first planned; 0: not yet.
 	 */
 	gh_time_t idle_since;
 	/* The last task that started waited for JOB_IDLE_MAX_USEC. */
@@ -225,6 +225,12 @@
 	 */
 	gh_time_t waiting_since, wait_report_at;
 	gh_time_t seen_running_at; /* time of the last check that saw a run */
+	/* The same for a run that is about to start. */
+	gh_time_t seen_starting_at;
+	/* Since when the job has open runs, none of them of either kind. */
+	gh_time_t stalled_since;
+	/* The gang that is being placed is not bound by the share. */
+	bool gang_overdue;
 	uint64_t version, committed_version;
 	gh_job_phase_t committed_phase;
 	/* Phase in the job record that is being committed. */
--- a/regress/test_core_fleet_waits.c
+++ b/regress/test_core_fleet_waits.c
@@ -119,11 +119,74 @@
 	}
 }
 
+#define OTHER_ID "0000000000000002"
+
+/* A job of best-effort tasks beside others that use up their share. */
+typedef struct share_case {
+	const char *name, *progress;
+	uint32_t tasks;
+	uint32_t others; /* their tasks; the share is three */
+	bool gang;
+	size_t started; /* starts within 3 s */
+} share_case_t;
+
+static const share_case_t share_cases[] = {
+	{ .name = "no open run", .tasks = 1, .others = 3, .started = 1 },
+	{ .name = "run of a previous owner",
+	  .progress = "progress1\n0 open 0 1 - 1@gone\n",
+	  .tasks = 2,
+	  .others = 3,
+	  .started = 1 },
+	{ .name = "two runs of it",
+	  .progress = "progress1\n0 open 0 1 - 1@gone\n1 open 0 1 - 1@gone\n",
+	  .tasks = 4,
+	  .others = 3,
+	  .started = 1 },
+	{ .name = "gang", .tasks = 3, .others = 3, .gang = true, .started = 3 },
+	{ .name = "gang a part of which fits",
+	  .tasks = 3,
+	  .others = 2,
+	  .gang = true,
+	  .started = 3 },
+};
+
+/* A run that was open, and did not run, bound the rest of its job for long. */
+static void test_job_with_nothing_running_exceeds_share(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(share_cases); i++) {
+		const share_case_t *c = &share_cases[i];
+		gh_step_t others = best_effort_step;
+		gh_step_t step = best_effort_step;
+		world_t w;
+		size_t n;
+
+		world_init(&w);
+		add_worker(&w, "w1", 4000);
+		others.tasks = c->others;
+		add_job(&w, OTHER_ID, 1, &others, NULL);
+		advance_time(&w, 500);
+		n = count_orders(&w, GH_ORDER_START, 0);
+		assert_int_equal(n, c->others);
+		step.tasks = c->tasks;
+		step.gang = c->gang;
+		add_job(&w, JOB_ID, 1, &step, c->progress);
+		advance_time(&w, 3000);
+		if (count_orders(&w, GH_ORDER_START, 0) - n != c->started)
+			fail_msg("%s: %zu starts", c->name,
+				 count_orders(&w, GH_ORDER_START, 0) - n);
+		world_clear(&w);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_copy_of_done_task_holds_nothing_up),
 		cmocka_unit_test(test_gang_of_suspects_waits_once),
+		cmocka_unit_test(test_job_with_nothing_running_exceeds_share),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
