core_fleet: a planned run leaves a worker that has fallen silent

A task waits for the end of a silent worker's lease, 3 s and more, although it was never sent there.

The worker fell silent between the plan and the commit of the intent. The start was sent all the same; without a reply the run counts as possibly alive.

A first start is no longer sent to a worker whose renewals fail, as to one that drains: the run ends as not started and the task is placed elsewhere.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -780,8 +780,9 @@
 	fleet_worker_t *worker = fleet_worker(fleet, run->worker);
 	bool fits = run_fits(fleet, run);
 
-	if (!run->order_sent && (worker->entry.draining || !worker->listed ||
-				 worker->has_unknown_run || !fits)) {
+	if (!run->order_sent &&
+	    (worker->entry.draining || !worker->listed ||
+	     worker->unreachable_since || worker->has_unknown_run || !fits)) {
 		fleet_run_end(fleet, handle, GH_RUN_NOT_STARTED, NULL, now);
 		return false;
 	}
--- a/regress/test_core_fleet_waits.c
+++ b/regress/test_core_fleet_waits.c
@@ -181,12 +181,45 @@
 	}
 }
 
+/*
+ * A start whose intent was committed after its worker had fallen silent was
+ * sent there all the same, and the task waited for the end of the lease.
+ */
+static void test_planned_run_leaves_silent_worker(void **state)
+{
+	const char *other;
+	world_t w;
+	size_t i, n;
+
+	(void)state;
+	world_init(&w);
+	add_worker(&w, "w1", 2000);
+	add_worker(&w, "w2", 2000);
+	add_job(&w, OTHER_ID, 1, &one_task, NULL);
+	advance_time(&w, 1000);
+	n = w.n_orders;
+	assert_int_equal(n, 1);
+	w.store_down = true;
+	add_job(&w, JOB_ID, 1, &one_task, NULL);
+	advance_time(&w, 100);
+	find_worker(&w, w.orders[0].worker)->unreachable = true;
+	other = strcmp(w.orders[0].worker, "w1") ? "w1" : "w2";
+	advance_time(&w, 500);
+	w.store_down = false;
+	advance_time(&w, 300);
+	assert_int_equal(count_orders(&w, GH_ORDER_START, 0), n + 1);
+	for (i = n; i < w.n_orders; i++)
+		assert_string_equal(w.orders[i].worker, other);
+	world_clear(&w);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_copy_of_done_task_holds_nothing_up),
 		cmocka_unit_test(test_gang_of_suspects_waits_once),
 		cmocka_unit_test(test_job_with_nothing_running_exceeds_share),
+		cmocka_unit_test(test_planned_run_leaves_silent_worker),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
