--- a/core_fleet.c
+++ b/core_fleet.c
@@ -19,7 +19,7 @@
 static void unlink_run(gh_fleet_t *fleet, uint32_t handle);
 static void account_resources(gh_fleet_t *fleet, const fleet_run_t *run,
 			      bool add);
-static void close_run(gh_fleet_t *fleet, uint32_t handle, gh_time_t now);
+static void close_run(gh_fleet_t *fleet, uint32_t handle);
 static void note_begun(fleet_job_t *job, const fleet_run_t *run,
 		       gh_run_outcome_t outcome);
 static void complete_task(gh_fleet_t *fleet, uint32_t handle, uint32_t index,
@@ -270,6 +270,7 @@
 		if (run->state == RUN_RUNNING &&
 		    !fleet_late_is_possible(run, now)) {
 			run->state = RUN_ORPHAN;
+			run->state_since = now;
 			run->pace_sent_percent = GH_NONE;
 		} else if (run->state == RUN_RUNNING ||
 			   (run->state == RUN_STARTING && run->order_sent)) {
@@ -392,8 +393,14 @@
 		next_task += job->spec->steps[i % job->spec->n_steps].tasks;
 	}
 	for (i = 0; i < job->n_tasks; i++) {
-		job->tasks[i].runs[0] = job->tasks[i].runs[1] = GH_NONE;
-		job->tasks[i].avoid_worker = GH_NONE;
+		fleet_task_t *task = &job->tasks[i];
+
+		task->runs[0] = task->runs[1] = GH_NONE;
+		task->avoid_worker = GH_NONE;
+		task->group = task;
+		if (fleet_task_step(job, i)->gang)
+			task->group = &job->tasks[fleet_task_stage(job, i)
+							  ->first_task];
 	}
 }
 
@@ -466,6 +473,7 @@
 		.worker = worker,
 		.run_number = number,
 		.planned_at = foreign ? 0 : now,
+		.state_since = now,
 		.pace_percent = 100,
 		/* The pace that a previous owner ordered is not known. */
 		.pace_sent_percent = foreign ? GH_NONE : 100,
@@ -476,7 +484,7 @@
 	else
 		t->runs[0] = handle;
 	t->last_run = MAX(t->last_run, number);
-	if (!copy)
+	if (!copy && !t->done)
 		fleet_task_stage(parent, task)->tasks_open++;
 	parent->open_runs++;
 	link_run(fleet, handle);
@@ -484,6 +492,7 @@
 	if (state == RUN_PLANNED) {
 		fleet_crash_handle_start(fleet, handle);
 		fleet_worker(fleet, worker)->last_placed_at = now;
+		parent->stalled_since = 0;
 		if (parent->phase == GH_JOB_QUEUED)
 			parent->phase = GH_JOB_RUNNING;
 		fleet_job_mark_changed(fleet, job);
@@ -506,7 +515,12 @@
 	account_resources(fleet, &run, false);
 	fleet_crash_handle_end(fleet, handle);
 	fleet_late_add(fleet, &run, outcome, now);
-	close_run(fleet, handle, now);
+	close_run(fleet, handle);
+	if (outcome != GH_RUN_NOT_STARTED) {
+		task->care_since = 0;
+		if (!job->open_runs)
+			job->idle_since = now;
+	}
 	fleet_health_record_end(fleet, &run, outcome, now);
 	if (checkpoint && *checkpoint) {
 		g_free(task->checkpoint);
@@ -542,7 +556,7 @@
 }
 
 /* Takes the run out of its worker, task and job. */
-static void close_run(gh_fleet_t *fleet, uint32_t handle, gh_time_t now)
+static void close_run(gh_fleet_t *fleet, uint32_t handle)
 {
 	fleet_run_t *run = fleet_run(fleet, handle);
 	fleet_job_t *job = fleet_job(fleet, run->job);
@@ -554,9 +568,8 @@
 	if (task->runs[0] == handle)
 		task->runs[0] = task->runs[1];
 	task->runs[1] = GH_NONE;
-	if (!--job->open_runs)
-		job->idle_since = now;
-	if (task->runs[0] == GH_NONE)
+	job->open_runs--;
+	if (task->runs[0] == GH_NONE && !task->done)
 		fleet_task_stage(job, run->task)->tasks_open--;
 }
 
@@ -590,6 +603,8 @@
 		job->tasks[i].done = true;
 		g_clear_pointer(&job->tasks[i].checkpoint, g_free);
 		stage->tasks_done++;
+		if (job->tasks[i].runs[0] != GH_NONE)
+			stage->tasks_open--;
 	}
 	stop_task_runs(fleet, handle, from, n, "task is done", now);
 	if (stage->tasks_done < step->tasks)
@@ -672,6 +687,7 @@
 	fleet_emit_event(fleet, "run_stopped", &id, run->run_number,
 			 run->worker, why);
 	run->state = RUN_STOPPING;
+	run->state_since = now;
 	run->replied_at = 0;
 	fleet_order_enqueue(fleet, GH_ORDER_STOP, handle);
 }
@@ -764,8 +780,9 @@
 	fleet_worker_t *worker = fleet_worker(fleet, run->worker);
 	bool fits = run_fits(fleet, run);
 
-	if (!run->order_sent && (worker->entry.draining || !worker->listed ||
-				 worker->has_unknown_run || !fits)) {
+	if (!run->order_sent &&
+	    (worker->entry.draining || !worker->listed ||
+	     worker->unreachable_since || worker->has_unknown_run || !fits)) {
 		fleet_run_end(fleet, handle, GH_RUN_NOT_STARTED, NULL, now);
 		return false;
 	}
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -65,6 +65,8 @@
 	/* version of the job record that holds the run's intent */
 	uint64_t version;
 	gh_time_t planned_at; /* when the run was planned; 0: orphan, unknown */
+	/* When it was opened, became an orphan or began to be stopped. */
+	gh_time_t state_since;
 	/* Time of the first worker report that lists the run; 0: none. */
 	gh_time_t running_since;
 	/*
@@ -152,7 +154,10 @@
 	 * were lost.
 	 */
 	uint16_t lost_starts;
-	/* Since when the task waits for a worker of its own; 0: it does not. */
+	/*
+	 * Since when the task waits for a worker of its own, until a run of it
+	 * has ended that was started; 0: it does not.
+	 */
 	gh_time_t care_since;
 	/* no run of the task is started before this time */
 	gh_time_t not_before;
@@ -162,6 +167,8 @@
 	 */
 	gh_time_t late_until;
 	uint32_t n_late_stops;
+	/* The first task of the gang, or the task itself. */
+	const struct fleet_task *group;
 	/* name of the task's latest checkpoint; NULL: none */
 	char *checkpoint;
 } fleet_task_t;
@@ -170,7 +177,7 @@
 typedef struct fleet_stage {
 	uint32_t first_task;
 	uint32_t tasks_done;
-	uint32_t tasks_open; /* tasks with an open run */
+	uint32_t tasks_open; /* tasks with an open run that are not done */
 	/* 1: a run of the gang's latest start has failed */
 	uint32_t gang_failed;
 	/* moving mean run time of the stage's completed runs */
@@ -184,6 +191,8 @@
 	gh_time_t wait_report_at;
 	/* When a worker is reserved for it, or reserved again. */
 	gh_time_t reserve_at;
+	/* Until when one is reserved for a task of it; 0: none was. */
+	gh_time_t reserved_until;
 	/*
 	 * Load forecast that the stage's long-running tasks share; NULL: no
 	 * sample yet.
@@ -204,12 +213,24 @@
 	uint32_t stages_done;
 	uint32_t open_runs;
 	/*
-	 * When the job's last run ended or the job was first planned; 0: not
-	 * yet.
+	 * When the job's last run that was started has ended, or the job was
+	 * first planned; 0: not yet.
 	 */
 	gh_time_t idle_since;
 	/* The last task that started waited for JOB_IDLE_MAX_USEC. */
 	bool starved;
+	/*
+	 * Since when a task waits and nothing of the job runs, 0: it does not;
+	 * and when this is reported next.  See core_fleet_idle.c.
+	 */
+	gh_time_t waiting_since, wait_report_at;
+	gh_time_t seen_running_at; /* time of the last check that saw a run */
+	/* The same for a run that is about to start. */
+	gh_time_t seen_starting_at;
+	/* Since when the job has open runs, none of them of either kind. */
+	gh_time_t stalled_since;
+	/* The gang that is being placed is not bound by the share. */
+	bool gang_overdue;
 	uint64_t version, committed_version;
 	gh_job_phase_t committed_phase;
 	/* Phase in the job record that is being committed. */
@@ -339,10 +360,10 @@
 	 */
 	uint32_t suspect_run;
 	/*
-	 * The worker is kept for this task until kept_until; compared by
-	 * address only.
+	 * The worker is kept until kept_until for the tasks with this group;
+	 * compared by address only.
 	 */
-	const void *kept_for;
+	const fleet_task_t *kept_for;
 	gh_time_t kept_until;
 	/* when the last run on the worker was planned */
 	gh_time_t last_placed_at;
@@ -470,6 +491,10 @@
 	gh_time_t health_checked_at;
 	gh_time_t interference_decayed_at;
 	gh_time_t stragglers_checked_at;
+	/* Checks for idle jobs: the last, and the period of the reports. */
+	gh_time_t idle_checked_at, idle_period_at;
+	uint32_t n_idle_reports, n_idle_left_out; /* in this period */
+	uint32_t next_idle_job; /* handle at which the next check starts */
 	gh_fleet_counts_t counts;
 };
 
@@ -673,6 +698,19 @@
  */
 bool fleet_plan_lacks_capacity(const gh_fleet_t *fleet, const fleet_job_t *job,
 			       uint32_t stage, uint32_t handle, gh_time_t now);
+/*
+ * Appends how many workers can't run the task and for which reasons, "workers:"
+ * followed by a number and a name for each reason.
+ */
+void fleet_plan_append_obstacles(gh_fleet_t *fleet, fleet_job_t *job,
+				 uint32_t task, GString *text, gh_time_t now);
+/*
+ * A task of the job whose turn has come and that is not done, if possible one
+ * without an open run; GH_NONE: there is none.
+ */
+uint32_t fleet_plan_next_task(const fleet_job_t *job, int64_t wall_ms);
+/* Reports jobs that wait although nothing of them runs. */
+void fleet_idle_check(gh_fleet_t *fleet, gh_time_t now, int64_t wall_ms);
 /* Reserves a worker for a long-running task of a job that has waited for long.
  */
 void fleet_reserve_worker(gh_fleet_t *fleet, uint32_t handle, uint32_t stage,
@@ -753,6 +791,8 @@
  */
 bool fleet_crash_claim(gh_fleet_t *fleet, uint32_t handle, fleet_task_t *task,
 		       const gh_step_t *step, gh_time_t now);
+/* Lets tasks that start together wait for workers of their own together. */
+void fleet_crash_join_waits(fleet_task_t *tasks, uint32_t n);
 /* Updates the worker's suspects when a run is planned and when it ends. */
 void fleet_crash_handle_start(gh_fleet_t *fleet, uint32_t ref);
 void fleet_crash_handle_end(gh_fleet_t *fleet, uint32_t ref);
--- /dev/null
+++ b/regress/test_core_fleet_waits.c
@@ -0,0 +1,226 @@
+/*
+ * Tests of the fleet scheduler's waits: each has to end while a worker has
+ * capacity, whatever became of other runs.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <string.h>
+
+#include "fleet_world.h"
+
+#define JOB_ID "0000000000000001"
+
+/* A record of a stage with a task that is done and has an open run. */
+typedef struct copy_case {
+	const char *name, *progress;
+	uint32_t tasks;
+	size_t started; /* starts in the first half second */
+} copy_case_t;
+
+static const copy_case_t copy_cases[] = {
+	{ .name = "one of two done",
+	  .progress = "progress1\n0 done 0 2 - 2@gone\n",
+	  .tasks = 2,
+	  .started = 1 },
+	{ .name = "lost in the middle",
+	  .progress = "progress1\n0 done 0 2 - 2@gone\n1 open 0 1 -\n"
+		      "2 done 0 1 - 1@gone\n",
+	  .tasks = 3,
+	  .started = 1 },
+	{ .name = "not done",
+	  .progress = "progress1\n0 done 0 2 - 2@gone\n1 open 0 1 - 1@gone\n",
+	  .tasks = 2,
+	  .started = 0 },
+};
+
+/* Runs of tasks that are done kept the stage's last tasks from starting. */
+static void test_copy_of_done_task_holds_nothing_up(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(copy_cases); i++) {
+		const copy_case_t *c = &copy_cases[i];
+		gh_step_t step = one_task;
+		world_t w;
+
+		step.tasks = c->tasks;
+		world_init(&w);
+		add_worker(&w, "w1", 4000);
+		add_job(&w, JOB_ID, 1, &step, c->progress);
+		advance_time(&w, 500);
+		if (count_orders(&w, GH_ORDER_START, 0) != c->started)
+			fail_msg("%s: %zu starts", c->name,
+				 count_orders(&w, GH_ORDER_START, 0));
+		world_clear(&w);
+	}
+}
+
+/* A gang all of whose tasks wait for workers of their own. */
+typedef struct gang_case {
+	const char *name;
+	uint32_t tasks, workers;
+	const char *crashes; /* of each task */
+	int64_t wait_ms;     /* the longest wait */
+} gang_case_t;
+
+static const gang_case_t gang_cases[] = {
+	{ .name = "suspects",
+	  .tasks = 4,
+	  .workers = 2,
+	  .crashes = "2:2:0",
+	  .wait_ms = 2500 },
+	{ .name = "suspects that need proof",
+	  .tasks = 4,
+	  .workers = 2,
+	  .crashes = "3:3:0",
+	  .wait_ms = 8500 },
+	{ .name = "lost starts",
+	  .tasks = 6,
+	  .workers = 3,
+	  .crashes = "0:0:2",
+	  .wait_ms = 2500 },
+};
+
+/* The tasks of a gang waited for workers of their own one after the other. */
+static void test_gang_of_suspects_waits_once(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(gang_cases); i++) {
+		const gang_case_t *c = &gang_cases[i];
+		GString *progress = g_string_new("progress1\n");
+		gh_step_t step = one_task;
+		world_t w;
+		uint32_t j;
+
+		world_init(&w);
+		for (j = 0; j < c->workers; j++)
+			add_worker(&w, (char[]){ 'w', (char)('1' + j), '\0' },
+				   2000);
+		for (j = 0; j < c->tasks; j++)
+			g_string_append_printf(progress,
+					       "%u open 0 3 - crashes:%s\n", j,
+					       c->crashes);
+		step.gang = true;
+		step.tasks = c->tasks;
+		add_job(&w, JOB_ID, 1, &step, progress->str);
+		advance_time(&w, c->wait_ms);
+		if (count_orders(&w, GH_ORDER_START, 0) != c->tasks)
+			fail_msg("%s: %zu starts", c->name,
+				 count_orders(&w, GH_ORDER_START, 0));
+		g_string_free(progress, TRUE);
+		world_clear(&w);
+	}
+}
+
+#define OTHER_ID "0000000000000002"
+
+/* A job of best-effort tasks beside others that use up their share. */
+typedef struct share_case {
+	const char *name, *progress;
+	uint32_t tasks;
+	uint32_t others; /* their tasks; the share is three */
+	bool gang;
+	size_t started; /* starts within 3 s */
+} share_case_t;
+
+static const share_case_t share_cases[] = {
+	{ .name = "no open run", .tasks = 1, .others = 3, .started = 1 },
+	{ .name = "run of a previous owner",
+	  .progress = "progress1\n0 open 0 1 - 1@gone\n",
+	  .tasks = 2,
+	  .others = 3,
+	  .started = 1 },
+	{ .name = "two runs of it",
+	  .progress = "progress1\n0 open 0 1 - 1@gone\n1 open 0 1 - 1@gone\n",
+	  .tasks = 4,
+	  .others = 3,
+	  .started = 1 },
+	{ .name = "gang", .tasks = 3, .others = 3, .gang = true, .started = 3 },
+	{ .name = "gang a part of which fits",
+	  .tasks = 3,
+	  .others = 2,
+	  .gang = true,
+	  .started = 3 },
+};
+
+/* A run that was open, and did not run, bound the rest of its job for long. */
+static void test_job_with_nothing_running_exceeds_share(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(share_cases); i++) {
+		const share_case_t *c = &share_cases[i];
+		gh_step_t others = best_effort_step;
+		gh_step_t step = best_effort_step;
+		world_t w;
+		size_t n;
+
+		world_init(&w);
+		add_worker(&w, "w1", 4000);
+		others.tasks = c->others;
+		add_job(&w, OTHER_ID, 1, &others, NULL);
+		advance_time(&w, 500);
+		n = count_orders(&w, GH_ORDER_START, 0);
+		assert_int_equal(n, c->others);
+		step.tasks = c->tasks;
+		step.gang = c->gang;
+		add_job(&w, JOB_ID, 1, &step, c->progress);
+		advance_time(&w, 3000);
+		if (count_orders(&w, GH_ORDER_START, 0) - n != c->started)
+			fail_msg("%s: %zu starts", c->name,
+				 count_orders(&w, GH_ORDER_START, 0) - n);
+		world_clear(&w);
+	}
+}
+
+/*
+ * A start whose intent was committed after its worker had fallen silent was
+ * sent there all the same, and the task waited for the end of the lease.
+ */
+static void test_planned_run_leaves_silent_worker(void **state)
+{
+	const char *other;
+	world_t w;
+	size_t i, n;
+
+	(void)state;
+	world_init(&w);
+	add_worker(&w, "w1", 2000);
+	add_worker(&w, "w2", 2000);
+	add_job(&w, OTHER_ID, 1, &one_task, NULL);
+	advance_time(&w, 1000);
+	n = w.n_orders;
+	assert_int_equal(n, 1);
+	w.store_down = true;
+	add_job(&w, JOB_ID, 1, &one_task, NULL);
+	advance_time(&w, 100);
+	find_worker(&w, w.orders[0].worker)->unreachable = true;
+	other = strcmp(w.orders[0].worker, "w1") ? "w1" : "w2";
+	advance_time(&w, 500);
+	w.store_down = false;
+	advance_time(&w, 300);
+	assert_int_equal(count_orders(&w, GH_ORDER_START, 0), n + 1);
+	for (i = n; i < w.n_orders; i++)
+		assert_string_equal(w.orders[i].worker, other);
+	world_clear(&w);
+}
+
+int main(void)
+{
+	static const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_copy_of_done_task_holds_nothing_up),
+		cmocka_unit_test(test_gang_of_suspects_waits_once),
+		cmocka_unit_test(test_job_with_nothing_running_exceeds_share),
+		cmocka_unit_test(test_planned_run_leaves_silent_worker),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
