--- a/fleet_host.c
+++ b/fleet_host.c
@@ -15,6 +15,7 @@
 #include "fleet_jobs.h"
 #include "fleet_owner.h"
 #include "fleet_watch.h"
+#include "histogram.h"
 #include "log.h"
 
 /*
@@ -71,6 +72,9 @@
 } caller_call_t;
 
 static void on_config(void *ctx, const fleet_item_t *item);
+static void report_config(const fleet_front_t *host,
+			  const fleet_config_t *config, uint64_t revision,
+			  bool is_change);
 static void on_job(void *ctx, const char *id, const fleet_job_state_t *state);
 static void on_owner(void *ctx, uint32_t shard, const char *name);
 static gh_time_t claim_delay(void *ctx);
@@ -195,12 +199,31 @@
 	pthread_mutex_lock(&host->lock);
 	host->config = config;
 	pthread_mutex_unlock(&host->lock);
-	fleet_config_unref(old);
 	counter_inc(CTR_DOC_APPLIED);
+	report_config(host, config, item->revision, old != NULL);
+	fleet_config_unref(old);
+}
+
+/* Logs the configuration in force and how late it can be. */
+static void report_config(const fleet_front_t *host,
+			  const fleet_config_t *config, uint64_t revision,
+			  bool is_change)
+{
+	gh_time_t now = clock_boot();
+	gh_time_t silent =
+		now - fleet_watch_previous_reply_at(host->config_watch);
+	gh_time_t taken = now - fleet_watch_last_reply_at(host->config_watch);
+
+	if (is_change) {
+		histogram_add(HIST_CONFIG_SILENT, silent);
+		histogram_add(HIST_CONFIG_APPLY, taken);
+	}
 	log_event(LOG_INFO, "config_applied", "version",
 		  log_num((int64_t)config->version), "queues",
 		  log_num((int64_t)config->n_queues), "revision",
-		  log_num((int64_t)item->revision), NULL);
+		  log_num((int64_t)revision), "silent_ms",
+		  log_num(gh_time_to_ms(silent)), "ms",
+		  log_num(gh_time_to_ms(taken)), NULL);
 }
 
 static void on_job(void *ctx, const char *id, const fleet_job_state_t *state)
--- a/fleet_port.h
+++ b/fleet_port.h
@@ -58,6 +58,8 @@
 	size_t n_items;
 	bool more;	/* range: further items follow on the next page */
 	uint64_t lease; /* grant_lease: id of the lease */
+	/* Time when the reply arrived, on CLOCK_BOOTTIME; 0: not known. */
+	gh_time_t arrived_at;
 } fleet_reply_t;
 
 typedef void (*fleet_store_done_t)(void *ctx, const fleet_reply_t *reply);
--- a/fleet_watch.c
+++ b/fleet_watch.c
@@ -50,6 +50,8 @@
 	GHashTable *keys;  /* key to key_state_t */
 	GQueue *gone_keys; /* gone_key_t, in the order of their arrival */
 	_Atomic gh_time_t last_reply_at;
+	gh_time_t started_at;
+	gh_time_t previous_reply_at; /* 0: fewer than two replies */
 	gh_time_t retry_delay;
 	gh_time_t pause;      /* min time from a reply with changes to a call */
 	gh_time_t changes_at; /* time of the last such reply */
@@ -84,6 +86,7 @@
 	watch->prefix = g_strdup(prefix);
 	watch->listener = *listener;
 	watch->retry_delay = RETRY_DELAY_MIN_USEC;
+	watch->started_at = clock_boot();
 	watch->keys =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	watch->gone_keys = g_queue_new();
@@ -117,6 +120,12 @@
 	return watch->last_reply_at;
 }
 
+gh_time_t fleet_watch_previous_reply_at(const fleet_watch_t *watch)
+{
+	return watch->previous_reply_at ? watch->previous_reply_at :
+					  watch->started_at;
+}
+
 bool fleet_watch_synced(const fleet_watch_t *watch)
 {
 	return watch->synced;
@@ -347,7 +356,9 @@
 	}
 	watch->failing = false;
 	watch->retry_delay = RETRY_DELAY_MIN_USEC;
-	watch->last_reply_at = clock_boot();
+	watch->previous_reply_at = watch->last_reply_at;
+	watch->last_reply_at =
+		reply->arrived_at ? reply->arrived_at : clock_boot();
 	return true;
 }
 
--- a/fleet_watch.h
+++ b/fleet_watch.h
@@ -55,6 +55,11 @@
 
 /* Any thread: time of the last successful reply from the store; 0: none yet. */
 gh_time_t fleet_watch_last_reply_at(const fleet_watch_t *watch);
+/*
+ * Loop's thread: time of the successful reply before the last one, or of the
+ * watch's start.
+ */
+gh_time_t fleet_watch_previous_reply_at(const fleet_watch_t *watch);
 /* Any thread: whether all items with the prefix were read once. */
 bool fleet_watch_synced(const fleet_watch_t *watch);
 
