fleet_watch: ask without a wait while the store is silent

A watch call that began just before the end of the silence lasted its whole limit of 2.2 s, whatever had failed before, then up to 0.4 s of pause followed; decoding 1,100 routes used up the rest. The same holds for the watches of owners, jobs and workers.

A shorter wait of all watches would reach the same and cost each host more calls in calm times.

--- a/fleet_watch.c
+++ b/fleet_watch.c
@@ -12,6 +12,10 @@
  * reachable.
  */
 #define WATCH_WAIT_MS 1000
+/*
+ * Time between the starts of a call that failed and of the next one; at least
+ * the minimum is left after the failure.
+ */
 #define RETRY_DELAY_MIN_USEC (50 * GH_USEC_PER_MSEC)
 #define RETRY_DELAY_MAX_USEC (400 * GH_USEC_PER_MSEC)
 
@@ -52,6 +56,7 @@
 	_Atomic gh_time_t last_reply_at;
 	gh_time_t started_at;
 	gh_time_t previous_reply_at; /* 0: fewer than two replies */
+	gh_time_t call_started_at;
 	gh_time_t retry_delay;
 	gh_time_t pause;      /* min time from a reply with changes to a call */
 	gh_time_t changes_at; /* time of the last such reply */
@@ -171,9 +176,15 @@
 	const fleet_store_ops_t *ops = watch->store->ops;
 
 	watch->call_pending = true;
+	watch->call_started_at = clock_boot();
 	if (watch->revision && !watch->reading) {
+		/*
+		 * A call without a wait is given up sooner, so that not much
+		 * time is lost if the store is back just after its start.
+		 */
 		ops->watch(watch->store, watch->keyspace, watch->prefix,
-			   watch->revision, WATCH_WAIT_MS, on_changes, watch);
+			   watch->revision, watch->failing ? 0 : WATCH_WAIT_MS,
+			   on_changes, watch);
 		return;
 	}
 	if (!watch->reading) {
@@ -380,7 +391,8 @@
 		counter_inc(CTR_STORE_UNREACHABLE);
 	}
 	watch->failing = true;
-	watch->timer.at = now + watch->retry_delay;
+	watch->timer.at = MAX(now + RETRY_DELAY_MIN_USEC,
+			      watch->call_started_at + watch->retry_delay);
 	watch->retry_delay = MIN(watch->retry_delay * 2, RETRY_DELAY_MAX_USEC);
 }
 
--- a/regress/test_platform_silence.c
+++ b/regress/test_platform_silence.c
@@ -25,6 +25,8 @@
 /* Hosts apply a change this long after the store is back, or after it. */
 #define CONTACT_MS 3000
 #define APPLY_MS 2000
+/* Part of these for decoding and for other work on a slow host. */
+#define WORK_MS 1000
 /* Each play begins with replies, so that connections are open and idle. */
 #define CALM_MS 1200
 #define READS_AT_MS 150
@@ -342,8 +344,8 @@
 	for (n = 1; n <= CHANGES; n++) {
 		int64_t limit =
 			MAX(gh_time_to_ms(play->end_at) + CONTACT_MS,
-			    gh_time_to_ms(play->changed_at[n]) + APPLY_MS) +
-			slower;
+			    gh_time_to_ms(play->changed_at[n]) + APPLY_MS) -
+			WORK_MS + slower;
 
 		worst = MAX(worst, gh_time_to_ms(play->heard_at[n] ?
 							 play->heard_at[n] :
