config: decode only the newest version of a reply

Callers saw requests handled by an old configuration (CONFIG).

A listener can ask for the last change of a key in a reply only, as the configuration's now does. Others keep hearing each change: an owner has to hear that another host wrote its record, also if that is over.

test_late_replies, the two cases of newest changes: failed while the watch passed all.

--- a/fleet_host.c
+++ b/fleet_host.c
@@ -95,8 +95,10 @@
 					   .owner_changed = on_owner,
 					   .synced = on_synced,
 					   .ctx = host };
+	/* Decoding a large configuration takes a slow host 0.1 s and more. */
 	fleet_watch_listener_t watch_listener = { .item_changed = on_config,
-						  .ctx = host };
+						  .ctx = host,
+						  .newest_only = true };
 	uint32_t i;
 
 	host->setup = *setup;
--- a/fleet_watch.c
+++ b/fleet_watch.c
@@ -67,6 +67,7 @@
 static void on_timer(void *ctx, gh_time_t now);
 static void on_page(void *ctx, const fleet_reply_t *reply);
 static void on_changes(void *ctx, const fleet_reply_t *reply);
+static bool is_replaced(const fleet_reply_t *reply, size_t i);
 static void continue_watch(fleet_watch_t *watch);
 static void pause_watch(fleet_watch_t *watch);
 static void pass_listed_item(fleet_watch_t *watch, const fleet_item_t *item);
@@ -239,7 +240,8 @@
 	if (!accept_reply(watch, reply))
 		return;
 	for (i = 0; i < reply->n_items && !watch->freed; i++)
-		pass_item(watch, &reply->items[i]);
+		if (!watch->listener.newest_only || !is_replaced(reply, i))
+			pass_item(watch, &reply->items[i]);
 	if (reply->revision > watch->revision)
 		watch->revision = reply->revision;
 	forget_gone_keys(watch);
@@ -249,6 +251,17 @@
 		continue_watch(watch);
 }
 
+/* Whether a later item of the reply is about the same key. */
+static bool is_replaced(const fleet_reply_t *reply, size_t i)
+{
+	size_t later;
+
+	for (later = i + 1; later < reply->n_items; later++)
+		if (!strcmp(reply->items[later].key, reply->items[i].key))
+			return true;
+	return false;
+}
+
 static void pause_watch(fleet_watch_t *watch)
 {
 	watch->call_pending = false;
--- a/fleet_watch.h
+++ b/fleet_watch.h
@@ -25,6 +25,8 @@
 	/* All items with the prefix were read, for the first time or again. */
 	void (*synced)(void *ctx);
 	void *ctx;
+	/* Of a key's changes in one reply only the last is passed. */
+	bool newest_only;
 } fleet_watch_listener_t;
 
 /*
--- a/regress/test_fleet_watch.c
+++ b/regress/test_fleet_watch.c
@@ -42,6 +42,7 @@
 	step_t steps[STEPS_MAX];
 	/* What the listener hears: +KEY, -KEY and "synced", in order. */
 	const char *heard;
+	bool newest_only; /* the listener hears KEY@REVISION */
 } watch_case_t;
 
 /* A store that keeps the one open call of a watch until it is replied to. */
@@ -88,6 +89,12 @@
 			       item->key + strlen(PREFIX));
 }
 
+static void on_newest(void *ctx, const fleet_item_t *item)
+{
+	on_item(ctx, item);
+	g_string_append_printf(ctx, "@%d", (int)item->revision);
+}
+
 static void on_synced(void *ctx)
 {
 	g_string_append(ctx, " synced");
@@ -170,6 +177,35 @@
 		       15,
 		       { { "w/0/b", 12 }, { "w/0/b", 15, true } } } },
 	  .heard = "+a synced synced -b" },
+	{ .name = "all changes of a key",
+	  .steps = { { STEP_PAGE, 10, { { "w/0/a", 5 } } },
+		     { STEP_EVENTS,
+		       13,
+		       { { "w/0/a", 11 }, { "w/0/a", 12 } } } },
+	  .heard = "+a synced +a +a" },
+	{ .name = "its newest change in a reply",
+	  .newest_only = true,
+	  .steps = { { STEP_PAGE, 10, { { "w/0/a", 5 } } },
+		     { STEP_EVENTS,
+		       13,
+		       { { "w/0/a", 11 }, { "w/0/b", 12 }, { "w/0/a", 13 } } },
+		     { STEP_EVENTS,
+		       16,
+		       { { "w/0/a", 14 },
+			 { "w/0/a", 15, true },
+			 { "w/0/a", 16 } } },
+		     { STEP_EVENTS,
+		       18,
+		       { { "w/0/a", 17 }, { "w/0/a", 18, true } } } },
+	  .heard = "+a@5 synced +b@12 +a@13 +a@16 -a@18" },
+	{ .name = "a newest change that the caller knows",
+	  .newest_only = true,
+	  .steps = { { STEP_PAGE, 10, { { "w/0/a", 5 } } },
+		     { STEP_NOTE, 0, { { "w/0/a", 12 } } },
+		     { STEP_EVENTS,
+		       12,
+		       { { "w/0/a", 11 }, { "w/0/a", 12 } } } },
+	  .heard = "+a@5 synced" },
 };
 
 /* A case under way: its loop replies to the watch's calls step by step. */
@@ -214,9 +250,13 @@
 	(void)state;
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
 		GString *heard = g_string_new(NULL);
-		fleet_watch_listener_t listener = { .item_changed = on_item,
-						    .synced = on_synced,
-						    .ctx = heard };
+		fleet_watch_listener_t listener = {
+			.item_changed =
+				cases[i].newest_only ? on_newest : on_item,
+			.synced = on_synced,
+			.ctx = heard,
+			.newest_only = cases[i].newest_only,
+		};
 		step_t last = { .kind = STEP_EVENTS, .revision = 100 };
 		run_t run = { .c = &cases[i], .store.base.ops = &store_ops };
 
