--- a/fleet_watch.c
+++ b/fleet_watch.c
@@ -12,6 +12,10 @@
  * reachable.
  */
 #define WATCH_WAIT_MS 1000
+/*
+ * Time between the starts of a call that failed and of the next one; at least
+ * the minimum is left after the failure.
+ */
 #define RETRY_DELAY_MIN_USEC (50 * GH_USEC_PER_MSEC)
 #define RETRY_DELAY_MAX_USEC (400 * GH_USEC_PER_MSEC)
 
@@ -50,6 +54,9 @@
 	GHashTable *keys;  /* key to key_state_t */
 	GQueue *gone_keys; /* gone_key_t, in the order of their arrival */
 	_Atomic gh_time_t last_reply_at;
+	gh_time_t started_at;
+	gh_time_t previous_reply_at; /* 0: fewer than two replies */
+	gh_time_t call_started_at;
 	gh_time_t retry_delay;
 	gh_time_t pause;      /* min time from a reply with changes to a call */
 	gh_time_t changes_at; /* time of the last such reply */
@@ -60,6 +67,7 @@
 static void on_timer(void *ctx, gh_time_t now);
 static void on_page(void *ctx, const fleet_reply_t *reply);
 static void on_changes(void *ctx, const fleet_reply_t *reply);
+static bool is_replaced(const fleet_reply_t *reply, size_t i);
 static void continue_watch(fleet_watch_t *watch);
 static void pause_watch(fleet_watch_t *watch);
 static void pass_listed_item(fleet_watch_t *watch, const fleet_item_t *item);
@@ -84,6 +92,7 @@
 	watch->prefix = g_strdup(prefix);
 	watch->listener = *listener;
 	watch->retry_delay = RETRY_DELAY_MIN_USEC;
+	watch->started_at = clock_boot();
 	watch->keys =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	watch->gone_keys = g_queue_new();
@@ -117,6 +126,12 @@
 	return watch->last_reply_at;
 }
 
+gh_time_t fleet_watch_previous_reply_at(const fleet_watch_t *watch)
+{
+	return watch->previous_reply_at ? watch->previous_reply_at :
+					  watch->started_at;
+}
+
 bool fleet_watch_synced(const fleet_watch_t *watch)
 {
 	return watch->synced;
@@ -162,9 +177,15 @@
 	const fleet_store_ops_t *ops = watch->store->ops;
 
 	watch->call_pending = true;
+	watch->call_started_at = clock_boot();
 	if (watch->revision && !watch->reading) {
+		/*
+		 * A call without a wait is given up sooner, so that not much
+		 * time is lost if the store is back just after its start.
+		 */
 		ops->watch(watch->store, watch->keyspace, watch->prefix,
-			   watch->revision, WATCH_WAIT_MS, on_changes, watch);
+			   watch->revision, watch->failing ? 0 : WATCH_WAIT_MS,
+			   on_changes, watch);
 		return;
 	}
 	if (!watch->reading) {
@@ -219,7 +240,8 @@
 	if (!accept_reply(watch, reply))
 		return;
 	for (i = 0; i < reply->n_items && !watch->freed; i++)
-		pass_item(watch, &reply->items[i]);
+		if (!watch->listener.newest_only || !is_replaced(reply, i))
+			pass_item(watch, &reply->items[i]);
 	if (reply->revision > watch->revision)
 		watch->revision = reply->revision;
 	forget_gone_keys(watch);
@@ -229,6 +251,17 @@
 		continue_watch(watch);
 }
 
+/* Whether a later item of the reply is about the same key. */
+static bool is_replaced(const fleet_reply_t *reply, size_t i)
+{
+	size_t later;
+
+	for (later = i + 1; later < reply->n_items; later++)
+		if (!strcmp(reply->items[later].key, reply->items[i].key))
+			return true;
+	return false;
+}
+
 static void pause_watch(fleet_watch_t *watch)
 {
 	watch->call_pending = false;
@@ -347,7 +380,9 @@
 	}
 	watch->failing = false;
 	watch->retry_delay = RETRY_DELAY_MIN_USEC;
-	watch->last_reply_at = clock_boot();
+	watch->previous_reply_at = watch->last_reply_at;
+	watch->last_reply_at =
+		reply->arrived_at ? reply->arrived_at : clock_boot();
 	return true;
 }
 
@@ -369,7 +404,8 @@
 		counter_inc(CTR_STORE_UNREACHABLE);
 	}
 	watch->failing = true;
-	watch->timer.at = now + watch->retry_delay;
+	watch->timer.at = MAX(now + RETRY_DELAY_MIN_USEC,
+			      watch->call_started_at + watch->retry_delay);
 	watch->retry_delay = MIN(watch->retry_delay * 2, RETRY_DELAY_MAX_USEC);
 }
 
--- a/fleet_watch.h
+++ b/fleet_watch.h
@@ -25,6 +25,8 @@
 	/* All items with the prefix were read, for the first time or again. */
 	void (*synced)(void *ctx);
 	void *ctx;
+	/* Of a key's changes in one reply only the last is passed. */
+	bool newest_only;
 } fleet_watch_listener_t;
 
 /*
@@ -55,6 +57,11 @@
 
 /* Any thread: time of the last successful reply from the store; 0: none yet. */
 gh_time_t fleet_watch_last_reply_at(const fleet_watch_t *watch);
+/*
+ * Loop's thread: time of the successful reply before the last one, or of the
+ * watch's start.
+ */
+gh_time_t fleet_watch_previous_reply_at(const fleet_watch_t *watch);
 /* Any thread: whether all items with the prefix were read once. */
 bool fleet_watch_synced(const fleet_watch_t *watch);
 
