--- a/regress/test_platform_decode.c
+++ b/regress/test_platform_decode.c
@@ -383,6 +383,7 @@
 #define STEP(field) \
 	"{\"task_spec\":\"x\",\"pipeline\":[{\"count\":1," field "}]}"
 	{ STEP("\"cpu\":1500.5,\"est_runtime_ms\":9e2"), GH_E_COUNT },
+	{ STEP("\"constraints\":\"\xc4\x8d\""), GH_E_COUNT },
 	{ STEP("\"cpu\":1e300"), GH_E_BAD_REQUEST },
 	{ STEP("\"cpu\":\"500\""), GH_E_BAD_REQUEST },
 	{ STEP("\"gpus\":4294967296"), GH_E_BAD_REQUEST },
@@ -505,6 +506,90 @@
 	}
 }
 
+#define ROUTE(name, hostname, prefix, more)                          \
+	"{\"name\":\"" name "\",\"hostname\":\"" hostname            \
+	"\",\"prefix\":\"" prefix "\",\"route_type\":\"idempotent\"" \
+	",\"backend\":\"s\"" more "}"
+#define PLAIN(more) ROUTE("r-1", "h.example", "/p/", more)
+#define TEN_BYTES "ab3d5f7h9j"
+#define FIFTY_BYTES TEN_BYTES TEN_BYTES TEN_BYTES TEN_BYTES TEN_BYTES
+
+/* A route of a configuration; the figures are checked if it is read. */
+typedef struct route_case {
+	const char *text;
+	bool ok;
+	gh_queue_policy_t policy;
+	int64_t timeout_ms;
+} route_case_t;
+
+static const route_case_t route_cases[] = {
+	{ .text = PLAIN(",\"timeout_ms\":3000,\"target_latency_ms\":250,"
+			"\"priority\":2,\"attempts\":4,\"stretch\":1.5"),
+	  .ok = true,
+	  .policy = { .priority = 2,
+		      .attempts = 4,
+		      .stretch_milli = 1500,
+		      .target_ms = 250 },
+	  .timeout_ms = 3000 },
+	{ .text = PLAIN(",\"timeout_ms\":3e3,\"priority\":2.0,"
+			"\"attempts\":1,\"stretch\":2,\"colour\":[{}]"),
+	  .ok = true,
+	  .policy = { .priority = 2, .attempts = 1, .stretch_milli = 2000 },
+	  .timeout_ms = 3000 },
+	/* figures omitted */
+	{ .text = PLAIN(""), .ok = true },
+	{ .text = PLAIN(",\"priority\":0,\"stretch\":0.0"), .ok = true },
+	/* names of any bytes */
+	{ .text = ROUTE("r-\xc4\x8d", "\xc4\x8d.example", "/\xc4\x8d/", ""),
+	  .ok = true },
+	/* names of another type, missing or with blanks */
+	{ .text = "{\"name\":5,\"hostname\":\"h\",\"prefix\":\"/\","
+		  "\"backend\":\"s\"}" },
+	{ .text = ROUTE("r 1", "h.example", "/p/", "") },
+	{ .text = ROUTE("r-1", "h.example", "/p/", ",\"backend\":\"a b\"") },
+	/* figures of another type or below 0 */
+	{ .text = PLAIN(",\"timeout_ms\":\"1\"") },
+	{ .text = PLAIN(",\"priority\":true") },
+	{ .text = PLAIN(",\"attempts\":-1") },
+	{ .text = PLAIN(",\"stretch\":-0.5") },
+	{ .text = PLAIN(",\"stretch\":\"2\"") },
+};
+
+/* CONFIG: a route that the operator has added is answered 404. */
+static void test_no_valid_route_is_left_out(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(route_cases); i++) {
+		const route_case_t *c = &route_cases[i];
+		char *text = g_strdup_printf("{\"version\":7,\"routes\":[%s,"
+					     "%s],\"limits\":{}}",
+					     c->text, PLAIN(""));
+		fleet_config_t *config = platform_parse_config(text, NULL);
+		const fleet_queue_t *queue;
+
+		assert_non_null(config);
+		if (config->n_queues != 1u + c->ok)
+			fail_msg("case %zu: %zu queues of %s", i,
+				 config->n_queues, text);
+		queue = &config->queues[0];
+		if (c->ok) {
+			assert_int_equal(queue->policy.priority,
+					 c->policy.priority);
+			assert_int_equal(queue->policy.attempts,
+					 c->policy.attempts);
+			assert_int_equal(queue->policy.stretch_milli,
+					 c->policy.stretch_milli);
+			assert_int_equal(queue->policy.target_ms,
+					 c->policy.target_ms);
+			assert_int_equal(queue->timeout_ms, c->timeout_ms);
+		}
+		fleet_config_unref(config);
+		g_free(text);
+	}
+}
+
 typedef bool (*parser_t)(const char *text);
 
 static bool parse_worker(const char *text)
@@ -665,6 +750,7 @@
 		cmocka_unit_test(test_report),
 		cmocka_unit_test(test_pipeline),
 		cmocka_unit_test(test_config),
+		cmocka_unit_test(test_no_valid_route_is_left_out),
 		cmocka_unit_test(test_nested),
 		cmocka_unit_test(test_settings),
 	};
