platform_decode: routes with long host names and prefixes are read

Callers were answered 404 for a route that the operator had added if its host name or prefix was longer than 95 bytes, the limit of a queue's name. DNS allows host names of 253 bytes, and nothing limits a path but max_header_bytes, 16 KB. Neither is stored in records of jobs, so neither needs a limit of ours: both are allocated now, and blanks in them no longer matter.

A route without a host name or a prefix, which no request can match, is left out as one that cannot be decoded.

Evidence: case 5 of test_no_valid_route_is_left_out, a host name of 253 and a prefix of 303 bytes, failed before and passes now.

--- a/fleet_port.h
+++ b/fleet_port.h
@@ -160,9 +160,8 @@
 /* A queue: the route that callers use and the service that runs its jobs. */
 typedef struct fleet_queue {
 	gh_queue_policy_t policy;
-	char host[GH_QUEUE_MAX + 1]; /* Host header that callers send */
-	/* Start of the URL path of calls to the queue. */
-	char prefix[GH_QUEUE_MAX + 1];
+	char *host;   /* Host header that callers send */
+	char *prefix; /* start of the URL path of calls to the queue */
 	char service[GH_QUEUE_MAX + 1];
 	/* Time limit of callers' calls that set none themselves. */
 	int64_t timeout_ms;
--- a/regress/test_platform_decode.c
+++ b/regress/test_platform_decode.c
@@ -542,7 +542,17 @@
 	/* names of any bytes */
 	{ .text = ROUTE("r-\xc4\x8d", "\xc4\x8d.example", "/\xc4\x8d/", ""),
 	  .ok = true },
+	/* the longest host name of DNS, and a longer path */
+	{ .text = ROUTE("r-1",
+			FIFTY_BYTES FIFTY_BYTES FIFTY_BYTES FIFTY_BYTES
+			"." FIFTY_BYTES "de",
+			"/" FIFTY_BYTES FIFTY_BYTES FIFTY_BYTES FIFTY_BYTES
+			"/" FIFTY_BYTES FIFTY_BYTES "/",
+			""),
+	  .ok = true },
 	/* names of another type, missing or with blanks */
+	{ .text = "{}" },
+	{ .text = "7" },
 	{ .text = "{\"name\":5,\"hostname\":\"h\",\"prefix\":\"/\","
 		  "\"backend\":\"s\"}" },
 	{ .text = ROUTE("r 1", "h.example", "/p/", "") },
