platform_decode: a route with a figure beyond our limits is read

Callers were answered 404 for a route that the operator had added if one of its figures was null, or greater than what the scheduler computes with: a priority above 999, a stretch above 1,000, a time above 2^40 ms, more than 2^32 - 1 attempts.

The limits keep the scheduler's sums in 64 bits and are no reason to leave a route out: a greater figure now counts as the limit, and null as absent.

--- a/regress/test_platform_decode.c
+++ b/regress/test_platform_decode.c
@@ -539,6 +539,19 @@
 	/* figures omitted */
 	{ .text = PLAIN(""), .ok = true },
 	{ .text = PLAIN(",\"priority\":0,\"stretch\":0.0"), .ok = true },
+	{ .text = PLAIN(",\"timeout_ms\":null,\"attempts\":null,"
+			"\"priority\":null,\"stretch\":null"),
+	  .ok = true },
+	/* figures beyond those that the scheduler takes */
+	{ .text = PLAIN(",\"timeout_ms\":9223372036854775807,"
+			"\"target_latency_ms\":1e300,\"priority\":1000,"
+			"\"attempts\":4294967296,\"stretch\":1000.5"),
+	  .ok = true,
+	  .policy = { .priority = 999,
+		      .attempts = UINT32_MAX,
+		      .stretch_milli = 1000000,
+		      .target_ms = INT64_C(1) << 40 },
+	  .timeout_ms = INT64_C(1) << 40 },
 	/* names of any bytes */
 	{ .text = ROUTE("r-\xc4\x8d", "\xc4\x8d.example", "/\xc4\x8d/", ""),
 	  .ok = true },
