A queue that could not be decoded is not called absent

Callers were answered 404, which says that no such queue exists, for each route that the host could not decode, and for each new route of a configuration that it could not decode at all. The host noted the revision as seen and said so once in its log; nothing showed it later.

What was not read is kept until a later configuration is read in whole. As long, a path without a queue is answered 503 (config_stale), so that the caller goes elsewhere or comes back. A route without a name or a service is left out too: its jobs would be accepted and never run.

The host stays ready. The cause is the text or the version of the daemon, so it is the same on all hosts or nearly so. If all left the rotation, either nobody would serve the other queues, or, where the load balancer then uses all of them again, as the users' does, nothing would be gained; and not ready for long also counts as a duty missed. A host that has no older configuration is not ready, as before.

--- a/counter_list.h
+++ b/counter_list.h
@@ -138,6 +138,11 @@
 	"times that the store became unreachable")
 COUNTER(STORE_REACHABLE_AGAIN, "store_regained",
 	"times that the store became reachable again")
+COUNTER(CONFIGS_UNREAD, "configs_unread",
+	"configurations that could not be decoded")
+COUNTER(QUEUES_UNREAD, "queues_unread",
+	"queues of configurations in force left out as they could not be "
+	"decoded")
 COUNTER(RETRY_STORE, "retry_store",
 	"retries of a caller's write or read at the store")
 COUNTER(SHARD_CLAIMED, "shards_claimed", "shards that this host took over")
--- a/error_list.h
+++ b/error_list.h
@@ -111,6 +111,8 @@
 
 GH_ERROR_KIND(NO_QUEUE, "no_queue", NO, 404,
 	      "use a host and path that the configuration names")
+GH_ERROR_KIND(CONFIG_STALE, "config_stale", NO, 503,
+	      "retry after the time given, or at another host")
 GH_ERROR_KIND(ADVICE_UNMET, "advice_unmet", NO, 503,
 	      "use a queue without placement advice")
 
--- a/fleet_front.h
+++ b/fleet_front.h
@@ -26,6 +26,13 @@
  */
 fleet_config_t *fleet_front_config(fleet_front_t *host);
 
+/*
+ * Whether a path without a queue in this configuration has none: the
+ * configuration is the operator's newest one and was read in whole.
+ */
+bool fleet_front_knows_all_queues(fleet_front_t *host,
+				  const fleet_config_t *config);
+
 /*
  * Submits a job as a pipeline whose id, queue, service and acceptance time are
  * set, and takes ownership of the pipeline.
@@ -55,7 +62,10 @@
 /* Delay after which a refused caller should retry. */
 int64_t fleet_front_retry_after_ms(void);
 
-/* Counters and histograms as text, to be freed by g_free(). */
+/*
+ * Counters, histograms and the state of the configuration as text, to be freed
+ * by g_free().
+ */
 char *fleet_front_metrics_text(fleet_front_t *host);
 
 #endif
--- a/fleet_host.c
+++ b/fleet_host.c
@@ -51,6 +51,8 @@
 	 * by lock.
 	 */
 	fleet_config_t *config;
+	/* The operator's newest configuration could not be decoded. */
+	_Atomic bool config_unread;
 };
 
 /*
@@ -183,6 +185,8 @@
 			  log_num((int64_t)item->revision), "message",
 			  err->message, NULL);
 		g_error_free(err);
+		counter_inc(CTR_CONFIGS_UNREAD);
+		atomic_store(&host->config_unread, true);
 		return;
 	}
 	old = host->config;
@@ -190,6 +194,8 @@
 		fleet_config_unref(config);
 		return;
 	}
+	atomic_store(&host->config_unread, false);
+	counter_add(CTR_QUEUES_UNREAD, config->n_unread);
 	for (i = 0; i < host->setup.shards; i++)
 		fleet_owner_configure(host->owners[i], config);
 	pthread_mutex_lock(&host->lock);
@@ -283,6 +289,12 @@
 	return best;
 }
 
+bool fleet_front_knows_all_queues(fleet_front_t *host,
+				  const fleet_config_t *config)
+{
+	return !atomic_load(&host->config_unread) && !config->n_unread;
+}
+
 bool fleet_front_submit(fleet_front_t *host, const fleet_queue_t *queue,
 			gh_pipeline_t *pipeline, gh_time_t deadline,
 			GError **err)
@@ -418,8 +430,18 @@
 
 char *fleet_front_metrics_text(fleet_front_t *host)
 {
-	(void)host;
-	return counter_format_all();
+	fleet_config_t *config = fleet_front_config(host);
+	char *counters = counter_format_all();
+	char *text = g_strdup_printf(
+		"%sconfig_version %" PRIu64 "\nconfig_queues %zu\n"
+		"config_queues_missing %zu\nconfig_outdated %d\n",
+		counters, config ? config->version : 0,
+		config ? config->n_queues : 0, config ? config->n_unread : 0,
+		atomic_load(&host->config_unread));
+
+	fleet_config_unref(config);
+	g_free(counters);
+	return text;
 }
 
 static bool store_is_reachable(const fleet_front_t *host)
--- a/fleet_port.h
+++ b/fleet_port.h
@@ -178,6 +178,7 @@
 	uint64_t version;
 	fleet_queue_t *queues;
 	size_t n_queues;
+	size_t n_unread; /* queues left out as they could not be decoded */
 };
 
 fleet_config_t *fleet_config_ref(fleet_config_t *config);
--- a/regress/test_platform_decode.c
+++ b/regress/test_platform_decode.c
@@ -567,6 +567,8 @@
 	{ .text = "7" },
 	{ .text = "{\"name\":5,\"hostname\":\"h\",\"prefix\":\"/\","
 		  "\"backend\":\"s\"}" },
+	{ .text = "{\"name\":\"r-1\",\"hostname\":\"h\",\"prefix\":\"/\"}" },
+	{ .text = ROUTE("", "h.example", "/p/", "") },
 	{ .text = ROUTE("r 1", "h.example", "/p/", "") },
 	{ .text = ROUTE("r-1", "h.example", "/p/", ",\"backend\":\"a b\"") },
 	/* figures of another type or below 0 */
@@ -635,7 +637,8 @@
 		const fleet_queue_t *queue;
 
 		assert_non_null(config);
-		if (config->n_queues != 1u + c->ok)
+		if (config->n_queues != 1u + c->ok ||
+		    config->n_unread != !c->ok)
 			fail_msg("case %zu: %zu queues of %s", i,
 				 config->n_queues, text);
 		queue = &config->queues[0];
