core_fleet: a gang of suspects starts

A gang of two or more tasks two of whose starts had been lost with their workers was never started again: its job stayed running without a run, beside idle workers, to the end (LOST).

The members of a gang are placed in one go, and each that needs care asks for a worker of its own. The first member is placed; its run, planned a moment ago, has not settled and so keeps all others off its worker. The second reserves a worker and is to wait, so the gang is rolled back, and the start of the first has reset what it had waited. With fewer workers than members it cannot end at all, with as many it begins anew each time.

Members of a gang now admit each other, as they run at the same time anyway, and none waits for a worker of its own. The costs still choose workers without unsettled runs, and the first member's worker takes nothing but members of the gang until it has settled.

--- a/core_fleet_crash.c
+++ b/core_fleet_crash.c
@@ -101,6 +101,8 @@
 			   gh_time_t now);
 static void resolve_doubt(gh_fleet_t *fleet, const fleet_doubt_t *doubt,
 			  bool is_back, gh_time_t now);
+static bool is_gang_of(const gh_fleet_t *fleet, const fleet_job_t *job,
+		       uint32_t task, const fleet_run_t *run);
 static bool is_kept(const gh_fleet_t *fleet, const fleet_worker_t *worker,
 		    gh_time_t now);
 static uint32_t count_unsettled(const gh_fleet_t *fleet,
@@ -537,14 +539,26 @@
 }
 
 bool fleet_crash_admits(const gh_fleet_t *fleet, uint32_t handle,
-			const fleet_task_t *task, gh_time_t now)
+			const fleet_job_t *job, uint32_t task, gh_time_t now)
 {
 	const fleet_worker_t *worker = fleet_worker(fleet, handle);
 
 	if (worker->suspect_run != GH_NONE &&
-	    !has_settled(fleet_run(fleet, worker->suspect_run)))
+	    !has_settled(fleet_run(fleet, worker->suspect_run)) &&
+	    !is_gang_of(fleet, job, task,
+			fleet_run(fleet, worker->suspect_run)))
 		return false;
-	return now >= worker->kept_until || worker->kept_for == task;
+	return now >= worker->kept_until ||
+	       worker->kept_for == &job->tasks[task];
+}
+
+/* Whether the task and that of the run are members of one gang. */
+static bool is_gang_of(const gh_fleet_t *fleet, const fleet_job_t *job,
+		       uint32_t task, const fleet_run_t *run)
+{
+	return fleet_job(fleet, run->job) == job &&
+	       fleet_task_step(job, task)->gang &&
+	       fleet_task_stage(job, run->task) == fleet_task_stage(job, task);
 }
 
 int64_t fleet_crash_cost(const gh_fleet_t *fleet, uint32_t handle,
@@ -576,6 +590,9 @@
 	uint32_t kept = 0;
 	uint32_t i;
 
+	/* Its members start together or not at all, so that none may wait. */
+	if (step->gang)
+		return true;
 	if (!task->care_since)
 		task->care_since = now;
 	if (now - task->care_since > (proof ? PROOF_WAIT_USEC : CARE_WAIT_USEC))
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -636,7 +636,7 @@
 		fleet->counts.examined++;
 		if (i == excluded_worker || !worker->in_use ||
 		    find_obstacle(fleet, job, stage, i, now) != OBSTACLE_NONE ||
-		    !fleet_crash_admits(fleet, i, &job->tasks[task], now))
+		    !fleet_crash_admits(fleet, i, job, task, now))
 			continue;
 		cost = placement_cost(fleet, worker, step, rack, image);
 		if (step->best_effort) {
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -741,9 +741,9 @@
 bool fleet_crash_wants_report(const fleet_worker_t *worker, gh_time_t now);
 /* Whether the task starts only where nothing else starts. */
 bool fleet_crash_needs_care(const fleet_task_t *task);
-/* Whether the task may start on the worker beside suspect tasks. */
+/* Whether the job's task may start on the worker beside suspect tasks. */
 bool fleet_crash_admits(const gh_fleet_t *fleet, uint32_t handle,
-			const fleet_task_t *task, gh_time_t now);
+			const fleet_job_t *job, uint32_t task, gh_time_t now);
 /* Cost of the worker for the task on account of suspects. */
 int64_t fleet_crash_cost(const gh_fleet_t *fleet, uint32_t handle,
 			 const fleet_task_t *task, gh_time_t now);
