soak: a rule for tasks that wait beside free workers

The simulated soak judged TWICE, ORDER and CAPACITY only, so a shard in which nothing ran passed. A breach shows the owner's view of the task, its runs and the workers.

Two faults of the model, not of the product: a commit of a job's end that met a cancel was refused for ever, where the owner reads the state and writes it again; and leases were extended anew by each of several overlapping outages of the store (changed for quiet runs only).

--- a/regress/fleet_model.c
+++ b/regress/fleet_model.c
@@ -16,6 +16,8 @@
 #define USED_PERCENT 60
 /* Time before the first event of a task from which on events are shown. */
 #define LOG_BEFORE_USEC (2 * GH_USEC_PER_SEC)
+/* From here on they are shown in any case. */
+#define LOG_LAST_USEC (4 * GH_USEC_PER_SEC)
 #define QUICK_MIN_MS 20
 #define QUICK_MAX_MS 300
 #define ENTRY_GONE_MIN_MS 1500
@@ -216,6 +218,9 @@
 	m->random_state = options->seed * 2 + 1;
 	m->now = gh_time_from_ms(START_MS);
 	m->end = m->now + gh_time_from_ms(options->duration_ms);
+	m->quiet_at = options->quiet_ms ?
+			      m->end - gh_time_from_ms(options->quiet_ms) :
+			      GH_TIME_NEVER;
 	m->last_start_ms = START_MS;
 	m->events = g_array_new(FALSE, FALSE, sizeof(sim_event_t));
 	m->arena = g_ptr_array_new_with_free_func(g_free);
@@ -236,6 +241,10 @@
 	start_workers_and_hosts(m);
 	model_post(m, m->now, submit_job, NULL);
 	model_post(m, m->now + model_random_ms(m, 1000, 2000), disrupt, NULL);
+	m->job_period_ms = JOB_PERIOD_MS;
+	if (options->quiet_ms)
+		model_field_start(m);
+	model_idle_start(m);
 	run_events(m);
 	clear_model(m);
 }
@@ -270,6 +279,7 @@
 		for (j = 0; j < job->n_tasks; j++)
 			g_array_free(job->tasks[j].done, TRUE);
 		g_free(job->tasks);
+		g_free(job->waits_since);
 		g_free(job->text);
 		gh_pipeline_free(job->pipeline);
 		g_free(job);
@@ -358,7 +368,7 @@
 			const char *what)
 {
 	GString *text = g_string_new(NULL);
-	gh_time_t from = m->now;
+	gh_time_t from = m->now - LOG_LAST_USEC;
 	guint i;
 
 	for (i = 0; i < m->log->len; i++) {
@@ -485,17 +495,22 @@
 	guint i;
 
 	(void)data;
-	model_post(m, m->now + model_random_ms(m, 1, 2 * JOB_PERIOD_MS),
+	model_post(m, m->now + model_random_ms(m, 1, 2 * m->job_period_ms),
 		   submit_job, NULL);
 	for (i = 0; i < m->jobs->len; i++)
 		open += ((const model_job_t *)m->jobs->pdata[i])->exists;
 	if (open >= JOBS_OPEN_MAX)
 		return;
 	job = g_new0(model_job_t, 1);
-	job->pipeline = make_pipeline(m, m->jobs->len + 1);
+	job->pipeline = m->options->quiet_ms ?
+				model_field_pipeline(m, m->jobs->len + 1) :
+				make_pipeline(m, m->jobs->len + 1);
+	if (m->options->quiet_ms)
+		model_field_set_faults(m, job);
 	job->text = gh_pipeline_format(job->pipeline);
 	job->n_tasks = gh_pipeline_task_count(job->pipeline);
 	job->tasks = g_new0(model_task_t, job->n_tasks);
+	job->waits_since = g_new0(gh_time_t, job->n_tasks);
 	for (i = 0; i < job->n_tasks; i++)
 		job->tasks[i].done =
 			g_array_new(FALSE, TRUE, sizeof(done_end_t));
@@ -565,6 +580,7 @@
 	uint32_t total = 0;
 	uint32_t slot = (uint32_t)model_random(m, MODEL_SLOTS);
 	host_t *h = &m->hosts[model_random(m, MODEL_HOSTS)];
+	gh_time_t until;
 	uint64_t pick;
 	int i;
 
@@ -573,7 +589,7 @@
 		   disrupt, NULL);
 	for (i = 0; i < DISRUPTIONS; i++)
 		total += m->weights[i];
-	if (!total)
+	if (!total || m->disruptions_over)
 		return;
 	/* Half of them hit the owner. */
 	if (m->store.owner != MODEL_NONE && model_chance(m, 50))
@@ -583,9 +599,8 @@
 		pick -= m->weights[i];
 	model_log(m, NULL, "disruption %s, address %u, host %u", kinds[i].name,
 		  slot, h->index);
-	kinds[i].run(
-		m, slot, h,
-		m->now + model_random_ms(m, kinds[i].from_ms, kinds[i].to_ms));
+	until = m->now + model_random_ms(m, kinds[i].from_ms, kinds[i].to_ms);
+	kinds[i].run(m, slot, h, MIN(until, m->quiet_at));
 }
 
 static void lose_replies(model_t *m, uint32_t slot, host_t *h, gh_time_t until)
@@ -632,16 +647,19 @@
 
 static void crash(model_t *m, uint32_t slot, host_t *h, gh_time_t until)
 {
-	life_t *life = m->slots[slot];
+	(void)h;
+	if (m->slots[slot])
+		model_crash(m, m->slots[slot], until);
+}
+
+void model_crash(model_t *m, life_t *life, gh_time_t followed_at)
+{
 	char id[GH_WORKER_ID_MAX + 1];
 	entry_event_t *event;
 
-	(void)h;
-	if (!life)
-		return;
 	life_crash(m, life);
 	new_worker_id(m, id, sizeof(id));
-	post_boot(m, id, slot, until);
+	post_boot(m, id, life->slot, followed_at);
 	event = model_alloc(m, sizeof(*event));
 	event->entry = entry_find(m, life->id);
 	event->life = life;
--- a/regress/fleet_model.h
+++ b/regress/fleet_model.h
@@ -50,13 +50,19 @@
 typedef enum model_rule {
 	RULE_TWICE = 1,
 	RULE_ORDER = 2, /* of a job's steps */
-	RULE_CAPACITY = 4
+	RULE_CAPACITY = 4,
+	RULE_IDLE = 8 /* tasks wait beside workers with capacity */
 } model_rule_t;
 
 typedef struct model_options {
 	unsigned rules;
 	uint64_t seed;
 	int64_t duration_ms;
+	/*
+	 * Without disruptions at the end, and with jobs as in the field; 0:
+	 * off.
+	 */
+	int64_t quiet_ms;
 	uint32_t weights[DISRUPTIONS]; /* relative frequency; 0: off */
 } model_options_t;
 
@@ -64,6 +70,9 @@
 	/* Events up to the first breach of a rule; NULL: none was broken. */
 	char *breach;
 	uint32_t starts, done, lives, owners;
+	/* Samples that RULE_IDLE judged, and the longest wait in them. */
+	uint32_t idle_samples;
+	int64_t longest_idle_ms;
 } model_result_t;
 
 const char *model_disruption_name(model_disruption_t disruption);
--- a/regress/fleet_model_owner.c
+++ b/regress/fleet_model_owner.c
@@ -59,7 +59,7 @@
 static void claim_succeeded(host_t *h, uint64_t revision);
 static void host_load(host_t *h);
 static void finish_loading(host_t *h);
-static void add_job(host_t *h, const model_job_t *job, bool with_progress);
+static void add_job(host_t *h, model_job_t *job, bool with_progress);
 static void host_renew(host_t *h);
 static void lease_renewed(host_t *h, const store_call_t *call);
 static void host_restore(host_t *h);
@@ -236,6 +236,10 @@
 
 void store_go_down(model_t *m, gh_time_t until)
 {
+	/* The end of a store that is down already moves. */
+	gh_time_t from = m->options->quiet_ms ?
+				 MAX(m->now, m->store.down_until) :
+				 m->now;
 	guint i;
 
 	m->store.down_until = until;
@@ -248,7 +252,7 @@
 
 		if (lease->ended)
 			continue;
-		lease->ends_at += until - m->now;
+		lease->ends_at += until - from;
 		id = model_alloc(m, sizeof(*id));
 		*id = i + 1;
 		model_post(m, lease->ends_at, on_store_lease_end, id);
@@ -293,6 +297,7 @@
 	for (i = 0; i < call->n_changes; i++)
 		cancelled |= call->changes[i].phase_changed &&
 			     call->changes[i].phase != GH_JOB_CANCELLED &&
+			     !call->changes[i].cancel_heard &&
 			     call->changes[i].job->cancelled;
 	if (cancelled || store->chain_revision != call->chain_revision) {
 		call->result = STORE_CONFLICT;
@@ -734,13 +739,15 @@
 	h->reread_at = GH_TIME_NEVER;
 }
 
-static void add_job(host_t *h, const model_job_t *job, bool with_progress)
+static void add_job(host_t *h, model_job_t *job, bool with_progress)
 {
 	if (job->exists && !gh_fleet_has_job(h->fleet, job->pipeline->id))
 		gh_fleet_job_add(h->fleet, gh_pipeline_parse(job->text, NULL),
 				 with_progress ? job->progress : NULL, NULL);
-	if (job->cancelled)
-		gh_fleet_job_cancel(h->fleet, job->pipeline->id, h->m->now);
+	if (!job->cancelled)
+		return;
+	job->cancel_heard |= 1u << h->index;
+	gh_fleet_job_cancel(h->fleet, job->pipeline->id, h->m->now);
 }
 
 static void host_end_ownership(host_t *h, const char *why)
@@ -983,6 +990,9 @@
 			.job = model_job_find(h->m, change.id),
 			.phase = change.phase,
 			.phase_changed = change.phase_changed,
+			.cancel_heard =
+				model_job_find(h->m, change.id)->cancel_heard &
+				1u << h->index,
 			.version = change.version,
 			.progress =
 				change.progress ?
--- a/regress/fleet_model_private.h
+++ b/regress/fleet_model_private.h
@@ -13,6 +13,10 @@
 #define MODEL_LEASE_MAX_MS 10000
 #define MODEL_STOP_MS 500
 #define MODEL_CAPACITY_MILLI 4000
+#define MODEL_MEMORY_MB 1000000
+#define MODEL_FIELD_MEMORY_MB 16000
+/* Time for which all hosts are down as disruptions end. */
+#define MODEL_DARK_MS 1000
 #define MODEL_NONE UINT32_MAX
 
 typedef struct model model_t;
@@ -96,6 +100,8 @@
 	int64_t deadline_ms; /* of its lease, on its own clock */
 	gh_time_t lapsed_at;
 	uint32_t capacity_milli;
+	uint32_t memory_mb;
+	const char *kind;
 	uint64_t last_end;
 	GArray *runs; /* live_run_t */
 	GArray *ends; /* life_end_t, that are not forgotten */
@@ -132,7 +138,8 @@
 } done_end_t;
 
 typedef struct model_task {
-	GArray *done; /* done_end_t; NULL: none */
+	GArray *done;	  /* done_end_t; NULL: none */
+	gh_time_t ran_at; /* last seen with a run; 0: not yet */
 } model_task_t;
 
 typedef struct model_job {
@@ -140,9 +147,16 @@
 	char *text; /* of the pipeline */
 	uint32_t n_tasks;
 	model_task_t *tasks;
+	bool hopeless;	 /* all runs of it fail */
+	uint32_t deadly; /* step whose runs crash their workers, + 1; 0: none */
+	uint32_t deadly_tasks; /* the first of that step */
+	gh_time_t ran_at;      /* last seen with a run */
+	/* Since when each task waits beside capacity for it; 0: it does not. */
+	gh_time_t *waits_since;
 	/* Records in the store. */
 	bool exists;
 	bool cancelled;
+	uint32_t cancel_heard; /* bit of each host that knows of it */
 	const char *progress;
 } model_job_t;
 
@@ -150,6 +164,7 @@
 	model_job_t *job;
 	gh_job_phase_t phase;
 	bool phase_changed;
+	bool cancel_heard; /* the commit expects the cancelled state */
 	uint64_t version;
 	const char *progress;
 } job_change_t;
@@ -273,6 +288,10 @@
 	uint32_t weights[DISRUPTIONS];
 	gh_time_t now;
 	gh_time_t end;
+	gh_time_t quiet_at; /* when disruptions end */
+	bool disruptions_over;
+	gh_time_t crashed_at; /* last crash of a worker by a task */
+	int64_t job_period_ms;
 	uint64_t sequence;
 	GArray *events; /* sim_event_t: binary heap */
 	GPtrArray *arena;
@@ -317,9 +336,20 @@
 /* The worker is told that it may forget its ends up to a number. */
 void model_note_ack(model_t *m, const life_t *life, uint64_t number);
 
+/* See fleet_model_idle.c and fleet_model_field.c. */
+void model_idle_start(model_t *m);
+void model_field_start(model_t *m);
+gh_pipeline_t *model_field_pipeline(model_t *m, uint32_t number);
+void model_field_set_faults(model_t *m, model_job_t *job);
+void model_field_begin_run(model_t *m, life_t *life, const gh_task_id_t *task);
+
 /* Workers. */
+/* What the runs there take up, of which best-effort ones take no cores. */
+gh_resources_t model_used(const model_t *m, const life_t *life);
 life_t *life_start(model_t *m, const char *id, uint32_t slot);
 void life_crash(model_t *m, life_t *life);
+/* The worker crashes, and another follows at its address at a time. */
+void model_crash(model_t *m, life_t *life, gh_time_t followed_at);
 void life_free(life_t *life);
 void life_register(model_t *m, void *data);
 int64_t life_clock_ms(const model_t *m, const life_t *life);
--- a/regress/fleet_model_worker.c
+++ b/regress/fleet_model_worker.c
@@ -55,7 +55,8 @@
 		      uint32_t run);
 static void extend_lease(model_t *m, life_t *life, int64_t deadline_ms);
 static void on_lease_end(model_t *m, void *data);
-static uint32_t used_capacity(const model_t *m, const life_t *life);
+static bool has_capacity(const model_t *m, const life_t *life,
+			 const gh_step_t *step);
 static void fill_report(model_t *m, const life_t *life, worker_call_t *call);
 
 life_t *life_start(model_t *m, const char *id, uint32_t slot)
@@ -70,6 +71,9 @@
 	life->clock_rate = model_chance(m, 50) ? 1 : CLOCK_SLOW_RATE;
 	life->up = true;
 	life->capacity_milli = MODEL_CAPACITY_MILLI;
+	life->memory_mb =
+		m->options->quiet_ms ? MODEL_FIELD_MEMORY_MB : MODEL_MEMORY_MB;
+	life->kind = m->options->quiet_ms && slot % 2 ? "b" : "a";
 	life->runs = g_array_new(FALSE, TRUE, sizeof(live_run_t));
 	life->ends = g_array_new(FALSE, TRUE, sizeof(life_end_t));
 	life->over = g_array_new(FALSE, TRUE, sizeof(life_end_t));
@@ -122,13 +126,15 @@
 	entry->value = (gh_worker_entry_t){
 		.service = "svc",
 		.n_labels = 2,
-		.labels = { "a", "r1" },
+		.labels = { "", "r1" },
 		.size = { .cores_milli = life->capacity_milli,
-			  .memory_mb = 1000000 },
+			  .memory_mb = life->memory_mb },
 		.incarnation_start_ms = life->start_ms,
 		.draining = life->draining,
 	};
 	g_strlcpy(entry->value.id, life->id, sizeof(entry->value.id));
+	g_strlcpy(entry->value.labels[0], life->kind,
+		  sizeof(entry->value.labels[0]));
 	g_snprintf(entry->value.address, sizeof(entry->value.address),
 		   "127.0.0.1:%u", life->slot + 1);
 	entry_changed(m, entry);
@@ -315,24 +321,37 @@
 		respond(m, life, call, GH_ORDER_OK);
 	else if (old)
 		respond(m, life, call, GH_ORDER_STALE_RUN);
-	else if (m->workers_check_capacity &&
-		 used_capacity(m, life) + step->size.cores_milli >
-			 life->capacity_milli)
+	else if (m->workers_check_capacity && !has_capacity(m, life, step))
 		respond(m, life, call, GH_ORDER_NO_CAPACITY);
 	else
 		begin_run(m, life, call);
 }
 
-static uint32_t used_capacity(const model_t *m, const life_t *life)
+static bool has_capacity(const model_t *m, const life_t *life,
+			 const gh_step_t *step)
 {
-	uint32_t used = 0;
+	gh_resources_t used = model_used(m, life);
+
+	/* Best-effort tasks use the cores that others leave. */
+	if (step->best_effort && m->options->quiet_ms)
+		used.cores_milli = 0;
+	return used.cores_milli + step->size.cores_milli <=
+		       life->capacity_milli &&
+	       used.memory_mb + step->size.memory_mb <= life->memory_mb;
+}
+
+gh_resources_t model_used(const model_t *m, const life_t *life)
+{
+	gh_resources_t used = { 0 };
 	guint i;
 
 	for (i = 0; i < life->runs->len; i++) {
 		const gh_step_t *step = model_step(
 			m, &g_array_index(life->runs, live_run_t, i).task);
 
-		used += step->best_effort ? 0 : step->size.cores_milli;
+		if (!step->best_effort)
+			used.cores_milli += step->size.cores_milli;
+		used.memory_mb += step->size.memory_mb;
 	}
 	return used;
 }
@@ -344,9 +363,12 @@
 			   .run = call->run,
 			   .started_at = m->now };
 	gh_time_t end = m->now + model_random_ms(m, 50, 2 * step->estimate_ms);
+	bool failed = model_job_find(m, run.task.job)->hopeless;
 
 	respond(m, life, call, GH_ORDER_OK);
 	model_check_start(m, life, &call->task, call->run);
+	if (m->options->quiet_ms)
+		model_field_begin_run(m, life, &call->task);
 	m->result->starts++;
 	g_array_append_val(life->runs, run);
 	if (step->gang) {
@@ -355,14 +377,13 @@
 			       m->now + gh_time_from_ms(GANG_WAIT_MS));
 		begin_gang(m, &run.task, run.run);
 	} else if (step->long_running) {
-		if (model_chance(m, FAIL_PERCENT))
+		if (model_chance(m, FAIL_PERCENT) || failed)
 			post_run_event(m, life, &run.task, run.run,
 				       GH_RUN_FAILED, end);
 	} else {
+		failed |= model_chance(m, FAIL_PERCENT);
 		post_run_event(m, life, &run.task, run.run,
-			       model_chance(m, FAIL_PERCENT) ? GH_RUN_FAILED :
-							       GH_RUN_DONE,
-			       end);
+			       failed ? GH_RUN_FAILED : GH_RUN_DONE, end);
 	}
 }
 
--- a/regress/test_core_fleet_soak.c
+++ b/regress/test_core_fleet_soak.c
@@ -1,6 +1,7 @@
 /*
  * Soak of the fleet scheduler in simulated time, on a model of the workers, the
- * store and the hosts: no task may run twice.
+ * store and the hosts: no task may run twice, or wait beside workers with
+ * capacity for it once disruptions are over.
  *
  * The environment variables SOAK_SEED, SOAK_SEEDS and SOAK_SECONDS set the
  * first seed, the number of seeds and the simulated time of each;
@@ -22,6 +23,7 @@
 #include "fleet_model.h"
 
 #define SECONDS_DEFAULT 60 /* simulated time of one seed */
+#define QUIET_MS 32000	   /* of it, without disruptions at the end */
 #define RESTARTS "restart=5,release=3,kill=3,cut=4,store_cut=2"
 
 typedef struct soak_case {
@@ -29,6 +31,7 @@
 	unsigned rules;
 	const char *disruptions;
 	uint64_t seed, seeds;
+	int64_t quiet_ms;
 } soak_case_t;
 
 static uint64_t number_from_environment(const char *name, uint64_t fallback)
@@ -69,6 +72,7 @@
 		.rules = c->rules,
 		.duration_ms = 1000 * (int64_t)number_from_environment(
 					      "SOAK_SECONDS", SECONDS_DEFAULT),
+		.quiet_ms = c->quiet_ms,
 	};
 	uint64_t first = number_from_environment("SOAK_SEED", c->seed);
 	uint64_t n = number_from_environment("SOAK_SEEDS", c->seeds);
@@ -86,6 +90,9 @@
 		total.done += result.done;
 		total.lives += result.lives;
 		total.owners += result.owners;
+		total.idle_samples += result.idle_samples;
+		total.longest_idle_ms =
+			MAX(total.longest_idle_ms, result.longest_idle_ms);
 		if (!result.breach)
 			continue;
 		/* The events of the first breach are enough. */
@@ -99,6 +106,9 @@
 	       "%u lives of workers, %u owners\n",
 	       c->name, (unsigned)n, (unsigned)first, (unsigned)broken,
 	       total.starts, total.done, total.lives, total.owners);
+	if (c->quiet_ms)
+		printf("%s: %u samples judged, longest wait %d ms\n", c->name,
+		       total.idle_samples, (int)total.longest_idle_ms);
 	fflush(stdout);
 	assert_int_equal(broken, 0);
 }
@@ -174,6 +184,36 @@
 	soak(&c);
 }
 
+/* A task has no run beside workers with capacity, long after disruptions. */
+static void test_no_task_waits_beside_free_workers(void **state)
+{
+	static const soak_case_t cases[] = {
+		{ .name = "idle tasks, all disruptions",
+		  .rules = RULE_IDLE,
+		  .disruptions = "-record",
+		  .seed = 1,
+		  .seeds = 150,
+		  .quiet_ms = QUIET_MS },
+		{ .name = "idle tasks, crashes of workers",
+		  .rules = RULE_IDLE,
+		  .disruptions = "crash=5,restart=3,kill=2,release,drain=2",
+		  .seed = 60000,
+		  .seeds = 150,
+		  .quiet_ms = QUIET_MS },
+		{ .name = "idle tasks, late calls",
+		  .rules = RULE_IDLE,
+		  .disruptions = "restart=3,late=5,replies=3,move,cut=2,kill",
+		  .seed = 10000,
+		  .seeds = 150,
+		  .quiet_ms = QUIET_MS },
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		soak(&cases[i]);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -181,6 +221,7 @@
 		cmocka_unit_test(test_lease_of_new_life_outlasts_next_owner),
 		cmocka_unit_test(test_done_in_unknown_new_life),
 		cmocka_unit_test(test_no_start_over_capacity),
+		cmocka_unit_test(test_no_task_waits_beside_free_workers),
 	};
 
 	if (getenv("SOAK_TEST"))
