core_balance: place no long-running job in a shard without headroom

A shard was chosen in proportion to the capacity that it had left, so that a shard that was full in practice, as what is left on a worker is smaller than a task, went on to get every tenth job. A tenth of each shard's capacity counts as taken now, unless that is so in all shards.

--- a/core_balance.c
+++ b/core_balance.c
@@ -7,6 +7,11 @@
  * failed.
  */
 #define PLACED_MAX_USEC (10 * GH_USEC_PER_SEC)
+/*
+ * Share of a shard's capacity that tasks seldom get: what is left on a worker
+ * is too small for one, or other tasks run there.
+ */
+#define HEADROOM_SHARE 0.1
 
 /* A job that this host has placed and that no report includes yet. */
 typedef struct placed_job {
@@ -32,11 +37,15 @@
 			   const gh_capacity_t *size);
 
 static bool has_fixed_step(const gh_pipeline_t *job);
+static double sum_weights(const gh_balance_t *balance,
+			  const gh_capacity_t *size, weight_t weigh);
 static uint32_t choose_by_weight(const gh_balance_t *balance,
 				 const gh_pipeline_t *job, weight_t weigh);
 static double free_cores(const shard_entry_t *shard, const gh_capacity_t *job);
 static uint32_t scrambled_hash(const char *id);
 static double free_share(const shard_entry_t *shard, const gh_capacity_t *job);
+static double share_above_headroom(const shard_entry_t *shard,
+				   const gh_capacity_t *job);
 static double free_part(int64_t total, int64_t used, int64_t wanted);
 static void remove_placed(shard_entry_t *shard, bool reported, gh_time_t now);
 
@@ -91,10 +100,15 @@
 		return hashed;
 	for (i = 0; i < balance->n_shards; i++)
 		remove_placed(&balance->shards[i], false, now);
-	if (balance->shards[hashed].known)
-		best = long_running ?
-			       choose_by_weight(balance, job, free_share) :
-			       choose_by_weight(balance, job, free_cores);
+	if (balance->shards[hashed].known) {
+		weight_t weigh =
+			long_running ? share_above_headroom : free_cores;
+
+		if (long_running &&
+		    sum_weights(balance, &placed.size, weigh) <= 0)
+			weigh = free_share;
+		best = choose_by_weight(balance, job, weigh);
+	}
 	if (!long_running)
 		return best;
 	g_array_append_val(balance->shards[best].placed, placed);
@@ -113,14 +127,13 @@
 	gh_capacity_t size = long_running_size(job);
 	double position = (double)scrambled_hash(job->id) / UINT32_MAX;
 	double largest = -G_MAXDOUBLE;
-	double sum = 0;
+	double sum = sum_weights(balance, &size, weigh);
 	uint32_t best = 0;
 	uint32_t i;
 
 	for (i = 0; i < balance->n_shards; i++) {
 		double weight = weigh(&balance->shards[i], &size);
 
-		sum += MAX(weight, 0);
 		if (weight > largest) {
 			largest = weight;
 			best = i;
@@ -140,6 +153,17 @@
 	return best;
 }
 
+static double sum_weights(const gh_balance_t *balance,
+			  const gh_capacity_t *size, weight_t weigh)
+{
+	double sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < balance->n_shards; i++)
+		sum += MAX(weigh(&balance->shards[i], size), 0);
+	return sum;
+}
+
 /*
  * Hash of the id that is independent of the shard that its plain hash names.
  * The constants are those of the finalizer of MurmurHash3.
@@ -199,6 +223,13 @@
 	return MIN(cores, memory);
 }
 
+/* Negative for a shard in which some of the job's tasks may have to wait. */
+static double share_above_headroom(const shard_entry_t *shard,
+				   const gh_capacity_t *job)
+{
+	return free_share(shard, job) - HEADROOM_SHARE;
+}
+
 /*
  * Milli-cores that long-running tasks leave; as many fewer as they leave less
  * of the memory.
--- a/core_balance.h
+++ b/core_balance.h
@@ -3,10 +3,11 @@
  *
  * Long-running tasks keep their capacity, so a job with such tasks goes to a
  * shard with a probability in proportion to the share of its capacity that it
- * has left for them.  A job with other tasks of fixed size can use only what
- * the long-running ones leave, so it goes to a shard in proportion to that.  A
- * job of best-effort tasks alone, which take what the others don't use, goes to
- * the shard that the hash of its id names.
+ * has left for them, less some headroom; to one without headroom only if all
+ * are.  A job with other tasks of fixed size can use only what the long-running
+ * ones leave, so it goes to a shard in proportion to that.  A job of
+ * best-effort tasks alone, which take what the others don't use, goes to the
+ * shard that the hash of its id names.
  *
  * Answers loads whose long-running tasks fill most of the capacity, and some
  * shards almost whole: where the hash placed short urgent jobs, those of the
