fleet_owner: tell the shard's load with the commit that changes it

The first 214 jobs arrive within 0.7 s, at as many hosts, and each reads the shards' loads before it chooses one; but owners wrote them each 0.5 s only, so that nearly all were placed as if the shards were empty.

The commit that begins or ends a long-running job carries the load now, so a choice is as old as a commit. It costs an entry, no call.

test_burst_fills_one_shard failed before, 4 of 4: two jobs that each fill a worker went to one shard. It passed 4 of 4 after.

--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -101,7 +101,10 @@
  */
 #define CHAIN_GRANTS " grants "
 #define INTERFERENCE_PERIOD_USEC (3 * GH_USEC_PER_SEC)
-/* Min time between two writes of the shard's load. */
+/*
+ * Min time between two writes of the shard's load, unless the size of its
+ * long-running tasks has changed.
+ */
 #define LOAD_PERIOD_USEC (500 * GH_USEC_PER_MSEC)
 
 /* Index, in a commit, of the entry that writes the chain record. */
@@ -213,6 +216,7 @@
 	/* Due time of the next save of the shard's load. */
 	gh_time_t load_save_at;
 	char *load_saved; /* load in the last commit with one; NULL: none */
+	gh_capacity_t long_running_saved; /* in load_saved */
 	/* An event has occurred since the last run of advance(). */
 	bool dirty;
 	/*
@@ -310,6 +314,8 @@
 static void save_interference(fleet_owner_t *owner, batch_t *batch,
 			      gh_time_t now);
 static void load_interference(fleet_owner_t *owner);
+static bool load_is_due(const fleet_owner_t *owner, const batch_t *batch,
+			gh_time_t now);
 static void save_load(fleet_owner_t *owner, batch_t *batch, gh_time_t now);
 static char *chain_text(const fleet_owner_t *owner, gh_time_t last_grant,
 			const char *unheard, gh_time_t now);
@@ -1374,7 +1380,7 @@
 		}
 	if (batch->changes->len && now >= owner->interference_save_at)
 		save_interference(owner, batch, now);
-	if (now >= owner->load_save_at)
+	if (load_is_due(owner, batch, now))
 		save_load(owner, batch, now);
 	if (now >= owner->sweep_at)
 		delete_old_states(owner, batch, now);
@@ -1772,6 +1778,27 @@
 			  log_num(owner->setup.shard), "text", text, NULL);
 }
 
+/*
+ * Whether the commit is to carry the load.  One that begins or ends a
+ * long-running job does so at once: many can come within the period, and hosts
+ * would place them all by the same load.
+ */
+static bool load_is_due(const fleet_owner_t *owner, const batch_t *batch,
+			gh_time_t now)
+{
+	gh_shard_load_t load;
+
+	if (now >= owner->load_save_at)
+		return true;
+	if (!owner->load_saved || !batch->changes->len)
+		return false;
+	gh_fleet_load(owner->fleet, &load, now);
+	return load.long_running.cores_milli !=
+		       owner->long_running_saved.cores_milli ||
+	       load.long_running.memory_mb !=
+		       owner->long_running_saved.memory_mb;
+}
+
 /*
  * Adds the shard's load to a commit if it has changed, so that hosts place new
  * jobs by it.  A load that changes beside no job is committed alone.
@@ -1790,6 +1817,7 @@
 	}
 	g_free(owner->load_saved);
 	owner->load_saved = g_strdup(text);
+	owner->long_running_saved = load.long_running;
 	batch_add_entry(batch, FLEET_PUT,
 			fleet_jobs_load_key(owner->setup.shard), text, 0, 0);
 }
--- a/regress/test_platform_directory.c
+++ b/regress/test_platform_directory.c
@@ -211,11 +211,50 @@
 	g_free(states[1]);
 }
 
+#define FILLED_SHARDS 4
+/* A worker has 8 cores, so that it can run one of these jobs. */
+#define FILLING                                             \
+	"[{\"count\":6,\"cpu\":1000,\"long_running\":true," \
+	"\"est_runtime_ms\":100}]"
+
+static bool filled_shards_told(void *arg)
+{
+	return fleet_platform_counter(arg, "loads") == FILLED_SHARDS;
+}
+
+static bool all_filled(void *arg)
+{
+	return fleet_platform_counter(arg, "running") == FILLED_SHARDS * 6;
+}
+
+/* Long-running jobs come at once at hosts that don't know of each other's. */
+static void test_burst_fills_one_shard(void **state)
+{
+	fleet_system_t sys;
+	char id[17];
+	unsigned i;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-burst", FILLED_SHARDS, FILLED_SHARDS,
+			   FILLED_SHARDS);
+	proc_wait_until(filled_shards_told, &sys, "loads of all shards");
+	for (i = 0; i < FILLED_SHARDS; i++) {
+		g_snprintf(id, sizeof(id), "%016u", i);
+		assert_int_equal(
+			fleet_submit(&sys, i, id, "600000 lasts", FILLING),
+			200);
+		fleet_await_state(&sys, i, id, "running");
+	}
+	proc_wait_until(all_filled, &sys, "a job in each shard");
+	fleet_system_stop(&sys);
+}
+
 int main(int argc, char **argv)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_calls_do_not_grow_with_jobs),
 		cmocka_unit_test(test_end_is_told_everywhere),
+		cmocka_unit_test(test_burst_fills_one_shard),
 		cmocka_unit_test(test_known_state_without_store),
 		cmocka_unit_test(test_cancel_reaches_the_owner),
 		cmocka_unit_test(test_cancel_before_late_submission),
