core_fleet_plan: give up starts at a worker that reports and loses orders

A task isn't started anywhere, without end, while its worker reports and its start gets no reply: the start is sent again after each report. The same holds for a stop, also one that follows on a restart of the worker.

After 1.5 s without a reply from a worker that reports, the run is now stopped and the fence of calls to the worker is raised. The next complete report that does not list the run proves that it is over, as the worker has then had a call with a higher fence than any start of the run: no reply to the stop is needed. The worker gets no other run for 1.5 s.

test_start_leaves_worker_that_loses_orders failed before: no start elsewhere within 2.5 s.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -688,7 +688,7 @@
 			 run->worker, why);
 	run->state = RUN_STOPPING;
 	run->state_since = now;
-	run->replied_at = 0;
+	run->replied_at = run->unanswered_since = 0;
 	fleet_order_enqueue(fleet, GH_ORDER_STOP, handle);
 }
 
@@ -800,6 +800,7 @@
 			fleet_lease_extend(fleet, worker, now);
 	run->start_sent_at = now;
 	run->start_in_flight = true;
+	run->start_fence = worker->fence_offset;
 	order->payload = job->spec->payload;
 	order->checkpoint = job->tasks[run->task].checkpoint;
 	return true;
--- a/core_fleet_late.c
+++ b/core_fleet_late.c
@@ -115,7 +115,8 @@
 static bool is_over_for_worker(const fleet_run_t *run, gh_run_outcome_t outcome)
 {
 	if (outcome == GH_RUN_LOST)
-		return run->state == RUN_STOPPING && run->replied_at;
+		return run->start_is_void ||
+		       (run->state == RUN_STOPPING && run->replied_at);
 	return outcome != GH_RUN_NOT_STARTED;
 }
 
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -29,6 +29,11 @@
  * unreachable for longer than this.
  */
 #define START_REPLY_TIMEOUT_USEC (GH_USEC_PER_SEC)
+/*
+ * A worker that reports and has not replied to a run's orders for longer than
+ * this gets no other run for as long.
+ */
+#define ORDER_REPLY_TIMEOUT_USEC (1500 * GH_USEC_PER_MSEC)
 /* Number of ticks over which the mean time between them is taken. */
 #define TICK_GAP_SAMPLES 16
 /* Ticks further apart than this on average are late. */
@@ -133,6 +138,9 @@
 static bool has_run_beyond_plan(const gh_fleet_t *fleet,
 				const fleet_worker_t *worker);
 static void retry_orders(gh_fleet_t *fleet, gh_time_t now);
+static bool gets_no_replies(const fleet_worker_t *worker,
+			    const fleet_run_t *run, gh_time_t now);
+static void void_starts(gh_fleet_t *fleet, fleet_run_t *run, gh_time_t now);
 static void stop_long_running_on_draining(gh_fleet_t *fleet, gh_time_t now);
 static void collect_candidates(gh_fleet_t *fleet, GArray *candidates,
 			       gh_time_t now, int64_t wall_ms);
@@ -291,19 +299,52 @@
 		    run->replied_at || now < run->retry_at)
 			continue;
 		worker = fleet_worker(fleet, run->worker);
-		if (run->state == RUN_STOPPING)
+		if (run->state == RUN_STOPPING) {
+			if (gets_no_replies(worker, run, now))
+				void_starts(fleet, run, now);
 			fleet_order_enqueue(fleet, GH_ORDER_STOP, i);
-		else if (worker->entry.draining || !worker->listed ||
-			 (worker->unreachable_since &&
-			  now - worker->unreachable_since >
-				  START_REPLY_TIMEOUT_USEC))
+		} else if (worker->entry.draining || !worker->listed ||
+			   (worker->unreachable_since &&
+			    now - worker->unreachable_since >
+				    START_REPLY_TIMEOUT_USEC)) {
 			fleet_run_stop(fleet, i, "no reply to its start", now);
-		/* Without a report the run may have ended in a former life. */
-		else if (worker->last_requested_at > run->start_sent_at)
+		} else if (gets_no_replies(worker, run, now)) {
+			void_starts(fleet, run, now);
+			fleet_run_stop(fleet, i, "no reply to its start", now);
+		} else if (worker->last_requested_at > run->start_sent_at) {
+			/* Else the run may have ended in a former life. */
 			fleet_order_enqueue(fleet, GH_ORDER_START, i);
+		}
 	}
 }
 
+/* Whether the worker reports and the run's orders have long got no reply. */
+static bool gets_no_replies(const fleet_worker_t *worker,
+			    const fleet_run_t *run, gh_time_t now)
+{
+	return worker->has_reported && !worker->unreachable_since &&
+	       worker->last_requested_at > run->start_sent_at &&
+	       run->unanswered_since &&
+	       now - run->unanswered_since > ORDER_REPLY_TIMEOUT_USEC;
+}
+
+/*
+ * Sees to it that a report can prove that no start of the run is executed any
+ * more: that takes a call with a higher fence.
+ */
+static void void_starts(gh_fleet_t *fleet, fleet_run_t *run, gh_time_t now)
+{
+	fleet_worker_t *worker = fleet_worker(fleet, run->worker);
+
+	if (run->void_fence)
+		return;
+	if (worker->fence_offset <= run->start_fence)
+		fleet_fence_raise(fleet, worker);
+	run->void_fence = worker->fence_offset;
+	worker->quarantined_until =
+		MAX(worker->quarantined_until, now + ORDER_REPLY_TIMEOUT_USEC);
+}
+
 /*
  * Stops the long-running runs of draining workers; their other runs may
  * complete.
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -221,6 +221,9 @@
 	} else if (kind == GH_ORDER_STOP && run->stops_in_flight) {
 		run->stops_in_flight--;
 	}
+	if (reply == GH_ORDER_OUTCOME_UNKNOWN && kind != GH_ORDER_PACE &&
+	    !run->unanswered_since)
+		run->unanswered_since = now;
 	if (reply == GH_ORDER_OTHER_INCARNATION) {
 		/* A start that this answers at once was not executed. */
 		bool unexecuted =
@@ -554,6 +557,7 @@
 static void end_unlisted_runs(gh_fleet_t *fleet, uint32_t handle,
 			      const gh_worker_report_t *report, gh_time_t now)
 {
+	uint32_t fence = fleet_worker(fleet, handle)->fence_offset;
 	uint32_t ref = fleet_worker(fleet, handle)->first_run;
 
 	while (ref != GH_NONE) {
@@ -565,16 +569,21 @@
 		 * A run is lost if it was started before the report was
 		 * requested and is not listed.  An orphan without a reply time
 		 * was started by a previous owner, thus before the request.
+		 * One that is being stopped is also lost if the worker executes
+		 * none of its starts any more.
 		 */
+		bool is_void = run->state == RUN_STOPPING && run->void_fence &&
+			       fence >= run->void_fence;
 		bool is_lost =
 			run->last_report != fleet->report_number &&
-			(run->state == RUN_HELD ||
+			(run->state == RUN_HELD || is_void ||
 			 (run->state == RUN_ORPHAN &&
 			  (replied_before || !run->replied_at)) ||
 			 (replied_before && (run->state == RUN_RUNNING ||
 					     run->state == RUN_STOPPING)));
 
 		if (is_lost) {
+			run->start_is_void = is_void;
 			fleet_crash_mark_unlisted(fleet, ref, now);
 			fleet_run_end(fleet, ref, GH_RUN_LOST, NULL, now);
 			/*
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -86,6 +86,15 @@
 	bool start_in_flight;
 	/* A start order got no reply and may be executed even later. */
 	bool start_unanswered;
+	/* Since when starts, or then stops, get no reply; 0: they do. */
+	gh_time_t unanswered_since;
+	uint32_t start_fence; /* offset of the last start order; 0: none */
+	/*
+	 * A life of the worker that has had a call with this fence offset
+	 * executes no start of the run; 0: not known.
+	 */
+	uint32_t void_fence;
+	bool start_is_void;	  /* the present life has had such a call */
 	uint32_t stops_in_flight; /* stop orders that await their replies */
 	/* The worker has restarted since those in flight were sent. */
 	bool stops_overtaken;
--- a/regress/test_core_fleet_waits.c
+++ b/regress/test_core_fleet_waits.c
@@ -213,6 +213,54 @@
 	world_clear(&w);
 }
 
+/* A worker that reports and doesn't reply to orders. */
+typedef struct deaf_case {
+	const char *name;
+	bool restarts; /* before the start that it does not reply to is given up
+			*/
+	bool executes; /* the orders */
+	size_t elsewhere; /* starts at the other worker within 3 s */
+} deaf_case_t;
+
+static const deaf_case_t deaf_cases[] = {
+	{ .name = "loses orders", .elsewhere = 1 },
+	{ .name = "loses orders and restarts",
+	  .restarts = true,
+	  .elsewhere = 1 },
+	{ .name = "loses replies", .executes = true, .elsewhere = 0 },
+};
+
+/* A start was sent again without end to a worker that reports and loses it. */
+static void test_start_leaves_worker_that_loses_orders(void **state)
+{
+	size_t i, j;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(deaf_cases); i++) {
+		const deaf_case_t *c = &deaf_cases[i];
+		size_t elsewhere = 0;
+		world_t w;
+
+		world_init(&w);
+		add_worker(&w, "w1", 2000);
+		w.workers[0].drops_replies = c->executes;
+		w.workers[0].loses_orders = !c->executes;
+		add_job(&w, JOB_ID, 1, &one_task, NULL);
+		advance_time(&w, 500);
+		assert_true(w.n_orders > 0);
+		add_worker(&w, "w2", 2000);
+		if (c->restarts)
+			restart_worker(&w.workers[0]);
+		advance_time(&w, 2500);
+		for (j = 0; j < w.n_orders; j++)
+			elsewhere += !strcmp(w.orders[j].worker, "w2");
+		if (elsewhere != c->elsewhere || w.n_twice)
+			fail_msg("%s: %zu starts elsewhere, %zu twice", c->name,
+				 elsewhere, w.n_twice);
+		world_clear(&w);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -220,6 +268,7 @@
 		cmocka_unit_test(test_gang_of_suspects_waits_once),
 		cmocka_unit_test(test_job_with_nothing_running_exceeds_share),
 		cmocka_unit_test(test_planned_run_leaves_silent_worker),
+		cmocka_unit_test(test_start_leaves_worker_that_loses_orders),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
