--- a/regress/fleet_world.c
+++ b/regress/fleet_world.c
@@ -131,6 +131,7 @@
 	world_job_t *known = &w->jobs[w->n_jobs++ % G_N_ELEMENTS(w->jobs)];
 
 	g_strlcpy(known->id, id, sizeof(known->id));
+	known->n_steps = n_steps;
 	known->steps = steps;
 	job->accepted_ms = w->wall_ms;
 	assert_true(gh_fleet_job_add(w->fleet, job, progress, NULL));
@@ -205,17 +206,24 @@
 	return false;
 }
 
-static const gh_step_t *find_step(const world_t *w, const gh_task_id_t *task)
+static const world_job_t *find_job(const world_t *w, const char *id)
 {
 	size_t n = MIN(w->n_jobs, G_N_ELEMENTS(w->jobs));
 	size_t i;
 
 	for (i = 0; i < n; i++)
-		if (!strcmp(w->jobs[i].id, task->job))
-			return &w->jobs[i].steps[task->step];
+		if (!strcmp(w->jobs[i].id, id))
+			return &w->jobs[i];
 	return NULL;
 }
 
+static const gh_step_t *find_step(const world_t *w, const gh_task_id_t *task)
+{
+	const world_job_t *job = find_job(w, task->job);
+
+	return job ? &job->steps[task->step] : NULL;
+}
+
 /* Whether the start of the worker's last run needs more than it lists. */
 static bool is_over_capacity(const world_t *w, const scripted_worker_t *worker)
 {
@@ -513,11 +521,29 @@
 	gh_fleet_handle_report(w->fleet, id, &report, w->now);
 }
 
+/* The next owner has to be able to go on from each record. */
+static void check_record(const world_t *w, const gh_fleet_change_t *change)
+{
+	const world_job_t *job = find_job(w, change->id);
+	gh_fleet_setup_t setup = { .lease_ms = LEASE_MS };
+	gh_fleet_t *fleet;
+
+	if (!job || !change->progress)
+		return;
+	fleet = gh_fleet_new(&setup, NULL, w->now);
+	if (!gh_fleet_job_add(fleet,
+			      make_job(change->id, job->n_steps, job->steps),
+			      change->progress, NULL))
+		fail_msg("unreadable record: %s", change->progress);
+	gh_fleet_free(fleet);
+}
+
 static void commit_changes(world_t *w)
 {
 	gh_fleet_change_t change;
 
 	while (gh_fleet_next_change(w->fleet, &change)) {
+		check_record(w, &change);
 		if (w->store_down) {
 			gh_fleet_handle_commit_failure(w->fleet, change.id);
 			g_free(change.progress);
--- a/regress/fleet_world.h
+++ b/regress/fleet_world.h
@@ -70,6 +70,7 @@
 /* The steps of a job; the test keeps them. */
 typedef struct world_job {
 	char id[GH_JOB_ID_MAX + 1];
+	uint32_t n_steps;
 	const gh_step_t *steps;
 } world_job_t;
 
