core_fleet_plan: a worker in quarantine is the last resort

A task waits up to 24 s although a worker has room for it, if all workers that it can run on are in quarantine: each further failure there doubles the time.

A task that has waited for 2.5 s, with nothing running that helps its job, may now start on a worker in quarantine if no other can take it. A worker that refuses or loses orders stays out, as a start there is of no use. Sizes that failed only because of quarantines are remembered as such.

--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -51,6 +51,7 @@
  * milli-cores that the worker would have left unused.
  */
 #define COST_AVOIDED_WORKER 5000000
+#define COST_QUARANTINED_WORKER 10000000000
 /* Cost of a worker outside the rack of the stage or of its data. */
 #define COST_OTHER_RACK 1000000
 /* For a long-running task: cost of each best-effort run on the worker. */
@@ -80,6 +81,8 @@
 #define COST_BEST_EFFORT_SHARE 100000
 /* A job without a run for longer than this ignores BEST_EFFORT_SHARE_MAX. */
 #define JOB_IDLE_MAX_USEC (1500 * GH_USEC_PER_MSEC)
+/* A task that waits for longer than this ignores quarantines. */
+#define QUARANTINE_WAIT_USEC (2500 * GH_USEC_PER_MSEC)
 /* A best-effort run whose pace is low for longer than this is moved. */
 #define SLOW_BEFORE_MOVE_USEC (700 * GH_USEC_PER_MSEC)
 /* Cost of a worker with slow runs, multiplied by run_time_ratio - 1. */
@@ -174,8 +177,13 @@
 					  uint32_t task, uint32_t handle,
 					  gh_time_t now);
 static bool is_overdue(const fleet_job_t *job, gh_time_t now);
-static failed_placement_t describe_placement(const fleet_job_t *job,
+static bool has_waited(const fleet_job_t *job, uint32_t stage, gh_time_t now);
+static failed_placement_t describe_placement(const gh_fleet_t *fleet,
+					     const fleet_job_t *job,
 					     uint32_t task, gh_time_t now);
+static bool find_quarantine(const gh_fleet_t *fleet, gh_time_t now);
+static bool is_last_resort(const fleet_worker_t *worker,
+			   const failed_placement_t *placement, gh_time_t now);
 static bool has_label(const fleet_worker_t *worker, const char *label);
 static bool step_fits(const fleet_worker_t *worker, const gh_step_t *step);
 static void report_waiting_stage(gh_fleet_t *fleet, const candidate_t *c,
@@ -214,6 +222,7 @@
 		fleet->interference_decayed_at = now;
 	}
 	g_array_set_size(fleet->failed_placements, 0);
+	fleet->has_quarantine = find_quarantine(fleet, now);
 	collect_candidates(fleet, candidates, now, wall_ms);
 	g_array_sort(candidates, compare_candidates);
 	fleet->counts.pending_tasks = 0;
@@ -341,8 +350,7 @@
 	if (worker->fence_offset <= run->start_fence)
 		fleet_fence_raise(fleet, worker);
 	run->void_fence = worker->fence_offset;
-	worker->quarantined_until =
-		MAX(worker->quarantined_until, now + ORDER_REPLY_TIMEOUT_USEC);
+	worker->refused_until = now + ORDER_REPLY_TIMEOUT_USEC;
 }
 
 /*
@@ -550,7 +558,8 @@
 void fleet_plan_append_obstacles(gh_fleet_t *fleet, fleet_job_t *job,
 				 uint32_t task, GString *text, gh_time_t now)
 {
-	failed_placement_t placement = describe_placement(job, task, now);
+	failed_placement_t placement =
+		describe_placement(fleet, job, task, now);
 	uint32_t workers[OBSTACLES] = { 0 };
 	uint32_t i;
 
@@ -698,7 +707,8 @@
 					    step->rack;
 	uint16_t image = job->image_ids[stage % job->spec->n_steps];
 	bool overdue = is_overdue(job, now);
-	failed_placement_t placement = describe_placement(job, task, now);
+	failed_placement_t placement =
+		describe_placement(fleet, job, task, now);
 	double best_share = 0;
 	/* Workers admit a task with crashes by other criteria. */
 	bool has_crashes = fleet_crash_has_any(&job->tasks[task]);
@@ -713,14 +723,21 @@
 	for (i = 0; i < fleet->workers->len; i++) {
 		fleet_worker_t *worker = fleet_worker(fleet, i);
 		double candidate_share = 0;
+		obstacle_t obstacle;
 		int64_t cost;
 
 		fleet->counts.examined++;
-		if (i == excluded_worker || !worker->in_use ||
-		    find_obstacle(fleet, job, stage, i, now) != OBSTACLE_NONE ||
+		if (i == excluded_worker || !worker->in_use)
+			continue;
+		obstacle = find_obstacle(fleet, job, stage, i, now);
+		if ((obstacle != OBSTACLE_NONE &&
+		     !(obstacle == OBSTACLE_QUARANTINE &&
+		       is_last_resort(worker, &placement, now))) ||
 		    !fleet_crash_admits(fleet, i, &job->tasks[task], now))
 			continue;
 		cost = placement_cost(fleet, worker, step, rack, image);
+		if (obstacle == OBSTACLE_QUARANTINE)
+			cost += COST_QUARANTINED_WORKER;
 		if (step->best_effort) {
 			double weight;
 			double share = fleet_best_effort_share(
@@ -766,7 +783,38 @@
 	return job->starved || now - job->idle_since > JOB_IDLE_MAX_USEC;
 }
 
-static failed_placement_t describe_placement(const fleet_job_t *job,
+/* Whether the task has waited for long, with nothing that helps its job. */
+static bool has_waited(const fleet_job_t *job, uint32_t stage, gh_time_t now)
+{
+	gh_time_t since = job->stages[stage].waiting_since;
+
+	if (since && now - since > QUARANTINE_WAIT_USEC)
+		return true;
+	since = job->open_runs ? job->stalled_since : job->idle_since;
+	return since && now - since > QUARANTINE_WAIT_USEC;
+}
+
+/* Whether some worker is in quarantine or gets a single run after one. */
+static bool find_quarantine(const gh_fleet_t *fleet, gh_time_t now)
+{
+	uint32_t i;
+
+	for (i = 0; i < fleet->workers->len; i++)
+		if (fleet_worker(fleet, i)->in_use &&
+		    !fleet_health_is_usable(fleet_worker(fleet, i), now))
+			return true;
+	return false;
+}
+
+/* Whether the task may start on the worker in spite of its quarantine. */
+static bool is_last_resort(const fleet_worker_t *worker,
+			   const failed_placement_t *placement, gh_time_t now)
+{
+	return !placement->careful && now >= worker->refused_until;
+}
+
+static failed_placement_t describe_placement(const gh_fleet_t *fleet,
+					     const fleet_job_t *job,
 					     uint32_t task, gh_time_t now)
 {
 	const gh_step_t *step = fleet_task_step(job, task);
@@ -778,6 +826,8 @@
 		.image_id = job->image_ids[stage % job->spec->n_steps],
 		.best_effort = step->best_effort,
 		.bounded = step->best_effort && !is_overdue(job, now),
+		.careful =
+			fleet->has_quarantine && !has_waited(job, stage, now),
 	};
 }
 
@@ -803,7 +853,9 @@
 			continue;
 		obstacle = find_obstacle(fleet, job, stage, i, now);
 		if (obstacle != OBSTACLE_NONE &&
-		    obstacle != OBSTACLE_NO_CAPACITY)
+		    obstacle != OBSTACLE_NO_CAPACITY &&
+		    !(obstacle == OBSTACLE_QUARANTINE &&
+		      is_last_resort(worker, &placement, now)))
 			continue;
 		if (size->memory_mb > reserved->memory_mb)
 			memory_mb = MAX(memory_mb,
@@ -840,6 +892,8 @@
 		    failed->size.memory_mb > placement->size.memory_mb ||
 		    failed->size.accelerators > placement->size.accelerators)
 			continue;
+		if (failed->careful && !placement->careful)
+			continue;
 		if (failed->bounded &&
 		    (!placement->bounded ||
 		     failed->image_id != placement->image_id))
@@ -922,8 +976,6 @@
 	const fleet_worker_t *worker = fleet_worker(fleet, handle);
 	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
 
-	if (!fleet_health_is_usable(worker, now))
-		return OBSTACLE_QUARANTINE;
 	if (strcmp(worker->entry.service, job->spec->service) != 0)
 		return OBSTACLE_OTHER_SERVICE;
 	if (*step->label && !has_label(worker, step->label))
@@ -931,7 +983,8 @@
 	if (step->max_per_worker &&
 	    count_stage_runs(fleet, job, stage, handle) >= step->max_per_worker)
 		return OBSTACLE_STAGE_LIMIT;
-	return OBSTACLE_NONE;
+	return fleet_health_is_usable(worker, now) ? OBSTACLE_NONE :
+						     OBSTACLE_QUARANTINE;
 }
 
 static bool has_label(const fleet_worker_t *worker, const char *label)
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -361,6 +361,8 @@
 	uint32_t fail_streak;
 	uint32_t quarantines_in_row;
 	gh_time_t quarantined_until;
+	/* No start order is sent until then, as orders are of no use. */
+	gh_time_t refused_until;
 	/* Number of open runs of suspect tasks that have not settled. */
 	uint32_t n_suspects;
 	/*
@@ -425,6 +427,7 @@
 	uint16_t image_id;
 	bool best_effort;
 	bool bounded; /* by the best-effort share, not by capacity alone */
+	bool careful; /* workers in quarantine were left out, and there are */
 } failed_placement_t;
 
 /* A lost run whose worker may be alive all the same. */
@@ -500,6 +503,7 @@
 	gh_time_t health_checked_at;
 	gh_time_t interference_decayed_at;
 	gh_time_t stragglers_checked_at;
+	bool has_quarantine; /* of some worker, at the last tick */
 	/* Checks for idle jobs: the last, and the period of the reports. */
 	gh_time_t idle_checked_at, idle_period_at;
 	uint32_t n_idle_reports, n_idle_left_out; /* in this period */
--- a/regress/test_core_fleet_waits.c
+++ b/regress/test_core_fleet_waits.c
@@ -261,6 +261,79 @@
 	}
 }
 
+/* Jobs that fail one after the other, and one that does not. */
+typedef struct quarantine_case {
+	const char *name;
+	uint32_t failing; /* jobs */
+	bool long_running;
+	uint32_t other_workers;
+	int64_t max_ms; /* until the last job starts */
+} quarantine_case_t;
+
+static const quarantine_case_t quarantine_cases[] = {
+	{ .name = "none fails", .max_ms = 100 },
+	{ .name = "quarantine", .failing = 2, .max_ms = 3000 },
+	{ .name = "repeated quarantine", .failing = 5, .max_ms = 3000 },
+	{ .name = "long-running",
+	  .failing = 5,
+	  .long_running = true,
+	  .max_ms = 3000 },
+	{ .name = "another worker",
+	  .failing = 5,
+	  .other_workers = 1,
+	  .max_ms = 100 },
+};
+
+static void fail_next_run(world_t *w)
+{
+	while (!w->workers[0].n_runs)
+		advance_time(w, 10);
+	end_run(&w->workers[0], 0, GH_RUN_FAILED);
+	advance_time(w, 100);
+}
+
+/* A task waited up to 24 s for the end of its only worker's quarantine. */
+static void test_quarantined_worker_is_last_resort(void **state)
+{
+	gh_queue_policy_t policy = { .name = "q", .attempts = 1 };
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(quarantine_cases); i++) {
+		const quarantine_case_t *c = &quarantine_cases[i];
+		gh_step_t step = one_task;
+		gh_time_t added_at;
+		char id[GH_JOB_ID_MAX + 1];
+		size_t n;
+		world_t w;
+		uint32_t j;
+
+		world_init(&w);
+		gh_fleet_queue_set(w.fleet, &policy);
+		add_worker(&w, "w1", 1000);
+		advance_time(&w, 100);
+		for (j = 0; j < c->failing; j++) {
+			g_snprintf(id, sizeof(id), "%016x", j + 0x10);
+			add_job(&w, id, 1, &one_task, NULL);
+			fail_next_run(&w);
+		}
+		for (j = 0; j < c->other_workers; j++)
+			add_worker(&w, "w2", 1000);
+		advance_time(&w, 50);
+		n = w.n_orders;
+		step.long_running = c->long_running;
+		add_job(&w, JOB_ID, 1, &step, NULL);
+		for (added_at = w.now; w.n_orders == n;)
+			advance_time(&w, 10);
+		if (w.now - added_at > c->max_ms * MS ||
+		    (c->other_workers && strcmp(w.orders[n].worker, "w2") != 0))
+			fail_msg("%s: after %d ms at %s", c->name,
+				 (int)((w.now - added_at) / MS),
+				 w.orders[n].worker);
+		world_clear(&w);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -269,6 +342,7 @@
 		cmocka_unit_test(test_job_with_nothing_running_exceeds_share),
 		cmocka_unit_test(test_planned_run_leaves_silent_worker),
 		cmocka_unit_test(test_start_leaves_worker_that_loses_orders),
+		cmocka_unit_test(test_quarantined_worker_is_last_resort),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
