core_fleet_plan: a task with a reservation looks at its own worker only

Its placement is tried in each tick even where its size is known to fail, and examined all workers for that. Where the size is known to fail only the worker that is kept for it can take it, so only that one is examined.

--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -712,13 +712,13 @@
 	double best_share = 0;
 	/* Workers admit a task with crashes by other criteria. */
 	bool has_crashes = fleet_crash_has_any(&job->tasks[task]);
+	/* Others may have failed as a worker is reserved for this one. */
+	bool only_kept = !has_crashes && is_known_to_fail(fleet, &placement);
 	uint32_t best = GH_NONE;
 	int64_t best_cost = INT64_MAX;
 	uint32_t i;
 
-	/* Others may have failed as a worker is reserved for this one. */
-	if (!has_crashes && now >= job->stages[stage].reserved_until &&
-	    is_known_to_fail(fleet, &placement))
+	if (only_kept && now >= job->stages[stage].reserved_until)
 		return GH_NONE;
 	for (i = 0; i < fleet->workers->len; i++) {
 		fleet_worker_t *worker = fleet_worker(fleet, i);
@@ -726,9 +726,10 @@
 		obstacle_t obstacle;
 		int64_t cost;
 
-		fleet->counts.examined++;
-		if (i == excluded_worker || !worker->in_use)
+		if (i == excluded_worker || !worker->in_use ||
+		    (only_kept && worker->kept_for != job->tasks[task].group))
 			continue;
+		fleet->counts.examined++;
 		obstacle = find_obstacle(fleet, job, stage, i, now);
 		if ((obstacle != OBSTACLE_NONE &&
 		     !(obstacle == OBSTACLE_QUARANTINE &&
@@ -763,8 +764,9 @@
 		return GH_NONE;
 	if (step->best_effort && best != GH_NONE)
 		job->starved = best_share > BEST_EFFORT_SHARE_MAX;
-	if (best == GH_NONE && !has_crashes && excluded_worker == GH_NONE &&
-	    !*step->label && (!step->max_per_worker || !job->open_runs))
+	if (best == GH_NONE && !has_crashes && !only_kept &&
+	    excluded_worker == GH_NONE && !*step->label &&
+	    (!step->max_per_worker || !job->open_runs))
 		note_failed_placement(fleet, job, stage, placement, now);
 	return best;
 }
