--- a/core_fleet_crash.c
+++ b/core_fleet_crash.c
@@ -70,7 +70,7 @@
 #define HEARD_USEC (300 * GH_USEC_PER_MSEC)
 /* How long what was counted for a silent worker can be revised. */
 #define DOUBT_USEC (60 * GH_USEC_PER_SEC)
-/* Costs, in the unit of core_fleet_plan.c, of a worker for a suspect. */
+/* Costs, in the unit of core_fleet_choose.c, of a worker for a suspect. */
 #define COST_RUN_BESIDE_SUSPECT 20000
 /* A worker that crashes again and again is empty, but proves nothing. */
 #define COST_NEW_WORKER 200000
--- a/core_fleet_idle.c
+++ b/core_fleet_idle.c
@@ -134,7 +134,7 @@
 		append_waits(job, task, detail, now);
 	if (!job->held && job->tasks[task].runs[0] == GH_NONE) {
 		g_string_append(detail, ", ");
-		fleet_plan_append_obstacles(fleet, job, task, detail, now);
+		fleet_choose_append_obstacles(fleet, job, task, detail, now);
 	}
 	fleet_emit_event(fleet, "job_idle", &id, 0, GH_NONE, detail->str);
 	g_string_free(detail, TRUE);
--- a/core_fleet_reserve.c
+++ b/core_fleet_reserve.c
@@ -43,7 +43,8 @@
 		if (is_reserved && !is_mine)
 			n_others++;
 		else if (worker->in_use &&
-			 fleet_plan_lacks_capacity(fleet, job, stage, i, now) &&
+			 fleet_choose_lacks_capacity(fleet, job, stage, i,
+						     now) &&
 			 fits_beside_long_running(fleet, worker,
 						  fleet_task_step(job, task)) &&
 			 (is_mine || best == GH_NONE ||
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -423,6 +423,7 @@
  */
 typedef struct failed_placement {
 	const char *service;
+	const char *rack; /* preferred one; of no account for the failure */
 	gh_resources_t size;
 	uint16_t image_id;
 	bool best_effort;
@@ -707,16 +708,33 @@
  */
 bool fleet_health_is_usable(const fleet_worker_t *worker, gh_time_t now);
 
+/* Forgets the placements that failed in the last tick. */
+void fleet_choose_begin(gh_fleet_t *fleet, gh_time_t now);
+/*
+ * Worker with the lowest cost that may run the task, or GH_NONE; not the one
+ * with the handle excluded_worker.
+ */
+uint32_t fleet_choose_worker(gh_fleet_t *fleet, fleet_job_t *job, uint32_t task,
+			     uint32_t excluded_worker, gh_time_t now);
+/* Whether the job's tasks are not bound by the best-effort share. */
+bool fleet_choose_is_overdue(const fleet_job_t *job, gh_time_t now);
+/*
+ * Whether the workers' free capacity suffices for the gang.  The best-effort
+ * share may still forbid it.
+ */
+bool fleet_choose_fits_gang(const gh_fleet_t *fleet, const fleet_job_t *job,
+			    uint32_t stage, gh_time_t now);
 /* Whether free capacity is all that the worker lacks to run the stage's task.
  */
-bool fleet_plan_lacks_capacity(const gh_fleet_t *fleet, const fleet_job_t *job,
-			       uint32_t stage, uint32_t handle, gh_time_t now);
+bool fleet_choose_lacks_capacity(const gh_fleet_t *fleet,
+				 const fleet_job_t *job, uint32_t stage,
+				 uint32_t handle, gh_time_t now);
 /*
  * Appends how many workers can't run the task and for which reasons, "workers:"
  * followed by a number and a name for each reason.
  */
-void fleet_plan_append_obstacles(gh_fleet_t *fleet, fleet_job_t *job,
-				 uint32_t task, GString *text, gh_time_t now);
+void fleet_choose_append_obstacles(gh_fleet_t *fleet, fleet_job_t *job,
+				   uint32_t task, GString *text, gh_time_t now);
 /*
  * A task of the job whose turn has come and that is not done, if possible one
  * without an open run; GH_NONE: there is none.
