--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -86,6 +86,15 @@
 	bool start_in_flight;
 	/* A start order got no reply and may be executed even later. */
 	bool start_unanswered;
+	/* Since when starts, or then stops, get no reply; 0: they do. */
+	gh_time_t unanswered_since;
+	uint32_t start_fence; /* offset of the last start order; 0: none */
+	/*
+	 * A life of the worker that has had a call with this fence offset
+	 * executes no start of the run; 0: not known.
+	 */
+	uint32_t void_fence;
+	bool start_is_void;	  /* the present life has had such a call */
 	uint32_t stops_in_flight; /* stop orders that await their replies */
 	/* The worker has restarted since those in flight were sent. */
 	bool stops_overtaken;
@@ -352,6 +361,8 @@
 	uint32_t fail_streak;
 	uint32_t quarantines_in_row;
 	gh_time_t quarantined_until;
+	/* No start order is sent until then, as orders are of no use. */
+	gh_time_t refused_until;
 	/* Number of open runs of suspect tasks that have not settled. */
 	uint32_t n_suspects;
 	/*
@@ -412,10 +423,12 @@
  */
 typedef struct failed_placement {
 	const char *service;
+	const char *rack; /* preferred one; of no account for the failure */
 	gh_resources_t size;
 	uint16_t image_id;
 	bool best_effort;
 	bool bounded; /* by the best-effort share, not by capacity alone */
+	bool careful; /* workers in quarantine were left out, and there are */
 } failed_placement_t;
 
 /* A lost run whose worker may be alive all the same. */
@@ -491,6 +504,7 @@
 	gh_time_t health_checked_at;
 	gh_time_t interference_decayed_at;
 	gh_time_t stragglers_checked_at;
+	bool has_quarantine; /* of some worker, at the last tick */
 	/* Checks for idle jobs: the last, and the period of the reports. */
 	gh_time_t idle_checked_at, idle_period_at;
 	uint32_t n_idle_reports, n_idle_left_out; /* in this period */
@@ -694,16 +708,33 @@
  */
 bool fleet_health_is_usable(const fleet_worker_t *worker, gh_time_t now);
 
+/* Forgets the placements that failed in the last tick. */
+void fleet_choose_begin(gh_fleet_t *fleet, gh_time_t now);
+/*
+ * Worker with the lowest cost that may run the task, or GH_NONE; not the one
+ * with the handle excluded_worker.
+ */
+uint32_t fleet_choose_worker(gh_fleet_t *fleet, fleet_job_t *job, uint32_t task,
+			     uint32_t excluded_worker, gh_time_t now);
+/* Whether the job's tasks are not bound by the best-effort share. */
+bool fleet_choose_is_overdue(const fleet_job_t *job, gh_time_t now);
+/*
+ * Whether the workers' free capacity suffices for the gang.  The best-effort
+ * share may still forbid it.
+ */
+bool fleet_choose_fits_gang(const gh_fleet_t *fleet, const fleet_job_t *job,
+			    uint32_t stage, gh_time_t now);
 /* Whether free capacity is all that the worker lacks to run the stage's task.
  */
-bool fleet_plan_lacks_capacity(const gh_fleet_t *fleet, const fleet_job_t *job,
-			       uint32_t stage, uint32_t handle, gh_time_t now);
+bool fleet_choose_lacks_capacity(const gh_fleet_t *fleet,
+				 const fleet_job_t *job, uint32_t stage,
+				 uint32_t handle, gh_time_t now);
 /*
  * Appends how many workers can't run the task and for which reasons, "workers:"
  * followed by a number and a name for each reason.
  */
-void fleet_plan_append_obstacles(gh_fleet_t *fleet, fleet_job_t *job,
-				 uint32_t task, GString *text, gh_time_t now);
+void fleet_choose_append_obstacles(gh_fleet_t *fleet, fleet_job_t *job,
+				   uint32_t task, GString *text, gh_time_t now);
 /*
  * A task of the job whose turn has come and that is not done, if possible one
  * without an open run; GH_NONE: there is none.
