core_fleet_choose: a job that has begun keeps a run

The users look at a job three times within 3 s.

When the workers' best-effort share is used up, a job without a run may exceed it only after 1.5 s, unless its last run had exceeded it, too. A run that had started within the share was therefore followed by a pause whenever a job that ranks before it took its place; and late jobs rank last.

A job that has begun may now exceed the share as soon as it has no run. Paces keep its run from harming others, as before.

test_begun_job_keeps_a_run failed before: no run 0.5 s after the end of the second one.

--- a/core_fleet_choose.c
+++ b/core_fleet_choose.c
@@ -42,7 +42,10 @@
  * fleet_best_effort_share() and the highest interference weight.
  */
 #define COST_BEST_EFFORT_SHARE 100000
-/* A job without a run for longer than this ignores BEST_EFFORT_SHARE_MAX. */
+/*
+ * A job that has not begun and has no run for longer than this ignores
+ * BEST_EFFORT_SHARE_MAX.
+ */
 #define JOB_IDLE_MAX_USEC (1500 * GH_USEC_PER_MSEC)
 /* A task that waits for longer than this ignores quarantines. */
 #define QUARANTINE_WAIT_USEC (2500 * GH_USEC_PER_MSEC)
@@ -90,8 +93,7 @@
 			      const gh_step_t *step);
 static int64_t rate_worker(gh_fleet_t *fleet, const fleet_job_t *job,
 			   uint32_t task, uint32_t handle,
-			   const failed_placement_t *placement, double *share,
-			   gh_time_t now);
+			   const failed_placement_t *placement, gh_time_t now);
 static void note_failed_placement(gh_fleet_t *fleet, const fleet_job_t *job,
 				  uint32_t stage, failed_placement_t placement,
 				  gh_time_t now);
@@ -204,7 +206,6 @@
 	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
 	failed_placement_t placement =
 		describe_placement(fleet, job, task, now);
-	double best_share = 0;
 	/* Workers admit a task with crashes by other criteria. */
 	bool has_crashes = fleet_crash_has_any(&job->tasks[task]);
 	/* Others may have failed as a worker is reserved for this one. */
@@ -217,25 +218,20 @@
 		return GH_NONE;
 	for (i = 0; i < fleet->workers->len; i++) {
 		const fleet_worker_t *worker = fleet_worker(fleet, i);
-		double share = 0;
 		int64_t cost;
 
 		if (i == excluded_worker || !worker->in_use ||
 		    (only_kept && worker->kept_for != job->tasks[task].group))
 			continue;
-		cost = rate_worker(fleet, job, task, i, &placement, &share,
-				   now);
+		cost = rate_worker(fleet, job, task, i, &placement, now);
 		if (cost < best_cost) {
 			best_cost = cost;
 			best = i;
-			best_share = share;
 		}
 	}
 	if (best != GH_NONE && fleet_crash_needs_care(&job->tasks[task]) &&
 	    !fleet_crash_claim(fleet, best, &job->tasks[task], step, now))
 		return GH_NONE;
-	if (step->best_effort && best != GH_NONE)
-		job->starved = best_share > BEST_EFFORT_SHARE_MAX;
 	if (best == GH_NONE && !has_crashes && !only_kept &&
 	    excluded_worker == GH_NONE && !*step->label &&
 	    (!step->max_per_worker || !job->open_runs))
@@ -243,14 +239,10 @@
 	return best;
 }
 
-/*
- * Cost of the worker for the task, or COST_IMPOSSIBLE.  Sets share to the
- * best-effort share that a best-effort task would bring the worker to.
- */
+/* Cost of the worker for the task, or COST_IMPOSSIBLE. */
 static int64_t rate_worker(gh_fleet_t *fleet, const fleet_job_t *job,
 			   uint32_t task, uint32_t handle,
-			   const failed_placement_t *placement, double *share,
-			   gh_time_t now)
+			   const failed_placement_t *placement, gh_time_t now)
 {
 	fleet_worker_t *worker = fleet_worker(fleet, handle);
 	uint32_t stage = fleet_stage_index(job, task);
@@ -270,12 +262,12 @@
 		cost += COST_QUARANTINED_WORKER;
 	if (step->best_effort) {
 		double weight;
-
-		*share = fleet_best_effort_share(
+		double share = fleet_best_effort_share(
 			fleet, worker, step, placement->image_id, now, &weight);
-		if (*share > BEST_EFFORT_SHARE_MAX && placement->bounded)
+
+		if (share > BEST_EFFORT_SHARE_MAX && placement->bounded)
 			return COST_IMPOSSIBLE;
-		cost += (int64_t)((*share + weight) * COST_BEST_EFFORT_SHARE);
+		cost += (int64_t)((share + weight) * COST_BEST_EFFORT_SHARE);
 	}
 	if (handle == job->tasks[task].avoid_worker)
 		cost += COST_AVOIDED_WORKER;
@@ -283,8 +275,9 @@
 }
 
 /*
- * A job of which nothing runs for JOB_IDLE_MAX_USEC must not starve: its task
- * starts even if the run will be slow.
+ * A job must not starve: a task of one that has begun starts even if the run
+ * will be slow, as does one of a job of which nothing runs for
+ * JOB_IDLE_MAX_USEC.
  */
 bool fleet_choose_is_overdue(const fleet_job_t *job, gh_time_t now)
 {
@@ -293,7 +286,7 @@
 	if (job->open_runs)
 		return job->stalled_since &&
 		       now - job->stalled_since > JOB_IDLE_MAX_USEC;
-	return job->starved || now - job->idle_since > JOB_IDLE_MAX_USEC;
+	return job->begun || now - job->idle_since > JOB_IDLE_MAX_USEC;
 }
 
 /* Whether the task has waited for long, with nothing that helps its job. */
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -226,8 +226,6 @@
 	 * first planned; 0: not yet.
 	 */
 	gh_time_t idle_since;
-	/* The last task that started waited for JOB_IDLE_MAX_USEC. */
-	bool starved;
 	/*
 	 * Since when a task waits and nothing of the job runs, 0: it does not;
 	 * and when this is reported next.  See core_fleet_idle.c.
--- a/regress/test_core_fleet_waits.c
+++ b/regress/test_core_fleet_waits.c
@@ -181,6 +181,36 @@
 	}
 }
 
+/* A late job paused for 1.5 s after each run, as newer ones took its place. */
+static void test_begun_job_keeps_a_run(void **state)
+{
+	gh_step_t step = best_effort_step;
+	world_t w;
+	int i;
+
+	(void)state;
+	step.max_per_worker = 1;
+	step.tasks = 4;
+	world_init(&w);
+	add_worker(&w, "w1", 4000);
+	add_job(&w, JOB_ID, 1, &step, NULL);
+	advance_time(&w, 20000);
+	step.max_per_worker = 0;
+	step.tasks = 16;
+	add_job(&w, OTHER_ID, 1, &step, NULL);
+	advance_time(&w, 500);
+	assert_int_equal(w.workers[0].n_runs, 3);
+	for (i = 0; i < 3; i++) {
+		size_t r = 0;
+
+		while (strcmp(w.workers[0].runs[r].task.job, JOB_ID) != 0)
+			assert_in_range(++r, 0, w.workers[0].n_runs - 1);
+		end_run(&w.workers[0], r, GH_RUN_DONE);
+		advance_time(&w, 500);
+	}
+	world_clear(&w);
+}
+
 /*
  * A start whose intent was committed after its worker had fallen silent was
  * sent there all the same, and the task waited for the end of the lease.
@@ -340,6 +370,7 @@
 		cmocka_unit_test(test_copy_of_done_task_holds_nothing_up),
 		cmocka_unit_test(test_gang_of_suspects_waits_once),
 		cmocka_unit_test(test_job_with_nothing_running_exceeds_share),
+		cmocka_unit_test(test_begun_job_keeps_a_run),
 		cmocka_unit_test(test_planned_run_leaves_silent_worker),
 		cmocka_unit_test(test_start_leaves_worker_that_loses_orders),
 		cmocka_unit_test(test_quarantined_worker_is_last_resort),
