fleet_host: show that the store holds an older configuration

A configuration of a lower version than the one in force was dropped without a word, so that a host with the newer version and one that started later, with the older one, could not be told apart by their logs. It has a log line, config_older, and counts as documents_older.

test_older_version_does_not_come_back shows that neither a change of the key nor the read after the store has dropped its history puts an older version in force. It passed with the check of before too, but for the counter.

--- a/fleet_host.c
+++ b/fleet_host.c
@@ -191,6 +191,12 @@
 	}
 	old = host->config;
 	if (old && old->version >= config->version) {
+		if (old->version > config->version) {
+			log_event(LOG_WARN, "config_older", "version",
+				  log_num((int64_t)config->version), "revision",
+				  log_num((int64_t)item->revision), NULL);
+			counter_inc(CTR_DOC_OLDER);
+		}
 		fleet_config_unref(config);
 		return;
 	}
--- a/regress/test_platform_config.c
+++ b/regress/test_platform_config.c
@@ -127,6 +127,49 @@
 	assert_int_equal(i, 2);
 }
 
+typedef struct older_arg {
+	fleet_system_t *sys;
+	int64_t versions;
+} older_arg_t;
+
+static bool older_is_seen(void *arg)
+{
+	const older_arg_t *older = arg;
+
+	return fleet_host_counter(older->sys, 0, "documents_older") ==
+	       older->versions;
+}
+
+static void put_older(fleet_system_t *sys, const char *text, int64_t versions)
+{
+	older_arg_t arg = { .sys = sys, .versions = versions };
+
+	fleet_platform_put(sys, "op/config", text);
+	proc_wait_until(older_is_seen, &arg, "older versions seen");
+}
+
+/* CONFIG: an older version comes back in one life of a host. */
+static void test_older_version_does_not_come_back(void **state)
+{
+	fleet_system_t sys;
+	int64_t version;
+	int removed, kept;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-older", 1, 1, 1);
+	fleet_platform_put(&sys, "op/config", CONFIG("7", ROUTE("r-q", "/q/")));
+	put_older(&sys, CONFIG("6", ROUTE("r-old", "/old/")), 1);
+	json_decref(proc_control(sys.platform_address, "{\"compact\":true}"));
+	put_older(&sys, CONFIG("5", ROUTE("r-old", "/old/")), 2);
+	version = fleet_host_counter(&sys, 0, "config_version");
+	removed = call_path(&sys, "GET", "/old/");
+	kept = call_path(&sys, "GET", "/q/");
+	fleet_system_stop(&sys);
+	assert_int_equal(version, 7);
+	assert_int_equal(removed, 404);
+	assert_int_equal(kept, 200);
+}
+
 /* CONFIG: a host that has read no configuration yet answers 404. */
 static void test_start_before_configuration(void **state)
 {
@@ -223,6 +266,7 @@
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_unread_queue_is_not_called_absent),
+		cmocka_unit_test(test_older_version_does_not_come_back),
 		cmocka_unit_test(test_start_before_configuration),
 		cmocka_unit_test(test_change_while_frozen),
 	};
