fleet_host: no job, no 404 and not ready under an old configuration

Callers were answered 404 for a route that had been added, and jobs were accepted for the service that a route had had before, for as long as the host's watch of the configuration got no reply: the host took any reply from the store, such as one to its watch of the jobs, for a sign that it was up to date, and answered 404 without any. The watch can be stuck for seconds after a disruption while other calls succeed, on a silent connection or in a read that is refused or lost again and again; a frozen host that wakes is in the same state.

The class of the fault: serving a copy without knowing how old it is. A host whose watch of the configuration has had no reply for 1.8 s, of the 2 s in which a change has to be in force, now takes no new job (store_down), is not ready, and answers 503 (config_stale) where no queue serves a path. States, cancels and the repeat of a job that was accepted are served as before. This bounds what callers see of a late watch, whatever makes it late.

--- a/fleet_front.h
+++ b/fleet_front.h
@@ -54,8 +54,8 @@
 				   const fleet_queue_t *queue);
 
 /*
- * Whether the load balancer may send callers here: the configuration is known,
- * the store replies and the host is not draining.
+ * Whether the load balancer may send callers here: the configuration is known
+ * and not old, the store replies and the host is not draining.
  */
 bool fleet_front_is_ready(fleet_front_t *host);
 
--- a/fleet_host.c
+++ b/fleet_host.c
@@ -83,6 +83,7 @@
 static void start_refresh(void *ctx);
 static void on_call_done(void *ctx, const GError *err);
 static bool store_is_reachable(const fleet_front_t *host);
+static bool config_is_heard(const fleet_front_t *host);
 static void read_newer_state(fleet_front_t *host, const char *id,
 			     gh_time_t deadline, fleet_job_state_t *state);
 
@@ -298,7 +299,8 @@
 bool fleet_front_knows_all_queues(fleet_front_t *host,
 				  const fleet_config_t *config)
 {
-	return !atomic_load(&host->config_unread) && !config->n_unread;
+	return config_is_heard(host) && !atomic_load(&host->config_unread) &&
+	       !config->n_unread;
 }
 
 bool fleet_front_submit(fleet_front_t *host, const fleet_queue_t *queue,
@@ -319,7 +321,7 @@
 			queue->policy.name);
 		ok = false;
 	}
-	if (ok && !store_is_reachable(host) &&
+	if (ok && !(store_is_reachable(host) && config_is_heard(host)) &&
 	    !fleet_jobs_is_accepted(host->jobs, pipeline->id,
 				    queue->policy.name)) {
 		if (fleet_jobs_is_open(host->jobs, pipeline->id))
@@ -426,7 +428,7 @@
 	configured = host->config != NULL;
 	pthread_mutex_unlock(&host->lock);
 	return configured && !atomic_load(&host->draining) &&
-	       store_is_reachable(host);
+	       store_is_reachable(host) && config_is_heard(host);
 }
 
 int64_t fleet_front_retry_after_ms(void)
@@ -461,6 +463,16 @@
 	return clock_boot() - last_reply_at < STORE_SILENCE_MAX_USEC;
 }
 
+/*
+ * Whether the configuration in force was the operator's newest one a short time
+ * ago.  The watch of it can be stuck while other calls to the store succeed.
+ */
+static bool config_is_heard(const fleet_front_t *host)
+{
+	return clock_boot() - fleet_watch_last_reply_at(host->config_watch) <
+	       STORE_SILENCE_MAX_USEC;
+}
+
 static bool run_on_loop(caller_call_t *call, loop_work_t work, GError **err)
 {
 	clock_cond_init(&call->cond);
--- a/regress/test_platform_config.c
+++ b/regress/test_platform_config.c
@@ -13,6 +13,10 @@
 
 #define ID "0000000000000001"
 #define CALL_MS 3000
+#define UNHEARD_USEC (600 * GH_USEC_PER_MSEC)
+/* Longer than a host takes jobs without hearing of the configuration. */
+#define STUCK_USEC (2000 * GH_USEC_PER_MSEC)
+#define HOLD_MS 10000
 /* The platform's bound on an old configuration after a disruption. */
 #define CONTACT_USEC (3000 * GH_USEC_PER_MSEC)
 #define JOB "{\"task_spec\":\"100\",\"pipeline\":[{\"count\":1,\"cpu\":100}]}"
@@ -262,6 +266,63 @@
 		assert_true(took[i] < CONTACT_USEC);
 }
 
+/* CONFIG: a host that wakes answers 404 before it has heard the store. */
+static void test_woken_host_before_it_hears_the_store(void **state)
+{
+	fleet_system_t sys;
+	unsigned n_ready = 0;
+	unsigned n_absent = 0;
+	gh_time_t end;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-woken", 1, 1, 1);
+	change_while_frozen(&sys,
+			    &(freeze_case_t){ "cut", LONG_USEC, LONG_USEC });
+	end = clock_boot() + UNHEARD_USEC;
+	while (clock_boot() < end) {
+		n_ready += fleet_host_is_ready(&sys, 0);
+		n_absent += call_path(&sys, "GET", "/new/") == 404;
+	}
+	print_message("ready %u times, 404 %u times\n", n_ready, n_absent);
+	set_link(&sys, "pass");
+	await_status(&sys, "/new/", 200);
+	fleet_system_stop(&sys);
+	assert_int_equal(n_ready, 0);
+	assert_int_equal(n_absent, 0);
+}
+
+/* CONFIG: a host takes jobs for the service of an old configuration. */
+static void test_no_job_under_an_old_configuration(void **state)
+{
+	fleet_system_t sys;
+	int taken, known, unknown;
+	bool ready;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-stuck", 1, 1, 1);
+	json_decref(
+		proc_control(sys.platform_address,
+			     "{\"hold_range\":{\"prefix\":\"op/\",\"ms\":%d},"
+			     "\"compact\":true}",
+			     HOLD_MS));
+	fleet_platform_put(&sys, "op/config",
+			   CONFIG("4", ROUTE("r-new", "/new/")));
+	g_usleep(STUCK_USEC);
+	ready = fleet_host_is_ready(&sys, 0);
+	taken = call_path(&sys, "POST", "/q/" ID);
+	known = call_path(&sys, "GET", "/q/");
+	unknown = call_path(&sys, "GET", "/new/");
+	print_message("ready %d, statuses %d, %d, %d\n", ready, taken, known,
+		      unknown);
+	json_decref(proc_control(sys.platform_address, "{\"hold_range\":{}}"));
+	await_status(&sys, "/new/", 200);
+	fleet_system_stop(&sys);
+	assert_false(ready);
+	assert_int_equal(taken, 503);
+	assert_int_equal(known, 200);
+	assert_int_equal(unknown, 503);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -269,6 +330,8 @@
 		cmocka_unit_test(test_older_version_does_not_come_back),
 		cmocka_unit_test(test_start_before_configuration),
 		cmocka_unit_test(test_change_while_frozen),
+		cmocka_unit_test(test_woken_host_before_it_hears_the_store),
+		cmocka_unit_test(test_no_job_under_an_old_configuration),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
