fleet_host: count no queue under an old configuration

A queue that had been removed was still counted (GET of its prefix, 200) by a host whose watch of the configuration got no reply, and the count itself could be of any age, though callers may take it for no older than 2 s. States of jobs are told as before.

--- a/fleet_front.h
+++ b/fleet_front.h
@@ -49,9 +49,12 @@
 /* Cancels a job; succeeds without effect if the job has ended already. */
 bool fleet_front_cancel(fleet_front_t *host, const fleet_queue_t *queue,
 			const char *id, gh_time_t deadline, GError **err);
-/* Number of the queue's jobs whose phase is GH_JOB_QUEUED. */
-uint32_t fleet_front_count_pending(fleet_front_t *host,
-				   const fleet_queue_t *queue);
+/*
+ * Counts the queue's jobs whose phase is GH_JOB_QUEUED; fails if the store was
+ * not heard lately, as the count or the queue itself may be outdated.
+ */
+bool fleet_front_count_pending(fleet_front_t *host, const fleet_queue_t *queue,
+			       uint32_t *n, GError **err);
 
 /*
  * Whether the load balancer may send callers here: the configuration is known
--- a/fleet_host.c
+++ b/fleet_host.c
@@ -414,10 +414,18 @@
 	return run_on_loop(&call, start_cancel, err);
 }
 
-uint32_t fleet_front_count_pending(fleet_front_t *host,
-				   const fleet_queue_t *queue)
+bool fleet_front_count_pending(fleet_front_t *host, const fleet_queue_t *queue,
+			       uint32_t *n, GError **err)
 {
-	return fleet_jobs_count_queued(host->jobs, queue->policy.name);
+	if (!store_is_reachable(host) || !config_is_heard(host)) {
+		gh_error_set(err, GH_E_STORE_DOWN,
+			     "the store is not heard: the jobs of queue %s "
+			     "cannot be counted",
+			     queue->policy.name);
+		return false;
+	}
+	*n = fleet_jobs_count_queued(host->jobs, queue->policy.name);
+	return true;
 }
 
 bool fleet_front_is_ready(fleet_front_t *host)
--- a/regress/test_platform_config.c
+++ b/regress/test_platform_config.c
@@ -295,7 +295,7 @@
 static void test_no_job_under_an_old_configuration(void **state)
 {
 	fleet_system_t sys;
-	int taken, known, unknown;
+	int taken, counted, unknown;
 	bool ready;
 
 	(void)state;
@@ -310,16 +310,16 @@
 	g_usleep(STUCK_USEC);
 	ready = fleet_host_is_ready(&sys, 0);
 	taken = call_path(&sys, "POST", "/q/" ID);
-	known = call_path(&sys, "GET", "/q/");
+	counted = call_path(&sys, "GET", "/q/");
 	unknown = call_path(&sys, "GET", "/new/");
-	print_message("ready %d, statuses %d, %d, %d\n", ready, taken, known,
+	print_message("ready %d, statuses %d, %d, %d\n", ready, taken, counted,
 		      unknown);
 	json_decref(proc_control(sys.platform_address, "{\"hold_range\":{}}"));
 	await_status(&sys, "/new/", 200);
 	fleet_system_stop(&sys);
 	assert_false(ready);
 	assert_int_equal(taken, 503);
-	assert_int_equal(known, 200);
+	assert_int_equal(counted, 503);
 	assert_int_equal(unknown, 503);
 }
 
