A job keeps the attempts of its queue when the queue is removed

A task was started a third time after two failed runs, all that its queue allowed, if the queue was removed while the job was open and its shard then changed owner: the new owner did not find the queue in its configuration and took the default, 3. A job of a queue with more attempts was failed after 3 by the same cause. An owner that does not have a new queue yet is in the same state.

The class: a job that was accepted under one configuration and goes on under another. Its service is part of its record; so are the attempts now. They count only where the queue is not configured. The record has one more number at the end of its first line, which earlier versions skip; a record without it is read as before (test_record_without_attempts).

Evidence: test_attempts_of_a_removed_queue (attempts 2): 3 starts before, 2 now.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -27,6 +27,7 @@
 static void handle_gang_member_end(gh_fleet_t *fleet, uint32_t handle,
 				   uint32_t index, gh_run_outcome_t outcome,
 				   gh_time_t now);
+static uint32_t job_attempts(const gh_fleet_t *fleet, const fleet_job_t *job);
 static void count_failure(gh_fleet_t *fleet, uint32_t handle, uint32_t index,
 			  gh_time_t now);
 static void stop_task_runs(gh_fleet_t *fleet, uint32_t handle, uint32_t from,
@@ -351,6 +352,17 @@
 	return policy ? policy : &fallback;
 }
 
+/* Without its queue, as once that was removed, a job keeps its attempts. */
+static uint32_t job_attempts(const gh_fleet_t *fleet, const fleet_job_t *job)
+{
+	uint32_t attempts = fleet_job_policy(fleet, job)->attempts;
+
+	if (job->spec->attempts &&
+	    !g_hash_table_contains(fleet->queues, job->spec->queue))
+		attempts = job->spec->attempts;
+	return MAX(attempts, 1);
+}
+
 /* Jobs. */
 
 uint32_t fleet_job_new(gh_fleet_t *fleet, gh_pipeline_t *pipeline)
@@ -633,8 +645,7 @@
 {
 	fleet_job_t *job = fleet_job(fleet, handle);
 
-	if (++job->tasks[index].failures >=
-	    MAX(fleet_job_policy(fleet, job)->attempts, 1))
+	if (++job->tasks[index].failures >= job_attempts(fleet, job))
 		fleet_job_end(fleet, handle, GH_JOB_FAILED, now);
 }
 
--- a/core_pipeline.c
+++ b/core_pipeline.c
@@ -105,11 +105,11 @@
 
 	g_string_append_printf(text,
 			       FORMAT_TAG " %s %s %s %" PRId64 " %" PRId64
-					  " %" PRId64 " %u %u\n",
+					  " %" PRId64 " %u %u %u\n",
 			       pipeline->id, pipeline->queue, pipeline->service,
 			       pipeline->accepted_ms, pipeline->first_due_ms,
 			       pipeline->interval_ms, pipeline->occurrences,
-			       pipeline->n_steps);
+			       pipeline->n_steps, pipeline->attempts);
 	for (i = 0; i < pipeline->n_steps; i++)
 		append_step(text, &pipeline->steps[i]);
 	g_string_append(text, pipeline->payload);
@@ -200,12 +200,14 @@
 	char queue[GH_QUEUE_MAX + 1];
 	char service[GH_QUEUE_MAX + 1];
 
+	/* Earlier versions wrote no attempts. */
 	if (sscanf(line,
 		   FORMAT_TAG " %32s %95s %95s %" SCNd64 " %" SCNd64 " %" SCNd64
-			      " %u %u",
+			      " %u %u %u",
 		   id, queue, service, &pipeline->accepted_ms,
 		   &pipeline->first_due_ms, &pipeline->interval_ms,
-		   &pipeline->occurrences, &pipeline->n_steps) != 8)
+		   &pipeline->occurrences, &pipeline->n_steps,
+		   &pipeline->attempts) < 8)
 		return false;
 	g_strlcpy(pipeline->id, id, sizeof(pipeline->id));
 	g_strlcpy(pipeline->queue, queue, sizeof(pipeline->queue));
--- a/core_pipeline.h
+++ b/core_pipeline.h
@@ -63,6 +63,8 @@
 	char id[GH_JOB_ID_MAX + 1];
 	char queue[GH_QUEUE_MAX + 1];
 	char service[GH_QUEUE_MAX + 1]; /* service whose workers run the job */
+	/* Attempts of the queue when the job was accepted; 0: not known. */
+	uint32_t attempts;
 	/* when the job was accepted, wall clock */
 	int64_t accepted_ms;
 	int64_t first_due_ms; /* when occurrence 0 is due, wall clock */
--- a/regress/test_platform_config.c
+++ b/regress/test_platform_config.c
@@ -19,11 +19,17 @@
 #define HOLD_MS 10000
 /* The platform's bound on an old configuration after a disruption. */
 #define CONTACT_USEC (3000 * GH_USEC_PER_MSEC)
-#define JOB "{\"task_spec\":\"100\",\"pipeline\":[{\"count\":1,\"cpu\":100}]}"
+/* Each run takes long enough to end without the host that started it. */
+#define JOB                      \
+	"{\"task_spec\":\"1500 " \
+	"fail\",\"pipeline\":[{\"count\":1,\"cpu\":100}]}"
 #define ROUTE(name, prefix)                                  \
 	"{\"name\":\"" name                                  \
 	"\",\"hostname\":\"q.example\",\"prefix\":\"" prefix \
 	"\",\"backend\":\"svc\",\"attempts\":3}"
+#define ROUTE_OF_TWO_ATTEMPTS                                        \
+	"{\"name\":\"r-two\",\"hostname\":\"q.example\",\"prefix\":" \
+	"\"/two/\",\"backend\":\"svc\",\"attempts\":2}"
 #define CONFIG(version, routes) \
 	"{\"version\":" version ",\"routes\":[" routes "]}"
 
@@ -323,6 +329,35 @@
 	assert_int_equal(unknown, 503);
 }
 
+static bool two_starts(void *arg)
+{
+	return fleet_platform_counter(arg, "starts") >= 2;
+}
+
+/* BUDGET: a queue is removed while a job of it is open, and the owner dies. */
+static void test_attempts_of_a_removed_queue(void **state)
+{
+	fleet_system_t sys;
+	int64_t starts;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-removed", 1, 1, 1);
+	fleet_platform_put(&sys, "op/config",
+			   CONFIG("4", ROUTE_OF_TWO_ATTEMPTS));
+	await_status(&sys, "/two/", 200);
+	assert_int_equal(call_path(&sys, "POST", "/two/" ID), 200);
+	proc_wait_until(two_starts, &sys, "two starts");
+	fleet_platform_put(&sys, "op/config", CONFIG("5", ROUTE("r-q", "/q/")));
+	proc_kill(&sys.hosts[0]);
+	fleet_host_start(&sys, 0);
+	await_status(&sys, "/q/", 200);
+	g_usleep(9000 * 1000);
+	starts = fleet_platform_counter(&sys, "starts");
+	print_message("starts %d\n", (int)starts);
+	fleet_system_stop(&sys);
+	assert_int_equal(starts, 2);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -332,6 +367,7 @@
 		cmocka_unit_test(test_change_while_frozen),
 		cmocka_unit_test(test_woken_host_before_it_hears_the_store),
 		cmocka_unit_test(test_no_job_under_an_old_configuration),
+		cmocka_unit_test(test_attempts_of_a_removed_queue),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/regress/test_platform_decode.c
+++ b/regress/test_platform_decode.c
@@ -505,6 +505,21 @@
 	}
 }
 
+/* A record written before records had the queue's attempts. */
+static void test_record_without_attempts(void **state)
+{
+	gh_pipeline_t *pipeline =
+		gh_pipeline_parse("pipeline1 0123456789abcdef q s 5 0 0 0 1\n"
+				  "2 500 1 0 0 0 0 0 0 0 - - -\npayload",
+				  NULL);
+
+	(void)state;
+	assert_non_null(pipeline);
+	assert_int_equal(pipeline->attempts, 0);
+	assert_int_equal(pipeline->n_steps, 1);
+	gh_pipeline_free(pipeline);
+}
+
 #define ROUTE(name, hostname, prefix, more)                          \
 	"{\"name\":\"" name "\",\"hostname\":\"" hostname            \
 	"\",\"prefix\":\"" prefix "\",\"route_type\":\"idempotent\"" \
@@ -817,6 +832,7 @@
 		cmocka_unit_test(test_clock),
 		cmocka_unit_test(test_report),
 		cmocka_unit_test(test_pipeline),
+		cmocka_unit_test(test_record_without_attempts),
 		cmocka_unit_test(test_config),
 		cmocka_unit_test(test_no_valid_config_is_left_out),
 		cmocka_unit_test(test_no_valid_route_is_left_out),
