--- a/fleet_host.c
+++ b/fleet_host.c
@@ -87,6 +87,7 @@
 static void start_refresh(void *ctx);
 static void on_call_done(void *ctx, const GError *err);
 static bool store_is_reachable(const fleet_front_t *host);
+static bool config_is_heard(const fleet_front_t *host);
 static void read_newer_state(fleet_front_t *host, const char *id,
 			     gh_time_t deadline, fleet_job_state_t *state);
 
@@ -197,6 +198,12 @@
 	}
 	old = host->config;
 	if (old && old->version >= config->version) {
+		if (old->version > config->version) {
+			log_event(LOG_WARN, "config_older", "version",
+				  log_num((int64_t)config->version), "revision",
+				  log_num((int64_t)item->revision), NULL);
+			counter_inc(CTR_DOC_OLDER);
+		}
 		fleet_config_unref(config);
 		return;
 	}
@@ -317,7 +324,8 @@
 bool fleet_front_knows_all_queues(fleet_front_t *host,
 				  const fleet_config_t *config)
 {
-	return !atomic_load(&host->config_unread) && !config->n_unread;
+	return config_is_heard(host) && !atomic_load(&host->config_unread) &&
+	       !config->n_unread;
 }
 
 bool fleet_front_submit(fleet_front_t *host, const fleet_queue_t *queue,
@@ -338,7 +346,7 @@
 			queue->policy.name);
 		ok = false;
 	}
-	if (ok && !store_is_reachable(host) &&
+	if (ok && !(store_is_reachable(host) && config_is_heard(host)) &&
 	    !fleet_jobs_is_accepted(host->jobs, pipeline->id,
 				    queue->policy.name)) {
 		if (fleet_jobs_is_open(host->jobs, pipeline->id))
@@ -431,10 +439,18 @@
 	return run_on_loop(&call, start_cancel, err);
 }
 
-uint32_t fleet_front_count_pending(fleet_front_t *host,
-				   const fleet_queue_t *queue)
+bool fleet_front_count_pending(fleet_front_t *host, const fleet_queue_t *queue,
+			       uint32_t *n, GError **err)
 {
-	return fleet_jobs_count_queued(host->jobs, queue->policy.name);
+	if (!store_is_reachable(host) || !config_is_heard(host)) {
+		gh_error_set(err, GH_E_STORE_DOWN,
+			     "the store is not heard: the jobs of queue %s "
+			     "cannot be counted",
+			     queue->policy.name);
+		return false;
+	}
+	*n = fleet_jobs_count_queued(host->jobs, queue->policy.name);
+	return true;
 }
 
 bool fleet_front_is_ready(fleet_front_t *host)
@@ -445,7 +461,7 @@
 	configured = host->config != NULL;
 	pthread_mutex_unlock(&host->lock);
 	return configured && !atomic_load(&host->draining) &&
-	       store_is_reachable(host);
+	       store_is_reachable(host) && config_is_heard(host);
 }
 
 int64_t fleet_front_retry_after_ms(void)
@@ -480,6 +496,16 @@
 	return clock_boot() - last_reply_at < STORE_SILENCE_MAX_USEC;
 }
 
+/*
+ * Whether the configuration in force was the operator's newest one a short time
+ * ago.  The watch of it can be stuck while other calls to the store succeed.
+ */
+static bool config_is_heard(const fleet_front_t *host)
+{
+	return clock_boot() - fleet_watch_last_reply_at(host->config_watch) <
+	       STORE_SILENCE_MAX_USEC;
+}
+
 static bool run_on_loop(caller_call_t *call, loop_work_t work, GError **err)
 {
 	clock_cond_init(&call->cond);
--- a/regress/test_platform_config.c
+++ b/regress/test_platform_config.c
@@ -13,13 +13,23 @@
 
 #define ID "0000000000000001"
 #define CALL_MS 3000
+#define UNHEARD_USEC (600 * GH_USEC_PER_MSEC)
+/* Longer than a host takes jobs without hearing of the configuration. */
+#define STUCK_USEC (2000 * GH_USEC_PER_MSEC)
+#define HOLD_MS 10000
 /* The platform's bound on an old configuration after a disruption. */
 #define CONTACT_USEC (3000 * GH_USEC_PER_MSEC)
-#define JOB "{\"task_spec\":\"100\",\"pipeline\":[{\"count\":1,\"cpu\":100}]}"
+/* Each run takes long enough to end without the host that started it. */
+#define JOB                      \
+	"{\"task_spec\":\"1500 " \
+	"fail\",\"pipeline\":[{\"count\":1,\"cpu\":100}]}"
 #define ROUTE(name, prefix)                                  \
 	"{\"name\":\"" name                                  \
 	"\",\"hostname\":\"q.example\",\"prefix\":\"" prefix \
 	"\",\"backend\":\"svc\",\"attempts\":3}"
+#define ROUTE_OF_TWO_ATTEMPTS                                        \
+	"{\"name\":\"r-two\",\"hostname\":\"q.example\",\"prefix\":" \
+	"\"/two/\",\"backend\":\"svc\",\"attempts\":2}"
 #define CONFIG(version, routes) \
 	"{\"version\":" version ",\"routes\":[" routes "]}"
 
@@ -127,6 +137,49 @@
 	assert_int_equal(i, 2);
 }
 
+typedef struct older_arg {
+	fleet_system_t *sys;
+	int64_t versions;
+} older_arg_t;
+
+static bool older_is_seen(void *arg)
+{
+	const older_arg_t *older = arg;
+
+	return fleet_host_counter(older->sys, 0, "documents_older") ==
+	       older->versions;
+}
+
+static void put_older(fleet_system_t *sys, const char *text, int64_t versions)
+{
+	older_arg_t arg = { .sys = sys, .versions = versions };
+
+	fleet_platform_put(sys, "op/config", text);
+	proc_wait_until(older_is_seen, &arg, "older versions seen");
+}
+
+/* CONFIG: an older version comes back in one life of a host. */
+static void test_older_version_does_not_come_back(void **state)
+{
+	fleet_system_t sys;
+	int64_t version;
+	int removed, kept;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-older", 1, 1, 1);
+	fleet_platform_put(&sys, "op/config", CONFIG("7", ROUTE("r-q", "/q/")));
+	put_older(&sys, CONFIG("6", ROUTE("r-old", "/old/")), 1);
+	json_decref(proc_control(sys.platform_address, "{\"compact\":true}"));
+	put_older(&sys, CONFIG("5", ROUTE("r-old", "/old/")), 2);
+	version = fleet_host_counter(&sys, 0, "config_version");
+	removed = call_path(&sys, "GET", "/old/");
+	kept = call_path(&sys, "GET", "/q/");
+	fleet_system_stop(&sys);
+	assert_int_equal(version, 7);
+	assert_int_equal(removed, 404);
+	assert_int_equal(kept, 200);
+}
+
 /* CONFIG: a host that has read no configuration yet answers 404. */
 static void test_start_before_configuration(void **state)
 {
@@ -219,12 +272,102 @@
 		assert_true(took[i] < CONTACT_USEC);
 }
 
+/* CONFIG: a host that wakes answers 404 before it has heard the store. */
+static void test_woken_host_before_it_hears_the_store(void **state)
+{
+	fleet_system_t sys;
+	unsigned n_ready = 0;
+	unsigned n_absent = 0;
+	gh_time_t end;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-woken", 1, 1, 1);
+	change_while_frozen(&sys,
+			    &(freeze_case_t){ "cut", LONG_USEC, LONG_USEC });
+	end = clock_boot() + UNHEARD_USEC;
+	while (clock_boot() < end) {
+		n_ready += fleet_host_is_ready(&sys, 0);
+		n_absent += call_path(&sys, "GET", "/new/") == 404;
+	}
+	print_message("ready %u times, 404 %u times\n", n_ready, n_absent);
+	set_link(&sys, "pass");
+	await_status(&sys, "/new/", 200);
+	fleet_system_stop(&sys);
+	assert_int_equal(n_ready, 0);
+	assert_int_equal(n_absent, 0);
+}
+
+/* CONFIG: a host takes jobs for the service of an old configuration. */
+static void test_no_job_under_an_old_configuration(void **state)
+{
+	fleet_system_t sys;
+	int taken, counted, unknown;
+	bool ready;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-stuck", 1, 1, 1);
+	json_decref(
+		proc_control(sys.platform_address,
+			     "{\"hold_range\":{\"prefix\":\"op/\",\"ms\":%d},"
+			     "\"compact\":true}",
+			     HOLD_MS));
+	fleet_platform_put(&sys, "op/config",
+			   CONFIG("4", ROUTE("r-new", "/new/")));
+	g_usleep(STUCK_USEC);
+	ready = fleet_host_is_ready(&sys, 0);
+	taken = call_path(&sys, "POST", "/q/" ID);
+	counted = call_path(&sys, "GET", "/q/");
+	unknown = call_path(&sys, "GET", "/new/");
+	print_message("ready %d, statuses %d, %d, %d\n", ready, taken, counted,
+		      unknown);
+	json_decref(proc_control(sys.platform_address, "{\"hold_range\":{}}"));
+	await_status(&sys, "/new/", 200);
+	fleet_system_stop(&sys);
+	assert_false(ready);
+	assert_int_equal(taken, 503);
+	assert_int_equal(counted, 503);
+	assert_int_equal(unknown, 503);
+}
+
+static bool two_starts(void *arg)
+{
+	return fleet_platform_counter(arg, "starts") >= 2;
+}
+
+/* BUDGET: a queue is removed while a job of it is open, and the owner dies. */
+static void test_attempts_of_a_removed_queue(void **state)
+{
+	fleet_system_t sys;
+	int64_t starts;
+
+	(void)state;
+	fleet_system_start(&sys, "platform-removed", 1, 1, 1);
+	fleet_platform_put(&sys, "op/config",
+			   CONFIG("4", ROUTE_OF_TWO_ATTEMPTS));
+	await_status(&sys, "/two/", 200);
+	assert_int_equal(call_path(&sys, "POST", "/two/" ID), 200);
+	proc_wait_until(two_starts, &sys, "two starts");
+	fleet_platform_put(&sys, "op/config", CONFIG("5", ROUTE("r-q", "/q/")));
+	proc_kill(&sys.hosts[0]);
+	fleet_host_start(&sys, 0);
+	await_status(&sys, "/q/", 200);
+	g_usleep(9000 * 1000);
+	starts = fleet_platform_counter(&sys, "starts");
+	print_message("starts %d\n", (int)starts);
+	fleet_system_stop(&sys);
+	assert_int_equal(starts, 2);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_unread_queue_is_not_called_absent),
+		cmocka_unit_test(test_older_version_does_not_come_back),
 		cmocka_unit_test(test_start_before_configuration),
 		cmocka_unit_test(test_change_while_frozen),
+		cmocka_unit_test(test_woken_host_before_it_hears_the_store),
+		cmocka_unit_test(test_no_job_under_an_old_configuration),
+		cmocka_unit_test(test_attempts_of_a_removed_queue),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
