core_fleet: a job without a run is not kept waiting by quarantines

A worker on which runs of two jobs fail, or hang, is in quarantine for 3 s, for up to 24 s if that goes on.

A task that has waited for 2 s now starts on a worker in quarantine if no other can run it: a long-running one, or any of a job without a run. While half of the workers' capacity is in use only long-running tasks do, as a worker that fails all runs at once is the one that is always free, and would use up the attempts of every job that waits. A gang's planned members don't count as runs of its job, and a job whose starts are refused goes on waiting, where each refusal or rolled back gang began its wait anew. The 2 s after a refusal by an unhealthy worker are not a quarantine and are kept.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -19,7 +19,7 @@
 static void unlink_run(gh_fleet_t *fleet, uint32_t handle);
 static void account_resources(gh_fleet_t *fleet, const fleet_run_t *run,
 			      bool add);
-static void close_run(gh_fleet_t *fleet, uint32_t handle, gh_time_t now);
+static void close_run(gh_fleet_t *fleet, uint32_t handle);
 static void note_begun(fleet_job_t *job, const fleet_run_t *run,
 		       gh_run_outcome_t outcome);
 static void complete_task(gh_fleet_t *fleet, uint32_t handle, uint32_t index,
@@ -506,7 +506,10 @@
 	account_resources(fleet, &run, false);
 	fleet_crash_handle_end(fleet, handle);
 	fleet_late_add(fleet, &run, outcome, now);
-	close_run(fleet, handle, now);
+	close_run(fleet, handle);
+	/* A job whose starts are refused goes on waiting. */
+	if (!job->open_runs && outcome != GH_RUN_NOT_STARTED)
+		job->idle_since = now;
 	fleet_health_record_end(fleet, &run, outcome, now);
 	if (checkpoint && *checkpoint) {
 		g_free(task->checkpoint);
@@ -542,7 +545,7 @@
 }
 
 /* Takes the run out of its worker, task and job. */
-static void close_run(gh_fleet_t *fleet, uint32_t handle, gh_time_t now)
+static void close_run(gh_fleet_t *fleet, uint32_t handle)
 {
 	fleet_run_t *run = fleet_run(fleet, handle);
 	fleet_job_t *job = fleet_job(fleet, run->job);
@@ -554,8 +557,7 @@
 	if (task->runs[0] == handle)
 		task->runs[0] = task->runs[1];
 	task->runs[1] = GH_NONE;
-	if (!--job->open_runs)
-		job->idle_since = now;
+	job->open_runs--;
 	if (task->runs[0] == GH_NONE)
 		fleet_task_stage(job, run->task)->tasks_open--;
 }
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -73,8 +73,14 @@
  * fleet_best_effort_share() and the highest interference weight.
  */
 #define COST_BEST_EFFORT_SHARE 100000
+/* A worker in quarantine is used if no other can run the task. */
+#define COST_QUARANTINED_WORKER 100000000000
 /* A job without a run for longer than this ignores BEST_EFFORT_SHARE_MAX. */
 #define JOB_IDLE_MAX_USEC (1500 * GH_USEC_PER_MSEC)
+/* The same, for longer than this, ignores quarantines. */
+#define QUARANTINE_WAIT_USEC (2 * GH_USEC_PER_SEC)
+/* The workers are busy from this share of their capacity on. */
+#define BUSY_DIVISOR 2
 /* A best-effort run whose pace is low for longer than this is moved. */
 #define SLOW_BEFORE_MOVE_USEC (700 * GH_USEC_PER_MSEC)
 /* Cost of a worker with slow runs, multiplied by run_time_ratio - 1. */
@@ -92,11 +98,11 @@
 	OBSTACLE_LATE_START,  /* stops of late starts are awaited */
 	OBSTACLE_UNKNOWN_RUN, /* which takes up capacity until it has ended */
 	OBSTACLE_NO_CAPACITY,
-	OBSTACLE_REFUSED_START, /* lately, for lack of capacity */
-	OBSTACLE_QUARANTINE,
+	OBSTACLE_REFUSED_START, /* lately */
 	OBSTACLE_OTHER_SERVICE,
 	OBSTACLE_LABEL,
 	OBSTACLE_STAGE_LIMIT, /* runs the stage's max tasks per worker */
+	OBSTACLE_QUARANTINE,  /* and nothing else */
 	OBSTACLES
 } obstacle_t;
 
@@ -147,6 +153,16 @@
 static uint32_t choose_worker(gh_fleet_t *fleet, fleet_job_t *job,
 			      uint32_t task, uint32_t excluded_worker,
 			      gh_time_t now);
+static bool has_waited(const fleet_job_t *job, uint32_t index, gh_time_t usec,
+		       gh_time_t now);
+static bool is_overdue(const fleet_job_t *job, uint32_t stage, gh_time_t now);
+static bool is_desperate(const gh_fleet_t *fleet, const fleet_job_t *job,
+			 uint32_t stage, gh_time_t now);
+static int64_t risk_cost(const gh_fleet_t *fleet, uint32_t handle,
+			 const fleet_task_t *task, obstacle_t obstacle,
+			 gh_time_t now);
+static bool is_admitted(obstacle_t obstacle, bool desperate);
+static void note_busy(gh_fleet_t *fleet);
 static void note_failed_placement(gh_fleet_t *fleet, const fleet_job_t *job,
 				  uint32_t stage, failed_placement_t placement,
 				  gh_time_t now);
@@ -195,6 +211,7 @@
 				GH_USEC_PER_SEC);
 		fleet->interference_decayed_at = now;
 	}
+	note_busy(fleet);
 	g_array_set_size(fleet->failed_placements, 0);
 	collect_candidates(fleet, candidates, now, wall_ms);
 	g_array_sort(candidates, compare_candidates);
@@ -562,6 +579,7 @@
 			 uint32_t stage, gh_time_t now)
 {
 	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
+	bool desperate = is_desperate(fleet, job, stage, now);
 	uint64_t n = 0;
 	uint32_t i;
 
@@ -569,7 +587,8 @@
 		const fleet_worker_t *worker = fleet_worker(fleet, i);
 
 		if (worker->in_use &&
-		    find_obstacle(fleet, job, stage, i, now) == OBSTACLE_NONE)
+		    is_admitted(find_obstacle(fleet, job, stage, i, now),
+				desperate))
 			n += count_fitting(worker, step);
 	}
 	return n >= step->tasks;
@@ -605,19 +624,15 @@
 	const char *rack = step->one_rack ? find_stage_rack(fleet, job, stage) :
 					    step->rack;
 	uint16_t image = job->image_ids[stage % job->spec->n_steps];
-	/*
-	 * A job without a run for JOB_IDLE_MAX_USEC must not starve: its task
-	 * starts even if the run will be slow.
-	 */
-	bool overdue =
-		!job->open_runs &&
-		(job->starved || now - job->idle_since > JOB_IDLE_MAX_USEC);
+	bool is_second = excluded_worker != GH_NONE;
+	bool overdue = !is_second && is_overdue(job, stage, now);
 	failed_placement_t placement = {
 		.service = job->spec->service,
 		.size = step->size,
 		.image_id = image,
 		.best_effort = step->best_effort,
 		.bounded = step->best_effort && !overdue,
+		.healthy = is_second || !is_desperate(fleet, job, stage, now),
 	};
 	double best_share = 0;
 	/* Workers admit a task with crashes by other criteria. */
@@ -631,11 +646,14 @@
 	for (i = 0; i < fleet->workers->len; i++) {
 		fleet_worker_t *worker = fleet_worker(fleet, i);
 		double candidate_share = 0;
+		obstacle_t obstacle;
 		int64_t cost;
 
 		fleet->counts.examined++;
-		if (i == excluded_worker || !worker->in_use ||
-		    find_obstacle(fleet, job, stage, i, now) != OBSTACLE_NONE ||
+		if (i == excluded_worker || !worker->in_use)
+			continue;
+		obstacle = find_obstacle(fleet, job, stage, i, now);
+		if (!is_admitted(obstacle, !placement.healthy) ||
 		    !fleet_crash_admits(fleet, i, job, task, now))
 			continue;
 		cost = placement_cost(fleet, worker, step, rack, image);
@@ -650,9 +668,7 @@
 			cost += (int64_t)((share + weight) *
 					  COST_BEST_EFFORT_SHARE);
 		}
-		if (i == job->tasks[task].avoid_worker)
-			cost += COST_AVOIDED_WORKER;
-		cost += fleet_crash_cost(fleet, i, &job->tasks[task], now);
+		cost += risk_cost(fleet, i, &job->tasks[task], obstacle, now);
 		if (cost < best_cost) {
 			best_cost = cost;
 			best = i;
@@ -671,6 +687,89 @@
 	return best;
 }
 
+/*
+ * Whether a task of the stage has found no worker for some time: a long-running
+ * one, or any of a job without a run.
+ */
+static bool has_waited(const fleet_job_t *job, uint32_t index, gh_time_t usec,
+		       gh_time_t now)
+{
+	const gh_step_t *step = &job->spec->steps[index % job->spec->n_steps];
+	const fleet_stage_t *stage = &job->stages[index];
+	/* The members of a gang are placed one after the other. */
+	uint32_t n_placed = step->gang ? stage->tasks_open : 0;
+
+	if (step->long_running)
+		return stage->waiting_since &&
+		       now - stage->waiting_since > usec;
+	return job->open_runs == n_placed && now - job->idle_since > usec;
+}
+
+/*
+ * A job without a run for JOB_IDLE_MAX_USEC must not starve: its task starts
+ * even if the run will be slow.
+ */
+static bool is_overdue(const fleet_job_t *job, uint32_t stage, gh_time_t now)
+{
+	return has_waited(job, stage, JOB_IDLE_MAX_USEC, now) ||
+	       (!job->open_runs && job->starved);
+}
+
+/*
+ * Whether a task of the stage starts even where it may well fail.  While the
+ * workers are busy, short tasks wait: a worker that fails them at once is the
+ * one that is always free.
+ */
+static bool is_desperate(const gh_fleet_t *fleet, const fleet_job_t *job,
+			 uint32_t stage, gh_time_t now)
+{
+	return (!fleet->busy ||
+		job->spec->steps[stage % job->spec->n_steps].long_running) &&
+	       has_waited(job, stage, QUARANTINE_WAIT_USEC, now);
+}
+
+/* Cost of a worker on which the task may well fail. */
+static int64_t risk_cost(const gh_fleet_t *fleet, uint32_t handle,
+			 const fleet_task_t *task, obstacle_t obstacle,
+			 gh_time_t now)
+{
+	int64_t cost = fleet_crash_cost(fleet, handle, task, now);
+
+	if (handle == task->avoid_worker)
+		cost += COST_AVOIDED_WORKER;
+	if (obstacle == OBSTACLE_QUARANTINE)
+		cost += COST_QUARANTINED_WORKER;
+	return cost;
+}
+
+/* Whether a worker may run a task, or one that is desperate. */
+static bool is_admitted(obstacle_t obstacle, bool desperate)
+{
+	return obstacle == OBSTACLE_NONE ||
+	       (desperate && obstacle == OBSTACLE_QUARANTINE);
+}
+
+/* Notes whether half of the workers' capacity is in use. */
+static void note_busy(gh_fleet_t *fleet)
+{
+	gh_capacity_t size = { 0 };
+	gh_capacity_t used = { 0 };
+	uint32_t i;
+
+	for (i = 0; i < fleet->workers->len; i++) {
+		const fleet_worker_t *worker = fleet_worker(fleet, i);
+
+		if (!worker->in_use || !worker->listed ||
+		    worker->entry.draining || !worker->has_reported ||
+		    worker->unreachable_since)
+			continue;
+		gh_capacity_add(&size, &worker->entry.size, 1);
+		gh_capacity_add(&used, &worker->reserved, 1);
+	}
+	fleet->busy = used.cores_milli * BUSY_DIVISOR >= size.cores_milli ||
+		      used.memory_mb * BUSY_DIVISOR >= size.memory_mb;
+}
+
 /*
  * Remembers a placement that no worker can take.  If one dimension alone is the
  * reason, the least size that fails in it is remembered.
@@ -692,7 +791,7 @@
 		if (!worker->in_use)
 			continue;
 		obstacle = find_obstacle(fleet, job, stage, i, now);
-		if (obstacle != OBSTACLE_NONE &&
+		if (!is_admitted(obstacle, !placement.healthy) &&
 		    obstacle != OBSTACLE_NO_CAPACITY)
 			continue;
 		if (size->memory_mb > reserved->memory_mb)
@@ -730,6 +829,8 @@
 		    failed->size.memory_mb > placement->size.memory_mb ||
 		    failed->size.accelerators > placement->size.accelerators)
 			continue;
+		if (failed->healthy && !placement->healthy)
+			continue;
 		if (failed->bounded &&
 		    (!placement->bounded ||
 		     failed->image_id != placement->image_id))
@@ -790,8 +891,6 @@
 	const fleet_worker_t *worker = fleet_worker(fleet, handle);
 	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
 
-	if (!fleet_health_is_usable(worker, now))
-		return OBSTACLE_QUARANTINE;
 	if (strcmp(worker->entry.service, job->spec->service) != 0)
 		return OBSTACLE_OTHER_SERVICE;
 	if (*step->label && !has_label(worker, step->label))
@@ -799,7 +898,8 @@
 	if (step->max_per_worker &&
 	    count_stage_runs(fleet, job, stage, handle) >= step->max_per_worker)
 		return OBSTACLE_STAGE_LIMIT;
-	return OBSTACLE_NONE;
+	return fleet_health_is_usable(worker, now) ? OBSTACLE_NONE :
+						     OBSTACLE_QUARANTINE;
 }
 
 static bool has_label(const fleet_worker_t *worker, const char *label)
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -11,7 +11,7 @@
  * capacity.
  */
 #define NO_CAPACITY_WAIT_USEC (300 * GH_USEC_PER_MSEC)
-/* Quarantine of a worker that refused a start because it is unhealthy. */
+/* The same to a worker that refused one because it is unhealthy. */
 #define REFUSED_WAIT_USEC (2 * GH_USEC_PER_SEC)
 /*
  * Wait before a task is started again whose start order the worker found
@@ -277,12 +277,13 @@
 		run->retry_at = now + ORDER_RETRY_USEC;
 		return;
 	case GH_ORDER_NO_CAPACITY:
-		worker->full_until = now + NO_CAPACITY_WAIT_USEC;
+		worker->full_until =
+			MAX(worker->full_until, now + NO_CAPACITY_WAIT_USEC);
 		fleet->counts.no_capacity++;
 		break;
 	case GH_ORDER_REFUSED:
-		worker->quarantined_until =
-			MAX(worker->quarantined_until, now + REFUSED_WAIT_USEC);
+		worker->full_until =
+			MAX(worker->full_until, now + REFUSED_WAIT_USEC);
 		break;
 	case GH_ORDER_INVALID:
 		task->not_before = now + INVALID_WAIT_USEC;
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -320,8 +320,7 @@
 	/* Since when the worker's lease renewals fail; 0: they do not. */
 	gh_time_t unreachable_since;
 	/*
-	 * No start order is sent until this time, as the worker refused one for
-	 * lack of capacity.
+	 * No start order is sent until this time, as the worker refused one.
 	 */
 	gh_time_t full_until;
 	/*
@@ -395,6 +394,7 @@
 	uint16_t image_id;
 	bool best_effort;
 	bool bounded; /* by the best-effort share, not by capacity alone */
+	bool healthy; /* on workers in quarantine it may not have failed */
 } failed_placement_t;
 
 /* A lost run whose worker may be alive all the same. */
@@ -463,6 +463,7 @@
 	double mean_tick_gap;
 	uint32_t last_fence_offset; /* highest in use */
 	bool fenced;		    /* a worker has seen a newer owner */
+	bool busy; /* half of the workers' capacity is in use */
 	/* Number of reports received from all workers so far. */
 	uint32_t report_number;
 	/* Handle at which the next scan for due renewals starts. */
--- a/regress/test_core_fleet_idle_tasks.c
+++ b/regress/test_core_fleet_idle_tasks.c
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include <cmocka.h>
+#include <string.h>
 
 #include "fleet_world.h"
 
@@ -95,10 +96,118 @@
 	assert_int_equal(n_waiting, 0);
 }
 
+/* Failing runs put all workers into quarantine; then a job is added. */
+typedef struct quarantine_case {
+	const char *name;
+	size_t workers;
+	int64_t failing_ms; /* how long all runs fail */
+	bool long_running, best_effort, gang;
+	uint32_t tasks;
+} quarantine_case_t;
+
+static const quarantine_case_t quarantine_cases[] = {
+	{ .name = "one worker", .workers = 1, .failing_ms = 30000, .tasks = 1 },
+	{ .name = "two workers", .workers = 2, .failing_ms = 2000, .tasks = 1 },
+	{ .name = "again and again",
+	  .workers = 3,
+	  .failing_ms = 30000,
+	  .tasks = 4 },
+	{ .name = "best-effort",
+	  .workers = 3,
+	  .failing_ms = 30000,
+	  .best_effort = true,
+	  .tasks = 3 },
+	{ .name = "long-running",
+	  .workers = 3,
+	  .failing_ms = 30000,
+	  .long_running = true,
+	  .tasks = 2 },
+	{ .name = "gang",
+	  .workers = 3,
+	  .failing_ms = 30000,
+	  .gang = true,
+	  .tasks = 3 },
+};
+
+static void fail_runs(world_t *w)
+{
+	size_t i;
+
+	for (i = 0; i < w->n_workers; i++)
+		while (w->workers[i].n_runs)
+			end_run(&w->workers[i], 0, GH_RUN_FAILED);
+}
+
+/* Adds jobs that fail at once until all workers are quarantined again. */
+static void quarantine_workers(world_t *w, int64_t ms)
+{
+	gh_queue_policy_t policy = { .name = "q",
+				     .attempts = 1,
+				     .stretch_milli = 2000 };
+	gh_time_t until = w->now + ms * MS;
+	uint32_t n = 0;
+	char id[24];
+
+	gh_fleet_queue_set(w->fleet, &policy);
+	while (w->now < until) {
+		g_snprintf(id, sizeof(id), "fa%014x", ++n);
+		add_job(w, id, 1, &one_task, NULL);
+		advance_time(w, 50);
+		fail_runs(w);
+		advance_time(w, 50);
+		gh_fleet_job_cancel(w->fleet, id, w->now);
+	}
+}
+
+static size_t count_runs_of(const world_t *w, const char *job)
+{
+	size_t n = 0;
+	size_t i, r;
+
+	for (i = 0; i < w->n_workers; i++)
+		for (r = 0; r < w->workers[i].n_runs; r++)
+			n += !strcmp(w->workers[i].runs[r].task.job, job);
+	return n;
+}
+
+/* No task waits because all workers with capacity are in quarantine. */
+static void test_job_runs_beside_quarantined_workers(void **state)
+{
+	size_t n_waiting = 0;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(quarantine_cases); i++) {
+		const quarantine_case_t *c = &quarantine_cases[i];
+		gh_step_t step = { .tasks = c->tasks,
+				   .size = { .cores_milli = 1000 },
+				   .estimate_ms = 5000,
+				   .long_running = c->long_running,
+				   .best_effort = c->best_effort,
+				   .gang = c->gang };
+		int64_t ms = 0;
+		world_t w;
+
+		world_init(&w);
+		add_workers(&w, c->workers);
+		quarantine_workers(&w, c->failing_ms);
+		add_job(&w, JOB, 1, &step, NULL);
+		while (!count_runs_of(&w, JOB) && ms < 60000) {
+			advance_time(&w, 10);
+			ms += 10;
+		}
+		print_message("%s: waited for %d ms\n", c->name, (int)ms);
+		n_waiting += ms >= WAIT_MAX_MS;
+		world_clear(&w);
+	}
+	assert_int_equal(n_waiting, 0);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_gang_of_suspects_starts),
+		cmocka_unit_test(test_job_runs_beside_quarantined_workers),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
