soak: workers that fail all runs; runs between two samples count

RULE_IDLE missed runs of less than its sampling period. Each mix of its case is a test of its own, so that SOAK_TEST selects one.

--- a/regress/fleet_model_field.c
+++ b/regress/fleet_model_field.c
@@ -27,6 +27,8 @@
 #define WIDE_PERCENT 15
 #define WIDE_TASKS 24
 #define WIDE_TIMES 3 /* longer than in other steps */
+/* Share of the days on which some workers fail all runs. */
+#define SICK_PERCENT 40
 /* Share of the days at whose end all hosts fail. */
 #define POWER_LOSS_PERCENT 60
 
@@ -54,6 +56,11 @@
 	return pipeline;
 }
 
+bool model_field_is_sick(const model_t *m, const life_t *life)
+{
+	return m->sick & 1u << life->slot;
+}
+
 void model_field_set_faults(model_t *m, model_job_t *job)
 {
 	job->hopeless = model_chance(m, HOPELESS_PERCENT);
@@ -124,6 +131,8 @@
 void model_field_start(model_t *m)
 {
 	m->job_period_ms *= 1 + (int64_t)model_random(m, LOADS);
+	if (model_chance(m, SICK_PERCENT))
+		m->sick = (uint32_t)model_random(m, 1u << MODEL_SLOTS);
 	model_post(m, m->quiet_at, end_disruptions, NULL);
 }
 
@@ -133,6 +142,8 @@
 
 	(void)data;
 	m->disruptions_over = true;
+	if (model_chance(m, 50))
+		m->sick = 0;
 	model_log(m, NULL, "disruptions end");
 	m->job_period_ms *= 2;
 	if (!model_chance(m, POWER_LOSS_PERCENT))
--- a/regress/fleet_model_idle.c
+++ b/regress/fleet_model_idle.c
@@ -89,16 +89,20 @@
 
 	for (i = 0; i < MODEL_SLOTS; i++)
 		for (r = 0; m->slots[i] && r < m->slots[i]->runs->len; r++) {
-			const gh_task_id_t *id =
-				&g_array_index(m->slots[i]->runs, live_run_t, r)
-					 .task;
-			model_job_t *job = model_job_find(m, id->job);
-
-			job->ran_at = m->now;
-			job->tasks[model_task_index(job, id)].ran_at = m->now;
+			model_idle_note_run(m, &g_array_index(m->slots[i]->runs,
+							      live_run_t, r)
+							.task);
 		}
 }
 
+void model_idle_note_run(model_t *m, const gh_task_id_t *id)
+{
+	model_job_t *job = model_job_find(m, id->job);
+
+	job->ran_at = m->now;
+	job->tasks[model_task_index(job, id)].ran_at = m->now;
+}
+
 static bool is_busy(const model_t *m)
 {
 	gh_capacity_t total = { 0 };
@@ -168,7 +172,11 @@
 		*since = 0;
 		return;
 	}
-	if (!*since)
+	/* A run may begin and end between two samples. */
+	if (!*since ||
+	    *since < (model_step(m, id)->long_running ?
+			      job->tasks[model_task_index(job, id)].ran_at :
+			      job->ran_at))
 		*since = m->now;
 	ms = gh_time_to_ms(m->now - *since);
 	m->result->longest_idle_ms = MAX(m->result->longest_idle_ms, ms);
--- a/regress/fleet_model_private.h
+++ b/regress/fleet_model_private.h
@@ -290,6 +290,7 @@
 	gh_time_t end;
 	gh_time_t quiet_at; /* when disruptions end */
 	bool disruptions_over;
+	uint32_t sick; /* bits of addresses whose workers fail all runs */
 	gh_time_t crashed_at; /* last crash of a worker by a task */
 	int64_t job_period_ms;
 	uint64_t sequence;
@@ -338,8 +339,12 @@
 
 /* See fleet_model_idle.c and fleet_model_field.c. */
 void model_idle_start(model_t *m);
+/* A run of the task is at work now. */
+void model_idle_note_run(model_t *m, const gh_task_id_t *id);
 void model_field_start(model_t *m);
 gh_pipeline_t *model_field_pipeline(model_t *m, uint32_t number);
+/* Whether a run on the worker fails, whatever its job. */
+bool model_field_is_sick(const model_t *m, const life_t *life);
 void model_field_set_faults(model_t *m, model_job_t *job);
 void model_field_begin_run(model_t *m, life_t *life, const gh_task_id_t *task);
 
--- a/regress/fleet_model_worker.c
+++ b/regress/fleet_model_worker.c
@@ -363,7 +363,8 @@
 			   .run = call->run,
 			   .started_at = m->now };
 	gh_time_t end = m->now + model_random_ms(m, 50, 2 * step->estimate_ms);
-	bool failed = model_job_find(m, run.task.job)->hopeless;
+	bool failed = model_job_find(m, run.task.job)->hopeless ||
+		      model_field_is_sick(m, life);
 
 	respond(m, life, call, GH_ORDER_OK);
 	model_check_start(m, life, &call->task, call->run);
@@ -515,6 +516,7 @@
 	g_array_remove_index_fast(life->runs, index);
 	g_array_append_val(life->ends, end);
 	note_over(life, &run.task, run.run);
+	model_idle_note_run(m, &run.task);
 	model_log(m, &run.task, "run %u ended at worker %s, start %d: %s",
 		  run.run, life->id, (int)life->start_ms,
 		  gh_run_outcome_name(outcome));
--- a/regress/test_core_fleet_soak.c
+++ b/regress/test_core_fleet_soak.c
@@ -187,31 +187,47 @@
 /* A task has no run beside workers with capacity, long after disruptions. */
 static void test_no_task_waits_beside_free_workers(void **state)
 {
-	static const soak_case_t cases[] = {
-		{ .name = "idle tasks, all disruptions",
-		  .rules = RULE_IDLE,
-		  .disruptions = "-record",
-		  .seed = 1,
-		  .seeds = 150,
-		  .quiet_ms = QUIET_MS },
-		{ .name = "idle tasks, crashes of workers",
-		  .rules = RULE_IDLE,
-		  .disruptions = "crash=5,restart=3,kill=2,release,drain=2",
-		  .seed = 60000,
-		  .seeds = 150,
-		  .quiet_ms = QUIET_MS },
-		{ .name = "idle tasks, late calls",
-		  .rules = RULE_IDLE,
-		  .disruptions = "restart=3,late=5,replies=3,move,cut=2,kill",
-		  .seed = 10000,
-		  .seeds = 150,
-		  .quiet_ms = QUIET_MS },
+	static const soak_case_t c = {
+		.name = "idle tasks, all disruptions",
+		.rules = RULE_IDLE,
+		.disruptions = "-record",
+		.seed = 1,
+		.seeds = 150,
+		.quiet_ms = QUIET_MS,
 	};
-	size_t i;
 
 	(void)state;
-	for (i = 0; i < G_N_ELEMENTS(cases); i++)
-		soak(&cases[i]);
+	soak(&c);
+}
+
+static void test_no_task_waits_after_crashes(void **state)
+{
+	static const soak_case_t c = {
+		.name = "idle tasks, crashes of workers",
+		.rules = RULE_IDLE,
+		.disruptions = "crash=5,restart=3,kill=2,release,drain=2",
+		.seed = 60000,
+		.seeds = 150,
+		.quiet_ms = QUIET_MS,
+	};
+
+	(void)state;
+	soak(&c);
+}
+
+static void test_no_task_waits_after_late_calls(void **state)
+{
+	static const soak_case_t c = {
+		.name = "idle tasks, late calls",
+		.rules = RULE_IDLE,
+		.disruptions = "restart=3,late=5,replies=3,move,cut=2,kill",
+		.seed = 10000,
+		.seeds = 150,
+		.quiet_ms = QUIET_MS,
+	};
+
+	(void)state;
+	soak(&c);
 }
 
 int main(void)
@@ -222,6 +238,8 @@
 		cmocka_unit_test(test_done_in_unknown_new_life),
 		cmocka_unit_test(test_no_start_over_capacity),
 		cmocka_unit_test(test_no_task_waits_beside_free_workers),
+		cmocka_unit_test(test_no_task_waits_after_crashes),
+		cmocka_unit_test(test_no_task_waits_after_late_calls),
 	};
 
 	if (getenv("SOAK_TEST"))
