core_fleet: a suspect that has waited for 2 s starts anywhere

A task that may have crashed workers waits for one of its own for up to 2 s from its first claim, or 8 s if proof is wanted.

The wait of a task now ends with that of its job, as with quarantines: 2 s without a run while the workers aren't busy. A worker on which a suspect has not settled still admits no other, so that no innocent task is blamed.

--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -675,7 +675,8 @@
 			best_share = candidate_share;
 		}
 	}
-	if (best != GH_NONE && fleet_crash_needs_care(&job->tasks[task]) &&
+	if (best != GH_NONE && placement.healthy &&
+	    fleet_crash_needs_care(&job->tasks[task]) &&
 	    !fleet_crash_claim(fleet, best, &job->tasks[task], step, now))
 		return GH_NONE;
 	if (step->best_effort && best != GH_NONE)
--- a/regress/test_core_fleet_idle_tasks.c
+++ b/regress/test_core_fleet_idle_tasks.c
@@ -203,11 +203,90 @@
 	assert_int_equal(n_waiting, 0);
 }
 
+typedef struct suspects_case {
+	const char *name;
+	size_t workers;
+	const char *crashes; /* in the record of each task */
+	int64_t run_ms;
+	uint32_t jobs; /* of one task each */
+	bool best_effort;
+} suspects_case_t;
+
+#define SUSPECT_JOBS_MAX 40
+
+static const suspects_case_t suspects_cases[] = {
+	{ "short runs", 2, " crashes:2:2:0", 400, 8, false },
+	{ "lost starts", 2, " crashes:0:0:4", 5000, 8, false },
+	{ "proof wanted", 4, " crashes:4:2:0", 5000, 16, false },
+	{ "many workers", 10, " crashes:4:2:0", 5000, 40, false },
+	{ "best-effort", 10, " crashes:4:2:0", 5000, 40, true },
+};
+
+/* Notes when each job first runs, and ends runs in time. */
+static void note_starts(world_t *w, const suspects_case_t *c, int64_t ms,
+			int64_t started_ms[SUSPECT_JOBS_MAX])
+{
+	size_t i, r;
+
+	for (i = 0; i < w->n_workers; i++)
+		for (r = w->workers[i].n_runs; r-- > 0;) {
+			const char *job = w->workers[i].runs[r].task.job;
+			uint64_t n = g_ascii_strtoull(job, NULL, 16) - 1;
+
+			if (!started_ms[n])
+				started_ms[n] = ms;
+			if (ms - started_ms[n] >= c->run_ms)
+				end_run(&w->workers[i], r, GH_RUN_DONE);
+		}
+}
+
+/* Tasks that may have crashed workers queue up for a worker of their own. */
+static void test_suspects_start_in_time(void **state)
+{
+	size_t n_late = 0;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(suspects_cases); i++) {
+		const suspects_case_t *c = &suspects_cases[i];
+		gh_step_t step = { .tasks = 1,
+				   .size = { .cores_milli = 100 },
+				   .best_effort = c->best_effort,
+				   .estimate_ms = 5000 };
+		char *record = make_record(1, c->crashes);
+		int64_t started_ms[SUSPECT_JOBS_MAX] = { 0 };
+		size_t n = 0;
+		char id[24];
+		int64_t ms;
+		uint32_t j;
+		world_t w;
+
+		world_init(&w);
+		add_workers(&w, c->workers);
+		for (j = 0; j < c->jobs; j++) {
+			g_snprintf(id, sizeof(id), "%016x", j + 1);
+			add_job(&w, id, 1, &step, record);
+		}
+		for (ms = 10; ms <= WAIT_MAX_MS; ms += 10) {
+			advance_time(&w, 10);
+			note_starts(&w, c, ms, started_ms);
+		}
+		for (j = 0; j < c->jobs; j++)
+			n += !started_ms[j];
+		print_message("%s: %zu of %u wait\n", c->name, n, c->jobs);
+		n_late += n;
+		world_clear(&w);
+		g_free(record);
+	}
+	assert_int_equal(n_late, 0);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_gang_of_suspects_starts),
 		cmocka_unit_test(test_job_runs_beside_quarantined_workers),
+		cmocka_unit_test(test_suspects_start_in_time),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
