core_fleet: a run of a done task holds no other task back

A task can be done while a run of it is still open: a speculative copy, or one that the owner had given up and that was heard again. A step is looked at for tasks to start while fewer of its tasks are done or open than it has, and such a task counted as both. So the step's last task, one that had not begun or had failed, was not started until that run had ended: for as long as the lease of its worker can last if that has gone, and anew at each take-over, as the record names the run (LOST).

Tasks that are done and open are counted, and taken off.

test_run_of_done_task_holds_nothing_back had no run within 3 s in its first case before (it stops there); one task in each with this.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -476,8 +476,10 @@
 	else
 		t->runs[0] = handle;
 	t->last_run = MAX(t->last_run, number);
-	if (!copy)
+	if (!copy) {
 		fleet_task_stage(parent, task)->tasks_open++;
+		fleet_task_stage(parent, task)->done_open += t->done;
+	}
 	parent->open_runs++;
 	link_run(fleet, handle);
 	account_resources(fleet, run, true);
@@ -558,8 +560,10 @@
 		task->runs[0] = task->runs[1];
 	task->runs[1] = GH_NONE;
 	job->open_runs--;
-	if (task->runs[0] == GH_NONE)
+	if (task->runs[0] == GH_NONE) {
 		fleet_task_stage(job, run->task)->tasks_open--;
+		fleet_task_stage(job, run->task)->done_open -= task->done;
+	}
 }
 
 /* A job none of whose runs may have begun is queued again without runs. */
@@ -590,6 +594,7 @@
 		if (job->tasks[i].done)
 			continue;
 		job->tasks[i].done = true;
+		stage->done_open += job->tasks[i].runs[0] != GH_NONE;
 		g_clear_pointer(&job->tasks[i].checkpoint, g_free);
 		stage->tasks_done++;
 	}
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -358,7 +358,9 @@
 			uint32_t tasks =
 				job->spec->steps[s % job->spec->n_steps].tasks;
 
-			if (stage->tasks_done + stage->tasks_open >= tasks ||
+			if (stage->tasks_done + stage->tasks_open -
+					    stage->done_open >=
+				    tasks ||
 			    !stage_is_ready(job, s, wall_ms))
 				continue;
 			if (!rated)
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -171,6 +171,7 @@
 	uint32_t first_task;
 	uint32_t tasks_done;
 	uint32_t tasks_open; /* tasks with an open run */
+	uint32_t done_open;  /* those of them that are done */
 	/* 1: a run of the gang's latest start has failed */
 	uint32_t gang_failed;
 	/* moving mean run time of the stage's completed runs */
--- a/regress/test_core_fleet_idle_tasks.c
+++ b/regress/test_core_fleet_idle_tasks.c
@@ -281,12 +281,49 @@
 	assert_int_equal(n_late, 0);
 }
 
+typedef struct done_case {
+	const char *name;
+	const char *record;
+	size_t n_running; /* tasks that are to run */
+} done_case_t;
+
+static const done_case_t done_cases[] = {
+	{ "task that has not begun", "progress1\n0 done 0 2 - 2@gone\n", 1 },
+	{ "task that failed", "progress1\n0 done 0 2 - 2@gone\n1 open 1 1 -\n",
+	  1 },
+	{ "run of another task", "progress1\n0 open 0 2 - 2@gone\n", 1 },
+};
+
+/* A run of a done task that is still open holds a task of its step back. */
+static void test_run_of_done_task_holds_nothing_back(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(done_cases); i++) {
+		const done_case_t *c = &done_cases[i];
+		gh_step_t step = { .tasks = 2,
+				   .size = { .cores_milli = 1000 },
+				   .estimate_ms = 5000 };
+		world_t w;
+
+		print_message("%s\n", c->name);
+		world_init(&w);
+		add_workers(&w, 2);
+		add_job(&w, JOB, 1, &step, c->record);
+		advance_time(&w, WAIT_MAX_MS);
+		assert_int_equal(count_runs(&w), c->n_running);
+		world_clear(&w);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_gang_of_suspects_starts),
 		cmocka_unit_test(test_job_runs_beside_quarantined_workers),
 		cmocka_unit_test(test_suspects_start_in_time),
+		cmocka_unit_test(test_run_of_done_task_holds_nothing_back),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
