--- a/regress/fleet_model.c
+++ b/regress/fleet_model.c
@@ -881,6 +881,8 @@
 	(void)slot;
 	(void)h;
 	store_go_down(m, until);
+	if (m->options->quiet_ms)
+		model_field_store_down(m, until);
 }
 
 static void delete_record(model_t *m, uint32_t slot, host_t *h, gh_time_t until)
--- a/regress/fleet_model_field.c
+++ b/regress/fleet_model_field.c
@@ -25,8 +25,13 @@
 #define LABEL_PERCENT 20
 #define SPREAD_PERCENT 20
 #define WIDE_PERCENT 15
+#define LARGE_PERCENT 30 /* of the steps of long-running tasks */
 #define WIDE_TASKS 24
 #define WIDE_TIMES 3 /* longer than in other steps */
+/* Share of outages of the store in which the workers' entries lapse. */
+#define LAPSE_PERCENT 30
+/* They are back within this time of its end. */
+#define LAPSED_MAX_MS 2000
 /* Share of the days on which some workers fail all runs. */
 #define SICK_PERCENT 40
 /* Share of the days at whose end all hosts fail. */
@@ -34,6 +39,7 @@
 
 static gh_step_t make_step(model_t *m, bool long_running, uint32_t number);
 static void crash_by_task(model_t *m, void *data);
+static void list_again(model_t *m, void *data);
 static void end_disruptions(model_t *m, void *data);
 static void boot_hosts(model_t *m, void *data);
 
@@ -117,6 +123,8 @@
 		step.max_per_worker = 1 + (uint32_t)model_random(m, 2);
 	if (long_running) {
 		step.tasks = 1 + step.tasks % 3;
+		if (model_chance(m, LARGE_PERCENT))
+			step.size.cores_milli *= 2;
 	} else if (model_chance(m, BEST_EFFORT_PERCENT)) {
 		step.best_effort = true;
 	} else if (model_chance(m, GANG_PERCENT)) {
@@ -136,6 +144,35 @@
 	model_post(m, m->quiet_at, end_disruptions, NULL);
 }
 
+void model_field_store_down(model_t *m, gh_time_t until)
+{
+	guint i;
+
+	if (!model_chance(m, LAPSE_PERCENT))
+		return;
+	for (i = 0; i < m->entries->len; i++) {
+		model_entry_t *entry = m->entries->pdata[i];
+
+		if (!entry->exists)
+			continue;
+		entry->exists = false;
+		entry_changed(m, entry);
+		model_post(m, until + model_random_ms(m, 0, LAPSED_MAX_MS),
+			   list_again, entry);
+	}
+}
+
+/* A worker whose entry has lapsed writes it again. */
+static void list_again(model_t *m, void *data)
+{
+	const model_entry_t *entry = data;
+	uint32_t i;
+
+	for (i = 0; i < MODEL_SLOTS; i++)
+		if (m->slots[i] && !strcmp(m->slots[i]->id, entry->id))
+			life_register(m, m->slots[i]);
+}
+
 static void end_disruptions(model_t *m, void *data)
 {
 	uint32_t i;
