--- a/core_fleet_choose.c
+++ b/core_fleet_choose.c
@@ -47,8 +47,13 @@
  * BEST_EFFORT_SHARE_MAX.
  */
 #define JOB_IDLE_MAX_USEC (1500 * GH_USEC_PER_MSEC)
-/* A task that waits for longer than this ignores quarantines. */
-#define QUARANTINE_WAIT_USEC (2500 * GH_USEC_PER_MSEC)
+/*
+ * A task that waits for longer than this ignores quarantines, and needs no
+ * worker of its own.
+ */
+#define DESPERATE_WAIT_USEC (2 * GH_USEC_PER_SEC)
+/* The workers are busy from this share of their capacity on. */
+#define BUSY_DIVISOR 2
 #define COST_IMPOSSIBLE INT64_MAX
 /* Cost of a worker with slow runs, multiplied by run_time_ratio - 1. */
 #define COST_SLOW_WORKER 100000
@@ -108,12 +113,13 @@
 static obstacle_t find_placement_obstacle(gh_fleet_t *fleet, fleet_job_t *job,
 					  uint32_t task, uint32_t handle,
 					  gh_time_t now);
-static bool has_waited(const fleet_job_t *job, uint32_t stage, gh_time_t now);
 static failed_placement_t describe_placement(const gh_fleet_t *fleet,
 					     const fleet_job_t *job,
-					     uint32_t task, gh_time_t now);
-static bool is_last_resort(const fleet_worker_t *worker,
-			   const failed_placement_t *placement, gh_time_t now);
+					     uint32_t task, bool is_second,
+					     gh_time_t now);
+static bool is_busy(const gh_fleet_t *fleet);
+static bool is_admitted(const fleet_worker_t *worker, obstacle_t obstacle,
+			bool desperate, gh_time_t now);
 static bool has_label(const fleet_worker_t *worker, const char *label);
 static bool step_fits(const fleet_worker_t *worker, const gh_step_t *step);
 static int64_t placement_cost(const gh_fleet_t *fleet,
@@ -129,23 +135,38 @@
 static const char *find_stage_rack(const gh_fleet_t *fleet,
 				   const fleet_job_t *job, uint32_t stage);
 
-void fleet_choose_begin(gh_fleet_t *fleet, gh_time_t now)
+void fleet_choose_begin(gh_fleet_t *fleet)
+{
+	g_array_set_size(fleet->failed_placements, 0);
+	fleet->busy = is_busy(fleet);
+}
+
+/* Whether half of the workers' capacity is in use. */
+static bool is_busy(const gh_fleet_t *fleet)
 {
+	gh_capacity_t size = { 0 };
+	gh_capacity_t used = { 0 };
 	uint32_t i;
 
-	g_array_set_size(fleet->failed_placements, 0);
-	fleet->has_quarantine = false;
-	for (i = 0; i < fleet->workers->len && !fleet->has_quarantine; i++)
-		fleet->has_quarantine =
-			fleet_worker(fleet, i)->in_use &&
-			!fleet_health_is_usable(fleet_worker(fleet, i), now);
+	for (i = 0; i < fleet->workers->len; i++) {
+		const fleet_worker_t *worker = fleet_worker(fleet, i);
+
+		if (!worker->in_use || !worker->listed ||
+		    worker->entry.draining || !worker->has_reported ||
+		    worker->unreachable_since)
+			continue;
+		gh_capacity_add(&size, &worker->entry.size, 1);
+		gh_capacity_add(&used, &worker->reserved, 1);
+	}
+	return used.cores_milli * BUSY_DIVISOR >= size.cores_milli ||
+	       used.memory_mb * BUSY_DIVISOR >= size.memory_mb;
 }
 
 void fleet_choose_append_obstacles(gh_fleet_t *fleet, fleet_job_t *job,
 				   uint32_t task, GString *text, gh_time_t now)
 {
 	failed_placement_t placement =
-		describe_placement(fleet, job, task, now);
+		describe_placement(fleet, job, task, false, now);
 	uint32_t workers[OBSTACLES] = { 0 };
 	uint32_t i;
 
@@ -166,6 +187,7 @@
 			    uint32_t stage, gh_time_t now)
 {
 	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
+	bool desperate = fleet_choose_is_desperate(fleet, job, stage, now);
 	uint64_t n = 0;
 	uint32_t i;
 
@@ -173,7 +195,9 @@
 		const fleet_worker_t *worker = fleet_worker(fleet, i);
 
 		if (worker->in_use &&
-		    find_obstacle(fleet, job, stage, i, now) == OBSTACLE_NONE)
+		    is_admitted(worker,
+				find_obstacle(fleet, job, stage, i, now),
+				desperate, now))
 			n += count_fitting(worker, step);
 	}
 	return n >= step->tasks;
@@ -204,8 +228,8 @@
 {
 	uint32_t stage = fleet_stage_index(job, task);
 	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
-	failed_placement_t placement =
-		describe_placement(fleet, job, task, now);
+	failed_placement_t placement = describe_placement(
+		fleet, job, task, excluded_worker != GH_NONE, now);
 	/* Workers admit a task with crashes by other criteria. */
 	bool has_crashes = fleet_crash_has_any(&job->tasks[task]);
 	/* Others may have failed as a worker is reserved for this one. */
@@ -229,7 +253,8 @@
 			best = i;
 		}
 	}
-	if (best != GH_NONE && fleet_crash_needs_care(&job->tasks[task]) &&
+	if (best != GH_NONE && placement.careful &&
+	    fleet_crash_needs_care(&job->tasks[task]) &&
 	    !fleet_crash_claim(fleet, best, &job->tasks[task], step, now))
 		return GH_NONE;
 	if (best == GH_NONE && !has_crashes && !only_kept &&
@@ -251,9 +276,7 @@
 	int64_t cost;
 
 	fleet->counts.examined++;
-	if ((obstacle != OBSTACLE_NONE &&
-	     !(obstacle == OBSTACLE_QUARANTINE &&
-	       is_last_resort(worker, placement, now))) ||
+	if (!is_admitted(worker, obstacle, !placement->careful, now) ||
 	    !fleet_crash_admits(fleet, handle, &job->tasks[task], now))
 		return COST_IMPOSSIBLE;
 	cost = placement_cost(fleet, worker, step, placement->rack,
@@ -289,27 +312,38 @@
 	return job->begun || now - job->idle_since > JOB_IDLE_MAX_USEC;
 }
 
-/* Whether the task has waited for long, with nothing that helps its job. */
-static bool has_waited(const fleet_job_t *job, uint32_t stage, gh_time_t now)
+/*
+ * While the workers are busy, short tasks wait: a worker that fails them at
+ * once is the one that is always free.
+ */
+bool fleet_choose_is_desperate(const gh_fleet_t *fleet, const fleet_job_t *job,
+			       uint32_t stage, gh_time_t now)
 {
-	gh_time_t since = job->stages[stage].waiting_since;
-
-	if (since && now - since > QUARANTINE_WAIT_USEC)
-		return true;
-	since = job->open_runs ? job->stalled_since : job->idle_since;
-	return since && now - since > QUARANTINE_WAIT_USEC;
+	bool long_running =
+		job->spec->steps[stage % job->spec->n_steps].long_running;
+	gh_time_t since = job->open_runs ? job->stalled_since : job->idle_since;
+
+	if (fleet->busy && !long_running)
+		return false;
+	if (long_running)
+		since = job->stages[stage].waiting_since;
+	return job->gang_desperate ||
+	       (since && now - since > DESPERATE_WAIT_USEC);
 }
 
-/* Whether the task may start on the worker in spite of its quarantine. */
-static bool is_last_resort(const fleet_worker_t *worker,
-			   const failed_placement_t *placement, gh_time_t now)
+/* Whether the worker may run a task, or one that is desperate. */
+static bool is_admitted(const fleet_worker_t *worker, obstacle_t obstacle,
+			bool desperate, gh_time_t now)
 {
-	return !placement->careful && now >= worker->refused_until;
+	return obstacle == OBSTACLE_NONE ||
+	       (desperate && obstacle == OBSTACLE_QUARANTINE &&
+		now >= worker->refused_until);
 }
 
 static failed_placement_t describe_placement(const gh_fleet_t *fleet,
 					     const fleet_job_t *job,
-					     uint32_t task, gh_time_t now)
+					     uint32_t task, bool is_second,
+					     gh_time_t now)
 {
 	const gh_step_t *step = fleet_task_step(job, task);
 	uint32_t stage = fleet_stage_index(job, task);
@@ -321,10 +355,10 @@
 		.size = step->size,
 		.image_id = job->image_ids[stage % job->spec->n_steps],
 		.best_effort = step->best_effort,
-		.bounded =
-			step->best_effort && !fleet_choose_is_overdue(job, now),
-		.careful =
-			fleet->has_quarantine && !has_waited(job, stage, now),
+		.bounded = step->best_effort &&
+			   (is_second || !fleet_choose_is_overdue(job, now)),
+		.careful = is_second ||
+			   !fleet_choose_is_desperate(fleet, job, stage, now),
 	};
 }
 
@@ -349,10 +383,8 @@
 		if (!worker->in_use)
 			continue;
 		obstacle = find_obstacle(fleet, job, stage, i, now);
-		if (obstacle != OBSTACLE_NONE &&
-		    obstacle != OBSTACLE_NO_CAPACITY &&
-		    !(obstacle == OBSTACLE_QUARANTINE &&
-		      is_last_resort(worker, &placement, now)))
+		if (obstacle != OBSTACLE_NO_CAPACITY &&
+		    !is_admitted(worker, obstacle, !placement.careful, now))
 			continue;
 		if (size->memory_mb > reserved->memory_mb)
 			memory_mb = MAX(memory_mb,
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -103,7 +103,7 @@
 				GH_USEC_PER_SEC);
 		fleet->interference_decayed_at = now;
 	}
-	fleet_choose_begin(fleet, now);
+	fleet_choose_begin(fleet);
 	collect_candidates(fleet, candidates, now, wall_ms);
 	g_array_sort(candidates, compare_candidates);
 	fleet->counts.pending_tasks = 0;
@@ -489,6 +489,8 @@
 			checkpoint = job->tasks[i].checkpoint;
 	}
 	fleet_crash_join_waits(&job->tasks[stage->first_task], step->tasks);
+	job->gang_desperate =
+		fleet_choose_is_desperate(fleet, job, c->stage, now);
 	job->gang_overdue = fleet_choose_is_overdue(job, now);
 	for (i = stage->first_task; i < stage->first_task + step->tasks; i++) {
 		uint32_t worker =
@@ -503,7 +505,7 @@
 		fleet_run_open(fleet, c->job, i, worker, number, RUN_PLANNED,
 			       now);
 	}
-	job->gang_overdue = false;
+	job->gang_overdue = job->gang_desperate = false;
 	if (i == stage->first_task + step->tasks)
 		return;
 	fleet->counts.pending_tasks += step->tasks;
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -236,8 +236,11 @@
 	gh_time_t seen_starting_at;
 	/* Since when the job has open runs, none of them of either kind. */
 	gh_time_t stalled_since;
-	/* The gang that is being placed is not bound by the share. */
-	bool gang_overdue;
+	/*
+	 * What holds for the gang that is being placed: it is not bound by the
+	 * share; it has waited for long.
+	 */
+	bool gang_overdue, gang_desperate;
 	uint64_t version, committed_version;
 	gh_job_phase_t committed_phase;
 	/* Phase in the job record that is being committed. */
@@ -426,7 +429,7 @@
 	uint16_t image_id;
 	bool best_effort;
 	bool bounded; /* by the best-effort share, not by capacity alone */
-	bool careful; /* workers in quarantine were left out, and there are */
+	bool careful; /* workers in quarantine were left out */
 } failed_placement_t;
 
 /* A lost run whose worker may be alive all the same. */
@@ -502,7 +505,7 @@
 	gh_time_t health_checked_at;
 	gh_time_t interference_decayed_at;
 	gh_time_t stragglers_checked_at;
-	bool has_quarantine; /* of some worker, at the last tick */
+	bool busy; /* half of the workers' capacity is in use */
 	/* Checks for idle jobs: the last, and the period of the reports. */
 	gh_time_t idle_checked_at, idle_period_at;
 	uint32_t n_idle_reports, n_idle_left_out; /* in this period */
@@ -707,7 +710,7 @@
 bool fleet_health_is_usable(const fleet_worker_t *worker, gh_time_t now);
 
 /* Forgets the placements that failed in the last tick. */
-void fleet_choose_begin(gh_fleet_t *fleet, gh_time_t now);
+void fleet_choose_begin(gh_fleet_t *fleet);
 /*
  * Worker with the lowest cost that may run the task, or GH_NONE; not the one
  * with the handle excluded_worker.
@@ -716,6 +719,12 @@
 			     uint32_t excluded_worker, gh_time_t now);
 /* Whether the job's tasks are not bound by the best-effort share. */
 bool fleet_choose_is_overdue(const fleet_job_t *job, gh_time_t now);
+/*
+ * Whether a task of the stage has waited for so long that it starts where it
+ * may well fail.
+ */
+bool fleet_choose_is_desperate(const gh_fleet_t *fleet, const fleet_job_t *job,
+			       uint32_t stage, gh_time_t now);
 /*
  * Whether the workers' free capacity suffices for the gang.  The best-effort
  * share may still forbid it.
