core_fleet_plan: start long-running tasks again before new ones

Jobs were ordered by the time left to their objective, so the capacity of the failed run went to a task of another job that had waited for it and had not run before, and the failed task was the next to wait.

A stage with long-running tasks to be started again is now placed twice: those tasks first, before all others of the priority, then the rest in its turn.

test_failed_task_loses_its_place failed before: the other job's task took the place of the failed one.

--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -5,9 +5,10 @@
  * can still meet their objective are ordered by priority, then by slack: the
  * time left after their remaining critical path.  Jobs past their objective
  * come next, and jobs several objectives late come last, because their result
- * is of little use by then.  A stage starts as many tasks as fit; the others
- * wait without reserving capacity, so that smaller tasks behind them can start,
- * but for long-running tasks; see core_fleet_reserve.c.
+ * is of little use by then.  Among jobs of one priority, long-running tasks
+ * that have run before come first.  A stage starts as many tasks as fit; the
+ * others wait without reserving capacity, so that smaller tasks behind them can
+ * start, but for long-running tasks; see core_fleet_reserve.c.
  */
 #include "core_fleet_state.h"
 
@@ -118,6 +119,8 @@
 typedef struct candidate {
 	uint32_t job, stage;
 	uint32_t rank;
+	/* Only the stage's tasks that had a run before, which are to last. */
+	bool restarts;
 	/*
 	 * Time left to the job's objective, less its remaining critical path.
 	 */
@@ -134,6 +137,7 @@
 			       gh_time_t now, int64_t wall_ms);
 static bool stage_is_ready(const fleet_job_t *job, uint32_t stage,
 			   int64_t wall_ms);
+static bool has_restarts(const fleet_job_t *job, uint32_t stage);
 static void rate_candidate(const gh_fleet_t *fleet, const fleet_job_t *job,
 			   candidate_t *c, int64_t wall_ms);
 static int64_t remaining_core_ms(const fleet_job_t *job);
@@ -348,6 +352,10 @@
 				rate_candidate(fleet, job, &c, wall_ms);
 			rated = true;
 			c.stage = s;
+			c.restarts = has_restarts(job, s);
+			if (c.restarts)
+				g_array_append_val(candidates, c);
+			c.restarts = false;
 			g_array_append_val(candidates, c);
 		}
 	}
@@ -373,6 +381,25 @@
 	return true;
 }
 
+/*
+ * Whether a long-running task of the stage waits to run again.  Its capacity is
+ * not given to tasks that have not run yet: those don't interrupt anything.
+ */
+static bool has_restarts(const fleet_job_t *job, uint32_t stage)
+{
+	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
+	uint32_t first = job->stages[stage].first_task;
+	uint32_t i;
+
+	if (!step->long_running || step->gang)
+		return false;
+	for (i = first; i < first + step->tasks; i++)
+		if (job->tasks[i].last_run && !job->tasks[i].done &&
+		    job->tasks[i].runs[0] == GH_NONE)
+			return true;
+	return false;
+}
+
 static void rate_candidate(const gh_fleet_t *fleet, const fleet_job_t *job,
 			   candidate_t *c, int64_t wall_ms)
 {
@@ -425,6 +452,8 @@
 
 	if (first->rank != second->rank)
 		return first->rank < second->rank ? -1 : 1;
+	if (first->restarts != second->restarts)
+		return first->restarts ? -1 : 1;
 	if (first->slack_ms != second->slack_ms)
 		return first->slack_ms < second->slack_ms ? -1 : 1;
 	return first->job != second->job ?
@@ -445,15 +474,19 @@
 		uint32_t worker;
 
 		if (task->done || task->runs[0] != GH_NONE ||
-		    now < task->not_before || now < task->late_until)
+		    now < task->not_before || now < task->late_until ||
+		    (c->restarts && !task->last_run))
 			continue;
 		worker = choose_worker(fleet, job, i, GH_NONE, now);
 		if (worker == GH_NONE && fleet_crash_needs_care(task)) {
-			fleet->counts.pending_tasks++;
+			if (!c->restarts)
+				fleet->counts.pending_tasks++;
 			continue;
 		}
 		if (worker == GH_NONE) {
-			fleet->counts.pending_tasks += first + step->tasks - i;
+			if (!c->restarts)
+				fleet->counts.pending_tasks +=
+					first + step->tasks - i;
 			if (step->long_running) {
 				report_waiting_stage(fleet, c, i, now);
 				fleet_reserve_worker(fleet, c->job, c->stage, i,
@@ -464,7 +497,8 @@
 		fleet_run_open(fleet, c->job, i, worker, task->last_run + 1,
 			       RUN_PLANNED, now);
 	}
-	job->stages[c->stage].waiting_since = 0;
+	if (!c->restarts)
+		job->stages[c->stage].waiting_since = 0;
 }
 
 /*
--- a/regress/test_core_fleet_capacity.c
+++ b/regress/test_core_fleet_capacity.c
@@ -241,10 +241,55 @@
 	}
 }
 
+typedef struct restart_case {
+	const char *name;
+	gh_step_t waiting; /* of a job that has less time left */
+} restart_case_t;
+
+static const restart_case_t restart_cases[] = {
+	{ "long-running",
+	  { .tasks = 1, SIZE(2000, 100, 0), .long_running = true } },
+	{ "smaller", { .tasks = 1, SIZE(1000, 100, 0), .long_running = true } },
+	{ "short", { .tasks = 1, SIZE(2000, 100, 0), .estimate_ms = 100 } },
+};
+
+/* A long-running task fails while another one waits for capacity. */
+static void test_failed_task_loses_its_place(void **state)
+{
+	static const gh_step_t running = { TASKS(2), SIZE(2000, 100, 0),
+					   .long_running = true };
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(restart_cases); i++) {
+		const restart_case_t *c = &restart_cases[i];
+		scripted_worker_t *worker;
+		world_t w;
+		size_t j;
+
+		print_message("%s\n", c->name);
+		world_init(&w);
+		worker = add_worker(&w, "w1", 4000);
+		advance_time(&w, 100);
+		add_job(&w, FIRST_ID, 1, &running, NULL);
+		advance_time(&w, 300);
+		add_job(&w, SECOND_ID, 1, &c->waiting, NULL);
+		advance_time(&w, 300);
+		assert_int_equal(worker->n_runs, 2);
+		end_run(worker, 0, GH_RUN_FAILED);
+		advance_time(&w, 300);
+		assert_int_equal(worker->n_runs, 2);
+		for (j = 0; j < worker->n_runs; j++)
+			assert_string_equal(worker->runs[j].task.job, FIRST_ID);
+		world_clear(&w);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_capacity_shrinks),
+		cmocka_unit_test(test_failed_task_loses_its_place),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
