core_fleet_late: a listing of the life that was lost is not waited for

A task with a late start has nothing running for up to 10 s beside 30 usable workers.

A listing counted as a sign that the worker is back. In the life with which the run was lost nothing can start any more: its lease is over for certain or another life has replied. So only a listing that names another life, or none, begins such a wait; a worker that is heard still does in any life.

test_listing_of_lost_life_is_not_waited_for failed before: no start within 300 ms in the case "same life".

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -209,7 +209,8 @@
 			  sizeof(worker->heard_address));
 	set_rack(worker);
 	if (is_new)
-		fleet_late_stop(fleet, handle, now);
+		fleet_late_stop(fleet, handle, !entry->incarnation_start_ms,
+				now);
 	if (entry->draining && !was_draining)
 		fleet_emit_event(fleet, "worker_draining", NULL, 0, handle,
 				 NULL);
--- a/core_fleet_late.c
+++ b/core_fleet_late.c
@@ -30,6 +30,8 @@
 	 * stopped or has ended; 0: none.
 	 */
 	int64_t incarnation_start_ms;
+	/* The life with which the run was lost, if it was; 0: not known. */
+	int64_t lost_incarnation_ms;
 	char address[GH_ADDRESS_MAX + 1]; /* where the stop is sent */
 	/* Where the worker was last heard before the run ended. */
 	char heard_address[GH_ADDRESS_MAX + 1];
@@ -96,6 +98,8 @@
 				 late.run, run->worker, NULL);
 		return;
 	}
+	if (outcome == GH_RUN_LOST)
+		late.lost_incarnation_ms = worker->entry.incarnation_start_ms;
 	if (is_over)
 		late.incarnation_start_ms = worker->entry.incarnation_start_ms;
 	late_starts = g_hash_table_lookup(fleet->late_starts, worker->entry.id);
@@ -108,7 +112,7 @@
 	fleet->n_late_starts++;
 	update_worker(fleet, worker->entry.id, late_starts);
 	if (!is_over && worker->has_reported && !worker->unreachable_since)
-		fleet_late_stop(fleet, run->worker, now);
+		fleet_late_stop(fleet, run->worker, true, now);
 }
 
 /* Whether the worker's present incarnation refuses to start the run again. */
@@ -120,7 +124,8 @@
 	return outcome != GH_RUN_NOT_STARTED;
 }
 
-void fleet_late_stop(gh_fleet_t *fleet, uint32_t handle, gh_time_t now)
+void fleet_late_stop(gh_fleet_t *fleet, uint32_t handle, bool any_life,
+		     gh_time_t now)
 {
 	const gh_worker_entry_t *entry = &fleet_worker(fleet, handle)->entry;
 	GArray *late_starts =
@@ -133,6 +138,10 @@
 		late_start_t *late =
 			&g_array_index(late_starts, late_start_t, i);
 
+		/* A listing is no sign of life of the one that was lost. */
+		if (!any_life && late->lost_incarnation_ms &&
+		    late->lost_incarnation_ms == entry->incarnation_start_ms)
+			continue;
 		if (now < late->until &&
 		    (!late->incarnation_start_ms ||
 		     late->incarnation_start_ms != entry->incarnation_start_ms))
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -106,7 +106,7 @@
 	fleet_lease_bound(fleet, worker, now);
 	if (worker->unreachable_since || !worker->has_reported) {
 		fleet_emit_event(fleet, "worker_heard", NULL, 0, handle, NULL);
-		fleet_late_stop(fleet, handle, now);
+		fleet_late_stop(fleet, handle, true, now);
 	}
 	if (!worker->has_reported)
 		worker->heard_since = now;
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -660,10 +660,11 @@
 void fleet_late_add(gh_fleet_t *fleet, const fleet_run_t *run,
 		    gh_run_outcome_t outcome, gh_time_t now);
 /*
- * Stops the runs that late orders may start on a worker that is heard anew, in
- * the same incarnation or in another.
+ * Stops the runs that late orders may start on a worker that is heard anew.  It
+ * may be any life of it; else it is the one that is known, and was only listed.
  */
-void fleet_late_stop(gh_fleet_t *fleet, uint32_t handle, gh_time_t now);
+void fleet_late_stop(gh_fleet_t *fleet, uint32_t handle, bool any_life,
+		     gh_time_t now);
 /* Processes the reply to a stop of a run that is not open. */
 void fleet_late_handle_reply(gh_fleet_t *fleet, const char *id,
 			     const gh_task_id_t *task, uint32_t run,
--- a/regress/test_core_fleet_waits.c
+++ b/regress/test_core_fleet_waits.c
@@ -334,6 +334,56 @@
 	}
 }
 
+/* How a worker that was lost with a late start is listed again. */
+typedef struct listed_case {
+	const char *name;
+	int64_t incarnation_start_ms; /* 0: not named */
+	bool waits;		      /* for the worker */
+} listed_case_t;
+
+static const listed_case_t listed_cases[] = {
+	{ .name = "same life", .incarnation_start_ms = 1 },
+	{ .name = "next life", .incarnation_start_ms = 2, .waits = true },
+	{ .name = "life not named", .waits = true },
+};
+
+/*
+ * A task waited for the stop of its late start at a worker that was only listed
+ * again, in the life that was lost.
+ */
+static void test_listing_of_lost_life_is_not_waited_for(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(listed_cases); i++) {
+		const listed_case_t *c = &listed_cases[i];
+		scripted_worker_t *worker;
+		world_t w;
+
+		world_init(&w);
+		worker = add_worker(&w, "w1", 4000);
+		advance_time(&w, 100);
+		worker->start_delay_ms = 100000;
+		add_job(&w, JOB_ID, 1, &one_task, NULL);
+		advance_time(&w, 200);
+		assert_true(w.n_late_orders > 0);
+		worker->unreachable = true;
+		advance_time(&w, 5500);
+		gh_fleet_worker_unlist(w.fleet, "w1");
+		advance_time(&w, 100);
+		w.n_orders = 0;
+		worker->incarnation_start_ms = c->incarnation_start_ms;
+		list_worker(&w, worker, false);
+		add_worker(&w, "w2", 4000);
+		advance_time(&w, 300);
+		if (!count_orders(&w, GH_ORDER_START, 0) != c->waits)
+			fail_msg("%s: %zu starts", c->name,
+				 count_orders(&w, GH_ORDER_START, 0));
+		world_clear(&w);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -343,6 +393,7 @@
 		cmocka_unit_test(test_planned_run_leaves_silent_worker),
 		cmocka_unit_test(test_start_leaves_worker_that_loses_orders),
 		cmocka_unit_test(test_quarantined_worker_is_last_resort),
+		cmocka_unit_test(test_listing_of_lost_life_is_not_waited_for),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
