--- a/regress/fleet_model.c
+++ b/regress/fleet_model.c
@@ -178,6 +178,7 @@
 
 static void run_events(model_t *m);
 static void submit_job(model_t *m, void *data);
+static model_job_t *make_job(model_t *m, uint32_t number);
 static gh_pipeline_t *make_pipeline(model_t *m, uint32_t number);
 static void add_step(model_t *m, gh_pipeline_t *pipeline, gh_step_t step);
 static void cancel_job(model_t *m, void *data);
@@ -501,10 +502,21 @@
 		open += ((const model_job_t *)m->jobs->pdata[i])->exists;
 	if (open >= JOBS_OPEN_MAX)
 		return;
-	job = g_new0(model_job_t, 1);
-	job->pipeline = m->options->quiet_ms ?
-				model_field_pipeline(m, m->jobs->len + 1) :
-				make_pipeline(m, m->jobs->len + 1);
+	job = make_job(m, m->jobs->len + 1);
+	g_ptr_array_add(m->jobs, job);
+	hosts_job_changed(m, job);
+	if (job->pipeline->steps[0].long_running || model_chance(m, 5))
+		model_post(m, m->now + model_random_ms(m, 2000, 40000),
+			   cancel_job, job);
+}
+
+static model_job_t *make_job(model_t *m, uint32_t number)
+{
+	model_job_t *job = g_new0(model_job_t, 1);
+	guint i;
+
+	job->pipeline = m->options->quiet_ms ? model_field_pipeline(m, number) :
+					       make_pipeline(m, number);
 	if (m->options->quiet_ms)
 		model_field_set_faults(m, job);
 	job->text = gh_pipeline_format(job->pipeline);
@@ -515,11 +527,7 @@
 		job->tasks[i].done =
 			g_array_new(FALSE, TRUE, sizeof(done_end_t));
 	job->exists = true;
-	g_ptr_array_add(m->jobs, job);
-	hosts_job_changed(m, job);
-	if (job->pipeline->steps[0].long_running || model_chance(m, 5))
-		model_post(m, m->now + model_random_ms(m, 2000, 40000),
-			   cancel_job, job);
+	return job;
 }
 
 static gh_pipeline_t *make_pipeline(model_t *m, uint32_t number)
