fleet_watch: a reply that waited on a paused host is not taken for fresh

A host that was paused for seconds and is cut off from the store when it wakes answered 404 for a route that had been added meanwhile, and was ready, for up to 1.8 s more.

The reply to its watch had arrived in its socket during the pause, before the change. It was dated when it was read, so that the configuration counted as heard just now.

A reply now stands for no later time than the one by which the store had to send it: the start of the call and its wait. A page of a full read has 1.2 s.

--- a/fleet_watch.c
+++ b/fleet_watch.c
@@ -18,6 +18,8 @@
  */
 #define RETRY_DELAY_MIN_USEC (50 * GH_USEC_PER_MSEC)
 #define RETRY_DELAY_MAX_USEC (400 * GH_USEC_PER_MSEC)
+/* A page that is read later after its call has waited on this host. */
+#define PAGE_DELAY_MAX_USEC (1200 * GH_USEC_PER_MSEC)
 
 /* The last change of a key that is known. */
 typedef struct key_state {
@@ -57,6 +59,7 @@
 	gh_time_t started_at;
 	gh_time_t previous_reply_at; /* 0: fewer than two replies */
 	gh_time_t call_started_at;
+	gh_time_t call_replied_by; /* latest time that its reply stands for */
 	gh_time_t retry_delay;
 	gh_time_t pause;      /* min time from a reply with changes to a call */
 	gh_time_t changes_at; /* time of the last such reply */
@@ -183,11 +186,15 @@
 		 * A call without a wait is given up sooner, so that not much
 		 * time is lost if the store is back just after its start.
 		 */
+		int64_t wait_ms = watch->failing ? 0 : WATCH_WAIT_MS;
+
+		watch->call_replied_by =
+			watch->call_started_at + gh_time_from_ms(wait_ms);
 		ops->watch(watch->store, watch->keyspace, watch->prefix,
-			   watch->revision, watch->failing ? 0 : WATCH_WAIT_MS,
-			   on_changes, watch);
+			   watch->revision, wait_ms, on_changes, watch);
 		return;
 	}
+	watch->call_replied_by = watch->call_started_at + PAGE_DELAY_MAX_USEC;
 	if (!watch->reading) {
 		watch->reading = true;
 		watch->n_reads++;
@@ -381,8 +388,10 @@
 	watch->failing = false;
 	watch->retry_delay = RETRY_DELAY_MIN_USEC;
 	watch->previous_reply_at = watch->last_reply_at;
+	/* The reply may have waited on a host that was paused. */
 	watch->last_reply_at =
-		reply->arrived_at ? reply->arrived_at : clock_boot();
+		MIN(reply->arrived_at ? reply->arrived_at : clock_boot(),
+		    watch->call_replied_by);
 	return true;
 }
 
