config: a version is not lost to one after it that can't be used

Callers saw an old configuration (CONFIG): of several versions in one reply only the last is decoded since, and if that one can't be decoded, or is an older version, the readable one before it was never put in force.

The listener now refuses an item that it can't use, and the watch then passes the key's change before it in the reply. A version from before the unread one does not clear config_outdated, so that unknown paths stay 503.

test_late_replies, the case of a refused change, failed on: the item before was not heard. test_newest_version_that_can_be_read timed out there waiting for version 7.

--- a/fleet_host.c
+++ b/fleet_host.c
@@ -54,6 +54,7 @@
 	fleet_config_t *config;
 	/* The operator's newest configuration could not be decoded. */
 	_Atomic bool config_unread;
+	uint64_t unread_revision; /* of the last that could not be */
 };
 
 /*
@@ -188,6 +189,9 @@
 		return;
 	config = host->setup.store->ops->parse_config(item->value, &err);
 	if (!config) {
+		fleet_watch_refuse(host->config_watch);
+		host->unread_revision =
+			MAX(host->unread_revision, item->revision);
 		log_event(LOG_ERROR, "config_unread", "revision",
 			  log_num((int64_t)item->revision), "message",
 			  err->message, NULL);
@@ -204,10 +208,12 @@
 				  log_num((int64_t)item->revision), NULL);
 			counter_inc(CTR_DOC_OLDER);
 		}
+		fleet_watch_refuse(host->config_watch);
 		fleet_config_unref(config);
 		return;
 	}
-	atomic_store(&host->config_unread, false);
+	if (item->revision > host->unread_revision)
+		atomic_store(&host->config_unread, false);
 	counter_add(CTR_QUEUES_UNREAD, config->n_unread);
 	for (i = 0; i < host->setup.shards; i++)
 		fleet_owner_configure(host->owners[i], config);
--- a/fleet_watch.c
+++ b/fleet_watch.c
@@ -61,6 +61,7 @@
 	gh_time_t pause;      /* min time from a reply with changes to a call */
 	gh_time_t changes_at; /* time of the last such reply */
 	bool pausing;
+	bool refused; /* the listener can't use the item it was passed last */
 };
 
 static void start_call(fleet_watch_t *watch);
@@ -68,6 +69,8 @@
 static void on_page(void *ctx, const fleet_reply_t *reply);
 static void on_changes(void *ctx, const fleet_reply_t *reply);
 static bool is_replaced(const fleet_reply_t *reply, size_t i);
+static void pass_newest(fleet_watch_t *watch, const fleet_reply_t *reply,
+			size_t i);
 static void continue_watch(fleet_watch_t *watch);
 static void pause_watch(fleet_watch_t *watch);
 static void pass_listed_item(fleet_watch_t *watch, const fleet_item_t *item);
@@ -160,6 +163,11 @@
 	return true;
 }
 
+void fleet_watch_refuse(fleet_watch_t *watch)
+{
+	watch->refused = true;
+}
+
 void fleet_watch_forget(fleet_watch_t *watch, const char *key)
 {
 	g_hash_table_remove(watch->keys, key);
@@ -240,8 +248,10 @@
 	if (!accept_reply(watch, reply))
 		return;
 	for (i = 0; i < reply->n_items && !watch->freed; i++)
-		if (!watch->listener.newest_only || !is_replaced(reply, i))
+		if (!watch->listener.newest_only)
 			pass_item(watch, &reply->items[i]);
+		else if (!is_replaced(reply, i))
+			pass_newest(watch, reply, i);
 	if (reply->revision > watch->revision)
 		watch->revision = reply->revision;
 	forget_gone_keys(watch);
@@ -262,6 +272,23 @@
 	return false;
 }
 
+/* Passes the item and, while the listener refuses, the key's former ones. */
+static void pass_newest(fleet_watch_t *watch, const fleet_reply_t *reply,
+			size_t i)
+{
+	const char *key = reply->items[i].key;
+
+	watch->refused = false;
+	pass_item(watch, &reply->items[i]);
+	while (i-- && watch->refused && !watch->freed) {
+		if (strcmp(reply->items[i].key, key) != 0)
+			continue;
+		watch->refused = false;
+		watch->listener.item_changed(watch->listener.ctx,
+					     &reply->items[i]);
+	}
+}
+
 static void pause_watch(fleet_watch_t *watch)
 {
 	watch->call_pending = false;
--- a/fleet_watch.h
+++ b/fleet_watch.h
@@ -25,7 +25,10 @@
 	/* All items with the prefix were read, for the first time or again. */
 	void (*synced)(void *ctx);
 	void *ctx;
-	/* Of a key's changes in one reply only the last is passed. */
+	/*
+	 * Of a key's changes in one reply only the last is passed, unless
+	 * fleet_watch_refuse() is called.
+	 */
 	bool newest_only;
 } fleet_watch_listener_t;
 
@@ -52,6 +55,12 @@
 		      bool exists);
 /* Loop's thread: takes back what was noted of a key. */
 void fleet_watch_forget(fleet_watch_t *watch, const char *key);
+/*
+ * To be called by item_changed of a listener with newest_only that can't use
+ * the item: the key's change before it in the reply is passed after all.
+ */
+void fleet_watch_refuse(fleet_watch_t *watch);
+
 /* Loop's thread: whether the key exists, as far as the watch knows. */
 bool fleet_watch_has(const fleet_watch_t *watch, const char *key);
 
--- a/regress/test_fleet_watch.c
+++ b/regress/test_fleet_watch.c
@@ -12,6 +12,7 @@
 #include "fleet_watch.h"
 
 #define PREFIX "w/0/"
+#define UNREAD "unread" /* value of an item that is refused */
 #define ITEMS_MAX 4
 #define STEPS_MAX 8
 
@@ -29,6 +30,7 @@
 	const char *key;
 	uint64_t revision;
 	bool gone;
+	bool unread; /* the listener refuses it */
 } scripted_item_t;
 
 typedef struct step {
@@ -89,10 +91,15 @@
 			       item->key + strlen(PREFIX));
 }
 
+/* The watch of the case under way. */
+static fleet_watch_t *refused_watch;
+
 static void on_newest(void *ctx, const fleet_item_t *item)
 {
 	on_item(ctx, item);
 	g_string_append_printf(ctx, "@%d", (int)item->revision);
+	if (!g_strcmp0(item->value, UNREAD))
+		fleet_watch_refuse(refused_watch);
 }
 
 static void on_synced(void *ctx)
@@ -117,7 +124,9 @@
 	for (i = 0; i < ITEMS_MAX && step->items[i].key; i++) {
 		items[i] = (fleet_item_t){
 			.key = (char *)step->items[i].key,
-			.value = step->items[i].gone ? NULL : (char *)"value",
+			.value = step->items[i].gone   ? NULL :
+				 step->items[i].unread ? (char *)UNREAD :
+							 (char *)"value",
 			.revision = step->items[i].revision,
 		};
 		reply.n_items++;
@@ -198,6 +207,20 @@
 		       18,
 		       { { "w/0/a", 17 }, { "w/0/a", 18, true } } } },
 	  .heard = "+a@5 synced +b@12 +a@13 +a@16 -a@18" },
+	{ .name = "the one before a newest change that is refused",
+	  .newest_only = true,
+	  .steps = { { STEP_PAGE, 10, { { "w/0/a", 5 } } },
+		     { STEP_EVENTS,
+		       14,
+		       { { "w/0/a", 11 },
+			 { "w/0/a", 12 },
+			 { "w/0/b", 13 },
+			 { "w/0/a", 14, .unread = true } } },
+		     { STEP_EVENTS,
+		       16,
+		       { { "w/0/a", 15, .unread = true },
+			 { "w/0/a", 16, .unread = true } } } },
+	  .heard = "+a@5 synced +b@13 +a@14 +a@12 +a@16 +a@15" },
 	{ .name = "a newest change that the caller knows",
 	  .newest_only = true,
 	  .steps = { { STEP_PAGE, 10, { { "w/0/a", 5 } } },
@@ -262,7 +285,7 @@
 
 		print_message("%s\n", run.c->name);
 		run.loop = loops[i] = loop_new();
-		run.watch =
+		run.watch = refused_watch =
 			fleet_watch_new(run.loop, &run.store.base,
 					FLEET_KEYSPACE_OWN, PREFIX, &listener);
 		loop_after_iteration(run.loop, play_steps, &run);
--- a/regress/test_platform_config.c
+++ b/regress/test_platform_config.c
@@ -213,6 +213,33 @@
 	assert_false(ready);
 }
 
+/* CONFIG: one reply has a version and, after it, one that can't be used. */
+static void test_newest_version_that_can_be_read(void **state)
+{
+	static const char *const newest[] = {
+		"no JSON", CONFIG("3", ROUTE("r-old", "/old/"))
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(newest); i++) {
+		fleet_system_t sys;
+
+		fleet_system_start(&sys, "platform-newest", 1, 1, 1);
+		proc_freeze(&sys.hosts[0]);
+		fleet_platform_put(&sys, "op/config",
+				   CONFIG("6", ROUTE("r-q", "/q/")));
+		fleet_platform_put(&sys, "op/config",
+				   CONFIG("7", ROUTE("r-q", "/q/")));
+		fleet_platform_put(&sys, "op/config", newest[i]);
+		proc_resume(&sys.hosts[0]);
+		proc_wait_until(version_is_seven, &sys, "version 7");
+		assert_int_equal(fleet_host_counter(&sys, 0, "config_outdated"),
+				 !i);
+		fleet_system_stop(&sys);
+	}
+}
+
 static void set_link(fleet_system_t *sys, const char *mode)
 {
 	json_decref(proc_control(sys->relay_address,
@@ -369,6 +396,7 @@
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_unread_queue_is_not_called_absent),
 		cmocka_unit_test(test_older_version_does_not_come_back),
+		cmocka_unit_test(test_newest_version_that_can_be_read),
 		cmocka_unit_test(test_start_before_configuration),
 		cmocka_unit_test(test_change_while_frozen),
 		cmocka_unit_test(test_woken_host_before_it_hears_the_store),
