--- a/regress/test_platform_config.c
+++ b/regress/test_platform_config.c
@@ -75,20 +75,20 @@
 /* A configuration, and what a host tells once it has read it. */
 typedef struct config_step {
 	const char *text;
-	int unknown_status; /* of a path that no queue serves */
 	int64_t version;
 	int64_t missing;
+	int unknown_status; /* of a path that no queue serves */
 	bool outdated;
 } config_step_t;
 
 static const config_step_t config_steps[] = {
-	{ CONFIG("4", ROUTE("r-q", "/q/")), 404, 4, 0, false },
-	{ "no JSON", 503, 4, 0, true },
-	{ CONFIG("6", ROUTE("r-q", "/q/") ",{\"name\":\"r-2\"}"), 503, 6, 1,
+	{ CONFIG("4", ROUTE("r-q", "/q/")), 4, 0, 404, false },
+	{ "no JSON", 4, 0, 503, true },
+	{ CONFIG("6", ROUTE("r-q", "/q/") ",{\"name\":\"r-2\"}"), 6, 1, 503,
 	  false },
-	{ CONFIG("7", "7," ROUTE("r-q", "/q/") ",{}"), 503, 7, 2, false },
-	{ CONFIG("x", ""), 503, 7, 2, true },
-	{ CONFIG("9", ROUTE("r-q", "/q/")), 404, 9, 0, false },
+	{ CONFIG("7", "7," ROUTE("r-q", "/q/") ",{}"), 7, 2, 503, false },
+	{ CONFIG("x", ""), 7, 2, 503, true },
+	{ CONFIG("9", ROUTE("r-q", "/q/")), 9, 0, 404, false },
 };
 
 typedef struct step_arg {
