fleet_watch: a reply that was not read in time is no news of the store

Callers saw an old configuration (CONFIG) at a host that woke from a freeze: it was ready and answered 404 for a new route for as long as its link was cut. The reply to its watch call, sent before the change, had lain in the socket for the whole freeze, and was dated with the time at which it was read.

A reply to a call is now dated no later than the call's wait and 700 ms after the call's start, after which a call is given up. That can only make the store look older.

--- a/fleet_watch.c
+++ b/fleet_watch.c
@@ -12,6 +12,11 @@
  * reachable.
  */
 #define WATCH_WAIT_MS 1000
+/*
+ * Max time from a call to its reply, beyond the wait that it asks for.  One
+ * that is read later has lain here while the host was frozen.
+ */
+#define REPLY_DELAY_MAX_USEC (700 * GH_USEC_PER_MSEC)
 /*
  * Time between the starts of a call that failed and of the next one; at least
  * the minimum is left after the failure.
@@ -57,6 +62,8 @@
 	gh_time_t started_at;
 	gh_time_t previous_reply_at; /* 0: fewer than two replies */
 	gh_time_t call_started_at;
+	gh_time_t
+		reply_due_at; /* the call's reply was sent by then, if at all */
 	gh_time_t retry_delay;
 	gh_time_t pause;      /* min time from a reply with changes to a call */
 	gh_time_t changes_at; /* time of the last such reply */
@@ -183,17 +190,19 @@
 static void start_call(fleet_watch_t *watch)
 {
 	const fleet_store_ops_t *ops = watch->store->ops;
+	int64_t wait_ms = watch->failing ? 0 : WATCH_WAIT_MS;
 
 	watch->call_pending = true;
 	watch->call_started_at = clock_boot();
+	watch->reply_due_at = watch->call_started_at + REPLY_DELAY_MAX_USEC;
 	if (watch->revision && !watch->reading) {
+		watch->reply_due_at += gh_time_from_ms(wait_ms);
 		/*
 		 * A call without a wait is given up sooner, so that not much
 		 * time is lost if the store is back just after its start.
 		 */
 		ops->watch(watch->store, watch->keyspace, watch->prefix,
-			   watch->revision, watch->failing ? 0 : WATCH_WAIT_MS,
-			   on_changes, watch);
+			   watch->revision, wait_ms, on_changes, watch);
 		return;
 	}
 	if (!watch->reading) {
@@ -409,7 +418,8 @@
 	watch->retry_delay = RETRY_DELAY_MIN_USEC;
 	watch->previous_reply_at = watch->last_reply_at;
 	watch->last_reply_at =
-		reply->arrived_at ? reply->arrived_at : clock_boot();
+		MIN(reply->arrived_at ? reply->arrived_at : clock_boot(),
+		    watch->reply_due_at);
 	return true;
 }
 
