core_fleet_plan: the last fence offset voids no start

Could run a task twice: once an owner has used up its fence offsets, all calls carry the last one, and a start with it that got no reply was taken for void as soon as a report with the same offset did not list the run; it could still begin, beside the run that was then started elsewhere. Such a run waits for the reply to its stop, as before.

test_start_leaves_worker_that_loses_orders, the case without a higher fence, failed before: one start elsewhere.

--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -230,7 +230,8 @@
 {
 	fleet_worker_t *worker = fleet_worker(fleet, run->worker);
 
-	if (run->void_fence)
+	/* There is no offset higher than the last. */
+	if (run->void_fence || run->start_fence == GH_FLEET_EPOCH_STEP - 1)
 		return;
 	if (worker->fence_offset <= run->start_fence)
 		fleet_fence_raise(fleet, worker);
--- a/regress/test_core_fleet_waits.c
+++ b/regress/test_core_fleet_waits.c
@@ -10,6 +10,7 @@
 #include <cmocka.h>
 #include <string.h>
 
+#include "core_fleet_state.h"
 #include "fleet_world.h"
 
 #define JOB_ID "0000000000000001"
@@ -249,6 +250,7 @@
 	bool restarts; /* before the start that it does not reply to is given up
 			*/
 	bool executes; /* the orders */
+	bool last_fence;  /* all offsets of the epoch are used up */
 	size_t elsewhere; /* starts at the other worker within 3 s */
 } deaf_case_t;
 
@@ -258,6 +260,9 @@
 	  .restarts = true,
 	  .elsewhere = 1 },
 	{ .name = "loses replies", .executes = true, .elsewhere = 0 },
+	{ .name = "loses orders, no higher fence",
+	  .last_fence = true,
+	  .elsewhere = 0 },
 };
 
 /* A start was sent again without end to a worker that reports and loses it. */
@@ -272,6 +277,8 @@
 		world_t w;
 
 		world_init(&w);
+		if (c->last_fence)
+			w.fleet->last_fence_offset = GH_FLEET_EPOCH_STEP - 2;
 		add_worker(&w, "w1", 2000);
 		w.workers[0].drops_replies = c->executes;
 		w.workers[0].loses_orders = !c->executes;
