--- a/fleet_watch.c
+++ b/fleet_watch.c
@@ -12,14 +12,17 @@
  * reachable.
  */
 #define WATCH_WAIT_MS 1000
+/*
+ * Max time from a call to its reply, beyond the wait that it asks for.  One
+ * that is read later has lain here while the host was frozen.
+ */
+#define REPLY_DELAY_MAX_USEC (700 * GH_USEC_PER_MSEC)
 /*
  * Time between the starts of a call that failed and of the next one; at least
  * the minimum is left after the failure.
  */
 #define RETRY_DELAY_MIN_USEC (50 * GH_USEC_PER_MSEC)
 #define RETRY_DELAY_MAX_USEC (400 * GH_USEC_PER_MSEC)
-/* A page that is read later after its call has waited on this host. */
-#define PAGE_DELAY_MAX_USEC (1200 * GH_USEC_PER_MSEC)
 
 /* The last change of a key that is known. */
 typedef struct key_state {
@@ -59,7 +62,7 @@
 	gh_time_t started_at;
 	gh_time_t previous_reply_at; /* 0: fewer than two replies */
 	gh_time_t call_started_at;
-	gh_time_t call_replied_by; /* latest time that its reply stands for */
+	gh_time_t reply_due_at; /* latest time that its reply stands for */
 	gh_time_t retry_delay;
 	gh_time_t pause;      /* min time from a reply with changes to a call */
 	gh_time_t changes_at; /* time of the last such reply */
@@ -186,23 +189,21 @@
 static void start_call(fleet_watch_t *watch)
 {
 	const fleet_store_ops_t *ops = watch->store->ops;
+	int64_t wait_ms = watch->failing ? 0 : WATCH_WAIT_MS;
 
 	watch->call_pending = true;
 	watch->call_started_at = clock_boot();
+	watch->reply_due_at = watch->call_started_at + REPLY_DELAY_MAX_USEC;
 	if (watch->revision && !watch->reading) {
+		watch->reply_due_at += gh_time_from_ms(wait_ms);
 		/*
 		 * A call without a wait is given up sooner, so that not much
 		 * time is lost if the store is back just after its start.
 		 */
-		int64_t wait_ms = watch->failing ? 0 : WATCH_WAIT_MS;
-
-		watch->call_replied_by =
-			watch->call_started_at + gh_time_from_ms(wait_ms);
 		ops->watch(watch->store, watch->keyspace, watch->prefix,
 			   watch->revision, wait_ms, on_changes, watch);
 		return;
 	}
-	watch->call_replied_by = watch->call_started_at + PAGE_DELAY_MAX_USEC;
 	if (!watch->reading) {
 		watch->reading = true;
 		watch->n_reads++;
@@ -418,7 +419,7 @@
 	/* The reply may have waited on a host that was paused. */
 	watch->last_reply_at =
 		MIN(reply->arrived_at ? reply->arrived_at : clock_boot(),
-		    watch->call_replied_by);
+		    watch->reply_due_at);
 	return true;
 }
 
