fleet_owner, core_handover: a host too small for a shard hands it over

Cause: a host of 0.12 cores takes a shard while the large hosts are down and keeps it as long as it renews its lease, though its processor cannot carry the shard: 110 to 198 ms between two decisions, planned runs up to 23 s old.

The large hosts were ready between 89.9 and 97.8 s, the first small one at 88.7 s, so that no bearable delay of claims helps.

An owner that is late for 2 s and behind, or late for 6 s, now releases its shard if the chain record tells of a larger host; smaller hosts leave it to larger ones for a second. The pause between two hand-overs of a shard is kept in the chain record and doubles. While the release has no reply, the owner goes on renewing workers' leases up to the time that the release tells.

--- a/counter_list.h
+++ b/counter_list.h
@@ -146,6 +146,8 @@
 COUNTER(RETRY_STORE, "retry_store",
 	"retries of a caller's write or read at the store")
 COUNTER(SHARD_CLAIMED, "shards_claimed", "shards that this host took over")
+COUNTER(SHARD_HANDED_OVER, "shards_handed_over",
+	"shards that this host was too small for and handed over")
 COUNTER(STATES_READ, "states_read",
 	"states of jobs read from the store for a caller")
 COUNTER(STATES_KNOWN_TOLD, "states_known_told",
--- a/fleet_host.c
+++ b/fleet_host.c
@@ -37,6 +37,8 @@
 #define CLAIM_DELAY_MAX_USEC (150 * GH_USEC_PER_MSEC)
 /* Added to the delay of a claim for each shard that the host owns already. */
 #define CLAIM_DELAY_PER_SHARD_USEC (250 * GH_USEC_PER_MSEC)
+/* Added as well for each of them whose decisions come late. */
+#define CLAIM_DELAY_LATE_USEC (300 * GH_USEC_PER_MSEC)
 
 struct fleet_front {
 	fleet_host_setup_t setup;
@@ -81,6 +83,7 @@
 static void on_job(void *ctx, const char *id, const fleet_job_state_t *state);
 static void on_owner(void *ctx, uint32_t shard, const char *name);
 static gh_time_t claim_delay(void *ctx);
+static uint32_t shards_kept(void *ctx);
 static void on_synced(void *ctx);
 static bool run_on_loop(caller_call_t *call, loop_work_t work, GError **err);
 static void start_submit(void *ctx);
@@ -123,7 +126,9 @@
 			.commit_interval_min = setup->commit_interval_min,
 			.shards = setup->shards,
 			.claim_delay = claim_delay,
+			.shards_kept = shards_kept,
 			.claim_delay_ctx = host,
+			.cores_milli = setup->cores_milli,
 		};
 
 		host->owners[i] = fleet_owner_new(&owner);
@@ -270,7 +275,7 @@
 
 /*
  * Delay before this host claims a shard: short on hosts with many cores and few
- * shards.
+ * shards that are decided for in time.
  */
 static gh_time_t claim_delay(void *ctx)
 {
@@ -282,11 +287,25 @@
 		delay = (CLAIM_DELAY_CORES_MILLI - host->setup.cores_milli) *
 			CLAIM_DELAY_MAX_USEC / CLAIM_DELAY_CORES_MILLI;
 	for (i = 0; i < host->setup.shards; i++)
-		if (host->owners[i] && !fleet_owner_is_idle(host->owners[i]))
+		if (host->owners[i] && !fleet_owner_is_idle(host->owners[i])) {
 			delay += CLAIM_DELAY_PER_SHARD_USEC;
+			if (fleet_owner_is_late(host->owners[i]))
+				delay += CLAIM_DELAY_LATE_USEC;
+		}
 	return delay;
 }
 
+static uint32_t shards_kept(void *ctx)
+{
+	const fleet_front_t *host = ctx;
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < host->setup.shards; i++)
+		n += fleet_owner_keeps_shard(host->owners[i]);
+	return n;
+}
+
 static void on_synced(void *ctx)
 {
 	(void)ctx;
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #include "clock.h"
+#include "core_handover.h"
 #include "counter.h"
 #include "error.h"
 #include "fleet_watch.h"
@@ -106,6 +107,9 @@
  * long-running tasks has changed.
  */
 #define LOAD_PERIOD_USEC (500 * GH_USEC_PER_MSEC)
+#define HANDOVER_CHECK_PERIOD_USEC (250 * GH_USEC_PER_MSEC)
+/* Max time for which a hand-over commits what is left. */
+#define HANDOVER_COMMIT_MAX_USEC (500 * GH_USEC_PER_MSEC)
 
 /* Index, in a commit, of the entry that writes the chain record. */
 #define CHAIN_ENTRY 1
@@ -138,6 +142,7 @@
 	fleet_owner_setup_t setup;
 	phase_t phase;
 	bool draining;
+	bool handing_over;   /* the shard is released to a larger host */
 	uint64_t generation; /* counts claims and losses of the shard */
 	uint64_t epoch;
 	uint64_t sequence; /* number of the last commit in this epoch */
@@ -166,6 +171,19 @@
 	loop_timer_t timer;
 	gh_time_t claim_at;
 	gh_time_t claim_delay; /* delay that claim_at was set with */
+	gh_handover_t handover;
+	gh_time_t handover_check_at;
+	/* Until then a hand-over commits what is left before the release. */
+	gh_time_t handover_commit_until;
+	/*
+	 * Last grant of a lease that a hand-over's release in flight tells; 0:
+	 * none is in flight.
+	 */
+	gh_time_t release_grants_end;
+	/* Until then the shard that was handed over is left to others. */
+	gh_time_t leave_until;
+	/* Revision of the chain record that made this host step back. */
+	uint64_t stepped_back_from;
 	/*
 	 * Members from here to renewal_sent_at: the lease to which the owner
 	 * record is bound.
@@ -244,6 +262,11 @@
 static void advance(fleet_owner_t *owner, gh_time_t now);
 static void update_counters(fleet_owner_t *owner);
 static void log_backlog(fleet_owner_t *owner, gh_time_t now);
+static uint32_t capacity(const fleet_owner_t *owner);
+static void check_handover(fleet_owner_t *owner, gh_time_t now);
+static bool store_is_well(const fleet_owner_t *owner, gh_time_t now);
+static void cancel_handover(fleet_owner_t *owner);
+static bool step_back(fleet_owner_t *owner);
 static void postpone_claim(fleet_owner_t *owner);
 static void start_claim(fleet_owner_t *owner);
 static void on_claim_lease(void *ctx, const fleet_reply_t *reply);
@@ -283,6 +306,8 @@
 static void restore_succeeded(fleet_owner_t *owner, uint64_t revision);
 static void restore_conflict(fleet_owner_t *owner, const fleet_reply_t *reply);
 static void send_worker_calls(fleet_owner_t *owner, gh_time_t now);
+static void send_orders(fleet_owner_t *owner, bool owner_lease_valid,
+			gh_time_t now);
 static void on_renewal_reply(void *ctx, const char *worker,
 			     gh_order_reply_t reply,
 			     const gh_worker_report_t *report);
@@ -373,7 +398,7 @@
 		owner->claim_delay =
 			owner->setup.claim_delay(owner->setup.claim_delay_ctx);
 		owner->claim_at =
-			now + owner->claim_delay +
+			MAX(now, owner->leave_until) + owner->claim_delay +
 			g_random_int_range(0, (gint32)CLAIM_JITTER_MAX_USEC);
 	} else if (owner->phase == PHASE_OWNING) {
 		restore_owner_record(owner);
@@ -402,6 +427,7 @@
 void fleet_owner_release(fleet_owner_t *owner)
 {
 	owner->draining = true;
+	owner->handing_over = false;
 	/* A shard that is still being loaded is released after that. */
 	if (owner->phase == PHASE_OWNING)
 		owner->phase = PHASE_RELEASING;
@@ -413,6 +439,16 @@
 	return owner->phase == PHASE_IDLE;
 }
 
+bool fleet_owner_keeps_shard(const fleet_owner_t *owner)
+{
+	return owner->phase != PHASE_IDLE && owner->phase != PHASE_RELEASING;
+}
+
+bool fleet_owner_is_late(const fleet_owner_t *owner)
+{
+	return owner->phase == PHASE_OWNING && owner->handover.is_late;
+}
+
 static owner_call_t *call_new(fleet_owner_t *owner)
 {
 	owner_call_t *call = g_new(owner_call_t, 1);
@@ -487,6 +523,9 @@
 			gh_fleet_tick(owner->fleet, now,
 				      gh_time_to_ms(clock_real()));
 			send_worker_calls(owner, now);
+			check_handover(owner, now);
+		} else if (owner->handing_over) {
+			send_worker_calls(owner, now);
 		}
 		reread_chain(owner, now);
 		if (!owner->batch && now >= owner->commit_at)
@@ -529,6 +568,71 @@
 		  log_num(gh_time_to_ms(backlog.tick_gap)), NULL);
 }
 
+/* Part of the host's cores that one of its shards has, in thousandths. */
+static uint32_t capacity(const fleet_owner_t *owner)
+{
+	uint32_t shards =
+		owner->setup.shards_kept ?
+			owner->setup.shards_kept(owner->setup.claim_delay_ctx) :
+			1;
+
+	return owner->setup.cores_milli / MAX(shards, 1);
+}
+
+/* Releases the shard if this host is too small for it. */
+static void check_handover(fleet_owner_t *owner, gh_time_t now)
+{
+	gh_handover_t *handover = &owner->handover;
+	gh_fleet_backlog_t backlog;
+	gh_handover_check_t check;
+
+	if (now < owner->handover_check_at)
+		return;
+	owner->handover_check_at = now + HANDOVER_CHECK_PERIOD_USEC;
+	gh_fleet_backlog(owner->fleet, &backlog);
+	check = (gh_handover_check_t){ .capacity = capacity(owner),
+				       .tick_gap = backlog.tick_gap,
+				       .planned_since = backlog.planned_since };
+	if (!gh_handover_is_due(handover, &check, now) ||
+	    !store_is_well(owner, now))
+		return;
+	log_event(LOG_WARN, "shard_handed_over", "shard",
+		  log_num(owner->setup.shard), "cores_milli",
+		  log_num(check.capacity), "largest_milli",
+		  log_num(handover->cores_max), "tick_gap_ms",
+		  log_num(gh_time_to_ms(check.tick_gap)), "planned_ms",
+		  log_num(check.planned_since ?
+				  gh_time_to_ms(now - check.planned_since) :
+				  0),
+		  "late_ms", log_num(gh_time_to_ms(handover->late)), NULL);
+	counter_inc(CTR_SHARD_HANDED_OVER);
+	gh_handover_give(handover, now);
+	owner->handing_over = true;
+	owner->handover_commit_until = now + HANDOVER_COMMIT_MAX_USEC;
+	owner->phase = PHASE_RELEASING;
+}
+
+/* Whether a release can be expected to be carried out at once. */
+static bool store_is_well(const fleet_owner_t *owner, gh_time_t now)
+{
+	return !owner->record_lost && !owner->restoring &&
+	       now <= owner->renewed_at + RENEWAL_GAP_MAX_USEC &&
+	       !(owner->batch && owner->batch->unanswered);
+}
+
+/* Goes on owning the shard if the store does not carry out commits. */
+static void cancel_handover(fleet_owner_t *owner)
+{
+	if (!owner->handing_over)
+		return;
+	owner->handing_over = false;
+	owner->release_grants_end = 0;
+	owner->phase = PHASE_OWNING;
+	gh_handover_keep(&owner->handover);
+	log_event(LOG_INFO, "handover_cancelled", "shard",
+		  log_num(owner->setup.shard), NULL);
+}
+
 /* Adds the increase of the fleet's counts to the process's counters. */
 static void update_counters(fleet_owner_t *owner)
 {
@@ -629,15 +733,20 @@
 	owner->chain_revision = 0;
 	owner->previous_grants_end = owner->grants_told = 0;
 	owner->previous_released = false;
+	owner->handover = (gh_handover_t){ 0 };
 	g_clear_pointer(&owner->previous_unheard, g_free);
 	if (reply->result == FLEET_OK && reply->n_items &&
 	    reply->items[0].value) {
 		owner->chain_revision = reply->items[0].revision;
 		parse_chain(owner, reply->items[0].value);
+		if (step_back(owner))
+			return;
 	} else if (reply->result != FLEET_NOT_FOUND) {
 		schedule_claim_retry(owner);
 		return;
 	}
+	gh_handover_claim(&owner->handover, owner->setup.cores_milli,
+			  capacity(owner), clock_boot());
 	owner->epoch += GH_FLEET_EPOCH_STEP;
 	owner->sequence = 0;
 	commit_claim(owner);
@@ -651,6 +760,7 @@
 	const char *ms = NULL;
 	uint64_t claim;
 
+	gh_handover_read(&owner->handover, text, clock_boot());
 	owner->epoch = g_ascii_strtoull(text, NULL, 10);
 	owner->previous_released = released;
 	if (released)
@@ -670,6 +780,21 @@
 		g_clear_pointer(&owner->previous_unheard, g_free);
 }
 
+/* Leaves a shard that was handed over to larger hosts, once. */
+static bool step_back(fleet_owner_t *owner)
+{
+	if (owner->stepped_back_from == owner->chain_revision ||
+	    !gh_handover_steps_back(&owner->handover, capacity(owner)))
+		return false;
+	owner->stepped_back_from = owner->chain_revision;
+	log_event(LOG_INFO, "shard_left_to_larger", "shard",
+		  log_num(owner->setup.shard), NULL);
+	schedule_claim_retry(owner);
+	owner->claim_at += GH_HANDOVER_STEP_BACK_USEC;
+	owner->timer.at = owner->claim_at;
+	return true;
+}
+
 static void commit_claim(fleet_owner_t *owner)
 {
 	fleet_entry_t entries[] = {
@@ -1007,6 +1132,8 @@
 	g_clear_pointer(&owner->cancelled, g_hash_table_destroy);
 	clear_shard(owner);
 	owner->record_lost = owner->restoring = false;
+	owner->handing_over = false;
+	owner->release_grants_end = 0;
 	owner->restore_lease_id = 0;
 	owner->claim_at = clock_boot() + CLAIM_RETRY_DELAY_USEC;
 	owner->timer.at = owner->claim_at;
@@ -1258,13 +1385,45 @@
 {
 	const fleet_workers_ops_t *ops = owner->setup.workers->ops;
 	bool doubtful = record_is_doubtful(owner, now);
-	bool owner_lease_valid =
-		!doubtful &&
-		now < owner->renewed_at + gh_time_from_ms(OWNER_LEASE_MS);
 	gh_time_t limit = owner->renewed_at + WORKER_RENEWAL_LIMIT_USEC;
-	gh_order_t order;
+	gh_time_t told = owner->release_grants_end;
 	gh_worker_renewal_t renewal;
 
+	/* From the release on, the next owner may have got the shard. */
+	if (told)
+		limit = MIN(limit, told);
+	else
+		send_orders(
+			owner,
+			!doubtful &&
+				now < owner->renewed_at +
+						gh_time_from_ms(OWNER_LEASE_MS),
+			now);
+	if (doubtful || now > limit)
+		return;
+	while (gh_fleet_next_renewal(owner->fleet, &renewal, now)) {
+		if (told && gh_fleet_last_grant(owner->fleet) > told) {
+			gh_fleet_handle_renewal_failure(
+				owner->fleet, renewal.worker,
+				renewal.fence_offset, GH_ORDER_OUTCOME_UNKNOWN,
+				now);
+			continue;
+		}
+		if (now > owner->renewed_at + 2 * LEASE_RENEWAL_PERIOD_USEC)
+			renewal.max_wait_ms =
+				MIN(renewal.max_wait_ms,
+				    fleet_owner_wait_alone_ms(limit - now));
+		ops->renew_lease(owner->setup.workers, &renewal,
+				 owner->epoch + renewal.fence_offset,
+				 on_renewal_reply, call_new(owner));
+	}
+}
+
+static void send_orders(fleet_owner_t *owner, bool owner_lease_valid,
+			gh_time_t now)
+{
+	gh_order_t order;
+
 	while (gh_fleet_next_order(owner->fleet, &order, now)) {
 		if (order.kind == GH_ORDER_START && !owner_lease_valid) {
 			/*
@@ -1280,20 +1439,10 @@
 			log_fleet_event(owner, "run_start", &order.task,
 					order.run, order.worker,
 					order.checkpoint);
-		ops->send_order(owner->setup.workers, &order,
-				owner->epoch + order.fence_offset,
-				on_order_reply, call_new(owner));
-	}
-	if (doubtful || now > limit)
-		return;
-	while (gh_fleet_next_renewal(owner->fleet, &renewal, now)) {
-		if (now > owner->renewed_at + 2 * LEASE_RENEWAL_PERIOD_USEC)
-			renewal.max_wait_ms =
-				MIN(renewal.max_wait_ms,
-				    fleet_owner_wait_alone_ms(limit - now));
-		ops->renew_lease(owner->setup.workers, &renewal,
-				 owner->epoch + renewal.fence_offset,
-				 on_renewal_reply, call_new(owner));
+		owner->setup.workers->ops->send_order(
+			owner->setup.workers, &order,
+			owner->epoch + order.fence_offset, on_order_reply,
+			call_new(owner));
 	}
 }
 
@@ -1386,7 +1535,8 @@
 	if (now >= owner->sweep_at)
 		delete_old_states(owner, batch, now);
 	if (owner->phase == PHASE_RELEASING &&
-	    !gh_fleet_has_changes(owner->fleet)) {
+	    (!gh_fleet_has_changes(owner->fleet) ||
+	     (owner->handing_over && now >= owner->handover_commit_until))) {
 		batch_mark_release(owner, batch, now);
 	} else if (!batch->changes->len && batch->n <= 2 && !chain_is_due) {
 		batch_free(batch);
@@ -1418,16 +1568,22 @@
 
 /*
  * Makes the commit release the shard: it deletes the owner record, and the
- * chain record tells the next owner of the last grant of a lease to a worker.
+ * chain record tells the next owner of the last grant of a lease to a worker. A
+ * hand-over may go on granting for a while until the release is known.
  */
 static void batch_mark_release(fleet_owner_t *owner, batch_t *batch,
 			       gh_time_t now)
 {
 	gh_time_t last_grant = gh_fleet_last_grant(owner->fleet);
-	char *text = g_strdup_printf("%s" CHAIN_RELEASED "%" PRId64,
-				     batch->chain_value,
-				     gh_time_to_ms(last_grant - now) + 1);
+	char *text;
 
+	if (owner->handing_over) {
+		last_grant = MAX(last_grant, now + WORKER_RENEWAL_LIMIT_USEC);
+		owner->release_grants_end = last_grant;
+	}
+	text = g_strdup_printf("%s" CHAIN_RELEASED "%" PRId64,
+			       batch->chain_value,
+			       gh_time_to_ms(last_grant - now) + 1);
 	g_free(batch->chain_value);
 	batch->chain_value = text;
 	batch_add_entry(batch, FLEET_DELETE, g_strdup(owner->own_key), NULL, 0,
@@ -1528,6 +1684,8 @@
 		break;
 	case FLEET_OUTCOME_UNKNOWN:
 		counter_inc(CTR_COMMITS_UNKNOWN);
+		if (!owner->batch->releases)
+			cancel_handover(owner);
 		/* The store may go on answering so at once. */
 		owner->reread_chain_at =
 			owner->batch->unanswered++ ?
@@ -1625,8 +1783,13 @@
 		gh_fleet_handle_commit(owner->fleet, change->id,
 				       change->version);
 	}
-	if (batch->releases)
+	if (batch->releases && owner->handing_over) {
+		owner->leave_until = now + GH_HANDOVER_LEAVE_USEC;
+		end_ownership(owner, "handed over");
+		owner->claim_at = owner->timer.at = owner->leave_until;
+	} else if (batch->releases) {
 		end_ownership(owner, "drain");
+	}
 	batch_free(batch);
 }
 
@@ -1661,6 +1824,7 @@
 	guint i;
 
 	log_batch(owner, "failed");
+	cancel_handover(owner);
 	owner->batch = NULL;
 	owner->commit_at = clock_boot() + COMMIT_RETRY_DELAY_USEC;
 	counter_inc(CTR_COMMITS_FAILED);
@@ -1826,7 +1990,8 @@
 /*
  * Text of the shard's chain record, unique to each commit: "EPOCH SEQUENCE HOST
  * LEASE", then "grants MS" unless last_grant is 0, "unheard LIST" unless
- * unheard is NULL, and after a release "released MS".
+ * unheard is NULL, what gh_handover_tell() adds, and after a release "released
+ * MS".
  */
 static char *chain_text(const fleet_owner_t *owner, gh_time_t last_grant,
 			const char *unheard, gh_time_t now)
@@ -1841,6 +2006,7 @@
 				       gh_time_to_ms(last_grant - now) + 1);
 	if (unheard)
 		g_string_append_printf(text, GH_FLEET_UNHEARD "%s", unheard);
+	gh_handover_tell(&owner->handover, text, now);
 	return g_string_free(text, FALSE);
 }
 
--- a/fleet_owner.h
+++ b/fleet_owner.h
@@ -32,7 +32,10 @@
 	int64_t ended_retention_ms; /* how long states of ended jobs are kept */
 	/* How long this host is to leave a shard without owner to others. */
 	gh_time_t (*claim_delay)(void *ctx);
+	/* Number of shards that this host owns or claims; NULL: one. */
+	uint32_t (*shards_kept)(void *ctx);
 	void *claim_delay_ctx;
+	uint32_t cores_milli; /* cores of this host; 0: unknown */
 } fleet_owner_setup_t;
 
 fleet_owner_t *fleet_owner_new(const fleet_owner_setup_t *setup);
@@ -60,6 +63,10 @@
  */
 void fleet_owner_release(fleet_owner_t *owner);
 bool fleet_owner_is_idle(const fleet_owner_t *owner);
+/* Whether this host owns or claims the shard and is not giving it up. */
+bool fleet_owner_keeps_shard(const fleet_owner_t *owner);
+/* Whether the decisions for the shard come late. */
+bool fleet_owner_is_late(const fleet_owner_t *owner);
 
 /*
  * Max wait for a worker's reply to a lease renewal while the owner's own lease
--- a/regress/test_owner_takeover.c
+++ b/regress/test_owner_takeover.c
@@ -13,6 +13,7 @@
 #include <string.h>
 
 #include "clock.h"
+#include "counter.h"
 #include "fleet_owner.h"
 #include "fleet_world.h"
 #include "sim_loop.h"
@@ -38,6 +39,10 @@
 #define ODD_COMMITS_MAX 51
 #define PATIENCE_MS 25000
 #define RANDOM_SEEDS 50
+/* A loop that is this slow makes an owner late. */
+#define SLOW_LOOP_USEC (110 * MS)
+#define SLOW_MS 30000
+#define HANDOVERS_PER_MINUTE_MAX 3
 #define RANDOM_TIME_MS 60000
 #define JOB "0000000000000001"
 #define OWNER_KEY "d/own/0"
@@ -742,6 +747,8 @@
 	return 0;
 }
 
+static const uint32_t cores_milli[HOSTS] = { 500, 120, 120, 120 };
+
 static void add_host(sim_t *sim, uint32_t index)
 {
 	sim_host_t *host = &sim->hosts[index];
@@ -768,6 +775,7 @@
 			   .stop_ms = 500 },
 		.ended_retention_ms = 60000,
 		.claim_delay = claim_delay,
+		.cores_milli = cores_milli[index],
 	});
 }
 
@@ -1621,6 +1629,81 @@
 	sim_free(sim);
 }
 
+/* What the store does with the commits of the small owner for 10 s. */
+typedef struct handover_case {
+	const char *name;
+	link_t commits;
+	bool larger_is_gone;
+} handover_case_t;
+
+static const handover_case_t handovers[] = {
+	{ .name = "done at once" },
+	{ .name = "refused", .commits = { .refused = true } },
+	{ .name = "not done, no reply", .commits = { .cut = true } },
+	{ .name = "reply lost", .commits = { .replies_lost = true } },
+	{ .name = "done late", .commits = { .late = 900 * MS } },
+	{ .name = "no larger host", .larger_is_gone = true },
+};
+
+/* Each iteration of the hosts' loop takes long. */
+static void be_slow(void *ctx, gh_time_t now)
+{
+	loop_timer_t *timer = ctx;
+
+	(void)now;
+	sim_now += SLOW_LOOP_USEC;
+	timer->at = sim_now + MS;
+}
+
+static uint64_t count_claims(sim_t *sim)
+{
+	const change_t *chain = find_item(sim, FLEET_KEYSPACE_OWN, CHAIN_KEY);
+
+	return g_ascii_strtoull(chain->value, NULL, 10) / GH_FLEET_EPOCH_STEP;
+}
+
+/* LOST: a host that was too small for a shard kept it beside larger ones. */
+static void test_small_late_owner_hands_over(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(handovers); i++) {
+		const handover_case_t *c = &handovers[i];
+		sim_t *sim = sim_with_run();
+		loop_timer_t slow = { .at = GH_TIME_NEVER,
+				      .run = be_slow,
+				      .ctx = &slow };
+		uint64_t claims;
+
+		print_message("%s\n", c->name);
+		sim->workers[0].links[1] = (link_t){ 0 };
+		set_store_links(&sim->hosts[0], (link_t){ .cut = true });
+		run_for(sim, 4000);
+		assert_true(is_owner(sim, 1));
+		if (!c->larger_is_gone)
+			set_store_links(&sim->hosts[0], (link_t){ 0 });
+		add_host(sim, 2);
+		run_for(sim, 1000);
+		claims = count_claims(sim);
+		slow.at = sim_now;
+		loop_timer_add(sim->loop, &slow);
+		sim->hosts[1].store.links[CALL_COMMIT] = c->commits;
+		run_for(sim, 10000);
+		sim->hosts[1].store.links[CALL_COMMIT] = (link_t){ 0 };
+		run_for(sim, SLOW_MS);
+		claims = count_claims(sim) - claims;
+		print_message("%d claims, %u starts\n", (int)claims,
+			      sim->n_starts);
+		assert_in_range(claims, 1, HANDOVERS_PER_MINUTE_MAX);
+		assert_true(is_owner(sim, 0) || c->larger_is_gone);
+		assert_int_equal(sim->n_starts, 1);
+		assert_int_equal(sim->n_twice, 0);
+		loop_timer_remove(sim->loop, &slow);
+		sim_free(sim);
+	}
+}
+
 static link_t random_link(GRand *random)
 {
 	link_t link = { 0 };
@@ -1688,17 +1771,27 @@
 	run_for(sim, g_rand_int_range(random, 500, 4000));
 }
 
-/* Owners that the store treats oddly run no task twice. */
+/*
+ * Owners that the store treats oddly run no task twice, also beside hand-overs
+ * by late ones.
+ */
 static void test_random_faults_of_store(void **state)
 {
+	uint64_t n_handovers = counter_get(CTR_SHARD_HANDED_OVER);
 	uint32_t seed;
 
 	(void)state;
-	for (seed = 0; seed < RANDOM_SEEDS; seed++) {
+	for (seed = 0; seed < 2 * RANDOM_SEEDS; seed++) {
 		GRand *random = g_rand_new_with_seed(seed);
 		sim_t *sim = sim_with_run();
 		gh_time_t end = sim_now + RANDOM_TIME_MS * MS;
+		loop_timer_t slow = { .at = GH_TIME_NEVER,
+				      .run = be_slow,
+				      .ctx = &slow };
 
+		loop_timer_add(sim->loop, &slow);
+		if (seed >= RANDOM_SEEDS)
+			slow.at = sim_now;
 		calm(sim, random);
 		while (sim_now < end && !sim->n_twice) {
 			disturb(sim, random);
@@ -1706,9 +1799,13 @@
 		}
 		if (sim->n_twice)
 			fail_msg("seed %u", seed);
+		loop_timer_remove(sim->loop, &slow);
 		sim_free(sim);
 		g_rand_free(random);
 	}
+	n_handovers = counter_get(CTR_SHARD_HANDED_OVER) - n_handovers;
+	print_message("%d hand-overs\n", (int)n_handovers);
+	assert_true(n_handovers > 0);
 }
 
 int main(void)
@@ -1723,6 +1820,7 @@
 		cmocka_unit_test(test_wait_goes_on_at_next_takeover),
 		cmocka_unit_test(test_twice_by_restart_of_unheard_worker),
 		cmocka_unit_test(test_calm_takeover_costs_no_commit),
+		cmocka_unit_test(test_small_late_owner_hands_over),
 		cmocka_unit_test(test_random_faults_of_store),
 	};
 
