--- /dev/null
+++ b/fleet_owner_commit.c
@@ -0,0 +1,537 @@
+/*
+ * Commits of the owner's changes to the store; at most one commit awaits its
+ * outcome.
+ */
+#include "fleet_owner_private.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "clock.h"
+#include "counter.h"
+#include "histogram.h"
+#include "log.h"
+
+/*
+ * Min time between an owner's commits; gathering changes in one commit saves
+ * writes to the store.
+ */
+#define COMMIT_INTERVAL_MIN_USEC (6 * GH_USEC_PER_MSEC)
+/*
+ * Period at which states of ended jobs whose retention time is over are
+ * deleted.
+ */
+#define SWEEP_PERIOD_USEC (5 * GH_USEC_PER_SEC)
+/*
+ * Max job states deleted in one commit; the commit would hold them even with
+ * two entries for each.
+ */
+#define SWEEP_JOBS_MAX 14
+/* Max number of commit entries that one job's change takes. */
+#define CHANGE_ENTRIES_MAX 5
+#define INTERFERENCE_PERIOD_USEC (3 * GH_USEC_PER_SEC)
+/* Index, in a commit, of the entry that writes the chain record. */
+#define CHAIN_ENTRY 1
+
+static void on_committed(void *ctx, const fleet_reply_t *reply);
+static void on_chain_reread(void *ctx, const fleet_reply_t *reply);
+static void batch_committed(fleet_owner_t *owner, uint64_t revision);
+static void note_deleted_record(fleet_owner_t *owner, const char *id,
+				uint64_t revision);
+static bool is_cancelled(const fleet_owner_t *owner,
+			 const gh_fleet_change_t *change);
+static void batch_failed(fleet_owner_t *owner);
+static void batch_conflict(fleet_owner_t *owner, const fleet_reply_t *reply);
+static void batch_send(fleet_owner_t *owner);
+static batch_t *batch_new(fleet_owner_t *owner, gh_time_t now);
+static void batch_mark_release(fleet_owner_t *owner, batch_t *batch,
+			       gh_time_t now);
+static bool batch_add_change(fleet_owner_t *owner, batch_t *batch,
+			     gh_fleet_change_t *change);
+static void batch_add_entry(batch_t *batch, fleet_entry_kind_t kind, char *key,
+			    char *value, uint64_t revision, uint64_t lease);
+static void log_batch(const fleet_owner_t *owner, const char *outcome);
+static void delete_old_states(fleet_owner_t *owner, batch_t *batch,
+			      gh_time_t now);
+static void save_interference(fleet_owner_t *owner, batch_t *batch,
+			      gh_time_t now);
+static bool load_is_due(const fleet_owner_t *owner, const batch_t *batch,
+			gh_time_t now);
+static void save_load(fleet_owner_t *owner, batch_t *batch, gh_time_t now);
+static gh_time_t grant_ahead(const fleet_owner_t *owner, gh_time_t now);
+static bool grants_have_changed(const fleet_owner_t *owner, gh_time_t now);
+
+void fleet_owner_start_commit(fleet_owner_t *owner, gh_time_t now)
+{
+	gh_fleet_change_t change;
+	batch_t *batch;
+	bool chain_is_due = grants_have_changed(owner, now) ||
+			    gh_fleet_unheard_is_due(owner->fleet, now);
+
+	if (!gh_fleet_has_changes(owner->fleet) && now < owner->sweep_at &&
+	    now < owner->load_save_at && owner->phase != PHASE_RELEASING &&
+	    !chain_is_due)
+		return;
+	owner->sequence++;
+	batch = batch_new(owner, now);
+	/*
+	 * Leaves space in the commit for the learned interference, the shard's
+	 * load and the owner record.
+	 */
+	while (batch->n + CHANGE_ENTRIES_MAX + 2 < FLEET_ENTRIES_MAX &&
+	       gh_fleet_next_change(owner->fleet, &change))
+		if (!batch_add_change(owner, batch, &change)) {
+			owner->commit_at = now + COMMIT_RETRY_DELAY_USEC;
+			break;
+		}
+	if (batch->changes->len && now >= owner->interference_save_at)
+		save_interference(owner, batch, now);
+	if (load_is_due(owner, batch, now))
+		save_load(owner, batch, now);
+	if (now >= owner->sweep_at)
+		delete_old_states(owner, batch, now);
+	if (owner->phase == PHASE_RELEASING &&
+	    !gh_fleet_has_changes(owner->fleet)) {
+		batch_mark_release(owner, batch, now);
+	} else if (!batch->changes->len && batch->n <= 2 && !chain_is_due) {
+		fleet_owner_batch_free(batch);
+		return;
+	}
+	owner->batch = batch;
+	batch->started_at = now;
+	batch_send(owner);
+}
+
+static batch_t *batch_new(fleet_owner_t *owner, gh_time_t now)
+{
+	batch_t *batch = g_new0(batch_t, 1);
+	char *unheard;
+
+	batch->strings = g_ptr_array_new_with_free_func(g_free);
+	batch->changes = g_array_new(FALSE, FALSE, sizeof(gh_fleet_change_t));
+	batch->grants_told = grant_ahead(owner, now);
+	unheard = gh_fleet_unheard_tell(owner->fleet, now);
+	batch->chain_value =
+		fleet_owner_chain_text(owner, batch->grants_told, unheard, now);
+	g_free(unheard);
+	batch_add_entry(batch, FLEET_EXPECT, g_strdup(owner->chain_key), NULL,
+			owner->chain_revision, 0);
+	batch_add_entry(batch, FLEET_PUT, g_strdup(owner->chain_key), NULL, 0,
+			0);
+	return batch;
+}
+
+/*
+ * Makes the commit release the shard: it deletes the owner record, and the
+ * chain record tells the next owner of the last grant of a lease to a worker.
+ */
+static void batch_mark_release(fleet_owner_t *owner, batch_t *batch,
+			       gh_time_t now)
+{
+	gh_time_t last_grant = gh_fleet_last_grant(owner->fleet);
+	char *text = g_strdup_printf("%s" CHAIN_RELEASED "%" PRId64,
+				     batch->chain_value,
+				     gh_time_to_ms(last_grant - now) + 1);
+
+	g_free(batch->chain_value);
+	batch->chain_value = text;
+	batch_add_entry(batch, FLEET_DELETE, g_strdup(owner->own_key), NULL, 0,
+			0);
+	batch->releases = true;
+}
+
+/*
+ * Adds a job's change to a commit and takes ownership of the change's progress
+ * text.  Returns false if the job's state is not known yet: the change is then
+ * committed later.
+ */
+static bool batch_add_change(fleet_owner_t *owner, batch_t *batch,
+			     gh_fleet_change_t *change)
+{
+	uint32_t shard = owner->setup.shard;
+	bool ended = change->phase > GH_JOB_RUNNING;
+	fleet_job_state_t state;
+
+	if (change->phase_changed && change->phase != GH_JOB_CANCELLED) {
+		if (!fleet_jobs_find(owner->setup.jobs, change->id, &state)) {
+			gh_fleet_handle_commit_failure(owner->fleet,
+						       change->id);
+			g_free(change->progress);
+			return false;
+		}
+		batch_add_entry(batch, FLEET_EXPECT,
+				fleet_jobs_state_key(change->id), NULL,
+				state.revision, 0);
+		state.phase = change->phase;
+		state.changed_ms = gh_time_to_ms(clock_real());
+		batch_add_entry(batch, FLEET_PUT,
+				fleet_jobs_state_key(change->id),
+				fleet_job_state_format(&state), 0, 0);
+	}
+	if (ended) {
+		batch_add_entry(batch, FLEET_DELETE,
+				fleet_jobs_record_key(shard, change->id), NULL,
+				0, 0);
+		batch_add_entry(
+			batch, FLEET_DELETE,
+			g_strconcat(owner->progress_prefix, change->id, NULL),
+			NULL, 0, 0);
+		if (is_cancelled(owner, change))
+			batch_add_entry(
+				batch, FLEET_DELETE,
+				fleet_jobs_cancel_key(shard, change->id), NULL,
+				0, 0);
+	} else {
+		batch_add_entry(
+			batch, FLEET_PUT,
+			g_strconcat(owner->progress_prefix, change->id, NULL),
+			change->progress, 0, 0);
+	}
+	change->progress = NULL;
+	g_array_append_val(batch->changes, *change);
+	return true;
+}
+
+/* Adds an entry to a commit; takes ownership of key and value. */
+static void batch_add_entry(batch_t *batch, fleet_entry_kind_t kind, char *key,
+			    char *value, uint64_t revision, uint64_t lease)
+{
+	g_ptr_array_add(batch->strings, key);
+	if (value)
+		g_ptr_array_add(batch->strings, value);
+	batch->entries[batch->n++] = (fleet_entry_t){
+		.kind = kind,
+		.key = key,
+		.value = value,
+		.revision = revision,
+		.lease = lease,
+	};
+}
+
+static void batch_send(fleet_owner_t *owner)
+{
+	owner->batch->entries[CHAIN_ENTRY].value = owner->batch->chain_value;
+	owner->batch->sent_at = clock_boot();
+	owner->setup.store->ops->commit(
+		owner->setup.store, owner->batch->entries, owner->batch->n,
+		on_committed, fleet_owner_call_new(owner));
+}
+
+static void on_committed(void *ctx, const fleet_reply_t *reply)
+{
+	fleet_owner_t *owner = fleet_owner_call_finish(ctx);
+
+	if (!owner || !owner->batch)
+		return;
+	owner->dirty = true;
+	switch (reply->result) {
+	case FLEET_OK:
+		batch_committed(owner, reply->revision);
+		break;
+	case FLEET_CONFLICT:
+		batch_conflict(owner, reply);
+		break;
+	case FLEET_OUTCOME_UNKNOWN:
+		counter_inc(CTR_COMMITS_UNKNOWN);
+		/* The store may go on answering so at once. */
+		owner->reread_chain_at =
+			owner->batch->unanswered++ ?
+				clock_boot() + COMMIT_RETRY_DELAY_USEC :
+				0;
+		fleet_owner_reread_chain(owner, clock_boot());
+		break;
+	default:
+		/* An earlier copy may still take effect. */
+		if (owner->batch->unanswered)
+			owner->reread_chain_at =
+				clock_boot() + COMMIT_RETRY_DELAY_USEC;
+		else
+			batch_failed(owner);
+		break;
+	}
+}
+
+/*
+ * Handles the chain record that was read after a commit without a reply: the
+ * record shows whether the commit took effect.
+ */
+static void on_chain_reread(void *ctx, const fleet_reply_t *reply)
+{
+	fleet_owner_t *owner = fleet_owner_call_finish(ctx);
+	const fleet_item_t *item;
+
+	if (!owner || !owner->batch)
+		return;
+	owner->dirty = true;
+	item = reply->n_items ? &reply->items[0] : NULL;
+	if (reply->result == FLEET_OK && item && item->value &&
+	    !strcmp(item->value, owner->batch->chain_value)) {
+		batch_committed(owner, item->revision);
+	} else if (reply->result == FLEET_OK && item &&
+		   item->revision == owner->chain_revision) {
+		/*
+		 * The commit has had no effect so far, so it is sent again.
+		 * Both copies expect the same revision of the chain record, so
+		 * only one takes effect.
+		 */
+		batch_send(owner);
+	} else if (reply->result == FLEET_OK ||
+		   reply->result == FLEET_NOT_FOUND) {
+		fleet_owner_end_ownership(owner, "another owner took over");
+	} else {
+		owner->reread_chain_at = clock_boot() + COMMIT_RETRY_DELAY_USEC;
+	}
+}
+
+/* Reads the chain record again if the last read failed and a retry is due. */
+void fleet_owner_reread_chain(fleet_owner_t *owner, gh_time_t now)
+{
+	if (!owner->batch || now < owner->reread_chain_at)
+		return;
+	owner->reread_chain_at = GH_TIME_NEVER;
+	owner->setup.store->ops->get(owner->setup.store, FLEET_KEYSPACE_OWN,
+				     owner->chain_key, on_chain_reread,
+				     fleet_owner_call_new(owner));
+}
+
+static void batch_committed(fleet_owner_t *owner, uint64_t revision)
+{
+	batch_t *batch = owner->batch;
+	gh_time_t now = clock_boot();
+	guint i;
+
+	if (batch->unanswered)
+		log_batch(owner, "committed");
+	owner->batch = NULL;
+	owner->chain_revision = revision;
+	owner->grants_told = batch->grants_told;
+	gh_fleet_unheard_committed(owner->fleet);
+	owner->commit_at = now + MAX(COMMIT_INTERVAL_MIN_USEC,
+				     owner->setup.commit_interval_min);
+	counter_inc(CTR_COMMITS);
+	histogram_add(HIST_COMMIT, now - batch->sent_at);
+	for (i = 0; i < batch->changes->len; i++) {
+		const gh_fleet_change_t *change =
+			&g_array_index(batch->changes, gh_fleet_change_t, i);
+		fleet_job_state_t state;
+
+		if (change->phase_changed &&
+		    change->phase != GH_JOB_CANCELLED &&
+		    fleet_jobs_find(owner->setup.jobs, change->id, &state)) {
+			state.phase = change->phase;
+			state.changed_ms = gh_time_to_ms(clock_real());
+			state.revision = revision;
+			state.presumed = false;
+			fleet_jobs_update(owner->setup.jobs, change->id,
+					  &state);
+		}
+		if (change->phase > GH_JOB_RUNNING)
+			note_deleted_record(owner, change->id, revision);
+		gh_fleet_handle_commit(owner->fleet, change->id,
+				       change->version);
+	}
+	if (batch->releases)
+		fleet_owner_end_ownership(owner, "drain");
+	fleet_owner_batch_free(batch);
+}
+
+/*
+ * A read of the job records that the store served before this commit still
+ * lists the job; without the note, its late reply would add the job again.
+ */
+static void note_deleted_record(fleet_owner_t *owner, const char *id,
+				uint64_t revision)
+{
+	char *key = fleet_jobs_record_key(owner->setup.shard, id);
+	char *cancel_key = fleet_jobs_cancel_key(owner->setup.shard, id);
+
+	fleet_watch_note(owner->job_watch, key, revision, false);
+	fleet_watch_note(owner->job_watch, cancel_key, revision, false);
+	g_hash_table_remove(owner->cancelled, id);
+	g_free(cancel_key);
+	g_free(key);
+}
+
+/* Whether the job may have a record of its cancel, which is to be deleted. */
+static bool is_cancelled(const fleet_owner_t *owner,
+			 const gh_fleet_change_t *change)
+{
+	return change->phase == GH_JOB_CANCELLED ||
+	       g_hash_table_contains(owner->cancelled, change->id);
+}
+
+static void batch_failed(fleet_owner_t *owner)
+{
+	batch_t *batch = owner->batch;
+	guint i;
+
+	log_batch(owner, "failed");
+	owner->batch = NULL;
+	owner->commit_at = clock_boot() + COMMIT_RETRY_DELAY_USEC;
+	counter_inc(CTR_COMMITS_FAILED);
+	g_clear_pointer(&owner->load_saved, g_free);
+	for (i = 0; i < batch->changes->len; i++)
+		gh_fleet_handle_commit_failure(
+			owner->fleet,
+			g_array_index(batch->changes, gh_fleet_change_t, i).id);
+	fleet_owner_batch_free(batch);
+}
+
+static void batch_conflict(fleet_owner_t *owner, const fleet_reply_t *reply)
+{
+	static const char state_prefix[] = "d/state/";
+	size_t i;
+
+	for (i = 0; i < reply->n_items; i++) {
+		const fleet_item_t *item = &reply->items[i];
+
+		if (!strcmp(item->key, owner->chain_key)) {
+			if (item->value &&
+			    !strcmp(item->value, owner->batch->chain_value)) {
+				batch_committed(owner, item->revision);
+				return;
+			}
+			if (item->revision != owner->chain_revision) {
+				fleet_owner_end_ownership(
+					owner, "another owner took over");
+				return;
+			}
+		} else if (g_str_has_prefix(item->key, state_prefix)) {
+			const char *id = item->key + strlen(state_prefix);
+
+			fleet_jobs_correct(owner->setup.jobs, id, item->value,
+					   item->revision);
+			if (item->value)
+				fleet_jobs_update_text(owner->setup.jobs, id,
+						       item->value,
+						       item->revision);
+		}
+	}
+	batch_failed(owner);
+	owner->commit_at = 0;
+}
+
+/* Logs a commit that failed or took several attempts. */
+static void log_batch(const fleet_owner_t *owner, const char *outcome)
+{
+	const batch_t *batch = owner->batch;
+
+	log_event(LOG_INFO, "commit_late", "shard", log_num(owner->setup.shard),
+		  "outcome", outcome, "sequence",
+		  log_num((int64_t)owner->sequence), "jobs",
+		  log_num(batch->changes->len), "unanswered",
+		  log_num(batch->unanswered), "ms",
+		  log_num(gh_time_to_ms(clock_boot() - batch->started_at)),
+		  NULL);
+}
+
+void fleet_owner_batch_free(batch_t *batch)
+{
+	g_ptr_array_free(batch->strings, TRUE);
+	g_array_free(batch->changes, TRUE);
+	g_free(batch->chain_value);
+	g_free(batch);
+}
+
+/*
+ * Adds to a commit the deletions of the states of ended jobs whose retention
+ * time is over.
+ */
+static void delete_old_states(fleet_owner_t *owner, batch_t *batch,
+			      gh_time_t now)
+{
+	int64_t ended_before_ms =
+		gh_time_to_ms(clock_real()) - owner->setup.ended_retention_ms;
+	GPtrArray *ids =
+		fleet_jobs_ended_before(owner->setup.jobs, owner->setup.shard,
+					ended_before_ms, SWEEP_JOBS_MAX);
+	guint i;
+
+	owner->sweep_at = now + SWEEP_PERIOD_USEC;
+	for (i = 0; i < ids->len && batch->n < FLEET_ENTRIES_MAX - 1; i++)
+		batch_add_entry(batch, FLEET_DELETE,
+				fleet_jobs_state_key(ids->pdata[i]), NULL, 0,
+				0);
+	g_ptr_array_free(ids, TRUE);
+}
+
+/*
+ * Adds the learned interference to a commit that has other changes, so that
+ * it costs no call of its own.
+ */
+static void save_interference(fleet_owner_t *owner, batch_t *batch,
+			      gh_time_t now)
+{
+	char *text = gh_fleet_interference_format(owner->fleet);
+
+	owner->interference_save_at = now + INTERFERENCE_PERIOD_USEC;
+	if (!*text) {
+		g_free(text);
+		return;
+	}
+	batch_add_entry(
+		batch, FLEET_PUT,
+		g_strconcat(owner->progress_prefix, INTERFERENCE_ID, NULL),
+		text, 0, 0);
+}
+
+/*
+ * Whether the commit is to carry the load.  One that begins or ends a
+ * long-running job does so at once: many can come within the period, and hosts
+ * would place them all by the same load.
+ */
+static bool load_is_due(const fleet_owner_t *owner, const batch_t *batch,
+			gh_time_t now)
+{
+	gh_shard_load_t load;
+
+	if (now >= owner->load_save_at)
+		return true;
+	if (!owner->load_saved || !batch->changes->len)
+		return false;
+	gh_fleet_load(owner->fleet, &load, now);
+	return load.long_running.cores_milli !=
+		       owner->long_running_saved.cores_milli ||
+	       load.long_running.memory_mb !=
+		       owner->long_running_saved.memory_mb;
+}
+
+/*
+ * Adds the shard's load to a commit if it has changed, so that hosts place new
+ * jobs by it.  A load that changes beside no job is committed alone.
+ */
+static void save_load(fleet_owner_t *owner, batch_t *batch, gh_time_t now)
+{
+	gh_shard_load_t load;
+	char *text;
+
+	owner->load_save_at = now + LOAD_PERIOD_USEC;
+	gh_fleet_load(owner->fleet, &load, now);
+	text = fleet_jobs_load_format(owner->setup.host, &load);
+	if (!g_strcmp0(text, owner->load_saved)) {
+		g_free(text);
+		return;
+	}
+	g_free(owner->load_saved);
+	owner->load_saved = g_strdup(text);
+	owner->long_running_saved = load.long_running;
+	batch_add_entry(batch, FLEET_PUT,
+			fleet_jobs_load_key(owner->setup.shard), text, 0, 0);
+}
+
+/* Last grant that the chain record has to tell; 0: none is ahead. */
+static gh_time_t grant_ahead(const fleet_owner_t *owner, gh_time_t now)
+{
+	return gh_fleet_grant_ahead(owner->fleet, now);
+}
+
+/*
+ * Whether the chain record tells too little of the grants or what is over.  It
+ * tells the time relative to the commit, so the next owner can't see its age.
+ */
+static bool grants_have_changed(const fleet_owner_t *owner, gh_time_t now)
+{
+	gh_time_t ahead = grant_ahead(owner, now);
+
+	return ahead > owner->grants_told || (owner->grants_told && !ahead);
+}
--- /dev/null
+++ b/fleet_owner_private.h
@@ -0,0 +1,186 @@
+/*
+ * Shared by fleet_owner.c, which claims a shard and calls its workers,
+ * fleet_owner_load.c, which reads its records, fleet_owner_lease.c, which keeps
+ * its owner record, and fleet_owner_commit.c, which writes its changes.
+ */
+#ifndef FLEET_OWNER_PRIVATE_H
+#define FLEET_OWNER_PRIVATE_H
+
+#include "fleet_owner.h"
+#include "fleet_watch.h"
+
+/*
+ * TTL of the lease of a shard's owner record; the lease outlasts short freezes
+ * of the host.
+ */
+#define OWNER_LEASE_MS 1500
+#define LEASE_RENEWAL_PERIOD_USEC (300 * GH_USEC_PER_MSEC)
+/*
+ * Workers' leases are extended for this long after the owner's own lease was
+ * last renewed.  The next owner waits for this time and a lease before it
+ * starts the tasks of a worker that it cannot reach.
+ */
+#define WORKER_RENEWAL_LIMIT_USEC (2500 * GH_USEC_PER_MSEC)
+#define COMMIT_RETRY_DELAY_USEC (60 * GH_USEC_PER_MSEC)
+/*
+ * The learned interference is stored beside the jobs' progress, under this id;
+ * no job has it.
+ */
+#define INTERFERENCE_ID "images"
+/*
+ * In the chain record of an owner that has released its shard, before the
+ * time of its last grant of a lease, in ms relative to the release.
+ */
+#define CHAIN_RELEASED " released "
+/*
+ * Min time between two writes of the shard's load, unless the size of its
+ * long-running tasks has changed.
+ */
+#define LOAD_PERIOD_USEC (500 * GH_USEC_PER_MSEC)
+
+typedef enum phase {
+	PHASE_IDLE,
+	PHASE_CLAIMING,
+	PHASE_LOADING,
+	PHASE_OWNING,
+	PHASE_RELEASING
+} phase_t;
+
+/* A commit: its entries and the strings that they refer to. */
+typedef struct batch {
+	fleet_entry_t entries[FLEET_ENTRIES_MAX];
+	size_t n;
+	GPtrArray *strings;
+	/* gh_fleet_change_t, changes of jobs that the commit writes. */
+	GArray *changes;
+	/* New value of the shard's chain record, which each commit rewrites. */
+	char *chain_value;
+	gh_time_t grants_told; /* last grant that chain_value tells; 0: none */
+	gh_time_t started_at;  /* when the commit was first sent */
+	gh_time_t sent_at;     /* when it was last sent */
+	unsigned unanswered;   /* number of times that it got no reply */
+	bool releases;	       /* it deletes the owner record */
+} batch_t;
+
+struct fleet_owner {
+	fleet_owner_setup_t setup;
+	phase_t phase;
+	bool draining;
+	uint64_t generation; /* counts claims and losses of the shard */
+	uint64_t epoch;
+	uint64_t sequence; /* number of the last commit in this epoch */
+	uint64_t chain_revision;
+	char *own_key;
+	char *chain_key;
+	char *progress_prefix;
+	/*
+	 * Last grant of a lease by a previous owner, as the chain record tells
+	 * it; 0: it does not.  One that has not released the shard may have
+	 * granted others since.
+	 */
+	gh_time_t previous_grants_end;
+	bool previous_released;
+	/*
+	 * As in gh_fleet_setup_t.  The claim tells the list again, which goes
+	 * on naming the previous owner's claim.
+	 */
+	char *previous_unheard;
+	gh_time_t previous_unheard_from;
+	gh_time_t claim_sent_at;
+	char *claim_value; /* value of the chain record that the claim writes */
+	gh_time_t grants_told; /* last grant in the chain record; 0: none */
+	bool record_known;     /* the owner record was read at least once */
+	bool record_absent;    /* no host has an owner record for the shard */
+	loop_timer_t timer;
+	gh_time_t claim_at;
+	gh_time_t claim_delay; /* delay that claim_at was set with */
+	/*
+	 * Members from here to renewal_sent_at: the lease to which the owner
+	 * record is bound.
+	 */
+	uint64_t lease_id;
+	uint64_t record_revision; /* of the host's last known write of it */
+	/* Lease to which the record is bound by a restore; 0: none granted. */
+	uint64_t restore_lease_id;
+	bool record_lost; /* the lease and the record with it have ended */
+	bool restoring;	  /* a call that restores the record is in flight */
+	/*
+	 * When the last lease renewal was sent that succeeded, and the last one
+	 * that shows that the record is the host's as well.
+	 */
+	gh_time_t lease_renewed_at, renewed_at;
+	/* When a call was sent that read or wrote the record as the host's. */
+	gh_time_t record_seen_at;
+	gh_time_t renew_at; /* due time of the next lease renewal */
+	gh_time_t renewal_sent_at;
+	/* Members used only while this host owns the shard. */
+	gh_fleet_t *fleet;
+	/* Job id to progress text, while the shard is being loaded. */
+	GHashTable *progress;
+	/* Last key of the progress read so far; NULL: none was read. */
+	char *last_progress_key;
+	/* When a read of progress that failed is repeated. */
+	gh_time_t load_retry_at;
+	/* gh_pipeline_t, while the shard is being loaded; then NULL. */
+	GPtrArray *parsed_jobs;
+	/* Ids of jobs that were cancelled and have not been committed since. */
+	GHashTable *cancelled;
+	fleet_watch_t *job_watch;
+	fleet_watch_t *worker_watch;
+	/* Keys of workers' records that were logged as unusable. */
+	GHashTable *unread_workers;
+	const fleet_config_t *config;
+	batch_t *batch; /* commit that awaits its outcome, or NULL */
+	gh_time_t commit_at;
+	/*
+	 * Due time of the next read of the chain record to find out a commit's
+	 * outcome; GH_TIME_NEVER: none.
+	 */
+	gh_time_t reread_chain_at;
+	gh_time_t tick_at;
+	gh_time_t sweep_at;
+	/* Due time of the next save of the learned interference. */
+	gh_time_t interference_save_at;
+	/* Due time of the next save of the shard's load. */
+	gh_time_t load_save_at;
+	char *load_saved; /* load in the last commit with one; NULL: none */
+	gh_capacity_t long_running_saved; /* in load_saved */
+	/* An event has occurred since the last run of advance(). */
+	bool dirty;
+	/*
+	 * Counts of the fleet that were already added to the process's
+	 * counters.
+	 */
+	gh_fleet_counts_t reported;
+	gh_time_t backlog_log_at;
+};
+
+/*
+ * A call in flight to the store or a worker; its reply is ignored if
+ * owner->generation has changed since the call was made.
+ */
+typedef struct owner_call {
+	fleet_owner_t *owner;
+	uint64_t generation;
+	gh_time_t sent_at;
+} owner_call_t;
+
+owner_call_t *fleet_owner_call_new(fleet_owner_t *owner);
+fleet_owner_t *fleet_owner_call_finish(void *ctx);
+void fleet_owner_note_record(fleet_owner_t *owner, uint64_t revision);
+void fleet_owner_start_loading(fleet_owner_t *owner);
+void fleet_owner_load_progress_page(fleet_owner_t *owner);
+void fleet_owner_end_ownership(fleet_owner_t *owner, const char *reason);
+void fleet_owner_renew_lease(fleet_owner_t *owner, gh_time_t now);
+bool fleet_owner_record_is_doubtful(const fleet_owner_t *owner, gh_time_t now);
+void fleet_owner_restore_record(fleet_owner_t *owner);
+void fleet_owner_start_commit(fleet_owner_t *owner, gh_time_t now);
+void fleet_owner_reread_chain(fleet_owner_t *owner, gh_time_t now);
+void fleet_owner_batch_free(batch_t *batch);
+char *fleet_owner_chain_text(const fleet_owner_t *owner, gh_time_t last_grant,
+			     const char *unheard, gh_time_t now);
+void fleet_owner_log_decision(void *ctx, const char *event,
+			      const gh_task_id_t *task, uint32_t run,
+			      const char *worker, const char *reason);
+
+#endif
