core_fleet, core_move: interface of a task's move to another shard

A shard's load gains rooms, a fleet the calls by which tasks arrive and guests are added, a change the messages that are stored and deleted with it.

regress/test_core_balance.c names the members that it sets, as -Wmissing-field-initializers refuses a list that ends early; the values are the same.

--- a/core_balance.h
+++ b/core_balance.h
@@ -32,10 +32,20 @@
 	int64_t memory_mb;
 } gh_capacity_t;
 
+#define GH_ROOMS_MAX 32 /* rooms in a shard's load */
+
+/* Capacity that the long-running tasks on one worker leave. */
+typedef struct gh_room {
+	char service[GH_QUEUE_MAX + 1];
+	gh_capacity_t free;
+} gh_room_t;
+
 typedef struct gh_shard_load {
 	gh_capacity_t total; /* capacity of the usable workers */
 	/* Declared sizes of the long-running tasks, running or waiting. */
 	gh_capacity_t long_running;
+	gh_room_t rooms[GH_ROOMS_MAX]; /* the largest first */
+	uint32_t n_rooms;
 } gh_shard_load_t;
 
 gh_balance_t *gh_balance_new(uint32_t shards);
--- a/core_fleet.h
+++ b/core_fleet.h
@@ -58,6 +58,8 @@
 	uint64_t claim_revision;
 	gh_time_t claimed_at;
 	int64_t stop_ms; /* max time that a worker takes to stop a task */
+	/* This shard, and the number of all; below 2 no task ever moves. */
+	uint32_t shard, shards;
 } gh_fleet_setup_t;
 
 /* Identifies a task: its job, occurrence, step and index within the step. */
@@ -68,6 +70,17 @@
 	uint32_t index;
 } gh_task_id_t;
 
+/* A task that leaves one shard for another; see core_fleet_move.c. */
+typedef struct gh_task_move {
+	gh_task_id_t task;
+	uint32_t from, to; /* shards */
+	/* Highest run number used; at least 1, also if no run was started. */
+	uint32_t last_run;
+	/* Number of times that the task has moved, with this one. */
+	uint32_t moves;
+	char checkpoint[GH_CHECKPOINT_NAME_MAX + 1]; /* empty: none */
+} gh_task_move_t;
+
 /* A worker as service discovery lists it. */
 typedef struct gh_worker_entry {
 	char id[GH_WORKER_ID_MAX + 1];
@@ -252,6 +265,18 @@
 	gh_job_phase_t phase;
 	/* the job's phase differs from its last committed one */
 	bool phase_changed;
+	/*
+	 * The job's home is another shard, which alone stores its phase;
+	 * guest_is_new: its text is not stored here yet.
+	 */
+	bool guest, guest_is_new;
+	/*
+	 * gh_task_move_t of the messages to store and to delete with the
+	 * record; NULL: none.
+	 */
+	GArray *departures, *arrivals;
+	/* The job; valid until the next call of a gh_fleet function. */
+	const gh_pipeline_t *job;
 } gh_fleet_change_t;
 
 /*
@@ -275,6 +300,8 @@
 	uint64_t held;	   /* jobs whose progress record could not be parsed */
 	uint64_t examined; /* workers examined for the placement of a task */
 	uint64_t idle;	   /* jobs that waited with nothing running, a second */
+	/* Tasks that left for other shards, and that came from them. */
+	uint64_t departed, arrived;
 	uint32_t jobs, workers, open_runs, pending_tasks;
 } gh_fleet_counts_t;
 
@@ -314,6 +341,26 @@
 bool gh_fleet_has_job(const gh_fleet_t *fleet, const char *id);
 void gh_fleet_job_cancel(gh_fleet_t *fleet, const char *id, gh_time_t now);
 
+/*
+ * Takes over the reported load of another shard.  NULL: it is unknown, so that
+ * no task moves there.
+ */
+void gh_fleet_peer_set(gh_fleet_t *fleet, uint32_t shard,
+		       const gh_shard_load_t *load, gh_time_t now);
+/*
+ * Like gh_fleet_job_add() for a job whose home is another shard: only the tasks
+ * that progress lists, or that arrive, are here.
+ */
+bool gh_fleet_guest_add(gh_fleet_t *fleet, gh_pipeline_t *pipeline,
+			const char *progress, GError **err);
+/*
+ * Processes the message of a move to this shard; false: its job is not known.
+ * One that was seen before has no effect but that the job's next change deletes
+ * it.
+ */
+bool gh_fleet_task_arrive(gh_fleet_t *fleet, const gh_task_move_t *move,
+			  gh_time_t now);
+
 /* Processes a worker's report, the reply to a lease renewal. */
 void gh_fleet_handle_report(gh_fleet_t *fleet, const char *id,
 			    const gh_worker_report_t *report, gh_time_t now);
@@ -346,10 +393,13 @@
 bool gh_fleet_next_order(gh_fleet_t *fleet, gh_order_t *order, gh_time_t now);
 
 /*
- * Next job record to commit; false if there is none.  The caller frees progress
- * and reports the result of the commit by one of the two functions below.
+ * Next job record to commit; false if there is none.  The caller frees
+ * progress, departures and arrivals, and reports the result of the commit by
+ * one of the two functions below.
  */
 bool gh_fleet_next_change(gh_fleet_t *fleet, gh_fleet_change_t *change);
+/* Records that the next change adds to its commit for tasks that move. */
+uint32_t gh_fleet_next_change_moves(const gh_fleet_t *fleet);
 void gh_fleet_handle_commit(gh_fleet_t *fleet, const char *id,
 			    uint64_t version);
 /* Queues the job's record again, as its commit failed. */
--- a/core_fleet_record.c
+++ b/core_fleet_record.c
@@ -169,6 +169,7 @@
 		.version = job->version,
 		.phase = job->phase,
 		.phase_changed = job->phase != job->committed_phase,
+		.job = job->spec,
 	};
 	g_strlcpy(change->id, job->spec->id, sizeof(change->id));
 	if (job->phase > GH_JOB_RUNNING)
--- a/regress/test_core_balance.c
+++ b/regress/test_core_balance.c
@@ -12,20 +12,14 @@
 
 #define SHARDS 3
 #define STEP_MS 10
-#define UNKNOWN              \
-	{                    \
-		{ 0, 0 },    \
-		{            \
-			0, 0 \
-		}            \
+#define UNKNOWN                   \
+	{                         \
+		.total = { 0, 0 } \
 	}
 /* Load of a shard with 100 cores and 100 MB. */
-#define USED(cores, mb)                    \
-	{                                  \
-		{ 100000, 100 },           \
-		{                          \
-			(cores) * 1000, mb \
-		}                          \
+#define USED(cores, mb)                                                       \
+	{                                                                     \
+		.total = { 100000, 100 }, .long_running = {(cores)*1000, mb } \
 	}
 
 /* Tasks of a job: long-running and other ones, of the same size. */
@@ -62,7 +56,9 @@
 	  0,
 	  { 10, 30, 60 } },
 	{ "no long-running task, shards of unequal size",
-	  { { { 300000, 300 }, { 0, 0 } }, USED(0, 0), USED(100, 0) },
+	  { { .total = { 300000, 300 }, .long_running = { 0, 0 } },
+	    USED(0, 0),
+	    USED(100, 0) },
 	  { 0, 10, 1, 1, false },
 	  2,
 	  { 75, 25, 0 } },
@@ -97,12 +93,16 @@
 	  1,
 	  { 50, 29, 21 } },
 	{ "smaller shard, larger share left",
-	  { { { 1000000, 1000 }, { 600000, 0 } }, USED(30, 0), USED(90, 0) },
+	  { { .total = { 1000000, 1000 }, .long_running = { 600000, 0 } },
+	    USED(30, 0),
+	    USED(90, 0) },
 	  { 10, 0, 1, 0, false },
 	  0,
 	  { 37, 63, 0 } },
 	{ "no usable worker, no shard with capacity",
-	  { { { 0, 100 }, { 0, 0 } }, USED(98, 0), USED(99, 0) },
+	  { { .total = { 0, 100 }, .long_running = { 0, 0 } },
+	    USED(98, 0),
+	    USED(99, 0) },
 	  { 10, 0, 1, 0, false },
 	  0,
 	  { 0, 100, 0 } },
@@ -453,11 +453,16 @@
 static void test_job_goes_to_full_shard(void **state)
 {
 	static const gh_shard_load_t filled[ARRIVALS_SHARDS] = {
-		{ { 16512000, 66048000 }, { 13005000, 25733000 } },
-		{ { 17536000, 70144000 }, { 9024000, 17532000 } },
-		{ { 16448000, 65792000 }, { 14134000, 30100000 } },
-		{ { 16928000, 67712000 }, { 15257000, 35190000 } },
-		{ { 14688000, 58752000 }, { 12176000, 22223000 } },
+		{ .total = { 16512000, 66048000 },
+		  .long_running = { 13005000, 25733000 } },
+		{ .total = { 17536000, 70144000 },
+		  .long_running = { 9024000, 17532000 } },
+		{ .total = { 16448000, 65792000 },
+		  .long_running = { 14134000, 30100000 } },
+		{ .total = { 16928000, 67712000 },
+		  .long_running = { 15257000, 35190000 } },
+		{ .total = { 14688000, 58752000 },
+		  .long_running = { 12176000, 22223000 } },
 	};
 	static const demand_t job = { 24, 0, 13, 26000, false };
 	uint32_t seed, i, j;
@@ -499,9 +504,12 @@
 static void test_urgent_jobs_beside_long_running(void **state)
 {
 	static const gh_shard_load_t loads[SHARDS] = {
-		{ { 15136000, 60544 }, { 14483000, 27858 } },
-		{ { 16320000, 65280 }, { 11445000, 23820 } },
-		{ { 18624000, 74496 }, { 15475000, 31830 } },
+		{ .total = { 15136000, 60544 },
+		  .long_running = { 14483000, 27858 } },
+		{ .total = { 16320000, 65280 },
+		  .long_running = { 11445000, 23820 } },
+		{ .total = { 18624000, 74496 },
+		  .long_running = { 15475000, 31830 } },
 	};
 	gh_balance_t *balance = gh_balance_new(SHARDS);
 	demand_t job = { 0, 1, 1, 1, false };
