core_fleet_move: a task that waits in a full shard moves to one with room

A task none of whose runs can be alive or begin leaves after half a second of waiting, if another shard's load names a room for it. The change that marks it away stores the message, the one that takes it in deletes it, so that it belongs to one shard at any time. Loads name the rooms that long-running tasks leave; task_waiting tells whether another shard has one.

No owner sends or takes messages yet.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -89,6 +89,7 @@
 	fleet->load_periods = gh_load_periods_new();
 	fleet->interference_decayed_at = now;
 	fleet_unheard_init(fleet);
+	fleet_rooms_init(fleet);
 	return fleet;
 }
 
@@ -122,6 +123,7 @@
 	g_hash_table_destroy(fleet->late_starts);
 	g_hash_table_destroy(fleet->late_grants);
 	g_hash_table_destroy(fleet->told);
+	fleet_rooms_clear(fleet);
 	gh_interference_free(fleet->interference);
 	gh_load_periods_free(fleet->load_periods);
 	g_free(fleet);
@@ -328,6 +330,13 @@
 		fleet_run_end(fleet, worker->first_run, GH_RUN_LOST, NULL, now);
 }
 
+bool fleet_worker_is_usable(const fleet_worker_t *worker, gh_time_t now)
+{
+	return worker->in_use && worker->listed && !worker->entry.draining &&
+	       worker->has_reported && !worker->unreachable_since &&
+	       fleet_health_is_usable(worker, now);
+}
+
 bool fleet_worker_heard_at(const fleet_worker_t *worker, const char *address)
 {
 	return !strcmp(worker->heard_address, address);
@@ -367,7 +376,7 @@
 
 /* Jobs. */
 
-uint32_t fleet_job_new(gh_fleet_t *fleet, gh_pipeline_t *pipeline)
+uint32_t fleet_job_new(gh_fleet_t *fleet, gh_pipeline_t *pipeline, bool guest)
 {
 	uint32_t handle = alloc_entry(fleet->jobs, fleet->free_jobs);
 	fleet_job_t *job = fleet_job(fleet, handle);
@@ -388,6 +397,7 @@
 		job->image_ids[i] = gh_interference_image_id(
 			fleet->interference, pipeline->steps[i].image);
 	init_tasks(job);
+	fleet_move_init_job(job, guest);
 	g_hash_table_insert(fleet->job_by_id, g_strdup(pipeline->id),
 			    GUINT_TO_POINTER(handle + 1));
 	return handle;
@@ -981,10 +991,7 @@
 	for (i = 0; i < fleet->workers->len; i++) {
 		const fleet_worker_t *worker = fleet_worker(fleet, i);
 
-		if (worker->in_use && worker->listed &&
-		    !worker->entry.draining && worker->has_reported &&
-		    !worker->unreachable_since &&
-		    fleet_health_is_usable(worker, now))
+		if (fleet_worker_is_usable(worker, now))
 			gh_capacity_add(&load->total, &worker->entry.size, 1);
 	}
 	for (i = 0; i < fleet->jobs->len; i++) {
@@ -1000,9 +1007,11 @@
 				gh_capacity_add(
 					&load->long_running, &step->size,
 					step->tasks -
-						job->stages[s].tasks_done);
+						job->stages[s].tasks_done -
+						job->stages[s].tasks_away);
 		}
 	}
+	fleet_rooms_add_own(fleet, load, now);
 }
 
 void gh_fleet_counts(const gh_fleet_t *fleet, gh_fleet_counts_t *counts)
@@ -1089,6 +1098,7 @@
 		worker->long_running_cores_milli +=
 			add ? step->size.cores_milli :
 			      -(double)step->size.cores_milli;
+		worker->long_running_memory_mb += sign * step->size.memory_mb;
 	}
 	worker->colocated_stale = true;
 	worker->reserved.memory_mb += sign * step->size.memory_mb;
@@ -1101,6 +1111,7 @@
 	uint32_t i;
 
 	g_hash_table_remove(fleet->job_by_id, job->spec->id);
+	fleet_move_clear_job(job);
 	for (i = 0; i < job->n_tasks; i++)
 		g_free(job->tasks[i].checkpoint);
 	for (i = 0; i < job->n_stages; i++)
--- a/core_fleet_crash.c
+++ b/core_fleet_crash.c
@@ -219,7 +219,8 @@
 	task->crashes++;
 	if (lost->crash != CRASH_LATER)
 		task->start_crashes++;
-	caused = !has_run_alive(fleet, task) &&
+	/* Only its home ends a job. */
+	caused = !job->guest && !has_run_alive(fleet, task) &&
 		 (task->crashes >= CRASHES_MAX ||
 		  (alone && task->start_crashes >= START_CRASHES_MAX));
 	detail = g_strdup_printf("%u crashes, %u at the start%s%s",
--- a/core_fleet_late.c
+++ b/core_fleet_late.c
@@ -290,6 +290,28 @@
 		task->late_until = 0;
 }
 
+bool fleet_late_has_task(const gh_fleet_t *fleet, const gh_task_id_t *task)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!fleet->n_late_starts)
+		return false;
+	g_hash_table_iter_init(&iter, fleet->late_starts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const GArray *late_starts = value;
+		guint i;
+
+		for (i = 0; i < late_starts->len; i++)
+			if (same_task(
+				    &g_array_index(late_starts, late_start_t, i)
+					     .task,
+				    task))
+				return true;
+	}
+	return false;
+}
+
 void fleet_late_check(gh_fleet_t *fleet, gh_time_t now)
 {
 	if (!fleet->n_late_starts ||
--- a/core_fleet_move.c
+++ b/core_fleet_move.c
@@ -1,32 +1,434 @@
 /*
- * Moves of long-running tasks to other shards.
+ * Moves of tasks to other shards.
+ *
+ * Handles a shard whose workers are full for a long time, as with tasks that
+ * are to last, while another shard has capacity.  A task that has waited moves
+ * if no run of it can be alive or begin: all steps of its job are long-running
+ * and none is a gang, it has no open run, no start of it may be executed late,
+ * and no crash is counted for it.
+ *
+ * The change that tells the job's record that a task is away also stores the
+ * message to the other shard, and the change that tells the other shard's
+ * record that the task is there deletes it.  Until the former is committed the
+ * task is neither started nor decided again, even if the commit fails: its
+ * outcome may be unknown.  The number of moves tells messages apart: one that
+ * was seen before is not used again.
  */
 #include "core_fleet_state.h"
 
-void gh_fleet_peer_set(gh_fleet_t *fleet, uint32_t shard,
-		       const gh_shard_load_t *load, gh_time_t now)
+#include <string.h>
+
+#define MOVE_PERIOD_USEC (100 * GH_USEC_PER_MSEC)
+/* A task moves after this wait, doubled with each move that it has made. */
+#define MOVE_WAIT_USEC (500 * GH_USEC_PER_MSEC)
+#define MOVE_WAIT_DOUBLINGS_MAX 4
+/* Tasks that are sent away in one MOVE_PERIOD_USEC. */
+#define MOVES_MAX 32
+/* Tasks that leave, and that arrive, by one change of a job. */
+#define CHANGE_MOVES_MAX 8
+
+static uint32_t decide_jobs(gh_fleet_t *fleet, bool restarts, uint32_t limit,
+			    gh_time_t now);
+static uint32_t decide_stage(gh_fleet_t *fleet, uint32_t handle, uint32_t stage,
+			     bool restarts, uint32_t limit, gh_time_t now);
+static bool is_movable(const gh_fleet_t *fleet, const fleet_job_t *job,
+		       uint32_t index, gh_time_t now);
+static gh_time_t move_wait(const fleet_task_t *task);
+static void leave(gh_fleet_t *fleet, uint32_t handle, uint32_t index,
+		  uint32_t shard, gh_time_t now);
+static bool find_message(const GArray *messages, const gh_task_id_t *task,
+			 guint *index);
+static bool same_task(const gh_task_id_t *a, const gh_task_id_t *b);
+static void delete_message(gh_fleet_t *fleet, uint32_t handle,
+			   const gh_task_move_t *move);
+static void land(gh_fleet_t *fleet, uint32_t handle, uint32_t index,
+		 const gh_task_move_t *move, gh_time_t now);
+static gh_task_move_t describe_move(const gh_fleet_t *fleet,
+				    const fleet_job_t *job, uint32_t index);
+static bool is_deletion_due(const fleet_job_t *job, const gh_task_id_t *task,
+			    guint n_deleting);
+static void take_early_arrivals(gh_fleet_t *fleet, uint32_t handle);
+
+void fleet_move_init_job(fleet_job_t *job, bool guest)
+{
+	uint32_t i;
+
+	job->may_move = true;
+	for (i = 0; i < job->spec->n_steps; i++)
+		job->may_move &= job->spec->steps[i].long_running &&
+				 !job->spec->steps[i].gang;
+	job->arrivals = g_array_new(FALSE, FALSE, sizeof(gh_task_move_t));
+	job->early_arrivals = g_array_new(FALSE, FALSE, sizeof(gh_task_move_t));
+	job->guest = guest;
+	if (!guest)
+		return;
+	job->begun = true;
+	job->phase = job->committed_phase = GH_JOB_RUNNING;
+	for (i = 0; i < job->n_tasks; i++)
+		fleet_move_set_place(job, i, PLACE_AWAY);
+}
+
+void fleet_move_clear_job(fleet_job_t *job)
+{
+	g_array_free(job->arrivals, TRUE);
+	g_array_free(job->early_arrivals, TRUE);
+}
+
+void fleet_move_set_place(fleet_job_t *job, uint32_t task, fleet_place_t place)
+{
+	fleet_place_t former = job->tasks[task].place;
+	fleet_stage_t *stage = fleet_task_stage(job, task);
+
+	stage->tasks_away -= former != PLACE_HERE;
+	stage->tasks_away += place != PLACE_HERE;
+	job->n_leaving -= former == PLACE_LEAVING || former == PLACE_DEPARTED;
+	job->n_leaving += place == PLACE_LEAVING || place == PLACE_DEPARTED;
+	job->tasks[task].place = place;
+}
+
+/* Departures. */
+
+void fleet_move_decide(gh_fleet_t *fleet, gh_time_t now)
+{
+	uint32_t n;
+
+	if (fleet->setup.shards < 2 ||
+	    now - fleet->moves_decided_at < MOVE_PERIOD_USEC)
+		return;
+	fleet->moves_decided_at = now;
+	/* Tasks that have run before interrupt something while they wait. */
+	n = decide_jobs(fleet, true, MOVES_MAX, now);
+	decide_jobs(fleet, false, MOVES_MAX - n, now);
+}
+
+/* Returns the number of tasks that leave, at most limit. */
+static uint32_t decide_jobs(gh_fleet_t *fleet, bool restarts, uint32_t limit,
+			    gh_time_t now)
+{
+	uint32_t n = 0;
+	uint32_t i, s;
+
+	for (i = 0; i < fleet->jobs->len && n < limit; i++) {
+		const fleet_job_t *job = fleet_job(fleet, i);
+
+		if (!job->spec || !job->may_move || job->held ||
+		    job->phase > GH_JOB_RUNNING)
+			continue;
+		for (s = 0; s < job->n_stages && n < limit; s++)
+			if (job->stages[s].waiting_since)
+				n += decide_stage(fleet, i, s, restarts,
+						  limit - n, now);
+	}
+	return n;
+}
+
+static uint32_t decide_stage(gh_fleet_t *fleet, uint32_t handle, uint32_t stage,
+			     bool restarts, uint32_t limit, gh_time_t now)
+{
+	const fleet_job_t *job = fleet_job(fleet, handle);
+	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
+	fleet_stage_t *s = &job->stages[stage];
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = s->first_task; i < s->first_task + step->tasks && n < limit;
+	     i++) {
+		uint32_t shard;
+
+		if ((job->tasks[i].last_run != 0) != restarts ||
+		    !is_movable(fleet, job, i, now))
+			continue;
+		shard = fleet_rooms_take(fleet, job, step, now);
+		if (shard == GH_NONE)
+			break;
+		leave(fleet, handle, i, shard, now);
+		n++;
+	}
+	if (s->tasks_done + s->tasks_open + s->tasks_away >= step->tasks)
+		s->waiting_since = 0;
+	return n;
+}
+
+static bool is_movable(const gh_fleet_t *fleet, const fleet_job_t *job,
+		       uint32_t index, gh_time_t now)
 {
-	(void)fleet;
-	(void)shard;
-	(void)load;
-	(void)now;
+	const fleet_task_t *task = &job->tasks[index];
+	gh_time_t since = MAX(fleet_task_stage(job, index)->waiting_since,
+			      task->arrived_at);
+	gh_task_id_t id;
+
+	if (task->place != PLACE_HERE || task->done ||
+	    task->runs[0] != GH_NONE || now - since < move_wait(task) ||
+	    now < task->not_before || now < task->late_until ||
+	    task->n_late_stops || fleet_crash_has_any(task))
+		return false;
+	id = fleet_task_id(job, index);
+	return !find_message(job->arrivals, &id, NULL) &&
+	       !fleet_late_has_task(fleet, &id);
+}
+
+static gh_time_t move_wait(const fleet_task_t *task)
+{
+	return MOVE_WAIT_USEC << MIN(task->moves, MOVE_WAIT_DOUBLINGS_MAX);
 }
 
-bool gh_fleet_guest_add(gh_fleet_t *fleet, gh_pipeline_t *pipeline,
-			const char *progress, GError **err)
+static void leave(gh_fleet_t *fleet, uint32_t handle, uint32_t index,
+		  uint32_t shard, gh_time_t now)
 {
-	return gh_fleet_job_add(fleet, pipeline, progress, err);
+	fleet_job_t *job = fleet_job(fleet, handle);
+	fleet_task_t *task = &job->tasks[index];
+	gh_time_t since = MAX(fleet_task_stage(job, index)->waiting_since,
+			      task->arrived_at);
+	gh_task_id_t id = fleet_task_id(job, index);
+	char *detail = g_strdup_printf(
+		"to shard %u, waited %" G_GINT64_FORMAT " ms, %u moves before",
+		shard, gh_time_to_ms(now - since), task->moves);
+
+	fleet_emit_event(fleet, "task_leaves", &id, task->last_run, GH_NONE,
+			 detail);
+	g_free(detail);
+	fleet_move_set_place(job, index, PLACE_LEAVING);
+	task->move_to = shard;
+	task->last_run = MAX(task->last_run, 1);
+	/* The other shard may start it. */
+	job->begun = true;
+	job->phase = GH_JOB_RUNNING;
+	fleet_job_mark_changed(fleet, handle);
 }
 
+bool fleet_move_keep(fleet_job_t *job, uint32_t task)
+{
+	if (job->tasks[task].place == PLACE_LEAVING)
+		fleet_move_set_place(job, task, PLACE_HERE);
+	return job->tasks[task].place == PLACE_HERE;
+}
+
+/* Arrivals. */
+
 bool gh_fleet_task_arrive(gh_fleet_t *fleet, const gh_task_move_t *move,
 			  gh_time_t now)
 {
-	(void)now;
-	return gh_fleet_has_job(fleet, move->task.job);
+	uint32_t handle = fleet_job_find(fleet, move->task.job);
+	fleet_job_t *job;
+	const fleet_task_t *task;
+	uint32_t index;
+
+	if (handle == GH_NONE)
+		return false;
+	job = fleet_job(fleet, handle);
+	index = fleet_task_find(job, &move->task);
+	if (index == GH_NONE || !fleet_task_step(job, index)->long_running ||
+	    find_message(job->arrivals, &move->task, NULL) ||
+	    find_message(job->early_arrivals, &move->task, NULL))
+		return true;
+	task = &job->tasks[index];
+	if (job->held || job->phase > GH_JOB_RUNNING ||
+	    task->place == PLACE_HERE || task->place == PLACE_LEAVING)
+		delete_message(fleet, handle, move);
+	else if (task->place == PLACE_DEPARTED && move->moves > task->moves + 1)
+		/* The commit that awaits its reply has taken effect. */
+		g_array_append_val(job->early_arrivals, *move);
+	else if (task->place == PLACE_AWAY && move->moves > task->moves)
+		land(fleet, handle, index, move, now);
+	/* Else its key may hold a later message by now, so it is left alone. */
+	return true;
+}
+
+/* Has the job's next change delete the message; a held job changes as it ends.
+ */
+static void delete_message(gh_fleet_t *fleet, uint32_t handle,
+			   const gh_task_move_t *move)
+{
+	fleet_job_t *job = fleet_job(fleet, handle);
+
+	g_array_append_val(job->arrivals, *move);
+	if (!job->held || job->phase > GH_JOB_RUNNING)
+		fleet_job_mark_changed(fleet, handle);
+}
+
+static void land(gh_fleet_t *fleet, uint32_t handle, uint32_t index,
+		 const gh_task_move_t *move, gh_time_t now)
+{
+	fleet_job_t *job = fleet_job(fleet, handle);
+	fleet_task_t *task = &job->tasks[index];
+	char *detail = g_strdup_printf("from shard %u, %u moves", move->from,
+				       move->moves);
+
+	fleet_emit_event(fleet, "task_arrived", &move->task, move->last_run,
+			 GH_NONE, detail);
+	g_free(detail);
+	fleet->counts.arrived++;
+	fleet_move_set_place(job, index, PLACE_HERE);
+	task->moves = move->moves;
+	task->arrived_at = now;
+	task->not_before = 0;
+	task->last_run = MAX(task->last_run, move->last_run);
+	g_free(task->checkpoint);
+	task->checkpoint =
+		*move->checkpoint ? g_strdup(move->checkpoint) : NULL;
+	delete_message(fleet, handle, move);
+}
+
+static bool find_message(const GArray *messages, const gh_task_id_t *task,
+			 guint *index)
+{
+	guint i;
+
+	for (i = 0; i < messages->len; i++)
+		if (same_task(&g_array_index(messages, gh_task_move_t, i).task,
+			      task))
+			break;
+	if (index)
+		*index = i;
+	return i < messages->len;
+}
+
+static bool same_task(const gh_task_id_t *a, const gh_task_id_t *b)
+{
+	return a->index == b->index && a->step == b->step &&
+	       a->occurrence == b->occurrence && !strcmp(a->job, b->job);
+}
+
+/* Changes. */
+
+bool fleet_move_is_recorded(const fleet_task_t *task)
+{
+	return task->place == PLACE_DEPARTED || task->place == PLACE_AWAY;
+}
+
+uint32_t fleet_move_number(const fleet_task_t *task)
+{
+	return task->moves + (task->place == PLACE_DEPARTED);
 }
 
 uint32_t gh_fleet_next_change_moves(const gh_fleet_t *fleet)
 {
-	(void)fleet;
-	return 0;
+	uint32_t handle =
+		GPOINTER_TO_UINT(g_queue_peek_head(fleet->changes)) - 1;
+	const fleet_job_t *job;
+
+	if (handle == GH_NONE)
+		return 0;
+	job = fleet_job(fleet, handle);
+	return MIN(job->n_leaving, CHANGE_MOVES_MAX) +
+	       MIN(job->arrivals->len, CHANGE_MOVES_MAX) + job->guest;
+}
+
+void fleet_move_fill_change(const gh_fleet_t *fleet, fleet_job_t *job,
+			    gh_fleet_change_t *change)
+{
+	bool ended = job->phase > GH_JOB_RUNNING;
+	uint32_t i;
+
+	change->guest = job->guest;
+	change->guest_is_new = job->guest && !job->guest_stored && !ended;
+	change->phase_changed &= !job->guest;
+	if (ended && job->early_arrivals->len) {
+		g_array_append_vals(job->arrivals, job->early_arrivals->data,
+				    job->early_arrivals->len);
+		g_array_set_size(job->early_arrivals, 0);
+	}
+	job->n_deleting = MIN(job->arrivals->len, CHANGE_MOVES_MAX);
+	if (job->n_deleting) {
+		change->arrivals =
+			g_array_new(FALSE, FALSE, sizeof(gh_task_move_t));
+		g_array_append_vals(change->arrivals, job->arrivals->data,
+				    job->n_deleting);
+	}
+	if (ended || !job->n_leaving)
+		return;
+	change->departures = g_array_new(FALSE, FALSE, sizeof(gh_task_move_t));
+	for (i = 0;
+	     i < job->n_tasks && change->departures->len < CHANGE_MOVES_MAX;
+	     i++) {
+		gh_task_move_t move;
+
+		if (job->tasks[i].place != PLACE_LEAVING)
+			continue;
+		move = describe_move(fleet, job, i);
+		if (!is_deletion_due(job, &move.task, job->n_deleting))
+			continue;
+		g_array_append_val(change->departures, move);
+		fleet_move_set_place(job, i, PLACE_DEPARTED);
+	}
+}
+
+static gh_task_move_t describe_move(const gh_fleet_t *fleet,
+				    const fleet_job_t *job, uint32_t index)
+{
+	const fleet_task_t *task = &job->tasks[index];
+	gh_task_move_t move = {
+		.task = fleet_task_id(job, index),
+		.from = fleet->setup.shard,
+		.to = task->move_to,
+		.last_run = task->last_run,
+		.moves = task->moves + 1,
+	};
+
+	if (task->checkpoint)
+		g_strlcpy(move.checkpoint, task->checkpoint,
+			  sizeof(move.checkpoint));
+	return move;
+}
+
+/*
+ * Whether no message of the task is left after the change that deletes the
+ * first n_deleting ones.
+ */
+static bool is_deletion_due(const fleet_job_t *job, const gh_task_id_t *task,
+			    guint n_deleting)
+{
+	guint i;
+
+	return !find_message(job->arrivals, task, &i) || i < n_deleting;
+}
+
+void fleet_move_handle_commit(gh_fleet_t *fleet, uint32_t handle)
+{
+	fleet_job_t *job = fleet_job(fleet, handle);
+	uint32_t i;
+
+	job->guest_stored = job->guest;
+	if (job->n_deleting)
+		g_array_remove_range(job->arrivals, 0, job->n_deleting);
+	job->n_deleting = 0;
+	for (i = 0; job->n_leaving && i < job->n_tasks; i++) {
+		fleet_task_t *task = &job->tasks[i];
+
+		if (task->place != PLACE_DEPARTED)
+			continue;
+		fleet_move_set_place(job, i, PLACE_AWAY);
+		task->moves++;
+		g_clear_pointer(&task->checkpoint, g_free);
+		fleet->counts.departed++;
+	}
+	if (job->n_leaving || job->arrivals->len)
+		fleet_job_mark_changed(fleet, handle);
+	take_early_arrivals(fleet, handle);
+}
+
+static void take_early_arrivals(gh_fleet_t *fleet, uint32_t handle)
+{
+	fleet_job_t *job = fleet_job(fleet, handle);
+	GArray *early = job->early_arrivals;
+	guint i;
+
+	if (!early->len)
+		return;
+	job->early_arrivals = g_array_new(FALSE, FALSE, sizeof(gh_task_move_t));
+	for (i = 0; i < early->len; i++)
+		gh_fleet_task_arrive(fleet,
+				     &g_array_index(early, gh_task_move_t, i),
+				     fleet->ticked_at);
+	g_array_free(early, TRUE);
+}
+
+void fleet_move_handle_commit_failure(fleet_job_t *job)
+{
+	uint32_t i;
+
+	job->n_deleting = 0;
+	for (i = 0; job->n_leaving && i < job->n_tasks; i++)
+		if (job->tasks[i].place == PLACE_DEPARTED)
+			fleet_move_set_place(job, i, PLACE_LEAVING);
 }
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -122,6 +122,7 @@
 			place_stage(fleet, c, now);
 	}
 	g_array_free(candidates, TRUE);
+	fleet_move_decide(fleet, now);
 	if (now - fleet->stragglers_checked_at >= STRAGGLER_CHECK_PERIOD_USEC) {
 		fleet->stragglers_checked_at = now;
 		copy_stragglers(fleet, now);
@@ -287,7 +288,9 @@
 			uint32_t tasks =
 				job->spec->steps[s % job->spec->n_steps].tasks;
 
-			if (stage->tasks_done + stage->tasks_open >= tasks ||
+			if (stage->tasks_done + stage->tasks_open +
+					    stage->tasks_away >=
+				    tasks ||
 			    !stage_is_ready(job, s, wall_ms))
 				continue;
 			if (!rated)
@@ -337,6 +340,7 @@
 		return false;
 	for (i = first; i < first + step->tasks; i++)
 		if (job->tasks[i].last_run && !job->tasks[i].done &&
+		    job->tasks[i].place == PLACE_HERE &&
 		    job->tasks[i].runs[0] == GH_NONE)
 			return true;
 	return false;
@@ -380,7 +384,8 @@
 		const gh_step_t *step =
 			&job->spec->steps[s % job->spec->n_steps];
 
-		sum += (double)(step->tasks - job->stages[s].tasks_done) *
+		sum += (double)(step->tasks - job->stages[s].tasks_done -
+				job->stages[s].tasks_away) *
 		       (double)step->estimate_ms * step->size.cores_milli /
 		       1000;
 	}
@@ -415,9 +420,9 @@
 		const fleet_task_t *task = &job->tasks[i];
 		uint32_t worker;
 
-		if (task->done || task->runs[0] != GH_NONE ||
-		    now < task->not_before || now < task->late_until ||
-		    (c->restarts && !task->last_run))
+		if (task->done || task->place != PLACE_HERE ||
+		    task->runs[0] != GH_NONE || now < task->not_before ||
+		    now < task->late_until || (c->restarts && !task->last_run))
 			continue;
 		worker = fleet_choose_worker(fleet, job, i, GH_NONE, now);
 		if (worker == GH_NONE && fleet_crash_needs_care(task)) {
@@ -466,6 +471,7 @@
 	g_string_printf(detail, "for %" G_GINT64_FORMAT " ms, ",
 			gh_time_to_ms(now - stage->waiting_since));
 	fleet_choose_append_obstacles(fleet, job, task, detail, now);
+	fleet_rooms_append(fleet, job, fleet_task_step(job, task), detail, now);
 	id = fleet_task_id(job, task);
 	fleet_emit_event(fleet, "task_waiting", &id, 0, GH_NONE, detail->str);
 	g_string_free(detail, TRUE);
@@ -485,7 +491,8 @@
 			continue;
 		for (i = stage->first_task; i < stage->first_task + tasks;
 		     i++) {
-			if (job->tasks[i].done)
+			if (job->tasks[i].done ||
+			    job->tasks[i].place != PLACE_HERE)
 				continue;
 			if (job->tasks[i].runs[0] == GH_NONE)
 				return i;
--- a/core_fleet_record.c
+++ b/core_fleet_record.c
@@ -4,11 +4,16 @@
  * record is committed.
  *
  *   progress1
- *   INDEX done|open FAILURES LAST-RUN CHECKPOINT [CRASHES] [RUN...] [DOUBT...]
+ *   INDEX STATE FAILURES LAST-RUN CHECKPOINT [CRASHES] [MOVES] [RUN...]
+ *         [DOUBT...]
  *
- * One line for each task that was ever started.  CRASHES is crashes:N:S:L, the
- * numbers of the task's crashes, of those at a start, and of lost starts; it is
- * absent if there were none, and without L in records of earlier versions.
+ * One line for each task that was ever started or has moved.  STATE is done,
+ * open, or away for a task that another shard has; a job whose home is another
+ * shard has no task here but those that are open.  CRASHES is crashes:N:S:L,
+ * the numbers of the task's crashes, of those at a start, and of lost starts;
+ * it is absent if there were none, and without L in records of earlier
+ * versions.  MOVES is moves:N, the number of times that the task has moved,
+ * absent for 0; earlier versions hold a job with one.
  * Each RUN is open, NUMBER@WORKER.  If the task is a suspect and the run has
  * begun and not settled, begun:T: stands before it, or alone:T: if nothing else
  * was starting on that worker, whose incarnation started at T.  Each DOUBT,
@@ -28,6 +33,7 @@
 #define FORMAT_TAG "progress1"
 #define NO_CHECKPOINT "-"
 #define CRASHES_PREFIX "crashes:"
+#define MOVES_PREFIX "moves:"
 /* Crashes in doubt in a task's line; further ones can't be taken back. */
 #define DOUBTS_MAX 5
 
@@ -57,17 +63,20 @@
 /* A line of a progress record. */
 typedef struct task_line {
 	uint32_t index;
-	bool done;
+	bool done, away;
 	uint16_t failures;
 	uint16_t crashes, start_crashes, lost_starts;
-	uint32_t last_run;
+	uint32_t last_run, moves;
 	char *checkpoint;
 	run_field_t runs[GH_TASK_RUNS_MAX + DOUBTS_MAX];
 	uint32_t n_runs, n_doubts; /* doubts are among the runs, too */
 } task_line_t;
 
+static bool add_job(gh_fleet_t *fleet, gh_pipeline_t *pipeline,
+		    const char *progress, bool guest, GError **err);
 static void append_task(const gh_fleet_t *fleet, GString *text,
 			const fleet_job_t *job, uint32_t index);
+static const char *task_state(const fleet_task_t *task);
 static void append_run(const gh_fleet_t *fleet, GString *text, uint32_t ref);
 static void append_doubts(const gh_fleet_t *fleet, GString *text,
 			  const fleet_job_t *job, uint32_t index);
@@ -75,6 +84,9 @@
 			   GArray *tasks);
 static bool parse_task(const fleet_job_t *job, const char *line,
 		       task_line_t *parsed);
+static bool parse_state(const char *word, task_line_t *parsed);
+static bool away_is_valid(const fleet_job_t *job, const task_line_t *parsed);
+static bool parse_moves(const char *field, task_line_t *parsed);
 static bool parse_crashes(const char *numbers, task_line_t *parsed);
 static bool parse_run(const char *field, task_line_t *parsed);
 static const char *parse_run_kind(const char *field, run_field_t *run);
@@ -90,6 +102,18 @@
 
 bool gh_fleet_job_add(gh_fleet_t *fleet, gh_pipeline_t *pipeline,
 		      const char *progress, GError **err)
+{
+	return add_job(fleet, pipeline, progress, false, err);
+}
+
+bool gh_fleet_guest_add(gh_fleet_t *fleet, gh_pipeline_t *pipeline,
+			const char *progress, GError **err)
+{
+	return add_job(fleet, pipeline, progress, true, err);
+}
+
+static bool add_job(gh_fleet_t *fleet, gh_pipeline_t *pipeline,
+		    const char *progress, bool guest, GError **err)
 {
 	uint32_t handle;
 	GArray *tasks;
@@ -100,9 +124,10 @@
 		gh_pipeline_free(pipeline);
 		return true;
 	}
-	handle = fleet_job_new(fleet, pipeline);
+	handle = fleet_job_new(fleet, pipeline, guest);
 	if (!progress)
 		return true;
+	fleet_job(fleet, handle)->guest_stored = guest;
 	tasks = g_array_new(FALSE, TRUE, sizeof(task_line_t));
 	g_array_set_clear_func(tasks, clear_task_line);
 	ok = parse_progress(fleet_job(fleet, handle), progress, tasks);
@@ -171,6 +196,7 @@
 		.phase_changed = job->phase != job->committed_phase,
 		.job = job->spec,
 	};
+	fleet_move_fill_change(fleet, job, change);
 	g_strlcpy(change->id, job->spec->id, sizeof(change->id));
 	if (job->phase > GH_JOB_RUNNING)
 		return true;
@@ -194,6 +220,7 @@
 	job->commit_pending = false;
 	job->committed_version = version;
 	job->committed_phase = job->committing_phase;
+	fleet_move_handle_commit(fleet, handle);
 	for (i = 0; job->open_runs && i < job->n_tasks; i++)
 		for (j = 0; j < GH_TASK_RUNS_MAX; j++) {
 			uint32_t ref = job->tasks[i].runs[j];
@@ -217,6 +244,7 @@
 	if (handle == GH_NONE)
 		return;
 	fleet_job(fleet, handle)->commit_pending = false;
+	fleet_move_handle_commit_failure(fleet_job(fleet, handle));
 	fleet_job_mark_changed(fleet, handle);
 }
 
@@ -271,14 +299,16 @@
 					   NULL;
 	uint32_t i;
 
-	g_string_append_printf(text, "%u %s %u %u %s", index,
-			       task->done ? "done" : "open", task->failures,
-			       task->last_run,
+	g_string_append_printf(text, "%u %s %u %u %s", index, task_state(task),
+			       task->failures, task->last_run,
 			       escaped ? escaped : NO_CHECKPOINT);
 	if (fleet_crash_has_any(task))
 		g_string_append_printf(text, " " CRASHES_PREFIX "%u:%u:%u",
 				       task->crashes, task->start_crashes,
 				       task->lost_starts);
+	if (fleet_move_number(task))
+		g_string_append_printf(text, " " MOVES_PREFIX "%u",
+				       fleet_move_number(task));
 	for (i = 0; i < GH_TASK_RUNS_MAX; i++)
 		if (task->runs[i] != GH_NONE)
 			append_run(fleet, text, task->runs[i]);
@@ -288,6 +318,13 @@
 	g_free(escaped);
 }
 
+static const char *task_state(const fleet_task_t *task)
+{
+	if (task->done)
+		return "done";
+	return fleet_move_is_recorded(task) ? "away" : "open";
+}
+
 static void append_run(const gh_fleet_t *fleet, GString *text, uint32_t ref)
 {
 	const fleet_run_t *run = fleet_run(fleet, ref);
@@ -334,22 +371,26 @@
 	char **fields = g_strsplit(line, " ", -1);
 	guint n = g_strv_length(fields);
 	uint64_t index, failures, last_run;
+	guint crashes = 0;
+	guint moves = 0;
 	guint first_run = 5;
 	bool ok;
 	guint i;
 
 	*parsed = (task_line_t){ 0 };
-	if (n > 5 && g_str_has_prefix(fields[5], CRASHES_PREFIX))
-		first_run++;
+	if (n > first_run &&
+	    g_str_has_prefix(fields[first_run], CRASHES_PREFIX))
+		crashes = first_run++;
+	if (n > first_run && g_str_has_prefix(fields[first_run], MOVES_PREFIX))
+		moves = first_run++;
 	ok = n >= 5 && n <= first_run + G_N_ELEMENTS(parsed->runs) &&
 	     job->n_tasks &&
 	     parse_number(fields[0], 0, job->n_tasks - 1, &index) &&
-	     (!strcmp(fields[1], "done") || !strcmp(fields[1], "open")) &&
+	     parse_state(fields[1], parsed) &&
 	     parse_number(fields[2], 0, UINT16_MAX, &failures) &&
 	     parse_number(fields[3], 1, UINT32_MAX, &last_run);
 	if (ok) {
 		parsed->index = (uint32_t)index;
-		parsed->done = !strcmp(fields[1], "done");
 		parsed->failures = (uint16_t)failures;
 		parsed->last_run = (uint32_t)last_run;
 		if (strcmp(fields[4], NO_CHECKPOINT) != 0) {
@@ -358,12 +399,41 @@
 			ok = parsed->checkpoint;
 		}
 	}
-	if (ok && first_run > 5)
-		ok = parse_crashes(fields[5] + strlen(CRASHES_PREFIX), parsed);
+	if (ok && crashes)
+		ok = parse_crashes(fields[crashes] + strlen(CRASHES_PREFIX),
+				   parsed);
+	if (ok && moves)
+		ok = parse_moves(fields[moves] + strlen(MOVES_PREFIX), parsed);
 	for (i = first_run; ok && i < n; i++)
 		ok = parse_run(fields[i], parsed);
 	g_strfreev(fields);
-	return ok;
+	return ok && (!parsed->away || away_is_valid(job, parsed));
+}
+
+static bool parse_state(const char *word, task_line_t *parsed)
+{
+	parsed->done = !strcmp(word, "done");
+	parsed->away = !strcmp(word, "away");
+	return parsed->done || parsed->away || !strcmp(word, "open");
+}
+
+/* Only a task that is to last moves, without an open run. */
+static bool away_is_valid(const fleet_job_t *job, const task_line_t *parsed)
+{
+	const gh_step_t *step = fleet_task_step(job, parsed->index);
+
+	return step->long_running && !step->gang && parsed->moves &&
+	       parsed->n_runs == parsed->n_doubts;
+}
+
+static bool parse_moves(const char *field, task_line_t *parsed)
+{
+	uint64_t moves;
+
+	if (!parse_number(field, 1, UINT32_MAX, &moves))
+		return false;
+	parsed->moves = (uint32_t)moves;
+	return true;
 }
 
 static bool parse_crashes(const char *numbers, task_line_t *parsed)
@@ -462,8 +532,11 @@
 	task->lost_starts = line->lost_starts;
 	task->last_run = line->last_run;
 	task->checkpoint = g_steal_pointer(&line->checkpoint);
+	task->moves = line->moves;
+	fleet_move_set_place(job, line->index,
+			     line->away ? PLACE_AWAY : PLACE_HERE);
 	job->begun |= line->done || line->failures || line->crashes ||
-		      task->checkpoint;
+		      line->moves || task->checkpoint;
 	if (job->begun || line->n_runs)
 		job->phase = job->committed_phase = GH_JOB_RUNNING;
 	if (task->done &&
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -634,6 +634,8 @@
 	if (index == GH_NONE ||
 	    fleet_run_find(fleet, parent, index, listed->run) != GH_NONE)
 		return GH_NONE;
+	if (!fleet_move_keep(fleet_job(fleet, job), index))
+		return GH_NONE;
 	task = &parent->tasks[index];
 	end_unsent_runs(fleet, task, now);
 	/* A member of a gang that ends ends the gang's other runs. */
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -142,8 +142,21 @@
 	uint32_t next, prev;
 } fleet_run_t;
 
+/* Where a task is; see core_fleet_move.c. */
+typedef enum fleet_place {
+	PLACE_HERE,
+	PLACE_LEAVING,	/* it is to move; the next changes say so */
+	PLACE_DEPARTED, /* the change that is being committed says so */
+	PLACE_AWAY	/* in another shard or on its way there */
+} fleet_place_t;
+
 typedef struct fleet_task {
 	bool done;
+	fleet_place_t place;
+	uint32_t move_to; /* shard; set unless PLACE_HERE */
+	uint32_t moves;	  /* number of times that the task has moved */
+	/* When it came from another shard to this owner; 0: it did not. */
+	gh_time_t arrived_at;
 	uint16_t failures;
 	uint16_t hangs;	   /* number of runs that were stopped as hanging */
 	uint32_t last_run; /* highest run number used */
@@ -187,6 +200,7 @@
 	uint32_t first_task;
 	uint32_t tasks_done;
 	uint32_t tasks_open; /* tasks with an open run that are not done */
+	uint32_t tasks_away; /* tasks that are not PLACE_HERE */
 	/* 1: a run of the gang's latest start has failed */
 	uint32_t gang_failed;
 	/* moving mean run time of the stage's completed runs */
@@ -247,6 +261,17 @@
 	gh_job_phase_t committing_phase;
 	/* The progress record can't be parsed, so no task may be started. */
 	bool held;
+	/* The job's home is another shard; its text is stored here. */
+	bool guest, guest_stored;
+	bool may_move;	    /* its tasks may move to other shards */
+	uint32_t n_leaving; /* tasks that are PLACE_LEAVING or _DEPARTED */
+	/*
+	 * gh_task_move_t: messages to delete, the first n_deleting of them by
+	 * the change that is being committed, and messages that came before it
+	 * was known that the task had left.
+	 */
+	GArray *arrivals, *early_arrivals;
+	uint32_t n_deleting;
 	bool change_queued; /* the job is queued in gh_fleet.changes */
 	bool commit_pending;
 	/* ids of the steps' images in the interference model */
@@ -385,6 +410,7 @@
 	gh_time_t tails_sampled_at; /* when they were last learned from */
 	/* Declared cores of the open long-running runs. */
 	double long_running_cores_milli;
+	uint32_t long_running_memory_mb; /* the same for memory */
 	fleet_colocated_t colocated[GH_COLOCATED_MAX];
 	uint32_t n_colocated;
 	/*
@@ -488,6 +514,8 @@
 	 * heard, by their ids; see core_fleet_unheard.c.
 	 */
 	GHashTable *told;
+	GArray *peers; /* fleet_peer_t by shard; see core_fleet_rooms.c */
+	gh_time_t moves_decided_at;
 	gh_interference_t *interference;
 	gh_load_periods_t *load_periods; /* shared by all load forecasts */
 	gh_time_t created_at;
@@ -528,8 +556,9 @@
 					  const fleet_job_t *job);
 /*
  * Adds a job none of whose tasks was started; takes ownership of the pipeline.
+ * guest: its home is another shard, and none of its tasks is here.
  */
-uint32_t fleet_job_new(gh_fleet_t *fleet, gh_pipeline_t *pipeline);
+uint32_t fleet_job_new(gh_fleet_t *fleet, gh_pipeline_t *pipeline, bool guest);
 /*
  * Frees a job that has ended, whose end is committed and that has no open run.
  */
@@ -653,6 +682,46 @@
  */
 bool fleet_stop_was_executed(gh_order_reply_t reply);
 
+/* Tasks that move to other shards (core_fleet_move.c). */
+
+/* Sets whether the job's tasks may move, and where they are. */
+void fleet_move_init_job(fleet_job_t *job, bool guest);
+void fleet_move_clear_job(fleet_job_t *job);
+void fleet_move_set_place(fleet_job_t *job, uint32_t task, fleet_place_t place);
+/* Decides which of the tasks that wait move to which shards. */
+void fleet_move_decide(gh_fleet_t *fleet, gh_time_t now);
+/*
+ * Keeps a task here that is to move, unless the change that says so may be
+ * committed; returns whether it is here.
+ */
+bool fleet_move_keep(fleet_job_t *job, uint32_t task);
+/* Whether the task's line in the job's record tells that it is away. */
+bool fleet_move_is_recorded(const fleet_task_t *task);
+/* The number of moves in that line. */
+uint32_t fleet_move_number(const fleet_task_t *task);
+/* Adds the job's moves to the change. */
+void fleet_move_fill_change(const gh_fleet_t *fleet, fleet_job_t *job,
+			    gh_fleet_change_t *change);
+void fleet_move_handle_commit(gh_fleet_t *fleet, uint32_t handle);
+void fleet_move_handle_commit_failure(fleet_job_t *job);
+
+/* Free capacity of this shard and of others (core_fleet_rooms.c). */
+
+void fleet_rooms_init(gh_fleet_t *fleet);
+void fleet_rooms_clear(gh_fleet_t *fleet);
+/* Adds to the load the rooms that are not waited for. */
+void fleet_rooms_add_own(const gh_fleet_t *fleet, gh_shard_load_t *load,
+			 gh_time_t now);
+/*
+ * Takes a room for a task of the step from another shard's load; returns the
+ * shard, or GH_NONE.
+ */
+uint32_t fleet_rooms_take(gh_fleet_t *fleet, const fleet_job_t *job,
+			  const gh_step_t *step, gh_time_t now);
+/* Appends whether other shards have rooms for the step, and since when. */
+void fleet_rooms_append(const gh_fleet_t *fleet, const fleet_job_t *job,
+			const gh_step_t *step, GString *text, gh_time_t now);
+
 /* An empty table for gh_fleet.late_starts. */
 GHashTable *fleet_late_new(void);
 /* Whether a start order of the run may still be executed late. */
@@ -676,6 +745,8 @@
  */
 void fleet_late_handle_report(gh_fleet_t *fleet, uint32_t handle,
 			      gh_time_t requested_at);
+/* Whether a start order of the task may be executed late. */
+bool fleet_late_has_task(const gh_fleet_t *fleet, const gh_task_id_t *task);
 /* Forgets orders that can't be executed any more, and resends stops. */
 void fleet_late_check(gh_fleet_t *fleet, gh_time_t now);
 
@@ -687,6 +758,8 @@
 /* Ends all runs of a worker whose lease expired or which has restarted. */
 void fleet_worker_end_runs(gh_fleet_t *fleet, uint32_t handle, const char *why,
 			   gh_time_t now);
+/* Whether the worker is listed, reports and is healthy. */
+bool fleet_worker_is_usable(const fleet_worker_t *worker, gh_time_t now);
 /* Whether the worker was last heard at the address. */
 bool fleet_worker_heard_at(const fleet_worker_t *worker, const char *address);
 
--- a/regress/fleet_world.c
+++ b/regress/fleet_world.c
@@ -37,6 +37,8 @@
 		.previous_grants_end = previous_grants_end,
 		.told_grants_end = told_grants_end,
 		.stop_ms = STOP_MS,
+		.shard = w->shard,
+		.shards = w->shards,
 	};
 	gh_fleet_sink_t sink = { .on_event = record_event, .ctx = w };
 
@@ -44,8 +46,15 @@
 }
 
 void world_init(world_t *w)
+{
+	world_init_shard(w, 0, 0);
+}
+
+void world_init_shard(world_t *w, uint32_t shard, uint32_t shards)
 {
 	memset(w, 0, sizeof(*w));
+	w->shard = shard;
+	w->shards = shards;
 	w->now = START_TIME;
 	w->wall_ms = 5000000;
 	w->epoch = 1;
@@ -59,6 +68,7 @@
 
 	gh_fleet_free(w->fleet);
 	w->epoch++;
+	*w->held_id = '\0';
 	start_owner(w, MAX(grant, w->now), grant);
 }
 
@@ -538,21 +548,50 @@
 	gh_fleet_free(fleet);
 }
 
+static void free_change(gh_fleet_change_t *change)
+{
+	g_free(change->progress);
+	if (change->departures)
+		g_array_unref(change->departures);
+	if (change->arrivals)
+		g_array_unref(change->arrivals);
+}
+
+/* Reports a commit whose reply was kept back; false: one still is. */
+static bool deliver_held_reply(world_t *w)
+{
+	if (*w->held_id && w->commit_replies_held)
+		return false;
+	if (*w->held_id)
+		gh_fleet_handle_commit(w->fleet, w->held_id, w->held_version);
+	*w->held_id = '\0';
+	return true;
+}
+
 static void commit_changes(world_t *w)
 {
 	gh_fleet_change_t change;
 
-	while (gh_fleet_next_change(w->fleet, &change)) {
+	while (deliver_held_reply(w) &&
+	       gh_fleet_next_change(w->fleet, &change)) {
 		check_record(w, &change);
-		if (w->store_down) {
+		if (w->store_down ||
+		    (w->on_commit && !w->on_commit(w, &change))) {
 			gh_fleet_handle_commit_failure(w->fleet, change.id);
-			g_free(change.progress);
+			free_change(&change);
 			return;
 		}
 		g_free(w->progress);
-		w->progress = change.progress;
+		w->progress = g_steal_pointer(&change.progress);
 		w->phase = change.phase;
-		gh_fleet_handle_commit(w->fleet, change.id, change.version);
+		if (w->commit_replies_held) {
+			g_strlcpy(w->held_id, change.id, sizeof(w->held_id));
+			w->held_version = change.version;
+		} else {
+			gh_fleet_handle_commit(w->fleet, change.id,
+					       change.version);
+		}
+		free_change(&change);
 	}
 }
 
--- a/regress/fleet_world.h
+++ b/regress/fleet_world.h
@@ -109,6 +109,14 @@
 	/* Workers end their runs when their lease is over. */
 	bool leases_end;
 	bool store_down;
+	/* A commit takes effect and its reply is kept back. */
+	bool commit_replies_held;
+	char held_id[GH_JOB_ID_MAX + 1]; /* of the job in it; empty: none */
+	uint64_t held_version;
+	uint32_t shard, shards; /* of the owner; shards 0: it is alone */
+	void *ctx;		/* of the test */
+	/* Stores a change; false: the commit is refused.  May be NULL. */
+	bool (*on_commit)(world_t *w, const gh_fleet_change_t *change);
 	bool renewals_stopped; /* no renewal is sent to any worker */
 	char *progress; /* text of the last job record committed, whichever the
 			   job */
@@ -128,6 +136,8 @@
 };
 
 void world_init(world_t *w);
+/* The same for the owner of one of several shards. */
+void world_init_shard(world_t *w, uint32_t shard, uint32_t shards);
 void world_clear(world_t *w);
 /* Replaces the fleet by that of the next owner, which knows nothing of before
  * but the last grant of a lease and what the caller adds. */
