fleet_jobs: a shard's load names free capacity, and keys for tasks that move

The text of d/load/SHARD goes on with the parts of workers that the long-running tasks leave, SERVICE:CORES:MEMORY each. A part that can't be parsed is logged and left out. fleet_jobs_load() offers the load of a shard whose author still owns it.

Keys: w/SHARD/moved/ID/INDEX for the message of a move, w/SHARD/guest/ID for the text of a job whose home is another shard.

--- a/fleet_jobs.c
+++ b/fleet_jobs.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "clock.h"
+#include "error.h"
 #include "log.h"
 
 #define STATE_PREFIX "state/"
@@ -16,6 +17,8 @@
 #define CHANGES_PAUSE_USEC GH_USEC_PER_SEC
 /* The same for an owner, whose commits expect the states of its jobs. */
 #define OWNER_CHANGES_PAUSE_USEC (200 * GH_USEC_PER_MSEC)
+/* The loads are unknown once the store was not heard for longer than this. */
+#define LOADS_SILENCE_MAX_USEC (2 * GH_USEC_PER_SEC)
 
 static void on_item(void *ctx, const fleet_item_t *item);
 static void on_synced(void *ctx);
@@ -32,8 +35,8 @@
 static bool read_state(const fleet_jobs_t *jobs, const char *id,
 		       const char *text, uint64_t revision,
 		       fleet_job_state_t *state);
-static bool parse_load(const char *text, const char *owner,
-		       gh_shard_load_t *load);
+static bool parse_room(const char *word, gh_room_t *room, GError **err);
+static bool parse_amount(const char *text, int64_t *amount);
 static void set_state(fleet_jobs_t *jobs, const char *id,
 		      const fleet_job_state_t *state);
 
@@ -75,6 +78,7 @@
 	for (i = 0; i < jobs->shards; i++) {
 		g_free(jobs->records[i].owner);
 		g_free(jobs->records[i].load);
+		g_free(jobs->records[i].known_load);
 	}
 	g_free(jobs->records);
 	gh_balance_free(jobs->balance);
@@ -277,15 +281,29 @@
 /* A shard's load counts only while its author owns the shard. */
 static void update_balance(fleet_jobs_t *jobs, uint32_t shard)
 {
-	const shard_records_t *records = &jobs->records[shard];
-	gh_shard_load_t load;
-	bool known = records->owner && records->load &&
-		     parse_load(records->load, records->owner, &load);
+	shard_records_t *records = &jobs->records[shard];
+	gh_shard_load_t *load = g_new(gh_shard_load_t, 1);
 
-	gh_balance_report(jobs->balance, shard, known ? &load : NULL,
+	g_clear_pointer(&records->known_load, g_free);
+	if (records->owner && records->load &&
+	    fleet_jobs_load_parse(records->load, records->owner, load))
+		records->known_load = load;
+	else
+		g_free(load);
+	gh_balance_report(jobs->balance, shard, records->known_load,
 			  clock_boot());
 }
 
+bool fleet_jobs_load(fleet_jobs_t *jobs, uint32_t shard, gh_shard_load_t *load)
+{
+	const gh_shard_load_t *known = jobs->records[shard].known_load;
+
+	if (!known || fleet_jobs_age(jobs) > LOADS_SILENCE_MAX_USEC)
+		return false;
+	*load = *known;
+	return true;
+}
+
 static char *owner_key(uint32_t shard)
 {
 	return g_strdup_printf(DIRECTORY_PREFIX OWNER_PREFIX "%u", shard);
@@ -416,6 +434,17 @@
 	return g_strdup_printf("w/%u/" FLEET_CANCEL_PREFIX "%s", shard, id);
 }
 
+char *fleet_jobs_moved_key(uint32_t shard, const char *id, uint32_t index)
+{
+	return g_strdup_printf("w/%u/" FLEET_MOVED_PREFIX "%s/%u", shard, id,
+			       index);
+}
+
+char *fleet_jobs_guest_key(uint32_t shard, const char *id)
+{
+	return g_strdup_printf("w/%u/" FLEET_GUEST_PREFIX "%s", shard, id);
+}
+
 char *fleet_jobs_load_key(uint32_t shard)
 {
 	return g_strdup_printf(DIRECTORY_PREFIX LOAD_PREFIX "%u", shard);
@@ -454,24 +483,81 @@
 
 char *fleet_jobs_load_format(const char *owner, const gh_shard_load_t *load)
 {
-	return g_strdup_printf(
-		"%s %" PRId64 " %" PRId64 " %" PRId64 " %" PRId64, owner,
+	GString *text = g_string_new(owner);
+	uint32_t i;
+
+	g_string_append_printf(
+		text, " %" PRId64 " %" PRId64 " %" PRId64 " %" PRId64,
 		load->total.cores_milli, load->total.memory_mb,
 		load->long_running.cores_milli, load->long_running.memory_mb);
+	for (i = 0; i < load->n_rooms; i++)
+		g_string_append_printf(text, " %s:%" PRId64 ":%" PRId64,
+				       load->rooms[i].service,
+				       load->rooms[i].free.cores_milli,
+				       load->rooms[i].free.memory_mb);
+	return g_string_free(text, FALSE);
 }
 
-/* Returns false also for a load that another host than owner has written. */
-static bool parse_load(const char *text, const char *owner,
-		       gh_shard_load_t *load)
+bool fleet_jobs_load_parse(const char *text, const char *owner,
+			   gh_shard_load_t *load)
 {
 	size_t len = strlen(owner);
+	int end = 0;
+	char **words;
+	size_t i;
 
-	return !strncmp(text, owner, len) && text[len] == ' ' &&
-	       sscanf(text + len,
-		      "%" SCNd64 " %" SCNd64 " %" SCNd64 " %" SCNd64,
-		      &load->total.cores_milli, &load->total.memory_mb,
-		      &load->long_running.cores_milli,
-		      &load->long_running.memory_mb) == 4;
+	*load = (gh_shard_load_t){ 0 };
+	if (strncmp(text, owner, len) != 0 || text[len] != ' ' ||
+	    sscanf(text + len,
+		   "%" SCNd64 " %" SCNd64 " %" SCNd64 " %" SCNd64 "%n",
+		   &load->total.cores_milli, &load->total.memory_mb,
+		   &load->long_running.cores_milli,
+		   &load->long_running.memory_mb, &end) != 4)
+		return false;
+	words = g_strsplit(text + len + end, " ", -1);
+	for (i = 0; words[i] && load->n_rooms < GH_ROOMS_MAX; i++) {
+		GError *err = NULL;
+
+		if (!*words[i])
+			continue;
+		if (parse_room(words[i], &load->rooms[load->n_rooms], &err)) {
+			load->n_rooms++;
+			continue;
+		}
+		log_event(LOG_WARN, "load_unread", "owner", owner, "message",
+			  err->message, NULL);
+		g_error_free(err);
+	}
+	g_strfreev(words);
+	return true;
+}
+
+static bool parse_room(const char *word, gh_room_t *room, GError **err)
+{
+	char **fields = g_strsplit(word, ":", -1);
+	bool ok = g_strv_length(fields) == 3 && *fields[0] &&
+		  g_strlcpy(room->service, fields[0], sizeof(room->service)) <
+			  sizeof(room->service) &&
+		  parse_amount(fields[1], &room->free.cores_milli) &&
+		  parse_amount(fields[2], &room->free.memory_mb);
+
+	if (!ok)
+		gh_error_set(err, GH_E_SYNTAX,
+			     "cannot parse \"%.64s\" in a shard's load: "
+			     "expected \"SERVICE:CORES:MEMORY\"",
+			     word);
+	g_strfreev(fields);
+	return ok;
+}
+
+static bool parse_amount(const char *text, int64_t *amount)
+{
+	gint64 value;
+
+	if (!g_ascii_string_to_signed(text, 10, 0, INT64_MAX, &value, NULL))
+		return false;
+	*amount = value;
+	return true;
 }
 
 /* Takes over the shards' loads that were read. */
--- a/fleet_jobs.h
+++ b/fleet_jobs.h
@@ -10,12 +10,23 @@
  *
  *   d/state/ID    "PHASE QUEUE ACCEPTED-MS CHANGED-MS SHARD"
  *   d/own/SHARD   name of the shard's owner, bound to the owner's lease
- *   d/load/SHARD  "OWNER CORES MEMORY CORES MEMORY": capacity of the shard's
- *                 workers and size of its long-running tasks
+ *   d/load/SHARD  "OWNER CORES MEMORY CORES MEMORY [SERVICE:CORES:MEMORY...]":
+ *                 capacity of the shard's workers, size of its long-running
+ *                 tasks, and what these leave on single workers; earlier
+ *                 versions write and read only the first five words
  *   w/SHARD/ID    the job as submitted, deleted when the job has ended
  *   w/SHARD/cancel/ID
  *                 written with the state of a job that is cancelled, so that
  *                 the shard's owner hears of it at once; deleted with the job
+ *   w/SHARD/moved/ID/INDEX
+ *                 a task that has left another shard for this one, as
+ *                 gh_task_move_format() writes it; INDEX is the task's index in
+ *                 its job.  Deleted when the shard's record of the job has the
+ *                 task
+ *   w/SHARD/guest/ID
+ *                 "guest1", a newline and the text of a job whose home, the
+ *                 shard in its state, is another one, but of which this shard
+ *                 has tasks
  *
  * A cancel that finds no job writes the state of a cancelled job that was never
  * accepted, with ACCEPTED-MS 0: a submission whose outcome is unknown, and
@@ -33,6 +44,10 @@
 
 /* In keys of jobs' records, before the id of a job that is cancelled. */
 #define FLEET_CANCEL_PREFIX "cancel/"
+/* The same before the id of a job one of whose tasks moves to the shard. */
+#define FLEET_MOVED_PREFIX "moved/"
+/* The same before the id of a job whose home is another shard. */
+#define FLEET_GUEST_PREFIX "guest/"
 
 typedef struct fleet_jobs fleet_jobs_t;
 
@@ -156,6 +171,11 @@
  */
 void fleet_jobs_correct(fleet_jobs_t *jobs, const char *id, const char *text,
 			uint64_t revision);
+/*
+ * Loop's thread: the load that a shard's owner has reported; false if it is
+ * unknown or the store was not heard of late.
+ */
+bool fleet_jobs_load(fleet_jobs_t *jobs, uint32_t shard, gh_shard_load_t *load);
 /* Notes that this host has written a shard's owner record. */
 void fleet_jobs_note_owner(fleet_jobs_t *jobs, uint32_t shard,
 			   const char *owner, uint64_t revision);
@@ -169,8 +189,16 @@
 char *fleet_jobs_state_key(const char *id);
 char *fleet_jobs_record_key(uint32_t shard, const char *id);
 char *fleet_jobs_cancel_key(uint32_t shard, const char *id);
+char *fleet_jobs_moved_key(uint32_t shard, const char *id, uint32_t index);
+char *fleet_jobs_guest_key(uint32_t shard, const char *id);
 char *fleet_jobs_load_key(uint32_t shard);
 char *fleet_job_state_format(const fleet_job_state_t *state);
 char *fleet_jobs_load_format(const char *owner, const gh_shard_load_t *load);
+/*
+ * Returns false also for a load that another host than owner has written.  A
+ * room that can't be parsed is logged and left out.
+ */
+bool fleet_jobs_load_parse(const char *text, const char *owner,
+			   gh_shard_load_t *load);
 
 #endif
--- a/fleet_jobs_private.h
+++ b/fleet_jobs_private.h
@@ -20,6 +20,8 @@
 typedef struct shard_records {
 	char *owner;
 	char *load;
+	/* The same, parsed; NULL also if its author is not the owner. */
+	gh_shard_load_t *known_load;
 	gh_heard_t heard;      /* changes of the owner record */
 	_Atomic bool followed; /* see fleet_jobs_follow() */
 } shard_records_t;
--- a/regress/test_fleet_jobs.c
+++ b/regress/test_fleet_jobs.c
@@ -1,6 +1,7 @@
 /*
  * Tests of what a host tells the caller of a submission, with a store whose
  * replies are scripted: after "not run" nothing of the job may be written.
+ * Also of the text of a shard's load.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -315,9 +316,73 @@
 	assert_int_equal(n_failed, 0);
 }
 
+#define ROOM_32 "s:1:1 s:1:1 s:1:1 s:1:1 s:1:1 s:1:1 s:1:1 s:1:1 "
+#define LONG_NAME                                              \
+	"ssssssssssssssssssssssssssssssssssssssssssssssssssss" \
+	"ssssssssssssssssssssssssssssssssssssssssssssssssssss"
+
+typedef struct load_case {
+	const char *text;
+	bool ok;
+	uint32_t n_rooms;
+	const char *service; /* of the first room, with its cores */
+	int64_t cores_milli;
+} load_case_t;
+
+static const load_case_t load_cases[] = {
+	{ "h0 8000 64 4000 32", true, 0, NULL, 0 },
+	{ "h0 8000 64 4000 32 ", true, 0, NULL, 0 },
+	{ "h0 8000 64 4000 32 svc:3000:16 s2:1:0", true, 2, "svc", 3000 },
+	{ "h0 8000 64 4000 32 odd svc:3000:16", true, 1, "svc", 3000 },
+	{ "h0 8000 64 4000 32 svc:3000", true, 0, NULL, 0 },
+	{ "h0 8000 64 4000 32 svc:3000:16:1", true, 0, NULL, 0 },
+	{ "h0 8000 64 4000 32 :3000:16", true, 0, NULL, 0 },
+	{ "h0 8000 64 4000 32 svc:-1:16", true, 0, NULL, 0 },
+	{ "h0 8000 64 4000 32 svc:1:99999999999999999999", true, 0, NULL, 0 },
+	{ "h0 8000 64 4000 32 svc:x:16", true, 0, NULL, 0 },
+	{ "h0 8000 64 4000 32 " LONG_NAME ":3000:16", true, 0, NULL, 0 },
+	{ "h0 8000 64 4000 32 " ROOM_32 ROOM_32 ROOM_32 ROOM_32 "t:2:2", true,
+	  GH_ROOMS_MAX, "s", 1 },
+	{ "h0 8000 64 4000", false, 0, NULL, 0 },
+	{ "h1 8000 64 4000 32 svc:3000:16", false, 0, NULL, 0 },
+	{ "h00 8000 64 4000 32 svc:3000:16", false, 0, NULL, 0 },
+	{ "", false, 0, NULL, 0 },
+};
+
+static void test_load_text(void **state)
+{
+	gh_shard_load_t load;
+	size_t i;
+	char *text;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(load_cases); i++) {
+		const load_case_t *c = &load_cases[i];
+
+		print_message("%.60s\n", c->text);
+		assert_int_equal(fleet_jobs_load_parse(c->text, "h0", &load),
+				 c->ok);
+		if (!c->ok)
+			continue;
+		assert_int_equal(load.total.cores_milli, 8000);
+		assert_int_equal(load.long_running.memory_mb, 32);
+		assert_int_equal(load.n_rooms, c->n_rooms);
+		if (!c->service)
+			continue;
+		assert_string_equal(load.rooms[0].service, c->service);
+		assert_int_equal(load.rooms[0].free.cores_milli,
+				 c->cores_milli);
+	}
+	assert_true(fleet_jobs_load_parse(load_cases[2].text, "h0", &load));
+	text = fleet_jobs_load_format("h0", &load);
+	assert_string_equal(text, load_cases[2].text);
+	g_free(text);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_load_text),
 		cmocka_unit_test(test_refused_submission_is_not_written),
 	};
 
