fleet_owner_move: tasks leave a full shard

What callers saw: LOST, a long-running task of an accepted job waits in its shard, whose workers are full, for as long as others there last, while workers of another shard have capacity for it.

Cause: each worker belongs to one shard, and a job never left its own.

The commit with the record that a task is away also writes the message to the other shard, and expects the job's state not to be cancelled. The other owner, which follows its keys in any case, takes the task in a commit that deletes the message. So the task is in one shard's record or in one message at any time, and a commit without a reply or a late one changes nothing of that, as each expects the shard's chain. A job whose home is another shard ends with its state in the directory; its shard never writes the state. If the directory lacks the state, the store is asked, and only if that has none either the job is over.

--- a/counter_list.h
+++ b/counter_list.h
@@ -181,5 +181,8 @@
 	"task's turn had come")
 COUNTER(WORKERS_EXAMINED, "workers_examined",
 	"workers examined to place tasks, one for each worker and task")
+COUNTER(TASKS_DEPARTED, "tasks_departed",
+	"waiting tasks that moved to another shard")
+COUNTER(TASKS_ARRIVED, "tasks_arrived", "tasks that came from another shard")
 COUNTER(RUNS_MOVED, "runs_moved",
 	"slowed best-effort tasks stopped to continue on another worker")
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -75,6 +75,8 @@
 	owner->own_key = g_strdup_printf("d/own/%u", setup->shard);
 	owner->chain_key = g_strdup_printf("c/%u", setup->shard);
 	owner->progress_prefix = g_strdup_printf("p/%u/", setup->shard);
+	owner->jobs_prefix = g_strdup_printf("w/%u/", setup->shard);
+	g_queue_init(&owner->moves);
 	owner->timer = (loop_timer_t){ .at = GH_TIME_NEVER,
 				       .run = on_timer,
 				       .ctx = owner };
@@ -92,6 +94,7 @@
 	g_free(owner->own_key);
 	g_free(owner->chain_key);
 	g_free(owner->progress_prefix);
+	g_free(owner->jobs_prefix);
 	g_free(owner->claim_value);
 	g_free(owner->previous_unheard);
 	g_free(owner);
@@ -136,7 +139,13 @@
 void fleet_owner_job_changed(fleet_owner_t *owner, const char *id,
 			     const fleet_job_state_t *state)
 {
-	if (!owner->fleet || state->phase != GH_JOB_CANCELLED)
+	bool is_over = state->phase == GH_JOB_CANCELLED;
+
+	if (!owner->fleet)
+		return;
+	if (g_hash_table_contains(owner->guests, id))
+		is_over = state->phase > GH_JOB_RUNNING;
+	if (!is_over)
 		return;
 	gh_fleet_job_cancel(owner->fleet, id, clock_boot());
 	owner->dirty = true;
@@ -221,6 +230,10 @@
 			fleet_owner_load_progress_page(owner);
 		next = owner->load_retry_at;
 	}
+	if (owner->phase >= PHASE_LOADING) {
+		fleet_owner_take_moves(owner, now);
+		next = MIN(next, owner->move_retry_at);
+	}
 	if (owner->phase >= PHASE_OWNING) {
 		if (gh_fleet_fenced(owner->fleet)) {
 			fleet_owner_end_ownership(
@@ -228,6 +241,7 @@
 			return;
 		}
 		if (owner->phase == PHASE_OWNING) {
+			fleet_owner_set_peers(owner, now);
 			gh_fleet_tick(owner->fleet, now,
 				      gh_time_to_ms(clock_real()));
 			send_worker_calls(owner, now);
@@ -298,6 +312,8 @@
 		{ CTR_RUNS_MOVED, offsetof(gh_fleet_counts_t, moved) },
 		{ CTR_WORKERS_EXAMINED, offsetof(gh_fleet_counts_t, examined) },
 		{ CTR_JOBS_IDLE, offsetof(gh_fleet_counts_t, idle) },
+		{ CTR_TASKS_DEPARTED, offsetof(gh_fleet_counts_t, departed) },
+		{ CTR_TASKS_ARRIVED, offsetof(gh_fleet_counts_t, arrived) },
 	};
 	gh_fleet_counts_t counts;
 	size_t i;
@@ -531,6 +547,7 @@
 static void clear_shard(fleet_owner_t *owner)
 {
 	g_clear_pointer(&owner->fleet, gh_fleet_free);
+	fleet_owner_move_clear(owner);
 	g_clear_pointer(&owner->progress, g_hash_table_destroy);
 	g_clear_pointer(&owner->last_progress_key, g_free);
 	if (owner->parsed_jobs)
--- a/fleet_owner.h
+++ b/fleet_owner.h
@@ -50,7 +50,10 @@
  * next call.
  */
 void fleet_owner_configure(fleet_owner_t *owner, const fleet_config_t *config);
-/* Cancels the job in this shard if its state is GH_JOB_CANCELLED. */
+/*
+ * Cancels the job in this shard if its state is GH_JOB_CANCELLED.  A job whose
+ * home is another shard ends here whatever its end is there.
+ */
 void fleet_owner_job_changed(fleet_owner_t *owner, const char *id,
 			     const fleet_job_state_t *state);
 
--- a/fleet_owner_commit.c
+++ b/fleet_owner_commit.c
@@ -36,10 +36,16 @@
 static void on_committed(void *ctx, const fleet_reply_t *reply);
 static void on_chain_reread(void *ctx, const fleet_reply_t *reply);
 static void batch_committed(fleet_owner_t *owner, uint64_t revision);
-static void note_deleted_record(fleet_owner_t *owner, const char *id,
-				uint64_t revision);
+static void forget_cancel(fleet_owner_t *owner, const char *id,
+			  uint64_t revision);
+static void note_deletions(fleet_owner_t *owner, const batch_t *batch,
+			   uint64_t revision);
 static bool is_cancelled(const fleet_owner_t *owner,
 			 const gh_fleet_change_t *change);
+static bool batch_add_phase(fleet_owner_t *owner, batch_t *batch,
+			    const gh_fleet_change_t *change);
+static void batch_add_end(fleet_owner_t *owner, batch_t *batch,
+			  const gh_fleet_change_t *change);
 static void batch_failed(fleet_owner_t *owner);
 static void batch_conflict(fleet_owner_t *owner, const fleet_reply_t *reply);
 static void batch_send(fleet_owner_t *owner);
@@ -48,8 +54,6 @@
 			       gh_time_t now);
 static bool batch_add_change(fleet_owner_t *owner, batch_t *batch,
 			     gh_fleet_change_t *change);
-static void batch_add_entry(batch_t *batch, fleet_entry_kind_t kind, char *key,
-			    char *value, uint64_t revision, uint64_t lease);
 static void log_batch(const fleet_owner_t *owner, const char *outcome);
 static void delete_old_states(fleet_owner_t *owner, batch_t *batch,
 			      gh_time_t now);
@@ -78,7 +82,9 @@
 	 * Leaves space in the commit for the learned interference, the shard's
 	 * load and the owner record.
 	 */
-	while (batch->n + CHANGE_ENTRIES_MAX + 2 < FLEET_ENTRIES_MAX &&
+	while (batch->n + CHANGE_ENTRIES_MAX +
+			       gh_fleet_next_change_moves(owner->fleet) + 2 <
+		       FLEET_ENTRIES_MAX &&
 	       gh_fleet_next_change(owner->fleet, &change))
 		if (!batch_add_change(owner, batch, &change)) {
 			owner->commit_at = now + COMMIT_RETRY_DELAY_USEC;
@@ -114,10 +120,10 @@
 	batch->chain_value =
 		fleet_owner_chain_text(owner, batch->grants_told, unheard, now);
 	g_free(unheard);
-	batch_add_entry(batch, FLEET_EXPECT, g_strdup(owner->chain_key), NULL,
-			owner->chain_revision, 0);
-	batch_add_entry(batch, FLEET_PUT, g_strdup(owner->chain_key), NULL, 0,
-			0);
+	fleet_owner_batch_add(batch, FLEET_EXPECT, g_strdup(owner->chain_key),
+			      NULL, owner->chain_revision, 0);
+	fleet_owner_batch_add(batch, FLEET_PUT, g_strdup(owner->chain_key),
+			      NULL, 0, 0);
 	return batch;
 }
 
@@ -135,66 +141,90 @@
 
 	g_free(batch->chain_value);
 	batch->chain_value = text;
-	batch_add_entry(batch, FLEET_DELETE, g_strdup(owner->own_key), NULL, 0,
-			0);
+	fleet_owner_batch_add(batch, FLEET_DELETE, g_strdup(owner->own_key),
+			      NULL, 0, 0);
 	batch->releases = true;
 }
 
 /*
- * Adds a job's change to a commit and takes ownership of the change's progress
- * text.  Returns false if the job's state is not known yet: the change is then
+ * Adds a job's change to a commit and takes ownership of what it refers to.
+ * Returns false if the job's state is not known yet: the change is then
  * committed later.
  */
 static bool batch_add_change(fleet_owner_t *owner, batch_t *batch,
 			     gh_fleet_change_t *change)
 {
-	uint32_t shard = owner->setup.shard;
-	bool ended = change->phase > GH_JOB_RUNNING;
-	fleet_job_state_t state;
-
-	if (change->phase_changed && change->phase != GH_JOB_CANCELLED) {
-		if (!fleet_jobs_find(owner->setup.jobs, change->id, &state)) {
-			gh_fleet_handle_commit_failure(owner->fleet,
-						       change->id);
-			g_free(change->progress);
-			return false;
-		}
-		batch_add_entry(batch, FLEET_EXPECT,
-				fleet_jobs_state_key(change->id), NULL,
-				state.revision, 0);
-		state.phase = change->phase;
-		state.changed_ms = gh_time_to_ms(clock_real());
-		batch_add_entry(batch, FLEET_PUT,
-				fleet_jobs_state_key(change->id),
-				fleet_job_state_format(&state), 0, 0);
+	char *progress_key =
+		g_strconcat(owner->progress_prefix, change->id, NULL);
+
+	if (!batch_add_phase(owner, batch, change)) {
+		gh_fleet_handle_commit_failure(owner->fleet, change->id);
+		fleet_owner_move_change_clear(change);
+		g_free(change->progress);
+		g_free(progress_key);
+		return false;
 	}
-	if (ended) {
-		batch_add_entry(batch, FLEET_DELETE,
-				fleet_jobs_record_key(shard, change->id), NULL,
-				0, 0);
-		batch_add_entry(
-			batch, FLEET_DELETE,
-			g_strconcat(owner->progress_prefix, change->id, NULL),
-			NULL, 0, 0);
-		if (is_cancelled(owner, change))
-			batch_add_entry(
-				batch, FLEET_DELETE,
-				fleet_jobs_cancel_key(shard, change->id), NULL,
-				0, 0);
+	fleet_owner_move_add_change(owner, batch, change);
+	if (change->phase > GH_JOB_RUNNING) {
+		fleet_owner_batch_add(batch, FLEET_DELETE, progress_key, NULL,
+				      0, 0);
+		if (!change->guest)
+			batch_add_end(owner, batch, change);
 	} else {
-		batch_add_entry(
-			batch, FLEET_PUT,
-			g_strconcat(owner->progress_prefix, change->id, NULL),
-			change->progress, 0, 0);
+		fleet_owner_batch_add(batch, FLEET_PUT, progress_key,
+				      change->progress, 0, 0);
 	}
 	change->progress = NULL;
 	g_array_append_val(batch->changes, *change);
 	return true;
 }
 
-/* Adds an entry to a commit; takes ownership of key and value. */
-static void batch_add_entry(batch_t *batch, fleet_entry_kind_t kind, char *key,
-			    char *value, uint64_t revision, uint64_t lease)
+/*
+ * Adds the job's new phase to a commit, or, if a task leaves, that the job has
+ * not been cancelled.  Returns false if its state is not known or says so.
+ */
+static bool batch_add_phase(fleet_owner_t *owner, batch_t *batch,
+			    const gh_fleet_change_t *change)
+{
+	bool writes =
+		change->phase_changed && change->phase != GH_JOB_CANCELLED;
+	fleet_job_state_t state;
+
+	if (!writes && !change->departures)
+		return true;
+	if (!fleet_jobs_find(owner->setup.jobs, change->id, &state) ||
+	    (change->departures && state.phase > GH_JOB_RUNNING))
+		return false;
+	fleet_owner_batch_add(batch, FLEET_EXPECT,
+			      fleet_jobs_state_key(change->id), NULL,
+			      state.revision, 0);
+	if (!writes)
+		return true;
+	state.phase = change->phase;
+	state.changed_ms = gh_time_to_ms(clock_real());
+	fleet_owner_batch_add(batch, FLEET_PUT,
+			      fleet_jobs_state_key(change->id),
+			      fleet_job_state_format(&state), 0, 0);
+	return true;
+}
+
+/* Adds to a commit the deletion of the records of a job that has ended. */
+static void batch_add_end(fleet_owner_t *owner, batch_t *batch,
+			  const gh_fleet_change_t *change)
+{
+	uint32_t shard = owner->setup.shard;
+
+	fleet_owner_batch_add(batch, FLEET_DELETE,
+			      fleet_jobs_record_key(shard, change->id), NULL, 0,
+			      0);
+	if (is_cancelled(owner, change))
+		fleet_owner_batch_add(batch, FLEET_DELETE,
+				      fleet_jobs_cancel_key(shard, change->id),
+				      NULL, 0, 0);
+}
+
+void fleet_owner_batch_add(batch_t *batch, fleet_entry_kind_t kind, char *key,
+			   char *value, uint64_t revision, uint64_t lease)
 {
 	g_ptr_array_add(batch->strings, key);
 	if (value)
@@ -310,6 +340,7 @@
 				     owner->setup.commit_interval_min);
 	counter_inc(CTR_COMMITS);
 	histogram_add(HIST_COMMIT, now - batch->sent_at);
+	note_deletions(owner, batch, revision);
 	for (i = 0; i < batch->changes->len; i++) {
 		const gh_fleet_change_t *change =
 			&g_array_index(batch->changes, gh_fleet_change_t, i);
@@ -325,8 +356,9 @@
 			fleet_jobs_update(owner->setup.jobs, change->id,
 					  &state);
 		}
-		if (change->phase > GH_JOB_RUNNING)
-			note_deleted_record(owner, change->id, revision);
+		if (change->phase > GH_JOB_RUNNING && !change->guest)
+			forget_cancel(owner, change->id, revision);
+		fleet_owner_move_committed(owner, change);
 		gh_fleet_handle_commit(owner->fleet, change->id,
 				       change->version);
 	}
@@ -336,20 +368,31 @@
 }
 
 /*
- * A read of the job records that the store served before this commit still
- * lists the job; without the note, its late reply would add the job again.
+ * A read that the store served before this commit still lists what the commit
+ * has deleted; without the note, its late reply would bring it back.
  */
-static void note_deleted_record(fleet_owner_t *owner, const char *id,
-				uint64_t revision)
+static void note_deletions(fleet_owner_t *owner, const batch_t *batch,
+			   uint64_t revision)
+{
+	size_t i;
+
+	for (i = 0; i < batch->n; i++)
+		if (batch->entries[i].kind == FLEET_DELETE &&
+		    g_str_has_prefix(batch->entries[i].key, owner->jobs_prefix))
+			fleet_watch_note(owner->job_watch,
+					 batch->entries[i].key, revision,
+					 false);
+}
+
+/* The job's cancel may be read late, too, if the commit did not delete one. */
+static void forget_cancel(fleet_owner_t *owner, const char *id,
+			  uint64_t revision)
 {
-	char *key = fleet_jobs_record_key(owner->setup.shard, id);
 	char *cancel_key = fleet_jobs_cancel_key(owner->setup.shard, id);
 
-	fleet_watch_note(owner->job_watch, key, revision, false);
 	fleet_watch_note(owner->job_watch, cancel_key, revision, false);
 	g_hash_table_remove(owner->cancelled, id);
 	g_free(cancel_key);
-	g_free(key);
 }
 
 /* Whether the job may have a record of its cancel, which is to be deleted. */
@@ -427,7 +470,12 @@
 
 void fleet_owner_batch_free(batch_t *batch)
 {
+	guint i;
+
 	g_ptr_array_free(batch->strings, TRUE);
+	for (i = 0; i < batch->changes->len; i++)
+		fleet_owner_move_change_clear(
+			&g_array_index(batch->changes, gh_fleet_change_t, i));
 	g_array_free(batch->changes, TRUE);
 	g_free(batch->chain_value);
 	g_free(batch);
@@ -449,9 +497,9 @@
 
 	owner->sweep_at = now + SWEEP_PERIOD_USEC;
 	for (i = 0; i < ids->len && batch->n < FLEET_ENTRIES_MAX - 1; i++)
-		batch_add_entry(batch, FLEET_DELETE,
-				fleet_jobs_state_key(ids->pdata[i]), NULL, 0,
-				0);
+		fleet_owner_batch_add(batch, FLEET_DELETE,
+				      fleet_jobs_state_key(ids->pdata[i]), NULL,
+				      0, 0);
 	g_ptr_array_free(ids, TRUE);
 }
 
@@ -469,7 +517,7 @@
 		g_free(text);
 		return;
 	}
-	batch_add_entry(
+	fleet_owner_batch_add(
 		batch, FLEET_PUT,
 		g_strconcat(owner->progress_prefix, INTERFERENCE_ID, NULL),
 		text, 0, 0);
@@ -515,8 +563,9 @@
 	g_free(owner->load_saved);
 	owner->load_saved = g_strdup(text);
 	owner->long_running_saved = load.long_running;
-	batch_add_entry(batch, FLEET_PUT,
-			fleet_jobs_load_key(owner->setup.shard), text, 0, 0);
+	fleet_owner_batch_add(batch, FLEET_PUT,
+			      fleet_jobs_load_key(owner->setup.shard), text, 0,
+			      0);
 }
 
 /* Last grant that the chain record has to tell; 0: none is ahead. */
--- a/fleet_owner_load.c
+++ b/fleet_owner_load.c
@@ -33,6 +33,8 @@
 				 .ctx = owner };
 	gh_fleet_setup_t setup = owner->setup.fleet;
 
+	setup.shard = owner->setup.shard;
+	setup.shards = owner->setup.shards;
 	owner->phase = PHASE_LOADING;
 	setup.told_grants_end = setup.previous_grants_end =
 		owner->previous_grants_end;
@@ -53,6 +55,7 @@
 	owner->parsed_jobs = g_ptr_array_new();
 	owner->cancelled =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	fleet_owner_move_init(owner);
 	owner->renew_at = clock_boot();
 	owner->dirty = true;
 	g_clear_pointer(&owner->last_progress_key, g_free);
@@ -75,7 +78,6 @@
 	fleet_owner_t *owner = fleet_owner_call_finish(ctx);
 	fleet_watch_listener_t listener = { .item_changed = on_job_record,
 					    .synced = on_job_records_synced };
-	char *prefix;
 	size_t i;
 
 	if (!owner)
@@ -100,27 +102,26 @@
 		return;
 	}
 	listener.ctx = owner;
-	prefix = g_strdup_printf("w/%u/", owner->setup.shard);
-	owner->job_watch =
-		fleet_watch_new(owner->setup.loop, owner->setup.store,
-				FLEET_KEYSPACE_OWN, prefix, &listener);
-	g_free(prefix);
+	owner->job_watch = fleet_watch_new(
+		owner->setup.loop, owner->setup.store, FLEET_KEYSPACE_OWN,
+		owner->jobs_prefix, &listener);
 }
 
 static void on_job_record(void *ctx, const fleet_item_t *item)
 {
 	fleet_owner_t *owner = ctx;
+	const char *name = item->key + strlen(owner->jobs_prefix);
 	GError *err = NULL;
 	gh_pipeline_t *pipeline;
 
-	const char *id = strstr(item->key, "/" FLEET_CANCEL_PREFIX);
-
 	if (!item->value)
 		return;
-	if (id) {
-		on_cancel_record(owner, id + strlen("/" FLEET_CANCEL_PREFIX));
+	if (g_str_has_prefix(name, FLEET_CANCEL_PREFIX)) {
+		on_cancel_record(owner, name + strlen(FLEET_CANCEL_PREFIX));
 		return;
 	}
+	if (fleet_owner_read_move(owner, name, item))
+		return;
 	pipeline = gh_pipeline_parse(item->value, &err);
 	if (!pipeline) {
 		log_event(LOG_ERROR, "job_unread", "key", item->key, "message",
@@ -141,9 +142,6 @@
 static void on_job_records_synced(void *ctx)
 {
 	fleet_owner_t *owner = ctx;
-	fleet_watch_listener_t listener = { .item_changed = on_worker_record,
-					    .synced = on_worker_records_synced,
-					    .ctx = owner };
 	GPtrArray *pipelines = owner->parsed_jobs;
 	guint i;
 
@@ -154,6 +152,15 @@
 	for (i = 0; i < pipelines->len; i++)
 		add_job(owner, pipelines->pdata[i], "load");
 	g_ptr_array_free(pipelines, TRUE);
+	fleet_owner_take_moves(owner, clock_boot());
+}
+
+void fleet_owner_load_workers(fleet_owner_t *owner)
+{
+	fleet_watch_listener_t listener = { .item_changed = on_worker_record,
+					    .synced = on_worker_records_synced,
+					    .ctx = owner };
+
 	g_clear_pointer(&owner->progress, g_hash_table_destroy);
 	owner->unread_workers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
--- a/fleet_owner_private.h
+++ b/fleet_owner_private.h
@@ -1,7 +1,8 @@
 /*
  * Shared by fleet_owner.c, which claims a shard and calls its workers,
  * fleet_owner_load.c, which reads its records, fleet_owner_lease.c, which keeps
- * its owner record, and fleet_owner_commit.c, which writes its changes.
+ * its owner record, fleet_owner_commit.c, which writes its changes, and
+ * fleet_owner_move.c, which exchanges tasks with other shards.
  */
 #ifndef FLEET_OWNER_PRIVATE_H
 #define FLEET_OWNER_PRIVATE_H
@@ -73,6 +74,7 @@
 	char *own_key;
 	char *chain_key;
 	char *progress_prefix;
+	char *jobs_prefix;
 	/*
 	 * Last grant of a lease by a previous owner, as the chain record tells
 	 * it; 0: it does not.  One that has not released the shard may have
@@ -125,6 +127,16 @@
 	GPtrArray *parsed_jobs;
 	/* Ids of jobs that were cancelled and have not been committed since. */
 	GHashTable *cancelled;
+	/* Ids of jobs whose home is another shard. */
+	GHashTable *guests;
+	/*
+	 * move_record_t, records of guests and messages of moves that were read
+	 * and are still to be processed, in this order.
+	 */
+	GQueue moves;
+	/* When a read of a state that failed is repeated. */
+	gh_time_t move_retry_at;
+	gh_time_t peers_set_at; /* when other shards' loads were passed on */
 	fleet_watch_t *job_watch;
 	fleet_watch_t *worker_watch;
 	/* Keys of workers' records that were logged as unusable. */
@@ -147,6 +159,8 @@
 	gh_capacity_t long_running_saved; /* in load_saved */
 	/* An event has occurred since the last run of advance(). */
 	bool dirty;
+	/* A read of the state of a job in moves is in flight. */
+	bool move_state_pending;
 	/*
 	 * Counts of the fleet that were already added to the process's
 	 * counters.
@@ -165,22 +179,61 @@
 	gh_time_t sent_at;
 } owner_call_t;
 
+/* fleet_owner.c */
 owner_call_t *fleet_owner_call_new(fleet_owner_t *owner);
 fleet_owner_t *fleet_owner_call_finish(void *ctx);
 void fleet_owner_note_record(fleet_owner_t *owner, uint64_t revision);
+void fleet_owner_end_ownership(fleet_owner_t *owner, const char *reason);
+char *fleet_owner_chain_text(const fleet_owner_t *owner, gh_time_t last_grant,
+			     const char *unheard, gh_time_t now);
+void fleet_owner_log_decision(void *ctx, const char *event,
+			      const gh_task_id_t *task, uint32_t run,
+			      const char *worker, const char *reason);
+
+/* fleet_owner_load.c */
 void fleet_owner_start_loading(fleet_owner_t *owner);
 void fleet_owner_load_progress_page(fleet_owner_t *owner);
-void fleet_owner_end_ownership(fleet_owner_t *owner, const char *reason);
+/* All jobs, guests and moved tasks were added; the workers are read next. */
+void fleet_owner_load_workers(fleet_owner_t *owner);
+
+/* fleet_owner_lease.c */
 void fleet_owner_renew_lease(fleet_owner_t *owner, gh_time_t now);
 bool fleet_owner_record_is_doubtful(const fleet_owner_t *owner, gh_time_t now);
 void fleet_owner_restore_record(fleet_owner_t *owner);
+
+/* fleet_owner_commit.c */
 void fleet_owner_start_commit(fleet_owner_t *owner, gh_time_t now);
 void fleet_owner_reread_chain(fleet_owner_t *owner, gh_time_t now);
 void fleet_owner_batch_free(batch_t *batch);
-char *fleet_owner_chain_text(const fleet_owner_t *owner, gh_time_t last_grant,
-			     const char *unheard, gh_time_t now);
-void fleet_owner_log_decision(void *ctx, const char *event,
-			      const gh_task_id_t *task, uint32_t run,
-			      const char *worker, const char *reason);
+/* Adds an entry to a commit; takes ownership of key and value. */
+void fleet_owner_batch_add(batch_t *batch, fleet_entry_kind_t kind, char *key,
+			   char *value, uint64_t revision, uint64_t lease);
+
+/* fleet_owner_move.c */
+
+void fleet_owner_move_init(fleet_owner_t *owner);
+void fleet_owner_move_clear(fleet_owner_t *owner);
+/* Passes the loads of the other shards to the fleet. */
+void fleet_owner_set_peers(fleet_owner_t *owner, gh_time_t now);
+/*
+ * Keeps a guest's record or the message of a move for
+ * fleet_owner_take_moves(); name is the key after jobs_prefix.  Returns false
+ * if the key is another one.
+ */
+bool fleet_owner_read_move(fleet_owner_t *owner, const char *name,
+			   const fleet_item_t *item);
+/*
+ * Processes what was read.  A job that is not known yet needs its state, which
+ * is read from the store if the directory lacks it.
+ */
+void fleet_owner_take_moves(fleet_owner_t *owner, gh_time_t now);
+/* Adds to a commit what a change of a job says of moves. */
+void fleet_owner_move_add_change(fleet_owner_t *owner, batch_t *batch,
+				 const gh_fleet_change_t *change);
+/* The change was committed. */
+void fleet_owner_move_committed(fleet_owner_t *owner,
+				const gh_fleet_change_t *change);
+/* Frees what a change has of moves. */
+void fleet_owner_move_change_clear(gh_fleet_change_t *change);
 
 #endif
