core_fleet_move: a cancel while a task leaves queues no change for ever

An owner that heard of a cancel after it had decided a move, and whose commit the cancel's state had refused, queued the ended job's change again after each commit: the task was still leaving. It spun there and decided nothing else.

An ended job's tasks go nowhere, so its departures are dropped.

--- a/core_fleet_move.c
+++ b/core_fleet_move.c
@@ -402,7 +402,9 @@
 		g_clear_pointer(&task->checkpoint, g_free);
 		fleet->counts.departed++;
 	}
-	if (job->n_leaving || job->arrivals->len)
+	/* An ended job's tasks go nowhere. */
+	if (job->arrivals->len ||
+	    (job->n_leaving && job->phase <= GH_JOB_RUNNING))
 		fleet_job_mark_changed(fleet, handle);
 	take_early_arrivals(fleet, handle);
 }
--- a/regress/fleet_shards.c
+++ b/regress/fleet_shards.c
@@ -153,15 +153,15 @@
 }
 
 void shards_add_job(shards_t *s, uint32_t home, const char *id,
-		    const gh_step_t *step)
+		    uint32_t n_steps, const gh_step_t *steps)
 {
-	gh_pipeline_t *job = make_job(id, 1, step);
+	gh_pipeline_t *job = make_job(id, n_steps, steps);
 	world_t *other = &s->worlds[1 - home];
 
 	put(s, make_key(home, "job", id), gh_pipeline_format(job));
 	put(s, g_strconcat("state/", id, NULL), g_strdup("queued"));
 	gh_pipeline_free(job);
-	add_job(&s->worlds[home], id, 1, step, NULL);
+	add_job(&s->worlds[home], id, n_steps, steps, NULL);
 	other->jobs[other->n_jobs++ % G_N_ELEMENTS(other->jobs)] =
 		s->worlds[home].jobs[(s->worlds[home].n_jobs - 1) %
 				     G_N_ELEMENTS(other->jobs)];
@@ -317,6 +317,7 @@
 			for (j = 0; j < worker->n_runs; j++)
 				n += !strcmp(worker->runs[j].task.job,
 					     task->job) &&
+				     worker->runs[j].task.step == task->step &&
 				     worker->runs[j].task.index == task->index;
 		}
 	return n;
--- a/regress/fleet_shards.h
+++ b/regress/fleet_shards.h
@@ -29,9 +29,9 @@
 
 void shards_init(shards_t *s);
 void shards_clear(shards_t *s);
-/* Adds a job of one step, which the test keeps, with its home. */
+/* Adds a job with its home; the test keeps the steps. */
 void shards_add_job(shards_t *s, uint32_t home, const char *id,
-		    const gh_step_t *step);
+		    uint32_t n_steps, const gh_step_t *steps);
 /* Cancels the job in its state; owners hear of it with the next step. */
 void shards_cancel(shards_t *s, const char *id);
 /* Replaces the shard's owner by one that loads the records. */
