core_fleet_backlog: tell how many runs began lately, and the oldest planned one

shard_behind tells how long the oldest planned run waits, but neither of which task it is nor how fast runs begin, so that a shard whose rate is low could not be told from one that passes the same run over. Two fields are added, begun_1s and oldest; test_backlog covers both.

--- a/core_fleet.h
+++ b/core_fleet.h
@@ -282,7 +282,9 @@
 typedef struct gh_fleet_backlog {
 	uint32_t planned_runs;	 /* placed, their intents not committed */
 	gh_time_t planned_since; /* when the oldest was placed; 0: none */
+	gh_task_id_t oldest;	 /* its task */
 	uint32_t begun_runs;	 /* committed, until their end */
+	uint32_t begun_lately;	 /* committed in the last second or so */
 	uint32_t pending_tasks;	 /* ready, and not placed at the last tick */
 	/* Cores of all workers, and cores that planned and begun runs hold. */
 	int64_t cores_milli, planned_cores_milli, begun_cores_milli;
--- a/core_fleet_backlog.c
+++ b/core_fleet_backlog.c
@@ -10,6 +10,7 @@
 
 	*backlog = (gh_fleet_backlog_t){
 		.pending_tasks = fleet->counts.pending_tasks,
+		.begun_lately = (uint32_t)(fleet->budget.begun_lately + 0.5),
 		.tick_gap = (gh_time_t)fleet->mean_tick_gap,
 	};
 	for (i = 0; i < fleet->workers->len; i++)
@@ -33,7 +34,10 @@
 		backlog->planned_runs++;
 		backlog->planned_cores_milli += cores;
 		if (!backlog->planned_since ||
-		    run->planned_at < backlog->planned_since)
+		    run->planned_at < backlog->planned_since) {
 			backlog->planned_since = run->planned_at;
+			backlog->oldest = fleet_task_id(
+				fleet_job(fleet, run->job), run->task);
+		}
 	}
 }
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -107,6 +107,7 @@
 				GH_USEC_PER_SEC);
 		fleet->interference_decayed_at = now;
 	}
+	fleet_budget_begin(fleet, now);
 	fleet_choose_begin(fleet);
 	collect_candidates(fleet, candidates, now, wall_ms);
 	g_array_sort(candidates, compare_candidates);
--- a/core_fleet_record.c
+++ b/core_fleet_record.c
@@ -204,6 +204,7 @@
 			if (run->state != RUN_PLANNED || run->version > version)
 				continue;
 			run->state = RUN_STARTING;
+			fleet_budget_note_begun(fleet);
 			fleet_order_enqueue(fleet, GH_ORDER_START, ref);
 		}
 	fleet_job_free_if_finished(fleet, handle);
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -455,6 +455,14 @@
 	int64_t incarnation_start_ms;
 } fleet_late_grant_t;
 
+/* Runs that are planned and those that have begun; see core_fleet_budget.c. */
+typedef struct fleet_budget {
+	uint32_t n_planned;  /* runs in the state RUN_PLANNED */
+	uint32_t n_begun;    /* committed since begun_at */
+	double begun_lately; /* at begun_at, in the second before or so */
+	gh_time_t begun_at;
+} fleet_budget_t;
+
 struct gh_fleet {
 	gh_fleet_setup_t setup;
 	gh_fleet_sink_t sink;
@@ -505,6 +513,7 @@
 	gh_time_t health_checked_at;
 	gh_time_t interference_decayed_at;
 	gh_time_t stragglers_checked_at;
+	fleet_budget_t budget;
 	bool busy; /* half of the workers' capacity is in use */
 	/* Checks for idle jobs: the last, and the period of the reports. */
 	gh_time_t idle_checked_at, idle_period_at;
@@ -748,6 +757,12 @@
  * without an open run; GH_NONE: there is none.
  */
 uint32_t fleet_plan_next_task(const fleet_job_t *job, int64_t wall_ms);
+/* A run is planned; it is ended before its commit; it is committed. */
+void fleet_budget_note_planned(gh_fleet_t *fleet);
+void fleet_budget_note_dropped(gh_fleet_t *fleet);
+void fleet_budget_note_begun(gh_fleet_t *fleet);
+/* Updates how many runs have begun lately. */
+void fleet_budget_begin(gh_fleet_t *fleet, gh_time_t now);
 /* Reports jobs that wait although nothing of them runs. */
 void fleet_idle_check(gh_fleet_t *fleet, gh_time_t now, int64_t wall_ms);
 /* Reserves a worker for a long-running task of a job that has waited for long.
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -507,6 +507,7 @@
 {
 	gh_fleet_backlog_t backlog;
 	char cores[64];
+	char oldest[GH_JOB_ID_MAX + 48];
 
 	if (owner->phase != PHASE_OWNING || now < owner->backlog_log_at)
 		return;
@@ -520,11 +521,15 @@
 		   backlog.planned_cores_milli / 1000,
 		   backlog.begun_cores_milli / 1000,
 		   backlog.cores_milli / 1000);
+	g_snprintf(oldest, sizeof(oldest), "%s.%u.%u.%u", backlog.oldest.job,
+		   backlog.oldest.occurrence, backlog.oldest.step,
+		   backlog.oldest.index);
 	log_event(LOG_INFO, "shard_behind", "shard",
 		  log_num(owner->setup.shard), "planned",
 		  log_num(backlog.planned_runs), "planned_ms",
 		  log_num(gh_time_to_ms(now - backlog.planned_since)), "begun",
-		  log_num(backlog.begun_runs), "pending",
+		  log_num(backlog.begun_runs), "begun_1s",
+		  log_num(backlog.begun_lately), "oldest", oldest, "pending",
 		  log_num(backlog.pending_tasks), "cores", cores, "tick_gap_ms",
 		  log_num(gh_time_to_ms(backlog.tick_gap)), NULL);
 }
--- a/regress/test_core_fleet.c
+++ b/regress/test_core_fleet.c
@@ -82,7 +82,9 @@
 	assert_int_equal(backlog.planned_cores_milli,
 			 one_task.size.cores_milli);
 	assert_in_range(w.now - backlog.planned_since, 400 * MS, 500 * MS);
+	assert_string_equal(backlog.oldest.job, "0000000000000001");
 	assert_int_equal(backlog.begun_runs, 0);
+	assert_int_equal(backlog.begun_lately, 0);
 	assert_int_equal(backlog.cores_milli, 4000);
 	w.store_down = false;
 	advance_time(&w, 100);
@@ -90,6 +92,10 @@
 	assert_int_equal(backlog.planned_runs, 0);
 	assert_int_equal(backlog.planned_since, 0);
 	assert_int_equal(backlog.begun_cores_milli, one_task.size.cores_milli);
+	assert_int_equal(backlog.begun_lately, 1);
+	advance_time(&w, 5000);
+	gh_fleet_backlog(w.fleet, &backlog);
+	assert_int_equal(backlog.begun_lately, 0);
 	world_clear(&w);
 }
 
