core_fleet_plan: plan no further ahead than is committed in a second

Cause: each tick places all that fits, and a planned run holds its capacity until its job's change is committed. Changes are committed in order, some 25 a commit and one commit at a time, so an owner with little processor time has a queue of 20 to 30 s that holds most of the workers' capacity while they run next to nothing.

Now nothing more is planned while more changes are queued than were committed in the last second or so, but for 64 runs, and for jobs whose changes are queued anyway up to twice that. Long-running tasks that ran before are not bound. While the bound binds, half of it goes to the jobs of which nothing has run for longest. Runs that can't be committed for 5 s are left out, so that they stop no others.

A bound in runs begun was tried and not kept: ends and starts share the commits, so that it falls as the ends of many runs come in.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -503,7 +503,7 @@
 	link_run(fleet, handle);
 	account_resources(fleet, run, true);
 	if (state == RUN_PLANNED) {
-		fleet_budget_note_planned(fleet);
+		fleet->budget.n_planned++;
 		fleet_crash_handle_start(fleet, handle);
 		fleet_worker(fleet, worker)->last_placed_at = now;
 		parent->stalled_since = 0;
@@ -577,7 +577,7 @@
 	fleet_task_t *task = &job->tasks[run->task];
 
 	if (run->state == RUN_PLANNED)
-		fleet_budget_note_dropped(fleet);
+		fleet->budget.n_planned--;
 	unlink_run(fleet, handle);
 	run->state = RUN_FREE;
 	g_array_append_val(fleet->free_runs, handle);
--- a/core_fleet_budget.c
+++ b/core_fleet_budget.c
@@ -1,23 +1,30 @@
 /*
- * How many runs an owner may have planned.
+ * How far an owner plans ahead.
  *
  * Handles owners that decide faster than they commit and send.  A planned run
- * holds capacity that nothing uses until it is committed, so no more runs are
- * planned than have begun in the last second or so.
+ * holds capacity that nothing uses until the change of its job is committed.
+ * Changes are committed in the order in which they were queued, so nothing is
+ * planned while more of them are queued than were committed in the last second
+ * or so, but for PLANNED_MIN runs.  The bound counts changes and not runs, as
+ * one change can begin many runs and tell many ends.  A job whose change is
+ * queued anyway needs no other, so it may have more planned for longer: else
+ * the ends of runs would take up the commits for some seconds at a time.
+ *
+ * While this binds, half of what may be planned goes to the jobs of which
+ * nothing has run for longest, whatever their rank.
  */
 #include "core_fleet_state.h"
 
 #define BUDGET_PERIOD_USEC GH_USEC_PER_SEC
+/* Runs that may always be planned. */
+#define PLANNED_MIN 64
+/* Runs that are planned for longer keep no others from being planned. */
+#define STUCK_USEC (5 * GH_USEC_PER_SEC)
+/* Jobs whose changes are queued may go beyond the bound by this. */
+#define QUEUED_JOBS_FACTOR 2
+#define OLDEST_SHARE_DIVISOR 2
 
-void fleet_budget_note_planned(gh_fleet_t *fleet)
-{
-	fleet->budget.n_planned++;
-}
-
-void fleet_budget_note_dropped(gh_fleet_t *fleet)
-{
-	fleet->budget.n_planned--;
-}
+static void decay(double *lately, uint32_t *since, gh_time_t elapsed);
 
 void fleet_budget_note_begun(gh_fleet_t *fleet)
 {
@@ -30,9 +37,72 @@
 	fleet_budget_t *budget = &fleet->budget;
 	gh_time_t elapsed = MIN(now - budget->begun_at, BUDGET_PERIOD_USEC);
 
-	budget->begun_lately *=
-		1 - (double)elapsed / (double)BUDGET_PERIOD_USEC;
-	budget->begun_lately += budget->n_begun;
+	decay(&budget->begun_lately, &budget->n_begun, elapsed);
+	decay(&budget->committed_lately, &budget->n_committed, elapsed);
 	budget->begun_at = now;
-	budget->n_begun = 0;
+	budget->changes_max = (uint32_t)budget->committed_lately;
+	budget->planned_max =
+		PLANNED_MIN + MIN(budget->n_planned, budget->n_stuck);
+	budget->was_short = budget->is_short;
+	budget->is_short = false;
+}
+
+/* Turns a count per BUDGET_PERIOD_USEC into that of a later time. */
+static void decay(double *lately, uint32_t *since, gh_time_t elapsed)
+{
+	*lately *= 1 - (double)elapsed / (double)BUDGET_PERIOD_USEC;
+	*lately += *since;
+	*since = 0;
+}
+
+bool fleet_budget_is_stuck(const fleet_run_t *run, gh_time_t now)
+{
+	return run->state == RUN_PLANNED && now - run->planned_at > STUCK_USEC;
+}
+
+bool fleet_budget_allows_job(gh_fleet_t *fleet, const fleet_job_t *job)
+{
+	return (job->change_queued &&
+		g_queue_get_length(fleet->changes) <
+			QUEUED_JOBS_FACTOR * fleet->budget.changes_max) ||
+	       fleet_budget_allows(fleet);
+}
+
+bool fleet_budget_allows(gh_fleet_t *fleet)
+{
+	fleet_budget_t *budget = &fleet->budget;
+
+	if (g_queue_get_length(fleet->changes) < budget->changes_max ||
+	    budget->n_planned < budget->planned_max)
+		return true;
+	budget->is_short = true;
+	return false;
+}
+
+bool fleet_budget_set_aside(gh_fleet_t *fleet)
+{
+	fleet_budget_t *budget = &fleet->budget;
+	uint32_t n_changes = g_queue_get_length(fleet->changes);
+
+	if (!budget->was_short || !fleet_budget_allows(fleet))
+		return false;
+	if (n_changes < budget->changes_max)
+		budget->changes_aside = (budget->changes_max - n_changes) /
+					OLDEST_SHARE_DIVISOR;
+	if (budget->n_planned < budget->planned_max)
+		budget->planned_aside =
+			(budget->planned_max - budget->n_planned) /
+			OLDEST_SHARE_DIVISOR;
+	budget->changes_max -= budget->changes_aside;
+	budget->planned_max -= budget->planned_aside;
+	return true;
+}
+
+void fleet_budget_put_back(gh_fleet_t *fleet)
+{
+	fleet_budget_t *budget = &fleet->budget;
+
+	budget->changes_max += budget->changes_aside;
+	budget->planned_max += budget->planned_aside;
+	budget->changes_aside = budget->planned_aside = 0;
 }
--- a/core_fleet_idle.c
+++ b/core_fleet_idle.c
@@ -94,11 +94,13 @@
 
 static void note_running_jobs(gh_fleet_t *fleet, gh_time_t now)
 {
+	uint32_t n_stuck = 0;
 	uint32_t i;
 
 	for (i = 0; i < fleet->runs->len; i++) {
 		const fleet_run_t *run = fleet_run(fleet, i);
 
+		n_stuck += fleet_budget_is_stuck(run, now);
 		if (run->state == RUN_RUNNING)
 			fleet_job(fleet, run->job)->seen_running_at = now;
 		else if (run->state == RUN_PLANNED ||
@@ -106,6 +108,7 @@
 			  !fleet_worker(fleet, run->worker)->unreachable_since))
 			fleet_job(fleet, run->job)->seen_starting_at = now;
 	}
+	fleet->budget.n_stuck = n_stuck;
 }
 
 /* Notes since when the open runs of a job that waits lead to nothing. */
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -8,7 +8,8 @@
  * is of little use by then.  Among jobs of one priority, long-running tasks
  * that have run before come first.  A stage starts as many tasks as fit; the
  * others wait without reserving capacity, so that smaller tasks behind them can
- * start, but for long-running tasks; see core_fleet_reserve.c.
+ * start, but for long-running tasks; see core_fleet_reserve.c.  How far ahead
+ * tasks are placed is bound; see core_fleet_budget.c.
  */
 #include "core_fleet_state.h"
 
@@ -82,6 +83,11 @@
 			   candidate_t *c, int64_t wall_ms);
 static int64_t remaining_core_ms(const fleet_job_t *job);
 static int compare_candidates(gconstpointer a, gconstpointer b);
+static void place_oldest(gh_fleet_t *fleet, const GArray *candidates,
+			 gh_time_t now);
+static int compare_idle_jobs(gconstpointer a, gconstpointer b, gpointer fleet);
+static void place_candidate(gh_fleet_t *fleet, const candidate_t *c,
+			    gh_time_t now);
 static void place_stage(gh_fleet_t *fleet, const candidate_t *c, gh_time_t now);
 static void place_gang(gh_fleet_t *fleet, const candidate_t *c, gh_time_t now);
 static void report_waiting_stage(gh_fleet_t *fleet, const candidate_t *c,
@@ -112,16 +118,14 @@
 	collect_candidates(fleet, candidates, now, wall_ms);
 	g_array_sort(candidates, compare_candidates);
 	fleet->counts.pending_tasks = 0;
-	for (i = 0; i < candidates->len; i++) {
-		const candidate_t *c =
-			&g_array_index(candidates, candidate_t, i);
-		const fleet_job_t *job = fleet_job(fleet, c->job);
-
-		if (job->spec->steps[c->stage % job->spec->n_steps].gang)
-			place_gang(fleet, c, now);
-		else
-			place_stage(fleet, c, now);
+	if (fleet_budget_set_aside(fleet)) {
+		place_oldest(fleet, candidates, now);
+		fleet_budget_put_back(fleet);
+		fleet->counts.pending_tasks = 0;
 	}
+	for (i = 0; i < candidates->len; i++)
+		place_candidate(
+			fleet, &g_array_index(candidates, candidate_t, i), now);
 	g_array_free(candidates, TRUE);
 	if (now - fleet->stragglers_checked_at >= STRAGGLER_CHECK_PERIOD_USEC) {
 		fleet->stragglers_checked_at = now;
@@ -404,6 +408,63 @@
 		       (first->stage < second->stage ? -1 : 1);
 }
 
+/*
+ * Places tasks of jobs without an open run, by the time since one has run,
+ * while the budget that is not set aside lasts.
+ */
+static void place_oldest(gh_fleet_t *fleet, const GArray *candidates,
+			 gh_time_t now)
+{
+	GArray *idle = g_array_new(FALSE, FALSE, sizeof(candidate_t));
+	guint i;
+
+	for (i = 0; i < candidates->len; i++) {
+		const candidate_t *c =
+			&g_array_index(candidates, candidate_t, i);
+
+		if (!fleet_job(fleet, c->job)->open_runs)
+			g_array_append_val(idle, *c);
+	}
+	g_array_sort_with_data(idle, compare_idle_jobs, fleet);
+	for (i = 0; i < idle->len && fleet_budget_allows(fleet); i++)
+		place_candidate(fleet, &g_array_index(idle, candidate_t, i),
+				now);
+	g_array_free(idle, TRUE);
+}
+
+static int compare_idle_jobs(gconstpointer a, gconstpointer b, gpointer fleet)
+{
+	gh_time_t first =
+		fleet_job(fleet, ((const candidate_t *)a)->job)->idle_since;
+	gh_time_t second =
+		fleet_job(fleet, ((const candidate_t *)b)->job)->idle_since;
+
+	if (first != second)
+		return first < second ? -1 : 1;
+	return compare_candidates(a, b);
+}
+
+static void place_candidate(gh_fleet_t *fleet, const candidate_t *c,
+			    gh_time_t now)
+{
+	const fleet_job_t *job = fleet_job(fleet, c->job);
+	const gh_step_t *step =
+		&job->spec->steps[c->stage % job->spec->n_steps];
+	const fleet_stage_t *stage = &job->stages[c->stage];
+
+	/*
+	 * One commit starts all tasks of the stage.  What ran before does not
+	 * wait for what has not.
+	 */
+	if (!c->restarts && !fleet_budget_allows_job(fleet, job))
+		fleet->counts.pending_tasks +=
+			step->tasks - stage->tasks_done - stage->tasks_open;
+	else if (step->gang)
+		place_gang(fleet, c, now);
+	else
+		place_stage(fleet, c, now);
+}
+
 static void place_stage(gh_fleet_t *fleet, const candidate_t *c, gh_time_t now)
 {
 	fleet_job_t *job = fleet_job(fleet, c->job);
@@ -592,6 +653,8 @@
 		if (!slow &&
 		    !fleet_worker(fleet, run->worker)->unreachable_since)
 			continue;
+		if (!fleet_budget_allows(fleet))
+			return;
 		task = run->task;
 		worker =
 			fleet_choose_worker(fleet, job, task, run->worker, now);
--- a/core_fleet_record.c
+++ b/core_fleet_record.c
@@ -190,6 +190,7 @@
 	if (handle == GH_NONE)
 		return;
 	job = fleet_job(fleet, handle);
+	fleet->budget.n_committed++;
 	job->commit_pending = false;
 	job->committed_version = version;
 	job->committed_phase = job->committing_phase;
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -455,12 +455,22 @@
 	int64_t incarnation_start_ms;
 } fleet_late_grant_t;
 
-/* Runs that are planned and those that have begun; see core_fleet_budget.c. */
+/* What may be planned; see core_fleet_budget.c. */
 typedef struct fleet_budget {
-	uint32_t n_planned;  /* runs in the state RUN_PLANNED */
-	uint32_t n_begun;    /* committed since begun_at */
-	double begun_lately; /* at begun_at, in the second before or so */
+	uint32_t n_planned; /* runs in the state RUN_PLANNED */
+	uint32_t n_stuck;   /* of them, at the last check for idle jobs */
+	/* Runs that have begun and changes committed, since begun_at. */
+	uint32_t n_begun, n_committed;
+	/* The same at begun_at, in the second before or so. */
+	double begun_lately, committed_lately;
 	gh_time_t begun_at;
+	/* More is planned while less than one of these is queued or planned. */
+	uint32_t changes_max, planned_max;
+	/* The parts of them that only the oldest jobs don't use. */
+	uint32_t changes_aside, planned_aside;
+	/* In this tick, and in the last one, something more could be planned.
+	 */
+	bool is_short, was_short;
 } fleet_budget_t;
 
 struct gh_fleet {
@@ -757,12 +767,22 @@
  * without an open run; GH_NONE: there is none.
  */
 uint32_t fleet_plan_next_task(const fleet_job_t *job, int64_t wall_ms);
-/* A run is planned; it is ended before its commit; it is committed. */
-void fleet_budget_note_planned(gh_fleet_t *fleet);
-void fleet_budget_note_dropped(gh_fleet_t *fleet);
+/* Takes note that a planned run is committed. */
 void fleet_budget_note_begun(gh_fleet_t *fleet);
-/* Updates how many runs have begun lately. */
+/* Sets what may be planned in this tick. */
 void fleet_budget_begin(gh_fleet_t *fleet, gh_time_t now);
+/* Whether the run is planned and its commit may never succeed. */
+bool fleet_budget_is_stuck(const fleet_run_t *run, gh_time_t now);
+/* Whether runs of another stage may be planned, or one more copy. */
+bool fleet_budget_allows(gh_fleet_t *fleet);
+/* The same of a stage of the job, whose change may be queued already. */
+bool fleet_budget_allows_job(gh_fleet_t *fleet, const fleet_job_t *job);
+/*
+ * Sets a part of the budget aside, so that what is left is the share of the
+ * oldest jobs; false: it suffices for all, or is used up.
+ */
+bool fleet_budget_set_aside(gh_fleet_t *fleet);
+void fleet_budget_put_back(gh_fleet_t *fleet);
 /* Reports jobs that wait although nothing of them runs. */
 void fleet_idle_check(gh_fleet_t *fleet, gh_time_t now, int64_t wall_ms);
 /* Reserves a worker for a long-running task of a job that has waited for long.
--- a/regress/fleet_world.c
+++ b/regress/fleet_world.c
@@ -542,12 +542,18 @@
 {
 	gh_fleet_change_t change;
 
-	while (gh_fleet_next_change(w->fleet, &change)) {
+	while ((!w->commits_limited || w->commits_left) &&
+	       gh_fleet_next_change(w->fleet, &change)) {
+		w->commits_left -= w->commits_limited;
 		check_record(w, &change);
-		if (w->store_down) {
+		if (w->store_down ||
+		    (w->refused_jobs &&
+		     g_str_has_prefix(change.id, w->refused_jobs))) {
 			gh_fleet_handle_commit_failure(w->fleet, change.id);
 			g_free(change.progress);
-			return;
+			if (w->store_down)
+				return;
+			continue;
 		}
 		g_free(w->progress);
 		w->progress = change.progress;
--- a/regress/fleet_world.h
+++ b/regress/fleet_world.h
@@ -109,6 +109,11 @@
 	/* Workers end their runs when their lease is over. */
 	bool leases_end;
 	bool store_down;
+	/* The store commits the changes of so many more jobs only. */
+	bool commits_limited;
+	uint32_t commits_left;
+	/* Commits fail of jobs whose ids begin so; NULL: of none. */
+	const char *refused_jobs;
 	bool renewals_stopped; /* no renewal is sent to any worker */
 	char *progress; /* text of the last job record committed, whichever the
 			   job */
