--- a/core_fleet_record.c
+++ b/core_fleet_record.c
@@ -217,6 +217,7 @@
 	if (handle == GH_NONE)
 		return;
 	job = fleet_job(fleet, handle);
+	fleet->budget.n_committed++;
 	job->commit_pending = false;
 	job->committed_version = version;
 	job->committed_phase = job->committing_phase;
@@ -232,6 +233,7 @@
 			if (run->state != RUN_PLANNED || run->version > version)
 				continue;
 			run->state = RUN_STARTING;
+			fleet_budget_note_begun(fleet);
 			fleet_order_enqueue(fleet, GH_ORDER_START, ref);
 		}
 	fleet_job_free_if_finished(fleet, handle);
--- a/regress/fleet_world.c
+++ b/regress/fleet_world.c
@@ -572,14 +572,20 @@
 {
 	gh_fleet_change_t change;
 
-	while (deliver_held_reply(w) &&
+	while ((!w->commits_limited || w->commits_left) &&
+	       deliver_held_reply(w) &&
 	       gh_fleet_next_change(w->fleet, &change)) {
+		w->commits_left -= w->commits_limited;
 		check_record(w, &change);
 		if (w->store_down ||
+		    (w->refused_jobs &&
+		     g_str_has_prefix(change.id, w->refused_jobs)) ||
 		    (w->on_commit && !w->on_commit(w, &change))) {
 			gh_fleet_handle_commit_failure(w->fleet, change.id);
 			free_change(&change);
-			return;
+			if (w->store_down || w->on_commit)
+				return;
+			continue;
 		}
 		g_free(w->progress);
 		w->progress = g_steal_pointer(&change.progress);
--- a/regress/fleet_world.h
+++ b/regress/fleet_world.h
@@ -117,6 +117,11 @@
 	void *ctx;		/* of the test */
 	/* Stores a change; false: the commit is refused.  May be NULL. */
 	bool (*on_commit)(world_t *w, const gh_fleet_change_t *change);
+	/* The store commits the changes of so many more jobs only. */
+	bool commits_limited;
+	uint32_t commits_left;
+	/* Commits fail of jobs whose ids begin so; NULL: of none. */
+	const char *refused_jobs;
 	bool renewals_stopped; /* no renewal is sent to any worker */
 	char *progress; /* text of the last job record committed, whichever the
 			   job */
