--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -462,9 +462,9 @@
 	 * wait for what has not.
 	 */
 	if (!c->restarts && !fleet_budget_allows_job(fleet, job))
-		fleet->counts.pending_tasks +=
-			step->tasks - stage->tasks_done - stage->tasks_open -
-			stage->tasks_away;
+		fleet->counts.pending_tasks += step->tasks - stage->tasks_done -
+					       stage->tasks_open -
+					       stage->tasks_away;
 	else if (step->gang)
 		place_gang(fleet, c, now);
 	else
