core_fleet_rooms: a room that was used and told of is no longer taken twice

What was sent there was forgotten only while a load was handled that had changed 1.5 s after it or later; in calm the arrival itself is the last change, so the room counted as taken by the sent task and by its run.

It is forgotten after 1.5 s if the load has changed since it was sent. test_room_is_counted_as_taken_twice failed before (no run of the second task after 1 s) and passes now. Loads take a step to be heard of in the test's shards, as they do between hosts.

--- a/core_fleet_rooms.c
+++ b/core_fleet_rooms.c
@@ -40,7 +40,7 @@
 static fleet_peer_t *get_peer(const gh_fleet_t *fleet, uint32_t shard);
 static bool is_current(const fleet_peer_t *peer, gh_time_t now);
 static bool same_load(const gh_shard_load_t *a, const gh_shard_load_t *b);
-static void forget_sent(fleet_peer_t *peer, bool changed, gh_time_t now);
+static void forget_sent(fleet_peer_t *peer, gh_time_t now);
 static void compute_rooms(fleet_peer_t *peer);
 static gh_room_t *find_room(gh_room_t *rooms, uint32_t n,
 			    const gh_room_t *need);
@@ -99,7 +99,7 @@
 		peer->load = *load;
 		peer->load.n_rooms = MIN(load->n_rooms, GH_ROOMS_MAX);
 	}
-	forget_sent(peer, changed, now);
+	forget_sent(peer, now);
 	compute_rooms(peer);
 }
 
@@ -194,15 +194,17 @@
 	return true;
 }
 
-static void forget_sent(fleet_peer_t *peer, bool changed, gh_time_t now)
+static void forget_sent(fleet_peer_t *peer, gh_time_t now)
 {
 	guint i = 0;
 
 	while (i < peer->sent->len) {
-		gh_time_t age =
-			now - g_array_index(peer->sent, sent_task_t, i).sent_at;
+		gh_time_t sent_at =
+			g_array_index(peer->sent, sent_task_t, i).sent_at;
+		gh_time_t age = now - sent_at;
 
-		if (age > SENT_MAX_USEC || (changed && age > SENT_REPORT_USEC))
+		if (age > SENT_MAX_USEC ||
+		    (age > SENT_REPORT_USEC && peer->changed_at > sent_at))
 			g_array_remove_index(peer->sent, i);
 		else
 			i++;
--- a/regress/fleet_shards.c
+++ b/regress/fleet_shards.c
@@ -263,17 +263,26 @@
 				w->now);
 }
 
+/* Loads take a step to be heard of. */
 static void tell_loads(shards_t *s)
 {
-	gh_shard_load_t load;
+	bool due = s->loads_due;
 	uint32_t i;
 
+	s->loads_due = !s->loads_held &&
+		       s->worlds[0].now - s->loads_at >= LOAD_PERIOD_USEC;
+	if (s->loads_due)
+		s->loads_at = s->worlds[0].now;
 	for (i = 0; i < SHARDS; i++) {
 		world_t *other = &s->worlds[1 - i];
 
-		gh_fleet_load(s->worlds[i].fleet, &load, s->worlds[i].now);
-		gh_fleet_peer_set(other->fleet, i,
-				  s->told[i] ? s->told[i] : &load, other->now);
+		if (due)
+			gh_fleet_peer_set(other->fleet, i,
+					  s->told[i] ? s->told[i] :
+						       &s->loads[i],
+					  other->now);
+		gh_fleet_load(s->worlds[i].fleet, &s->loads[i],
+			      s->worlds[i].now);
 	}
 }
 
@@ -361,10 +370,6 @@
 			advance_time(w, STEP_MS);
 			check_tasks(s);
 		}
-		if (s->loads_held ||
-		    s->worlds[0].now - s->loads_at < LOAD_PERIOD_USEC)
-			continue;
-		s->loads_at = s->worlds[0].now;
 		tell_loads(s);
 	}
 }
--- a/regress/fleet_shards.h
+++ b/regress/fleet_shards.h
@@ -23,6 +23,9 @@
 	const gh_shard_load_t *told[SHARDS];
 	bool loads_held; /* no load is told */
 	gh_time_t loads_at;
+	/* Loads that are told with the next step. */
+	gh_shard_load_t loads[SHARDS];
+	bool loads_due;
 	size_t n_departures;
 	bool uncommitted_move; /* a departure's commit was refused */
 } shards_t;
--- a/regress/test_core_fleet_move.c
+++ b/regress/test_core_fleet_move.c
@@ -517,6 +517,24 @@
 	world_clear(&w);
 }
 
+/* What was sent is forgotten once the load tells of it, also by its last write.
+ */
+static void test_room_is_counted_as_taken_twice(void **state)
+{
+	shards_t s;
+
+	(void)state;
+	init_full_shard(&s, 2000);
+	shards_add_job(&s, 0, JOB_ID, 1, &long_running_step);
+	shards_advance(&s, MOVE_MS);
+	assert_int_equal(shards_count_runs(&s, 1, JOB_ID), 1);
+	shards_advance(&s, 1000);
+	shards_add_job(&s, 0, "0000000000000002", 1, &long_running_step);
+	shards_advance(&s, MOVE_MS);
+	assert_int_equal(shards_count_runs(&s, 1, "0000000000000002"), 1);
+	shards_clear(&s);
+}
+
 static const char *const bad_records[] = {
 	"progress1\n0 away 0 1 -\n",
 	"progress1\n0 away 0 1 - moves:0\n",
@@ -578,6 +596,7 @@
 		cmocka_unit_test(test_guest_ends_job),
 		cmocka_unit_test(test_wait_tells_of_rooms_elsewhere),
 		cmocka_unit_test(test_rooms_in_load),
+		cmocka_unit_test(test_room_is_counted_as_taken_twice),
 		cmocka_unit_test(test_bad_record_of_guest_starts_task),
 	};
 
