core_fleet_rooms: a task that waits moves to workers in quarantine as well

Within a shard such a task starts there after 2 s; the load named no room for it, and one that had come left after 1 s, before its 2 s were over.

A load names the rooms of workers in quarantine if it has no other. Beside such a worker a task that has moved stays for 3 s at least. test_task_waits_beside_worker_in_quarantine failed before (no run after 4 s) and passes now.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -330,11 +330,10 @@
 		fleet_run_end(fleet, worker->first_run, GH_RUN_LOST, NULL, now);
 }
 
-bool fleet_worker_is_usable(const fleet_worker_t *worker, gh_time_t now)
+bool fleet_worker_is_heard(const fleet_worker_t *worker)
 {
 	return worker->in_use && worker->listed && !worker->entry.draining &&
-	       worker->has_reported && !worker->unreachable_since &&
-	       fleet_health_is_usable(worker, now);
+	       worker->has_reported && !worker->unreachable_since;
 }
 
 bool fleet_worker_heard_at(const fleet_worker_t *worker, const char *address)
@@ -991,7 +990,8 @@
 	for (i = 0; i < fleet->workers->len; i++) {
 		const fleet_worker_t *worker = fleet_worker(fleet, i);
 
-		if (fleet_worker_is_usable(worker, now))
+		if (fleet_worker_is_heard(worker) &&
+		    fleet_health_is_usable(worker, now))
 			gh_capacity_add(&load->total, &worker->entry.size, 1);
 	}
 	for (i = 0; i < fleet->jobs->len; i++) {
--- a/core_fleet_choose.c
+++ b/core_fleet_choose.c
@@ -482,6 +482,23 @@
 	       find_mismatch(fleet, job, stage, handle, now) == OBSTACLE_NONE;
 }
 
+bool fleet_choose_has_last_resort(const gh_fleet_t *fleet,
+				  const fleet_job_t *job, uint32_t stage,
+				  gh_time_t now)
+{
+	uint32_t i;
+
+	for (i = 0; i < fleet->workers->len; i++) {
+		const fleet_worker_t *worker = fleet_worker(fleet, i);
+
+		if (worker->in_use && now >= worker->refused_until &&
+		    find_obstacle(fleet, job, stage, i, now) ==
+			    OBSTACLE_QUARANTINE)
+			return true;
+	}
+	return false;
+}
+
 static obstacle_t find_state_obstacle(const fleet_worker_t *worker,
 				      gh_time_t now)
 {
--- a/core_fleet_move.c
+++ b/core_fleet_move.c
@@ -22,6 +22,11 @@
 /* A task moves after this wait, doubled with each move that it has made. */
 #define MOVE_WAIT_USEC (500 * GH_USEC_PER_MSEC)
 #define MOVE_WAIT_DOUBLINGS_MAX 4
+/*
+ * A task that has moved waits at least as long beside a worker in quarantine,
+ * where it starts once it has waited for long.
+ */
+#define LAST_RESORT_WAIT_USEC (3 * GH_USEC_PER_SEC)
 /* Tasks that are sent away in one MOVE_PERIOD_USEC. */
 #define MOVES_MAX 32
 /* Tasks that leave, and that arrive, by one change of a job. */
@@ -32,8 +37,8 @@
 static uint32_t decide_stage(gh_fleet_t *fleet, uint32_t handle, uint32_t stage,
 			     bool restarts, uint32_t limit, gh_time_t now);
 static bool is_movable(const gh_fleet_t *fleet, const fleet_job_t *job,
-		       uint32_t index, gh_time_t now);
-static gh_time_t move_wait(const fleet_task_t *task);
+		       uint32_t index, bool last_resort, gh_time_t now);
+static gh_time_t move_wait(const fleet_task_t *task, bool last_resort);
 static void leave(gh_fleet_t *fleet, uint32_t handle, uint32_t index,
 		  uint32_t shard, gh_time_t now);
 static bool find_message(const GArray *messages, const gh_task_id_t *task,
@@ -128,6 +133,7 @@
 	const fleet_job_t *job = fleet_job(fleet, handle);
 	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
 	fleet_stage_t *s = &job->stages[stage];
+	bool last_resort = fleet_choose_has_last_resort(fleet, job, stage, now);
 	uint32_t n = 0;
 	uint32_t i;
 
@@ -136,7 +142,7 @@
 		uint32_t shard;
 
 		if ((job->tasks[i].last_run != 0) != restarts ||
-		    !is_movable(fleet, job, i, now))
+		    !is_movable(fleet, job, i, last_resort, now))
 			continue;
 		shard = fleet_rooms_take(fleet, job, step, now);
 		if (shard == GH_NONE)
@@ -150,7 +156,7 @@
 }
 
 static bool is_movable(const gh_fleet_t *fleet, const fleet_job_t *job,
-		       uint32_t index, gh_time_t now)
+		       uint32_t index, bool last_resort, gh_time_t now)
 {
 	const fleet_task_t *task = &job->tasks[index];
 	gh_time_t since = MAX(fleet_task_stage(job, index)->waiting_since,
@@ -158,7 +164,8 @@
 	gh_task_id_t id;
 
 	if (task->place != PLACE_HERE || task->done ||
-	    task->runs[0] != GH_NONE || now - since < move_wait(task) ||
+	    task->runs[0] != GH_NONE ||
+	    now - since < move_wait(task, last_resort) ||
 	    now < task->not_before || now < task->late_until ||
 	    task->n_late_stops || fleet_crash_has_any(task))
 		return false;
@@ -167,9 +174,13 @@
 	       !fleet_late_has_task(fleet, &id);
 }
 
-static gh_time_t move_wait(const fleet_task_t *task)
+static gh_time_t move_wait(const fleet_task_t *task, bool last_resort)
 {
-	return MOVE_WAIT_USEC << MIN(task->moves, MOVE_WAIT_DOUBLINGS_MAX);
+	gh_time_t wait = MOVE_WAIT_USEC
+			 << MIN(task->moves, MOVE_WAIT_DOUBLINGS_MAX);
+
+	return task->moves && last_resort ? MAX(wait, LAST_RESORT_WAIT_USEC) :
+					    wait;
 }
 
 static void leave(gh_fleet_t *fleet, uint32_t handle, uint32_t index,
--- a/core_fleet_rooms.c
+++ b/core_fleet_rooms.c
@@ -48,6 +48,8 @@
 static void take(gh_room_t *room, const sent_task_t *task);
 static gh_room_t describe_need(const fleet_job_t *job, const gh_step_t *step);
 static int compare_rooms(const gh_room_t *a, const gh_room_t *b);
+static void add_rooms(const gh_fleet_t *fleet, gh_shard_load_t *load,
+		      bool healthy, gh_time_t now);
 static void insert_room(gh_shard_load_t *load, const gh_room_t *room);
 static void take_waiting(const gh_fleet_t *fleet, gh_shard_load_t *load);
 static void take_rooms(const fleet_job_t *job, uint32_t stage, uint32_t n,
@@ -278,6 +280,18 @@
 
 void fleet_rooms_add_own(const gh_fleet_t *fleet, gh_shard_load_t *load,
 			 gh_time_t now)
+{
+	add_rooms(fleet, load, true, now);
+	/* A task that has waited for long starts there as well. */
+	if (!load->n_rooms)
+		add_rooms(fleet, load, false, now);
+	take_waiting(fleet, load);
+	sort_rooms(load);
+}
+
+/* Adds the rooms of workers that are healthy, or that are in quarantine. */
+static void add_rooms(const gh_fleet_t *fleet, gh_shard_load_t *load,
+		      bool healthy, gh_time_t now)
 {
 	uint32_t i;
 
@@ -285,7 +299,9 @@
 		const fleet_worker_t *worker = fleet_worker(fleet, i);
 		gh_room_t room = { 0 };
 
-		if (!fleet_worker_is_usable(worker, now))
+		if (!fleet_worker_is_heard(worker) ||
+		    now < worker->refused_until ||
+		    fleet_health_is_usable(worker, now) != healthy)
 			continue;
 		gh_capacity_add(&room.free, &worker->entry.size, 1);
 		room.free.cores_milli -=
@@ -295,8 +311,6 @@
 			  sizeof(room.service));
 		insert_room(load, &room);
 	}
-	take_waiting(fleet, load);
-	sort_rooms(load);
 }
 
 /* Keeps the largest rooms. */
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -758,8 +758,8 @@
 /* Ends all runs of a worker whose lease expired or which has restarted. */
 void fleet_worker_end_runs(gh_fleet_t *fleet, uint32_t handle, const char *why,
 			   gh_time_t now);
-/* Whether the worker is listed, reports and is healthy. */
-bool fleet_worker_is_usable(const fleet_worker_t *worker, gh_time_t now);
+/* Whether the worker is listed, is not draining and reports. */
+bool fleet_worker_is_heard(const fleet_worker_t *worker);
 /* Whether the worker was last heard at the address. */
 bool fleet_worker_heard_at(const fleet_worker_t *worker, const char *address);
 
@@ -810,6 +810,10 @@
 bool fleet_choose_lacks_capacity(const gh_fleet_t *fleet,
 				 const fleet_job_t *job, uint32_t stage,
 				 uint32_t handle, gh_time_t now);
+/* Whether a task of the stage starts in quarantine once it is desperate. */
+bool fleet_choose_has_last_resort(const gh_fleet_t *fleet,
+				  const fleet_job_t *job, uint32_t stage,
+				  gh_time_t now);
 /*
  * Appends how many workers can't run the task and for which reasons, "workers:"
  * followed by a number and a name for each reason.
