core_fleet_rooms: rooms in quarantine are named beside smaller ones

A task waited in a full shard while the other had a small room and a large worker in quarantine (model:), as a load named the rooms of such workers only if it had no other. Those larger than its largest room follow it now, and a giver takes the first that fits.

The changed test_task_waits_beside_worker_in_quarantine, with a small healthy worker beside the one in quarantine, failed before and passes now.

--- a/core_balance.h
+++ b/core_balance.h
@@ -44,7 +44,11 @@
 	gh_capacity_t total; /* capacity of the usable workers */
 	/* Declared sizes of the long-running tasks, running or waiting. */
 	gh_capacity_t long_running;
-	gh_room_t rooms[GH_ROOMS_MAX]; /* the largest first */
+	/*
+	 * The largest first, then larger ones of workers that are in
+	 * quarantine.
+	 */
+	gh_room_t rooms[GH_ROOMS_MAX];
 	uint32_t n_rooms;
 } gh_shard_load_t;
 
--- a/core_fleet_rooms.c
+++ b/core_fleet_rooms.c
@@ -50,6 +50,7 @@
 static int compare_rooms(const gh_room_t *a, const gh_room_t *b);
 static void add_rooms(const gh_fleet_t *fleet, gh_shard_load_t *load,
 		      bool healthy, gh_time_t now);
+static bool is_larger(const gh_room_t *room, const gh_shard_load_t *load);
 static void insert_room(gh_shard_load_t *load, const gh_room_t *room);
 static void take_waiting(const gh_fleet_t *fleet, gh_shard_load_t *load);
 static void take_rooms(const fleet_job_t *job, uint32_t stage, uint32_t n,
@@ -229,17 +230,15 @@
 	}
 }
 
-/* The largest room that is large enough, or NULL. */
+/* The first room that is large enough, or NULL. */
 static gh_room_t *find_room(gh_room_t *rooms, uint32_t n, const gh_room_t *need)
 {
-	gh_room_t *best = NULL;
 	uint32_t i;
 
 	for (i = 0; i < n; i++)
-		if (fits(&rooms[i], need) &&
-		    (!best || compare_rooms(&rooms[i], best) < 0))
-			best = &rooms[i];
-	return best;
+		if (fits(&rooms[i], need))
+			return &rooms[i];
+	return NULL;
 }
 
 static bool fits(const gh_room_t *room, const gh_room_t *need)
@@ -281,12 +280,25 @@
 void fleet_rooms_add_own(const gh_fleet_t *fleet, gh_shard_load_t *load,
 			 gh_time_t now)
 {
+	gh_shard_load_t others = { 0 };
+	uint32_t i;
+
 	add_rooms(fleet, load, true, now);
-	/* A task that has waited for long starts there as well. */
-	if (!load->n_rooms)
-		add_rooms(fleet, load, false, now);
 	take_waiting(fleet, load);
 	sort_rooms(load);
+	/* A task that has waited for long starts in quarantine as well. */
+	add_rooms(fleet, &others, false, now);
+	for (i = 0; i < others.n_rooms && load->n_rooms < GH_ROOMS_MAX; i++)
+		if (is_larger(&others.rooms[i], load))
+			load->rooms[load->n_rooms++] = others.rooms[i];
+}
+
+/* Whether the largest room in the load may be too small for what fits here. */
+static bool is_larger(const gh_room_t *room, const gh_shard_load_t *load)
+{
+	return !load->n_rooms ||
+	       room->free.cores_milli > load->rooms[0].free.cores_milli ||
+	       room->free.memory_mb > load->rooms[0].free.memory_mb;
 }
 
 /* Adds the rooms of workers that are healthy, or that are in quarantine. */
--- a/regress/test_core_fleet_move.c
+++ b/regress/test_core_fleet_move.c
@@ -535,13 +535,14 @@
 	shards_clear(&s);
 }
 
-/* The other shard's only worker is in quarantine for a minute. */
+/* The other shard's large worker is in quarantine for a minute. */
 static void test_task_waits_beside_worker_in_quarantine(void **state)
 {
 	shards_t s;
 
 	(void)state;
 	init_full_shard(&s, 1000);
+	add_worker(&s.worlds[1], "b2", 900);
 	fleet_worker(s.worlds[1].fleet, 0)->quarantined_until =
 		s.worlds[1].now + 60000 * MS;
 	shards_advance(&s, SETTLE_MS);
