core_fleet_move: a task's wait goes on in the shard that it moves to

Its stage counts the least time that it has waited elsewhere. test_wait_begins_anew_with_move failed before (no run after 2.2 s).

--- a/core_fleet_move.c
+++ b/core_fleet_move.c
@@ -26,7 +26,9 @@
  * A task that has moved waits at least as long beside a worker in quarantine,
  * where it starts once it has waited for long.
  */
-#define LAST_RESORT_WAIT_USEC (3 * GH_USEC_PER_SEC)
+#define LAST_RESORT_WAIT_USEC (2 * GH_USEC_PER_SEC)
+/* A task that has arrived and waits for longer than this is reported. */
+#define WAIT_REPORT_USEC GH_USEC_PER_SEC
 /* Tasks that are sent away in one MOVE_PERIOD_USEC. */
 #define MOVES_MAX 32
 /* Tasks that leave, and that arrive, by one change of a job. */
@@ -48,6 +50,7 @@
 			   const gh_task_move_t *move);
 static void land(gh_fleet_t *fleet, uint32_t handle, uint32_t index,
 		 const gh_task_move_t *move, gh_time_t now);
+static gh_time_t waited_elsewhere(const fleet_task_t *task);
 static gh_task_move_t describe_move(const gh_fleet_t *fleet,
 				    const fleet_job_t *job, uint32_t index);
 static bool is_deletion_due(const fleet_job_t *job, const gh_task_id_t *task,
@@ -262,6 +265,7 @@
 {
 	fleet_job_t *job = fleet_job(fleet, handle);
 	fleet_task_t *task = &job->tasks[index];
+	fleet_stage_t *stage = fleet_task_stage(job, index);
 	char *detail = g_strdup_printf("from shard %u, %u moves", move->from,
 				       move->moves);
 
@@ -277,9 +281,20 @@
 	g_free(task->checkpoint);
 	task->checkpoint =
 		*move->checkpoint ? g_strdup(move->checkpoint) : NULL;
+	if (!stage->waiting_since) {
+		stage->waiting_since = now - waited_elsewhere(task);
+		stage->wait_report_at = now + WAIT_REPORT_USEC;
+	}
 	delete_message(fleet, handle, move);
 }
 
+/* The least time that a task which has moved has waited in other shards. */
+static gh_time_t waited_elsewhere(const fleet_task_t *task)
+{
+	return (MOVE_WAIT_USEC << MIN(task->moves, MOVE_WAIT_DOUBLINGS_MAX)) -
+	       MOVE_WAIT_USEC;
+}
+
 static bool find_message(const GArray *messages, const gh_task_id_t *task,
 			 guint *index)
 {
--- a/regress/test_core_fleet_move.c
+++ b/regress/test_core_fleet_move.c
@@ -553,6 +553,22 @@
 	shards_clear(&s);
 }
 
+/* Half a second in the full shard counts among the 2 s before quarantine. */
+static void test_wait_begins_anew_with_move(void **state)
+{
+	shards_t s;
+
+	(void)state;
+	init_full_shard(&s, 1000);
+	fleet_worker(s.worlds[1].fleet, 0)->quarantined_until =
+		s.worlds[1].now + 60000 * MS;
+	shards_advance(&s, SETTLE_MS);
+	shards_add_job(&s, 0, JOB_ID, 1, &long_running_step);
+	shards_advance(&s, 2200);
+	assert_int_equal(shards_count_runs(&s, 1, JOB_ID), 1);
+	shards_clear(&s);
+}
+
 static const char *const bad_records[] = {
 	"progress1\n0 away 0 1 -\n",
 	"progress1\n0 away 0 1 - moves:0\n",
@@ -616,6 +632,7 @@
 		cmocka_unit_test(test_rooms_in_load),
 		cmocka_unit_test(test_room_is_counted_as_taken_twice),
 		cmocka_unit_test(test_task_waits_beside_worker_in_quarantine),
+		cmocka_unit_test(test_wait_begins_anew_with_move),
 		cmocka_unit_test(test_bad_record_of_guest_starts_task),
 	};
 
