core_fleet_crash: a guest's task that crashes workers starts every 30 s at most

A task that crashes each worker on which it starts ends its job as failed, but only its home ends a job: as a guest it was started again at once, for ever.

--- a/core_fleet_crash.c
+++ b/core_fleet_crash.c
@@ -41,6 +41,8 @@
 #define START_CRASHES_MAX 3
 /* A task is given up after this many crashes of either kind. */
 #define CRASHES_MAX 5
+/* A task starts no earlier than this after a crash that would end its job. */
+#define GUEST_CRASH_WAIT_USEC (30 * GH_USEC_PER_SEC)
 /* A suspect waits this long for a worker of its own, then starts anywhere. */
 #define CARE_WAIT_USEC (2 * GH_USEC_PER_SEC)
 /*
@@ -219,8 +221,7 @@
 	task->crashes++;
 	if (lost->crash != CRASH_LATER)
 		task->start_crashes++;
-	/* Only its home ends a job. */
-	caused = !job->guest && !has_run_alive(fleet, task) &&
+	caused = !has_run_alive(fleet, task) &&
 		 (task->crashes >= CRASHES_MAX ||
 		  (alone && task->start_crashes >= START_CRASHES_MAX));
 	detail = g_strdup_printf("%u crashes, %u at the start%s%s",
@@ -229,7 +230,12 @@
 	fleet_emit_event(fleet, caused ? "task_given_up" : "task_crashed",
 			 &lost->task, lost->run_number, worker, detail);
 	g_free(detail);
-	if (caused)
+	if (!caused)
+		return;
+	/* Only its home ends a job. */
+	if (job->guest)
+		task->not_before = now + GUEST_CRASH_WAIT_USEC;
+	else
 		fleet_job_end(fleet, handle, GH_JOB_FAILED, now);
 }
 
--- a/regress/test_core_fleet_move.c
+++ b/regress/test_core_fleet_move.c
@@ -450,6 +450,33 @@
 	shards_clear(&s);
 }
 
+/* Crashes the worker as soon as it has started a run. */
+static void crash_worker(world_t *w, scripted_worker_t *worker,
+			 const gh_order_t *order)
+{
+	(void)order;
+	(void)w;
+	restart_worker(worker);
+}
+
+/* A task that crashes its worker would end its job at home. */
+static void test_guest_crashes_workers_for_ever(void **state)
+{
+	shards_t s;
+	size_t i;
+
+	(void)state;
+	init_full_shard(&s, 1000);
+	s.worlds[1].on_start = crash_worker;
+	shards_add_job(&s, 0, JOB_ID, 1, &long_running_step);
+	for (i = 0; i < 60; i++) {
+		shards_advance(&s, 1000);
+		list_worker(&s.worlds[1], &s.worlds[1].workers[0], false);
+	}
+	assert_in_range(count_orders(&s.worlds[1], GH_ORDER_START, 0), 2, 10);
+	shards_clear(&s);
+}
+
 static void test_wait_tells_of_rooms_elsewhere(void **state)
 {
 	gh_step_t step = long_running_step;
@@ -628,6 +655,7 @@
 		cmocka_unit_test(test_stale_message_starts_task_again),
 		cmocka_unit_test(test_task_comes_back_before_reply),
 		cmocka_unit_test(test_guest_ends_job),
+		cmocka_unit_test(test_guest_crashes_workers_for_ever),
 		cmocka_unit_test(test_wait_tells_of_rooms_elsewhere),
 		cmocka_unit_test(test_rooms_in_load),
 		cmocka_unit_test(test_room_is_counted_as_taken_twice),
