core_fleet_move: prototypes in a header of their own; the load beside its rooms

Workers are examined for a last resort only for tasks that have moved and waited, not for each stage that waits.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -1,7 +1,7 @@
 /*
  * Life cycle of workers, jobs and runs, the queue of orders, and lookups.
  */
-#include "core_fleet_state.h"
+#include "core_fleet_move.h"
 
 #include <string.h>
 
@@ -981,39 +981,6 @@
 	return fleet->fenced;
 }
 
-void gh_fleet_load(const gh_fleet_t *fleet, gh_shard_load_t *load,
-		   gh_time_t now)
-{
-	uint32_t i, s;
-
-	*load = (gh_shard_load_t){ 0 };
-	for (i = 0; i < fleet->workers->len; i++) {
-		const fleet_worker_t *worker = fleet_worker(fleet, i);
-
-		if (fleet_worker_is_heard(worker) &&
-		    fleet_health_is_usable(worker, now))
-			gh_capacity_add(&load->total, &worker->entry.size, 1);
-	}
-	for (i = 0; i < fleet->jobs->len; i++) {
-		const fleet_job_t *job = fleet_job(fleet, i);
-
-		if (!job->spec || job->phase > GH_JOB_RUNNING)
-			continue;
-		for (s = 0; s < job->n_stages; s++) {
-			const gh_step_t *step =
-				&job->spec->steps[s % job->spec->n_steps];
-
-			if (step->long_running)
-				gh_capacity_add(
-					&load->long_running, &step->size,
-					step->tasks -
-						job->stages[s].tasks_done -
-						job->stages[s].tasks_away);
-		}
-	}
-	fleet_rooms_add_own(fleet, load, now);
-}
-
 void gh_fleet_counts(const gh_fleet_t *fleet, gh_fleet_counts_t *counts)
 {
 	*counts = fleet->counts;
--- a/core_fleet_move.c
+++ b/core_fleet_move.c
@@ -14,7 +14,7 @@
  * outcome may be unknown.  The number of moves tells messages apart: one that
  * was seen before is not used again.
  */
-#include "core_fleet_state.h"
+#include "core_fleet_move.h"
 
 #include <string.h>
 
@@ -23,7 +23,7 @@
 #define MOVE_WAIT_USEC (500 * GH_USEC_PER_MSEC)
 #define MOVE_WAIT_DOUBLINGS_MAX 4
 /*
- * A task that has moved waits at least as long beside a worker in quarantine,
+ * A task that has moved waits at least this long beside a worker in quarantine,
  * where it starts once it has waited for long.
  */
 #define LAST_RESORT_WAIT_USEC (2 * GH_USEC_PER_SEC)
@@ -39,8 +39,11 @@
 static uint32_t decide_stage(gh_fleet_t *fleet, uint32_t handle, uint32_t stage,
 			     bool restarts, uint32_t limit, gh_time_t now);
 static bool is_movable(const gh_fleet_t *fleet, const fleet_job_t *job,
-		       uint32_t index, bool last_resort, gh_time_t now);
-static gh_time_t move_wait(const fleet_task_t *task, bool last_resort);
+		       uint32_t index, gh_time_t now);
+static bool has_last_resort(const gh_fleet_t *fleet, const fleet_job_t *job,
+			    uint32_t index, gh_time_t now);
+static gh_time_t waits_since(const fleet_job_t *job, uint32_t index);
+static gh_time_t move_wait(const fleet_task_t *task);
 static void leave(gh_fleet_t *fleet, uint32_t handle, uint32_t index,
 		  uint32_t shard, gh_time_t now);
 static bool find_message(const GArray *messages, const gh_task_id_t *task,
@@ -136,7 +139,6 @@
 	const fleet_job_t *job = fleet_job(fleet, handle);
 	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
 	fleet_stage_t *s = &job->stages[stage];
-	bool last_resort = fleet_choose_has_last_resort(fleet, job, stage, now);
 	uint32_t n = 0;
 	uint32_t i;
 
@@ -145,7 +147,8 @@
 		uint32_t shard;
 
 		if ((job->tasks[i].last_run != 0) != restarts ||
-		    !is_movable(fleet, job, i, last_resort, now))
+		    !is_movable(fleet, job, i, now) ||
+		    has_last_resort(fleet, job, i, now))
 			continue;
 		shard = fleet_rooms_take(fleet, job, step, now);
 		if (shard == GH_NONE)
@@ -159,16 +162,14 @@
 }
 
 static bool is_movable(const gh_fleet_t *fleet, const fleet_job_t *job,
-		       uint32_t index, bool last_resort, gh_time_t now)
+		       uint32_t index, gh_time_t now)
 {
 	const fleet_task_t *task = &job->tasks[index];
-	gh_time_t since = MAX(fleet_task_stage(job, index)->waiting_since,
-			      task->arrived_at);
 	gh_task_id_t id;
 
 	if (task->place != PLACE_HERE || task->done ||
 	    task->runs[0] != GH_NONE ||
-	    now - since < move_wait(task, last_resort) ||
+	    now - waits_since(job, index) < move_wait(task) ||
 	    now < task->not_before || now < task->late_until ||
 	    task->n_late_stops || fleet_crash_has_any(task))
 		return false;
@@ -177,13 +178,26 @@
 	       !fleet_late_has_task(fleet, &id);
 }
 
-static gh_time_t move_wait(const fleet_task_t *task, bool last_resort)
+/* Whether a task that has moved is about to start in quarantine here. */
+static bool has_last_resort(const gh_fleet_t *fleet, const fleet_job_t *job,
+			    uint32_t index, gh_time_t now)
 {
-	gh_time_t wait = MOVE_WAIT_USEC
-			 << MIN(task->moves, MOVE_WAIT_DOUBLINGS_MAX);
+	return job->tasks[index].moves &&
+	       now - waits_since(job, index) < LAST_RESORT_WAIT_USEC &&
+	       fleet_choose_has_last_resort(fleet, job,
+					    fleet_stage_index(job, index), now);
+}
 
-	return task->moves && last_resort ? MAX(wait, LAST_RESORT_WAIT_USEC) :
-					    wait;
+/* Since when a task of a stage that waits has waited in this shard. */
+static gh_time_t waits_since(const fleet_job_t *job, uint32_t index)
+{
+	return MAX(fleet_task_stage(job, index)->waiting_since,
+		   job->tasks[index].arrived_at);
+}
+
+static gh_time_t move_wait(const fleet_task_t *task)
+{
+	return MOVE_WAIT_USEC << MIN(task->moves, MOVE_WAIT_DOUBLINGS_MAX);
 }
 
 static void leave(gh_fleet_t *fleet, uint32_t handle, uint32_t index,
@@ -191,8 +205,7 @@
 {
 	fleet_job_t *job = fleet_job(fleet, handle);
 	fleet_task_t *task = &job->tasks[index];
-	gh_time_t since = MAX(fleet_task_stage(job, index)->waiting_since,
-			      task->arrived_at);
+	gh_time_t since = waits_since(job, index);
 	gh_task_id_t id = fleet_task_id(job, index);
 	char *detail = g_strdup_printf(
 		"to shard %u, waited %" G_GINT64_FORMAT " ms, %u moves before",
@@ -291,8 +304,7 @@
 /* The least time that a task which has moved has waited in other shards. */
 static gh_time_t waited_elsewhere(const fleet_task_t *task)
 {
-	return (MOVE_WAIT_USEC << MIN(task->moves, MOVE_WAIT_DOUBLINGS_MAX)) -
-	       MOVE_WAIT_USEC;
+	return move_wait(task) - MOVE_WAIT_USEC;
 }
 
 static bool find_message(const GArray *messages, const gh_task_id_t *task,
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -10,7 +10,7 @@
  * others wait without reserving capacity, so that smaller tasks behind them can
  * start, but for long-running tasks; see core_fleet_reserve.c.
  */
-#include "core_fleet_state.h"
+#include "core_fleet_move.h"
 
 #include <string.h>
 
--- a/core_fleet_record.c
+++ b/core_fleet_record.c
@@ -23,7 +23,7 @@
  * not replaced.  The name of the checkpoint is percent-encoded as in a URI; "-"
  * stands for none.
  */
-#include "core_fleet_state.h"
+#include "core_fleet_move.h"
 
 #include <stdio.h>
 #include <string.h>
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -2,7 +2,7 @@
  * Lease renewals of workers, their reports of runs and ends, and their replies
  * to orders.
  */
-#include "core_fleet_state.h"
+#include "core_fleet_move.h"
 
 #include <string.h>
 
--- a/core_fleet_rooms.c
+++ b/core_fleet_rooms.c
@@ -1,13 +1,14 @@
 /*
- * Rooms for long-running tasks: capacity that the long-running tasks on a
- * worker leave, here and in the reported loads of other shards.
+ * Load of the shard, and rooms for long-running tasks: capacity that the
+ * long-running tasks on a worker leave, here and in the reported loads of other
+ * shards.
  *
  * Short tasks don't count, as they end; a worker is reserved for a task that
  * moves here, as for any other.  So the rooms change with long-running tasks
  * and workers only.  What was sent to a shard counts there until its load can
  * tell of it.
  */
-#include "core_fleet_state.h"
+#include "core_fleet_move.h"
 
 #include <string.h>
 
@@ -48,6 +49,8 @@
 static void take(gh_room_t *room, const sent_task_t *task);
 static gh_room_t describe_need(const fleet_job_t *job, const gh_step_t *step);
 static int compare_rooms(const gh_room_t *a, const gh_room_t *b);
+static void add_own_rooms(const gh_fleet_t *fleet, gh_shard_load_t *load,
+			  gh_time_t now);
 static void add_rooms(const gh_fleet_t *fleet, gh_shard_load_t *load,
 		      bool healthy, gh_time_t now);
 static bool is_larger(const gh_room_t *room, const gh_shard_load_t *load);
@@ -277,8 +280,41 @@
 
 /* This shard. */
 
-void fleet_rooms_add_own(const gh_fleet_t *fleet, gh_shard_load_t *load,
-			 gh_time_t now)
+void gh_fleet_load(const gh_fleet_t *fleet, gh_shard_load_t *load,
+		   gh_time_t now)
+{
+	uint32_t i, s;
+
+	*load = (gh_shard_load_t){ 0 };
+	for (i = 0; i < fleet->workers->len; i++) {
+		const fleet_worker_t *worker = fleet_worker(fleet, i);
+
+		if (fleet_worker_is_heard(worker) &&
+		    fleet_health_is_usable(worker, now))
+			gh_capacity_add(&load->total, &worker->entry.size, 1);
+	}
+	for (i = 0; i < fleet->jobs->len; i++) {
+		const fleet_job_t *job = fleet_job(fleet, i);
+
+		if (!job->spec || job->phase > GH_JOB_RUNNING)
+			continue;
+		for (s = 0; s < job->n_stages; s++) {
+			const gh_step_t *step =
+				&job->spec->steps[s % job->spec->n_steps];
+
+			if (step->long_running)
+				gh_capacity_add(
+					&load->long_running, &step->size,
+					step->tasks -
+						job->stages[s].tasks_done -
+						job->stages[s].tasks_away);
+		}
+	}
+	add_own_rooms(fleet, load, now);
+}
+
+static void add_own_rooms(const gh_fleet_t *fleet, gh_shard_load_t *load,
+			  gh_time_t now)
 {
 	gh_shard_load_t others = { 0 };
 	uint32_t i;
