--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -11,7 +11,7 @@
  * start, but for long-running tasks; see core_fleet_reserve.c.  How far ahead
  * tasks are placed is bound; see core_fleet_budget.c.
  */
-#include "core_fleet_state.h"
+#include "core_fleet_move.h"
 
 #include <string.h>
 
--- a/core_fleet_rooms.c
+++ b/core_fleet_rooms.c
@@ -1,13 +1,14 @@
 /*
- * Rooms for long-running tasks: capacity that the long-running tasks on a
- * worker leave, here and in the reported loads of other shards.
+ * Load of the shard, and rooms for long-running tasks: capacity that the
+ * long-running tasks on a worker leave, here and in the reported loads of other
+ * shards.
  *
  * Short tasks don't count, as they end; a worker is reserved for a task that
  * moves here, as for any other.  So the rooms change with long-running tasks
  * and workers only.  What was sent to a shard counts there until its load can
  * tell of it.
  */
-#include "core_fleet_state.h"
+#include "core_fleet_move.h"
 
 #include <string.h>
 
@@ -40,7 +41,7 @@
 static fleet_peer_t *get_peer(const gh_fleet_t *fleet, uint32_t shard);
 static bool is_current(const fleet_peer_t *peer, gh_time_t now);
 static bool same_load(const gh_shard_load_t *a, const gh_shard_load_t *b);
-static void forget_sent(fleet_peer_t *peer, bool changed, gh_time_t now);
+static void forget_sent(fleet_peer_t *peer, gh_time_t now);
 static void compute_rooms(fleet_peer_t *peer);
 static gh_room_t *find_room(gh_room_t *rooms, uint32_t n,
 			    const gh_room_t *need);
@@ -48,6 +49,11 @@
 static void take(gh_room_t *room, const sent_task_t *task);
 static gh_room_t describe_need(const fleet_job_t *job, const gh_step_t *step);
 static int compare_rooms(const gh_room_t *a, const gh_room_t *b);
+static void add_own_rooms(const gh_fleet_t *fleet, gh_shard_load_t *load,
+			  gh_time_t now);
+static void add_rooms(const gh_fleet_t *fleet, gh_shard_load_t *load,
+		      bool healthy, gh_time_t now);
+static bool is_larger(const gh_room_t *room, const gh_shard_load_t *load);
 static void insert_room(gh_shard_load_t *load, const gh_room_t *room);
 static void take_waiting(const gh_fleet_t *fleet, gh_shard_load_t *load);
 static void take_rooms(const fleet_job_t *job, uint32_t stage, uint32_t n,
@@ -99,7 +105,7 @@
 		peer->load = *load;
 		peer->load.n_rooms = MIN(load->n_rooms, GH_ROOMS_MAX);
 	}
-	forget_sent(peer, changed, now);
+	forget_sent(peer, now);
 	compute_rooms(peer);
 }
 
@@ -194,15 +200,17 @@
 	return true;
 }
 
-static void forget_sent(fleet_peer_t *peer, bool changed, gh_time_t now)
+static void forget_sent(fleet_peer_t *peer, gh_time_t now)
 {
 	guint i = 0;
 
 	while (i < peer->sent->len) {
-		gh_time_t age =
-			now - g_array_index(peer->sent, sent_task_t, i).sent_at;
+		gh_time_t sent_at =
+			g_array_index(peer->sent, sent_task_t, i).sent_at;
+		gh_time_t age = now - sent_at;
 
-		if (age > SENT_MAX_USEC || (changed && age > SENT_REPORT_USEC))
+		if (age > SENT_MAX_USEC ||
+		    (age > SENT_REPORT_USEC && peer->changed_at > sent_at))
 			g_array_remove_index(peer->sent, i);
 		else
 			i++;
@@ -225,17 +233,15 @@
 	}
 }
 
-/* The largest room that is large enough, or NULL. */
+/* The first room that is large enough, or NULL. */
 static gh_room_t *find_room(gh_room_t *rooms, uint32_t n, const gh_room_t *need)
 {
-	gh_room_t *best = NULL;
 	uint32_t i;
 
 	for (i = 0; i < n; i++)
-		if (fits(&rooms[i], need) &&
-		    (!best || compare_rooms(&rooms[i], best) < 0))
-			best = &rooms[i];
-	return best;
+		if (fits(&rooms[i], need))
+			return &rooms[i];
+	return NULL;
 }
 
 static bool fits(const gh_room_t *room, const gh_room_t *need)
@@ -274,8 +280,66 @@
 
 /* This shard. */
 
-void fleet_rooms_add_own(const gh_fleet_t *fleet, gh_shard_load_t *load,
-			 gh_time_t now)
+void gh_fleet_load(const gh_fleet_t *fleet, gh_shard_load_t *load,
+		   gh_time_t now)
+{
+	uint32_t i, s;
+
+	*load = (gh_shard_load_t){ 0 };
+	for (i = 0; i < fleet->workers->len; i++) {
+		const fleet_worker_t *worker = fleet_worker(fleet, i);
+
+		if (fleet_worker_is_heard(worker) &&
+		    fleet_health_is_usable(worker, now))
+			gh_capacity_add(&load->total, &worker->entry.size, 1);
+	}
+	for (i = 0; i < fleet->jobs->len; i++) {
+		const fleet_job_t *job = fleet_job(fleet, i);
+
+		if (!job->spec || job->phase > GH_JOB_RUNNING)
+			continue;
+		for (s = 0; s < job->n_stages; s++) {
+			const gh_step_t *step =
+				&job->spec->steps[s % job->spec->n_steps];
+
+			if (step->long_running)
+				gh_capacity_add(
+					&load->long_running, &step->size,
+					step->tasks -
+						job->stages[s].tasks_done -
+						job->stages[s].tasks_away);
+		}
+	}
+	add_own_rooms(fleet, load, now);
+}
+
+static void add_own_rooms(const gh_fleet_t *fleet, gh_shard_load_t *load,
+			  gh_time_t now)
+{
+	gh_shard_load_t others = { 0 };
+	uint32_t i;
+
+	add_rooms(fleet, load, true, now);
+	take_waiting(fleet, load);
+	sort_rooms(load);
+	/* A task that has waited for long starts in quarantine as well. */
+	add_rooms(fleet, &others, false, now);
+	for (i = 0; i < others.n_rooms && load->n_rooms < GH_ROOMS_MAX; i++)
+		if (is_larger(&others.rooms[i], load))
+			load->rooms[load->n_rooms++] = others.rooms[i];
+}
+
+/* Whether the largest room in the load may be too small for what fits here. */
+static bool is_larger(const gh_room_t *room, const gh_shard_load_t *load)
+{
+	return !load->n_rooms ||
+	       room->free.cores_milli > load->rooms[0].free.cores_milli ||
+	       room->free.memory_mb > load->rooms[0].free.memory_mb;
+}
+
+/* Adds the rooms of workers that are healthy, or that are in quarantine. */
+static void add_rooms(const gh_fleet_t *fleet, gh_shard_load_t *load,
+		      bool healthy, gh_time_t now)
 {
 	uint32_t i;
 
@@ -283,7 +347,9 @@
 		const fleet_worker_t *worker = fleet_worker(fleet, i);
 		gh_room_t room = { 0 };
 
-		if (!fleet_worker_is_usable(worker, now))
+		if (!fleet_worker_is_heard(worker) ||
+		    now < worker->refused_until ||
+		    fleet_health_is_usable(worker, now) != healthy)
 			continue;
 		gh_capacity_add(&room.free, &worker->entry.size, 1);
 		room.free.cores_milli -=
@@ -293,8 +359,6 @@
 			  sizeof(room.service));
 		insert_room(load, &room);
 	}
-	take_waiting(fleet, load);
-	sort_rooms(load);
 }
 
 /* Keeps the largest rooms. */
