regress/fleet_model: shards, each with its chain, hosts, workers and jobs

The model of the fleet held one shard. It now holds as many as the option says, one by default: a shard has its chain, owner record and three hosts, workers belong to a shard by the number in their id, and jobs have a home.

--- a/regress/fleet_model.c
+++ b/regress/fleet_model.c
@@ -230,7 +230,10 @@
 	m->entries = g_ptr_array_new_with_free_func(g_free);
 	m->jobs = g_ptr_array_new();
 	m->store.leases = g_array_new(FALSE, TRUE, sizeof(store_lease_t));
-	m->store.owner = MODEL_NONE;
+	m->n_shards = MAX(1, options->shards);
+	m->n_hosts = MODEL_HOSTS * m->n_shards;
+	for (i = 0; i < m->n_shards; i++)
+		m->store.chains[i].owner = MODEL_NONE;
 	for (i = 0; i < 8; i++)
 		model_random(m, 2);
 	m->store.leases_pause = model_chance(m, 50);
@@ -260,9 +263,10 @@
 		new_worker_id(m, id, sizeof(id));
 		life_start(m, id, i);
 	}
-	for (i = 0; i < MODEL_HOSTS; i++) {
+	for (i = 0; i < m->n_hosts; i++) {
 		m->hosts[i].m = m;
 		m->hosts[i].index = i;
+		m->hosts[i].shard = i / MODEL_HOSTS;
 		host_boot(&m->hosts[i]);
 	}
 }
@@ -587,7 +591,8 @@
 {
 	uint32_t total = 0;
 	uint32_t slot = (uint32_t)model_random(m, MODEL_SLOTS);
-	host_t *h = &m->hosts[model_random(m, MODEL_HOSTS)];
+	host_t *h = &m->hosts[model_random(m, m->n_hosts)];
+	uint32_t owner = m->store.chains[h->shard].owner;
 	gh_time_t until;
 	uint64_t pick;
 	int i;
@@ -600,8 +605,8 @@
 	if (!total || m->disruptions_over)
 		return;
 	/* Half of them hit the owner. */
-	if (m->store.owner != MODEL_NONE && model_chance(m, 50))
-		h = &m->hosts[m->store.owner];
+	if (owner != MODEL_NONE && model_chance(m, 50))
+		h = &m->hosts[owner];
 	pick = model_random(m, total);
 	for (i = 0; pick >= m->weights[i]; i++)
 		pick -= m->weights[i];
@@ -896,9 +901,8 @@
 static void delete_record(model_t *m, uint32_t slot, host_t *h, gh_time_t until)
 {
 	(void)slot;
-	(void)h;
 	(void)until;
-	store_delete_record(m);
+	store_delete_record(m, h->shard);
 }
 
 static void freeze(model_t *m, uint32_t slot, host_t *h, gh_time_t until)
--- a/regress/fleet_model.h
+++ b/regress/fleet_model.h
@@ -64,6 +64,7 @@
 	 */
 	int64_t quiet_ms;
 	uint32_t weights[DISRUPTIONS]; /* relative frequency; 0: off */
+	uint32_t shards;	       /* 0: one */
 } model_options_t;
 
 typedef struct model_result {
--- a/regress/fleet_model_field.c
+++ b/regress/fleet_model_field.c
@@ -185,7 +185,7 @@
 	m->job_period_ms *= 2;
 	if (!model_chance(m, POWER_LOSS_PERCENT))
 		return;
-	for (i = 0; i < MODEL_HOSTS; i++)
+	for (i = 0; i < m->n_hosts; i++)
 		host_kill(&m->hosts[i]);
 	model_post(m, m->now + gh_time_from_ms(MODEL_DARK_MS), boot_hosts,
 		   NULL);
@@ -196,7 +196,7 @@
 	uint32_t i;
 
 	(void)data;
-	for (i = 0; i < MODEL_HOSTS; i++)
+	for (i = 0; i < m->n_hosts; i++)
 		if (!m->hosts[i].up)
 			host_boot(&m->hosts[i]);
 }
--- a/regress/fleet_model_idle.c
+++ b/regress/fleet_model_idle.c
@@ -26,9 +26,9 @@
 
 static void sample(model_t *m, void *data);
 static void note_runs(model_t *m);
-static bool is_busy(const model_t *m);
+static bool is_busy(const model_t *m, uint32_t shard);
 static bool is_usable(const model_t *m, const life_t *life);
-static void check_job(model_t *m, const host_t *owner, model_job_t *job);
+static void check_job(model_t *m, unsigned shards, model_job_t *job);
 static void check_task(model_t *m, model_job_t *job, const gh_task_id_t *id,
 		       bool waits);
 static bool step_is_ready(const model_t *m, const host_t *owner,
@@ -37,13 +37,14 @@
 			 const model_job_t *job, uint32_t step);
 static bool task_is_done(const host_t *owner, const model_job_t *job,
 			 const gh_task_id_t *id);
-static bool has_room(const model_t *m, const gh_task_id_t *id);
+static bool has_room(const model_t *m, const gh_task_id_t *id, uint32_t shard);
 static uint32_t count_fitting(const model_t *m, const life_t *life,
 			      const gh_task_id_t *id);
 static gh_task_id_t task_id(const model_job_t *job, uint32_t step,
 			    uint32_t index);
-static const host_t *find_owner(const model_t *m);
-static void log_owner_view(model_t *m, const gh_task_id_t *id);
+static bool has_room_anywhere(const model_t *m, const gh_task_id_t *id,
+			      unsigned shards);
+static void log_owner_view(model_t *m, const gh_task_id_t *id, uint32_t shard);
 static void log_runs(model_t *m, const gh_fleet_t *fleet,
 		     const fleet_job_t *job, const gh_task_id_t *id);
 static void log_workers(model_t *m, const gh_fleet_t *fleet,
@@ -57,22 +58,23 @@
 
 static void sample(model_t *m, void *data)
 {
-	const host_t *owner = find_owner(m);
 	gh_time_t from =
 		MAX(m->quiet_at + gh_time_from_ms(MODEL_DARK_MS + RECOVERY_MS),
 		    m->crashed_at + gh_time_from_ms(CRASH_RECOVERY_MS));
-	bool judged = m->now >= from && !is_busy(m);
+	unsigned shards = 0; /* bits of those that are judged */
 	guint i;
 
 	(void)data;
+	for (i = 0; m->now >= from && i < m->n_shards; i++)
+		shards |= is_busy(m, i) ? 0 : 1u << i;
 	model_post(m, m->now + gh_time_from_ms(SAMPLE_MS), sample, NULL);
 	note_runs(m);
-	m->result->idle_samples += judged;
+	m->result->idle_samples += shards != 0;
 	for (i = 0; i < m->jobs->len && !m->result->breach; i++) {
 		model_job_t *job = m->jobs->pdata[i];
 
-		if (judged && job->exists && !job->cancelled) {
-			check_job(m, owner, job);
+		if (shards && job->exists && !job->cancelled) {
+			check_job(m, shards, job);
 			continue;
 		}
 		if (job->exists)
@@ -103,7 +105,7 @@
 	job->tasks[model_task_index(job, id)].ran_at = m->now;
 }
 
-static bool is_busy(const model_t *m)
+static bool is_busy(const model_t *m, uint32_t shard)
 {
 	gh_capacity_t total = { 0 };
 	gh_capacity_t used = { 0 };
@@ -113,7 +115,7 @@
 		const life_t *life = m->slots[i];
 		gh_resources_t size;
 
-		if (!life || !is_usable(m, life))
+		if (!life || life->shard != shard || !is_usable(m, life))
 			continue;
 		size = (gh_resources_t){ .cores_milli = life->capacity_milli,
 					 .memory_mb = life->memory_mb };
@@ -134,8 +136,9 @@
 	       entry->value.incarnation_start_ms == life->start_ms;
 }
 
-static void check_job(model_t *m, const host_t *owner, model_job_t *job)
+static void check_job(model_t *m, unsigned shards, model_job_t *job)
 {
+	const host_t *owner = model_owner(m, job->home);
 	uint32_t s, i;
 
 	for (s = 0; s < job->pipeline->n_steps; s++) {
@@ -157,7 +160,7 @@
 			check_task(m, job, &id,
 				   waits && ready &&
 					   !task_is_done(owner, job, &id) &&
-					   has_room(m, &id));
+					   has_room_anywhere(m, &id, shards));
 		}
 	}
 }
@@ -167,6 +170,7 @@
 {
 	gh_time_t *since = &job->waits_since[model_task_index(job, id)];
 	int64_t ms;
+	uint32_t i;
 
 	if (!waits) {
 		*since = 0;
@@ -182,7 +186,8 @@
 	m->result->longest_idle_ms = MAX(m->result->longest_idle_ms, ms);
 	if (ms <= WAIT_MAX_MS || m->result->breach)
 		return;
-	log_owner_view(m, id);
+	for (i = 0; i < m->n_shards; i++)
+		log_owner_view(m, id, i);
 	model_breach(m, RULE_IDLE, id,
 		     "its turn has come and it has no run, beside workers with "
 		     "capacity for it");
@@ -241,7 +246,7 @@
 		.done;
 }
 
-static bool has_room(const model_t *m, const gh_task_id_t *id)
+static bool has_room(const model_t *m, const gh_task_id_t *id, uint32_t shard)
 {
 	const gh_step_t *step = model_step(m, id);
 	uint32_t needed = ROOM_TIMES * (step->gang ? step->tasks : 1);
@@ -249,11 +254,27 @@
 	uint32_t i;
 
 	for (i = 0; i < MODEL_SLOTS; i++)
-		if (m->slots[i] && is_usable(m, m->slots[i]))
+		if (m->slots[i] && m->slots[i]->shard == shard &&
+		    is_usable(m, m->slots[i]))
 			n += count_fitting(m, m->slots[i], id);
 	return n >= needed;
 }
 
+/* Whether one of the shards where the task may run has capacity for it. */
+static bool has_room_anywhere(const model_t *m, const gh_task_id_t *id,
+			      unsigned shards)
+{
+	bool moves = model_step(m, id)->long_running;
+	uint32_t home = model_job_find(m, id->job)->home;
+	uint32_t i;
+
+	for (i = 0; i < m->n_shards; i++)
+		if (shards & 1u << i && (moves || i == home) &&
+		    has_room(m, id, i))
+			return true;
+	return false;
+}
+
 static uint32_t count_fitting(const model_t *m, const life_t *life,
 			      const gh_task_id_t *id)
 {
@@ -298,26 +319,26 @@
 	return id;
 }
 
-static const host_t *find_owner(const model_t *m)
+const host_t *model_owner(const model_t *m, uint32_t shard)
 {
-	const host_t *owner =
-		m->store.owner == MODEL_NONE ? NULL : &m->hosts[m->store.owner];
+	uint32_t index = m->store.chains[shard].owner;
+	const host_t *owner = index == MODEL_NONE ? NULL : &m->hosts[index];
 
 	return owner && owner->fleet && owner->phase >= HOST_OWNING ? owner :
 								      NULL;
 }
 
 /* Logs what the owner knows of the task, of its runs and of the workers. */
-static void log_owner_view(model_t *m, const gh_task_id_t *id)
+static void log_owner_view(model_t *m, const gh_task_id_t *id, uint32_t shard)
 {
-	const host_t *owner = find_owner(m);
+	const host_t *owner = model_owner(m, shard);
 	const fleet_task_t *task;
 	const fleet_stage_t *stage;
 	const fleet_job_t *job;
 	uint32_t handle;
 
 	if (!owner) {
-		model_log(m, id, "no host owns the shard");
+		model_log(m, id, "no host owns shard %u", shard);
 		return;
 	}
 	handle = fleet_job_find(owner->fleet, id->job);
--- a/regress/fleet_model_owner.c
+++ b/regress/fleet_model_owner.c
@@ -43,7 +43,10 @@
 static void on_store_lease_end(model_t *m, void *data);
 static void execute_claim(model_t *m, store_call_t *call);
 static void execute_commit(model_t *m, store_call_t *call);
-static void set_conflict(const model_t *m, store_call_t *call);
+static void set_conflict(store_call_t *call);
+static model_chain_t *chain_of(const host_t *h);
+static void tell_hosts(model_t *m, uint32_t shard, model_entry_t *entry,
+		       model_job_t *job);
 static void post_notice(model_t *m, host_t *h, model_entry_t *entry,
 			model_job_t *job);
 static void on_notice(model_t *m, void *data);
@@ -150,8 +153,6 @@
 
 static void store_execute(model_t *m, store_call_t *call)
 {
-	model_store_t *store = &m->store;
-
 	call->result = STORE_OK;
 	switch (call->kind) {
 	case STORE_GRANT:
@@ -166,9 +167,9 @@
 		execute_commit(m, call);
 		break;
 	case STORE_GET_CHAIN:
-		if (!store->chain_text)
+		if (!chain_of(call->host)->text)
 			call->result = STORE_NOT_FOUND;
-		set_conflict(m, call);
+		set_conflict(call);
 		break;
 	case STORE_LOAD:
 		break;
@@ -176,12 +177,19 @@
 }
 
 /* The present records, as a conflict or a read returns them. */
-static void set_conflict(const model_t *m, store_call_t *call)
+static void set_conflict(store_call_t *call)
 {
-	call->chain_now = m->store.chain_text;
-	call->chain_revision_now = m->store.chain_revision;
-	call->owner_now = m->store.owner;
-	call->record_revision_now = m->store.record_revision;
+	const model_chain_t *chain = chain_of(call->host);
+
+	call->chain_now = chain->text;
+	call->chain_revision_now = chain->revision;
+	call->owner_now = chain->owner;
+	call->record_revision_now = chain->record_revision;
+}
+
+static model_chain_t *chain_of(const host_t *h)
+{
+	return &h->m->store.chains[h->shard];
 }
 
 static void execute_lease(model_t *m, store_call_t *call)
@@ -216,22 +224,27 @@
 	uint64_t id = *(const uint64_t *)data;
 	store_lease_t *lease =
 		&g_array_index(m->store.leases, store_lease_t, id - 1);
+	uint32_t i;
 
 	if (lease->ended || m->now < lease->ends_at)
 		return;
 	lease->ended = true;
-	if (m->store.owner != MODEL_NONE && m->store.record_lease == id)
-		store_delete_record(m);
+	for (i = 0; i < m->n_shards; i++)
+		if (m->store.chains[i].owner != MODEL_NONE &&
+		    m->store.chains[i].record_lease == id)
+			store_delete_record(m, i);
 }
 
-void store_delete_record(model_t *m)
+void store_delete_record(model_t *m, uint32_t shard)
 {
-	if (m->store.owner == MODEL_NONE)
+	model_chain_t *chain = &m->store.chains[shard];
+
+	if (chain->owner == MODEL_NONE)
 		return;
-	model_log(m, NULL, "owner record of host %u is gone", m->store.owner);
-	m->store.owner = MODEL_NONE;
+	model_log(m, NULL, "owner record of host %u is gone", chain->owner);
+	chain->owner = MODEL_NONE;
 	m->store.revision++;
-	hosts_record_changed(m);
+	hosts_record_changed(m, shard);
 }
 
 void store_go_down(model_t *m, gh_time_t until)
@@ -263,11 +276,12 @@
 static void execute_claim(model_t *m, store_call_t *call)
 {
 	model_store_t *store = &m->store;
+	model_chain_t *chain = chain_of(call->host);
 
-	if (store->owner != MODEL_NONE ||
-	    store->chain_revision != call->chain_revision) {
+	if (chain->owner != MODEL_NONE ||
+	    chain->revision != call->chain_revision) {
 		call->result = STORE_CONFLICT;
-		set_conflict(m, call);
+		set_conflict(call);
 		return;
 	}
 	if (!lease_is_alive(m, call->lease)) {
@@ -275,22 +289,23 @@
 		return;
 	}
 	store->revision++;
-	store->owner = call->host->index;
-	store->record_lease = call->lease;
-	store->record_revision = call->revision = store->revision;
+	chain->owner = call->host->index;
+	chain->record_lease = call->lease;
+	chain->record_revision = call->revision = store->revision;
 	if (call->kind == STORE_CLAIM) {
-		store->chain_text = call->chain_text;
-		store->chain_revision = store->revision;
+		chain->text = call->chain_text;
+		chain->revision = store->revision;
 	}
 	model_log(m, NULL, "host %u %s: %s", call->host->index,
 		  call->kind == STORE_CLAIM ? "claims" : "restores",
-		  store->chain_text);
-	hosts_record_changed(m);
+		  chain->text);
+	hosts_record_changed(m, call->host->shard);
 }
 
 static void execute_commit(model_t *m, store_call_t *call)
 {
 	model_store_t *store = &m->store;
+	model_chain_t *chain = chain_of(call->host);
 	bool cancelled = false;
 	size_t i;
 
@@ -299,14 +314,14 @@
 			     call->changes[i].phase != GH_JOB_CANCELLED &&
 			     !call->changes[i].cancel_heard &&
 			     call->changes[i].job->cancelled;
-	if (cancelled || store->chain_revision != call->chain_revision) {
+	if (cancelled || chain->revision != call->chain_revision) {
 		call->result = STORE_CONFLICT;
-		set_conflict(m, call);
+		set_conflict(call);
 		return;
 	}
 	store->revision++;
-	store->chain_text = call->chain_text;
-	store->chain_revision = call->revision = store->revision;
+	chain->text = call->chain_text;
+	chain->revision = call->revision = store->revision;
 	for (i = 0; i < call->n_changes; i++) {
 		const job_change_t *change = &call->changes[i];
 
@@ -317,34 +332,35 @@
 	if (!call->releases)
 		return;
 	model_log(m, NULL, "host %u releases: %s", call->host->index,
-		  store->chain_text);
-	store_delete_record(m);
+		  chain->text);
+	store_delete_record(m, call->host->shard);
 }
 
 /* What hosts hear of the store's changes, some time later. */
 
-void hosts_record_changed(model_t *m)
+void hosts_record_changed(model_t *m, uint32_t shard)
 {
-	uint32_t i;
-
-	for (i = 0; i < MODEL_HOSTS; i++)
-		post_notice(m, &m->hosts[i], NULL, NULL);
+	tell_hosts(m, shard, NULL, NULL);
 }
 
 void hosts_entry_changed(model_t *m, model_entry_t *entry)
 {
-	uint32_t i;
-
-	for (i = 0; i < MODEL_HOSTS; i++)
-		post_notice(m, &m->hosts[i], entry, NULL);
+	tell_hosts(m, entry->shard, entry, NULL);
 }
 
 void hosts_job_changed(model_t *m, model_job_t *job)
+{
+	tell_hosts(m, job->home, NULL, job);
+}
+
+static void tell_hosts(model_t *m, uint32_t shard, model_entry_t *entry,
+		       model_job_t *job)
 {
 	uint32_t i;
 
-	for (i = 0; i < MODEL_HOSTS; i++)
-		post_notice(m, &m->hosts[i], NULL, job);
+	for (i = 0; i < m->n_hosts; i++)
+		if (m->hosts[i].shard == shard)
+			post_notice(m, &m->hosts[i], entry, job);
 }
 
 static void post_notice(model_t *m, host_t *h, model_entry_t *entry,
@@ -412,7 +428,7 @@
 	h->frozen_until = 0;
 	h->advance_posted = false;
 	h->phase = HOST_IDLE;
-	h->record_absent = h->m->store.owner == MODEL_NONE;
+	h->record_absent = chain_of(h)->owner == MODEL_NONE;
 	h->heard = (gh_heard_t){ 0 };
 	gh_heard_note(&h->heard, h->m->store.revision, h->m->now);
 	h->claim_at = h->m->now + model_random_ms(h->m, 1, CLAIM_JITTER_MS);
@@ -449,7 +465,7 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < MODEL_HOSTS; i++) {
+	for (i = 0; i < m->n_hosts; i++) {
 		host_end_ownership(&m->hosts[i], "end");
 		clear_clocks(&m->hosts[i]);
 	}
@@ -522,7 +538,7 @@
 {
 	gh_time_t now = h->m->now;
 
-	h->record_absent = h->m->store.owner == MODEL_NONE;
+	h->record_absent = chain_of(h)->owner == MODEL_NONE;
 	gh_heard_note(&h->heard, h->m->store.revision, now);
 	if (!h->record_absent)
 		return;
@@ -726,12 +742,17 @@
 	model_t *m = h->m;
 	guint i;
 
-	for (i = 0; i < m->jobs->len; i++)
-		add_job(h, m->jobs->pdata[i], true);
+	for (i = 0; i < m->jobs->len; i++) {
+		model_job_t *job = m->jobs->pdata[i];
+
+		if (job->home == h->shard)
+			add_job(h, job, true);
+	}
 	for (i = 0; i < m->entries->len; i++) {
 		const model_entry_t *entry = m->entries->pdata[i];
 
-		if (entry->exists && !entry->unreadable)
+		if (entry->shard == h->shard && entry->exists &&
+		    !entry->unreadable)
 			gh_fleet_worker_set(h->fleet, &entry->value, m->now);
 	}
 	h->phase = h->draining ? HOST_RELEASING : HOST_OWNING;
--- a/regress/fleet_model_private.h
+++ b/regress/fleet_model_private.h
@@ -8,7 +8,9 @@
 #include "platform/platform_clock.h"
 
 #define MODEL_SLOTS 7 /* addresses of workers */
-#define MODEL_HOSTS 3
+#define MODEL_HOSTS 3 /* of each shard */
+#define MODEL_SHARDS_MAX 2
+#define MODEL_HOSTS_MAX (MODEL_HOSTS * MODEL_SHARDS_MAX)
 #define MODEL_LEASE_MS 4500
 #define MODEL_LEASE_MAX_MS 10000
 #define MODEL_STOP_MS 500
@@ -90,6 +92,7 @@
 /* One life of a worker process. */
 struct life {
 	char id[GH_WORKER_ID_MAX + 1];
+	uint32_t shard;
 	uint32_t slot;
 	int64_t start_ms;
 	gh_time_t started_at;
@@ -114,6 +117,7 @@
 	char id[GH_WORKER_ID_MAX + 1];
 	bool exists;
 	bool unreadable;
+	uint32_t shard;
 	gh_worker_entry_t value;
 } model_entry_t;
 
@@ -123,8 +127,8 @@
 	gh_time_t slow_until;
 	gh_time_t late_until;
 	gh_time_t unhealthy_until;
-	gh_time_t request_cut_until[MODEL_HOSTS];
-	gh_time_t reply_cut_until[MODEL_HOSTS];
+	gh_time_t request_cut_until[MODEL_HOSTS_MAX];
+	gh_time_t reply_cut_until[MODEL_HOSTS_MAX];
 } model_link_t;
 
 /* An end of a task as done. */
@@ -144,7 +148,8 @@
 
 typedef struct model_job {
 	gh_pipeline_t *pipeline;
-	char *text; /* of the pipeline */
+	char *text;    /* of the pipeline */
+	uint32_t home; /* shard */
 	uint32_t n_tasks;
 	model_task_t *tasks;
 	bool hopeless;	 /* all runs of it fail */
@@ -217,13 +222,18 @@
 	bool ended;
 } store_lease_t;
 
-typedef struct model_store {
+/* A shard's records in the store. */
+typedef struct model_chain {
+	const char *text; /* of the chain record; NULL: none yet */
 	uint64_t revision;
-	const char *chain_text; /* NULL: none yet */
-	uint64_t chain_revision;
 	uint32_t owner; /* host in the owner record, or MODEL_NONE */
 	uint64_t record_revision;
 	uint64_t record_lease;
+} model_chain_t;
+
+typedef struct model_store {
+	uint64_t revision;
+	model_chain_t chains[MODEL_SHARDS_MAX];
 	GArray *leases;	   /* store_lease_t, by id - 1 */
 	bool leases_pause; /* while the store is down */
 	gh_time_t down_until;
@@ -243,6 +253,7 @@
 struct host {
 	model_t *m;
 	uint32_t index;
+	uint32_t shard;
 	bool up;
 	uint32_t boot;
 	gh_time_t frozen_until;
@@ -304,7 +315,8 @@
 	uint32_t last_worker;
 	int64_t last_start_ms;
 	GPtrArray *jobs;
-	host_t hosts[MODEL_HOSTS];
+	uint32_t n_shards, n_hosts;
+	host_t hosts[MODEL_HOSTS_MAX];
 	model_store_t store;
 	bool workers_check_capacity;
 	bool late_before_old; /* precedence of a worker's refusals */
@@ -365,7 +377,7 @@
 
 /* Store and hosts. */
 void store_call_send(model_t *m, store_call_t *call);
-void store_delete_record(model_t *m);
+void store_delete_record(model_t *m, uint32_t shard);
 void store_go_down(model_t *m, gh_time_t until);
 void host_boot(host_t *h);
 void host_kill(host_t *h);
@@ -375,7 +387,9 @@
 /* Runs an event of a host: later if it is frozen, not at all if it is gone. */
 bool host_is_ready(model_t *m, const host_t *h, uint32_t boot, model_work_t run,
 		   void *data);
-void hosts_record_changed(model_t *m);
+void hosts_record_changed(model_t *m, uint32_t shard);
+/* The host that owns the shard and has loaded it, or NULL. */
+const host_t *model_owner(const model_t *m, uint32_t shard);
 void hosts_entry_changed(model_t *m, model_entry_t *entry);
 void hosts_job_changed(model_t *m, model_job_t *job);
 void hosts_free(model_t *m);
--- a/regress/fleet_model_worker.c
+++ b/regress/fleet_model_worker.c
@@ -58,6 +58,7 @@
 static bool has_capacity(const model_t *m, const life_t *life,
 			 const gh_step_t *step);
 static void fill_report(model_t *m, const life_t *life, worker_call_t *call);
+static uint32_t worker_shard(const model_t *m, const char *id);
 
 life_t *life_start(model_t *m, const char *id, uint32_t slot)
 {
@@ -65,6 +66,7 @@
 
 	g_strlcpy(life->id, id, sizeof(life->id));
 	life->slot = slot;
+	life->shard = worker_shard(m, id);
 	m->last_start_ms = MAX(m->last_start_ms + 1, gh_time_to_ms(m->now));
 	life->start_ms = m->last_start_ms;
 	life->started_at = m->now;
@@ -88,6 +90,12 @@
 	return life;
 }
 
+/* A worker's id is a letter and its number. */
+static uint32_t worker_shard(const model_t *m, const char *id)
+{
+	return (uint32_t)(g_ascii_strtoull(id + 1, NULL, 10) % m->n_shards);
+}
+
 void life_crash(model_t *m, life_t *life)
 {
 	life->up = false;
@@ -119,6 +127,7 @@
 	if (!entry) {
 		entry = g_new0(model_entry_t, 1);
 		g_strlcpy(entry->id, life->id, sizeof(entry->id));
+		entry->shard = life->shard;
 		g_ptr_array_add(m->entries, entry);
 	}
 	entry->exists = true;
