regress/fleet_model: two shards, messages of moves, and rules for them

The store holds the messages of moves, guests and their progress, and the state of each job, at whose revision commits expect it. Steps of moves are disrupted, and both shards' owners in a row.

New rules: in the store, a task belongs to one shard or is in one message (RULE_PLACE); no run lasts for 3 s after its job's end, once disruptions are over (RULE_OVER). RULE_IDLE counts the workers of both shards for a long-running task. The runner of the soak tests is a file of its own.

--- a/regress/fleet_model.c
+++ b/regress/fleet_model.c
@@ -230,10 +230,7 @@
 	m->entries = g_ptr_array_new_with_free_func(g_free);
 	m->jobs = g_ptr_array_new();
 	m->store.leases = g_array_new(FALSE, TRUE, sizeof(store_lease_t));
-	m->n_shards = MAX(1, options->shards);
-	m->n_hosts = MODEL_HOSTS * m->n_shards;
-	for (i = 0; i < m->n_shards; i++)
-		m->store.chains[i].owner = MODEL_NONE;
+	model_move_start(m);
 	for (i = 0; i < 8; i++)
 		model_random(m, 2);
 	m->store.leases_pause = model_chance(m, 50);
@@ -283,6 +280,8 @@
 
 		for (j = 0; j < job->n_tasks; j++)
 			g_array_free(job->tasks[j].done, TRUE);
+		for (j = 0; j < MODEL_SHARDS_MAX; j++)
+			g_free(job->parts[j].messages);
 		g_free(job->tasks);
 		g_free(job->waits_since);
 		g_free(job->text);
@@ -508,6 +507,7 @@
 		return;
 	job = make_job(m, m->jobs->len + 1);
 	g_ptr_array_add(m->jobs, job);
+	model_move_add_job(m, job);
 	hosts_job_changed(m, job);
 	if (job->pipeline->steps[0].long_running || model_chance(m, 5))
 		model_post(m, m->now + model_random_ms(m, 2000, 40000),
@@ -582,6 +582,7 @@
 	if (!job->exists)
 		return;
 	job->cancelled = true;
+	model_move_set_state(m, job, GH_JOB_CANCELLED, ++m->store.revision);
 	hosts_job_changed(m, job);
 }
 
@@ -593,7 +594,6 @@
 	uint32_t slot = (uint32_t)model_random(m, MODEL_SLOTS);
 	host_t *h = &m->hosts[model_random(m, m->n_hosts)];
 	uint32_t owner = m->store.chains[h->shard].owner;
-	gh_time_t until;
 	uint64_t pick;
 	int i;
 
@@ -610,10 +610,20 @@
 	pick = model_random(m, total);
 	for (i = 0; pick >= m->weights[i]; i++)
 		pick -= m->weights[i];
-	model_log(m, NULL, "disruption %s, address %u, host %u", kinds[i].name,
-		  slot, h->index);
-	until = m->now + model_random_ms(m, kinds[i].from_ms, kinds[i].to_ms);
-	kinds[i].run(m, slot, h, MIN(until, m->quiet_at));
+	model_disrupt(m, (model_disruption_t)i, slot, h);
+	model_move_disrupt_both(m, (model_disruption_t)i, h);
+}
+
+void model_disrupt(model_t *m, model_disruption_t kind, uint32_t slot,
+		   host_t *h)
+{
+	const disruption_kind_t *k = &kinds[kind];
+	gh_time_t until;
+
+	model_log(m, NULL, "disruption %s, address %u, host %u", k->name, slot,
+		  h->index);
+	until = m->now + model_random_ms(m, k->from_ms, k->to_ms);
+	k->run(m, slot, h, MIN(until, m->quiet_at));
 }
 
 static void lose_replies(model_t *m, uint32_t slot, host_t *h, gh_time_t until)
--- a/regress/fleet_model.h
+++ b/regress/fleet_model.h
@@ -51,7 +51,10 @@
 	RULE_TWICE = 1,
 	RULE_ORDER = 2, /* of a job's steps */
 	RULE_CAPACITY = 4,
-	RULE_IDLE = 8 /* tasks wait beside workers with capacity */
+	RULE_IDLE = 8,	/* tasks wait beside workers with capacity */
+	RULE_OVER = 16, /* runs of jobs that were over for a while */
+	/* In the store, a task belongs to one shard or is in one message. */
+	RULE_PLACE = 32
 } model_rule_t;
 
 typedef struct model_options {
@@ -71,6 +74,7 @@
 	/* Events up to the first breach of a rule; NULL: none was broken. */
 	char *breach;
 	uint32_t starts, done, lives, owners;
+	uint32_t moves; /* of tasks between shards */
 	/* Samples that RULE_IDLE judged, and the longest wait in them. */
 	uint32_t idle_samples;
 	int64_t longest_idle_ms;
--- a/regress/fleet_model_field.c
+++ b/regress/fleet_model_field.c
@@ -14,6 +14,7 @@
 #define MEMORY_MAX_MB 6000
 /* Shares of jobs, in percent. */
 #define LONG_RUNNING_PERCENT 20
+#define LONG_RUNNING_SHARDS_PERCENT 45 /* with several shards */
 #define HOPELESS_PERCENT 4
 #define DEADLY_PERCENT 3
 /* A deadly task crashes its worker within this time. */
@@ -32,6 +33,8 @@
 #define LAPSE_PERCENT 30
 /* They are back within this time of its end. */
 #define LAPSED_MAX_MS 2000
+/* Least share of the jobs whose home is one of two shards. */
+#define SKEW_MIN_PERCENT 10
 /* Share of the days on which some workers fail all runs. */
 #define SICK_PERCENT 40
 /* Share of the days at whose end all hosts fail. */
@@ -46,7 +49,9 @@
 gh_pipeline_t *model_field_pipeline(model_t *m, uint32_t number)
 {
 	gh_pipeline_t *pipeline = g_new0(gh_pipeline_t, 1);
-	bool long_running = model_chance(m, LONG_RUNNING_PERCENT);
+	bool long_running =
+		model_chance(m, m->n_shards > 1 ? LONG_RUNNING_SHARDS_PERCENT :
+						  LONG_RUNNING_PERCENT);
 	uint32_t i;
 
 	g_snprintf(pipeline->id, sizeof(pipeline->id), "%016x", number);
@@ -122,7 +127,12 @@
 	if (model_chance(m, SPREAD_PERCENT))
 		step.max_per_worker = 1 + (uint32_t)model_random(m, 2);
 	if (long_running) {
-		step.tasks = 1 + step.tasks % 3;
+		step.tasks = 1 + step.tasks % (m->n_shards > 1 ? 6 : 3);
+		/* The load of a shard doesn't tell of labels. */
+		if (m->n_shards > 1) {
+			*step.label = 0;
+			step.max_per_worker = 0;
+		}
 		if (model_chance(m, LARGE_PERCENT))
 			step.size.cores_milli *= 2;
 	} else if (model_chance(m, BEST_EFFORT_PERCENT)) {
@@ -139,6 +149,10 @@
 void model_field_start(model_t *m)
 {
 	m->job_period_ms *= 1 + (int64_t)model_random(m, LOADS);
+	if (m->n_shards > 1)
+		m->skew_percent =
+			SKEW_MIN_PERCENT +
+			(uint32_t)model_random(m, 101 - 2 * SKEW_MIN_PERCENT);
 	if (model_chance(m, SICK_PERCENT))
 		m->sick = (uint32_t)model_random(m, 1u << MODEL_SLOTS);
 	model_post(m, m->quiet_at, end_disruptions, NULL);
--- a/regress/fleet_model_idle.c
+++ b/regress/fleet_model_idle.c
@@ -44,6 +44,7 @@
 			    uint32_t index);
 static bool has_room_anywhere(const model_t *m, const gh_task_id_t *id,
 			      unsigned shards);
+static bool has_crashed(const model_t *m, const gh_task_id_t *id);
 static void log_owner_view(model_t *m, const gh_task_id_t *id, uint32_t shard);
 static void log_runs(model_t *m, const gh_fleet_t *fleet,
 		     const fleet_job_t *job, const gh_task_id_t *id);
@@ -52,7 +53,7 @@
 
 void model_idle_start(model_t *m)
 {
-	if (m->options->quiet_ms && m->options->rules & RULE_IDLE)
+	if (m->options->quiet_ms && m->options->rules & (RULE_IDLE | RULE_OVER))
 		model_post(m, m->quiet_at, sample, NULL);
 }
 
@@ -65,6 +66,8 @@
 	guint i;
 
 	(void)data;
+	if (m->now >= from)
+		model_check_over(m);
 	for (i = 0; m->now >= from && i < m->n_shards; i++)
 		shards |= is_busy(m, i) ? 0 : 1u << i;
 	model_post(m, m->now + gh_time_from_ms(SAMPLE_MS), sample, NULL);
@@ -260,11 +263,31 @@
 	return n >= needed;
 }
 
+/* Whether an owner has counted a crash of the task, so that it stays. */
+static bool has_crashed(const model_t *m, const gh_task_id_t *id)
+{
+	uint32_t i;
+
+	for (i = 0; i < m->n_shards; i++) {
+		const host_t *owner = model_owner(m, i);
+		uint32_t handle =
+			owner ? fleet_job_find(owner->fleet, id->job) : GH_NONE;
+		const fleet_job_t *job;
+
+		if (handle == GH_NONE)
+			continue;
+		job = fleet_job(owner->fleet, handle);
+		if (fleet_crash_has_any(&job->tasks[fleet_task_find(job, id)]))
+			return true;
+	}
+	return false;
+}
+
 /* Whether one of the shards where the task may run has capacity for it. */
 static bool has_room_anywhere(const model_t *m, const gh_task_id_t *id,
 			      unsigned shards)
 {
-	bool moves = model_step(m, id)->long_running;
+	bool moves = model_step(m, id)->long_running && !has_crashed(m, id);
 	uint32_t home = model_job_find(m, id->job)->home;
 	uint32_t i;
 
--- a/regress/fleet_model_owner.c
+++ b/regress/fleet_model_owner.c
@@ -52,7 +52,6 @@
 static void on_notice(model_t *m, void *data);
 static void host_record_changed(host_t *h);
 static void on_host_tick(model_t *m, void *data);
-static void host_post_advance(host_t *h);
 static void on_host_advance(model_t *m, void *data);
 static void host_advance(host_t *h);
 static store_call_t *host_call_store(host_t *h, store_kind_t kind);
@@ -314,6 +313,10 @@
 			     call->changes[i].phase != GH_JOB_CANCELLED &&
 			     !call->changes[i].cancel_heard &&
 			     call->changes[i].job->cancelled;
+	if (m->n_shards > 1)
+		cancelled = false;
+	for (i = 0; i < call->n_changes; i++)
+		cancelled |= model_move_conflicts(&call->changes[i]);
 	if (cancelled || chain->revision != call->chain_revision) {
 		call->result = STORE_CONFLICT;
 		set_conflict(call);
@@ -322,13 +325,9 @@
 	store->revision++;
 	chain->text = call->chain_text;
 	chain->revision = call->revision = store->revision;
-	for (i = 0; i < call->n_changes; i++) {
-		const job_change_t *change = &call->changes[i];
-
-		change->job->progress = change->progress;
-		if (change->phase > GH_JOB_RUNNING)
-			change->job->exists = false;
-	}
+	for (i = 0; i < call->n_changes; i++)
+		model_move_execute(m, call->host, &call->changes[i],
+				   store->revision);
 	if (!call->releases)
 		return;
 	model_log(m, NULL, "host %u releases: %s", call->host->index,
@@ -433,6 +432,7 @@
 	gh_heard_note(&h->heard, h->m->store.revision, h->m->now);
 	h->claim_at = h->m->now + model_random_ms(h->m, 1, CLAIM_JITTER_MS);
 	h->clocks = platform_clocks_new();
+	model_move_boot(h);
 	*event = (host_event_t){ .host = h, .boot = h->boot };
 	model_post(h->m, h->m->now, on_host_tick, event);
 }
@@ -483,7 +483,7 @@
 }
 
 /* A host advances once it has handled all that has arrived. */
-static void host_post_advance(host_t *h)
+void host_post_advance(host_t *h)
 {
 	host_event_t *event;
 
@@ -716,6 +716,8 @@
 		.claim_revision = revision,
 		.claimed_at = h->claim_sent_at,
 		.stop_ms = MODEL_STOP_MS,
+		.shard = h->shard,
+		.shards = h->m->n_shards,
 	};
 
 	h->m->result->owners++;
@@ -748,6 +750,7 @@
 		if (job->home == h->shard)
 			add_job(h, job, true);
 	}
+	model_move_load(h);
 	for (i = 0; i < m->entries->len; i++) {
 		const model_entry_t *entry = m->entries->pdata[i];
 
@@ -764,7 +767,10 @@
 {
 	if (job->exists && !gh_fleet_has_job(h->fleet, job->pipeline->id))
 		gh_fleet_job_add(h->fleet, gh_pipeline_parse(job->text, NULL),
-				 with_progress ? job->progress : NULL, NULL);
+				 with_progress ? job->parts[h->shard].progress :
+						 NULL,
+				 NULL);
+	model_move_presume(h, job);
 	if (!job->cancelled)
 		return;
 	job->cancel_heard |= 1u << h->index;
@@ -1005,9 +1011,11 @@
 	g_free(unheard);
 	batch->changes =
 		model_alloc(h->m, CHANGES_MAX * sizeof(*batch->changes));
-	while (batch->n_changes < CHANGES_MAX &&
+	while (batch->n_changes < CHANGES_MAX && model_move_fits(h, batch) &&
 	       gh_fleet_next_change(h->fleet, &change)) {
-		batch->changes[batch->n_changes++] = (job_change_t){
+		job_change_t *entry = &batch->changes[batch->n_changes];
+
+		*entry = (job_change_t){
 			.job = model_job_find(h->m, change.id),
 			.phase = change.phase,
 			.phase_changed = change.phase_changed,
@@ -1021,6 +1029,12 @@
 					NULL,
 		};
 		g_free(change.progress);
+		if (!model_move_fill(h, entry, &change)) {
+			gh_fleet_handle_commit_failure(h->fleet, change.id);
+			h->commit_at = h->m->now + gh_time_from_ms(RETRY_MS);
+			break;
+		}
+		batch->n_changes++;
 	}
 	if (h->phase == HOST_RELEASING && !gh_fleet_has_changes(h->fleet)) {
 		char *text = g_strdup_printf(
@@ -1044,6 +1058,7 @@
 	*call = *batch;
 	call->finished = false;
 	store_call_send(h->m, call);
+	model_move_step(h, batch);
 }
 
 static void batch_reply(host_t *h, const store_call_t *call)
@@ -1065,8 +1080,11 @@
 			host_end_ownership(h, "another owner took over");
 			return;
 		}
-		for (i = 0; i < h->batch->n_changes; i++)
-			add_job(h, h->batch->changes[i].job, false);
+		for (i = 0; i < h->batch->n_changes; i++) {
+			if (!h->batch->changes[i].guest)
+				add_job(h, h->batch->changes[i].job, false);
+			model_move_refused(h, &h->batch->changes[i]);
+		}
 		batch_failed(h);
 		h->commit_at = 0;
 	} else {
@@ -1100,10 +1118,12 @@
 	gh_fleet_unheard_committed(h->fleet);
 	h->chain_revision = revision;
 	h->commit_at = h->m->now + gh_time_from_ms(COMMIT_INTERVAL_MS);
-	for (i = 0; i < batch->n_changes; i++)
+	for (i = 0; i < batch->n_changes; i++) {
+		model_move_committed(h, &batch->changes[i], revision);
 		gh_fleet_handle_commit(h->fleet,
 				       batch->changes[i].job->pipeline->id,
 				       batch->changes[i].version);
+	}
 	if (batch->releases)
 		host_end_ownership(h, "released");
 }
--- a/regress/fleet_model_private.h
+++ b/regress/fleet_model_private.h
@@ -146,6 +146,27 @@
 	gh_time_t ran_at; /* last seen with a run; 0: not yet */
 } model_task_t;
 
+/* A job's state in the store. */
+typedef struct model_state {
+	uint64_t revision; /* 0: none */
+	gh_job_phase_t phase;
+} model_state_t;
+
+/* The message by which a task moves to a shard. */
+typedef struct model_message {
+	const char *text; /* NULL: none */
+	uint64_t revision;
+	/* Of the deletion that each host has committed itself. */
+	uint64_t gone[MODEL_HOSTS_MAX];
+} model_message_t;
+
+/* Records of a job that belong to one shard. */
+typedef struct job_part {
+	const char *progress;
+	bool guest;		   /* the text of a guest is stored */
+	model_message_t *messages; /* by task */
+} job_part_t;
+
 typedef struct model_job {
 	gh_pipeline_t *pipeline;
 	char *text;    /* of the pipeline */
@@ -162,14 +183,31 @@
 	bool exists;
 	bool cancelled;
 	uint32_t cancel_heard; /* bit of each host that knows of it */
-	const char *progress;
+	model_state_t state;
+	uint64_t submitted_revision;
+	gh_time_t over_at; /* when the state showed its end; 0: not yet */
+	job_part_t parts[MODEL_SHARDS_MAX];
+	/* The state that each host's directory knows. */
+	model_state_t heard[MODEL_HOSTS_MAX];
 } model_job_t;
 
+/* A message that a commit writes or deletes. */
+typedef struct model_move {
+	uint32_t shard; /* that it is for */
+	uint32_t task;
+	const char *text;
+} model_move_t;
+
 typedef struct job_change {
 	model_job_t *job;
 	gh_job_phase_t phase;
 	bool phase_changed;
 	bool cancel_heard; /* the commit expects the cancelled state */
+	/* With several shards: of the job's state; 0: not expected. */
+	uint64_t expected_revision;
+	bool guest, guest_is_new;
+	model_move_t *departures, *arrivals;
+	uint32_t n_departures, n_arrivals;
 	uint64_t version;
 	const char *progress;
 } job_change_t;
@@ -287,7 +325,8 @@
 	gh_time_t commit_at;
 	gh_time_t reread_at;
 	gh_time_t load_at;
-	store_call_t *batch; /* commit that awaits its outcome */
+	gh_time_t load_heard_at; /* when the other shard's load was sent */
+	store_call_t *batch;	 /* commit that awaits its outcome */
 	gh_fleet_t *fleet;
 	platform_clocks_t *clocks;
 };
@@ -316,6 +355,7 @@
 	int64_t last_start_ms;
 	GPtrArray *jobs;
 	uint32_t n_shards, n_hosts;
+	uint32_t skew_percent; /* share of the jobs whose home is shard 0 */
 	host_t hosts[MODEL_HOSTS_MAX];
 	model_store_t store;
 	bool workers_check_capacity;
@@ -349,6 +389,39 @@
 /* The worker is told that it may forget its ends up to a number. */
 void model_note_ack(model_t *m, const life_t *life, uint64_t number);
 
+/* A commit has changed the job's records. */
+void model_check_places(model_t *m, const job_change_t *change);
+/* Looks for runs of jobs that were over for a while. */
+void model_check_over(model_t *m);
+
+/* See fleet_model_move.c. */
+void model_move_start(model_t *m);
+void model_move_add_job(model_t *m, model_job_t *job);
+void model_move_boot(host_t *h);
+void model_move_set_state(model_t *m, model_job_t *job, gh_job_phase_t phase,
+			  uint64_t revision);
+void model_move_presume(host_t *h, model_job_t *job);
+void model_move_load(host_t *h);
+bool model_move_fits(const host_t *h, const store_call_t *batch);
+bool model_move_fill(host_t *h, job_change_t *change,
+		     gh_fleet_change_t *from_fleet);
+bool model_move_conflicts(const job_change_t *change);
+void model_move_execute(model_t *m, const host_t *h, const job_change_t *change,
+			uint64_t revision);
+void model_move_committed(host_t *h, const job_change_t *change,
+			  uint64_t revision);
+void model_move_refused(host_t *h, const job_change_t *change);
+/* Number of the places in the store to which the task belongs. */
+uint32_t model_move_places(const model_t *m, const model_job_t *job,
+			   uint32_t task);
+/* A commit is sent; it may be disrupted if it has moves. */
+void model_move_step(host_t *h, const store_call_t *batch);
+void model_move_disrupt_both(model_t *m, model_disruption_t kind,
+			     const host_t *h);
+/* Does one disruption. */
+void model_disrupt(model_t *m, model_disruption_t kind, uint32_t slot,
+		   host_t *h);
+
 /* See fleet_model_idle.c and fleet_model_field.c. */
 void model_idle_start(model_t *m);
 /* A run of the task is at work now. */
@@ -380,6 +453,7 @@
 void store_delete_record(model_t *m, uint32_t shard);
 void store_go_down(model_t *m, gh_time_t until);
 void host_boot(host_t *h);
+void host_post_advance(host_t *h);
 void host_kill(host_t *h);
 void host_release(host_t *h);
 void host_on_worker_reply(host_t *h, worker_call_t *call);
--- a/regress/fleet_model_rules.c
+++ b/regress/fleet_model_rules.c
@@ -5,6 +5,9 @@
 
 #include "fleet_model_private.h"
 
+/* A run of a job lasts for no longer than this after the job's end. */
+#define OVER_MAX_MS 3000
+
 static void check_beside(model_t *m, const life_t *life,
 			 const gh_task_id_t *task);
 static void check_order(model_t *m, const gh_task_id_t *task);
@@ -160,6 +163,52 @@
 	}
 }
 
+void model_check_places(model_t *m, const job_change_t *change)
+{
+	const model_job_t *job = change->job;
+	gh_task_id_t id = { 0 };
+	uint32_t i, n;
+
+	g_strlcpy(id.job, job->pipeline->id, sizeof(id.job));
+	for (i = 0; i < change->n_departures; i++) {
+		id.index = change->departures[i].task;
+		if (job->cancelled || !job->exists)
+			model_breach(m, RULE_PLACE, &id,
+				     "a task of a job that is over moves");
+	}
+	/* Tasks that can move are those of jobs of one step. */
+	for (i = 0; job->exists && !job->cancelled &&
+		    job->pipeline->n_steps == 1 && i < job->n_tasks;
+	     i++) {
+		id.index = i;
+		n = model_move_places(m, job, i);
+		if (n != 1)
+			model_breach(m, RULE_PLACE, &id,
+				     n ? "the task belongs to several shards" :
+					 "the task belongs to no shard");
+	}
+}
+
+void model_check_over(model_t *m)
+{
+	uint32_t i;
+	guint r;
+
+	for (i = 0; i < MODEL_SLOTS; i++)
+		for (r = 0; m->slots[i] && r < m->slots[i]->runs->len; r++) {
+			const gh_task_id_t *task =
+				&g_array_index(m->slots[i]->runs, live_run_t, r)
+					 .task;
+			const model_job_t *job = model_job_find(m, task->job);
+
+			if (job->over_at &&
+			    m->now - job->over_at >
+				    gh_time_from_ms(OVER_MAX_MS))
+				model_breach(m, RULE_OVER, task,
+					     "a run of a job that is over");
+		}
+}
+
 static model_task_t *find_task(const model_t *m, const gh_task_id_t *task)
 {
 	model_job_t *job = model_job_find(m, task->job);
--- /dev/null
+++ b/regress/fleet_soak.h
@@ -0,0 +1,30 @@
+/*
+ * Soak of the fleet scheduler in simulated time, on a model of the workers, the
+ * store and the hosts.
+ *
+ * The environment variables SOAK_SEED, SOAK_SEEDS and SOAK_SECONDS set the
+ * first seed, the number of seeds and the simulated time of each;
+ * SOAK_DISRUPTIONS limits the disruptions to those named, such as
+ * "cut,kill=3", with their weights, or changes the weights of the default ones,
+ * such as "+late=4,-restart".
+ */
+#ifndef FLEET_SOAK_H
+#define FLEET_SOAK_H
+
+#include "fleet_model.h"
+
+#define QUIET_MS 32000 /* of each seed, without disruptions at the end */
+
+typedef struct soak_case {
+	const char *name;
+	unsigned rules;
+	const char *disruptions;
+	uint64_t seed, seeds;
+	int64_t quiet_ms;
+	uint32_t shards; /* 0: one */
+} soak_case_t;
+
+/* Fails if a seed breaks one of the rules; prints the events of the first. */
+void soak(const soak_case_t *c);
+
+#endif
--- a/regress/test_core_fleet_soak.c
+++ b/regress/test_core_fleet_soak.c
@@ -3,12 +3,8 @@
  * store and the hosts: no task may run twice, or wait beside workers with
  * capacity for it once disruptions are over.
  *
- * The environment variables SOAK_SEED, SOAK_SEEDS and SOAK_SECONDS set the
- * first seed, the number of seeds and the simulated time of each;
- * SOAK_TEST limits the tests by a pattern of their names;
- * SOAK_DISRUPTIONS limits the disruptions to those named, such as
- * "cut,kill=3", with their weights, or changes the weights of the default ones,
- * such as "+late=4,-restart".
+ * SOAK_TEST limits the tests by a pattern of their names; see fleet_soak.h for
+ * other variables.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -16,103 +12,12 @@
 #include <stdint.h>
 
 #include <cmocka.h>
-#include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
-#include "fleet_model.h"
+#include "fleet_soak.h"
 
-#define SECONDS_DEFAULT 60 /* simulated time of one seed */
-#define QUIET_MS 32000	   /* of it, without disruptions at the end */
 #define RESTARTS "restart=5,release=3,kill=3,cut=4,store_cut=2"
 
-typedef struct soak_case {
-	const char *name;
-	unsigned rules;
-	const char *disruptions;
-	uint64_t seed, seeds;
-	int64_t quiet_ms;
-} soak_case_t;
-
-static uint64_t number_from_environment(const char *name, uint64_t fallback)
-{
-	const char *text = getenv(name);
-
-	return text ? g_ascii_strtoull(text, NULL, 10) : fallback;
-}
-
-static void parse_weights(const char *text, uint32_t weights[DISRUPTIONS])
-{
-	char **fields = g_strsplit(text, ",", -1);
-	size_t i;
-	int d;
-
-	if (!strchr("+-", *text))
-		memset(weights, 0, DISRUPTIONS * sizeof(*weights));
-	for (i = 0; fields[i]; i++) {
-		const char *field = fields[i] + strspn(fields[i], "+-");
-		char **pair = g_strsplit(field, "=", 2);
-
-		for (d = 0; d < DISRUPTIONS; d++)
-			if (!strcmp(pair[0], model_disruption_name(d)))
-				break;
-		if (d == DISRUPTIONS)
-			fail_msg("no such disruption: %s", pair[0]);
-		weights[d] =
-			pair[1] ? (uint32_t)atoi(pair[1]) : *fields[i] != '-';
-		g_strfreev(pair);
-	}
-	g_strfreev(fields);
-}
-
-static void soak(const soak_case_t *c)
-{
-	const char *disruptions = getenv("SOAK_DISRUPTIONS");
-	model_options_t options = {
-		.rules = c->rules,
-		.duration_ms = 1000 * (int64_t)number_from_environment(
-					      "SOAK_SECONDS", SECONDS_DEFAULT),
-		.quiet_ms = c->quiet_ms,
-	};
-	uint64_t first = number_from_environment("SOAK_SEED", c->seed);
-	uint64_t n = number_from_environment("SOAK_SEEDS", c->seeds);
-	model_result_t total = { 0 };
-	uint64_t broken = 0;
-
-	model_default_weights(options.weights);
-	parse_weights(disruptions ? disruptions : c->disruptions,
-		      options.weights);
-	for (options.seed = first; options.seed < first + n; options.seed++) {
-		model_result_t result;
-
-		model_run(&options, &result);
-		total.starts += result.starts;
-		total.done += result.done;
-		total.lives += result.lives;
-		total.owners += result.owners;
-		total.idle_samples += result.idle_samples;
-		total.longest_idle_ms =
-			MAX(total.longest_idle_ms, result.longest_idle_ms);
-		if (!result.breach)
-			continue;
-		/* The events of the first breach are enough. */
-		printf("%.*s\n",
-		       (int)(broken++ ? strcspn(result.breach, "\n") :
-					strlen(result.breach)),
-		       result.breach);
-		g_free(result.breach);
-	}
-	printf("%s: %u seeds from %u on, %u broke a rule; %u starts, %u done, "
-	       "%u lives of workers, %u owners\n",
-	       c->name, (unsigned)n, (unsigned)first, (unsigned)broken,
-	       total.starts, total.done, total.lives, total.owners);
-	if (c->quiet_ms)
-		printf("%s: %u samples judged, longest wait %d ms\n", c->name,
-		       total.idle_samples, (int)total.longest_idle_ms);
-	fflush(stdout);
-	assert_int_equal(broken, 0);
-}
-
 static void test_no_task_runs_twice(void **state)
 {
 	static const soak_case_t c = {
