--- a/regress/fleet_model_idle.c
+++ b/regress/fleet_model_idle.c
@@ -2,6 +2,7 @@
  * RULE_IDLE of the fleet model: once disruptions have been over for a while, no
  * task whose turn has come may wait beside workers that have capacity for it.
  */
+#include <limits.h>
 #include <string.h>
 
 #include "core_fleet_state.h"
@@ -44,8 +45,9 @@
 			    uint32_t index);
 static bool has_room_anywhere(const model_t *m, const gh_task_id_t *id,
 			      unsigned shards);
-static bool has_crashed(const model_t *m, const gh_task_id_t *id);
+static unsigned shards_of(const model_t *m, const gh_task_id_t *id);
 static void log_owner_view(model_t *m, const gh_task_id_t *id, uint32_t shard);
+static void log_load(model_t *m, const host_t *owner, const gh_task_id_t *id);
 static void log_runs(model_t *m, const gh_fleet_t *fleet,
 		     const fleet_job_t *job, const gh_task_id_t *id);
 static void log_workers(model_t *m, const gh_fleet_t *fleet,
@@ -263,11 +265,14 @@
 	return n >= needed;
 }
 
-/* Whether an owner has counted a crash of the task, so that it stays. */
-static bool has_crashed(const model_t *m, const gh_task_id_t *id)
+/* Bits of the shards where the task may run. */
+static unsigned shards_of(const model_t *m, const gh_task_id_t *id)
 {
 	uint32_t i;
 
+	if (!model_step(m, id)->long_running)
+		return 1u << model_job_find(m, id->job)->home;
+
 	for (i = 0; i < m->n_shards; i++) {
 		const host_t *owner = model_owner(m, i);
 		uint32_t handle =
@@ -278,22 +283,20 @@
 			continue;
 		job = fleet_job(owner->fleet, handle);
 		if (fleet_crash_has_any(&job->tasks[fleet_task_find(job, id)]))
-			return true;
+			return 1u << i; /* it stays where that is counted */
 	}
-	return false;
+	return UINT_MAX;
 }
 
 /* Whether one of the shards where the task may run has capacity for it. */
 static bool has_room_anywhere(const model_t *m, const gh_task_id_t *id,
 			      unsigned shards)
 {
-	bool moves = model_step(m, id)->long_running && !has_crashed(m, id);
-	uint32_t home = model_job_find(m, id->job)->home;
 	uint32_t i;
 
+	shards &= shards_of(m, id);
 	for (i = 0; i < m->n_shards; i++)
-		if (shards & 1u << i && (moves || i == home) &&
-		    has_room(m, id, i))
+		if (shards & 1u << i && has_room(m, id, i))
 			return true;
 	return false;
 }
@@ -367,6 +370,8 @@
 	handle = fleet_job_find(owner->fleet, id->job);
 	if (handle == GH_NONE) {
 		model_log(m, id, "host %u does not know the job", owner->index);
+		log_load(m, owner, id);
+		log_workers(m, owner->fleet, id);
 		return;
 	}
 	job = fleet_job(owner->fleet, handle);
@@ -387,10 +392,47 @@
 		  task->care_since ?
 			  (int)gh_time_to_ms(m->now - task->care_since) :
 			  0);
+	log_load(m, owner, id);
 	log_runs(m, owner->fleet, job, id);
 	log_workers(m, owner->fleet, id);
 }
 
+/* The rooms that the owner tells, and the long-running tasks that wait. */
+static void log_load(model_t *m, const host_t *owner, const gh_task_id_t *id)
+{
+	const gh_fleet_t *fleet = owner->fleet;
+	gh_shard_load_t load = { 0 };
+	uint32_t i, s;
+
+	if (m->n_shards == 1)
+		return;
+	gh_fleet_load(fleet, &load, m->now);
+	for (i = 0; i < load.n_rooms; i++)
+		model_log(m, id, "host %u: a room of %d milli-cores and %d MB",
+			  owner->index, (int)load.rooms[i].free.cores_milli,
+			  (int)load.rooms[i].free.memory_mb);
+	for (i = 0; i < fleet->jobs->len; i++) {
+		const fleet_job_t *job = fleet_job(fleet, i);
+
+		for (s = 0; job->spec && s < job->n_stages; s++) {
+			const gh_step_t *step = &job->spec->steps[s];
+
+			if (!step->long_running ||
+			    !job->stages[s].waiting_since)
+				continue;
+			model_log(
+				m, id,
+				"host %u: %s.%u of %u milli-cores and %u MB "
+				"waits for %d ms, %u open, %u tasks",
+				owner->index, job->spec->id, s,
+				step->size.cores_milli, step->size.memory_mb,
+				(int)gh_time_to_ms(
+					m->now - job->stages[s].waiting_since),
+				job->stages[s].tasks_open, step->tasks);
+		}
+	}
+}
+
 static void log_runs(model_t *m, const gh_fleet_t *fleet,
 		     const fleet_job_t *job, const gh_task_id_t *id)
 {
--- a/regress/fleet_model_move.c
+++ b/regress/fleet_model_move.c
@@ -334,7 +334,10 @@
 					part->progress, NULL))
 			model_log(m, NULL, "host %u can't read guest %s",
 				  h->index, job->pipeline->id);
-		if (!heard->revision || is_over(heard))
+		/* The directory can lag, so the state is read now. */
+		if (!heard->revision)
+			hear_state(h, job, &job->state);
+		if (is_over(heard))
 			gh_fleet_job_cancel(h->fleet, job->pipeline->id,
 					    m->now);
 	}
