--- a/regress/fleet_model_move.c
+++ b/regress/fleet_model_move.c
@@ -64,8 +64,9 @@
 static void hear_state(host_t *h, model_job_t *job, const model_state_t *state);
 static void post_message(model_t *m, host_t *h, model_job_t *job,
 			 uint32_t task);
-static void arrive(host_t *h, model_job_t *job, uint32_t task,
-		   const char *text);
+static void arrive(host_t *h, model_job_t *job, const char *text);
+static void add_guest(host_t *h, model_job_t *job, gh_pipeline_t *pipeline,
+		      const char *progress);
 static uint32_t count_moves(const store_call_t *batch);
 static void disrupt_owner(model_t *m, void *data);
 static bool is_over(const model_state_t *state);
@@ -280,14 +281,14 @@
 						.messages[notice->task]
 						.gone[h->index])
 		return;
-	arrive(h, notice->job, notice->task, notice->message.text);
+	arrive(h, notice->job, notice->message.text);
 	if (model_chance(m, AGAIN_PERCENT))
 		model_post(m, m->now + model_random_ms(m, 1, SLOW_MS),
 			   on_message, notice);
 	host_post_advance(h);
 }
 
-static void arrive(host_t *h, model_job_t *job, uint32_t task, const char *text)
+static void arrive(host_t *h, model_job_t *job, const char *text)
 {
 	gh_task_move_t move;
 	GError *err = NULL;
@@ -303,16 +304,30 @@
 		  "host %u is given the task, move %u, last run %u, by shard "
 		  "%u",
 		  h->index, move.moves, move.last_run, move.from);
-	if (gh_fleet_has_job(h->fleet, pipeline->id))
-		gh_pipeline_free(pipeline);
-	else
-		gh_fleet_guest_add(h->fleet, pipeline, NULL, NULL);
+	add_guest(h, job, pipeline, NULL);
 	if (!gh_fleet_task_arrive(h->fleet, &move, h->m->now))
 		model_log(h->m, &move.task, "host %u does not take it",
 			  h->index);
-	if (is_over(&job->heard[h->index]))
+}
+
+/* Adds a job from another shard, unless it is known. */
+static void add_guest(host_t *h, model_job_t *job, gh_pipeline_t *pipeline,
+		      const char *progress)
+{
+	const model_state_t *heard = &job->heard[h->index];
+
+	if (gh_fleet_has_job(h->fleet, pipeline->id)) {
+		gh_pipeline_free(pipeline);
+		return;
+	}
+	if (!gh_fleet_guest_add(h->fleet, pipeline, progress, NULL))
+		model_log(h->m, NULL, "host %u can't read guest %s", h->index,
+			  job->pipeline->id);
+	/* The directory can lag, so an unknown state is read. */
+	if (!heard->revision)
+		hear_state(h, job, &job->state);
+	if (is_over(heard))
 		gh_fleet_job_cancel(h->fleet, job->pipeline->id, h->m->now);
-	(void)task;
 }
 
 /* Loads the guests and the messages of the host's shard. */
@@ -324,29 +339,18 @@
 
 	for (i = 0; m->n_shards > 1 && i < m->jobs->len; i++) {
 		model_job_t *job = m->jobs->pdata[i];
-		const model_state_t *heard = &job->heard[h->index];
 		const job_part_t *part = &job->parts[h->shard];
 
-		if (!part->guest)
-			continue;
-		if (!gh_fleet_guest_add(h->fleet,
-					gh_pipeline_parse(job->text, NULL),
-					part->progress, NULL))
-			model_log(m, NULL, "host %u can't read guest %s",
-				  h->index, job->pipeline->id);
-		/* The directory can lag, so the state is read now. */
-		if (!heard->revision)
-			hear_state(h, job, &job->state);
-		if (is_over(heard))
-			gh_fleet_job_cancel(h->fleet, job->pipeline->id,
-					    m->now);
+		if (part->guest)
+			add_guest(h, job, gh_pipeline_parse(job->text, NULL),
+				  part->progress);
 	}
 	for (i = 0; m->n_shards > 1 && i < m->jobs->len; i++) {
 		model_job_t *job = m->jobs->pdata[i];
 
 		for (t = 0; t < job->n_tasks; t++)
 			if (job->parts[h->shard].messages[t].text)
-				arrive(h, job, t,
+				arrive(h, job,
 				       job->parts[h->shard].messages[t].text);
 	}
 }
