--- a/regress/fleet_model_move.c
+++ b/regress/fleet_model_move.c
@@ -18,7 +18,10 @@
 #define SLOW_PERCENT 10
 #define SLOW_MS 800
 #define LAG_MS 30
-#define AGAIN_PERCENT 10
+/* A message is passed again, half of the times whatever the host knows. */
+#define AGAIN_PERCENT 20
+#define AGAIN_MS 12000
+#define AGAIN_STALE_PERCENT 50
 /* A step of a move is disrupted. */
 #define STEP_PERCENT 15
 /* The owner of the other shard is disrupted next. */
@@ -41,6 +44,7 @@
 	model_job_t *job;
 	uint32_t task;
 	model_message_t message;
+	bool is_stale; /* passed although it may be gone */
 } message_notice_t;
 
 typedef struct load_notice {
@@ -277,14 +281,17 @@
 		return;
 	/* The watch passes nothing older than the host's own deletion. */
 	if (!h->fleet || h->phase < HOST_OWNING ||
-	    notice->message.revision <= notice->job->parts[h->shard]
-						.messages[notice->task]
-						.gone[h->index])
+	    (!notice->is_stale &&
+	     notice->message.revision <= notice->job->parts[h->shard]
+						 .messages[notice->task]
+						 .gone[h->index]))
 		return;
 	arrive(h, notice->job, notice->message.text);
-	if (model_chance(m, AGAIN_PERCENT))
-		model_post(m, m->now + model_random_ms(m, 1, SLOW_MS),
+	if (model_chance(m, AGAIN_PERCENT)) {
+		notice->is_stale = model_chance(m, AGAIN_STALE_PERCENT);
+		model_post(m, m->now + model_random_ms(m, 1, AGAIN_MS),
 			   on_message, notice);
+	}
 	host_post_advance(h);
 }
 
--- a/regress/test_core_fleet_move_soak.c
+++ b/regress/test_core_fleet_move_soak.c
@@ -38,7 +38,7 @@
 {
 	static const soak_case_t c = {
 		.name = "two shards, restarts of workers and late starts",
-		.rules = RULE_IDLE | RULE_OVER | RULE_PLACE,
+		.rules = RULES,
 		.disruptions = "restart=4,late=3,crash=2,drain=4,kill=3,cut,"
 			       "release,store_replies,store_late",
 		.seed = 20000,
