regress/fleet_model: records of a job that is over; repeated messages only of known jobs

A job that its owner has ended is no longer known, so that only the watch, which passes nothing older than the owner's own deletion, keeps its messages away; the model passed them all the same and broke RULE_TWICE.

--- a/regress/fleet_model_move.c
+++ b/regress/fleet_model_move.c
@@ -18,7 +18,10 @@
 #define SLOW_PERCENT 10
 #define SLOW_MS 800
 #define LAG_MS 30
-/* A message is passed again, half of the times whatever the host knows. */
+/*
+ * A message is passed again, half of the times even after the host's own
+ * deletion, if the host still knows the job.
+ */
 #define AGAIN_PERCENT 20
 #define AGAIN_MS 12000
 #define AGAIN_STALE_PERCENT 50
@@ -44,7 +47,7 @@
 	model_job_t *job;
 	uint32_t task;
 	model_message_t message;
-	bool is_stale; /* passed although it may be gone */
+	bool is_stale;
 } message_notice_t;
 
 typedef struct load_notice {
@@ -279,9 +282,9 @@
 	}
 	if (!host_is_ready(m, h, notice->boot, on_message, notice))
 		return;
-	/* The watch passes nothing older than the host's own deletion. */
 	if (!h->fleet || h->phase < HOST_OWNING ||
-	    (!notice->is_stale &&
+	    (!(notice->is_stale &&
+	       gh_fleet_has_job(h->fleet, notice->job->pipeline->id)) &&
 	     notice->message.revision <= notice->job->parts[h->shard]
 						 .messages[notice->task]
 						 .gone[h->index]))
--- a/regress/fleet_model_rules.c
+++ b/regress/fleet_model_rules.c
@@ -189,11 +189,46 @@
 	}
 }
 
+/* Whether a shard has a message of the job, or has it as a guest. */
+static bool has_moved_part(const model_t *m, const model_job_t *job,
+			   gh_task_id_t *id)
+{
+	uint32_t s;
+
+	g_strlcpy(id->job, job->pipeline->id, sizeof(id->job));
+	for (s = 0; s < m->n_shards; s++) {
+		const job_part_t *part = &job->parts[s];
+
+		if (part->guest)
+			return true;
+		for (id->index = 0; id->index < job->n_tasks; id->index++)
+			if (part->messages[id->index].text)
+				return true;
+		id->index = 0;
+	}
+	return false;
+}
+
+static bool is_over_for_long(const model_t *m, const model_job_t *job)
+{
+	return job->over_at &&
+	       m->now - job->over_at > gh_time_from_ms(OVER_MAX_MS);
+}
+
 void model_check_over(model_t *m)
 {
 	uint32_t i;
 	guint r;
 
+	for (r = 0; r < m->jobs->len; r++) {
+		const model_job_t *job = m->jobs->pdata[r];
+		gh_task_id_t id = { 0 };
+
+		if (job->pipeline->n_steps == 1 && is_over_for_long(m, job) &&
+		    has_moved_part(m, job, &id))
+			model_breach(m, RULE_OVER, &id,
+				     "a record of a job that is over");
+	}
 	for (i = 0; i < MODEL_SLOTS; i++)
 		for (r = 0; m->slots[i] && r < m->slots[i]->runs->len; r++) {
 			const gh_task_id_t *task =
@@ -201,9 +236,7 @@
 					 .task;
 			const model_job_t *job = model_job_find(m, task->job);
 
-			if (job->over_at &&
-			    m->now - job->over_at >
-				    gh_time_from_ms(OVER_MAX_MS))
+			if (is_over_for_long(m, job))
 				model_breach(m, RULE_OVER, task,
 					     "a run of a job that is over");
 		}
