--- a/core_fleet_rooms.c
+++ b/core_fleet_rooms.c
@@ -40,7 +40,7 @@
 static fleet_peer_t *get_peer(const gh_fleet_t *fleet, uint32_t shard);
 static bool is_current(const fleet_peer_t *peer, gh_time_t now);
 static bool same_load(const gh_shard_load_t *a, const gh_shard_load_t *b);
-static void forget_sent(fleet_peer_t *peer, bool changed, gh_time_t now);
+static void forget_sent(fleet_peer_t *peer, gh_time_t now);
 static void compute_rooms(fleet_peer_t *peer);
 static gh_room_t *find_room(gh_room_t *rooms, uint32_t n,
 			    const gh_room_t *need);
@@ -48,6 +48,8 @@
 static void take(gh_room_t *room, const sent_task_t *task);
 static gh_room_t describe_need(const fleet_job_t *job, const gh_step_t *step);
 static int compare_rooms(const gh_room_t *a, const gh_room_t *b);
+static void add_rooms(const gh_fleet_t *fleet, gh_shard_load_t *load,
+		      bool healthy, gh_time_t now);
 static void insert_room(gh_shard_load_t *load, const gh_room_t *room);
 static void take_waiting(const gh_fleet_t *fleet, gh_shard_load_t *load);
 static void take_rooms(const fleet_job_t *job, uint32_t stage, uint32_t n,
@@ -99,7 +101,7 @@
 		peer->load = *load;
 		peer->load.n_rooms = MIN(load->n_rooms, GH_ROOMS_MAX);
 	}
-	forget_sent(peer, changed, now);
+	forget_sent(peer, now);
 	compute_rooms(peer);
 }
 
@@ -194,15 +196,17 @@
 	return true;
 }
 
-static void forget_sent(fleet_peer_t *peer, bool changed, gh_time_t now)
+static void forget_sent(fleet_peer_t *peer, gh_time_t now)
 {
 	guint i = 0;
 
 	while (i < peer->sent->len) {
-		gh_time_t age =
-			now - g_array_index(peer->sent, sent_task_t, i).sent_at;
+		gh_time_t sent_at =
+			g_array_index(peer->sent, sent_task_t, i).sent_at;
+		gh_time_t age = now - sent_at;
 
-		if (age > SENT_MAX_USEC || (changed && age > SENT_REPORT_USEC))
+		if (age > SENT_MAX_USEC ||
+		    (age > SENT_REPORT_USEC && peer->changed_at > sent_at))
 			g_array_remove_index(peer->sent, i);
 		else
 			i++;
@@ -276,6 +280,18 @@
 
 void fleet_rooms_add_own(const gh_fleet_t *fleet, gh_shard_load_t *load,
 			 gh_time_t now)
+{
+	add_rooms(fleet, load, true, now);
+	/* A task that has waited for long starts there as well. */
+	if (!load->n_rooms)
+		add_rooms(fleet, load, false, now);
+	take_waiting(fleet, load);
+	sort_rooms(load);
+}
+
+/* Adds the rooms of workers that are healthy, or that are in quarantine. */
+static void add_rooms(const gh_fleet_t *fleet, gh_shard_load_t *load,
+		      bool healthy, gh_time_t now)
 {
 	uint32_t i;
 
@@ -283,7 +299,9 @@
 		const fleet_worker_t *worker = fleet_worker(fleet, i);
 		gh_room_t room = { 0 };
 
-		if (!fleet_worker_is_usable(worker, now))
+		if (!fleet_worker_is_heard(worker) ||
+		    now < worker->refused_until ||
+		    fleet_health_is_usable(worker, now) != healthy)
 			continue;
 		gh_capacity_add(&room.free, &worker->entry.size, 1);
 		room.free.cores_milli -=
@@ -293,8 +311,6 @@
 			  sizeof(room.service));
 		insert_room(load, &room);
 	}
-	take_waiting(fleet, load);
-	sort_rooms(load);
 }
 
 /* Keeps the largest rooms. */
