test-core_fleet_move_soak: waits apart from the other rules

A seed that breaks RULE_IDLE ended the run, so that the other rules were not checked to its end. The same seeds are played for both, with the same disruptions and limits.

--- a/regress/fleet_soak.h
+++ b/regress/fleet_soak.h
@@ -18,10 +18,10 @@
 typedef struct soak_case {
 	const char *name;
 	unsigned rules;
+	uint32_t shards; /* 0: one */
 	const char *disruptions;
 	uint64_t seed, seeds;
 	int64_t quiet_ms;
-	uint32_t shards; /* 0: one */
 } soak_case_t;
 
 /* Fails if a seed breaks one of the rules; prints the events of the first. */
--- a/regress/test_core_fleet_move_soak.c
+++ b/regress/test_core_fleet_move_soak.c
@@ -16,33 +16,67 @@
 
 #include "fleet_soak.h"
 
-#define RULES (RULE_TWICE | RULE_ORDER | RULE_IDLE | RULE_OVER | RULE_PLACE)
+#define RULES (RULE_TWICE | RULE_ORDER | RULE_OVER | RULE_PLACE)
+#define RESTARTS                                                             \
+	"restart=4,late=3,crash=2,drain=4,kill=3,cut,release,store_replies," \
+	"store_late"
+#define LOST_OWNERS                                                        \
+	"kill=4,freeze=4,release=2,store_cut=3,store_down=2,store_late=4," \
+	"store_replies=4,drain=4,crash=2"
+
+static void soak_cases(const soak_case_t *cases, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		soak(&cases[i]);
+}
 
 static void test_moved_tasks_keep_the_rules(void **state)
 {
-	static const soak_case_t c = {
-		.name = "two shards, all but restarts under the same id",
-		.rules = RULES,
-		.disruptions = "-restart,-move",
-		.seed = 1,
-		.seeds = 150,
-		.quiet_ms = QUIET_MS,
-		.shards = 2,
+	static const soak_case_t cases[] = {
+		{ .name = "two shards, all but restarts under the same id",
+		  .rules = RULES,
+		  .disruptions = "-restart,-move",
+		  .seed = 1,
+		  .seeds = 150,
+		  .quiet_ms = QUIET_MS,
+		  .shards = 2 },
+		{ .name = "two shards, restarts of workers and late starts",
+		  .rules = RULES,
+		  .disruptions = RESTARTS,
+		  .seed = 20000,
+		  .seeds = 100,
+		  .quiet_ms = QUIET_MS,
+		  .shards = 2 },
+		{ .name = "two shards, owners that fail and a late store",
+		  .rules = RULES,
+		  .disruptions = LOST_OWNERS,
+		  .seed = 30000,
+		  .seeds = 100,
+		  .quiet_ms = QUIET_MS,
+		  .shards = 2 },
+		{ .name = "two shards, capacity",
+		  .rules = RULE_CAPACITY,
+		  .disruptions = "-restart,-move",
+		  .seed = 40000,
+		  .seeds = 50,
+		  .quiet_ms = QUIET_MS,
+		  .shards = 2 },
 	};
 
 	(void)state;
-	soak(&c);
+	soak_cases(cases, sizeof(cases) / sizeof(*cases));
 }
 
-static void test_moved_tasks_after_restarts(void **state)
+static void test_no_task_waits_beside_another_shard(void **state)
 {
 	static const soak_case_t c = {
-		.name = "two shards, restarts of workers and late starts",
-		.rules = RULES,
-		.disruptions = "restart=4,late=3,crash=2,drain=4,kill=3,cut,"
-			       "release,store_replies,store_late",
-		.seed = 20000,
-		.seeds = 100,
+		.name = "waits, all but restarts under the same id",
+		.rules = RULE_IDLE,
+		.disruptions = "-restart,-move",
+		.seed = 1,
+		.seeds = 150,
 		.quiet_ms = QUIET_MS,
 		.shards = 2,
 	};
@@ -51,15 +85,13 @@
 	soak(&c);
 }
 
-static void test_moved_tasks_after_lost_owners(void **state)
+static void test_no_task_waits_after_restarts(void **state)
 {
 	static const soak_case_t c = {
-		.name = "two shards, owners that fail and a store that is late",
-		.rules = RULES,
-		.disruptions = "kill=4,freeze=4,release=2,store_cut=3,"
-			       "store_down=2,store_late=4,store_replies=4,"
-			       "drain=4,crash=2",
-		.seed = 30000,
+		.name = "waits, restarts of workers and late starts",
+		.rules = RULE_IDLE,
+		.disruptions = RESTARTS,
+		.seed = 20000,
 		.seeds = 100,
 		.quiet_ms = QUIET_MS,
 		.shards = 2,
@@ -69,14 +101,14 @@
 	soak(&c);
 }
 
-static void test_no_moved_task_starts_over_capacity(void **state)
+static void test_no_task_waits_after_lost_owners(void **state)
 {
 	static const soak_case_t c = {
-		.name = "two shards, capacity",
-		.rules = RULE_CAPACITY,
-		.disruptions = "-restart,-move",
-		.seed = 40000,
-		.seeds = 50,
+		.name = "waits, owners that fail and a late store",
+		.rules = RULE_IDLE,
+		.disruptions = LOST_OWNERS,
+		.seed = 30000,
+		.seeds = 100,
 		.quiet_ms = QUIET_MS,
 		.shards = 2,
 	};
@@ -89,9 +121,9 @@
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_moved_tasks_keep_the_rules),
-		cmocka_unit_test(test_moved_tasks_after_restarts),
-		cmocka_unit_test(test_moved_tasks_after_lost_owners),
-		cmocka_unit_test(test_no_moved_task_starts_over_capacity),
+		cmocka_unit_test(test_no_task_waits_beside_another_shard),
+		cmocka_unit_test(test_no_task_waits_after_restarts),
+		cmocka_unit_test(test_no_task_waits_after_lost_owners),
 	};
 
 	if (getenv("SOAK_TEST"))
