--- a/regress/fleet_model_owner.c
+++ b/regress/fleet_model_owner.c
@@ -1070,6 +1070,7 @@
 	if (call->result == STORE_OK) {
 		batch_committed(h, call->revision);
 	} else if (call->result == STORE_UNKNOWN) {
+		h->batch->unanswered = true;
 		store_call_send(h->m, host_call_store(h, STORE_GET_CHAIN));
 	} else if (call->result == STORE_CONFLICT) {
 		if (!strcmp(call->chain_now, h->batch->chain_text)) {
@@ -1087,6 +1088,9 @@
 		}
 		batch_failed(h);
 		h->commit_at = 0;
+	} else if (h->batch->unanswered && h->m->n_shards > 1) {
+		/* An earlier copy may still take effect. */
+		h->reread_at = h->m->now + gh_time_from_ms(RETRY_MS);
 	} else {
 		batch_failed(h);
 	}
--- a/regress/fleet_model_private.h
+++ b/regress/fleet_model_private.h
@@ -244,6 +244,7 @@
 	const char *chain_text;
 	gh_time_t grants_told; /* in chain_text */
 	bool releases;
+	bool unanswered; /* a copy of the commit got no reply */
 	job_change_t *changes;
 	size_t n_changes;
 	/* Reply; for a conflict, the present records. */
