--- a/regress/fleet_model.h
+++ b/regress/fleet_model.h
@@ -74,7 +74,8 @@
 	/* Events up to the first breach of a rule; NULL: none was broken. */
 	char *breach;
 	uint32_t starts, done, lives, owners;
-	uint32_t moves; /* of tasks between shards */
+	uint32_t moves;	     /* of tasks between shards */
+	uint32_t most_moves; /* of one task */
 	/* Samples that RULE_IDLE judged, and the longest wait in them. */
 	uint32_t idle_samples;
 	int64_t longest_idle_ms;
--- a/regress/fleet_model_private.h
+++ b/regress/fleet_model_private.h
@@ -144,6 +144,7 @@
 typedef struct model_task {
 	GArray *done;	  /* done_end_t; NULL: none */
 	gh_time_t ran_at; /* last seen with a run; 0: not yet */
+	uint32_t moves;
 } model_task_t;
 
 /* A job's state in the store. */
--- a/regress/fleet_soak.c
+++ b/regress/fleet_soak.c
@@ -74,6 +74,7 @@
 		total.lives += result.lives;
 		total.owners += result.owners;
 		total.moves += result.moves;
+		total.most_moves = MAX(total.most_moves, result.most_moves);
 		total.idle_samples += result.idle_samples;
 		total.longest_idle_ms =
 			MAX(total.longest_idle_ms, result.longest_idle_ms);
@@ -91,7 +92,8 @@
 	       c->name, (unsigned)n, (unsigned)first, (unsigned)broken,
 	       total.starts, total.done, total.lives, total.owners);
 	if (c->shards > 1)
-		printf("%s: %u moves\n", c->name, total.moves);
+		printf("%s: %u moves, of one task at most %u\n", c->name,
+		       total.moves, total.most_moves);
 	if (c->quiet_ms)
 		printf("%s: %u samples judged, longest wait %d ms\n", c->name,
 		       total.idle_samples, (int)total.longest_idle_ms);
