--- a/regress/fleet_model.c
+++ b/regress/fleet_model.c
@@ -230,7 +230,7 @@
 	m->entries = g_ptr_array_new_with_free_func(g_free);
 	m->jobs = g_ptr_array_new();
 	m->store.leases = g_array_new(FALSE, TRUE, sizeof(store_lease_t));
-	m->store.owner = MODEL_NONE;
+	model_move_start(m);
 	for (i = 0; i < 8; i++)
 		model_random(m, 2);
 	m->store.leases_pause = model_chance(m, 50);
@@ -260,9 +260,10 @@
 		new_worker_id(m, id, sizeof(id));
 		life_start(m, id, i);
 	}
-	for (i = 0; i < MODEL_HOSTS; i++) {
+	for (i = 0; i < m->n_hosts; i++) {
 		m->hosts[i].m = m;
 		m->hosts[i].index = i;
+		m->hosts[i].shard = i / MODEL_HOSTS;
 		host_boot(&m->hosts[i]);
 	}
 }
@@ -279,6 +280,8 @@
 
 		for (j = 0; j < job->n_tasks; j++)
 			g_array_free(job->tasks[j].done, TRUE);
+		for (j = 0; j < MODEL_SHARDS_MAX; j++)
+			g_free(job->parts[j].messages);
 		g_free(job->tasks);
 		g_free(job->waits_since);
 		g_free(job->text);
@@ -504,6 +507,7 @@
 		return;
 	job = make_job(m, m->jobs->len + 1);
 	g_ptr_array_add(m->jobs, job);
+	model_move_add_job(m, job);
 	hosts_job_changed(m, job);
 	if (job->pipeline->steps[0].long_running || model_chance(m, 5))
 		model_post(m, m->now + model_random_ms(m, 2000, 40000),
@@ -578,6 +582,7 @@
 	if (!job->exists)
 		return;
 	job->cancelled = true;
+	model_move_set_state(m, job, GH_JOB_CANCELLED, ++m->store.revision);
 	hosts_job_changed(m, job);
 }
 
@@ -587,8 +592,8 @@
 {
 	uint32_t total = 0;
 	uint32_t slot = (uint32_t)model_random(m, MODEL_SLOTS);
-	host_t *h = &m->hosts[model_random(m, MODEL_HOSTS)];
-	gh_time_t until;
+	host_t *h = &m->hosts[model_random(m, m->n_hosts)];
+	uint32_t owner = m->store.chains[h->shard].owner;
 	uint64_t pick;
 	int i;
 
@@ -600,15 +605,25 @@
 	if (!total || m->disruptions_over)
 		return;
 	/* Half of them hit the owner. */
-	if (m->store.owner != MODEL_NONE && model_chance(m, 50))
-		h = &m->hosts[m->store.owner];
+	if (owner != MODEL_NONE && model_chance(m, 50))
+		h = &m->hosts[owner];
 	pick = model_random(m, total);
 	for (i = 0; pick >= m->weights[i]; i++)
 		pick -= m->weights[i];
-	model_log(m, NULL, "disruption %s, address %u, host %u", kinds[i].name,
-		  slot, h->index);
-	until = m->now + model_random_ms(m, kinds[i].from_ms, kinds[i].to_ms);
-	kinds[i].run(m, slot, h, MIN(until, m->quiet_at));
+	model_disrupt(m, (model_disruption_t)i, slot, h);
+	model_move_disrupt_both(m, (model_disruption_t)i, h);
+}
+
+void model_disrupt(model_t *m, model_disruption_t kind, uint32_t slot,
+		   host_t *h)
+{
+	const disruption_kind_t *k = &kinds[kind];
+	gh_time_t until;
+
+	model_log(m, NULL, "disruption %s, address %u, host %u", k->name, slot,
+		  h->index);
+	until = m->now + model_random_ms(m, k->from_ms, k->to_ms);
+	k->run(m, slot, h, MIN(until, m->quiet_at));
 }
 
 static void lose_replies(model_t *m, uint32_t slot, host_t *h, gh_time_t until)
@@ -896,9 +911,8 @@
 static void delete_record(model_t *m, uint32_t slot, host_t *h, gh_time_t until)
 {
 	(void)slot;
-	(void)h;
 	(void)until;
-	store_delete_record(m);
+	store_delete_record(m, h->shard);
 }
 
 static void freeze(model_t *m, uint32_t slot, host_t *h, gh_time_t until)
--- a/regress/fleet_model_owner.c
+++ b/regress/fleet_model_owner.c
@@ -43,13 +43,15 @@
 static void on_store_lease_end(model_t *m, void *data);
 static void execute_claim(model_t *m, store_call_t *call);
 static void execute_commit(model_t *m, store_call_t *call);
-static void set_conflict(const model_t *m, store_call_t *call);
+static void set_conflict(store_call_t *call);
+static model_chain_t *chain_of(const host_t *h);
+static void tell_hosts(model_t *m, uint32_t shard, model_entry_t *entry,
+		       model_job_t *job);
 static void post_notice(model_t *m, host_t *h, model_entry_t *entry,
 			model_job_t *job);
 static void on_notice(model_t *m, void *data);
 static void host_record_changed(host_t *h);
 static void on_host_tick(model_t *m, void *data);
-static void host_post_advance(host_t *h);
 static void on_host_advance(model_t *m, void *data);
 static void host_advance(host_t *h);
 static store_call_t *host_call_store(host_t *h, store_kind_t kind);
@@ -150,8 +152,6 @@
 
 static void store_execute(model_t *m, store_call_t *call)
 {
-	model_store_t *store = &m->store;
-
 	call->result = STORE_OK;
 	switch (call->kind) {
 	case STORE_GRANT:
@@ -166,9 +166,9 @@
 		execute_commit(m, call);
 		break;
 	case STORE_GET_CHAIN:
-		if (!store->chain_text)
+		if (!chain_of(call->host)->text)
 			call->result = STORE_NOT_FOUND;
-		set_conflict(m, call);
+		set_conflict(call);
 		break;
 	case STORE_LOAD:
 		break;
@@ -176,12 +176,19 @@
 }
 
 /* The present records, as a conflict or a read returns them. */
-static void set_conflict(const model_t *m, store_call_t *call)
+static void set_conflict(store_call_t *call)
 {
-	call->chain_now = m->store.chain_text;
-	call->chain_revision_now = m->store.chain_revision;
-	call->owner_now = m->store.owner;
-	call->record_revision_now = m->store.record_revision;
+	const model_chain_t *chain = chain_of(call->host);
+
+	call->chain_now = chain->text;
+	call->chain_revision_now = chain->revision;
+	call->owner_now = chain->owner;
+	call->record_revision_now = chain->record_revision;
+}
+
+static model_chain_t *chain_of(const host_t *h)
+{
+	return &h->m->store.chains[h->shard];
 }
 
 static void execute_lease(model_t *m, store_call_t *call)
@@ -216,22 +223,27 @@
 	uint64_t id = *(const uint64_t *)data;
 	store_lease_t *lease =
 		&g_array_index(m->store.leases, store_lease_t, id - 1);
+	uint32_t i;
 
 	if (lease->ended || m->now < lease->ends_at)
 		return;
 	lease->ended = true;
-	if (m->store.owner != MODEL_NONE && m->store.record_lease == id)
-		store_delete_record(m);
+	for (i = 0; i < m->n_shards; i++)
+		if (m->store.chains[i].owner != MODEL_NONE &&
+		    m->store.chains[i].record_lease == id)
+			store_delete_record(m, i);
 }
 
-void store_delete_record(model_t *m)
+void store_delete_record(model_t *m, uint32_t shard)
 {
-	if (m->store.owner == MODEL_NONE)
+	model_chain_t *chain = &m->store.chains[shard];
+
+	if (chain->owner == MODEL_NONE)
 		return;
-	model_log(m, NULL, "owner record of host %u is gone", m->store.owner);
-	m->store.owner = MODEL_NONE;
+	model_log(m, NULL, "owner record of host %u is gone", chain->owner);
+	chain->owner = MODEL_NONE;
 	m->store.revision++;
-	hosts_record_changed(m);
+	hosts_record_changed(m, shard);
 }
 
 void store_go_down(model_t *m, gh_time_t until)
@@ -263,11 +275,12 @@
 static void execute_claim(model_t *m, store_call_t *call)
 {
 	model_store_t *store = &m->store;
+	model_chain_t *chain = chain_of(call->host);
 
-	if (store->owner != MODEL_NONE ||
-	    store->chain_revision != call->chain_revision) {
+	if (chain->owner != MODEL_NONE ||
+	    chain->revision != call->chain_revision) {
 		call->result = STORE_CONFLICT;
-		set_conflict(m, call);
+		set_conflict(call);
 		return;
 	}
 	if (!lease_is_alive(m, call->lease)) {
@@ -275,22 +288,23 @@
 		return;
 	}
 	store->revision++;
-	store->owner = call->host->index;
-	store->record_lease = call->lease;
-	store->record_revision = call->revision = store->revision;
+	chain->owner = call->host->index;
+	chain->record_lease = call->lease;
+	chain->record_revision = call->revision = store->revision;
 	if (call->kind == STORE_CLAIM) {
-		store->chain_text = call->chain_text;
-		store->chain_revision = store->revision;
+		chain->text = call->chain_text;
+		chain->revision = store->revision;
 	}
 	model_log(m, NULL, "host %u %s: %s", call->host->index,
 		  call->kind == STORE_CLAIM ? "claims" : "restores",
-		  store->chain_text);
-	hosts_record_changed(m);
+		  chain->text);
+	hosts_record_changed(m, call->host->shard);
 }
 
 static void execute_commit(model_t *m, store_call_t *call)
 {
 	model_store_t *store = &m->store;
+	model_chain_t *chain = chain_of(call->host);
 	bool cancelled = false;
 	size_t i;
 
@@ -299,52 +313,53 @@
 			     call->changes[i].phase != GH_JOB_CANCELLED &&
 			     !call->changes[i].cancel_heard &&
 			     call->changes[i].job->cancelled;
-	if (cancelled || store->chain_revision != call->chain_revision) {
+	if (m->n_shards > 1)
+		cancelled = false;
+	for (i = 0; i < call->n_changes; i++)
+		cancelled |= model_move_conflicts(&call->changes[i]);
+	if (cancelled || chain->revision != call->chain_revision) {
 		call->result = STORE_CONFLICT;
-		set_conflict(m, call);
+		set_conflict(call);
 		return;
 	}
 	store->revision++;
-	store->chain_text = call->chain_text;
-	store->chain_revision = call->revision = store->revision;
-	for (i = 0; i < call->n_changes; i++) {
-		const job_change_t *change = &call->changes[i];
-
-		change->job->progress = change->progress;
-		if (change->phase > GH_JOB_RUNNING)
-			change->job->exists = false;
-	}
+	chain->text = call->chain_text;
+	chain->revision = call->revision = store->revision;
+	for (i = 0; i < call->n_changes; i++)
+		model_move_execute(m, call->host, &call->changes[i],
+				   store->revision);
 	if (!call->releases)
 		return;
 	model_log(m, NULL, "host %u releases: %s", call->host->index,
-		  store->chain_text);
-	store_delete_record(m);
+		  chain->text);
+	store_delete_record(m, call->host->shard);
 }
 
 /* What hosts hear of the store's changes, some time later. */
 
-void hosts_record_changed(model_t *m)
+void hosts_record_changed(model_t *m, uint32_t shard)
 {
-	uint32_t i;
-
-	for (i = 0; i < MODEL_HOSTS; i++)
-		post_notice(m, &m->hosts[i], NULL, NULL);
+	tell_hosts(m, shard, NULL, NULL);
 }
 
 void hosts_entry_changed(model_t *m, model_entry_t *entry)
 {
-	uint32_t i;
-
-	for (i = 0; i < MODEL_HOSTS; i++)
-		post_notice(m, &m->hosts[i], entry, NULL);
+	tell_hosts(m, entry->shard, entry, NULL);
 }
 
 void hosts_job_changed(model_t *m, model_job_t *job)
+{
+	tell_hosts(m, job->home, NULL, job);
+}
+
+static void tell_hosts(model_t *m, uint32_t shard, model_entry_t *entry,
+		       model_job_t *job)
 {
 	uint32_t i;
 
-	for (i = 0; i < MODEL_HOSTS; i++)
-		post_notice(m, &m->hosts[i], NULL, job);
+	for (i = 0; i < m->n_hosts; i++)
+		if (m->hosts[i].shard == shard)
+			post_notice(m, &m->hosts[i], entry, job);
 }
 
 static void post_notice(model_t *m, host_t *h, model_entry_t *entry,
@@ -412,11 +427,12 @@
 	h->frozen_until = 0;
 	h->advance_posted = false;
 	h->phase = HOST_IDLE;
-	h->record_absent = h->m->store.owner == MODEL_NONE;
+	h->record_absent = chain_of(h)->owner == MODEL_NONE;
 	h->heard = (gh_heard_t){ 0 };
 	gh_heard_note(&h->heard, h->m->store.revision, h->m->now);
 	h->claim_at = h->m->now + model_random_ms(h->m, 1, CLAIM_JITTER_MS);
 	h->clocks = platform_clocks_new();
+	model_move_boot(h);
 	*event = (host_event_t){ .host = h, .boot = h->boot };
 	model_post(h->m, h->m->now, on_host_tick, event);
 }
@@ -449,7 +465,7 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < MODEL_HOSTS; i++) {
+	for (i = 0; i < m->n_hosts; i++) {
 		host_end_ownership(&m->hosts[i], "end");
 		clear_clocks(&m->hosts[i]);
 	}
@@ -467,7 +483,7 @@
 }
 
 /* A host advances once it has handled all that has arrived. */
-static void host_post_advance(host_t *h)
+void host_post_advance(host_t *h)
 {
 	host_event_t *event;
 
@@ -522,7 +538,7 @@
 {
 	gh_time_t now = h->m->now;
 
-	h->record_absent = h->m->store.owner == MODEL_NONE;
+	h->record_absent = chain_of(h)->owner == MODEL_NONE;
 	gh_heard_note(&h->heard, h->m->store.revision, now);
 	if (!h->record_absent)
 		return;
@@ -700,6 +716,8 @@
 		.claim_revision = revision,
 		.claimed_at = h->claim_sent_at,
 		.stop_ms = MODEL_STOP_MS,
+		.shard = h->shard,
+		.shards = h->m->n_shards,
 	};
 
 	h->m->result->owners++;
@@ -726,12 +744,18 @@
 	model_t *m = h->m;
 	guint i;
 
-	for (i = 0; i < m->jobs->len; i++)
-		add_job(h, m->jobs->pdata[i], true);
+	for (i = 0; i < m->jobs->len; i++) {
+		model_job_t *job = m->jobs->pdata[i];
+
+		if (job->home == h->shard)
+			add_job(h, job, true);
+	}
+	model_move_load(h);
 	for (i = 0; i < m->entries->len; i++) {
 		const model_entry_t *entry = m->entries->pdata[i];
 
-		if (entry->exists && !entry->unreadable)
+		if (entry->shard == h->shard && entry->exists &&
+		    !entry->unreadable)
 			gh_fleet_worker_set(h->fleet, &entry->value, m->now);
 	}
 	h->phase = h->draining ? HOST_RELEASING : HOST_OWNING;
@@ -743,7 +767,10 @@
 {
 	if (job->exists && !gh_fleet_has_job(h->fleet, job->pipeline->id))
 		gh_fleet_job_add(h->fleet, gh_pipeline_parse(job->text, NULL),
-				 with_progress ? job->progress : NULL, NULL);
+				 with_progress ? job->parts[h->shard].progress :
+						 NULL,
+				 NULL);
+	model_move_presume(h, job);
 	if (!job->cancelled)
 		return;
 	job->cancel_heard |= 1u << h->index;
@@ -984,9 +1011,11 @@
 	g_free(unheard);
 	batch->changes =
 		model_alloc(h->m, CHANGES_MAX * sizeof(*batch->changes));
-	while (batch->n_changes < CHANGES_MAX &&
+	while (batch->n_changes < CHANGES_MAX && model_move_fits(h, batch) &&
 	       gh_fleet_next_change(h->fleet, &change)) {
-		batch->changes[batch->n_changes++] = (job_change_t){
+		job_change_t *entry = &batch->changes[batch->n_changes];
+
+		*entry = (job_change_t){
 			.job = model_job_find(h->m, change.id),
 			.phase = change.phase,
 			.phase_changed = change.phase_changed,
@@ -1000,6 +1029,12 @@
 					NULL,
 		};
 		g_free(change.progress);
+		if (!model_move_fill(h, entry, &change)) {
+			gh_fleet_handle_commit_failure(h->fleet, change.id);
+			h->commit_at = h->m->now + gh_time_from_ms(RETRY_MS);
+			break;
+		}
+		batch->n_changes++;
 	}
 	if (h->phase == HOST_RELEASING && !gh_fleet_has_changes(h->fleet)) {
 		char *text = g_strdup_printf(
@@ -1023,6 +1058,7 @@
 	*call = *batch;
 	call->finished = false;
 	store_call_send(h->m, call);
+	model_move_step(h, batch);
 }
 
 static void batch_reply(host_t *h, const store_call_t *call)
@@ -1034,6 +1070,7 @@
 	if (call->result == STORE_OK) {
 		batch_committed(h, call->revision);
 	} else if (call->result == STORE_UNKNOWN) {
+		h->batch->unanswered = true;
 		store_call_send(h->m, host_call_store(h, STORE_GET_CHAIN));
 	} else if (call->result == STORE_CONFLICT) {
 		if (!strcmp(call->chain_now, h->batch->chain_text)) {
@@ -1044,10 +1081,16 @@
 			host_end_ownership(h, "another owner took over");
 			return;
 		}
-		for (i = 0; i < h->batch->n_changes; i++)
-			add_job(h, h->batch->changes[i].job, false);
+		for (i = 0; i < h->batch->n_changes; i++) {
+			if (!h->batch->changes[i].guest)
+				add_job(h, h->batch->changes[i].job, false);
+			model_move_refused(h, &h->batch->changes[i]);
+		}
 		batch_failed(h);
 		h->commit_at = 0;
+	} else if (h->batch->unanswered && h->m->n_shards > 1) {
+		/* An earlier copy may still take effect. */
+		h->reread_at = h->m->now + gh_time_from_ms(RETRY_MS);
 	} else {
 		batch_failed(h);
 	}
@@ -1079,10 +1122,12 @@
 	gh_fleet_unheard_committed(h->fleet);
 	h->chain_revision = revision;
 	h->commit_at = h->m->now + gh_time_from_ms(COMMIT_INTERVAL_MS);
-	for (i = 0; i < batch->n_changes; i++)
+	for (i = 0; i < batch->n_changes; i++) {
+		model_move_committed(h, &batch->changes[i], revision);
 		gh_fleet_handle_commit(h->fleet,
 				       batch->changes[i].job->pipeline->id,
 				       batch->changes[i].version);
+	}
 	if (batch->releases)
 		host_end_ownership(h, "released");
 }
--- a/regress/fleet_model_private.h
+++ b/regress/fleet_model_private.h
@@ -8,7 +8,9 @@
 #include "platform/platform_clock.h"
 
 #define MODEL_SLOTS 7 /* addresses of workers */
-#define MODEL_HOSTS 3
+#define MODEL_HOSTS 3 /* of each shard */
+#define MODEL_SHARDS_MAX 2
+#define MODEL_HOSTS_MAX (MODEL_HOSTS * MODEL_SHARDS_MAX)
 #define MODEL_LEASE_MS 4500
 #define MODEL_LEASE_MAX_MS 10000
 #define MODEL_STOP_MS 500
@@ -90,6 +92,7 @@
 /* One life of a worker process. */
 struct life {
 	char id[GH_WORKER_ID_MAX + 1];
+	uint32_t shard;
 	uint32_t slot;
 	int64_t start_ms;
 	gh_time_t started_at;
@@ -114,6 +117,7 @@
 	char id[GH_WORKER_ID_MAX + 1];
 	bool exists;
 	bool unreadable;
+	uint32_t shard;
 	gh_worker_entry_t value;
 } model_entry_t;
 
@@ -123,8 +127,8 @@
 	gh_time_t slow_until;
 	gh_time_t late_until;
 	gh_time_t unhealthy_until;
-	gh_time_t request_cut_until[MODEL_HOSTS];
-	gh_time_t reply_cut_until[MODEL_HOSTS];
+	gh_time_t request_cut_until[MODEL_HOSTS_MAX];
+	gh_time_t reply_cut_until[MODEL_HOSTS_MAX];
 } model_link_t;
 
 /* An end of a task as done. */
@@ -140,11 +144,34 @@
 typedef struct model_task {
 	GArray *done;	  /* done_end_t; NULL: none */
 	gh_time_t ran_at; /* last seen with a run; 0: not yet */
+	uint32_t moves;
 } model_task_t;
 
+/* A job's state in the store. */
+typedef struct model_state {
+	uint64_t revision; /* 0: none */
+	gh_job_phase_t phase;
+} model_state_t;
+
+/* The message by which a task moves to a shard. */
+typedef struct model_message {
+	const char *text; /* NULL: none */
+	uint64_t revision;
+	/* Of the deletion that each host has committed itself. */
+	uint64_t gone[MODEL_HOSTS_MAX];
+} model_message_t;
+
+/* Records of a job that belong to one shard. */
+typedef struct job_part {
+	const char *progress;
+	bool guest;		   /* the text of a guest is stored */
+	model_message_t *messages; /* by task */
+} job_part_t;
+
 typedef struct model_job {
 	gh_pipeline_t *pipeline;
-	char *text; /* of the pipeline */
+	char *text;    /* of the pipeline */
+	uint32_t home; /* shard */
 	uint32_t n_tasks;
 	model_task_t *tasks;
 	bool hopeless;	 /* all runs of it fail */
@@ -157,14 +184,31 @@
 	bool exists;
 	bool cancelled;
 	uint32_t cancel_heard; /* bit of each host that knows of it */
-	const char *progress;
+	model_state_t state;
+	uint64_t submitted_revision;
+	gh_time_t over_at; /* when the state showed its end; 0: not yet */
+	job_part_t parts[MODEL_SHARDS_MAX];
+	/* The state that each host's directory knows. */
+	model_state_t heard[MODEL_HOSTS_MAX];
 } model_job_t;
 
+/* A message that a commit writes or deletes. */
+typedef struct model_move {
+	uint32_t shard; /* that it is for */
+	uint32_t task;
+	const char *text;
+} model_move_t;
+
 typedef struct job_change {
 	model_job_t *job;
 	gh_job_phase_t phase;
 	bool phase_changed;
 	bool cancel_heard; /* the commit expects the cancelled state */
+	/* With several shards: of the job's state; 0: not expected. */
+	uint64_t expected_revision;
+	bool guest, guest_is_new;
+	model_move_t *departures, *arrivals;
+	uint32_t n_departures, n_arrivals;
 	uint64_t version;
 	const char *progress;
 } job_change_t;
@@ -201,6 +245,7 @@
 	const char *chain_text;
 	gh_time_t grants_told; /* in chain_text */
 	bool releases;
+	bool unanswered; /* a copy of the commit got no reply */
 	job_change_t *changes;
 	size_t n_changes;
 	/* Reply; for a conflict, the present records. */
@@ -217,13 +262,18 @@
 	bool ended;
 } store_lease_t;
 
-typedef struct model_store {
+/* A shard's records in the store. */
+typedef struct model_chain {
+	const char *text; /* of the chain record; NULL: none yet */
 	uint64_t revision;
-	const char *chain_text; /* NULL: none yet */
-	uint64_t chain_revision;
 	uint32_t owner; /* host in the owner record, or MODEL_NONE */
 	uint64_t record_revision;
 	uint64_t record_lease;
+} model_chain_t;
+
+typedef struct model_store {
+	uint64_t revision;
+	model_chain_t chains[MODEL_SHARDS_MAX];
 	GArray *leases;	   /* store_lease_t, by id - 1 */
 	bool leases_pause; /* while the store is down */
 	gh_time_t down_until;
@@ -243,6 +293,7 @@
 struct host {
 	model_t *m;
 	uint32_t index;
+	uint32_t shard;
 	bool up;
 	uint32_t boot;
 	gh_time_t frozen_until;
@@ -276,7 +327,8 @@
 	gh_time_t commit_at;
 	gh_time_t reread_at;
 	gh_time_t load_at;
-	store_call_t *batch; /* commit that awaits its outcome */
+	gh_time_t load_heard_at; /* when the other shard's load was sent */
+	store_call_t *batch;	 /* commit that awaits its outcome */
 	gh_fleet_t *fleet;
 	platform_clocks_t *clocks;
 };
@@ -304,7 +356,9 @@
 	uint32_t last_worker;
 	int64_t last_start_ms;
 	GPtrArray *jobs;
-	host_t hosts[MODEL_HOSTS];
+	uint32_t n_shards, n_hosts;
+	uint32_t skew_percent; /* share of the jobs whose home is shard 0 */
+	host_t hosts[MODEL_HOSTS_MAX];
 	model_store_t store;
 	bool workers_check_capacity;
 	bool late_before_old; /* precedence of a worker's refusals */
@@ -337,6 +391,39 @@
 /* The worker is told that it may forget its ends up to a number. */
 void model_note_ack(model_t *m, const life_t *life, uint64_t number);
 
+/* A commit has changed the job's records. */
+void model_check_places(model_t *m, const job_change_t *change);
+/* Looks for runs of jobs that were over for a while. */
+void model_check_over(model_t *m);
+
+/* See fleet_model_move.c. */
+void model_move_start(model_t *m);
+void model_move_add_job(model_t *m, model_job_t *job);
+void model_move_boot(host_t *h);
+void model_move_set_state(model_t *m, model_job_t *job, gh_job_phase_t phase,
+			  uint64_t revision);
+void model_move_presume(host_t *h, model_job_t *job);
+void model_move_load(host_t *h);
+bool model_move_fits(const host_t *h, const store_call_t *batch);
+bool model_move_fill(host_t *h, job_change_t *change,
+		     gh_fleet_change_t *from_fleet);
+bool model_move_conflicts(const job_change_t *change);
+void model_move_execute(model_t *m, const host_t *h, const job_change_t *change,
+			uint64_t revision);
+void model_move_committed(host_t *h, const job_change_t *change,
+			  uint64_t revision);
+void model_move_refused(host_t *h, const job_change_t *change);
+/* Number of the places in the store to which the task belongs. */
+uint32_t model_move_places(const model_t *m, const model_job_t *job,
+			   uint32_t task);
+/* A commit is sent; it may be disrupted if it has moves. */
+void model_move_step(host_t *h, const store_call_t *batch);
+void model_move_disrupt_both(model_t *m, model_disruption_t kind,
+			     const host_t *h);
+/* Does one disruption. */
+void model_disrupt(model_t *m, model_disruption_t kind, uint32_t slot,
+		   host_t *h);
+
 /* See fleet_model_idle.c and fleet_model_field.c. */
 void model_idle_start(model_t *m);
 /* A run of the task is at work now. */
@@ -365,9 +452,10 @@
 
 /* Store and hosts. */
 void store_call_send(model_t *m, store_call_t *call);
-void store_delete_record(model_t *m);
+void store_delete_record(model_t *m, uint32_t shard);
 void store_go_down(model_t *m, gh_time_t until);
 void host_boot(host_t *h);
+void host_post_advance(host_t *h);
 void host_kill(host_t *h);
 void host_release(host_t *h);
 void host_on_worker_reply(host_t *h, worker_call_t *call);
@@ -375,7 +463,9 @@
 /* Runs an event of a host: later if it is frozen, not at all if it is gone. */
 bool host_is_ready(model_t *m, const host_t *h, uint32_t boot, model_work_t run,
 		   void *data);
-void hosts_record_changed(model_t *m);
+void hosts_record_changed(model_t *m, uint32_t shard);
+/* The host that owns the shard and has loaded it, or NULL. */
+const host_t *model_owner(const model_t *m, uint32_t shard);
 void hosts_entry_changed(model_t *m, model_entry_t *entry);
 void hosts_job_changed(model_t *m, model_job_t *job);
 void hosts_free(model_t *m);
