core_fleet_rooms: no room is kept for a task that can't use it

Stages with a label, a limit for each worker or accelerators take no rooms in the load, as it isn't known which ones they can use. test_room_is_kept_for_task_that_cannot_use_it failed before and passes now.

--- a/core_fleet_rooms.c
+++ b/core_fleet_rooms.c
@@ -418,7 +418,9 @@
 	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
 	const fleet_stage_t *s = &job->stages[stage];
 
-	if (!step->long_running || !s->waiting_since)
+	/* Of those with a label or a limit it isn't known what they can use. */
+	if (!step->long_running || !s->waiting_since || *step->label ||
+	    step->max_per_worker || step->size.accelerators)
 		return 0;
 	return step->tasks - s->tasks_done - s->tasks_open - s->tasks_away;
 }
--- a/regress/test_core_fleet_move.c
+++ b/regress/test_core_fleet_move.c
@@ -544,6 +544,33 @@
 	world_clear(&w);
 }
 
+/* A stage that waits for a label, or for more workers, can't use the room. */
+static void test_room_is_kept_for_task_that_cannot_use_it(void **state)
+{
+	static const gh_step_t steps[] = {
+		{ .tasks = 1, .label = "x" },
+		{ .tasks = 3, .max_per_worker = 1 },
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(steps); i++) {
+		gh_step_t step = steps[i];
+		shards_t s;
+
+		step.long_running = true;
+		step.size.cores_milli = 1000;
+		init_full_shard(&s, 2000);
+		shards_add_job(&s, 1, "0000000000000002", 1, &step);
+		shards_advance(&s, 300);
+		shards_add_job(&s, 0, JOB_ID, 1, &long_running_step);
+		shards_advance(&s, 1500);
+		if (shards_count_runs(&s, 1, JOB_ID) != 1)
+			fail_msg("step %zu", i);
+		shards_clear(&s);
+	}
+}
+
 /* What was sent is forgotten once the load tells of it, also by its last write.
  */
 static void test_room_is_counted_as_taken_twice(void **state)
@@ -658,6 +685,7 @@
 		cmocka_unit_test(test_guest_crashes_workers_for_ever),
 		cmocka_unit_test(test_wait_tells_of_rooms_elsewhere),
 		cmocka_unit_test(test_rooms_in_load),
+		cmocka_unit_test(test_room_is_kept_for_task_that_cannot_use_it),
 		cmocka_unit_test(test_room_is_counted_as_taken_twice),
 		cmocka_unit_test(test_task_waits_beside_worker_in_quarantine),
 		cmocka_unit_test(test_wait_begins_anew_with_move),
