core_fleet_reserve: no worker is reserved for a task whose accelerators it lacks

A task that needs an accelerator had a worker without any reserved, again and again, so that nothing else started there: the reservation looked at cores and memory only.

test_room_is_kept_for_task_that_cannot_use_it has such a task as its third case, which failed before ("step 2") and passes now.

--- a/core_fleet_reserve.c
+++ b/core_fleet_reserve.c
@@ -80,7 +80,8 @@
 		if (other->long_running)
 			gh_capacity_add(&used, &other->size, 1);
 	}
-	return used.cores_milli + step->size.cores_milli <=
+	return step->size.accelerators <= worker->entry.size.accelerators &&
+	       used.cores_milli + step->size.cores_milli <=
 		       worker->entry.size.cores_milli &&
 	       used.memory_mb + step->size.memory_mb <=
 		       worker->entry.size.memory_mb;
--- a/regress/test_core_fleet_move.c
+++ b/regress/test_core_fleet_move.c
@@ -548,8 +548,9 @@
 static void test_room_is_kept_for_task_that_cannot_use_it(void **state)
 {
 	static const gh_step_t steps[] = {
-		{ .tasks = 1, .label = "x" },
+		{ .tasks = 2, .label = "x" },
 		{ .tasks = 3, .max_per_worker = 1 },
+		{ .tasks = 1, .size.accelerators = 1 },
 	};
 	size_t i;
 
