--- a/regress/test_core_fleet_plan.c
+++ b/regress/test_core_fleet_plan.c
@@ -50,23 +50,31 @@
 typedef struct late_case {
 	const char *name;
 	gh_step_t step;
+	uint32_t tasks; /* of each of the other jobs */
 	bool drain;	/* its run is stopped, instead of that it is added */
 	int64_t max_ms; /* until all its tasks have begun */
 } late_case_t;
 
 static const late_case_t late_cases[] = {
+	{ .name = "task beside large jobs, the ends of which are committed",
+	  .step = { .tasks = 1, .size = { .cores_milli = 1000 } },
+	  .tasks = 60,
+	  .max_ms = 3000 },
 	{ .name = "task of the lowest priority",
 	  .step = { .tasks = 1, .size = { .cores_milli = 1000 } },
+	  .tasks = 1,
 	  .max_ms = 3000 },
 	{ .name = "gang larger than the budget",
 	  .step = { .tasks = 100,
 		    .size = { .cores_milli = 1000 },
 		    .gang = true },
+	  .tasks = 1,
 	  .max_ms = 3000 },
 	{ .name = "long-running task that ran before",
 	  .step = { .tasks = 1,
 		    .size = { .cores_milli = 1000 },
 		    .long_running = true },
+	  .tasks = 1,
 	  .drain = true,
 	  .max_ms = 2500 },
 };
@@ -183,6 +191,7 @@
 	for (i = 0; i < G_N_ELEMENTS(late_cases); i++) {
 		const late_case_t *c = &late_cases[i];
 		uint32_t expected = c->step.tasks;
+		gh_step_t others = one_task;
 		slow_world_t s;
 
 		start_world(&s, 100, 8);
@@ -192,7 +201,8 @@
 			assert_int_equal(count_late_starts(&s), expected);
 			expected++;
 		}
-		add_jobs(&s, MANY_JOBS, &one_task);
+		others.tasks = c->tasks;
+		add_jobs(&s, MANY_JOBS / c->tasks, &others);
 		advance(&s, 1000);
 		for (j = 0; c->drain && j < s.w.n_workers; j++)
 			if (s.w.workers[j].n_runs &&
