fleet_owner_commit: rooms are computed only for a load that is written

Each commit asked whether the size of the long-running tasks had changed by the whole load, which now sorts the rooms of all workers as well. The test programs of moves, owners and the platform pass.

--- a/core_fleet.h
+++ b/core_fleet.h
@@ -461,6 +461,8 @@
 /* Load of the fleet by its usable workers and its jobs that have not ended. */
 void gh_fleet_load(const gh_fleet_t *fleet, gh_shard_load_t *load,
 		   gh_time_t now);
+/* The load's member long_running alone. */
+gh_capacity_t gh_fleet_long_running(const gh_fleet_t *fleet);
 void gh_fleet_counts(const gh_fleet_t *fleet, gh_fleet_counts_t *counts);
 void gh_fleet_backlog(const gh_fleet_t *fleet, gh_fleet_backlog_t *backlog);
 const char *gh_job_phase_name(gh_job_phase_t phase);
--- a/core_fleet_rooms.c
+++ b/core_fleet_rooms.c
@@ -283,7 +283,7 @@
 void gh_fleet_load(const gh_fleet_t *fleet, gh_shard_load_t *load,
 		   gh_time_t now)
 {
-	uint32_t i, s;
+	uint32_t i;
 
 	*load = (gh_shard_load_t){ 0 };
 	for (i = 0; i < fleet->workers->len; i++) {
@@ -293,6 +293,15 @@
 		    fleet_health_is_usable(worker, now))
 			gh_capacity_add(&load->total, &worker->entry.size, 1);
 	}
+	load->long_running = gh_fleet_long_running(fleet);
+	add_own_rooms(fleet, load, now);
+}
+
+gh_capacity_t gh_fleet_long_running(const gh_fleet_t *fleet)
+{
+	gh_capacity_t sum = { 0 };
+	uint32_t i, s;
+
 	for (i = 0; i < fleet->jobs->len; i++) {
 		const fleet_job_t *job = fleet_job(fleet, i);
 
@@ -304,13 +313,13 @@
 
 			if (step->long_running)
 				gh_capacity_add(
-					&load->long_running, &step->size,
+					&sum, &step->size,
 					step->tasks -
 						job->stages[s].tasks_done -
 						job->stages[s].tasks_away);
 		}
 	}
-	add_own_rooms(fleet, load, now);
+	return sum;
 }
 
 static void add_own_rooms(const gh_fleet_t *fleet, gh_shard_load_t *load,
--- a/fleet_owner_commit.c
+++ b/fleet_owner_commit.c
@@ -546,17 +546,15 @@
 static bool load_is_due(const fleet_owner_t *owner, const batch_t *batch,
 			gh_time_t now)
 {
-	gh_shard_load_t load;
+	gh_capacity_t size;
 
 	if (now >= owner->load_save_at)
 		return true;
 	if (!owner->load_saved || !batch->changes->len)
 		return false;
-	gh_fleet_load(owner->fleet, &load, now);
-	return load.long_running.cores_milli !=
-		       owner->long_running_saved.cores_milli ||
-	       load.long_running.memory_mb !=
-		       owner->long_running_saved.memory_mb;
+	size = gh_fleet_long_running(owner->fleet);
+	return size.cores_milli != owner->long_running_saved.cores_milli ||
+	       size.memory_mb != owner->long_running_saved.memory_mb;
 }
 
 /*
