--- a/regress/fleet_model_move.c
+++ b/regress/fleet_model_move.c
@@ -452,7 +452,7 @@
 {
 	model_job_t *job = change->job;
 	job_part_t *part = &job->parts[h->shard];
-	uint32_t i, j;
+	uint32_t i, j, n;
 
 	part->progress = change->progress;
 	if (change->guest)
@@ -475,8 +475,8 @@
 		message->text = move->text;
 		message->revision = revision;
 		m->result->moves++;
-		m->result->most_moves = MAX(m->result->most_moves,
-					    ++job->tasks[move->task].moves);
+		n = ++job->tasks[move->task].moves;
+		m->result->most_moves = MAX(m->result->most_moves, n);
 		for (j = 0; j < m->n_hosts; j++)
 			if (m->hosts[j].shard == move->shard)
 				post_message(m, &m->hosts[j], job, move->task);
