--- a/regress/test_core_fleet_move.c
+++ b/regress/test_core_fleet_move.c
@@ -450,6 +450,33 @@
 	shards_clear(&s);
 }
 
+/* Crashes the worker as soon as it has started a run. */
+static void crash_worker(world_t *w, scripted_worker_t *worker,
+			 const gh_order_t *order)
+{
+	(void)order;
+	(void)w;
+	restart_worker(worker);
+}
+
+/* A task that crashes its worker would end its job at home. */
+static void test_guest_crashes_workers_for_ever(void **state)
+{
+	shards_t s;
+	size_t i;
+
+	(void)state;
+	init_full_shard(&s, 1000);
+	s.worlds[1].on_start = crash_worker;
+	shards_add_job(&s, 0, JOB_ID, 1, &long_running_step);
+	for (i = 0; i < 60; i++) {
+		shards_advance(&s, 1000);
+		list_worker(&s.worlds[1], &s.worlds[1].workers[0], false);
+	}
+	assert_in_range(count_orders(&s.worlds[1], GH_ORDER_START, 0), 2, 10);
+	shards_clear(&s);
+}
+
 static void test_wait_tells_of_rooms_elsewhere(void **state)
 {
 	gh_step_t step = long_running_step;
@@ -517,6 +544,86 @@
 	world_clear(&w);
 }
 
+/* A stage that waits for a label, or for more workers, can't use the room. */
+static void test_room_is_kept_for_task_that_cannot_use_it(void **state)
+{
+	static const gh_step_t steps[] = {
+		{ .tasks = 2, .label = "x" },
+		{ .tasks = 3, .max_per_worker = 1 },
+		{ .tasks = 1, .size.accelerators = 1 },
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(steps); i++) {
+		gh_step_t step = steps[i];
+		shards_t s;
+
+		step.long_running = true;
+		step.size.cores_milli = 1000;
+		init_full_shard(&s, 2000);
+		shards_add_job(&s, 1, "0000000000000002", 1, &step);
+		shards_advance(&s, 300);
+		shards_add_job(&s, 0, JOB_ID, 1, &long_running_step);
+		shards_advance(&s, 1500);
+		if (shards_count_runs(&s, 1, JOB_ID) != 1)
+			fail_msg("step %zu", i);
+		shards_clear(&s);
+	}
+}
+
+/* What was sent is forgotten once the load tells of it, also by its last write.
+ */
+static void test_room_is_counted_as_taken_twice(void **state)
+{
+	shards_t s;
+
+	(void)state;
+	init_full_shard(&s, 2000);
+	shards_add_job(&s, 0, JOB_ID, 1, &long_running_step);
+	shards_advance(&s, MOVE_MS);
+	assert_int_equal(shards_count_runs(&s, 1, JOB_ID), 1);
+	shards_advance(&s, 1000);
+	shards_add_job(&s, 0, "0000000000000002", 1, &long_running_step);
+	shards_advance(&s, MOVE_MS);
+	assert_int_equal(shards_count_runs(&s, 1, "0000000000000002"), 1);
+	shards_clear(&s);
+}
+
+/* The other shard's large worker is in quarantine for a minute. */
+static void test_task_waits_beside_worker_in_quarantine(void **state)
+{
+	shards_t s;
+
+	(void)state;
+	init_full_shard(&s, 1000);
+	add_worker(&s.worlds[1], "b2", 900);
+	fleet_worker(s.worlds[1].fleet, 0)->quarantined_until =
+		s.worlds[1].now + 60000 * MS;
+	shards_advance(&s, SETTLE_MS);
+	shards_add_job(&s, 0, JOB_ID, 1, &long_running_step);
+	shards_advance(&s, 4000);
+	assert_int_equal(shards_count_runs(&s, 1, JOB_ID), 1);
+	assert_int_equal(s.n_departures, 1);
+	shards_clear(&s);
+}
+
+/* Half a second in the full shard counts among the 2 s before quarantine. */
+static void test_wait_begins_anew_with_move(void **state)
+{
+	shards_t s;
+
+	(void)state;
+	init_full_shard(&s, 1000);
+	fleet_worker(s.worlds[1].fleet, 0)->quarantined_until =
+		s.worlds[1].now + 60000 * MS;
+	shards_advance(&s, SETTLE_MS);
+	shards_add_job(&s, 0, JOB_ID, 1, &long_running_step);
+	shards_advance(&s, 2200);
+	assert_int_equal(shards_count_runs(&s, 1, JOB_ID), 1);
+	shards_clear(&s);
+}
+
 static const char *const bad_records[] = {
 	"progress1\n0 away 0 1 -\n",
 	"progress1\n0 away 0 1 - moves:0\n",
@@ -576,8 +683,13 @@
 		cmocka_unit_test(test_stale_message_starts_task_again),
 		cmocka_unit_test(test_task_comes_back_before_reply),
 		cmocka_unit_test(test_guest_ends_job),
+		cmocka_unit_test(test_guest_crashes_workers_for_ever),
 		cmocka_unit_test(test_wait_tells_of_rooms_elsewhere),
 		cmocka_unit_test(test_rooms_in_load),
+		cmocka_unit_test(test_room_is_kept_for_task_that_cannot_use_it),
+		cmocka_unit_test(test_room_is_counted_as_taken_twice),
+		cmocka_unit_test(test_task_waits_beside_worker_in_quarantine),
+		cmocka_unit_test(test_wait_begins_anew_with_move),
 		cmocka_unit_test(test_bad_record_of_guest_starts_task),
 	};
 
