core_fleet_budget: leave the oldest jobs a share of the commits

Cause: jobs whose changes are queued may go beyond the bound, so that the queue stays above it and nothing else is ever allowed; the share of the oldest jobs was half of what the bound left, which is nothing then.

Now a quarter of the changes that are committed is the share of the oldest jobs, up to twice the bound. The case "task beside jobs of many steps" of test_late_job_is_not_passed_over failed on (no start in 10 s).

--- a/core_fleet_budget.c
+++ b/core_fleet_budget.c
@@ -10,8 +10,8 @@
  * queued anyway needs no other, so it may have more planned for longer: else
  * the ends of runs would take up the commits for some seconds at a time.
  *
- * While this binds, half of what may be planned goes to the jobs of which
- * nothing has run for longest, whatever their rank.
+ * While this binds, a share of the commits goes to the jobs of which nothing
+ * has run for longest, whatever their rank.
  */
 #include "core_fleet_state.h"
 
@@ -20,9 +20,10 @@
 #define PLANNED_MIN 64
 /* Runs that are planned for longer keep no others from being planned. */
 #define STUCK_USEC (5 * GH_USEC_PER_SEC)
-/* Jobs whose changes are queued may go beyond the bound by this. */
-#define QUEUED_JOBS_FACTOR 2
-#define OLDEST_SHARE_DIVISOR 2
+/* The oldest jobs, and those whose changes are queued, may exceed the bound. */
+#define EXCESS_FACTOR 2
+/* A quarter of the changes that are committed is for the oldest jobs. */
+#define OLDEST_SHARE_DIVISOR 4
 
 static void decay(double *lately, uint32_t *since, gh_time_t elapsed);
 
@@ -37,10 +38,17 @@
 	fleet_budget_t *budget = &fleet->budget;
 	gh_time_t elapsed = MIN(now - budget->begun_at, BUDGET_PERIOD_USEC);
 
+	budget->oldest_share +=
+		(double)budget->n_committed / OLDEST_SHARE_DIVISOR;
 	decay(&budget->begun_lately, &budget->n_begun, elapsed);
 	decay(&budget->committed_lately, &budget->n_committed, elapsed);
 	budget->begun_at = now;
 	budget->changes_max = (uint32_t)budget->committed_lately;
+	budget->oldest_share =
+		budget->is_short ?
+			MIN(budget->oldest_share,
+			    budget->committed_lately / OLDEST_SHARE_DIVISOR) :
+			0;
 	budget->planned_max =
 		PLANNED_MIN + MIN(budget->n_planned, budget->n_stuck);
 	budget->was_short = budget->is_short;
@@ -62,10 +70,14 @@
 
 bool fleet_budget_allows_job(gh_fleet_t *fleet, const fleet_job_t *job)
 {
-	return (job->change_queued &&
-		g_queue_get_length(fleet->changes) <
-			QUEUED_JOBS_FACTOR * fleet->budget.changes_max) ||
-	       fleet_budget_allows(fleet);
+	const fleet_budget_t *budget = &fleet->budget;
+	uint32_t n_changes = g_queue_get_length(fleet->changes);
+	bool may_exceed = n_changes < EXCESS_FACTOR * budget->changes_max;
+
+	if (budget->serves_oldest)
+		return (may_exceed && n_changes < budget->oldest_changes_max) ||
+		       budget->n_planned < budget->oldest_planned_max;
+	return (may_exceed && job->change_queued) || fleet_budget_allows(fleet);
 }
 
 bool fleet_budget_allows(gh_fleet_t *fleet)
@@ -79,30 +91,29 @@
 	return false;
 }
 
-bool fleet_budget_set_aside(gh_fleet_t *fleet)
+bool fleet_budget_begin_oldest(gh_fleet_t *fleet)
 {
 	fleet_budget_t *budget = &fleet->budget;
-	uint32_t n_changes = g_queue_get_length(fleet->changes);
 
-	if (!budget->was_short || !fleet_budget_allows(fleet))
+	if (!budget->was_short)
 		return false;
-	if (n_changes < budget->changes_max)
-		budget->changes_aside = (budget->changes_max - n_changes) /
-					OLDEST_SHARE_DIVISOR;
+	budget->oldest_changes_max = g_queue_get_length(fleet->changes) +
+				     (uint32_t)budget->oldest_share;
+	budget->oldest_planned_max = budget->n_planned;
 	if (budget->n_planned < budget->planned_max)
-		budget->planned_aside =
-			(budget->planned_max - budget->n_planned) /
-			OLDEST_SHARE_DIVISOR;
-	budget->changes_max -= budget->changes_aside;
-	budget->planned_max -= budget->planned_aside;
+		budget->oldest_planned_max =
+			(budget->n_planned + budget->planned_max + 1) / 2;
+	budget->serves_oldest = true;
 	return true;
 }
 
-void fleet_budget_put_back(gh_fleet_t *fleet)
+void fleet_budget_end_oldest(gh_fleet_t *fleet)
 {
 	fleet_budget_t *budget = &fleet->budget;
+	uint32_t n_changes = g_queue_get_length(fleet->changes);
 
-	budget->changes_max += budget->changes_aside;
-	budget->planned_max += budget->planned_aside;
-	budget->changes_aside = budget->planned_aside = 0;
+	budget->serves_oldest = false;
+	budget->oldest_share = n_changes < budget->oldest_changes_max ?
+				       budget->oldest_changes_max - n_changes :
+				       0;
 }
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -118,9 +118,9 @@
 	collect_candidates(fleet, candidates, now, wall_ms);
 	g_array_sort(candidates, compare_candidates);
 	fleet->counts.pending_tasks = 0;
-	if (fleet_budget_set_aside(fleet)) {
+	if (fleet_budget_begin_oldest(fleet)) {
 		place_oldest(fleet, candidates, now);
-		fleet_budget_put_back(fleet);
+		fleet_budget_end_oldest(fleet);
 		fleet->counts.pending_tasks = 0;
 	}
 	for (i = 0; i < candidates->len; i++)
@@ -410,7 +410,7 @@
 
 /*
  * Places tasks of jobs without an open run, by the time since one has run,
- * while the budget that is not set aside lasts.
+ * while their share lasts.
  */
 static void place_oldest(gh_fleet_t *fleet, const GArray *candidates,
 			 gh_time_t now)
@@ -426,7 +426,7 @@
 			g_array_append_val(idle, *c);
 	}
 	g_array_sort_with_data(idle, compare_idle_jobs, fleet);
-	for (i = 0; i < idle->len && fleet_budget_allows(fleet); i++)
+	for (i = 0; i < idle->len; i++)
 		place_candidate(fleet, &g_array_index(idle, candidate_t, i),
 				now);
 	g_array_free(idle, TRUE);
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -466,8 +466,11 @@
 	gh_time_t begun_at;
 	/* More is planned while less than one of these is queued or planned. */
 	uint32_t changes_max, planned_max;
-	/* The parts of them that only the oldest jobs don't use. */
-	uint32_t changes_aside, planned_aside;
+	/* Changes that the oldest jobs may still add, and those maxima with it.
+	 */
+	double oldest_share;
+	uint32_t oldest_changes_max, oldest_planned_max;
+	bool serves_oldest; /* the oldest jobs are being placed */
 	/* In this tick, and in the last one, something more could be planned.
 	 */
 	bool is_short, was_short;
@@ -778,11 +781,10 @@
 /* The same of a stage of the job, whose change may be queued already. */
 bool fleet_budget_allows_job(gh_fleet_t *fleet, const fleet_job_t *job);
 /*
- * Sets a part of the budget aside, so that what is left is the share of the
- * oldest jobs; false: it suffices for all, or is used up.
+ * Lets the oldest jobs have their share; false: there is enough for all.
  */
-bool fleet_budget_set_aside(gh_fleet_t *fleet);
-void fleet_budget_put_back(gh_fleet_t *fleet);
+bool fleet_budget_begin_oldest(gh_fleet_t *fleet);
+void fleet_budget_end_oldest(gh_fleet_t *fleet);
 /* Reports jobs that wait although nothing of them runs. */
 void fleet_idle_check(gh_fleet_t *fleet, gh_time_t now, int64_t wall_ms);
 /* Reserves a worker for a long-running task of a job that has waited for long.
--- a/regress/test_core_fleet_plan.c
+++ b/regress/test_core_fleet_plan.c
@@ -18,6 +18,7 @@
 #define MANY_JOBS 3000
 /* No more runs are planned than this, or than begin in a second. */
 #define PLANNED_MIN 64
+#define STEPS 12
 #define REFUSED_JOBS 256
 #define LATE_JOB_ID "00000000000000ff"
 
@@ -50,23 +51,35 @@
 typedef struct late_case {
 	const char *name;
 	gh_step_t step;
+	uint32_t jobs, steps; /* the other jobs, of one task a step */
 	bool drain;	/* its run is stopped, instead of that it is added */
 	int64_t max_ms; /* until all its tasks have begun */
 } late_case_t;
 
 static const late_case_t late_cases[] = {
+	{ .name = "task beside jobs of many steps",
+	  .step = { .tasks = 1, .size = { .cores_milli = 1000 } },
+	  .jobs = 250,
+	  .steps = STEPS,
+	  .max_ms = 10000 },
 	{ .name = "task of the lowest priority",
 	  .step = { .tasks = 1, .size = { .cores_milli = 1000 } },
+	  .jobs = MANY_JOBS,
+	  .steps = 1,
 	  .max_ms = 3000 },
 	{ .name = "gang larger than the budget",
 	  .step = { .tasks = 100,
 		    .size = { .cores_milli = 1000 },
 		    .gang = true },
+	  .jobs = MANY_JOBS,
+	  .steps = 1,
 	  .max_ms = 3000 },
 	{ .name = "long-running task that ran before",
 	  .step = { .tasks = 1,
 		    .size = { .cores_milli = 1000 },
 		    .long_running = true },
+	  .jobs = MANY_JOBS,
+	  .steps = 1,
 	  .drain = true,
 	  .max_ms = 2500 },
 };
@@ -118,14 +131,15 @@
 	advance(s, 100);
 }
 
-static void add_jobs(slow_world_t *s, uint32_t n, const gh_step_t *step)
+static void add_jobs(slow_world_t *s, uint32_t n, uint32_t n_steps,
+		     const gh_step_t *steps)
 {
 	char id[GH_JOB_ID_MAX + 1];
 	uint32_t i;
 
 	for (i = 0; i < n; i++) {
 		g_snprintf(id, sizeof(id), "%016x", 0x1000 + i);
-		add_job(&s->w, id, 1, step, NULL);
+		add_job(&s->w, id, n_steps, steps, NULL);
 	}
 }
 
@@ -162,7 +176,7 @@
 
 		step.tasks = c->tasks;
 		start_world(&s, c->commit_ms, c->commit_jobs);
-		add_jobs(&s, c->jobs, &step);
+		add_jobs(&s, c->jobs, 1, &step);
 		advance(&s, 500);
 		begun = count_orders(&s.w, GH_ORDER_START, 0);
 		advance(&s, 500);
@@ -183,17 +197,24 @@
 	for (i = 0; i < G_N_ELEMENTS(late_cases); i++) {
 		const late_case_t *c = &late_cases[i];
 		uint32_t expected = c->step.tasks;
+		gh_step_t others[STEPS];
 		slow_world_t s;
 
+		for (j = 0; j < STEPS; j++) {
+			others[j] = one_task;
+			others[j].depends_on = j ? 1u << (j - 1) : 0;
+		}
 		start_world(&s, 100, 8);
-		add_late_job(&s, &c->step);
 		if (c->drain) {
+			add_late_job(&s, &c->step);
 			advance(&s, 1000);
 			assert_int_equal(count_late_starts(&s), expected);
 			expected++;
 		}
-		add_jobs(&s, MANY_JOBS, &one_task);
-		advance(&s, 1000);
+		add_jobs(&s, c->jobs, c->steps, others);
+		advance(&s, 2000);
+		if (!c->drain)
+			add_late_job(&s, &c->step);
 		for (j = 0; c->drain && j < s.w.n_workers; j++)
 			if (s.w.workers[j].n_runs &&
 			    !strcmp(s.w.workers[j].runs[0].task.job,
@@ -213,7 +234,7 @@
 
 	(void)state;
 	start_world(&s, 10, 8);
-	add_jobs(&s, MANY_JOBS, &one_task);
+	add_jobs(&s, MANY_JOBS, 1, &one_task);
 	advance(&s, 200);
 	s.w.commits_limited = false;
 	s.w.store_down = true;
@@ -236,7 +257,7 @@
 	start_world(&s, 10, 8);
 	/* The first jobs of many. */
 	s.w.refused_jobs = "00000000000010";
-	add_jobs(&s, 2 * REFUSED_JOBS, &one_task);
+	add_jobs(&s, 2 * REFUSED_JOBS, 1, &one_task);
 	advance(&s, 30000);
 	assert_int_equal(count_orders(&s.w, GH_ORDER_START, 0), REFUSED_JOBS);
 	world_clear(&s.w);
