core_fleet_plan: the bound of the plan does not hold long-running tasks back

Callers would see a long-running task wait beside a worker with room while an owner is behind, although other tasks of its job run: the stage was not tried, so that it reserved no worker, was not reported, and did not move to another shard, or moved by the time of a wait that was over.

Cause: the bound refused the stage before place_stage(), which keeps waiting_since; the share of the oldest jobs is for jobs without an open run. Found by a reviewer by reading; test_task_to_last_beside_backlog_is_reserved_a_worker failed before (1 start of 2 after 3 s).

Long-running tasks are few and hold their capacity for long anyway, so they are not bound at all; before, only those that had run were not.

--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -458,10 +458,11 @@
 	const fleet_stage_t *stage = &job->stages[c->stage];
 
 	/*
-	 * One commit starts all tasks of the stage.  What ran before does not
-	 * wait for what has not.
+	 * One commit starts all tasks of the stage.  Long-running tasks are not
+	 * bound: they hold their capacity for long anyway, and those that find
+	 * none reserve a worker or move.
 	 */
-	if (!c->restarts && !fleet_budget_allows_job(fleet, job))
+	if (!step->long_running && !fleet_budget_allows_job(fleet, job))
 		fleet->counts.pending_tasks += step->tasks - stage->tasks_done -
 					       stage->tasks_open -
 					       stage->tasks_away;
--- a/regress/test_core_fleet_plan.c
+++ b/regress/test_core_fleet_plan.c
@@ -228,6 +228,35 @@
 	}
 }
 
+/* Others of its job run, so that it has no share as one of the oldest. */
+static void test_task_to_last_beside_backlog_is_reserved_a_worker(void **state)
+{
+	static const gh_step_t step = { .tasks = 2,
+					.size = { .cores_milli =
+							  2 * CORES_MILLI },
+					.long_running = true };
+	gh_step_t others[STEPS];
+	slow_world_t s;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < STEPS; i++) {
+		others[i] = one_task;
+		others[i].depends_on = i ? 1u << (i - 1) : 0;
+	}
+	start_world(&s, 100, 8);
+	add_worker(&s.w, "large0", step.size.cores_milli);
+	add_late_job(&s, &step);
+	advance(&s, 1000);
+	assert_int_equal(count_late_starts(&s), 1);
+	add_jobs(&s, 250, STEPS, others);
+	advance(&s, 2000);
+	add_worker(&s.w, "large1", step.size.cores_milli);
+	advance(&s, 3000);
+	assert_int_equal(count_late_starts(&s), 2);
+	world_clear(&s.w);
+}
+
 static void test_store_that_returns_finds_a_bound_plan(void **state)
 {
 	slow_world_t s;
@@ -268,6 +297,8 @@
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_plan_is_bound_by_what_begins),
 		cmocka_unit_test(test_late_job_is_not_passed_over),
+		cmocka_unit_test(
+			test_task_to_last_beside_backlog_is_reserved_a_worker),
 		cmocka_unit_test(
 			test_jobs_that_cannot_be_committed_stop_no_others),
 		cmocka_unit_test(test_store_that_returns_finds_a_bound_plan),
