--- a/core_fleet_backlog.c
+++ b/core_fleet_backlog.c
@@ -2,7 +2,7 @@
  * How far an owner is behind: what it has placed and not yet committed holds
  * capacity that nothing uses.  An owner that leaves its shard takes it back.
  */
-#include "core_fleet_state.h"
+#include "core_fleet_parts.h"
 
 void gh_fleet_backlog(const gh_fleet_t *fleet, gh_fleet_backlog_t *backlog)
 {
--- a/core_fleet_budget.c
+++ b/core_fleet_budget.c
@@ -13,7 +13,7 @@
  * While this binds, a share of the commits goes to the jobs of which nothing
  * has run for longest, whatever their rank.
  */
-#include "core_fleet_state.h"
+#include "core_fleet_parts.h"
 
 #define BUDGET_PERIOD_USEC GH_USEC_PER_SEC
 /* Runs that may always be planned. */
--- a/core_fleet_choose.c
+++ b/core_fleet_choose.c
@@ -5,7 +5,7 @@
  * A size that no worker can take is remembered for the rest of the tick, so
  * that many waiting tasks of a size examine the workers once.
  */
-#include "core_fleet_state.h"
+#include "core_fleet_parts.h"
 
 #include <string.h>
 
--- a/core_fleet_crash.c
+++ b/core_fleet_crash.c
@@ -22,7 +22,7 @@
  * and owners fail in turn would be started again without end, and one whose
  * workers were only cut off would be given up.
  */
-#include "core_fleet_state.h"
+#include "core_fleet_parts.h"
 
 #include <string.h>
 
--- a/core_fleet_health.c
+++ b/core_fleet_health.c
@@ -4,7 +4,7 @@
  * Detects workers that fail every run, whose runs make no progress or that are
  * slow, although they report themselves as healthy.
  */
-#include "core_fleet_state.h"
+#include "core_fleet_parts.h"
 
 /*
  * A worker is quarantined after this many failed runs without a completed one;
--- a/core_fleet_idle.c
+++ b/core_fleet_idle.c
@@ -6,7 +6,7 @@
  * Jobs are checked periodically.  The workers are examined for reported jobs
  * only, whose number is limited, so that many waiting jobs cost little.
  */
-#include "core_fleet_state.h"
+#include "core_fleet_parts.h"
 
 #include <string.h>
 
--- a/core_fleet_late.c
+++ b/core_fleet_late.c
@@ -12,7 +12,7 @@
  * Orders of a previous owner are not kept: a worker refuses them from the first
  * call of the present owner on.
  */
-#include "core_fleet_state.h"
+#include "core_fleet_parts.h"
 
 #include <string.h>
 
--- a/core_fleet_lease.c
+++ b/core_fleet_lease.c
@@ -3,7 +3,7 @@
  * last that the owner, a former one or a call to a former life has granted, and
  * what the next owner has to be told of that.
  */
-#include "core_fleet_state.h"
+#include "core_fleet_parts.h"
 
 /* Extends a lease by 1/33 (3 %), as a worker's clock may be 2 % slow. */
 #define LEASE_DRIFT_DIVISOR 33
--- a/core_fleet_move.h
+++ b/core_fleet_move.h
@@ -4,7 +4,7 @@
 #ifndef CORE_FLEET_MOVE_H
 #define CORE_FLEET_MOVE_H
 
-#include "core_fleet_state.h"
+#include "core_fleet_parts.h"
 
 /* Tasks that move to other shards (core_fleet_move.c). */
 
--- a/core_fleet_pace.c
+++ b/core_fleet_pace.c
@@ -16,7 +16,7 @@
  * remains by either limit.  Its pace is lowered when a limit is exceeded or a
  * tail latency comes close to its bound.
  */
-#include "core_fleet_state.h"
+#include "core_fleet_parts.h"
 
 #include "core_interference.h"
 
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -26,30 +26,7 @@
  */
 #define RANK_LATE 1000
 #define RANK_VERY_LATE 2000
-/*
- * A start order without a reply is abandoned once its worker has been
- * unreachable for longer than this.
- */
-#define START_REPLY_TIMEOUT_USEC (GH_USEC_PER_SEC)
-/*
- * A worker that reports and has not replied to a run's orders for longer than
- * this gets no other run for as long.
- */
-#define ORDER_REPLY_TIMEOUT_USEC (1500 * GH_USEC_PER_MSEC)
-/* Number of ticks over which the mean time between them is taken. */
-#define TICK_GAP_SAMPLES 16
-/* Ticks further apart than this on average are late. */
-#define LATE_TICK_GAP_USEC (40 * GH_USEC_PER_MSEC)
-/* A longer time between two ticks counts as this, in microseconds. */
-#define TICK_GAP_MAX ((double)GH_USEC_PER_SEC)
 #define GANG_RETRY_USEC (100 * GH_USEC_PER_MSEC)
-#define STRAGGLER_CHECK_PERIOD_USEC (100 * GH_USEC_PER_MSEC)
-#define DECAY_PERIOD_USEC GH_USEC_PER_SEC
-/* A run is a straggler after this many times the mean run time of its stage. */
-#define STRAGGLER_FACTOR 2.0
-#define STRAGGLER_MIN_MS 500.0
-/* A best-effort run whose pace is low for longer than this is moved. */
-#define SLOW_BEFORE_MOVE_USEC (700 * GH_USEC_PER_MSEC)
 /* A stage of long-running tasks that waits for longer than this is reported. */
 #define WAIT_REPORT_USEC (2 * GH_USEC_PER_SEC)
 #define WAIT_REPORT_PERIOD_USEC GH_USEC_PER_SEC
@@ -65,14 +42,6 @@
 	int64_t slack_ms;
 } candidate_t;
 
-static void note_tick(gh_fleet_t *fleet, gh_time_t now);
-static void expire_leases(gh_fleet_t *fleet, gh_time_t now);
-static bool has_sent_run(const gh_fleet_t *fleet, const fleet_worker_t *worker);
-static void retry_orders(gh_fleet_t *fleet, gh_time_t now);
-static bool gets_no_replies(const fleet_worker_t *worker,
-			    const fleet_run_t *run, gh_time_t now);
-static void void_starts(gh_fleet_t *fleet, fleet_run_t *run, gh_time_t now);
-static void stop_long_running_on_draining(gh_fleet_t *fleet, gh_time_t now);
 static void collect_candidates(gh_fleet_t *fleet, GArray *candidates,
 			       gh_time_t now, int64_t wall_ms);
 static bool stage_is_ready(const fleet_job_t *job, uint32_t stage,
@@ -88,32 +57,15 @@
 static void place_candidate(gh_fleet_t *fleet, const candidate_t *c,
 			    gh_time_t now);
 static void place_stage(gh_fleet_t *fleet, const candidate_t *c, gh_time_t now);
-static void place_gang(gh_fleet_t *fleet, const candidate_t *c, gh_time_t now);
 static void report_waiting_stage(gh_fleet_t *fleet, const candidate_t *c,
 				 uint32_t task, gh_time_t now);
-static void copy_stragglers(gh_fleet_t *fleet, gh_time_t now);
-static void move_slow_runs(gh_fleet_t *fleet, gh_time_t now);
+static void place_gang(gh_fleet_t *fleet, const candidate_t *c, gh_time_t now);
 
-void gh_fleet_tick(gh_fleet_t *fleet, gh_time_t now, int64_t wall_ms)
+void fleet_plan_place(gh_fleet_t *fleet, gh_time_t now, int64_t wall_ms)
 {
 	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
 	guint i;
 
-	note_tick(fleet, now);
-	expire_leases(fleet, now);
-	retry_orders(fleet, now);
-	fleet_late_check(fleet, now);
-	stop_long_running_on_draining(fleet, now);
-	fleet_health_check(fleet, now);
-	if (now - fleet->interference_decayed_at >= DECAY_PERIOD_USEC) {
-		gh_interference_decay(
-			fleet->interference,
-			(double)(now - fleet->interference_decayed_at) /
-				GH_USEC_PER_SEC);
-		fleet->interference_decayed_at = now;
-	}
-	fleet_budget_begin(fleet, now);
-	fleet_choose_begin(fleet);
 	collect_candidates(fleet, candidates, now, wall_ms);
 	g_array_sort(candidates, compare_candidates);
 	fleet->counts.pending_tasks = 0;
@@ -126,150 +78,6 @@
 		place_candidate(
 			fleet, &g_array_index(candidates, candidate_t, i), now);
 	g_array_free(candidates, TRUE);
-	fleet_move_decide(fleet, now);
-	if (now - fleet->stragglers_checked_at >= STRAGGLER_CHECK_PERIOD_USEC) {
-		fleet->stragglers_checked_at = now;
-		copy_stragglers(fleet, now);
-		move_slow_runs(fleet, now);
-	}
-	fleet_idle_check(fleet, now, wall_ms);
-}
-
-bool fleet_is_late(const gh_fleet_t *fleet)
-{
-	return fleet->mean_tick_gap > LATE_TICK_GAP_USEC;
-}
-
-/* Updates the mean time between ticks. */
-static void note_tick(gh_fleet_t *fleet, gh_time_t now)
-{
-	if (fleet->ticked_at)
-		fleet->mean_tick_gap +=
-			(MIN((double)(now - fleet->ticked_at), TICK_GAP_MAX) -
-			 fleet->mean_tick_gap) /
-			TICK_GAP_SAMPLES;
-	fleet->ticked_at = now;
-}
-
-/*
- * Ends the runs of each worker whose lease has expired with certainty.  A run
- * that is not sent needs no lease yet: its start order grants one.
- */
-static void expire_leases(gh_fleet_t *fleet, gh_time_t now)
-{
-	uint32_t i;
-
-	for (i = 0; i < fleet->workers->len; i++) {
-		fleet_worker_t *worker = fleet_worker(fleet, i);
-
-		if (!worker->in_use || now <= fleet_lease_last_end(worker) ||
-		    !has_sent_run(fleet, worker))
-			continue;
-		fleet_crash_mark_runs(fleet, i, true, now);
-		fleet_worker_end_runs(fleet, i, "its lease ran out", now);
-		/* The worker may restart before it is heard again. */
-		fleet_fence_raise(fleet, fleet_worker(fleet, i));
-		fleet_worker_free_if_unused(fleet, i);
-	}
-}
-
-static bool has_sent_run(const gh_fleet_t *fleet, const fleet_worker_t *worker)
-{
-	uint32_t ref;
-
-	for (ref = worker->first_run; ref != GH_NONE;
-	     ref = fleet_run(fleet, ref)->next)
-		if (!fleet_run_is_unsent(fleet_run(fleet, ref)))
-			return true;
-	return false;
-}
-
-static void retry_orders(gh_fleet_t *fleet, gh_time_t now)
-{
-	uint32_t i;
-
-	for (i = 0; i < fleet->runs->len; i++) {
-		fleet_run_t *run = fleet_run(fleet, i);
-		const fleet_worker_t *worker;
-
-		if ((run->state != RUN_STARTING &&
-		     run->state != RUN_STOPPING) ||
-		    run->replied_at || now < run->retry_at)
-			continue;
-		worker = fleet_worker(fleet, run->worker);
-		if (run->state == RUN_STOPPING) {
-			if (gets_no_replies(worker, run, now))
-				void_starts(fleet, run, now);
-			fleet_order_enqueue(fleet, GH_ORDER_STOP, i);
-		} else if (worker->entry.draining || !worker->listed ||
-			   (worker->unreachable_since &&
-			    now - worker->unreachable_since >
-				    START_REPLY_TIMEOUT_USEC)) {
-			fleet_run_stop(fleet, i, "no reply to its start", now);
-		} else if (gets_no_replies(worker, run, now)) {
-			void_starts(fleet, run, now);
-			fleet_run_stop(fleet, i, "no reply to its start", now);
-		} else if (worker->last_requested_at > run->start_sent_at) {
-			/* Else the run may have ended in a former life. */
-			fleet_order_enqueue(fleet, GH_ORDER_START, i);
-		}
-	}
-}
-
-/* Whether the worker reports and the run's orders have long got no reply. */
-static bool gets_no_replies(const fleet_worker_t *worker,
-			    const fleet_run_t *run, gh_time_t now)
-{
-	return worker->has_reported && !worker->unreachable_since &&
-	       worker->last_requested_at > run->start_sent_at &&
-	       run->unanswered_since &&
-	       now - run->unanswered_since > ORDER_REPLY_TIMEOUT_USEC;
-}
-
-/*
- * Sees to it that a report can prove that no start of the run is executed any
- * more: that takes a call with a higher fence.
- */
-static void void_starts(gh_fleet_t *fleet, fleet_run_t *run, gh_time_t now)
-{
-	fleet_worker_t *worker = fleet_worker(fleet, run->worker);
-
-	/* There is no offset higher than the last. */
-	if (run->void_fence || run->start_fence == GH_FLEET_EPOCH_STEP - 1)
-		return;
-	if (worker->fence_offset <= run->start_fence)
-		fleet_fence_raise(fleet, worker);
-	run->void_fence = worker->fence_offset;
-	worker->refused_until = now + ORDER_REPLY_TIMEOUT_USEC;
-}
-
-/*
- * Stops the long-running runs of draining workers; their other runs may
- * complete.
- */
-static void stop_long_running_on_draining(gh_fleet_t *fleet, gh_time_t now)
-{
-	uint32_t i;
-
-	for (i = 0; i < fleet->workers->len; i++) {
-		const fleet_worker_t *worker = fleet_worker(fleet, i);
-		uint32_t ref;
-
-		if (!worker->in_use || !worker->entry.draining ||
-		    !worker->n_long_running)
-			continue;
-		for (ref = worker->first_run; ref != GH_NONE;
-		     ref = fleet_run(fleet, ref)->next) {
-			const fleet_run_t *run = fleet_run(fleet, ref);
-
-			if (run->state == RUN_RUNNING &&
-			    fleet_task_step(fleet_job(fleet, run->job),
-					    run->task)
-				    ->long_running)
-				fleet_run_stop(fleet, ref,
-					       "its worker is draining", now);
-		}
-	}
 }
 
 static void collect_candidates(gh_fleet_t *fleet, GArray *candidates,
@@ -621,84 +429,3 @@
 	/* The capacity of the gang's runs is free again. */
 	g_array_set_size(fleet->failed_placements, n_failed);
 }
-
-/*
- * Starts a second run of a task whose run takes far longer than the mean of its
- * stage, or whose worker is unreachable, if the step allows copies.
- */
-static void copy_stragglers(gh_fleet_t *fleet, gh_time_t now)
-{
-	uint32_t n = fleet->runs->len;
-	uint32_t i;
-
-	for (i = 0; i < n; i++) {
-		const fleet_run_t *run = fleet_run(fleet, i);
-		fleet_job_t *job;
-		const fleet_stage_t *stage;
-		double expected_ms;
-		uint32_t worker, task;
-		bool slow;
-
-		if (run->state != RUN_RUNNING && run->state != RUN_STARTING &&
-		    run->state != RUN_ORPHAN)
-			continue;
-		job = fleet_job(fleet, run->job);
-		if (!fleet_task_step(job, run->task)->speculative ||
-		    job->phase > GH_JOB_RUNNING || job->tasks[run->task].done ||
-		    job->tasks[run->task].runs[1] != GH_NONE ||
-		    fleet_crash_is_suspect(&job->tasks[run->task]))
-			continue;
-		stage = fleet_task_stage(job, run->task);
-		expected_ms = stage->n_run_times ?
-				      stage->mean_run_ms :
-				      (double)fleet_task_step(job, run->task)
-					      ->estimate_ms;
-		slow = run->planned_at &&
-		       (double)gh_time_to_ms(now - run->planned_at) >
-			       MAX(expected_ms * STRAGGLER_FACTOR,
-				   STRAGGLER_MIN_MS);
-		if (!slow &&
-		    !fleet_worker(fleet, run->worker)->unreachable_since)
-			continue;
-		if (!fleet_budget_allows(fleet))
-			return;
-		task = run->task;
-		worker =
-			fleet_choose_worker(fleet, job, task, run->worker, now);
-		if (worker == GH_NONE)
-			continue;
-		fleet_run_open(fleet, run->job, task, worker,
-			       job->tasks[task].last_run + 1, RUN_PLANNED, now);
-		fleet->counts.copies++;
-	}
-}
-
-/*
- * Stops best-effort runs that have had a low pace for some time if another
- * worker can take them.  Only steps that write checkpoints are moved, because
- * the stop saves what was done.
- */
-static void move_slow_runs(gh_fleet_t *fleet, gh_time_t now)
-{
-	uint32_t n = fleet->runs->len;
-	uint32_t i;
-
-	for (i = 0; i < n; i++) {
-		const fleet_run_t *run = fleet_run(fleet, i);
-		fleet_job_t *job;
-
-		if (run->state != RUN_RUNNING || !run->slow_since ||
-		    now - run->slow_since < SLOW_BEFORE_MOVE_USEC)
-			continue;
-		job = fleet_job(fleet, run->job);
-		if (!fleet_task_step(job, run->task)->checkpoints ||
-		    fleet_choose_worker(fleet, job, run->task, run->worker,
-					now) == GH_NONE)
-			continue;
-		job->tasks[run->task].avoid_worker = run->worker;
-		fleet->counts.moved++;
-		fleet_run_stop(
-			fleet, i,
-			"its pace is low and another worker has capacity", now);
-	}
-}
--- a/core_fleet_reserve.c
+++ b/core_fleet_reserve.c
@@ -7,7 +7,7 @@
  * a task once it has waited for RESERVE_AFTER_USEC: nothing else starts there
  * until the task does.  Nothing is stopped for it.
  */
-#include "core_fleet_state.h"
+#include "core_fleet_parts.h"
 
 /* A long-running task that waits for longer than this reserves a worker. */
 #define RESERVE_AFTER_USEC (500 * GH_USEC_PER_MSEC)
--- a/core_fleet_unheard.c
+++ b/core_fleet_unheard.c
@@ -13,7 +13,7 @@
  * (fleet_lease_note_life()): the next owner that does not hear it counts with
  * no earlier end than this.
  */
-#include "core_fleet_state.h"
+#include "core_fleet_parts.h"
 
 #include <inttypes.h>
 #include <string.h>
--- a/regress/fleet_model_idle.c
+++ b/regress/fleet_model_idle.c
@@ -5,7 +5,7 @@
 #include <limits.h>
 #include <string.h>
 
-#include "core_fleet_state.h"
+#include "core_fleet_parts.h"
 #include "fleet_model_private.h"
 
 #define SAMPLE_MS 100
--- a/regress/test_core_fleet_move.c
+++ b/regress/test_core_fleet_move.c
@@ -9,7 +9,7 @@
 #include <cmocka.h>
 #include <string.h>
 
-#include "core_fleet_state.h"
+#include "core_fleet_parts.h"
 #include "core_move.h"
 #include "fleet_shards.h"
 
--- a/regress/test_core_fleet_waits.c
+++ b/regress/test_core_fleet_waits.c
@@ -10,7 +10,7 @@
 #include <cmocka.h>
 #include <string.h>
 
-#include "core_fleet_state.h"
+#include "core_fleet_parts.h"
 #include "fleet_world.h"
 
 #define JOB_ID "0000000000000001"
