--- a/core_fleet.c
+++ b/core_fleet.c
@@ -209,6 +209,8 @@
 		.task = task,
 		.worker = worker,
 		.run_number = number,
+		.level = gh_headroom_level(
+			fleet_job_policy(fleet, parent)->priority),
 		.planned_at = foreign ? 0 : now,
 		.state_since = now,
 		.pace_percent = 100,
--- a/core_fleet_choose.c
+++ b/core_fleet_choose.c
@@ -277,7 +277,8 @@
 
 	fleet->counts.examined++;
 	if (!is_admitted(worker, obstacle, !placement->careful, now) ||
-	    !fleet_crash_admits(fleet, handle, &job->tasks[task], now))
+	    !fleet_crash_admits(fleet, handle, &job->tasks[task], now) ||
+	    !fleet_headroom_admits(fleet, placement->level, step, worker))
 		return COST_IMPOSSIBLE;
 	cost = placement_cost(fleet, worker, step, placement->rack,
 			      placement->image_id);
@@ -359,6 +360,7 @@
 			   (is_second || !fleet_choose_is_overdue(job, now)),
 		.careful = is_second ||
 			   !fleet_choose_is_desperate(fleet, job, stage, now),
+		.level = fleet_headroom_level_of(fleet, job, step, now),
 	};
 }
 
@@ -417,6 +419,7 @@
 			fleet->failed_placements, failed_placement_t, i);
 
 		if (failed->best_effort != placement->best_effort ||
+		    failed->level > placement->level ||
 		    failed->size.cores_milli > placement->size.cores_milli ||
 		    failed->size.memory_mb > placement->size.memory_mb ||
 		    failed->size.accelerators > placement->size.accelerators)
--- a/core_fleet_parts.h
+++ b/core_fleet_parts.h
@@ -424,6 +424,24 @@
 		      const gh_task_id_t *task, uint32_t run, uint32_t worker,
 		      const char *detail);
 
+/* Headroom for urgent tasks (core_fleet_headroom.c). */
+
+/* Takes in what urgent tasks ask for, and sets what is left free. */
+void fleet_headroom_begin(gh_fleet_t *fleet, gh_time_t now);
+/* Updates the cores that the runs on the run's worker hold. */
+void fleet_headroom_account(gh_fleet_t *fleet, const fleet_run_t *run,
+			    bool add);
+/* Notes tasks of the step that found no worker. */
+void fleet_headroom_note_waiting(gh_fleet_t *fleet, const fleet_job_t *job,
+				 const gh_step_t *step, uint32_t tasks);
+/* Level by which tasks of the step are bound now; 0: they are not. */
+uint32_t fleet_headroom_level_of(const gh_fleet_t *fleet,
+				 const fleet_job_t *job, const gh_step_t *step,
+				 gh_time_t now);
+/* Whether a task of the step on the worker leaves enough free. */
+bool fleet_headroom_admits(const gh_fleet_t *fleet, uint32_t level,
+			   const gh_step_t *step, const fleet_worker_t *worker);
+
 /* Parts of a decision step; see core_fleet_step.c. */
 
 /* Ends the runs of workers whose lease has expired with certainty. */
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -304,6 +304,10 @@
 			if (!c->restarts)
 				fleet->counts.pending_tasks +=
 					first + step->tasks - i;
+			if (c->rank < RANK_VERY_LATE)
+				fleet_headroom_note_waiting(
+					fleet, job, step,
+					first + step->tasks - i);
 			if (step->long_running) {
 				report_waiting_stage(fleet, c, i, now);
 				fleet_reserve_worker(fleet, c->job, c->stage, i,
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -8,6 +8,7 @@
 #define CORE_FLEET_STATE_H
 
 #include "core_fleet.h"
+#include "core_headroom.h"
 #include "core_load.h"
 #include "core_interference.h"
 
@@ -62,6 +63,8 @@
 	/* Job and worker: handles; task: index in its job. */
 	uint32_t job, task, worker;
 	uint32_t run_number;
+	uint32_t level; /* gh_headroom_level() of its queue, once it was opened
+			 */
 	/* version of the job record that holds the run's intent */
 	uint64_t version;
 	gh_time_t planned_at; /* when the run was planned; 0: orphan, unknown */
@@ -470,8 +473,9 @@
 	gh_resources_t size;
 	uint16_t image_id;
 	bool best_effort;
-	bool bounded; /* by the best-effort share, not by capacity alone */
-	bool careful; /* workers in quarantine were left out */
+	bool bounded;	/* by the best-effort share, not by capacity alone */
+	bool careful;	/* workers in quarantine were left out */
+	uint32_t level; /* bound by the headroom of this level; 0: not bound */
 } failed_placement_t;
 
 /* A lost run whose worker may be alive all the same. */
@@ -518,6 +522,19 @@
 	bool is_short, was_short;
 } fleet_budget_t;
 
+/* What is left free for urgent tasks; see core_fleet_headroom.c. */
+typedef struct fleet_headroom {
+	gh_headroom_t demand;
+	gh_headroom_target_t targets[GH_HEADROOM_LEVELS];
+	/* Open runs of short tasks, and those that found no worker, by level.
+	 */
+	double used_tasks[GH_HEADROOM_LEVELS], used_milli[GH_HEADROOM_LEVELS];
+	double waiting_tasks[GH_HEADROOM_LEVELS];
+	double waiting_milli[GH_HEADROOM_LEVELS];
+	/* Free cores that count for the target of the level. */
+	int64_t free_milli[GH_HEADROOM_LEVELS];
+} fleet_headroom_t;
+
 struct gh_fleet {
 	gh_fleet_setup_t setup;
 	gh_fleet_sink_t sink;
@@ -572,6 +589,7 @@
 	gh_time_t interference_decayed_at;
 	gh_time_t stragglers_checked_at;
 	fleet_budget_t budget;
+	fleet_headroom_t headroom;
 	bool busy; /* half of the workers' capacity is in use */
 	/* Checks for idle jobs: the last, and the period of the reports. */
 	gh_time_t idle_checked_at, idle_period_at;
--- a/core_fleet_step.c
+++ b/core_fleet_step.c
@@ -25,6 +25,7 @@
 	decay_interference(fleet, now);
 	fleet_budget_begin(fleet, now);
 	fleet_choose_begin(fleet);
+	fleet_headroom_begin(fleet, now);
 	fleet_plan_place(fleet, now, wall_ms);
 	fleet_move_decide(fleet, now);
 	fleet_copy_check(fleet, now);
--- a/core_fleet_table.c
+++ b/core_fleet_table.c
@@ -227,9 +227,8 @@
 		worker->best_effort_cores_milli +=
 			add ? step->size.cores_milli :
 			      -(double)step->size.cores_milli;
-	} else {
-		worker->reserved.cores_milli += sign * step->size.cores_milli;
 	}
+	fleet_headroom_account(fleet, run, add);
 	if (step->long_running) {
 		worker->n_long_running += sign;
 		worker->long_running_cores_milli +=
