--- a/core_fleet.h
+++ b/core_fleet.h
@@ -316,6 +316,7 @@
 	uint64_t copies, hangs, quarantines, paced, moved;
 	uint64_t held;	   /* jobs whose progress record could not be parsed */
 	uint64_t examined; /* workers examined for the placement of a task */
+	uint64_t put_off;  /* placements, to leave cores to urgent tasks */
 	uint64_t idle;	   /* jobs that waited with nothing running, a second */
 	/* Tasks that left for other shards, and that came from them. */
 	uint64_t departed, arrived;
--- a/core_fleet_choose.c
+++ b/core_fleet_choose.c
@@ -277,9 +277,12 @@
 
 	fleet->counts.examined++;
 	if (!is_admitted(worker, obstacle, !placement->careful, now) ||
-	    !fleet_crash_admits(fleet, handle, &job->tasks[task], now) ||
-	    !fleet_headroom_admits(fleet, placement->level, step, worker))
+	    !fleet_crash_admits(fleet, handle, &job->tasks[task], now))
 		return COST_IMPOSSIBLE;
+	if (!fleet_headroom_admits(fleet, placement->level, step, worker)) {
+		fleet->counts.put_off++;
+		return COST_IMPOSSIBLE;
+	}
 	cost = placement_cost(fleet, worker, step, placement->rack,
 			      placement->image_id);
 	if (obstacle == OBSTACLE_QUARANTINE)
@@ -360,7 +363,7 @@
 			   (is_second || !fleet_choose_is_overdue(job, now)),
 		.careful = is_second ||
 			   !fleet_choose_is_desperate(fleet, job, stage, now),
-		.level = fleet_headroom_level_of(fleet, job, step, now),
+		.level = fleet_headroom_level(fleet, job, task, now),
 	};
 }
 
--- a/core_fleet_parts.h
+++ b/core_fleet_parts.h
@@ -434,11 +434,12 @@
 /* Notes tasks of the step that found no worker. */
 void fleet_headroom_note_waiting(gh_fleet_t *fleet, const fleet_job_t *job,
 				 const gh_step_t *step, uint32_t tasks);
-/* Level by which tasks of the step are bound now; 0: they are not. */
-uint32_t fleet_headroom_level_of(const gh_fleet_t *fleet,
-				 const fleet_job_t *job, const gh_step_t *step,
-				 gh_time_t now);
-/* Whether a task of the step on the worker leaves enough free. */
+/* Level whose headroom the task is to leave free now; 0: none. */
+uint32_t fleet_headroom_level(const gh_fleet_t *fleet, const fleet_job_t *job,
+			      uint32_t task, gh_time_t now);
+/* Whether short tasks that are as urgent as the job's have found no worker. */
+bool fleet_headroom_is_short(const gh_fleet_t *fleet, const fleet_job_t *job);
+/* Whether a task of the step on the worker leaves that of the level free. */
 bool fleet_headroom_admits(const gh_fleet_t *fleet, uint32_t level,
 			   const gh_step_t *step, const fleet_worker_t *worker);
 
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -6,7 +6,8 @@
  * time left after their remaining critical path.  Jobs past their objective
  * come next, and jobs several objectives late come last, because their result
  * is of little use by then.  Among jobs of one priority, long-running tasks
- * that have run before come first.  A stage starts as many tasks as fit; the
+ * that have run before come first, and those that have not come last: they
+ * hold their capacity for good.  A stage starts as many tasks as fit; the
  * others wait without reserving capacity, so that smaller tasks behind them can
  * start, but for long-running tasks; see core_fleet_reserve.c.  How far ahead
  * tasks are placed is bound; see core_fleet_budget.c.
@@ -36,6 +37,8 @@
 	uint32_t rank;
 	/* Only the stage's tasks that had a run before, which are to last. */
 	bool restarts;
+	/* Long-running tasks that have not run yet. */
+	bool yields;
 	/*
 	 * Time left to the job's objective, less its remaining critical path.
 	 */
@@ -109,9 +112,11 @@
 			rated = true;
 			c.stage = s;
 			c.restarts = has_restarts(job, s);
+			c.yields = false;
 			if (c.restarts)
 				g_array_append_val(candidates, c);
 			c.restarts = false;
+			c.yields = gh_pipeline_is_long_running(job->spec);
 			g_array_append_val(candidates, c);
 		}
 	}
@@ -212,6 +217,8 @@
 		return first->rank < second->rank ? -1 : 1;
 	if (first->restarts != second->restarts)
 		return first->restarts ? -1 : 1;
+	if (first->yields != second->yields)
+		return first->yields ? 1 : -1;
 	if (first->slack_ms != second->slack_ms)
 		return first->slack_ms < second->slack_ms ? -1 : 1;
 	return first->job != second->job ?
--- a/core_fleet_reserve.c
+++ b/core_fleet_reserve.c
@@ -11,6 +11,8 @@
 
 /* A long-running task that waits for longer than this reserves a worker. */
 #define RESERVE_AFTER_USEC (500 * GH_USEC_PER_MSEC)
+/* The same for one that has not run yet, while urgent short tasks wait. */
+#define YIELD_USEC (5 * GH_USEC_PER_SEC)
 #define RESERVE_PERIOD_USEC (100 * GH_USEC_PER_MSEC)
 /* A reservation that is not renewed ends after this time. */
 #define RESERVED_USEC (200 * GH_USEC_PER_MSEC)
@@ -27,11 +29,14 @@
 {
 	fleet_job_t *job = fleet_job(fleet, handle);
 	const fleet_task_t *owner = job->tasks[task].group;
+	bool yields = !job->tasks[task].last_run &&
+		      fleet_headroom_is_short(fleet, job);
 	uint32_t n_others = 0;
 	uint32_t best = GH_NONE;
 	uint32_t i;
 
-	if (now - job->stages[stage].waiting_since < RESERVE_AFTER_USEC ||
+	if (now - job->stages[stage].waiting_since <
+		    (yields ? YIELD_USEC : RESERVE_AFTER_USEC) ||
 	    now < job->stages[stage].reserve_at)
 		return;
 	job->stages[stage].reserve_at = now + RESERVE_PERIOD_USEC;
--- a/core_headroom.c
+++ b/core_headroom.c
@@ -32,8 +32,8 @@
 	level->sampled_at = now;
 	move_mean(&level->mean, &level->variance, cores_milli, weight);
 	if (task_cores_milli > 0)
-		move_mean(&level->task_mean, &level->task_variance,
-			  task_cores_milli, level->task_mean > 0 ? weight : 1);
+		level->task_mean += (level->task_mean > 0 ? weight : 1) *
+				    (task_cores_milli - level->task_mean);
 }
 
 /* Moves an exponentially weighted mean and variance towards a value. */
@@ -59,11 +59,11 @@
 
 	for (i = 0; i < gh_headroom_level(priority); i++) {
 		const gh_headroom_level_t *level = &headroom->levels[i];
-		double piece = level->task_mean + sqrt(level->task_variance);
 
 		cores += level->mean + SPREAD_FACTOR * sqrt(level->variance);
 		used += used_milli[i];
-		target.piece_milli = MAX(target.piece_milli, (int64_t)piece);
+		target.piece_milli =
+			MAX(target.piece_milli, (int64_t)level->task_mean);
 	}
 	cores = MIN(cores - used, capacity_milli / CAPACITY_DIVISOR);
 	target.cores_milli = (int64_t)MAX(cores, 0);
--- a/core_headroom.h
+++ b/core_headroom.h
@@ -22,8 +22,7 @@
 typedef struct gh_headroom_level {
 	/* Mean and variance of the cores in use and waited for. */
 	double mean, variance;
-	/* Mean and variance of the cores of a task. */
-	double task_mean, task_variance;
+	double task_mean;     /* of the cores of a task */
 	gh_time_t sampled_at; /* 0: no sample yet */
 } gh_headroom_level_t;
 
--- a/counter_list.h
+++ b/counter_list.h
@@ -186,6 +186,9 @@
 	"jobs not continued as their stored progress can't be decoded")
 COUNTER(PACE_CHANGES, "paces",
 	"orders that changed the pace of a best-effort task")
+COUNTER(PLACEMENTS_PUT_OFF, "placements_put_off",
+	"placements on workers that were put off to leave cores to more urgent "
+	"tasks")
 COUNTER(JOBS_IDLE, "jobs_idle",
 	"seconds in which a job had nothing running for over 2 s although a "
 	"task's turn had come")
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -323,6 +323,8 @@
 		{ CTR_PACE_CHANGES, offsetof(gh_fleet_counts_t, paced) },
 		{ CTR_RUNS_MOVED, offsetof(gh_fleet_counts_t, moved) },
 		{ CTR_WORKERS_EXAMINED, offsetof(gh_fleet_counts_t, examined) },
+		{ CTR_PLACEMENTS_PUT_OFF,
+		  offsetof(gh_fleet_counts_t, put_off) },
 		{ CTR_JOBS_IDLE, offsetof(gh_fleet_counts_t, idle) },
 		{ CTR_TASKS_DEPARTED, offsetof(gh_fleet_counts_t, departed) },
 		{ CTR_TASKS_ARRIVED, offsetof(gh_fleet_counts_t, arrived) },
