--- a/core_fleet_choose.c
+++ b/core_fleet_choose.c
@@ -253,6 +253,8 @@
 			best = i;
 		}
 	}
+	if (best != GH_NONE)
+		fleet_headroom_note_placed(fleet, job, now);
 	if (best != GH_NONE && placement.careful &&
 	    fleet_crash_needs_care(&job->tasks[task]) &&
 	    !fleet_crash_claim(fleet, best, &job->tasks[task], step, now))
--- a/core_fleet_headroom.c
+++ b/core_fleet_headroom.c
@@ -3,7 +3,8 @@
  * placements of other tasks that puts off; see core_headroom.h.
  *
  * Less urgent short tasks are bound while half of the workers' capacity is in
- * use, but not those of a job of which nothing has run for JOB_IDLE_MAX_USEC.
+ * use.  No job starves for it: of those of which nothing has run for
+ * JOB_IDLE_MAX_USEC, one task each IDLE_PERIOD_USEC is not bound.
  * Long-running tasks hold their cores for good: one that has not run yet is
  * put off for PUT_OFF_MAX_USEC, so that it starts where urgent tasks leave
  * cores unused.  Best-effort tasks reserve no cores and are not bound.
@@ -11,6 +12,7 @@
 #include "core_fleet_parts.h"
 
 #define JOB_IDLE_MAX_USEC GH_USEC_PER_SEC
+#define IDLE_PERIOD_USEC GH_USEC_PER_SEC
 #define PUT_OFF_MAX_USEC (1500 * GH_USEC_PER_MSEC)
 /* Thousandths in a core. */
 #define CORE_MILLI 1000.0
@@ -18,6 +20,7 @@
 
 static void sample_demand(fleet_headroom_t *headroom, gh_time_t now);
 static void report(gh_fleet_t *fleet, gh_time_t now);
+static bool is_idle(const fleet_job_t *job, gh_time_t now);
 static int64_t free_cores_milli(const fleet_worker_t *worker);
 static void add_pieces(gh_fleet_t *fleet, const fleet_worker_t *worker,
 		       int64_t sign);
@@ -161,8 +164,7 @@
 	if (step->best_effort || !fleet->busy)
 		return 0;
 	if (!step->long_running)
-		return !job->open_runs && now - job->idle_since >
-						  JOB_IDLE_MAX_USEC ?
+		return is_idle(job, now) && now >= fleet->headroom.idle_at ?
 			       0 :
 			       gh_headroom_level(priority);
 	if (job->tasks[task].last_run ||
@@ -171,6 +173,18 @@
 	return gh_headroom_level(priority + 1);
 }
 
+static bool is_idle(const fleet_job_t *job, gh_time_t now)
+{
+	return !job->open_runs && now - job->idle_since > JOB_IDLE_MAX_USEC;
+}
+
+void fleet_headroom_note_placed(gh_fleet_t *fleet, const fleet_job_t *job,
+				gh_time_t now)
+{
+	if (is_idle(job, now) && now >= fleet->headroom.idle_at)
+		fleet->headroom.idle_at = now + IDLE_PERIOD_USEC;
+}
+
 bool fleet_headroom_admits(const gh_fleet_t *fleet, uint32_t level,
 			   const gh_step_t *step, const fleet_worker_t *worker)
 {
--- a/core_fleet_parts.h
+++ b/core_fleet_parts.h
@@ -439,6 +439,9 @@
 			      uint32_t task, gh_time_t now);
 /* Whether short tasks that are as urgent as the job's have found no worker. */
 bool fleet_headroom_is_short(const gh_fleet_t *fleet, const fleet_job_t *job);
+/* Notes that a task of the job, none of whose runs may be open, is placed. */
+void fleet_headroom_note_placed(gh_fleet_t *fleet, const fleet_job_t *job,
+				gh_time_t now);
 /* Whether a task of the step on the worker leaves that of the level free. */
 bool fleet_headroom_admits(const gh_fleet_t *fleet, uint32_t level,
 			   const gh_step_t *step, const fleet_worker_t *worker);
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -533,6 +533,7 @@
 	double waiting_milli[GH_HEADROOM_LEVELS];
 	/* Free cores that count for the target of the level. */
 	int64_t free_milli[GH_HEADROOM_LEVELS];
+	gh_time_t idle_at; /* from when on a task of an idle job is not bound */
 	gh_time_t report_at;
 	uint64_t put_off_reported; /* counts.put_off at the last report */
 } fleet_headroom_t;
