--- a/core_fleet.c
+++ b/core_fleet.c
@@ -44,6 +44,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	fleet->queues =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	fleet->emptied =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	fleet->changes = g_queue_new();
 	fleet->failed_placements =
 		g_array_new(FALSE, FALSE, sizeof(failed_placement_t));
@@ -83,6 +85,7 @@
 	g_hash_table_destroy(fleet->worker_by_id);
 	g_hash_table_destroy(fleet->job_by_id);
 	g_hash_table_destroy(fleet->queues);
+	g_hash_table_destroy(fleet->emptied);
 	g_queue_free(fleet->changes);
 	g_array_free(fleet->failed_placements, TRUE);
 	g_array_free(fleet->outages, TRUE);
--- a/core_fleet.h
+++ b/core_fleet.h
@@ -25,6 +25,7 @@
 
 #define GH_WORKER_ID_MAX 63
 #define GH_WORKER_LABELS_MAX 8
+#define GH_DOMAIN_MAX 63 /* max bytes of a failure domain's name */
 #define GH_CHECKPOINT_NAME_MAX 255 /* max bytes of a checkpoint name */
 
 /*
@@ -61,6 +62,11 @@
 	uint64_t claim_revision;
 	gh_time_t claimed_at;
 	int64_t stop_ms; /* max time that a worker takes to stop a task */
+	/*
+	 * Max time from the operator's request to empty a failure domain to the
+	 * last start there; 0: there are no such requests.
+	 */
+	int64_t empty_ms;
 	/* This shard, and the number of all; below 2 no task ever moves. */
 	uint32_t shard, shards;
 } gh_fleet_setup_t;
@@ -101,6 +107,8 @@
 	 */
 	int64_t incarnation_start_ms;
 	bool draining;
+	char domain[GH_DOMAIN_MAX + 1]; /* failure domain; empty: not told */
+	int64_t cold_ms; /* how much longer the worker is slow */
 } gh_worker_entry_t;
 
 /*
@@ -319,6 +327,10 @@
 	uint64_t idle;	   /* jobs that waited with nothing running, a second */
 	/* Tasks that left for other shards, and that came from them. */
 	uint64_t departed, arrived;
+	/* Unsent runs in domains that are emptied. */
+	uint64_t taken_back;
+	/* Starts put off as the domains to be emptied were not heard. */
+	uint64_t withheld;
 	uint32_t jobs, workers, open_runs, pending_tasks;
 } gh_fleet_counts_t;
 
@@ -349,6 +361,15 @@
 void gh_fleet_worker_unlist(gh_fleet_t *fleet, const char *id);
 void gh_fleet_queue_set(gh_fleet_t *fleet, const gh_queue_policy_t *policy);
 
+/*
+ * Sets the failure domains that the operator wants to be emptied: nothing
+ * starts there.  All are given each time; see core_fleet_domain.c.
+ */
+void gh_fleet_domains_set(gh_fleet_t *fleet, const char *const *names, size_t n,
+			  gh_time_t now);
+/* As of when these domains are known; 0: they are not. */
+void gh_fleet_domains_heard(gh_fleet_t *fleet, gh_time_t heard_at);
+
 /*
  * Adds a job with its stored progress, NULL if no task was ever started.  A
  * job that is already known is left as it is.  Takes ownership of the
--- a/core_fleet_choose.c
+++ b/core_fleet_choose.c
@@ -57,14 +57,18 @@
 #define COST_IMPOSSIBLE INT64_MAX
 /* Cost of a worker with slow runs, multiplied by run_time_ratio - 1. */
 #define COST_SLOW_WORKER 100000
+/* Cost of a worker that is still slow after its start. */
+#define COST_COLD_WORKER 50000
 
 /* Why a worker can't run a task. */
 typedef enum obstacle {
 	OBSTACLE_NONE,
 	OBSTACLE_NOT_LISTED,
 	OBSTACLE_DRAINING,
-	OBSTACLE_UNREACHABLE, /* or without a report to this owner yet */
-	OBSTACLE_LATE_START,  /* stops of late starts are awaited */
+	OBSTACLE_EMPTIED,	  /* its failure domain is */
+	OBSTACLE_DOMAINS_UNHEARD, /* which are to be emptied is not known */
+	OBSTACLE_UNREACHABLE,	  /* or without a report to this owner yet */
+	OBSTACLE_LATE_START,	  /* stops of late starts are awaited */
 	OBSTACLE_UNKNOWN_RUN, /* which takes up capacity until it has ended */
 	OBSTACLE_NO_CAPACITY,
 	OBSTACLE_REFUSED_START, /* lately, for lack of capacity */
@@ -81,6 +85,8 @@
 	[OBSTACLE_NONE] = "usable",
 	[OBSTACLE_NOT_LISTED] = "unlisted",
 	[OBSTACLE_DRAINING] = "draining",
+	[OBSTACLE_EMPTIED] = "emptied",
+	[OBSTACLE_DOMAINS_UNHEARD] = "domains_unheard",
 	[OBSTACLE_UNREACHABLE] = "unheard",
 	[OBSTACLE_LATE_START] = "late_start",
 	[OBSTACLE_UNKNOWN_RUN] = "unknown_run",
@@ -106,7 +112,8 @@
 			     const failed_placement_t *placement);
 static obstacle_t find_obstacle(const gh_fleet_t *fleet, const fleet_job_t *job,
 				uint32_t stage, uint32_t handle, gh_time_t now);
-static obstacle_t find_state_obstacle(const fleet_worker_t *worker,
+static obstacle_t find_state_obstacle(const gh_fleet_t *fleet,
+				      const fleet_worker_t *worker,
 				      gh_time_t now);
 static obstacle_t find_mismatch(const gh_fleet_t *fleet, const fleet_job_t *job,
 				uint32_t stage, uint32_t handle, gh_time_t now);
@@ -151,9 +158,7 @@
 	for (i = 0; i < fleet->workers->len; i++) {
 		const fleet_worker_t *worker = fleet_worker(fleet, i);
 
-		if (!worker->in_use || !worker->listed ||
-		    worker->entry.draining || !worker->has_reported ||
-		    worker->unreachable_since)
+		if (!fleet_worker_is_heard(worker))
 			continue;
 		gh_capacity_add(&size, &worker->entry.size, 1);
 		gh_capacity_add(&used, &worker->reserved, 1);
@@ -283,6 +288,8 @@
 			      placement->image_id);
 	if (obstacle == OBSTACLE_QUARANTINE)
 		cost += COST_QUARANTINED_WORKER;
+	if (now < worker->cold_until)
+		cost += COST_COLD_WORKER;
 	if (step->best_effort) {
 		double weight;
 		double share = fleet_best_effort_share(
@@ -439,7 +446,7 @@
 {
 	const fleet_worker_t *worker = fleet_worker(fleet, handle);
 	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
-	obstacle_t obstacle = find_state_obstacle(worker, now);
+	obstacle_t obstacle = find_state_obstacle(fleet, worker, now);
 
 	if (obstacle == OBSTACLE_NONE && !step_fits(worker, step))
 		obstacle = OBSTACLE_NO_CAPACITY;
@@ -476,7 +483,7 @@
 {
 	const fleet_worker_t *worker = fleet_worker(fleet, handle);
 
-	return find_state_obstacle(worker, now) == OBSTACLE_NONE &&
+	return find_state_obstacle(fleet, worker, now) == OBSTACLE_NONE &&
 	       !step_fits(worker,
 			  &job->spec->steps[stage % job->spec->n_steps]) &&
 	       find_mismatch(fleet, job, stage, handle, now) == OBSTACLE_NONE;
@@ -499,13 +506,18 @@
 	return false;
 }
 
-static obstacle_t find_state_obstacle(const fleet_worker_t *worker,
+static obstacle_t find_state_obstacle(const gh_fleet_t *fleet,
+				      const fleet_worker_t *worker,
 				      gh_time_t now)
 {
 	if (!worker->listed)
 		return OBSTACLE_NOT_LISTED;
 	if (worker->entry.draining)
 		return OBSTACLE_DRAINING;
+	if (worker->emptied)
+		return OBSTACLE_EMPTIED;
+	if (!fleet_domain_is_heard(fleet, now))
+		return OBSTACLE_DOMAINS_UNHEARD;
 	if (!worker->has_reported || worker->unreachable_since)
 		return OBSTACLE_UNREACHABLE;
 	if (now < worker->late_until)
--- a/core_fleet_copy.c
+++ b/core_fleet_copy.c
@@ -38,6 +38,7 @@
 		const fleet_stage_t *stage;
 		double expected_ms;
 		uint32_t worker, task;
+		gh_time_t since;
 		bool slow;
 
 		if (run->state != RUN_RUNNING && run->state != RUN_STARTING &&
@@ -54,8 +55,10 @@
 				      stage->mean_run_ms :
 				      (double)fleet_task_step(job, run->task)
 					      ->estimate_ms;
+		since = MAX(run->planned_at,
+			    fleet_worker(fleet, run->worker)->cold_until);
 		slow = run->planned_at &&
-		       (double)gh_time_to_ms(now - run->planned_at) >
+		       (double)gh_time_to_ms(now - since) >
 			       MAX(expected_ms * STRAGGLER_FACTOR,
 				   STRAGGLER_MIN_MS);
 		if (!slow &&
--- a/core_fleet_health.c
+++ b/core_fleet_health.c
@@ -122,7 +122,8 @@
 	if (step->long_running && run->progress_percent == 100)
 		return false;
 	return worker->last_report_at -
-		       MAX(run->progress_at, run->running_since) >
+		       MAX(MAX(run->progress_at, run->running_since),
+			   worker->cold_until) >
 	       hang_timeout(step, &job->tasks[run->task]);
 }
 
@@ -159,7 +160,8 @@
 	double run_ms;
 	double weight;
 
-	if (!run->planned_at || fleet_task_step(job, run->task)->best_effort)
+	if (!run->planned_at || run->planned_at < worker->cold_until ||
+	    fleet_task_step(job, run->task)->best_effort)
 		return;
 	run_ms = (double)gh_time_to_ms(now - run->planned_at);
 	if (stage->n_run_times)
--- a/core_fleet_idle.c
+++ b/core_fleet_idle.c
@@ -190,6 +190,8 @@
 		g_string_append(text, " moved");
 	if (worker->entry.draining)
 		g_string_append(text, " draining");
+	if (worker->emptied)
+		g_string_append(text, " emptied");
 	if (!worker->has_reported || worker->unreachable_since)
 		g_string_append(text, " unheard");
 }
--- a/core_fleet_order.c
+++ b/core_fleet_order.c
@@ -102,6 +102,8 @@
 	fleet_worker_t *worker = fleet_worker(fleet, run->worker);
 	bool fits = run_fits(fleet, run);
 
+	if (!fleet_domain_may_start(fleet, handle, now))
+		return false;
 	if (!run->order_sent &&
 	    (worker->entry.draining || !worker->listed ||
 	     worker->unreachable_since || worker->has_unknown_run || !fits)) {
--- a/core_fleet_parts.h
+++ b/core_fleet_parts.h
@@ -223,7 +223,20 @@
 /* Ends all runs of a worker whose lease expired or which has restarted. */
 void fleet_worker_end_runs(gh_fleet_t *fleet, uint32_t handle, const char *why,
 			   gh_time_t now);
-/* Whether the worker is listed, is not draining and reports. */
+/* Takes over the domain and the coldness that the worker's entry tells. */
+void fleet_domain_note_entry(gh_fleet_t *fleet, uint32_t handle, gh_time_t now);
+/*
+ * Whether the domains to be emptied are known well enough to start a run.  Else
+ * a domain may have been named so long ago that no start is allowed there.
+ */
+bool fleet_domain_is_heard(const gh_fleet_t *fleet, gh_time_t now);
+/*
+ * Whether the start order of the run may be sent.  Else the run has been taken
+ * back, or is tried again later.
+ */
+bool fleet_domain_may_start(gh_fleet_t *fleet, uint32_t run, gh_time_t now);
+
+/* Whether the worker is listed, reports, and neither drains nor is emptied. */
 bool fleet_worker_is_heard(const fleet_worker_t *worker);
 /* Whether no start is to be sent, as orders are of no use or can't be sent. */
 bool fleet_worker_is_barred(const fleet_worker_t *worker, gh_time_t now);
--- a/core_fleet_retry.c
+++ b/core_fleet_retry.c
@@ -70,7 +70,8 @@
 			if (gets_no_replies(worker, run, now))
 				void_starts(fleet, run, now);
 			fleet_order_enqueue(fleet, GH_ORDER_STOP, i);
-		} else if (worker->entry.draining || !worker->listed ||
+		} else if (worker->entry.draining || worker->emptied ||
+			   !worker->listed ||
 			   (worker->unreachable_since &&
 			    now - worker->unreachable_since >
 				    START_REPLY_TIMEOUT_USEC)) {
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -328,6 +328,8 @@
 	/* Where the last lease renewal was sent. */
 	char renewal_address[GH_ADDRESS_MAX + 1];
 	gh_time_t heard_since; /* time of its first report */
+	bool emptied;	       /* its failure domain is being emptied */
+	gh_time_t cold_until;  /* it is slow until then */
 	/* When the worker's last restart became known; 0: none. */
 	gh_time_t restart_known_at;
 	/*
@@ -526,11 +528,13 @@
 	GArray *runs;	 /* fleet_run_t */
 	/* Handles (uint32_t) of unused array entries. */
 	GArray *free_runs, *free_jobs, *free_workers;
-	GHashTable *worker_by_id;  /* id to handle + 1 */
-	GHashTable *job_by_id;	   /* id to handle + 1 */
-	GHashTable *queues;	   /* name to gh_queue_policy_t */
-	GArray *failed_placements; /* failed_placement_t, of this tick */
-	GQueue *changes;	   /* handles + 1 of jobs to be committed */
+	GHashTable *worker_by_id; /* id to handle + 1 */
+	GHashTable *job_by_id;	  /* id to handle + 1 */
+	GHashTable *queues;	  /* name to gh_queue_policy_t */
+	GHashTable *emptied;	  /* names of domains that are being emptied */
+	gh_time_t domains_heard_at; /* as of when they are known; 0: never */
+	GArray *failed_placements;  /* failed_placement_t, of this tick */
+	GQueue *changes;	    /* handles + 1 of jobs to be committed */
 	/* orders to be sent to workers: queued_order_t */
 	GQueue *orders;
 	/* The last order taken from the queue, for the strings in it. */
--- a/core_fleet_table.c
+++ b/core_fleet_table.c
@@ -128,7 +128,8 @@
 bool fleet_worker_is_heard(const fleet_worker_t *worker)
 {
 	return worker->in_use && worker->listed && !worker->entry.draining &&
-	       worker->has_reported && !worker->unreachable_since;
+	       !worker->emptied && worker->has_reported &&
+	       !worker->unreachable_since;
 }
 
 bool fleet_worker_is_barred(const fleet_worker_t *worker, gh_time_t now)
--- a/core_fleet_worker.c
+++ b/core_fleet_worker.c
@@ -99,6 +99,7 @@
 		g_strlcpy(worker->heard_address, entry->address,
 			  sizeof(worker->heard_address));
 	set_rack(worker);
+	fleet_domain_note_entry(fleet, handle, now);
 	if (is_new)
 		fleet_late_stop(fleet, handle, !entry->incarnation_start_ms,
 				now);
--- a/counter_list.h
+++ b/counter_list.h
@@ -194,5 +194,15 @@
 COUNTER(TASKS_DEPARTED, "tasks_departed",
 	"waiting tasks that moved to another shard")
 COUNTER(TASKS_ARRIVED, "tasks_arrived", "tasks that came from another shard")
+COUNTER(DOMAIN_REQUESTS, "domain_requests",
+	"requests to empty a failure domain that this host has heard of")
+COUNTER(DOMAIN_REQUESTS_OVER, "domain_requests_over",
+	"such requests that were taken back")
+COUNTER(DOMAIN_REQUESTS_UNREAD, "domain_requests_unread",
+	"keys of such requests that name no domain")
+COUNTER(RUNS_TAKEN_BACK, "runs_taken_back",
+	"planned runs taken back as their worker's failure domain is emptied")
+COUNTER(STARTS_WITHHELD, "starts_withheld",
+	"starts put off as the requests to empty domains were not heard")
 COUNTER(RUNS_MOVED, "runs_moved",
 	"slowed best-effort tasks stopped to continue on another worker")
--- a/fleet_host.c
+++ b/fleet_host.c
@@ -44,6 +44,7 @@
 	fleet_host_setup_t setup;
 	fleet_jobs_t *jobs;
 	fleet_watch_t *config_watch;
+	fleet_domains_t *domains; /* NULL: none are emptied on request */
 	/* One owner per shard, indexed by shard number. */
 	fleet_owner_t **owners;
 	_Atomic bool draining;
@@ -76,7 +77,8 @@
 	GError *err;
 } caller_call_t;
 
-static void on_config(void *ctx, const fleet_item_t *item);
+static void on_operator_item(void *ctx, const fleet_item_t *item);
+static void take_config(fleet_front_t *host, const fleet_item_t *item);
 static void report_config(const fleet_front_t *host,
 			  const fleet_config_t *config, uint64_t revision,
 			  bool is_change);
@@ -103,13 +105,15 @@
 					   .synced = on_synced,
 					   .ctx = host };
 	/* Decoding a large configuration takes a slow host 0.1 s and more. */
-	fleet_watch_listener_t watch_listener = { .item_changed = on_config,
+	fleet_watch_listener_t watch_listener = { .item_changed = on_operator_item,
 						  .ctx = host,
 						  .newest_only = true };
 	uint32_t i;
 
 	host->setup = *setup;
 	pthread_mutex_init(&host->lock, NULL);
+	if (setup->fleet.empty_ms)
+		host->domains = fleet_domains_new(setup->store->ops);
 	host->owners = g_new0(fleet_owner_t *, setup->shards);
 	host->jobs = fleet_jobs_new(setup->loop, setup->store, setup->shards,
 				    &listener);
@@ -122,6 +126,7 @@
 			.workers = setup->workers,
 			.jobs = host->jobs,
 			.fleet = setup->fleet,
+			.domains = host->domains,
 			.ended_retention_ms = setup->ended_retention_ms,
 			.commit_interval_min = setup->commit_interval_min,
 			.shards = setup->shards,
@@ -135,7 +140,10 @@
 	}
 	host->config_watch = fleet_watch_new(
 		setup->loop, setup->store, FLEET_KEYSPACE_CONFIG,
-		setup->store->ops->config_key, &watch_listener);
+		host->domains ? "" : setup->store->ops->config_key,
+		&watch_listener);
+	if (host->domains)
+		fleet_domains_set_watch(host->domains, host->config_watch);
 	return host;
 }
 
@@ -145,11 +153,14 @@
 
 	if (!host)
 		return;
+	if (host->domains)
+		fleet_domains_set_watch(host->domains, NULL);
 	fleet_watch_free(host->config_watch);
 	for (i = 0; i < host->setup.shards; i++)
 		fleet_owner_free(host->owners[i]);
 	g_free(host->owners);
 	fleet_jobs_free(host->jobs);
+	fleet_domains_free(host->domains);
 	fleet_config_unref(host->config);
 	pthread_mutex_destroy(&host->lock);
 	g_free(host);
@@ -181,16 +192,26 @@
 
 /* Handlers of store events; they run on the loop's thread. */
 
-static void on_config(void *ctx, const fleet_item_t *item)
+static void on_operator_item(void *ctx, const fleet_item_t *item)
 {
 	fleet_front_t *host = ctx;
+	uint32_t i;
+
+	if (!strcmp(item->key, host->setup.store->ops->config_key))
+		take_config(host, item);
+	else if (host->domains && fleet_domains_take(host->domains, item))
+		for (i = 0; i < host->setup.shards; i++)
+			fleet_owner_domains_changed(host->owners[i]);
+}
+
+static void take_config(fleet_front_t *host, const fleet_item_t *item)
+{
 	GError *err = NULL;
 	fleet_config_t *config;
 	fleet_config_t *old;
 	uint32_t i;
 
-	if (!item->value ||
-	    strcmp(item->key, host->setup.store->ops->config_key) != 0)
+	if (!item->value)
 		return;
 	config = host->setup.store->ops->parse_config(item->value, &err);
 	if (!config) {
@@ -498,14 +519,17 @@
 {
 	fleet_config_t *config = fleet_front_config(host);
 	char *counters = counter_format_all();
+	char *domains = host->domains ? fleet_domains_format(host->domains) :
+					g_strdup("");
 	char *text = g_strdup_printf(
-		"%sconfig_version %" PRIu64 "\nconfig_queues %zu\n"
+		"%s%sconfig_version %" PRIu64 "\nconfig_queues %zu\n"
 		"config_queues_missing %zu\nconfig_outdated %d\n",
-		counters, config ? config->version : 0,
+		counters, domains, config ? config->version : 0,
 		config ? config->n_queues : 0, config ? config->n_unread : 0,
 		atomic_load(&host->config_unread));
 
 	fleet_config_unref(config);
+	g_free(domains);
 	g_free(counters);
 	return text;
 }
--- a/fleet_main.c
+++ b/fleet_main.c
@@ -102,7 +102,8 @@
 		.fleet = { .lease_ms = MIN(settings->lease_ms,
 					   settings->lease_max_ms),
 			   .lease_max_ms = settings->lease_max_ms,
-			   .stop_ms = settings->stop_ms },
+			   .stop_ms = settings->stop_ms,
+			   .empty_ms = settings->empty_domain_ms },
 		.ended_retention_ms = settings->ended_retention_s * 1000LL,
 	});
 	ok = start(&process, &err);
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -48,6 +48,7 @@
 static void on_loop_iteration(void *ctx);
 static void advance(fleet_owner_t *owner, gh_time_t now);
 static void update_counters(fleet_owner_t *owner);
+static void set_domains(fleet_owner_t *owner, gh_time_t now);
 static void log_backlog(fleet_owner_t *owner, gh_time_t now);
 static void postpone_claim(fleet_owner_t *owner);
 static void start_claim(fleet_owner_t *owner);
@@ -139,6 +140,11 @@
 		gh_fleet_queue_set(owner->fleet, &config->queues[i].policy);
 }
 
+void fleet_owner_domains_changed(fleet_owner_t *owner)
+{
+	owner->dirty = true;
+}
+
 void fleet_owner_job_changed(fleet_owner_t *owner, const char *id,
 			     const fleet_job_state_t *state)
 {
@@ -244,6 +250,7 @@
 				owner, "a worker reports a newer epoch");
 			return;
 		}
+		set_domains(owner, now);
 		if (owner->phase == PHASE_OWNING) {
 			fleet_owner_set_peers(owner, now);
 			gh_fleet_tick(owner->fleet, now,
@@ -267,6 +274,23 @@
 	log_backlog(owner, now);
 }
 
+/* Passes on which domains are to be emptied and as of when that is known. */
+static void set_domains(fleet_owner_t *owner, gh_time_t now)
+{
+	const fleet_domains_t *domains = owner->setup.domains;
+	const char *const *names;
+	size_t n;
+
+	if (!domains)
+		return;
+	if (owner->domains_version != fleet_domains_version(domains)) {
+		names = fleet_domains_names(domains, &n);
+		gh_fleet_domains_set(owner->fleet, names, n, now);
+		owner->domains_version = fleet_domains_version(domains);
+	}
+	gh_fleet_domains_heard(owner->fleet, fleet_domains_heard_at(domains));
+}
+
 /* Logs once a second what an owner has decided and not yet carried out. */
 static void log_backlog(fleet_owner_t *owner, gh_time_t now)
 {
@@ -326,6 +350,9 @@
 		{ CTR_JOBS_IDLE, offsetof(gh_fleet_counts_t, idle) },
 		{ CTR_TASKS_DEPARTED, offsetof(gh_fleet_counts_t, departed) },
 		{ CTR_TASKS_ARRIVED, offsetof(gh_fleet_counts_t, arrived) },
+		{ CTR_RUNS_TAKEN_BACK,
+		  offsetof(gh_fleet_counts_t, taken_back) },
+		{ CTR_STARTS_WITHHELD, offsetof(gh_fleet_counts_t, withheld) },
 	};
 	gh_fleet_counts_t counts;
 	size_t i;
--- a/fleet_owner.h
+++ b/fleet_owner.h
@@ -13,6 +13,7 @@
 #ifndef FLEET_OWNER_H
 #define FLEET_OWNER_H
 
+#include "fleet_domains.h"
 #include "fleet_jobs.h"
 #include "fleet_loop.h"
 #include "fleet_port.h"
@@ -27,6 +28,8 @@
 	fleet_workers_t *workers;
 	fleet_jobs_t *jobs;
 	gh_fleet_setup_t fleet;
+	/* Requests to empty domains; NULL: there are none. */
+	const fleet_domains_t *domains;
 	uint32_t shards; /* number of shards, the same on all hosts */
 	gh_time_t commit_interval_min;
 	int64_t ended_retention_ms; /* how long states of ended jobs are kept */
@@ -53,6 +56,8 @@
  * next call.
  */
 void fleet_owner_configure(fleet_owner_t *owner, const fleet_config_t *config);
+/* The owner's domains have changed. */
+void fleet_owner_domains_changed(fleet_owner_t *owner);
 /*
  * Cancels the job in this shard if its state is GH_JOB_CANCELLED.  A job whose
  * home is another shard ends here whatever its end is there.
--- a/fleet_owner_load.c
+++ b/fleet_owner_load.c
@@ -49,6 +49,7 @@
 			    clock_boot() + WORKER_RENEWAL_LIMIT_USEC);
 	owner->fleet = gh_fleet_new(&setup, &sink, clock_boot());
 	memset(&owner->reported, 0, sizeof(owner->reported));
+	owner->domains_version = 0;
 	if (owner->config)
 		fleet_owner_configure(owner, owner->config);
 	owner->progress =
--- a/fleet_owner_private.h
+++ b/fleet_owner_private.h
@@ -163,6 +163,7 @@
 	/* Keys of workers' records that were logged as unusable. */
 	GHashTable *unread_workers;
 	const fleet_config_t *config;
+	uint64_t domains_version; /* of the domains passed to the fleet */
 	batch_t *batch; /* commit that awaits its outcome, or NULL */
 	gh_time_t commit_at;
 	/*
--- a/fleet_port.h
+++ b/fleet_port.h
@@ -86,6 +86,14 @@
 /* Max entries in one commit; a limit of the store. */
 #define FLEET_ENTRIES_MAX 32
 
+/* What a key of the operator's asks for, beside the configuration. */
+typedef enum fleet_request {
+	FLEET_REQUEST_NONE,
+	/* While the key exists, a failure domain is to be emptied. */
+	FLEET_REQUEST_EMPTY_DOMAIN,
+	FLEET_REQUEST_ODD /* the same, but it names no domain */
+} fleet_request_t;
+
 typedef struct fleet_store fleet_store_t;
 typedef struct fleet_workers fleet_workers_t;
 typedef struct fleet_config fleet_config_t;
@@ -123,6 +131,9 @@
 	fleet_config_t *(*parse_config)(const char *value, GError **err);
 	/* Key of the current configuration in FLEET_KEYSPACE_CONFIG. */
 	const char *config_key;
+	/* Parses a key in it; sets the domain that a request names. */
+	fleet_request_t (*parse_request)(const char *key,
+					 char domain[GH_DOMAIN_MAX + 1]);
 } fleet_store_ops_t;
 
 struct fleet_store {
--- a/fleet_settings.c
+++ b/fleet_settings.c
@@ -36,6 +36,7 @@
 	NUMBER("lease_ms", lease_ms, 1000, 60000, "4500"),
 	NUMBER("lease_most_ms", lease_max_ms, 1000, 600000, "10000"),
 	NUMBER("stop_ms", stop_ms, 1, 60000, "1000"),
+	NUMBER("empty_domain_ms", empty_domain_ms, 0, 600000, "0"),
 	NUMBER("grace_ms", grace_ms, 500, 600000, "6000"),
 	NUMBER("keep_ended_s", ended_retention_s, 1, 86400, "120"),
 };
--- a/fleet_settings.h
+++ b/fleet_settings.h
@@ -33,6 +33,11 @@
 	uint32_t lease_ms;	    /* lease granted to workers */
 	uint32_t lease_max_ms;	    /* longest lease that workers accept */
 	uint32_t stop_ms;	    /* longest time to stop a task */
+	/*
+	 * Max time from a request to empty a failure domain to the last start
+	 * there; 0: there are no such requests.
+	 */
+	uint32_t empty_domain_ms;
 	uint32_t grace_ms;	    /* max time from SIGTERM to the exit */
 	uint32_t ended_retention_s; /* how long states of ended jobs are kept */
 } fleet_settings_t;
--- a/fleet_watch.c
+++ b/fleet_watch.c
@@ -59,6 +59,8 @@
 	GHashTable *keys;  /* key to key_state_t */
 	GQueue *gone_keys; /* gone_key_t, in the order of their arrival */
 	_Atomic gh_time_t last_reply_at;
+	gh_time_t read_from;  /* first reply of the full read under way */
+	_Atomic gh_time_t current_at;
 	gh_time_t started_at;
 	gh_time_t previous_reply_at; /* 0: fewer than two replies */
 	gh_time_t call_started_at;
@@ -135,6 +137,11 @@
 	return watch->last_reply_at;
 }
 
+gh_time_t fleet_watch_current_at(const fleet_watch_t *watch)
+{
+	return watch->current_at;
+}
+
 gh_time_t fleet_watch_previous_reply_at(const fleet_watch_t *watch)
 {
 	return watch->previous_reply_at ? watch->previous_reply_at :
@@ -234,8 +241,10 @@
 	 * starts at the revision of the first page, so later changes are read
 	 * again.
 	 */
-	if (!watch->last_key || !watch->revision)
+	if (!watch->last_key || !watch->revision) {
 		watch->revision = reply->revision;
+		watch->read_from = watch->last_reply_at;
+	}
 	for (i = 0; i < reply->n_items && !watch->freed; i++)
 		pass_listed_item(watch, &reply->items[i]);
 	if (reply->more && reply->n_items) {
@@ -262,6 +271,7 @@
 			pass_newest(watch, reply, i);
 	if (reply->revision > watch->revision)
 		watch->revision = reply->revision;
+	watch->current_at = watch->last_reply_at;
 	forget_gone_keys(watch);
 	if (reply->n_items && watch->pause && !watch->freed)
 		pause_watch(watch);
@@ -329,6 +339,7 @@
 	watch->reading = false;
 	watch->synced = true;
 	pass_missing_keys(watch);
+	watch->current_at = watch->read_from;
 	if (!watch->freed && watch->listener.synced)
 		watch->listener.synced(watch->listener.ctx);
 }
--- a/fleet_watch.h
+++ b/fleet_watch.h
@@ -66,6 +66,11 @@
 
 /* Any thread: time of the last successful reply from the store; 0: none yet. */
 gh_time_t fleet_watch_last_reply_at(const fleet_watch_t *watch);
+/*
+ * Any thread: all changes that the store had made by then were passed; 0: not
+ * all items were read yet.  While all keys are read again it stands still.
+ */
+gh_time_t fleet_watch_current_at(const fleet_watch_t *watch);
 /*
  * Loop's thread: time of the successful reply before the last one, or of the
  * watch's start.
--- a/regress/fleet_world.h
+++ b/regress/fleet_world.h
@@ -67,6 +67,8 @@
 	size_t n_stops;
 	gh_time_t lease_until;
 	gh_resources_t size; /* capacity that service discovery lists */
+	const char *domain;  /* that it lists; NULL: none */
+	int64_t cold_ms;     /* that it lists */
 	int64_t tail_ms;     /* tail latency that runs of LONG_RUNNING_JOB_ID
 				report; 0: not reported */
 } scripted_worker_t;
@@ -127,6 +129,11 @@
 	/* Commits fail of jobs whose ids begin so; NULL: of none. */
 	const char *refused_jobs;
 	bool renewals_stopped; /* no renewal is sent to any worker */
+	bool orders_held;      /* no order is sent */
+	/* Of the owner's setup; its requests are heard in each step unless
+	 * domains_unheard. */
+	int64_t empty_ms;
+	bool domains_unheard;
 	/* Reply to an order that names another life of the worker; it is
 	 * executed, but for GH_ORDER_OVERTAKEN.  GH_ORDER_OK: as to any. */
 	gh_order_reply_t other_life;
@@ -151,6 +158,8 @@
 void world_init(world_t *w);
 /* The same for the owner of one of several shards. */
 void world_init_shard(world_t *w, uint32_t shard, uint32_t shards);
+/* The same for an owner that empties domains on request. */
+void world_init_domains(world_t *w, int64_t empty_ms);
 void world_clear(world_t *w);
 /* Replaces the fleet by that of the next owner, which knows nothing of before
  * but the last grant of a lease and what the caller adds. */
