--- a/core_fleet.h
+++ b/core_fleet.h
@@ -25,7 +25,7 @@
 
 #define GH_WORKER_ID_MAX 63
 #define GH_WORKER_LABELS_MAX 8
-#define GH_DOMAIN_MAX 63 /* max bytes of a failure domain's name */
+#define GH_DOMAIN_MAX 63	   /* max bytes of a failure domain's name */
 #define GH_CHECKPOINT_NAME_MAX 255 /* max bytes of a checkpoint name */
 
 /*
@@ -108,7 +108,7 @@
 	int64_t incarnation_start_ms;
 	bool draining;
 	char domain[GH_DOMAIN_MAX + 1]; /* failure domain; empty: not told */
-	int64_t cold_ms; /* how much longer the worker is slow */
+	int64_t cold_ms;		/* how much longer the worker is slow */
 } gh_worker_entry_t;
 
 /*
--- a/fleet_host.c
+++ b/fleet_host.c
@@ -105,7 +105,8 @@
 					   .synced = on_synced,
 					   .ctx = host };
 	/* Decoding a large configuration takes a slow host 0.1 s and more. */
-	fleet_watch_listener_t watch_listener = { .item_changed = on_operator_item,
+	fleet_watch_listener_t watch_listener = { .item_changed =
+							  on_operator_item,
 						  .ctx = host,
 						  .newest_only = true };
 	uint32_t i;
--- a/fleet_owner_private.h
+++ b/fleet_owner_private.h
@@ -164,7 +164,7 @@
 	GHashTable *unread_workers;
 	const fleet_config_t *config;
 	uint64_t domains_version; /* of the domains passed to the fleet */
-	batch_t *batch; /* commit that awaits its outcome, or NULL */
+	batch_t *batch;		  /* commit that awaits its outcome, or NULL */
 	gh_time_t commit_at;
 	/*
 	 * Due time of the next read of the chain record to find out a commit's
--- a/fleet_settings.h
+++ b/fleet_settings.h
@@ -29,10 +29,10 @@
 	uint32_t shards;
 	/* Limit of the writes to the store, for all hosts together. */
 	uint32_t store_writes_per_s;
-	uint32_t cores_milli;	    /* cores of this host, in thousandths */
-	uint32_t lease_ms;	    /* lease granted to workers */
-	uint32_t lease_max_ms;	    /* longest lease that workers accept */
-	uint32_t stop_ms;	    /* longest time to stop a task */
+	uint32_t cores_milli;  /* cores of this host, in thousandths */
+	uint32_t lease_ms;     /* lease granted to workers */
+	uint32_t lease_max_ms; /* longest lease that workers accept */
+	uint32_t stop_ms;      /* longest time to stop a task */
 	/*
 	 * Max time from a request to empty a failure domain to the last start
 	 * there; 0: there are no such requests.
--- a/fleet_watch.c
+++ b/fleet_watch.c
@@ -59,7 +59,7 @@
 	GHashTable *keys;  /* key to key_state_t */
 	GQueue *gone_keys; /* gone_key_t, in the order of their arrival */
 	_Atomic gh_time_t last_reply_at;
-	gh_time_t read_from;  /* first reply of the full read under way */
+	gh_time_t read_from; /* first reply of the full read under way */
 	_Atomic gh_time_t current_at;
 	gh_time_t started_at;
 	gh_time_t previous_reply_at; /* 0: fewer than two replies */
