--- a/core_fleet_reserve.c
+++ b/core_fleet_reserve.c
@@ -12,7 +12,7 @@
 /* A long-running task that waits for longer than this reserves a worker. */
 #define RESERVE_AFTER_USEC (500 * GH_USEC_PER_MSEC)
 /* The same for one that has not run yet, while urgent short tasks wait. */
-#define YIELD_USEC (5 * GH_USEC_PER_SEC)
+#define YIELD_USEC (1500 * GH_USEC_PER_MSEC)
 #define RESERVE_PERIOD_USEC (100 * GH_USEC_PER_MSEC)
 /* A reservation that is not renewed ends after this time. */
 #define RESERVED_USEC (200 * GH_USEC_PER_MSEC)
