--- a/core_fleet_choose.c
+++ b/core_fleet_choose.c
@@ -258,8 +258,6 @@
 			best = i;
 		}
 	}
-	if (best != GH_NONE)
-		fleet_headroom_note_placed(fleet, job, now);
 	if (best != GH_NONE && placement.careful &&
 	    fleet_crash_needs_care(&job->tasks[task]) &&
 	    !fleet_crash_claim(fleet, best, &job->tasks[task], step, now))
@@ -286,7 +284,8 @@
 	if (!is_admitted(worker, obstacle, !placement->careful, now) ||
 	    !fleet_crash_admits(fleet, handle, &job->tasks[task], now))
 		return COST_IMPOSSIBLE;
-	if (!fleet_headroom_admits(fleet, placement->level, step, worker)) {
+	if (placement->leaves_room &&
+	    !fleet_headroom_admits(fleet, job, task, worker)) {
 		fleet->counts.put_off++;
 		return COST_IMPOSSIBLE;
 	}
@@ -372,7 +371,7 @@
 			   (is_second || !fleet_choose_is_overdue(job, now)),
 		.careful = is_second ||
 			   !fleet_choose_is_desperate(fleet, job, stage, now),
-		.level = fleet_headroom_level(fleet, job, task, now),
+		.leaves_room = fleet_headroom_is_bound(fleet, job, task, now),
 	};
 }
 
@@ -431,7 +430,7 @@
 			fleet->failed_placements, failed_placement_t, i);
 
 		if (failed->best_effort != placement->best_effort ||
-		    failed->level > placement->level ||
+		    (failed->leaves_room && !placement->leaves_room) ||
 		    failed->size.cores_milli > placement->size.cores_milli ||
 		    failed->size.memory_mb > placement->size.memory_mb ||
 		    failed->size.accelerators > placement->size.accelerators)
--- a/core_fleet_headroom.c
+++ b/core_fleet_headroom.c
@@ -1,26 +1,20 @@
 /*
  * Headroom of the fleet: what urgent short tasks use and wait for, and which
- * placements of other tasks that puts off; see core_headroom.h.
+ * placements of new long-running tasks that puts off; see core_headroom.h.
  *
- * Less urgent short tasks are bound while half of the workers' capacity is in
- * use.  No job starves for it: of those of which nothing has run for
- * JOB_IDLE_MAX_USEC, one task each IDLE_PERIOD_USEC is not bound.
- * Long-running tasks hold their cores for good: one that has not run yet is
- * put off for PUT_OFF_MAX_USEC, so that it starts where urgent tasks leave
- * cores unused.  Best-effort tasks reserve no cores and are not bound.
+ * A long-running task that has run before interrupts something and is not put
+ * off, nor is one for longer than PUT_OFF_MAX_USEC: by then it is certain that
+ * urgent tasks leave the cores unused.
  */
 #include "core_fleet_parts.h"
 
-#define JOB_IDLE_MAX_USEC GH_USEC_PER_SEC
-#define IDLE_PERIOD_USEC GH_USEC_PER_SEC
 #define PUT_OFF_MAX_USEC (1500 * GH_USEC_PER_MSEC)
+#define REPORT_PERIOD_USEC GH_USEC_PER_SEC
 /* Thousandths in a core. */
 #define CORE_MILLI 1000.0
-#define REPORT_PERIOD_USEC GH_USEC_PER_SEC
 
 static void sample_demand(fleet_headroom_t *headroom, gh_time_t now);
 static void report(gh_fleet_t *fleet, gh_time_t now);
-static bool is_idle(const fleet_job_t *job, gh_time_t now);
 static int64_t free_cores_milli(const fleet_worker_t *worker);
 static void add_pieces(gh_fleet_t *fleet, const fleet_worker_t *worker,
 		       int64_t sign);
@@ -67,24 +61,21 @@
 /* Emits, once a period, what was put off and for which demand. */
 static void report(gh_fleet_t *fleet, gh_time_t now)
 {
-	const fleet_headroom_t *headroom = &fleet->headroom;
-	const gh_headroom_target_t *target =
-		&headroom->targets[GH_HEADROOM_LEVELS - 1];
+	fleet_headroom_t *headroom = &fleet->headroom;
 	uint64_t put_off = fleet->counts.put_off - headroom->put_off_reported;
 	char *detail;
 
 	if (!put_off || now < headroom->report_at)
 		return;
-	fleet->headroom.report_at = now + REPORT_PERIOD_USEC;
-	fleet->headroom.put_off_reported = fleet->counts.put_off;
+	headroom->report_at = now + REPORT_PERIOD_USEC;
+	headroom->put_off_reported = fleet->counts.put_off;
 	detail = g_strdup_printf(
-		"%" G_GUINT64_FORMAT " placements, %.0f cores used and %.0f "
-		"waited for at the highest priority, %.1f free of %.1f",
+		"%" G_GUINT64_FORMAT " placements, urgent tasks use %.0f and "
+		"wait for %.0f cores, %.0f free of %.0f",
 		put_off, headroom->used_milli[0] / CORE_MILLI,
 		headroom->waiting_milli[0] / CORE_MILLI,
-		(double)headroom->free_milli[GH_HEADROOM_LEVELS - 1] /
-			CORE_MILLI,
-		(double)target->cores_milli / CORE_MILLI);
+		(double)headroom->free_milli[0] / CORE_MILLI,
+		(double)headroom->targets[0].cores_milli / CORE_MILLI);
 	fleet_emit_event(fleet, "placements_put_off", NULL, 0, GH_NONE, detail);
 	g_free(detail);
 }
@@ -129,11 +120,15 @@
 	       worker->reserved.cores_milli;
 }
 
+uint32_t fleet_headroom_level(const gh_fleet_t *fleet, const fleet_job_t *job)
+{
+	return gh_headroom_level(fleet_job_policy(fleet, job)->priority);
+}
+
 void fleet_headroom_note_waiting(gh_fleet_t *fleet, const fleet_job_t *job,
 				 const gh_step_t *step, uint32_t tasks)
 {
-	uint32_t level =
-		gh_headroom_level(fleet_job_policy(fleet, job)->priority);
+	uint32_t level = fleet_headroom_level(fleet, job);
 
 	if (step->best_effort || step->long_running)
 		return;
@@ -142,52 +137,29 @@
 		(double)tasks * step->size.cores_milli;
 }
 
-bool fleet_headroom_is_short(const gh_fleet_t *fleet, const fleet_job_t *job)
+bool fleet_headroom_yields(const gh_fleet_t *fleet, const fleet_job_t *job,
+			   uint32_t task)
 {
-	uint32_t level =
-		gh_headroom_level(fleet_job_policy(fleet, job)->priority);
-	uint32_t i;
-
-	for (i = 0; i <= level; i++)
-		if (fleet->headroom.waiting_tasks[i] > 0)
-			return true;
-	return false;
+	return fleet_task_step(job, task)->long_running &&
+	       !job->tasks[task].last_run &&
+	       fleet->headroom.targets[fleet_headroom_level(fleet, job)]
+		       .applies;
 }
 
-uint32_t fleet_headroom_level(const gh_fleet_t *fleet, const fleet_job_t *job,
-			      uint32_t task, gh_time_t now)
+bool fleet_headroom_is_bound(const gh_fleet_t *fleet, const fleet_job_t *job,
+			     uint32_t task, gh_time_t now)
 {
-	const gh_step_t *step = fleet_task_step(job, task);
-	uint32_t priority = fleet_job_policy(fleet, job)->priority;
 	gh_time_t waiting_since = fleet_task_stage(job, task)->waiting_since;
 
-	if (step->best_effort || !fleet->busy)
-		return 0;
-	if (!step->long_running)
-		return is_idle(job, now) && now >= fleet->headroom.idle_at ?
-			       0 :
-			       gh_headroom_level(priority);
-	if (job->tasks[task].last_run ||
-	    (waiting_since && now - waiting_since > PUT_OFF_MAX_USEC))
-		return 0;
-	return gh_headroom_level(priority + 1);
-}
-
-static bool is_idle(const fleet_job_t *job, gh_time_t now)
-{
-	return !job->open_runs && now - job->idle_since > JOB_IDLE_MAX_USEC;
-}
-
-void fleet_headroom_note_placed(gh_fleet_t *fleet, const fleet_job_t *job,
-				gh_time_t now)
-{
-	if (is_idle(job, now) && now >= fleet->headroom.idle_at)
-		fleet->headroom.idle_at = now + IDLE_PERIOD_USEC;
+	return fleet_headroom_yields(fleet, job, task) &&
+	       (!waiting_since || now - waiting_since < PUT_OFF_MAX_USEC);
 }
 
-bool fleet_headroom_admits(const gh_fleet_t *fleet, uint32_t level,
-			   const gh_step_t *step, const fleet_worker_t *worker)
+bool fleet_headroom_admits(const gh_fleet_t *fleet, const fleet_job_t *job,
+			   uint32_t task, const fleet_worker_t *worker)
 {
+	const gh_step_t *step = fleet_task_step(job, task);
+	uint32_t level = fleet_headroom_level(fleet, job);
 	const gh_headroom_target_t *target = &fleet->headroom.targets[level];
 	int64_t free_milli = fleet->headroom.free_milli[level];
 	int64_t left =
@@ -196,5 +168,5 @@
 		gh_headroom_pieces(target, free_cores_milli(worker) -
 						   step->size.cores_milli);
 
-	return !level || left >= target->cores_milli || left == free_milli;
+	return left >= target->cores_milli || left == free_milli;
 }
--- a/core_fleet_parts.h
+++ b/core_fleet_parts.h
@@ -447,17 +447,17 @@
 /* Notes tasks of the step that found no worker. */
 void fleet_headroom_note_waiting(gh_fleet_t *fleet, const fleet_job_t *job,
 				 const gh_step_t *step, uint32_t tasks);
-/* Level whose headroom the task is to leave free now; 0: none. */
-uint32_t fleet_headroom_level(const gh_fleet_t *fleet, const fleet_job_t *job,
-			      uint32_t task, gh_time_t now);
-/* Whether short tasks that are as urgent as the job's have found no worker. */
-bool fleet_headroom_is_short(const gh_fleet_t *fleet, const fleet_job_t *job);
-/* Notes that a task of the job, none of whose runs may be open, is placed. */
-void fleet_headroom_note_placed(gh_fleet_t *fleet, const fleet_job_t *job,
-				gh_time_t now);
-/* Whether a task of the step on the worker leaves that of the level free. */
-bool fleet_headroom_admits(const gh_fleet_t *fleet, uint32_t level,
-			   const gh_step_t *step, const fleet_worker_t *worker);
+/* Level of the job's queue. */
+uint32_t fleet_headroom_level(const gh_fleet_t *fleet, const fleet_job_t *job);
+/* Whether the long-running task comes after short ones that are as urgent. */
+bool fleet_headroom_yields(const gh_fleet_t *fleet, const fleet_job_t *job,
+			   uint32_t task);
+/* Whether the task starts only where it leaves enough free. */
+bool fleet_headroom_is_bound(const gh_fleet_t *fleet, const fleet_job_t *job,
+			     uint32_t task, gh_time_t now);
+/* Whether the task on the worker leaves enough free. */
+bool fleet_headroom_admits(const gh_fleet_t *fleet, const fleet_job_t *job,
+			   uint32_t task, const fleet_worker_t *worker);
 
 /* Parts of a decision step; see core_fleet_step.c. */
 
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -6,11 +6,12 @@
  * time left after their remaining critical path.  Jobs past their objective
  * come next, and jobs several objectives late come last, because their result
  * is of little use by then.  Among jobs of one priority, long-running tasks
- * that have run before come first, and those that have not come last: they
- * hold their capacity for good.  A stage starts as many tasks as fit; the
- * others wait without reserving capacity, so that smaller tasks behind them can
- * start, but for long-running tasks; see core_fleet_reserve.c.  How far ahead
- * tasks are placed is bound; see core_fleet_budget.c.
+ * that have run before come first, and those that have not come last while
+ * they leave room to short ones (core_headroom.h).  A stage starts as many
+ * tasks as fit; the others wait without reserving capacity, so that smaller
+ * tasks behind them can start, but for long-running tasks; see
+ * core_fleet_reserve.c.  How far ahead tasks are placed is bound; see
+ * core_fleet_budget.c.
  */
 #include "core_fleet_move.h"
 
@@ -37,7 +38,7 @@
 	uint32_t rank;
 	/* Only the stage's tasks that had a run before, which are to last. */
 	bool restarts;
-	/* Long-running tasks that have not run yet. */
+	/* New long-running tasks, which leave room to urgent short ones. */
 	bool yields;
 	/*
 	 * Time left to the job's objective, less its remaining critical path.
@@ -116,7 +117,8 @@
 			if (c.restarts)
 				g_array_append_val(candidates, c);
 			c.restarts = false;
-			c.yields = gh_pipeline_is_long_running(job->spec);
+			c.yields = fleet_headroom_yields(fleet, job,
+							 stage->first_task);
 			g_array_append_val(candidates, c);
 		}
 	}
--- a/core_fleet_reserve.c
+++ b/core_fleet_reserve.c
@@ -29,8 +29,7 @@
 {
 	fleet_job_t *job = fleet_job(fleet, handle);
 	const fleet_task_t *owner = job->tasks[task].group;
-	bool yields = !job->tasks[task].last_run &&
-		      fleet_headroom_is_short(fleet, job);
+	bool yields = fleet_headroom_yields(fleet, job, task);
 	uint32_t n_others = 0;
 	uint32_t best = GH_NONE;
 	uint32_t i;
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -475,9 +475,9 @@
 	gh_resources_t size;
 	uint16_t image_id;
 	bool best_effort;
-	bool bounded;	/* by the best-effort share, not by capacity alone */
-	bool careful;	/* workers in quarantine were left out */
-	uint32_t level; /* bound by the headroom of this level; 0: not bound */
+	bool bounded;	  /* by the best-effort share, not by capacity alone */
+	bool careful;	  /* workers in quarantine were left out */
+	bool leaves_room; /* to urgent short tasks */
 } failed_placement_t;
 
 /* A lost run whose worker may be alive all the same. */
@@ -535,7 +535,6 @@
 	double waiting_milli[GH_HEADROOM_LEVELS];
 	/* Free cores that count for the target of the level. */
 	int64_t free_milli[GH_HEADROOM_LEVELS];
-	gh_time_t idle_at; /* from when on a task of an idle job is not bound */
 	gh_time_t report_at;
 	uint64_t put_off_reported; /* counts.put_off at the last report */
 } fleet_headroom_t;
--- a/core_headroom.h
+++ b/core_headroom.h
@@ -1,11 +1,14 @@
 /*
- * Capacity that less urgent short tasks leave free for more urgent ones.
+ * Cores that new long-running tasks leave to urgent short ones.
  *
- * Answers loads in which patient work fills all workers, so that an urgent
- * task, whose objective is about as long as its run, finds a place only after
- * its objective has passed.  What urgent tasks have asked for lately, with its
- * spread, is what is to be there for them: the part of it that they don't use
- * is left free, in pieces of the size of their tasks.
+ * Answers loads in which long-running tasks fill all workers for good, so that
+ * a short task that is as urgent, whose objective is about as long as its run,
+ * finds a place only after its objective has passed.  What short tasks have
+ * asked for lately, with its spread, is to be there for them: the part of it
+ * that they don't use is left free, in pieces of the size of their tasks.
+ *
+ * This pays only if they get what is left: where less urgent short tasks ask
+ * for as many cores, they would take it, and nothing is left free.
  */
 #ifndef CORE_HEADROOM_H
 #define CORE_HEADROOM_H
@@ -18,7 +21,7 @@
 /* Priorities from the last level on share it. */
 #define GH_HEADROOM_LEVELS 4
 
-/* What the tasks of one priority ask for; cores in thousandths. */
+/* What short tasks of one priority ask for; cores in thousandths. */
 typedef struct gh_headroom_level {
 	/* Mean and variance of the cores in use and waited for. */
 	double mean, variance;
@@ -30,27 +33,28 @@
 	gh_headroom_level_t levels[GH_HEADROOM_LEVELS];
 } gh_headroom_t;
 
-/* What is to be left free by tasks of one priority; cores in thousandths. */
+/* What is to be left free; in thousandths of a core. */
 typedef struct gh_headroom_target {
+	bool applies; /* there is demand, and it would get what is left */
 	int64_t cores_milli;
 	int64_t piece_milli; /* smaller pieces don't count */
 } gh_headroom_target_t;
 
 uint32_t gh_headroom_level(uint32_t priority);
 /*
- * Takes in the cores that tasks of the priority use and wait for at a time, and
- * those of one of them.  Samples may come at any interval.
+ * Takes in the cores that short tasks of the level use and wait for at a time,
+ * and those of one of them.  Samples may come at any interval.
  */
-void gh_headroom_sample(gh_headroom_t *headroom, uint32_t priority,
+void gh_headroom_sample(gh_headroom_t *headroom, uint32_t level,
 			double cores_milli, double task_cores_milli,
 			gh_time_t now);
 /*
- * What tasks of the priority leave free for more urgent ones.  used_milli: the
- * cores that these use now, by level; capacity_milli: of all workers, of which
- * a share is the most that is left free.
+ * What a long-running task of the level leaves free for short tasks that are at
+ * least as urgent.  used_milli: the cores that these use now, by level;
+ * capacity_milli: of all workers, of which a share is the most that is left.
  */
 gh_headroom_target_t gh_headroom_target(const gh_headroom_t *headroom,
-					uint32_t priority,
+					uint32_t level,
 					const double *used_milli,
 					double capacity_milli);
 /* The part of a worker's free cores that counts for the target. */
