--- a/regress/fake_platform.c
+++ b/regress/fake_platform.c
@@ -33,6 +33,10 @@
  *   {"config":{...}}      writes the key op/config
  *   {"put":{"key":KEY,"text":TEXT}}
  *                         writes a key
+ *   {"delete":KEY}        deletes a key
+ *   {"zones":N}           spreads the workers over the zones z0 to zN-1
+ *   {"evacuate_ms":N}     a start in a zone that is to be evacuated for longer
+ *                         is a violation; 0: it is not
  *   {"cores":MILLI}       size of each worker
  *   {"capacity":{"worker":ID,"cores":MILLI}}
  *                         size of one worker, which may run tasks
@@ -90,7 +94,8 @@
 	char *key;
 	char *value; /* base64; NULL: the event is a deletion of the key */
 	uint64_t revision;
-	int64_t lease_id; /* lease that the key is bound to; 0: none */
+	int64_t lease_id;   /* lease that the key is bound to; 0: none */
+	int64_t created_ms; /* boot clock */
 } item_t;
 
 typedef struct lease {
@@ -143,6 +148,7 @@
 	int64_t lease_until_ms; /* expiry by the boot clock; 0: no lease yet */
 	int64_t lapsed_ms;	/* last expiry, boot clock; 0: none */
 	int64_t last_sequence;	/* sequence number of the last ended run */
+	int64_t starts;
 	int64_t acked_through;
 	GPtrArray *runs;
 	GPtrArray *ended_runs; /* ended runs not yet acknowledged */
@@ -172,6 +178,7 @@
 	int64_t last_lease_id;
 	int64_t worker_cores_milli;
 	bool unguarded; /* workers don't guard their capacity */
+	int64_t evacuate_ms;
 	GPtrArray *workers;
 	GPtrArray *late_writes; /* json_t, bodies of delayed transactions */
 	GArray *late_due_ms; /* times at which late_writes are applied, int64_t,
@@ -230,6 +237,7 @@
 	if (!item && value) {
 		item = g_new0(item_t, 1);
 		item->key = g_strdup(key);
+		item->created_ms = fake_boot_ms();
 		g_ptr_array_insert(p->items, (gint)index, item);
 	}
 	if (item && value) {
@@ -653,6 +661,18 @@
 	g_free(data);
 }
 
+/* Whether the worker's zone is to be evacuated, for longer than the bound. */
+static bool is_evacuated(platform_t *p, const worker_t *w)
+{
+	char *key = g_strconcat("op/evacuate/", w->zone, NULL);
+	guint index;
+	const item_t *item = find_item(p, key, &index);
+
+	g_free(key);
+	return p->evacuate_ms && item &&
+	       fake_boot_ms() - item->created_ms > p->evacuate_ms;
+}
+
 /* Notes a start of the task, and records what is wrong about it. */
 static void note_start(platform_t *p, const worker_t *w, const char *task,
 		       int64_t run_id, bool over_capacity)
@@ -666,6 +686,9 @@
 	if (over_capacity)
 		record_violation(p, "started over the capacity", task,
 				 start->run, "");
+	if (is_evacuated(p, w))
+		record_violation(p, "started in an evacuated zone", task,
+				 start->run, w->zone);
 	if (running)
 		record_violation(p, "runs twice", task, start->run, running);
 	if (acked)
@@ -717,6 +740,7 @@
 	run->long_running = strstr(payload, "lasts") != NULL;
 	g_ptr_array_add(w->runs, run);
 	p->starts++;
+	w->starts++;
 	return NULL;
 }
 
@@ -1056,6 +1080,39 @@
 	return true;
 }
 
+static void set_zones(platform_t *p, int64_t n)
+{
+	guint i;
+
+	for (i = 0; i < p->workers->len; i++) {
+		worker_t *w = p->workers->pdata[i];
+
+		g_snprintf(w->zone, sizeof(w->zone), "z%d", (int)(i % n));
+		publish_worker(p, w);
+	}
+}
+
+/* What runs and was started in each zone. */
+static json_t *show_zones(const platform_t *p)
+{
+	json_t *zones = json_object();
+	guint i;
+
+	for (i = 0; i < p->workers->len; i++) {
+		const worker_t *w = p->workers->pdata[i];
+		json_t *zone = json_object_get(zones, w->zone);
+
+		json_object_set_new(
+			zones, w->zone,
+			json_pack("{s:I,s:I}", "starts",
+				  fake_json_int(zone, "starts", 0) + w->starts,
+				  "running",
+				  fake_json_int(zone, "running", 0) +
+					  (int64_t)w->runs->len));
+	}
+	return zones;
+}
+
 static void set_all_cores(platform_t *p, int64_t cores_milli)
 {
 	guint i;
@@ -1147,6 +1204,12 @@
 	} else if (!strcmp(key, "put")) {
 		put_text(p, fake_json_string(value, "key", ""),
 			 fake_json_string(value, "text", ""));
+	} else if (!strcmp(key, "delete") && text) {
+		put_item(p, text, NULL, 0, ++p->revision);
+	} else if (!strcmp(key, "zones") && json_integer_value(value) > 0) {
+		set_zones(p, json_integer_value(value));
+	} else if (!strcmp(key, "evacuate_ms")) {
+		p->evacuate_ms = json_integer_value(value);
 	} else if (!strcmp(key, "config")) {
 		put_config(p, value);
 	} else {
@@ -1197,13 +1260,13 @@
 		g_free(text);
 	}
 	state = json_pack(
-		"{s:O,s:I,s:I,s:I,s:s,s:I,s:o,s:I,s:I,s:I,s:I}", "wrong",
+		"{s:O,s:I,s:I,s:I,s:s,s:I,s:o,s:o,s:I,s:I,s:I,s:I}", "wrong",
 		p->violations, "shortened", (json_int_t)p->shortened, "starts",
 		(json_int_t)p->starts, "running", (json_int_t)running,
 		"busiest", busiest ? busiest->id : "", "calls",
-		(json_int_t)p->calls, "owners", owners, "items",
-		(json_int_t)p->items->len, "held", (json_int_t)p->held, "loads",
-		(json_int_t)loads, "records", (json_int_t)records);
+		(json_int_t)p->calls, "owners", owners, "zones", show_zones(p),
+		"items", (json_int_t)p->items->len, "held", (json_int_t)p->held,
+		"loads", (json_int_t)loads, "records", (json_int_t)records);
 	pthread_mutex_unlock(&p->lock);
 	return state;
 }
--- a/regress/fleet_system.c
+++ b/regress/fleet_system.c
@@ -28,6 +28,13 @@
 
 void fleet_system_start(fleet_system_t *sys, const char *name, unsigned hosts,
 			unsigned workers, unsigned shards)
+{
+	fleet_system_start_with(sys, name, hosts, workers, shards, "");
+}
+
+void fleet_system_start_with(fleet_system_t *sys, const char *name,
+			     unsigned hosts, unsigned workers, unsigned shards,
+			     const char *settings)
 {
 	const char *platform_args[] = { "--listen", NULL, NULL };
 	char *log;
@@ -62,10 +69,10 @@
 		char *text = g_strdup_printf(
 			"[fleet]\nname=h%u\ndomain=d\ncallers=%s%u:8000\n"
 			"readiness=%s%u:8001\nmetrics=%s%u:8002\n"
-			"store=%s%u:7001\nshards=%u\nstop_ms=200\n",
+			"store=%s%u:7001\nshards=%u\nstop_ms=200\n%s",
 			i, sys->address_block, 10 + i, sys->address_block,
 			10 + i, sys->address_block, 10 + i, sys->address_block,
-			100 + i, shards);
+			100 + i, shards, settings);
 		char *file = g_strdup_printf("h%u.conf", i);
 
 		add_link(sys, i);
--- a/regress/fleet_system.h
+++ b/regress/fleet_system.h
@@ -31,6 +31,10 @@
  */
 void fleet_system_start(fleet_system_t *sys, const char *name, unsigned hosts,
 			unsigned workers, unsigned shards);
+/* The same with other lines of the hosts' settings. */
+void fleet_system_start_with(fleet_system_t *sys, const char *name,
+			     unsigned hosts, unsigned workers, unsigned shards,
+			     const char *settings);
 /*
  * Stops all processes; fails the test if the platform saw a violation or a
  * running host does not exit with status 0.
