--- a/regress/fleet_model.c
+++ b/regress/fleet_model.c
@@ -76,6 +76,7 @@
 static void wrong_address(model_t *m, uint32_t slot, host_t *h,
 			  gh_time_t until);
 static void wrong_start(model_t *m, uint32_t slot, host_t *h, gh_time_t until);
+static void empty_domain(model_t *m, uint32_t slot, host_t *h, gh_time_t until);
 
 static const disruption_kind_t kinds[DISRUPTIONS] = {
 	[DISRUPT_REPLIES] = { .name = "replies",
@@ -179,6 +180,11 @@
 				.from_ms = 50,
 				.to_ms = 1200,
 				.run = restart },
+	[DISRUPT_EMPTY] = { .name = "empty",
+			    .off = true,
+			    .from_ms = 300,
+			    .to_ms = 14000,
+			    .run = empty_domain },
 };
 
 static void run_events(model_t *m);
@@ -243,7 +249,7 @@
 	m->late_before_old = model_chance(m, 50);
 	for (i = 0; i < DISRUPTIONS; i++) {
 		/* Added later: the other seeds keep their course. */
-		if (i == DISRUPT_RECONNECT && !options->weights[i])
+		if (i >= DISRUPT_RECONNECT && !options->weights[i])
 			continue;
 		if (model_chance(m, USED_PERCENT))
 			m->weights[i] = options->weights[i];
@@ -635,6 +641,12 @@
 	k->run(m, slot, h, MIN(until, m->quiet_at));
 }
 
+static void empty_domain(model_t *m, uint32_t slot, host_t *h, gh_time_t until)
+{
+	(void)h;
+	model_domain_empty(m, slot, until);
+}
+
 static void lose_replies(model_t *m, uint32_t slot, host_t *h, gh_time_t until)
 {
 	(void)h;
--- a/regress/fleet_model.h
+++ b/regress/fleet_model.h
@@ -45,6 +45,8 @@
 	DISRUPT_WRONG_START,
 	DISRUPT_LATE_NEXT_LIFE,
 	DISRUPT_RECONNECT,
+	/* Off by default as well: a failure domain is to be emptied. */
+	DISRUPT_EMPTY,
 	DISRUPTIONS
 } model_disruption_t;
 
@@ -56,7 +58,9 @@
 	RULE_IDLE = 8,	/* tasks wait beside workers with capacity */
 	RULE_OVER = 16, /* runs of jobs that were over for a while */
 	/* In the store, a task belongs to one shard or is in one message. */
-	RULE_PLACE = 32
+	RULE_PLACE = 32,
+	/* Nothing starts in a domain some time after it is to be emptied. */
+	RULE_EMPTIED = 64
 } model_rule_t;
 
 typedef struct model_options {
--- a/regress/fleet_model_idle.c
+++ b/regress/fleet_model_idle.c
@@ -137,7 +137,7 @@
 	const model_entry_t *entry = entry_find(m, life->id);
 
 	return entry && entry->exists && !entry->unreadable &&
-	       !life->draining &&
+	       !life->draining && !model_domain_is_emptied(m, life) &&
 	       entry->value.incarnation_start_ms == life->start_ms;
 }
 
--- a/regress/fleet_model_owner.c
+++ b/regress/fleet_model_owner.c
@@ -434,6 +434,7 @@
 	h->clocks = platform_clocks_new();
 	memset(h->connections, 0, sizeof(h->connections));
 	model_move_boot(h);
+	model_domain_boot(h);
 	*event = (host_event_t){ .host = h, .boot = h->boot };
 	model_post(h->m, h->m->now, on_host_tick, event);
 }
@@ -725,6 +726,7 @@
 		.claim_revision = revision,
 		.claimed_at = h->claim_sent_at,
 		.stop_ms = MODEL_STOP_MS,
+		.empty_ms = model_domain_empty_ms(h->m),
 		.shard = h->shard,
 		.shards = h->m->n_shards,
 	};
@@ -767,6 +769,7 @@
 		    !entry->unreadable)
 			gh_fleet_worker_set(h->fleet, &entry->value, m->now);
 	}
+	model_domain_load(h);
 	h->phase = h->draining ? HOST_RELEASING : HOST_OWNING;
 	h->commit_at = 0;
 	h->reread_at = GH_TIME_NEVER;
--- a/regress/fleet_model_private.h
+++ b/regress/fleet_model_private.h
@@ -19,6 +19,7 @@
 #define MODEL_FIELD_MEMORY_MB 16000
 /* Time for which all hosts are down as disruptions end. */
 #define MODEL_DARK_MS 1000
+#define MODEL_DOMAINS 2
 #define MODEL_NONE UINT32_MAX
 
 typedef struct model model_t;
@@ -343,6 +344,9 @@
 	gh_time_t load_heard_at; /* when the other shard's load was sent */
 	store_call_t *batch;	 /* commit that awaits its outcome */
 	gh_fleet_t *fleet;
+	/* Which domains are to be emptied, and as of when; 0: not known. */
+	bool domains[MODEL_DOMAINS];
+	gh_time_t domains_heard_at;
 	platform_clocks_t *clocks;
 	model_connections_t connections[MODEL_SLOTS];
 };
@@ -374,6 +378,7 @@
 	uint32_t skew_percent; /* share of the jobs whose home is shard 0 */
 	host_t hosts[MODEL_HOSTS_MAX];
 	model_store_t store;
+	gh_time_t emptied_from[MODEL_DOMAINS], emptied_until[MODEL_DOMAINS];
 	bool workers_check_capacity;
 	bool late_before_old; /* precedence of a worker's refusals */
 	bool capacity_changed;
@@ -410,6 +415,19 @@
 /* Looks for runs of jobs that were over for a while. */
 void model_check_over(model_t *m);
 
+/* See fleet_model_domain.c. */
+int64_t model_domain_empty_ms(const model_t *m);
+/* Sets the domain in the worker's entry. */
+void model_domain_name(const model_t *m, const life_t *life,
+		       gh_worker_entry_t *entry);
+void model_domain_boot(host_t *h);
+/* The host has loaded its shard. */
+void model_domain_load(host_t *h);
+void model_domain_empty(model_t *m, uint32_t slot, gh_time_t until);
+bool model_domain_is_emptied(const model_t *m, const life_t *life);
+void model_domain_check_start(model_t *m, const life_t *life,
+			      const worker_call_t *call);
+
 /* See fleet_model_move.c. */
 void model_move_start(model_t *m);
 void model_move_add_job(model_t *m, model_job_t *job);
--- a/regress/fleet_model_worker.c
+++ b/regress/fleet_model_worker.c
@@ -144,6 +144,7 @@
 		.incarnation_start_ms = life->start_ms,
 		.draining = life->draining,
 	};
+	model_domain_name(m, life, &entry->value);
 	g_strlcpy(entry->value.id, life->id, sizeof(entry->value.id));
 	g_strlcpy(entry->value.labels[0], life->kind,
 		  sizeof(entry->value.labels[0]));
@@ -402,6 +403,7 @@
 
 	respond(m, life, call, GH_ORDER_OK);
 	model_check_start(m, life, &call->task, call->run);
+	model_domain_check_start(m, life, call);
 	if (m->options->quiet_ms)
 		model_field_begin_run(m, life, &call->task);
 	m->result->starts++;
--- a/regress/test_core_fleet_soak.c
+++ b/regress/test_core_fleet_soak.c
@@ -197,6 +197,52 @@
 	soak(&c);
 }
 
+/* Domains are to be emptied while owners change and are cut off. */
+static void test_nothing_starts_in_emptied_domains(void **state)
+{
+	static const soak_case_t cases[] = {
+		{ .name = "emptied domains, all disruptions",
+		  .disruptions = "+empty=8",
+		  .seed = 580000,
+		  .seeds = 200 },
+		{ .name = "emptied domains, owners change",
+		  .disruptions = "empty=4,kill=2,freeze=3,store_cut=3,"
+				 "store_down,release,replies,late",
+		  .seed = 581000,
+		  .seeds = 100 },
+		{ .name = "emptied domains, two shards",
+		  .disruptions = "+empty=8",
+		  .shards = 2,
+		  .seed = 582000,
+		  .seeds = 100 },
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		soak_case_t c = cases[i];
+
+		c.rules = RULE_EMPTIED | RULE_TWICE | RULE_ORDER;
+		soak(&c);
+	}
+}
+
+/* Domains come back as disruptions end. */
+static void test_no_task_waits_after_emptied_domains(void **state)
+{
+	static const soak_case_t c = {
+		.name = "idle tasks, emptied domains",
+		.rules = RULE_IDLE | RULE_EMPTIED,
+		.disruptions = "empty=6,restart=2,cut=2,kill,store_cut",
+		.seed = 583000,
+		.seeds = 100,
+		.quiet_ms = QUIET_MS,
+	};
+
+	(void)state;
+	soak(&c);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -209,6 +255,8 @@
 		cmocka_unit_test(test_no_task_waits_beside_free_workers),
 		cmocka_unit_test(test_no_task_waits_after_crashes),
 		cmocka_unit_test(test_no_task_waits_after_late_calls),
+		cmocka_unit_test(test_nothing_starts_in_emptied_domains),
+		cmocka_unit_test(test_no_task_waits_after_emptied_domains),
 	};
 
 	if (getenv("SOAK_TEST"))
