--- a/regress/test_fleet_watch.c
+++ b/regress/test_fleet_watch.c
@@ -299,6 +299,79 @@
 	}
 }
 
+/* What is current, as a full read, events and a lost history follow. */
+typedef struct current_step {
+	step_t step;
+	bool grows; /* what is known is as of a later time than before */
+} current_step_t;
+
+static void stop_loop(void *ctx)
+{
+	loop_stop(ctx);
+}
+
+static void test_current_at(void **state)
+{
+	static const current_step_t steps[] = {
+		{ .step = { STEP_PAGE_MORE,
+			    10,
+			    { { .key = "w/0/a", .revision = 5 } } },
+		  .grows = false },
+		{ .step = { STEP_PAGE,
+			    11,
+			    { { .key = "w/0/b", .revision = 6 } } },
+		  .grows = true },
+		{ .step = { STEP_EVENTS,
+			    12,
+			    { { .key = "w/0/a", .revision = 12 } } },
+		  .grows = true },
+		{ .step = { .kind = STEP_EVENTS, .revision = 12 },
+		  .grows = true },
+		{ .step = { .kind = STEP_COMPACTED, .revision = 0 },
+		  .grows = false },
+		/* The next page may list what is not known yet. */
+		{ .step = { STEP_PAGE_MORE,
+			    20,
+			    { { .key = "w/0/a", .revision = 12 } } },
+		  .grows = false },
+		{ .step = { STEP_PAGE,
+			    20,
+			    { { .key = "w/0/c", .revision = 19 } } },
+		  .grows = true },
+	};
+	static loop_t *loop;
+	GString *heard = g_string_new(NULL);
+	fleet_watch_listener_t listener = { .item_changed = on_item,
+					    .ctx = heard };
+	scripted_store_t store = { .base.ops = &store_ops };
+	step_t last = { .kind = STEP_EVENTS, .revision = 100 };
+	fleet_watch_t *watch;
+	gh_time_t known = 0;
+	size_t i;
+
+	(void)state;
+	loop = loop_new();
+	watch = fleet_watch_new(loop, &store.base, FLEET_KEYSPACE_OWN, PREFIX,
+				&listener);
+	for (i = 0; i < G_N_ELEMENTS(steps); i++) {
+		g_usleep(2000);
+		/* After a failed call, the loop's timer makes the next one. */
+		if (!store.done) {
+			loop_after_iteration(loop, stop_loop, loop);
+			loop_run(loop);
+		}
+		assert_non_null(store.done);
+		reply_to_call(&store, &steps[i].step);
+		assert_int_equal(fleet_watch_current_at(watch) > known,
+				 steps[i].grows);
+		known = fleet_watch_current_at(watch);
+	}
+	assert_true(known < clock_boot() - 1000);
+	fleet_watch_free(watch);
+	reply_to_call(&store, &last);
+	g_string_free(heard, TRUE);
+}
+
 #define PAUSED_RUN_USEC (400 * GH_USEC_PER_MSEC)
 
 /* A store that has a change for each watch call at once. */
@@ -432,6 +505,7 @@
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_late_replies),
+		cmocka_unit_test(test_current_at),
 		cmocka_unit_test(test_pause),
 	};
 
--- a/regress/test_platform_decode.c
+++ b/regress/test_platform_decode.c
@@ -56,12 +56,19 @@
 	"{\"backend\":\"s\",\"address\":\"1.2.3.4:5\",\"state\":\"ready\"," \
 	"\"capacity\":{" capacity "},\"labels\":[\"a\"]" more "}"
 
+/* A byte more than a domain's name has at most. */
+#define LONG_NAME                          \
+	"0123456789abcdef0123456789abcdef" \
+	"0123456789abcdef0123456789abcdef"
+
 /* An entry with numbers; born_ms and gpus are checked if it is accepted. */
 typedef struct entry_case {
 	const char *text;
 	bool ok;
 	uint32_t gpus;
 	int64_t born_ms;
+	const char *domain; /* NULL: none */
+	int64_t cold_ms;
 } entry_case_t;
 
 static const entry_case_t entry_cases[] = {
@@ -76,6 +83,18 @@
 	  .ok = true,
 	  .gpus = 1,
 	  .born_ms = 7 },
+	{ .text = ENTRY("", ",\"zone\":\"bole\",\"cold_remaining_ms\":800"),
+	  .ok = true,
+	  .domain = "bole",
+	  .cold_ms = 800 },
+	{ .text = ENTRY("", ",\"zone\":\"\""), .ok = true },
+	{ .text = ENTRY("", ",\"zone\":7") },
+	{ .text = ENTRY("", ",\"zone\":null") },
+	{ .text = ENTRY("", ",\"zone\":\"a b\"") },
+	{ .text = ENTRY("", ",\"zone\":\"" LONG_NAME "\"") },
+	{ .text = ENTRY("", ",\"cold_remaining_ms\":\"800\"") },
+	{ .text = ENTRY("", ",\"cold_remaining_ms\":-1") },
+	{ .text = ENTRY("", ",\"cold_remaining_ms\":1e300") },
 	{ .text = ENTRY("\"cpu\":\"8000\"", "") },
 	{ .text = ENTRY("\"cpu\":null", "") },
 	{ .text = ENTRY("\"cpu\":-1", "") },
@@ -152,6 +171,42 @@
 			continue;
 		assert_int_equal(entry.size.accelerators, c->gpus);
 		assert_int_equal(entry.incarnation_start_ms, c->born_ms);
+		assert_string_equal(entry.domain, c->domain ? c->domain : "");
+		assert_int_equal(entry.cold_ms, c->cold_ms);
+	}
+}
+
+static void test_requests(void **state)
+{
+	static const struct {
+		const char *key;
+		fleet_request_t request;
+		const char *domain;
+	} request_cases[] = {
+		{ "evacuate/bole", FLEET_REQUEST_EMPTY_DOMAIN, "bole" },
+		{ "evacuate/b%ole\"", FLEET_REQUEST_EMPTY_DOMAIN, "b%ole\"" },
+		{ "evacuate/", FLEET_REQUEST_ODD, "" },
+		{ "evacuate/a/b", FLEET_REQUEST_ODD, "" },
+		{ "evacuate/a b", FLEET_REQUEST_ODD, "" },
+		{ "evacuate/a\n", FLEET_REQUEST_ODD, "" },
+		{ "evacuate/" LONG_NAME, FLEET_REQUEST_ODD, "" },
+		{ "evacuate", FLEET_REQUEST_NONE, "" },
+		{ "evacuated/bole", FLEET_REQUEST_NONE, "" },
+		{ "config", FLEET_REQUEST_NONE, "" },
+		{ "wave/1", FLEET_REQUEST_NONE, "" },
+		{ "", FLEET_REQUEST_NONE, "" },
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(request_cases); i++) {
+		char domain[GH_DOMAIN_MAX + 1] = "";
+		fleet_request_t request =
+			platform_parse_request(request_cases[i].key, domain);
+
+		assert_int_equal(request, request_cases[i].request);
+		if (request == FLEET_REQUEST_EMPTY_DOMAIN)
+			assert_string_equal(domain, request_cases[i].domain);
 	}
 }
 
@@ -596,6 +651,8 @@
 
 static const settings_case_t settings_cases[] = {
 	{ "", GH_E_COUNT },
+	{ "empty_domain_ms=5000\n", GH_E_COUNT },
+	{ "empty_domain_ms=-1\n", GH_E_BAD_VALUE },
 	{ "shards=4\ncores=0.25\n", GH_E_COUNT },
 	{ "shards=1000\n", GH_E_BAD_VALUE },
 	{ "lease_ms=soon\n", GH_E_BAD_VALUE },
@@ -640,6 +697,7 @@
 		cmocka_unit_test(test_worker_address),
 		cmocka_unit_test(test_worker_numbers),
 		cmocka_unit_test(test_worker_errors),
+		cmocka_unit_test(test_requests),
 		cmocka_unit_test(test_clock),
 		cmocka_unit_test(test_report),
 		cmocka_unit_test(test_pipeline),
