--- a/Makefile
+++ b/Makefile
@@ -139,6 +139,7 @@
 bench: all
 	$(BUILD)/bench-core
 	$(BUILD)/bench-shard
+	$(BUILD)/bench-fleet
 	$(BUILD)/bench-front
 	$(BUILD)/bench-node
 	for p in association-calm association-swing association-failures \
--- a/core_fleet_domain.c
+++ b/core_fleet_domain.c
@@ -17,7 +17,6 @@
  */
 #include "core_fleet_parts.h"
 
-#include <inttypes.h>
 #include <string.h>
 
 /*
@@ -29,16 +28,14 @@
 
 /* What a request finds in its domain. */
 typedef struct tally {
-	uint32_t workers, runs;
-	uint64_t taken_back;
+	uint32_t workers, runs, unsent;
 } tally_t;
 
 static bool is_emptied(const gh_fleet_t *fleet, const fleet_worker_t *worker);
 static void update_worker(gh_fleet_t *fleet, uint32_t handle, gh_time_t now);
 static void take_back(gh_fleet_t *fleet, uint32_t handle, gh_time_t now);
 static tally_t count_domain(const gh_fleet_t *fleet, const char *name);
-static void report_emptied(const gh_fleet_t *fleet, const char *name,
-			   gh_time_t now);
+static void report_emptied(const gh_fleet_t *fleet, const char *name);
 static void report_returned(const gh_fleet_t *fleet, GHashTable *former);
 
 void gh_fleet_domains_set(gh_fleet_t *fleet, const char *const *names, size_t n,
@@ -55,7 +52,7 @@
 	report_returned(fleet, former);
 	for (i = 0; i < n; i++)
 		if (!g_hash_table_contains(former, names[i]))
-			report_emptied(fleet, names[i], now);
+			report_emptied(fleet, names[i]);
 	g_hash_table_destroy(former);
 	for (handle = 0; handle < fleet->workers->len; handle++)
 		if (fleet_worker(fleet, handle)->in_use)
@@ -160,21 +157,19 @@
 		tally.runs += worker->n_runs;
 		for (ref = worker->first_run; ref != GH_NONE;
 		     ref = fleet_run(fleet, ref)->next)
-			tally.taken_back +=
+			tally.unsent +=
 				fleet_run_is_unsent(fleet_run(fleet, ref));
 	}
 	return tally;
 }
 
 /* Emits what is in the domain before anything is taken back. */
-static void report_emptied(const gh_fleet_t *fleet, const char *name,
-			   gh_time_t now)
+static void report_emptied(const gh_fleet_t *fleet, const char *name)
 {
 	tally_t tally = count_domain(fleet, name);
-	char *detail = g_strdup_printf(
-		"%s: %u workers, %u runs, %" PRIu64 " of them not sent%s", name,
-		tally.workers, tally.runs, tally.taken_back,
-		fleet_domain_is_heard(fleet, now) ? "" : ", after silence");
+	char *detail =
+		g_strdup_printf("%s: %u workers, %u runs, %u of them not sent",
+				name, tally.workers, tally.runs, tally.unsent);
 
 	fleet_emit_event(fleet, "domain_emptied", NULL, 0, GH_NONE, detail);
 	g_free(detail);
