--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -313,6 +313,7 @@
 	bool in_use;	   /* the array entry is used */
 	bool listed;	   /* service discovery lists the worker */
 	bool has_reported; /* this incarnation has sent this owner a report */
+	bool emptied;	   /* its failure domain is being emptied */
 	/* A report is to show whether a late start had begun. */
 	bool late_report_due;
 	/* A later life than the entry's has replied; its start is not known. */
@@ -328,7 +329,6 @@
 	/* Where the last lease renewal was sent. */
 	char renewal_address[GH_ADDRESS_MAX + 1];
 	gh_time_t heard_since; /* time of its first report */
-	bool emptied;	       /* its failure domain is being emptied */
 	gh_time_t cold_until;  /* it is slow until then */
 	/* When the worker's last restart became known; 0: none. */
 	gh_time_t restart_known_at;
--- a/regress/test_core_fleet_domain.c
+++ b/regress/test_core_fleet_domain.c
@@ -38,16 +38,16 @@
 
 typedef struct domain_case {
 	const char *name;
-	moment_t moment;
 	const gh_step_t *step; /* NULL: one_task */
-	bool executed;	       /* the start without a reply was executed */
-	bool all;	       /* domain "b" is to be emptied as well */
-	bool unnamed;	       /* the entry of the worker in "a" names none */
-	bool owner_replaced;   /* just before the request is heard */
 	int64_t back_ms;       /* it is taken back after this time */
-	bool again;	       /* and made again a moment later */
 	size_t in_a, in_b;     /* runs there at the end */
-	bool stopped;	       /* a stop is sent */
+	moment_t moment;
+	bool executed;	     /* the start without a reply was executed */
+	bool all;	     /* domain "b" is to be emptied as well */
+	bool unnamed;	     /* the entry of the worker in "a" names none */
+	bool owner_replaced; /* just before the request is heard */
+	bool again;	     /* after back_ms it is made again at once */
+	bool stopped;	     /* a stop is sent */
 } domain_case_t;
 
 static const domain_case_t cases[] = {
