--- a/core_fleet.c
+++ b/core_fleet.c
@@ -38,13 +38,14 @@
 	fleet->free_jobs = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	fleet->free_runs = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	fleet->orders = g_queue_new();
+	fleet->pace_orders = g_queue_new();
 	fleet->worker_by_id =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	fleet->job_by_id =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	fleet->queues =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
-	fleet->changes = g_queue_new();
+	fleet->changes = gh_commit_order_new();
 	fleet->failed_placements =
 		g_array_new(FALSE, FALSE, sizeof(failed_placement_t));
 	fleet->outages = g_array_new(FALSE, FALSE, sizeof(gh_time_t));
@@ -80,10 +81,11 @@
 	g_array_free(fleet->free_jobs, TRUE);
 	g_array_free(fleet->free_runs, TRUE);
 	g_queue_free_full(fleet->orders, g_free);
+	g_queue_free_full(fleet->pace_orders, g_free);
 	g_hash_table_destroy(fleet->worker_by_id);
 	g_hash_table_destroy(fleet->job_by_id);
 	g_hash_table_destroy(fleet->queues);
-	g_queue_free(fleet->changes);
+	gh_commit_order_free(fleet->changes);
 	g_array_free(fleet->failed_placements, TRUE);
 	g_array_free(fleet->outages, TRUE);
 	g_array_free(fleet->doubts, TRUE);
@@ -179,6 +181,7 @@
 	fleet_emit_event(fleet, "job_ended", &id, 0, GH_NONE,
 			 gh_job_phase_name(phase));
 	fleet_job_mark_changed(fleet, handle);
+	fleet_commit_hasten(fleet, handle);
 	stop_task_runs(fleet, handle, 0, job->n_tasks, "job ended", now);
 }
 
@@ -234,6 +237,7 @@
 		if (parent->phase == GH_JOB_QUEUED)
 			parent->phase = GH_JOB_RUNNING;
 		fleet_job_mark_changed(fleet, job);
+		fleet_commit_hasten(fleet, job);
 		run->version = parent->version;
 	}
 	return handle;
--- a/core_fleet.h
+++ b/core_fleet.h
@@ -319,6 +319,7 @@
 	uint64_t idle;	   /* jobs that waited with nothing running, a second */
 	/* Tasks that left for other shards, and that came from them. */
 	uint64_t departed, arrived;
+	uint64_t hastened; /* job changes committed ahead of older ones */
 	uint32_t jobs, workers, open_runs, pending_tasks;
 } gh_fleet_counts_t;
 
--- a/core_fleet_budget.c
+++ b/core_fleet_budget.c
@@ -3,9 +3,9 @@
  *
  * Handles owners that decide faster than they commit and send.  A planned run
  * holds capacity that nothing uses until the change of its job is committed.
- * Changes are committed in the order in which they were queued, so nothing is
- * planned while more of them are queued than were committed in the last second
- * or so, but for PLANNED_MIN runs.  The bound counts changes and not runs, as
+ * Nothing is planned while more changes are to be committed before it
+ * (core_fleet_commit.c) than were committed in the last second or so, but for
+ * PLANNED_MIN runs.  The bound counts changes and not runs, as
  * one change can begin many runs and tell many ends.  A job whose change is
  * queued anyway needs no other, so it may have more planned for longer: else
  * the ends of runs would take up the commits for some seconds at a time.
@@ -25,6 +25,7 @@
 /* A quarter of the changes that are committed is for the oldest jobs. */
 #define OLDEST_SHARE_DIVISOR 4
 
+static bool allows(gh_fleet_t *fleet, uint32_t n_ahead);
 static void decay(double *lately, uint32_t *since, gh_time_t elapsed);
 
 void fleet_budget_note_begun(gh_fleet_t *fleet)
@@ -71,20 +72,27 @@
 bool fleet_budget_allows_job(gh_fleet_t *fleet, const fleet_job_t *job)
 {
 	const fleet_budget_t *budget = &fleet->budget;
-	uint32_t n_changes = g_queue_get_length(fleet->changes);
+	uint32_t n_changes = gh_commit_order_length(fleet->changes);
 	bool may_exceed = n_changes < EXCESS_FACTOR * budget->changes_max;
 
 	if (budget->serves_oldest)
 		return (may_exceed && n_changes < budget->oldest_changes_max) ||
 		       budget->n_planned < budget->oldest_planned_max;
-	return (may_exceed && job->change_queued) || fleet_budget_allows(fleet);
+	return (may_exceed && job->change_queued) ||
+	       allows(fleet, fleet_commit_ahead(fleet, job));
 }
 
 bool fleet_budget_allows(gh_fleet_t *fleet)
+{
+	return allows(fleet, gh_commit_order_length(fleet->changes));
+}
+
+/* Whether more may be planned behind so many changes. */
+static bool allows(gh_fleet_t *fleet, uint32_t n_ahead)
 {
 	fleet_budget_t *budget = &fleet->budget;
 
-	if (g_queue_get_length(fleet->changes) < budget->changes_max ||
+	if (n_ahead < budget->changes_max ||
 	    budget->n_planned < budget->planned_max)
 		return true;
 	budget->is_short = true;
@@ -97,7 +105,7 @@
 
 	if (!budget->was_short)
 		return false;
-	budget->oldest_changes_max = g_queue_get_length(fleet->changes) +
+	budget->oldest_changes_max = gh_commit_order_length(fleet->changes) +
 				     (uint32_t)budget->oldest_share;
 	budget->oldest_planned_max = budget->n_planned;
 	if (budget->n_planned < budget->planned_max)
@@ -110,7 +118,7 @@
 void fleet_budget_end_oldest(gh_fleet_t *fleet)
 {
 	fleet_budget_t *budget = &fleet->budget;
-	uint32_t n_changes = g_queue_get_length(fleet->changes);
+	uint32_t n_changes = gh_commit_order_length(fleet->changes);
 
 	budget->serves_oldest = false;
 	budget->oldest_share = n_changes < budget->oldest_changes_max ?
--- /dev/null
+++ b/core_fleet_commit.c
@@ -0,0 +1,45 @@
+/*
+ * Ranks of the changes that wait to be committed.
+ *
+ * A change that begins runs, or ends its job, has the rank with which the job's
+ * tasks are placed.  One that only tells of ends is as little urgent as the
+ * queue with the lowest priority, and so is that of a job that is late.  See
+ * core_commit_order.h for the order.
+ */
+#include "core_fleet_parts.h"
+
+/* Rank of a change that has no haste. */
+static uint32_t last_rank(const gh_fleet_t *fleet)
+{
+	return fleet->last_priority;
+}
+
+void fleet_commit_add(gh_fleet_t *fleet, uint32_t handle)
+{
+	gh_commit_order_add(fleet->changes, handle, last_rank(fleet));
+}
+
+void fleet_commit_hasten(gh_fleet_t *fleet, uint32_t handle)
+{
+	const fleet_job_t *job = fleet_job(fleet, handle);
+
+	/* One that failed lately must not hold up those behind it again. */
+	if (job->change_queued && !job->commit_failed)
+		gh_commit_order_add(fleet->changes, handle,
+				    MIN(job->rank, last_rank(fleet)));
+}
+
+void fleet_commit_handle_failure(gh_fleet_t *fleet, uint32_t handle)
+{
+	fleet_job_t *job = fleet_job(fleet, handle);
+
+	fleet_job_mark_changed(fleet, handle);
+	fleet_commit_hasten(fleet, handle);
+	job->commit_failed = true;
+}
+
+uint32_t fleet_commit_ahead(const gh_fleet_t *fleet, const fleet_job_t *job)
+{
+	return gh_commit_order_ahead(fleet->changes,
+				     MIN(job->rank, last_rank(fleet)));
+}
--- a/core_fleet_move.c
+++ b/core_fleet_move.c
@@ -335,11 +335,10 @@
 
 uint32_t gh_fleet_next_change_moves(const gh_fleet_t *fleet)
 {
-	uint32_t handle =
-		GPOINTER_TO_UINT(g_queue_peek_head(fleet->changes)) - 1;
 	const fleet_job_t *job;
+	uint32_t handle;
 
-	if (handle == GH_NONE)
+	if (!gh_commit_order_peek(fleet->changes, &handle))
 		return 0;
 	job = fleet_job(fleet, handle);
 	return MIN(job->n_leaving, CHANGE_MOVES_MAX) +
--- a/core_fleet_order.c
+++ b/core_fleet_order.c
@@ -18,7 +18,9 @@
 				  .run_number = run->run_number };
 
 	run->retry_at = GH_TIME_NEVER;
-	g_queue_push_tail(fleet->orders, g_memdup2(&queued, sizeof(queued)));
+	g_queue_push_tail(kind == GH_ORDER_PACE ? fleet->pace_orders :
+						  fleet->orders,
+			  g_memdup2(&queued, sizeof(queued)));
 }
 
 void fleet_stop_enqueue(gh_fleet_t *fleet, const char *worker,
@@ -40,7 +42,8 @@
 {
 	queued_order_t *next;
 
-	while ((next = g_queue_pop_head(fleet->orders))) {
+	while ((next = g_queue_pop_head(fleet->orders)) ||
+	       (next = g_queue_pop_head(fleet->pace_orders))) {
 		queued_order_t queued = *next;
 		fleet_run_t *run;
 		const fleet_worker_t *worker;
--- a/core_fleet_parts.h
+++ b/core_fleet_parts.h
@@ -28,6 +28,14 @@
  */
 const gh_queue_policy_t *fleet_job_policy(const gh_fleet_t *fleet,
 					  const fleet_job_t *job);
+/* Queues the job's change to be committed. */
+void fleet_commit_add(gh_fleet_t *fleet, uint32_t handle);
+/* Lets a queued change go ahead by the job's rank. */
+void fleet_commit_hasten(gh_fleet_t *fleet, uint32_t handle);
+/* Queues the job's change again, as its commit failed. */
+void fleet_commit_handle_failure(gh_fleet_t *fleet, uint32_t handle);
+/* Queued changes that come before one that begins runs of the job. */
+uint32_t fleet_commit_ahead(const gh_fleet_t *fleet, const fleet_job_t *job);
 /*
  * Adds a job none of whose tasks was started; takes ownership of the pipeline.
  * guest: its home is another shard, and none of its tasks is here.
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -107,6 +107,7 @@
 			if (!rated)
 				rate_candidate(fleet, job, &c, wall_ms);
 			rated = true;
+			job->rank = c.rank;
 			c.stage = s;
 			c.restarts = has_restarts(job, s);
 			if (c.restarts)
--- a/core_fleet_record.c
+++ b/core_fleet_record.c
@@ -173,19 +173,19 @@
 
 bool gh_fleet_has_changes(const gh_fleet_t *fleet)
 {
-	return !g_queue_is_empty(fleet->changes);
+	return gh_commit_order_length(fleet->changes) > 0;
 }
 
 bool gh_fleet_next_change(gh_fleet_t *fleet, gh_fleet_change_t *change)
 {
-	uint32_t handle =
-		GPOINTER_TO_UINT(g_queue_pop_head(fleet->changes)) - 1;
 	fleet_job_t *job;
 	GString *text;
-	uint32_t i;
+	bool is_ahead;
+	uint32_t handle, i;
 
-	if (handle == GH_NONE)
+	if (!gh_commit_order_take(fleet->changes, &handle, &is_ahead))
 		return false;
+	fleet->counts.hastened += is_ahead;
 	job = fleet_job(fleet, handle);
 	job->change_queued = false;
 	job->commit_pending = true;
@@ -218,7 +218,7 @@
 		return;
 	job = fleet_job(fleet, handle);
 	fleet->budget.n_committed++;
-	job->commit_pending = false;
+	job->commit_pending = job->commit_failed = false;
 	job->committed_version = version;
 	job->committed_phase = job->committing_phase;
 	fleet_move_handle_commit(fleet, handle);
@@ -247,7 +247,7 @@
 		return;
 	fleet_job(fleet, handle)->commit_pending = false;
 	fleet_move_handle_commit_failure(fleet_job(fleet, handle));
-	fleet_job_mark_changed(fleet, handle);
+	fleet_commit_handle_failure(fleet, handle);
 }
 
 void fleet_ack_add(gh_fleet_t *fleet, uint32_t worker, uint64_t number,
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -7,6 +7,7 @@
 #ifndef CORE_FLEET_STATE_H
 #define CORE_FLEET_STATE_H
 
+#include "core_commit_order.h"
 #include "core_fleet.h"
 #include "core_load.h"
 #include "core_interference.h"
@@ -255,6 +256,8 @@
 	 * share; it has waited for long.
 	 */
 	bool gang_overdue, gang_desperate;
+	/* With which its tasks were last placed; the lowest comes first. */
+	uint32_t rank;
 	uint64_t version, committed_version;
 	gh_job_phase_t committed_phase;
 	/* Phase in the job record that is being committed. */
@@ -274,6 +277,7 @@
 	uint32_t n_deleting;
 	bool change_queued; /* the job is queued in gh_fleet.changes */
 	bool commit_pending;
+	bool commit_failed; /* the last commit of a change of it */
 	/* ids of the steps' images in the interference model */
 	uint16_t *image_ids;
 	/* Handle of the worker of the job's first failed run, or GH_NONE. */
@@ -530,9 +534,14 @@
 	GHashTable *job_by_id;	   /* id to handle + 1 */
 	GHashTable *queues;	   /* name to gh_queue_policy_t */
 	GArray *failed_placements; /* failed_placement_t, of this tick */
-	GQueue *changes;	   /* handles + 1 of jobs to be committed */
-	/* orders to be sent to workers: queued_order_t */
-	GQueue *orders;
+	/* jobs whose changes are to be committed */
+	gh_commit_order_t *changes;
+	uint32_t last_priority; /* of the least urgent queue */
+	/*
+	 * Orders to be sent to workers, queued_order_t; those that change paces
+	 * come last.
+	 */
+	GQueue *orders, *pace_orders;
 	/* The last order taken from the queue, for the strings in it. */
 	queued_order_t last_order;
 	/* When workers with runs became unreachable or restarted: gh_time_t. */
--- a/core_fleet_table.c
+++ b/core_fleet_table.c
@@ -147,6 +147,7 @@
 
 	*copy = *policy;
 	g_hash_table_replace(fleet->queues, copy->name, copy);
+	fleet->last_priority = MAX(fleet->last_priority, policy->priority);
 }
 
 const gh_queue_policy_t *fleet_job_policy(const gh_fleet_t *fleet,
@@ -170,7 +171,7 @@
 	if (job->change_queued)
 		return;
 	job->change_queued = true;
-	g_queue_push_tail(fleet->changes, GUINT_TO_POINTER(handle + 1));
+	fleet_commit_add(fleet, handle);
 }
 
 uint32_t fleet_entry_alloc(GArray *table, GArray *free_entries)
--- a/counter_list.h
+++ b/counter_list.h
@@ -194,5 +194,7 @@
 COUNTER(TASKS_DEPARTED, "tasks_departed",
 	"waiting tasks that moved to another shard")
 COUNTER(TASKS_ARRIVED, "tasks_arrived", "tasks that came from another shard")
+COUNTER(CHANGES_HASTENED, "changes_hastened",
+	"changes of urgent jobs committed ahead of older changes")
 COUNTER(RUNS_MOVED, "runs_moved",
 	"slowed best-effort tasks stopped to continue on another worker")
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -326,6 +326,7 @@
 		{ CTR_JOBS_IDLE, offsetof(gh_fleet_counts_t, idle) },
 		{ CTR_TASKS_DEPARTED, offsetof(gh_fleet_counts_t, departed) },
 		{ CTR_TASKS_ARRIVED, offsetof(gh_fleet_counts_t, arrived) },
+		{ CTR_CHANGES_HASTENED, offsetof(gh_fleet_counts_t, hastened) },
 	};
 	gh_fleet_counts_t counts;
 	size_t i;
--- a/regress/fleet_model.c
+++ b/regress/fleet_model.c
@@ -532,6 +532,9 @@
 					       make_pipeline(m, number);
 	if (m->options->quiet_ms)
 		model_field_set_faults(m, job);
+	if (m->options->queues)
+		model_queue_name(number % m->options->queues,
+				 job->pipeline->queue);
 	job->text = gh_pipeline_format(job->pipeline);
 	job->n_tasks = gh_pipeline_task_count(job->pipeline);
 	job->tasks = g_new0(model_task_t, job->n_tasks);
@@ -543,6 +546,11 @@
 	return job;
 }
 
+void model_queue_name(uint32_t priority, char name[GH_QUEUE_MAX + 1])
+{
+	g_snprintf(name, GH_QUEUE_MAX + 1, "q%u", priority);
+}
+
 static gh_pipeline_t *make_pipeline(model_t *m, uint32_t number)
 {
 	gh_pipeline_t *pipeline = g_new0(gh_pipeline_t, 1);
--- a/regress/fleet_model.h
+++ b/regress/fleet_model.h
@@ -72,6 +72,8 @@
 	uint32_t shards;	       /* 0: one */
 	/* Each call goes over a new connection, which any life may answer. */
 	bool unbound;
+	/* Jobs belong to so many queues, each of a priority; 0: one. */
+	uint32_t queues;
 } model_options_t;
 
 typedef struct model_result {
--- a/regress/fleet_model_owner.c
+++ b/regress/fleet_model_owner.c
@@ -21,6 +21,10 @@
 #define RELEASED " released "
 #define GRANTS " grants "
 #define HIT_PERCENT 50
+/* Policy of each queue; their priorities differ. */
+#define QUEUE_ATTEMPTS 3
+#define QUEUE_STRETCH_MILLI 2000
+#define QUEUE_TARGET_MS 500
 
 typedef struct host_event {
 	host_t *host;
@@ -59,6 +63,7 @@
 static void claim_chain_read(host_t *h, const store_call_t *call);
 static void claim_retry(host_t *h);
 static void claim_succeeded(host_t *h, uint64_t revision);
+static void set_queues(host_t *h);
 static void host_load(host_t *h);
 static void finish_loading(host_t *h);
 static void add_job(host_t *h, model_job_t *job, bool with_progress);
@@ -738,10 +743,28 @@
 	h->renew_at = now;
 	h->load_at = now;
 	h->fleet = gh_fleet_new(&setup, &sink, now);
+	set_queues(h);
 	model_log(h->m, NULL, "host %u owns the shard, epoch %d", h->index,
 		  (int)h->epoch);
 }
 
+static void set_queues(host_t *h)
+{
+	uint32_t i;
+
+	for (i = 0; i < h->m->options->queues; i++) {
+		gh_queue_policy_t policy = {
+			.priority = i,
+			.attempts = QUEUE_ATTEMPTS,
+			.stretch_milli = QUEUE_STRETCH_MILLI,
+			.target_ms = QUEUE_TARGET_MS,
+		};
+
+		model_queue_name(i, policy.name);
+		gh_fleet_queue_set(h->fleet, &policy);
+	}
+}
+
 static void host_load(host_t *h)
 {
 	h->load_at = GH_TIME_NEVER;
--- a/regress/fleet_model_private.h
+++ b/regress/fleet_model_private.h
@@ -444,6 +444,8 @@
 void model_idle_note_run(model_t *m, const gh_task_id_t *id);
 void model_field_start(model_t *m);
 void model_field_store_down(model_t *m, gh_time_t until);
+/* Name of the queue with the priority. */
+void model_queue_name(uint32_t priority, char name[GH_QUEUE_MAX + 1]);
 gh_pipeline_t *model_field_pipeline(model_t *m, uint32_t number);
 /* Whether a run on the worker fails, whatever its job. */
 bool model_field_is_sick(const model_t *m, const life_t *life);
--- a/regress/fleet_soak.c
+++ b/regress/fleet_soak.c
@@ -56,6 +56,8 @@
 					      "SOAK_SECONDS", SECONDS_DEFAULT),
 		.quiet_ms = c->quiet_ms,
 		.shards = c->shards,
+		.queues = (uint32_t)number_from_environment("SOAK_QUEUES",
+							    c->queues),
 		.unbound = getenv("SOAK_UNBOUND") ||
 			   (c->unbound && !getenv("SOAK_SEED")),
 	};
--- a/regress/test_core_fleet_soak.c
+++ b/regress/test_core_fleet_soak.c
@@ -137,6 +137,31 @@
 	}
 }
 
+/* Changes are committed by rank, also those of queues that wait for longest. */
+static void test_queues_of_several_priorities(void **state)
+{
+	static const soak_case_t cases[] = {
+		{ .name = "three queues, all disruptions but restarts",
+		  .rules = RULE_TWICE | RULE_ORDER | RULE_CAPACITY,
+		  .disruptions = "-restart,-move",
+		  .queues = 3,
+		  .seed = 2600000,
+		  .seeds = 300 },
+		{ .name = "three queues, idle tasks",
+		  .rules = RULE_IDLE,
+		  .disruptions = "-record",
+		  .queues = 3,
+		  .seed = 2610000,
+		  .seeds = 60,
+		  .quiet_ms = QUIET_MS },
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		soak(&cases[i]);
+}
+
 static void test_no_start_over_capacity(void **state)
 {
 	static const soak_case_t c = {
@@ -205,6 +230,7 @@
 		cmocka_unit_test(test_lease_of_life_whose_start_no_owner_knows),
 		cmocka_unit_test(test_done_in_unknown_new_life),
 		cmocka_unit_test(test_call_reaches_next_life),
+		cmocka_unit_test(test_queues_of_several_priorities),
 		cmocka_unit_test(test_no_start_over_capacity),
 		cmocka_unit_test(test_no_task_waits_beside_free_workers),
 		cmocka_unit_test(test_no_task_waits_after_crashes),
