--- a/core_fleet_copy.c
+++ b/core_fleet_copy.c
@@ -3,6 +3,7 @@
  * go on elsewhere.
  */
 #include "core_fleet_parts.h"
+#include "core_slow_move.h"
 
 #define STRAGGLER_CHECK_PERIOD_USEC (100 * GH_USEC_PER_MSEC)
 /* A run is a straggler after this many times the mean run time of its stage. */
@@ -10,8 +11,13 @@
 #define STRAGGLER_MIN_MS 500.0
 /* A best-effort run whose pace is low for longer than this is moved. */
 #define SLOW_BEFORE_MOVE_USEC (700 * GH_USEC_PER_MSEC)
+#define SLOW_REASON_MAX 160 /* bytes of the reason of a move */
 
 static void copy_stragglers(gh_fleet_t *fleet, gh_time_t now);
+static gh_slow_run_t describe_slow_run(const gh_fleet_t *fleet,
+				       const fleet_run_t *run);
+static void move_slow_run(gh_fleet_t *fleet, uint32_t ref,
+			  const gh_slow_run_t *slow, gh_time_t now);
 static void move_slow_runs(gh_fleet_t *fleet, gh_time_t now);
 
 void fleet_copy_check(gh_fleet_t *fleet, gh_time_t now)
@@ -74,10 +80,41 @@
 	}
 }
 
+static gh_slow_run_t describe_slow_run(const gh_fleet_t *fleet,
+				       const fleet_run_t *run)
+{
+	const fleet_job_t *job = fleet_job(fleet, run->job);
+
+	return (gh_slow_run_t){
+		.estimate_ms = fleet_task_step(job, run->task)->estimate_ms,
+		.worked_ms = run->worked_ms,
+		.first_percent = run->first_percent,
+		.percent = run->progress_percent,
+		.pace_percent = run->pace_percent,
+		.stop_ms = fleet->setup.stop_ms,
+	};
+}
+
+static void move_slow_run(gh_fleet_t *fleet, uint32_t ref,
+			  const gh_slow_run_t *slow, gh_time_t now)
+{
+	const fleet_run_t *run = fleet_run(fleet, ref);
+	char why[SLOW_REASON_MAX];
+
+	g_snprintf(why, sizeof(why),
+		   "its pace is low and another worker has capacity: "
+		   "pace_percent=%u percent=%u left_ms=%.0f gain_ms=%.0f",
+		   slow->pace_percent, slow->percent, gh_slow_run_left_ms(slow),
+		   gh_slow_run_gain_ms(slow));
+	fleet_job(fleet, run->job)->tasks[run->task].avoid_worker = run->worker;
+	fleet->counts.moved++;
+	fleet_run_stop(fleet, ref, why, now);
+}
+
 /*
  * Stops best-effort runs that have had a low pace for some time if another
- * worker can take them.  Only steps that write checkpoints are moved, because
- * the stop saves what was done.
+ * worker can take them and is expected to end them earlier.  Only steps that
+ * write checkpoints are moved, because the stop saves what was done.
  */
 static void move_slow_runs(gh_fleet_t *fleet, gh_time_t now)
 {
@@ -86,20 +123,19 @@
 
 	for (i = 0; i < n; i++) {
 		const fleet_run_t *run = fleet_run(fleet, i);
+		gh_slow_run_t slow;
 		fleet_job_t *job;
 
 		if (run->state != RUN_RUNNING || !run->slow_since ||
 		    now - run->slow_since < SLOW_BEFORE_MOVE_USEC)
 			continue;
 		job = fleet_job(fleet, run->job);
-		if (!fleet_task_step(job, run->task)->checkpoints ||
-		    fleet_choose_worker(fleet, job, run->task, run->worker,
-					now) == GH_NONE)
+		if (!fleet_task_step(job, run->task)->checkpoints)
 			continue;
-		job->tasks[run->task].avoid_worker = run->worker;
-		fleet->counts.moved++;
-		fleet_run_stop(
-			fleet, i,
-			"its pace is low and another worker has capacity", now);
+		slow = describe_slow_run(fleet, run);
+		if (gh_slow_run_gain_ms(&slow) > 0 &&
+		    fleet_choose_worker(fleet, job, run->task, run->worker,
+					now) != GH_NONE)
+			move_slow_run(fleet, i, &slow, now);
 	}
 }
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -102,6 +102,9 @@
 	/* progress of the run in the worker's last report */
 	uint32_t progress_percent;
 	gh_time_t progress_at; /* time of the last change of progress_percent */
+	/* Progress in the first report that lists it, and work since then. */
+	uint32_t first_percent;
+	double worked_ms; /* as time at full pace */
 	/*
 	 * Tail latency (long-running) or milli-cores in use, from the last
 	 * report.
