--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -63,6 +63,7 @@
 	/* Job and worker: handles; task: index in its job. */
 	uint32_t job, task, worker;
 	uint32_t run_number;
+	uint32_t first_percent; /* progress in the first report that lists it */
 	/* version of the job record that holds the run's intent */
 	uint64_t version;
 	gh_time_t planned_at; /* when the run was planned; 0: orphan, unknown */
@@ -102,9 +103,9 @@
 	/* progress of the run in the worker's last report */
 	uint32_t progress_percent;
 	gh_time_t progress_at; /* time of the last change of progress_percent */
-	/* Progress in the first report that lists it, and work since then. */
-	uint32_t first_percent;
-	double worked_ms; /* as time at full pace */
+	/* Work since the first report that lists the run, as time at full pace.
+	 */
+	double worked_ms;
 	/*
 	 * Tail latency (long-running) or milli-cores in use, from the last
 	 * report.
