--- a/core_fleet.h
+++ b/core_fleet.h
@@ -328,6 +328,7 @@
 	uint64_t idle;	   /* jobs that waited with nothing running, a second */
 	/* Tasks that left for other shards, and that came from them. */
 	uint64_t departed, arrived;
+	uint64_t hastened; /* job changes committed ahead of older ones */
 	/* Unsent runs in domains that are emptied. */
 	uint64_t taken_back;
 	/* Starts put off as the domains to be emptied were not heard. */
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -7,6 +7,7 @@
 #ifndef CORE_FLEET_STATE_H
 #define CORE_FLEET_STATE_H
 
+#include "core_commit_order.h"
 #include "core_fleet.h"
 #include "core_headroom.h"
 #include "core_load.h"
@@ -63,8 +64,9 @@
 	/* Job and worker: handles; task: index in its job. */
 	uint32_t job, task, worker;
 	uint32_t run_number;
-	uint32_t level; /* gh_headroom_level() of its queue, once it was opened
-			 */
+	/* gh_headroom_level() of its queue when it was opened */
+	uint32_t level;
+	uint32_t first_percent; /* progress in the first report that lists it */
 	/* version of the job record that holds the run's intent */
 	uint64_t version;
 	gh_time_t planned_at; /* when the run was planned; 0: orphan, unknown */
@@ -104,6 +106,9 @@
 	/* progress of the run in the worker's last report */
 	uint32_t progress_percent;
 	gh_time_t progress_at; /* time of the last change of progress_percent */
+	/* Work since the first report that lists the run, as time at full pace.
+	 */
+	double worked_ms;
 	/*
 	 * Tail latency (long-running) or milli-cores in use, from the last
 	 * report.
@@ -258,6 +263,8 @@
 	 * share; it has waited for long.
 	 */
 	bool gang_overdue, gang_desperate;
+	/* With which its tasks were last placed; the lowest comes first. */
+	uint32_t rank;
 	uint64_t version, committed_version;
 	gh_job_phase_t committed_phase;
 	/* Phase in the job record that is being committed. */
@@ -277,6 +284,7 @@
 	uint32_t n_deleting;
 	bool change_queued; /* the job is queued in gh_fleet.changes */
 	bool commit_pending;
+	bool commit_failed; /* the last commit of a change of it */
 	/* ids of the steps' images in the interference model */
 	uint16_t *image_ids;
 	/* Handle of the worker of the job's first failed run, or GH_NONE. */
@@ -553,9 +561,14 @@
 	GHashTable *emptied;	  /* names of domains that are being emptied */
 	gh_time_t domains_heard_at; /* as of when they are known; 0: never */
 	GArray *failed_placements;  /* failed_placement_t, of this tick */
-	GQueue *changes;	    /* handles + 1 of jobs to be committed */
-	/* orders to be sent to workers: queued_order_t */
-	GQueue *orders;
+	/* jobs whose changes are to be committed */
+	gh_commit_order_t *changes;
+	uint32_t last_priority; /* of the least urgent queue */
+	/*
+	 * Orders to be sent to workers, queued_order_t; those that change paces
+	 * come last.
+	 */
+	GQueue *orders, *pace_orders;
 	/* The last order taken from the queue, for the strings in it. */
 	queued_order_t last_order;
 	/* When workers with runs became unreachable or restarted: gh_time_t. */
--- a/counter_list.h
+++ b/counter_list.h
@@ -197,6 +197,8 @@
 COUNTER(TASKS_DEPARTED, "tasks_departed",
 	"waiting tasks that moved to another shard")
 COUNTER(TASKS_ARRIVED, "tasks_arrived", "tasks that came from another shard")
+COUNTER(CHANGES_HASTENED, "changes_hastened",
+	"changes of urgent jobs committed ahead of older changes")
 COUNTER(DOMAIN_REQUESTS, "domain_requests",
 	"requests to empty a failure domain that this host has heard of")
 COUNTER(DOMAIN_REQUESTS_OVER, "domain_requests_over",
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -352,6 +352,7 @@
 		{ CTR_JOBS_IDLE, offsetof(gh_fleet_counts_t, idle) },
 		{ CTR_TASKS_DEPARTED, offsetof(gh_fleet_counts_t, departed) },
 		{ CTR_TASKS_ARRIVED, offsetof(gh_fleet_counts_t, arrived) },
+		{ CTR_CHANGES_HASTENED, offsetof(gh_fleet_counts_t, hastened) },
 		{ CTR_RUNS_TAKEN_BACK,
 		  offsetof(gh_fleet_counts_t, taken_back) },
 		{ CTR_STARTS_WITHHELD, offsetof(gh_fleet_counts_t, withheld) },
