--- a/counter_list.h
+++ b/counter_list.h
@@ -32,6 +32,15 @@
 COUNTER(CREDIT_LENT, "credits_lent", "slot credits lent to peers")
 COUNTER(CREDIT_BORROWED, "credits_borrowed", "slot credits borrowed from peers")
 
+/* Counters of the door: connections and bodies of clients. */
+COUNTER(CLIENTS_CROWDED, "clients_closed_crowded",
+	"clients' connections closed as there were too many")
+COUNTER(CLIENTS_FULL, "clients_closed_full",
+	"clients' connections closed to make room for another's body")
+COUNTER(CLIENTS_LATE, "clients_closed_late",
+	"clients' connections closed at their deadline")
+COUNTER(BODIES_DROPPED, "bodies_dropped", "bodies dropped for want of room")
+
 /* Counters of calls to the key-value service (store). */
 COUNTER(STORE_READ, "store_reads", "reads sent to the store")
 COUNTER(STORE_WRITE, "store_writes", "writes sent to the store")
--- a/error_list.h
+++ b/error_list.h
@@ -116,5 +116,9 @@
 GH_ERROR_KIND(ADVICE_UNMET, "advice_unmet", NO, 503,
 	      "use a queue without placement advice")
 
+/* Refusals of the door: a repeat may have been taken elsewhere. */
+GH_ERROR_KIND(DOOR_FULL, "door_full", UNKNOWN, 503,
+	      "repeat idempotent work later; check the outcome of other work")
+
 /* Errors of the process itself. */
 GH_ERROR_KIND(SYSTEM, "system", NO, 500, "see the log for the cause")
--- a/fleet_main.c
+++ b/fleet_main.c
@@ -136,7 +136,11 @@
 							 settings->readiness,
 						 .metrics = settings->metrics };
 
-	process->front = platform_front_new(process->host);
+	gh_door_limits_t door =
+		gh_door_limits_for(settings->memory_mb, settings->descriptors);
+
+	door.transfer_time = gh_time_from_ms(settings->transfer_ms);
+	process->front = platform_front_new(process->host, &door);
 	if (!platform_front_start(process->front, &addresses, err))
 		return false;
 	return !pthread_create(&process->signal_thread, NULL, wait_for_signals,
--- a/fleet_settings.h
+++ b/fleet_settings.h
@@ -29,6 +29,12 @@
 	uint32_t shards;
 	/* Limit of the writes to the store, for all hosts together. */
 	uint32_t store_writes_per_s;
+	/* Memory and descriptors of this process, and the longest time in
+	 * which a request arrives or a response leaves.
+	 */
+	uint32_t memory_mb;
+	uint32_t descriptors;
+	uint32_t transfer_ms;
 	uint32_t cores_milli;	    /* cores of this host, in thousandths */
 	uint32_t lease_ms;	    /* lease granted to workers */
 	uint32_t lease_max_ms;	    /* longest lease that workers accept */
--- a/front.c
+++ b/front.c
@@ -15,6 +15,7 @@
 
 /* Time after which a caller's idle or stalled connection is closed. */
 #define IDLE_TIMEOUT_S 30
+#define DROPPED_RETRY_MS 1000
 /* Maximum size of request line and headers together. */
 #define HEADERS_MAX_BYTES (32 * 1024)
 /* Stack size of a connection's thread. */
@@ -24,6 +25,7 @@
  * set a lower limit.
  */
 #define BODY_MAX_BYTES (1024 * 1024)
+#define BYTES_PER_MB (1024 * 1024)
 #define IDEMPOTENCY_KEY_MAX_BYTES 128
 #define REQUEST_ID_MAX_BYTES 64
 #define TICK_INTERVAL_USEC 10000
@@ -47,6 +49,8 @@
 		    struct _u_response *http_response, void *arg);
 static int on_unknown_path(const struct _u_request *http_request,
 			   struct _u_response *http_response, void *arg);
+static int on_dropped_body(const struct _u_request *http_request,
+			   struct _u_response *http_response, void *arg);
 static bool start_http_server(front_t *front, GError **err);
 static int count_in_flight(const front_t *front);
 static bool read_request(const struct _u_request *http_request,
@@ -120,6 +124,7 @@
 		return;
 	stop_tick_thread(front);
 	http_server_free(front->http);
+	http_door_free(front->door);
 	front->executor_link->ops->free(front->executor_link);
 	front->spill_link->ops->free(front->spill_link);
 	gh_claim_free(front->claims);
@@ -167,8 +172,13 @@
 static bool start_http_server(front_t *front, GError **err)
 {
 	const settings_t *settings = front->node->settings;
+	gh_door_limits_t door = {
+		.clients = settings->front_connections,
+		.bytes = (size_t)settings->front_body_mb * BYTES_PER_MB,
+		.idle_time = IDLE_TIMEOUT_S * GH_USEC_PER_SEC,
+		.transfer_time = IDLE_TIMEOUT_S * GH_USEC_PER_SEC,
+	};
 	http_limits_t limits = {
-		.max_connections = settings->front_connections,
 		.idle_timeout_s = IDLE_TIMEOUT_S,
 		.max_headers_bytes = HEADERS_MAX_BYTES,
 		.max_body_bytes = BODY_MAX_BYTES,
@@ -176,13 +186,16 @@
 		.thread_stack_bytes = STACK_SIZE_BYTES,
 	};
 
+	front->door = http_door_new(&door);
+	limits.door = front->door;
 	front->http = http_server_new(settings->address, settings->front_port,
 				      &limits, err);
 	if (!front->http)
 		return false;
-	http_server_add(front->http, "GET", "/ready", NULL, on_ready, front);
-	http_server_add(front->http, "*", "/r", "*", on_request, front);
-	http_server_add(front->http, NULL, NULL, NULL, on_unknown_path, front);
+	http_server_add(front->http, "GET", "/ready", false, on_ready, front);
+	http_server_add(front->http, "*", "/r", true, on_request, front);
+	http_server_add(front->http, NULL, NULL, false, on_unknown_path, front);
+	http_server_set_refusal(front->http, on_dropped_body, front);
 	return http_server_start(front->http, err);
 }
 
@@ -223,6 +236,19 @@
 	return U_CALLBACK_CONTINUE;
 }
 
+static int on_dropped_body(const struct _u_request *http_request,
+			   struct _u_response *http_response, void *arg)
+{
+	front_request_t req = { .method = http_request->http_verb };
+	front_reply_t reply = { 0 };
+
+	front_refuse(&reply, &req, GH_E_DOOR_FULL, DROPPED_RETRY_MS,
+		     "no room for the body");
+	send_reply(arg, &req, &reply, http_response);
+	front_reply_clear(&reply);
+	return U_CALLBACK_CONTINUE;
+}
+
 static int on_unknown_path(const struct _u_request *http_request,
 			   struct _u_response *http_response, void *arg)
 {
--- a/front_internal.h
+++ b/front_internal.h
@@ -61,6 +61,7 @@
 struct front {
 	node_t *node;
 	http_server_t *http;
+	http_door_t *door;
 	executor_link_t *executor_link;
 	/* Connections to other entry hosts, for forwarded requests. */
 	executor_link_t *spill_link;
--- a/json_body.c
+++ b/json_body.c
@@ -2,6 +2,13 @@
 
 #include "error.h"
 
+/*
+ * Memory of a parsed body: that of a field, and of texts, which Jansson
+ * collects in a buffer before it copies them.
+ */
+#define FIELD_BYTES 160
+#define BODY_COPIES 4
+#define BODY_BYTES_MIN 1024
 /* Above it, a double does not hold each integer. */
 #define REAL_MAX (INT64_C(1) << 53)
 
@@ -58,6 +65,38 @@
 	return false;
 }
 
+size_t json_body_count_fields(const char *text, size_t len)
+{
+	bool in_string = false;
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < len; i++) {
+		switch (text[i]) {
+		case '\\':
+			i += in_string;
+			break;
+		case '"':
+			in_string = !in_string;
+			break;
+		case ',':
+		case ':':
+		case '[':
+		case '{':
+			n += !in_string;
+			break;
+		default:
+			break;
+		}
+	}
+	return n;
+}
+
+size_t json_body_parsed_bytes(size_t len, size_t fields)
+{
+	return BODY_COPIES * len + fields * FIELD_BYTES + BODY_BYTES_MIN;
+}
+
 int64_t json_body_number(const json_t *value, int64_t max, bool *ok)
 {
 	int64_t number = -1;
--- a/json_body.h
+++ b/json_body.h
@@ -14,6 +14,13 @@
 /* Max levels of arrays and objects; no body of any interface has more. */
 #define JSON_BODY_DEPTH_MAX 32
 
+/*
+ * Number of separators and brackets outside strings: an upper bound of the
+ * values and names that the parser makes of the text, which need not be JSON.
+ */
+size_t json_body_count_fields(const char *text, size_t len);
+/* Memory that parsing takes at most, at its peak. */
+size_t json_body_parsed_bytes(size_t len, size_t fields);
 /* NULL with GH_E_SYNTAX; flags are those of json_loadb(). */
 json_t *json_body_parse(const char *text, size_t len, size_t flags,
 			GError **err);
--- a/regress/fleet_system.c
+++ b/regress/fleet_system.c
@@ -13,6 +13,8 @@
 #define HOST_HEADER "Host: q.example"
 #define PREFIX "/q/"
 
+static const char *added_settings = "";
+
 typedef struct poll_arg {
 	fleet_system_t *sys;
 	unsigned host;
@@ -62,10 +64,10 @@
 		char *text = g_strdup_printf(
 			"[fleet]\nname=h%u\ndomain=d\ncallers=%s%u:8000\n"
 			"readiness=%s%u:8001\nmetrics=%s%u:8002\n"
-			"store=%s%u:7001\nshards=%u\nstop_ms=200\n",
+			"store=%s%u:7001\nshards=%u\nstop_ms=200\n%s",
 			i, sys->address_block, 10 + i, sys->address_block,
 			10 + i, sys->address_block, 10 + i, sys->address_block,
-			100 + i, shards);
+			100 + i, shards, added_settings);
 		char *file = g_strdup_printf("h%u.conf", i);
 
 		add_link(sys, i);
@@ -84,6 +86,11 @@
 				"owned shard");
 }
 
+void fleet_system_add_settings(const char *lines)
+{
+	added_settings = lines;
+}
+
 void fleet_system_stop(fleet_system_t *sys)
 {
 	json_t *violations = fleet_platform_violations(sys);
--- a/regress/fleet_system.h
+++ b/regress/fleet_system.h
@@ -31,6 +31,8 @@
  */
 void fleet_system_start(fleet_system_t *sys, const char *name, unsigned hosts,
 			unsigned workers, unsigned shards);
+/* Lines added to the [fleet] settings of all hosts that start later. */
+void fleet_system_add_settings(const char *lines);
 /*
  * Stops all processes; fails the test if the platform saw a violation or a
  * running host does not exit with status 0.
--- a/regress/fuzz_platform.c
+++ b/regress/fuzz_platform.c
@@ -7,17 +7,21 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <cmocka.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "core_fleet.h"
 #include "core_interference.h"
 #include "error.h"
 #include "fuzz.h"
+#include "json_body.h"
 #include "log.h"
 #include "platform/platform_decode.h"
 
 #define JOB "00000000000000a1"
 #define STEP_TASKS 4
+/* Also what malloc() adds to each block. */
+#define JSON_OVERHEAD_BYTES 16
 
 /* The parsers that only tell whether they took the input. */
 static bool refuse(bool accepted, GError **err)
@@ -27,10 +31,52 @@
 	return accepted;
 }
 
+/* Memory that Jansson has, and the most that it had. */
+static size_t json_bytes;
+static size_t json_bytes_max;
+
+static void *allocate_json(size_t size)
+{
+	size_t *start = malloc(size + JSON_OVERHEAD_BYTES);
+
+	if (!start)
+		return NULL;
+	*start = size + JSON_OVERHEAD_BYTES;
+	json_bytes += *start;
+	json_bytes_max = MAX(json_bytes_max, json_bytes);
+	return (char *)start + JSON_OVERHEAD_BYTES;
+}
+
+static void free_json(void *block)
+{
+	size_t *start;
+
+	if (!block)
+		return;
+	start = (size_t *)((char *)block - JSON_OVERHEAD_BYTES);
+	json_bytes -= *start;
+	free(start);
+}
+
+/* The door admits a body by this bound of what its parsing takes. */
+static gh_pipeline_t *parse_bounded(const GString *input, GError **err)
+{
+	size_t bound = json_body_parsed_bytes(
+		input->len, json_body_count_fields(input->str, input->len));
+	gh_pipeline_t *pipeline;
+
+	json_set_alloc_funcs(allocate_json, free_json);
+	json_bytes_max = 0;
+	pipeline = platform_parse_pipeline(input->str, input->len, err);
+	json_set_alloc_funcs(malloc, free);
+	assert_int_equal(json_bytes, 0);
+	assert_in_range(json_bytes_max, 0, bound);
+	return pipeline;
+}
+
 static bool parse_submission(const GString *input, GError **err)
 {
-	gh_pipeline_t *pipeline =
-		platform_parse_pipeline(input->str, input->len, err);
+	gh_pipeline_t *pipeline = parse_bounded(input, err);
 	gh_pipeline_t *reread;
 	char *text;
 
--- a/regress/test_door.c
+++ b/regress/test_door.c
@@ -20,6 +20,7 @@
  * A host with 64 MB may spend half of them on its door; one with 320
  * descriptors, 200 of them for files, has some 30 open before the crowd comes.
  */
+#define HOST_SETTINGS "memory_mb=64\ndescriptors=320\n"
 #define GROWTH_MAX_KB (32 * 1024)
 #define DESCRIPTORS_MAX 128
 #define CLIENTS 200
@@ -451,6 +452,7 @@
 		cmocka_unit_test(test_half_heads),
 	};
 
+	fleet_system_add_settings(HOST_SETTINGS);
 	if (argc > 1)
 		cmocka_set_test_filter(argv[1]);
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/regress/test_platform_decode.c
+++ b/regress/test_platform_decode.c
@@ -12,6 +12,7 @@
 #include "error.h"
 #include "fleet_settings.h"
 #include "json_body.h"
+#include "json_body.h"
 #include "platform/platform_decode.h"
 #include "proc.h"
 
@@ -598,6 +599,10 @@
 	{ "", GH_E_COUNT },
 	{ "shards=4\ncores=0.25\n", GH_E_COUNT },
 	{ "shards=1000\n", GH_E_BAD_VALUE },
+	{ "memory_mb=64\ndescriptors=320\ntransfer_ms=5000\n", GH_E_COUNT },
+	{ "memory_mb=31\n", GH_E_BAD_VALUE },
+	{ "descriptors=200\n", GH_E_BAD_VALUE },
+	{ "transfer_ms=0\n", GH_E_BAD_VALUE },
 	{ "lease_ms=soon\n", GH_E_BAD_VALUE },
 	{ "colour=blue\n", GH_E_UNKNOWN_KEY },
 	{ "[store]\nurl=http://1.2.3.4:5\n", GH_E_UNKNOWN_GROUP },
@@ -633,9 +638,69 @@
 	proc_remove_dir(dir);
 }
 
+static const struct {
+	size_t len;
+	gh_error_kind_t kind;
+} payload_cases[] = {
+	{ GH_PAYLOAD_MAX, GH_E_COUNT },
+	{ GH_PAYLOAD_MAX + 1, GH_E_BAD_REQUEST },
+	{ 1000000, GH_E_BAD_REQUEST },
+};
+
+static void test_payload(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(payload_cases); i++) {
+		char *payload = g_strnfill(payload_cases[i].len, 'x');
+		char *text = g_strdup_printf(
+			"{\"task_spec\":\"%s\",\"pipeline\":[{\"count\":1}]}",
+			payload);
+		GError *err = NULL;
+		gh_pipeline_t *pipeline =
+			platform_parse_pipeline(text, strlen(text), &err);
+
+		assert_int_equal(pipeline ? GH_E_COUNT : gh_error_kind(err),
+				 payload_cases[i].kind);
+		g_clear_error(&err);
+		gh_pipeline_free(pipeline);
+		g_free(text);
+		g_free(payload);
+	}
+}
+
+static const struct {
+	const char *text;
+	size_t fields;
+} field_cases[] = {
+	{ "", 0 },
+	{ "7", 0 },
+	{ "[]", 1 },
+	{ "[1,2]", 2 },
+	{ "{\"a\":[{},{}]}", 6 },
+	{ "{\"a,[{:\":\",\"}", 2 },
+	{ "[\"\\\",[,\",1]", 2 },
+	{ "\"[,[,", 0 },
+};
+
+static void test_fields(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(field_cases); i++)
+		assert_int_equal(
+			json_body_count_fields(field_cases[i].text,
+					       strlen(field_cases[i].text)),
+			field_cases[i].fields);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_payload),
+		cmocka_unit_test(test_fields),
 		cmocka_unit_test(test_worker),
 		cmocka_unit_test(test_worker_address),
 		cmocka_unit_test(test_worker_numbers),
--- a/settings.c
+++ b/settings.c
@@ -32,6 +32,7 @@
 	NUMBER("console_port", console_port, 1, UINT16_MAX, NULL),
 	NUMBER("peer_port", peer_port, 1, UINT16_MAX, NULL),
 	NUMBER("front_connections", front_connections, 1, 100000, "1024"),
+	NUMBER("front_body_mb", front_body_mb, 2, 65536, "64"),
 	{ .key = "log_level",
 	  .read = gh_ini_choice,
 	  GH_INI_MEMBER(settings_t, log_level),
--- a/settings.h
+++ b/settings.h
@@ -33,6 +33,7 @@
 	uint16_t peer_port;
 	/* Maximum of connections from callers. */
 	uint32_t front_connections;
+	uint32_t front_body_mb; /* memory for bodies of callers */
 	/* Address of the store, "http://a.b.c.d:port". */
 	char store_url[256];
 	uint32_t store_timeout_ms;
