--- a/core_door.c
+++ b/core_door.c
@@ -3,7 +3,8 @@
 #include <glib.h>
 
 #define CLIENTS_MAX 2048
-#define CLIENT_BYTES 40960 /* memory of a connection and its thread */
+/* Memory of a connection, its thread and its socket's buffers. */
+#define CLIENT_BYTES 65536
 #define FILE_DESCRIPTORS 200
 /*
  * Parts of the host's memory and of its sockets that the door may use.  A
@@ -11,6 +12,8 @@
  */
 #define MEMORY_PART_CLIENTS 4
 #define MEMORY_PART_BYTES 8
+/* The longest body of the most fields fits alone. */
+#define BYTES_MIN (12u << 20)
 #define SOCKETS_PART 3
 #define BYTES_PER_MB 1048576
 #define SWEEP_INTERVAL GH_USEC_PER_SEC
@@ -65,7 +68,7 @@
 	clients = MIN(clients, sockets / SOCKETS_PART);
 	return (gh_door_limits_t){
 		.clients = (unsigned)CLAMP(clients, 1, CLIENTS_MAX),
-		.bytes = memory / MEMORY_PART_BYTES,
+		.bytes = MAX(memory / MEMORY_PART_BYTES, BYTES_MIN),
 	};
 }
 
--- a/fleet_settings.c
+++ b/fleet_settings.c
@@ -33,7 +33,7 @@
 	  .min = 1,
 	  .max = 1000000,
 	  .fallback = "1" },
-	NUMBER("memory_mb", memory_mb, 32, 1048576, "512"),
+	NUMBER("memory_mb", memory_mb, 64, 1048576, "512"),
 	NUMBER("descriptors", descriptors, 256, 1048576, "4296"),
 	NUMBER("transfer_ms", transfer_ms, 1000, 600000, "30000"),
 	NUMBER("lease_ms", lease_ms, 1000, 60000, "4500"),
--- a/http_server.c
+++ b/http_server.c
@@ -20,6 +20,11 @@
 /* More than this beyond the limit of a body is not even read. */
 #define DROPPED_BYTES_MAX 1048576
 #define LENGTH_UNKNOWN UINT64_MAX
+/*
+ * Size of a socket's buffers, which the system otherwise enlarges to megabytes
+ * for a client that sends ahead or doesn't read.
+ */
+#define SOCKET_BUFFER_BYTES 16384
 
 typedef struct endpoint {
 	const char *method;
@@ -57,6 +62,7 @@
 static void on_connection(void *cls, struct MHD_Connection *mhd,
 			  void **socket_context,
 			  enum MHD_ConnectionNotificationCode code);
+static void bound_buffers(int fd);
 static void *on_request_line(void *cls, const char *url,
 			     struct MHD_Connection *mhd);
 /* NOLINTNEXTLINE(readability-function-size) */
@@ -188,13 +194,14 @@
 	connection_t *conn = *socket_context;
 
 	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		int fd = MHD_get_connection_info(
+				 mhd, MHD_CONNECTION_INFO_CONNECTION_FD)
+				 ->connect_fd;
+
+		bound_buffers(fd);
 		conn = g_new0(connection_t, 1);
 		conn->server = server;
-		conn->client = http_door_enter(
-			server->limits.door,
-			MHD_get_connection_info(
-				mhd, MHD_CONNECTION_INFO_CONNECTION_FD)
-				->connect_fd);
+		conn->client = http_door_enter(server->limits.door, fd);
 		*socket_context = conn;
 	} else {
 		http_door_leave(server->limits.door, conn->client);
@@ -204,6 +211,14 @@
 	}
 }
 
+static void bound_buffers(int fd)
+{
+	int size = SOCKET_BUFFER_BYTES;
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
+}
+
 /* Begins a request: what it returns is passed to on_request(). */
 static void *on_request_line(void *cls, const char *url,
 			     struct MHD_Connection *mhd)
--- a/regress/test_door.c
+++ b/regress/test_door.c
@@ -30,6 +30,8 @@
 #define CHUNK_BYTES 512
 #define FORM_FIELD_BYTES 8
 #define PIPELINED 4000
+#define LARGEST_FIELDS 32000
+#define LARGEST_ID "00000000000000c2"
 #define LONG_FIELD_BYTES 15000
 #define QUIET_STEPS 100
 #define SLOW_STEPS 500
@@ -434,9 +436,33 @@
 	play(&(kind_t){ .format = format_half_head });
 }
 
+/* A job within the limits is taken in calm, however long its body is. */
+static void test_largest_job(void **state)
+{
+	fleet_system_t sys;
+	GString *steps = g_string_new(ONE_STEP ",\"x\":[0");
+	int status;
+
+	(void)state;
+	while (steps->len < 2 * LARGEST_FIELDS)
+		g_string_append(steps, ",0");
+	g_string_append(steps, "],\"y\":\"");
+	while (steps->len < BODY_BYTES - 100)
+		g_string_append(steps, "0123456789");
+	g_string_append(steps, "\"");
+	fleet_system_start(&sys, "door-largest", 1, 2, 1);
+	status = fleet_submit(&sys, 0, LARGEST_ID, "20", steps->str);
+	if (status == 200)
+		fleet_await_state(&sys, 0, LARGEST_ID, "completed");
+	fleet_system_stop(&sys);
+	g_string_free(steps, TRUE);
+	assert_int_equal(status, 200);
+}
+
 int main(int argc, char **argv)
 {
 	static const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_largest_job),
 		cmocka_unit_test(test_bodies_in_one_piece),
 		cmocka_unit_test(test_bodies_in_pieces),
 		cmocka_unit_test(test_bodies_in_chunks),
--- a/regress/test_platform_decode.c
+++ b/regress/test_platform_decode.c
@@ -600,7 +600,7 @@
 	{ "shards=4\ncores=0.25\n", GH_E_COUNT },
 	{ "shards=1000\n", GH_E_BAD_VALUE },
 	{ "memory_mb=64\ndescriptors=320\ntransfer_ms=5000\n", GH_E_COUNT },
-	{ "memory_mb=31\n", GH_E_BAD_VALUE },
+	{ "memory_mb=63\n", GH_E_BAD_VALUE },
 	{ "descriptors=200\n", GH_E_BAD_VALUE },
 	{ "transfer_ms=0\n", GH_E_BAD_VALUE },
 	{ "lease_ms=soon\n", GH_E_BAD_VALUE },
--- a/regress/test_settings.c
+++ b/regress/test_settings.c
@@ -45,6 +45,7 @@
 	assert_string_equal(settings->name, "bole-1");
 	assert_int_equal(settings->peer_port, 7002);
 	assert_int_equal(settings->front_connections, 1024);
+	assert_int_equal(settings->front_body_mb, 64);
 	assert_int_equal(settings->log_level, LOG_INFO);
 	assert_string_equal(settings->store_url, "http://127.0.0.9:7100");
 	assert_int_equal(settings->peer_key[1], 0x11);
