--- a/fleet_settings.h
+++ b/fleet_settings.h
@@ -29,16 +29,20 @@
 	uint32_t shards;
 	/* Limit of the writes to the store, for all hosts together. */
 	uint32_t store_writes_per_s;
-	/* Memory and descriptors of this process, and the longest time in
-	 * which a request arrives or a response leaves.
-	 */
+	/* Memory and descriptors that this process may use. */
 	uint32_t memory_mb;
 	uint32_t descriptors;
+	/* Max time for a request to arrive, and for a response to leave. */
 	uint32_t transfer_ms;
-	uint32_t cores_milli;	    /* cores of this host, in thousandths */
-	uint32_t lease_ms;	    /* lease granted to workers */
-	uint32_t lease_max_ms;	    /* longest lease that workers accept */
-	uint32_t stop_ms;	    /* longest time to stop a task */
+	uint32_t cores_milli;  /* cores of this host, in thousandths */
+	uint32_t lease_ms;     /* lease granted to workers */
+	uint32_t lease_max_ms; /* longest lease that workers accept */
+	uint32_t stop_ms;      /* longest time to stop a task */
+	/*
+	 * Max time from a request to empty a failure domain to the last start
+	 * there; 0: there are no such requests.
+	 */
+	uint32_t empty_domain_ms;
 	uint32_t grace_ms;	    /* max time from SIGTERM to the exit */
 	uint32_t ended_retention_s; /* how long states of ended jobs are kept */
 } fleet_settings_t;
