--- a/fleet_main.c
+++ b/fleet_main.c
@@ -109,7 +109,9 @@
 	ok = start(&process, &err);
 	if (ok) {
 		log_event(LOG_INFO, "started", "domain", settings->domain,
-			  "shards", log_num(shards), NULL);
+			  "shards", log_num(shards), "memory_mb",
+			  log_num(settings->memory_mb), "descriptors",
+			  log_num(settings->descriptors), NULL);
 		loop_run(process.loop);
 	} else {
 		log_event(LOG_ERROR, "start_failed", "message", err->message,
