--- a/core_fleet.c
+++ b/core_fleet.c
@@ -89,6 +89,7 @@
 	fleet->late_grants =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fleet->interference = gh_interference_new();
+	fleet->run_times = gh_run_times_new();
 	fleet->load_periods = gh_load_periods_new();
 	fleet->interference_decayed_at = now;
 	fleet_unheard_init(fleet);
@@ -129,6 +130,7 @@
 	g_hash_table_destroy(fleet->young);
 	fleet_rooms_clear(fleet);
 	gh_interference_free(fleet->interference);
+	gh_run_times_free(fleet->run_times);
 	gh_load_periods_free(fleet->load_periods);
 	g_free(fleet);
 }
--- a/core_fleet.h
+++ b/core_fleet.h
@@ -104,8 +104,8 @@
 } gh_worker_entry_t;
 
 /*
- * A queue's configuration.  A job's objective is the critical path of its
- * estimates times stretch_milli / 1000, plus target_ms.
+ * A queue's configuration.  A job's objective is its critical path by expected
+ * run times (core_run_time.h) times stretch_milli / 1000, plus target_ms.
  */
 typedef struct gh_queue_policy {
 	char name[GH_QUEUE_MAX + 1];
@@ -314,6 +314,8 @@
 	uint64_t started, done, failed, stopped, lease_expired, lost,
 		no_capacity;
 	uint64_t copies, hangs, quarantines, paced, moved;
+	/* Run times learned, and those declared wrong by a factor over 2. */
+	uint64_t run_times, run_times_off;
 	uint64_t held;	   /* jobs whose progress record could not be parsed */
 	uint64_t examined; /* workers examined for the placement of a task */
 	uint64_t idle;	   /* jobs that waited with nothing running, a second */
@@ -436,6 +438,13 @@
  */
 bool gh_fleet_interference_parse(gh_fleet_t *fleet, const char *text);
 
+/* The same for the run times learned; empty: none were. */
+char *gh_fleet_run_times_format(const gh_fleet_t *fleet);
+/* Returns false, and has learned nothing, if the text is not valid. */
+bool gh_fleet_run_times_parse(gh_fleet_t *fleet, const char *text);
+/* Changes with each run time that is learned. */
+uint64_t gh_fleet_run_times_version(const gh_fleet_t *fleet);
+
 /*
  * Whether a worker has had a call from a newer owner, so that this owner has to
  * stop.
--- a/core_fleet_health.c
+++ b/core_fleet_health.c
@@ -4,7 +4,7 @@
  * Detects workers that fail every run, whose runs make no progress or that are
  * slow, although they report themselves as healthy.
  */
-#include "core_fleet_state.h"
+#include "core_fleet_times.h"
 
 /*
  * A worker is quarantined after this many failed runs without a completed one;
@@ -48,6 +48,7 @@
 		worker->fail_streak = 0;
 		worker->quarantines_in_row = 0;
 		record_run_time(fleet, run, now);
+		fleet_times_note_done(fleet, run, now);
 		break;
 	case GH_RUN_FAILED:
 		fleet->counts.failed++;
--- a/core_fleet_pace.c
+++ b/core_fleet_pace.c
@@ -704,6 +704,7 @@
 			worker->last_report_at + PACE_DELAY_USEC;
 	}
 	run->pace_percent = percent;
+	run->was_paced |= percent < PACE_FULL_PERCENT;
 	if (run->pace_percent >= PACE_LOW_PERCENT)
 		run->slow_since = 0;
 	else if (!run->slow_since)
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -3,7 +3,8 @@
  *
  * Handles bursts that ask for more than the workers' free capacity.  Jobs that
  * can still meet their objective are ordered by priority, then by slack: the
- * time left after their remaining critical path.  Jobs past their objective
+ * time left after their remaining critical path, by expected run times
+ * (core_fleet_times.c).  Jobs past their objective
  * come next, and jobs several objectives late come last, because their result
  * is of little use by then.  Among jobs of one priority, long-running tasks
  * that have run before come first.  A stage starts as many tasks as fit; the
@@ -12,6 +13,7 @@
  * tasks are placed is bound; see core_fleet_budget.c.
  */
 #include "core_fleet_move.h"
+#include "core_fleet_times.h"
 
 #include <string.h>
 
@@ -19,8 +21,6 @@
 #define VERY_LATE_OBJECTIVES 3
 /* A job gets 1/20 of its remaining work as extra slack: large jobs yield. */
 #define REMAINING_WORK_DIVISOR 20
-/* Upper bound of a job's remaining work, in core-milliseconds. */
-#define REMAINING_CORE_MS_MAX 1e15
 /*
  * Added to the priority of a job past its objective; larger than any priority.
  */
@@ -45,9 +45,6 @@
 #define GANG_RETRY_USEC (100 * GH_USEC_PER_MSEC)
 #define STRAGGLER_CHECK_PERIOD_USEC (100 * GH_USEC_PER_MSEC)
 #define DECAY_PERIOD_USEC GH_USEC_PER_SEC
-/* A run is a straggler after this many times the mean run time of its stage. */
-#define STRAGGLER_FACTOR 2.0
-#define STRAGGLER_MIN_MS 500.0
 /* A best-effort run whose pace is low for longer than this is moved. */
 #define SLOW_BEFORE_MOVE_USEC (700 * GH_USEC_PER_MSEC)
 /* A stage of long-running tasks that waits for longer than this is reported. */
@@ -79,8 +76,7 @@
 			   int64_t wall_ms);
 static bool has_restarts(const fleet_job_t *job, uint32_t stage);
 static void rate_candidate(const gh_fleet_t *fleet, const fleet_job_t *job,
-			   candidate_t *c, int64_t wall_ms);
-static int64_t remaining_core_ms(const fleet_job_t *job);
+			   candidate_t *c, gh_time_t now, int64_t wall_ms);
 static int compare_candidates(gconstpointer a, gconstpointer b);
 static void place_oldest(gh_fleet_t *fleet, const GArray *candidates,
 			 gh_time_t now);
@@ -297,7 +293,7 @@
 			    !stage_is_ready(job, s, wall_ms))
 				continue;
 			if (!rated)
-				rate_candidate(fleet, job, &c, wall_ms);
+				rate_candidate(fleet, job, &c, now, wall_ms);
 			rated = true;
 			c.stage = s;
 			c.restarts = has_restarts(job, s);
@@ -350,13 +346,10 @@
 }
 
 static void rate_candidate(const gh_fleet_t *fleet, const fleet_job_t *job,
-			   candidate_t *c, int64_t wall_ms)
+			   candidate_t *c, gh_time_t now, int64_t wall_ms)
 {
-	const gh_queue_policy_t *policy = fleet_job_policy(fleet, job);
 	const gh_pipeline_t *spec = job->spec;
-	int64_t objective = gh_pipeline_critical_path_ms(spec, UINT32_MAX) *
-				    policy->stretch_milli / 1000 +
-			    policy->target_ms;
+	int64_t objective = fleet_times_objective_ms(fleet, job, now);
 	int64_t age = wall_ms - MAX(spec->accepted_ms, spec->first_due_ms);
 	uint32_t open_steps = 0;
 	uint32_t i;
@@ -365,9 +358,10 @@
 		if (job->stages[i].tasks_done < spec->steps[i].tasks)
 			open_steps |= 1u << i;
 	c->slack_ms = objective - age -
-		      gh_pipeline_critical_path_ms(spec, open_steps) +
-		      remaining_core_ms(job) / REMAINING_WORK_DIVISOR;
-	c->rank = policy->priority;
+		      fleet_times_path_ms(fleet, job, open_steps, now) +
+		      fleet_times_remaining_core_ms(fleet, job, now) /
+			      REMAINING_WORK_DIVISOR;
+	c->rank = fleet_job_policy(fleet, job)->priority;
 	if (gh_pipeline_is_long_running(spec))
 		c->slack_ms = objective - age;
 	else if (age > VERY_LATE_OBJECTIVES * objective)
@@ -376,25 +370,6 @@
 		c->rank += RANK_LATE;
 }
 
-/* Estimated work of the job's tasks that are not done, in core-milliseconds. */
-static int64_t remaining_core_ms(const fleet_job_t *job)
-{
-	/* The estimates of an accepted job can exceed 64 bits. */
-	double sum = 0;
-	uint32_t s;
-
-	for (s = 0; s < job->n_stages; s++) {
-		const gh_step_t *step =
-			&job->spec->steps[s % job->spec->n_steps];
-
-		sum += (double)(step->tasks - job->stages[s].tasks_done -
-				job->stages[s].tasks_away) *
-		       (double)step->estimate_ms * step->size.cores_milli /
-		       1000;
-	}
-	return (int64_t)MIN(sum, REMAINING_CORE_MS_MAX);
-}
-
 static int compare_candidates(gconstpointer a, gconstpointer b)
 {
 	const candidate_t *first = a;
@@ -623,8 +598,8 @@
 }
 
 /*
- * Starts a second run of a task whose run takes far longer than the mean of its
- * stage, or whose worker is unreachable, if the step allows copies.
+ * Starts a second run of a task whose run takes far longer than expected, or
+ * whose worker is unreachable, if the step allows copies.
  */
 static void copy_stragglers(gh_fleet_t *fleet, gh_time_t now)
 {
@@ -634,10 +609,7 @@
 	for (i = 0; i < n; i++) {
 		const fleet_run_t *run = fleet_run(fleet, i);
 		fleet_job_t *job;
-		const fleet_stage_t *stage;
-		double expected_ms;
 		uint32_t worker, task;
-		bool slow;
 
 		if (run->state != RUN_RUNNING && run->state != RUN_STARTING &&
 		    run->state != RUN_ORPHAN)
@@ -648,16 +620,7 @@
 		    job->tasks[run->task].runs[1] != GH_NONE ||
 		    fleet_crash_is_suspect(&job->tasks[run->task]))
 			continue;
-		stage = fleet_task_stage(job, run->task);
-		expected_ms = stage->n_run_times ?
-				      stage->mean_run_ms :
-				      (double)fleet_task_step(job, run->task)
-					      ->estimate_ms;
-		slow = run->planned_at &&
-		       (double)gh_time_to_ms(now - run->planned_at) >
-			       MAX(expected_ms * STRAGGLER_FACTOR,
-				   STRAGGLER_MIN_MS);
-		if (!slow &&
+		if (!fleet_times_is_straggler(fleet, run, now) &&
 		    !fleet_worker(fleet, run->worker)->unreachable_since)
 			continue;
 		if (!fleet_budget_allows(fleet))
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -10,6 +10,7 @@
 #include "core_fleet.h"
 #include "core_load.h"
 #include "core_interference.h"
+#include "core_run_time.h"
 
 /* for handles: no such entry; for numbers: unknown */
 #define GH_NONE UINT32_MAX
@@ -117,6 +118,7 @@
 	double previous_pace_percent;
 	/* When the worker is expected to apply pace_percent. */
 	gh_time_t pace_effective_at;
+	bool was_paced; /* its pace was below 100 at some time */
 	/* since when the run's pace is low; 0: it is not */
 	gh_time_t slow_since;
 	/*
@@ -206,6 +208,15 @@
 	/* moving mean run time of the stage's completed runs */
 	double mean_run_ms;
 	uint32_t n_run_times; /* number of completed runs in mean_run_ms */
+	/*
+	 * Mean logarithm of the run times in ms that are learned from, and
+	 * their number; see core_fleet_times.c.
+	 */
+	double mean_log_run_ms;
+	uint32_t n_sound_runs;
+	/* What a run is expected to take, and until when this is used. */
+	gh_run_estimate_t estimate;
+	gh_time_t estimate_until;
 	/*
 	 * Long-running stage: since when a task finds no worker, 0: none waits;
 	 * and when this is reported next.
@@ -555,6 +566,7 @@
 	GArray *peers;	   /* fleet_peer_t by shard; see core_fleet_rooms.c */
 	gh_time_t moves_decided_at;
 	gh_interference_t *interference;
+	gh_run_times_t *run_times;
 	gh_load_periods_t *load_periods; /* shared by all load forecasts */
 	gh_time_t created_at;
 	/* Until then a worker's lease can outlast an ordinary one. */
--- a/core_pipeline.c
+++ b/core_pipeline.c
@@ -80,19 +80,29 @@
 
 int64_t gh_pipeline_critical_path_ms(const gh_pipeline_t *pipeline,
 				     uint32_t unfinished)
+{
+	int64_t step_ms[GH_STEPS_MAX];
+	uint32_t i;
+
+	for (i = 0; i < pipeline->n_steps; i++)
+		step_ms[i] = pipeline->steps[i].estimate_ms;
+	return gh_pipeline_longest_chain_ms(pipeline, unfinished, step_ms);
+}
+
+int64_t gh_pipeline_longest_chain_ms(const gh_pipeline_t *pipeline,
+				     uint32_t unfinished,
+				     const int64_t *step_ms)
 {
 	int64_t path_ms[GH_STEPS_MAX] = { 0 };
 	int64_t longest_ms = 0;
 	uint32_t i, j;
 
 	for (i = 0; i < pipeline->n_steps; i++) {
-		const gh_step_t *step = &pipeline->steps[i];
-
 		for (j = 0; j < i; j++)
-			if (step->depends_on & 1u << j)
+			if (pipeline->steps[i].depends_on & 1u << j)
 				path_ms[i] = MAX(path_ms[i], path_ms[j]);
 		if (unfinished & 1u << i)
-			path_ms[i] += step->estimate_ms;
+			path_ms[i] += step_ms[i];
 		longest_ms = MAX(longest_ms, path_ms[i]);
 	}
 	return longest_ms;
--- a/core_pipeline.h
+++ b/core_pipeline.h
@@ -94,6 +94,10 @@
  */
 int64_t gh_pipeline_critical_path_ms(const gh_pipeline_t *pipeline,
 				     uint32_t unfinished);
+/* The same with the given time of each step. */
+int64_t gh_pipeline_longest_chain_ms(const gh_pipeline_t *pipeline,
+				     uint32_t unfinished,
+				     const int64_t *step_ms);
 
 /* Text form of a job; to be freed with g_free(). */
 char *gh_pipeline_format(const gh_pipeline_t *pipeline);
--- a/counter_list.h
+++ b/counter_list.h
@@ -194,5 +194,8 @@
 COUNTER(TASKS_DEPARTED, "tasks_departed",
 	"waiting tasks that moved to another shard")
 COUNTER(TASKS_ARRIVED, "tasks_arrived", "tasks that came from another shard")
+COUNTER(RUN_TIMES, "run_times", "run times that were learned from")
+COUNTER(RUN_TIMES_OFF, "run_times_off",
+	"of those, run times over twice or under half the declared one")
 COUNTER(RUNS_MOVED, "runs_moved",
 	"slowed best-effort tasks stopped to continue on another worker")
--- a/fleet_owner_commit.c
+++ b/fleet_owner_commit.c
@@ -30,6 +30,7 @@
 /* Max number of commit entries that one job's change takes. */
 #define CHANGE_ENTRIES_MAX 5
 #define INTERFERENCE_PERIOD_USEC (3 * GH_USEC_PER_SEC)
+#define RUN_TIMES_PERIOD_USEC (3 * GH_USEC_PER_SEC)
 /* Index, in a commit, of the entry that writes the chain record. */
 #define CHAIN_ENTRY 1
 
@@ -59,6 +60,7 @@
 			      gh_time_t now);
 static void save_interference(fleet_owner_t *owner, batch_t *batch,
 			      gh_time_t now);
+static void save_run_times(fleet_owner_t *owner, batch_t *batch, gh_time_t now);
 static bool load_is_due(const fleet_owner_t *owner, const batch_t *batch,
 			gh_time_t now);
 static void save_load(fleet_owner_t *owner, batch_t *batch, gh_time_t now);
@@ -81,11 +83,11 @@
 	owner->sequence++;
 	batch = batch_new(owner, now);
 	/*
-	 * Leaves space in the commit for the learned interference, the shard's
-	 * load and the owner record.
+	 * Leaves space in the commit for the learned interference and run
+	 * times, the shard's load and the owner record.
 	 */
 	while (batch->n + CHANGE_ENTRIES_MAX +
-			       gh_fleet_next_change_moves(owner->fleet) + 2 <
+			       gh_fleet_next_change_moves(owner->fleet) + 3 <
 		       FLEET_ENTRIES_MAX &&
 	       gh_fleet_next_change(owner->fleet, &change))
 		if (!batch_add_change(owner, batch, &change)) {
@@ -94,6 +96,8 @@
 		}
 	if (batch->changes->len && now >= owner->interference_save_at)
 		save_interference(owner, batch, now);
+	if (batch->changes->len && now >= owner->run_times_save_at)
+		save_run_times(owner, batch, now);
 	if (load_is_due(owner, batch, now))
 		save_load(owner, batch, now);
 	if (now >= owner->sweep_at)
@@ -540,6 +544,21 @@
 		text, 0, 0);
 }
 
+/* The same with the learned run times, if there are new ones. */
+static void save_run_times(fleet_owner_t *owner, batch_t *batch, gh_time_t now)
+{
+	uint64_t version = gh_fleet_run_times_version(owner->fleet);
+
+	owner->run_times_save_at = now + RUN_TIMES_PERIOD_USEC;
+	if (version == owner->run_times_saved)
+		return;
+	owner->run_times_saved = version;
+	fleet_owner_batch_add(
+		batch, FLEET_PUT,
+		g_strconcat(owner->progress_prefix, RUN_TIMES_ID, NULL),
+		gh_fleet_run_times_format(owner->fleet), 0, 0);
+}
+
 /*
  * Whether the commit is to carry the load.  One that begins or ends a
  * long-running job does so at once: many can come within the period, and hosts
--- a/fleet_owner_load.c
+++ b/fleet_owner_load.c
@@ -26,6 +26,7 @@
 static void on_worker_records_synced(void *ctx);
 static void finish_loading(fleet_owner_t *owner);
 static void load_interference(fleet_owner_t *owner);
+static void load_run_times(fleet_owner_t *owner);
 
 void fleet_owner_start_loading(fleet_owner_t *owner)
 {
@@ -150,6 +151,7 @@
 		return;
 	owner->parsed_jobs = NULL;
 	load_interference(owner);
+	load_run_times(owner);
 	for (i = 0; i < pipelines->len; i++)
 		add_job(owner, pipelines->pdata[i], "load");
 	g_ptr_array_free(pipelines, TRUE);
@@ -272,3 +274,13 @@
 		log_event(LOG_WARN, "learned_unread", "shard",
 			  log_num(owner->setup.shard), "text", text, NULL);
 }
+
+static void load_run_times(fleet_owner_t *owner)
+{
+	const char *text = g_hash_table_lookup(owner->progress, RUN_TIMES_ID);
+
+	if (text && !gh_fleet_run_times_parse(owner->fleet, text))
+		log_event(LOG_WARN, "run_times_unread", "shard",
+			  log_num(owner->setup.shard), "text", text, NULL);
+	owner->run_times_saved = gh_fleet_run_times_version(owner->fleet);
+}
--- a/fleet_owner_private.h
+++ b/fleet_owner_private.h
@@ -35,6 +35,8 @@
  * no job has it.
  */
 #define INTERFERENCE_ID "images"
+/* The learned run times are stored there too. */
+#define RUN_TIMES_ID "runtimes"
 /*
  * In the chain record of an owner that has released its shard, before the
  * time of its last grant of a lease, in ms relative to the release.
@@ -174,6 +176,9 @@
 	gh_time_t sweep_at;
 	/* Due time of the next save of the learned interference. */
 	gh_time_t interference_save_at;
+	/* The same of the run times, and their version that was saved last. */
+	gh_time_t run_times_save_at;
+	uint64_t run_times_saved;
 	/* Due time of the next save of the shard's load. */
 	gh_time_t load_save_at;
 	char *load_saved; /* load in the last commit with one; NULL: none */
