--- a/core_fleet_times.c
+++ b/core_fleet_times.c
@@ -9,6 +9,8 @@
  */
 #include "core_fleet_times.h"
 
+#include "core_fleet_parts.h"
+
 #include <math.h>
 #include <string.h>
 
