--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -129,6 +129,8 @@
 	}
 	if (!worker->has_reported)
 		worker->heard_since = now;
+	if (worker->unreachable_since)
+		worker->silence_ended_at = now;
 	worker->has_reported = true;
 	worker->has_later_life = false;
 	worker->unreachable_since = 0;
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -395,6 +395,8 @@
 	gh_time_t renewal_not_before;
 	/* Since when the worker's lease renewals fail; 0: they do not. */
 	gh_time_t unreachable_since;
+	/* When it was heard again after such a time; 0: there was none. */
+	gh_time_t silence_ended_at;
 	/*
 	 * No start order is sent until this time, as the worker refused one for
 	 * lack of capacity.
--- a/core_fleet_times.c
+++ b/core_fleet_times.c
@@ -3,9 +3,9 @@
  *
  * Answers declared run times that are far off, by which jobs would be ordered
  * and copied wrongly.  Only what a sound run tells is learned: one that ran
- * from the beginning, at full pace, near its data, on a worker that is heard
- * and not known to be slow.  Members of gangs wait for each other, and are left
- * out.
+ * from the beginning, at full pace, near its data, on a worker that was heard
+ * all the while and is not known to be slow.  Members of gangs wait for each
+ * other, and are left out.
  */
 #include "core_fleet_times.h"
 
@@ -34,13 +34,19 @@
 	const fleet_job_t *job = fleet_job(fleet, run->job);
 	const gh_step_t *step = fleet_task_step(job, run->task);
 	fleet_stage_t *stage = fleet_task_stage(job, run->task);
-	int64_t run_ms;
+	int64_t run_ms = gh_time_to_ms(now - run->alive_since);
+	gh_run_sample_t sample = {
+		.declared_ms = step->estimate_ms,
+		.actual_ms = run_ms,
+		.weight = 1.0 / step->tasks,
+		.n_before = stage->n_sound_runs,
+		.log_mean_before = stage->mean_log_run_ms,
+	};
 
 	if (!is_sound(fleet, run))
 		return;
-	run_ms = gh_time_to_ms(now - run->alive_since);
 	gh_run_times_observe(fleet->run_times, job->spec->queue, step->image,
-			     step->estimate_ms, run_ms, 1.0 / step->tasks);
+			     &sample);
 	stage->n_sound_runs++;
 	stage->mean_log_run_ms +=
 		(log((double)MAX(run_ms, 1)) - stage->mean_log_run_ms) /
@@ -64,7 +70,8 @@
 
 	return run->planned_at && run->alive_since && is_whole && is_near &&
 	       !step->gang && !step->long_running && !run->was_paced &&
-	       run->state == RUN_RUNNING && !worker->unreachable_since &&
+	       run->state == RUN_RUNNING &&
+	       run->alive_since > worker->silence_ended_at &&
 	       !worker->quarantines_in_row &&
 	       worker->run_time_ratio <= SLOW_WORKER_RATIO;
 }
@@ -101,8 +108,9 @@
 	uint32_t i;
 
 	for (i = 0; i < job->spec->n_steps; i++)
-		step_ms[i] =
-			fleet_times_estimate(fleet, job, i, now)->expected_ms;
+		step_ms[i] = gh_run_estimate_longest_ms(
+			fleet_times_estimate(fleet, job, i, now),
+			job->spec->steps[i].tasks);
 	return gh_pipeline_longest_chain_ms(job->spec, unfinished, step_ms);
 }
 
--- a/core_fleet_times.h
+++ b/core_fleet_times.h
@@ -16,8 +16,8 @@
 					      const fleet_job_t *job,
 					      uint32_t stage, gh_time_t now);
 /*
- * gh_pipeline_critical_path_ms() of the job's first occurrence by expected run
- * times.
+ * gh_pipeline_critical_path_ms() of the job's first occurrence by the expected
+ * run times of each step's longest task.
  */
 int64_t fleet_times_path_ms(const gh_fleet_t *fleet, const fleet_job_t *job,
 			    uint32_t unfinished, gh_time_t now);
--- a/core_run_time.c
+++ b/core_run_time.c
@@ -6,20 +6,28 @@
 #include <glib.h>
 
 /* Text form of an entry: name, fields as in entry_t. */
-#define ENTRY_FIELDS 9
+#define ENTRY_FIELDS 10
 #define FORMAT_TAG "runtimes1"
 /* Longest name: its kind and GH_QUEUE_MAX or GH_LABEL_MAX bytes. */
 #define NAME_MAX_BYTES 112
 /* Sum of weights above which earlier observations decay. */
-#define WEIGHT_MAX 64.0
+#define WEIGHT_MAX 32.0
 /* Weight of the prior of a queue's mean, of an image's, and of both slopes. */
 #define QUEUE_PRIOR_WEIGHT 3.0
 #define IMAGE_PRIOR_WEIGHT 8.0
 #define SLOPE_PRIOR_WEIGHT 2.0
 /* Variance of the logarithm of actual over declared time, before any run. */
 #define PRIOR_VARIANCE 0.16
-/* The same among runs of one step, which have one declared time. */
-#define STEP_VARIANCE 0.09
+/*
+ * The same among runs of one step, which have one declared time: before any
+ * run, least and most that it is taken for, and numbers of runs by which it is
+ * learned.
+ */
+#define STEP_VARIANCE_START 0.04
+#define STEP_VARIANCE_MIN 0.01
+#define STEP_VARIANCE_MAX 0.25
+#define STEP_VARIANCE_RUNS 10
+#define STEP_VARIANCE_RUNS_MAX 200
 #define SLOPE_MIN (-1.0)
 #define SLOPE_MAX 0.5
 /* Largest and smallest actual over declared time, as a logarithm. */
@@ -50,6 +58,8 @@
 	double sum_xx, sum_xy, sum_yy; /* around the means */
 	/* Deviations from the mean that 19 of 20 runs stay below. */
 	double tail;
+	/* Mean squared deviation of runs from others of their step. */
+	double step_variance;
 } entry_t;
 
 struct gh_run_times {
@@ -71,6 +81,7 @@
 static entry_t *find_or_add(gh_run_times_t *times, const char *name);
 static void evict(gh_run_times_t *times, entry_t *entry);
 static void observe(entry_t *entry, double x, double y, double weight);
+static void learn_step_variance(entry_t *entry, const gh_run_sample_t *sample);
 static void follow_tail(entry_t *entry, const line_t *line, double x, double y);
 static line_t prior_line(void);
 static line_t fit(const entry_t *entry, const line_t *prior, double weight);
@@ -95,18 +106,19 @@
 }
 
 void gh_run_times_observe(gh_run_times_t *times, const char *queue,
-			  const char *image, int64_t declared_ms,
-			  int64_t actual_ms, double weight)
+			  const char *image, const gh_run_sample_t *sample)
 {
+	int64_t declared_ms = sample->declared_ms;
 	double x = declared_ms > 0 ? log_ms(declared_ms) : 0;
 	char name[NAME_MAX_BYTES];
 	line_t line = prior_line();
 	entry_t *entry;
 	double y;
 
-	if (actual_ms < 0 || !(weight > 0) || weight > 1)
+	if (sample->actual_ms < 0 || !(sample->weight > 0) ||
+	    sample->weight > 1)
 		return;
-	y = log_ms(actual_ms) - x;
+	y = log_ms(sample->actual_ms) - x;
 	if (declared_ms > 0)
 		y = CLAMP(y, -LOG_RATIO_MAX, LOG_RATIO_MAX);
 	times->version++;
@@ -114,11 +126,14 @@
 	entry = find_or_add(times, name);
 	line = fit(entry, &line, declared_ms > 0 ? QUEUE_PRIOR_WEIGHT : 0);
 	follow_tail(entry, &line, x, y);
-	observe(entry, x, y, weight);
+	observe(entry, x, y, sample->weight);
+	learn_step_variance(entry, sample);
 	if (!*image)
 		return;
 	format_name(name, 'i', image, declared_ms);
-	observe(find_or_add(times, name), x, y, weight);
+	entry = find_or_add(times, name);
+	observe(entry, x, y, sample->weight);
+	learn_step_variance(entry, sample);
 }
 
 bool gh_run_time_estimate(const gh_run_times_t *times, const char *queue,
@@ -129,6 +144,7 @@
 	char name[NAME_MAX_BYTES];
 	line_t line = prior_line();
 	const entry_t *entry;
+	double step_variance = 0;
 
 	*out = (gh_run_estimate_t){ 0 };
 	format_name(name, 'q', queue, declared_ms);
@@ -138,6 +154,7 @@
 		line = fit(entry, &line,
 			   declared_ms > 0 ? QUEUE_PRIOR_WEIGHT : 0);
 		line.tail = entry->tail;
+		step_variance = entry->step_variance;
 	}
 	format_name(name, 'i', image, declared_ms);
 	entry = *image ? find(times, name) : NULL;
@@ -145,11 +162,14 @@
 		line = fit(entry, &line,
 			   declared_ms > 0 || out->n ? IMAGE_PRIOR_WEIGHT : 0);
 		out->n = MAX(out->n, entry->n);
+		step_variance = MAX(step_variance, entry->step_variance);
 	}
 	if (!out->n && declared_ms <= 0)
 		return false;
 	out->log_mean = x + line_at(&line, x);
 	out->log_deviation = sqrt(line.variance);
+	out->step_deviation = sqrt(
+		CLAMP(step_variance, 0, MIN(STEP_VARIANCE_MAX, line.variance)));
 	set_estimate(out, line.tail);
 	/* The declared time is exact until a run has shown otherwise. */
 	if (!out->n)
@@ -161,21 +181,44 @@
 			    double log_mean)
 {
 	double variance = estimate->log_deviation * estimate->log_deviation;
+	double among =
+		estimate->step_deviation > 0 ?
+			MAX(estimate->step_deviation * estimate->step_deviation,
+			    STEP_VARIANCE_MIN) :
+			STEP_VARIANCE_START;
 	/* What the runs of a step have in common varies by the rest. */
-	double common = MAX(variance - STEP_VARIANCE, STEP_VARIANCE / 4);
-	double gain = common / (common + STEP_VARIANCE / n);
+	double common = MAX(variance - among, STEP_VARIANCE_MIN);
+	double gain;
 
 	if (!n || !isfinite(log_mean))
 		return;
+	gain = common / (common + among / n);
 	if (!estimate->expected_ms) {
 		estimate->log_mean = log_mean;
 		gain = 1;
 	}
 	estimate->log_mean += gain * (log_mean - estimate->log_mean);
-	estimate->log_deviation = sqrt(STEP_VARIANCE + common * (1 - gain));
+	estimate->log_deviation = sqrt(among + common * (1 - gain));
 	set_estimate(estimate, TAIL_DEVIATIONS);
 }
 
+int64_t gh_run_estimate_longest_ms(const gh_run_estimate_t *estimate,
+				   uint32_t n)
+{
+	double spread, deviations;
+
+	if (n < 2 || !estimate->expected_ms || !(estimate->step_deviation > 0))
+		return estimate->expected_ms;
+	/* Mean of the largest of n values of a normal distribution. */
+	spread = sqrt(2 * log(n));
+	deviations = spread - (log(log(n)) + log(4 * G_PI)) / (2 * spread);
+	return MAX(estimate->expected_ms,
+		   (int64_t)exp(MIN(estimate->log_mean +
+					    MAX(deviations, 0) *
+						    estimate->step_deviation,
+				    LOG_TIME_MAX)));
+}
+
 uint64_t gh_run_times_version(const gh_run_times_t *times)
 {
 	return times->version;
@@ -198,13 +241,13 @@
 		if (!text->len)
 			g_string_append(text, FORMAT_TAG "\n");
 		name = g_uri_escape_string(entry->name, NULL, FALSE);
-		g_string_append_printf(text,
-				       "%s %u %.3f %.4f %.4f %.4f %.4f %.4f "
-				       "%.3f\n",
-				       name, entry->n, entry->weight,
-				       entry->mean_x, entry->mean_y,
-				       entry->sum_xx, entry->sum_xy,
-				       entry->sum_yy, entry->tail);
+		g_string_append_printf(
+			text,
+			"%s %u %.3f %.4f %.4f %.4f %.4f %.4f "
+			"%.3f %.4f\n",
+			name, entry->n, entry->weight, entry->mean_x,
+			entry->mean_y, entry->sum_xx, entry->sum_xy,
+			entry->sum_yy, entry->tail, entry->step_variance);
 		g_free(name);
 	}
 	return g_string_free(text, FALSE);
@@ -267,6 +310,7 @@
 		evict(times, entry);
 		g_strlcpy(entry->name, name, sizeof(entry->name));
 		entry->tail = TAIL_DEVIATIONS;
+		entry->step_variance = STEP_VARIANCE_START;
 		g_hash_table_insert(
 			times->by_name, entry->name,
 			GUINT_TO_POINTER(entry - times->entries + 1));
@@ -300,6 +344,21 @@
 	entry->sum_yy = entry->sum_yy * keep + weight * (1 - gain) * dy * dy;
 }
 
+static void learn_step_variance(entry_t *entry, const gh_run_sample_t *sample)
+{
+	double deviation = log_ms(sample->actual_ms) - sample->log_mean_before;
+	double n = sample->n_before;
+	double sample_variance;
+
+	if (!sample->n_before || !isfinite(deviation))
+		return;
+	sample_variance =
+		MIN(deviation * deviation * n / (n + 1), 4 * STEP_VARIANCE_MAX);
+	entry->step_variance += (sample_variance - entry->step_variance) /
+				MIN((double)entry->n + STEP_VARIANCE_RUNS,
+				    STEP_VARIANCE_RUNS_MAX);
+}
+
 /* Moves the tail so that TAIL_SHARE of the runs stay below it. */
 static void follow_tail(entry_t *entry, const line_t *line, double x, double y)
 {
@@ -379,7 +438,7 @@
 	ok = name && strlen(name) > 2 && strlen(name) < NAME_MAX_BYTES &&
 	     strchr("qi", name[0]) && strchr("dn", name[1]) &&
 	     !find(times, name) && values[1] >= 0 && values[2] > 0 &&
-	     values[5] >= 0 && values[7] >= 0 &&
+	     values[5] >= 0 && values[7] >= 0 && values[9] >= 0 &&
 	     g_hash_table_size(times->by_name) < GH_RUN_TIMES_MAX;
 	if (ok) {
 		entry_t *entry = find_or_add(times, name);
@@ -393,6 +452,7 @@
 		entry->sum_yy = values[7];
 		entry->tail = CLAMP(values[8], TAIL_DEVIATIONS_MIN,
 				    TAIL_DEVIATIONS_MAX);
+		entry->step_variance = MIN(values[9], STEP_VARIANCE_MAX);
 	}
 	g_free(name);
 	g_strfreev(fields);
--- a/core_run_time.h
+++ b/core_run_time.h
@@ -30,21 +30,31 @@
 	int64_t tail_ms;     /* 19 of 20 runs take no longer; 0: unknown */
 	/* Mean and deviation of the run time's natural logarithm, in ms. */
 	double log_mean, log_deviation;
+	/* Part of the deviation that is among the tasks of one step. */
+	double step_deviation;
 	uint32_t n; /* observed runs of the queue or image, as they were told */
 } gh_run_estimate_t;
 
 gh_run_times_t *gh_run_times_new(void);
 void gh_run_times_free(gh_run_times_t *times);
 
+/* A run that ended as done. */
+typedef struct gh_run_sample {
+	int64_t declared_ms; /* 0 or less: none was declared */
+	int64_t actual_ms;
+	/* Above 0, up to 1; runs of one step share one weight of 1. */
+	double weight;
+	/* Earlier runs of its step, and their mean logarithm of ms. */
+	uint32_t n_before;
+	double log_mean_before;
+} gh_run_sample_t;
+
 /*
- * Learns from a run that took actual_ms.  image may be empty.  declared_ms: 0
- * or less if none was.  weight, above 0 and up to 1: runs that share one
- * declared time share one weight of 1.  A run with a time or weight that can't
- * be is ignored.
+ * Learns from a run; image may be empty.  A run with a time or weight that
+ * can't be is ignored.
  */
 void gh_run_times_observe(gh_run_times_t *times, const char *queue,
-			  const char *image, int64_t declared_ms,
-			  int64_t actual_ms, double weight);
+			  const char *image, const gh_run_sample_t *sample);
 
 /*
  * What a task is expected to take; false: nothing was learned, and the estimate
@@ -60,6 +70,10 @@
 void gh_run_estimate_narrow(gh_run_estimate_t *estimate, uint32_t n,
 			    double log_mean);
 
+/* Expected time of the longest of the n tasks of a step; 0: unknown. */
+int64_t gh_run_estimate_longest_ms(const gh_run_estimate_t *estimate,
+				   uint32_t n);
+
 /* Number of runs that were ever told; changes with each that is learned from.
  */
 uint64_t gh_run_times_version(const gh_run_times_t *times);
