--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -214,8 +214,12 @@
 	 */
 	double mean_log_run_ms;
 	uint32_t n_sound_runs;
-	/* What a run is expected to take, and until when this is used. */
+	/*
+	 * What a run, and the longest task, are expected to take, and until
+	 * when this is used.
+	 */
 	gh_run_estimate_t estimate;
+	int64_t longest_ms;
 	gh_time_t estimate_until;
 	/*
 	 * Long-running stage: since when a task finds no worker, 0: none waits;
--- a/core_fleet_times.c
+++ b/core_fleet_times.c
@@ -15,7 +15,7 @@
 #include <string.h>
 
 /* An estimate is made anew after this time, or when a run of its stage ends. */
-#define ESTIMATE_PERIOD_USEC (500 * GH_USEC_PER_MSEC)
+#define ESTIMATE_PERIOD_USEC (2 * GH_USEC_PER_SEC)
 /* Runs on a worker that takes this many times the usual time tell nothing. */
 #define SLOW_WORKER_RATIO 1.5
 /* A run is a straggler after this many times its expected run time. */
@@ -97,6 +97,8 @@
 		gh_run_estimate_narrow(&state->estimate, state->n_sound_runs,
 				       state->mean_log_run_ms);
 	}
+	state->longest_ms =
+		gh_run_estimate_longest_ms(&state->estimate, step->tasks);
 	state->estimate_until = now + ESTIMATE_PERIOD_USEC;
 	return &state->estimate;
 }
@@ -107,10 +109,10 @@
 	int64_t step_ms[GH_STEPS_MAX];
 	uint32_t i;
 
-	for (i = 0; i < job->spec->n_steps; i++)
-		step_ms[i] = gh_run_estimate_longest_ms(
-			fleet_times_estimate(fleet, job, i, now),
-			job->spec->steps[i].tasks);
+	for (i = 0; i < job->spec->n_steps; i++) {
+		fleet_times_estimate(fleet, job, i, now);
+		step_ms[i] = job->stages[i].longest_ms;
+	}
 	return gh_pipeline_longest_chain_ms(job->spec, unfinished, step_ms);
 }
 
--- a/regress/fleet_model.h
+++ b/regress/fleet_model.h
@@ -70,6 +70,7 @@
 	int64_t quiet_ms;
 	uint32_t weights[DISRUPTIONS]; /* relative frequency; 0: off */
 	uint32_t shards;	       /* 0: one */
+	bool times_off; /* runs of most jobs take far from what they declare */
 	/* Each call goes over a new connection, which any life may answer. */
 	bool unbound;
 } model_options_t;
--- a/regress/fleet_model_worker.c
+++ b/regress/fleet_model_worker.c
@@ -390,13 +390,28 @@
 	return used;
 }
 
+static int64_t run_ms_max(const model_t *m, const gh_task_id_t *task)
+{
+	int64_t max_ms = 2 * model_step(m, task)->estimate_ms;
+
+	switch (m->options->times_off ? g_str_hash(task->job) % 3 : 0) {
+	case 1:
+		return max_ms * 8;
+	case 2:
+		return MAX(max_ms / 8, 100);
+	default:
+		return max_ms;
+	}
+}
+
 static void begin_run(model_t *m, life_t *life, worker_call_t *call)
 {
 	const gh_step_t *step = model_step(m, &call->task);
 	live_run_t run = { .task = call->task,
 			   .run = call->run,
 			   .started_at = m->now };
-	gh_time_t end = m->now + model_random_ms(m, 50, 2 * step->estimate_ms);
+	gh_time_t end =
+		m->now + model_random_ms(m, 50, run_ms_max(m, &call->task));
 	bool failed = model_job_find(m, run.task.job)->hopeless ||
 		      model_field_is_sick(m, life);
 
@@ -466,7 +481,7 @@
 static void begin_gang(model_t *m, const gh_task_id_t *task, uint32_t run)
 {
 	const gh_step_t *step = model_step(m, task);
-	gh_time_t end = m->now + model_random_ms(m, 50, 2 * step->estimate_ms);
+	gh_time_t end = m->now + model_random_ms(m, 50, run_ms_max(m, task));
 
 	if (each_member(m, task, run, NULL, 0) == step->tasks)
 		each_member(m, task, run, complete_member, end);
--- a/regress/fleet_soak.c
+++ b/regress/fleet_soak.c
@@ -56,6 +56,7 @@
 					      "SOAK_SECONDS", SECONDS_DEFAULT),
 		.quiet_ms = c->quiet_ms,
 		.shards = c->shards,
+		.times_off = c->times_off || getenv("SOAK_TIMES_OFF"),
 		.unbound = getenv("SOAK_UNBOUND") ||
 			   (c->unbound && !getenv("SOAK_SEED")),
 	};
--- a/regress/fleet_soak.h
+++ b/regress/fleet_soak.h
@@ -6,8 +6,9 @@
  * first seed, the number of seeds and the simulated time of each;
  * SOAK_DISRUPTIONS limits the disruptions to those named, such as
  * "cut,kill=3", with their weights, or changes the weights of the default ones,
- * such as "+late=4,-restart".  With SOAK_UNBOUND, calls do not keep to
- * connections on which the life that they name has replied.
+ * such as "+late=4,-restart".  With SOAK_TIMES_OFF, runs of most jobs take
+ * eight times what they declare, or an eighth.  With SOAK_UNBOUND, calls do not
+ * keep to connections on which the life that they name has replied.
  */
 #ifndef FLEET_SOAK_H
 #define FLEET_SOAK_H
@@ -23,7 +24,8 @@
 	const char *disruptions;
 	uint64_t seed, seeds;
 	int64_t quiet_ms;
-	bool unbound; /* as with SOAK_UNBOUND, unless SOAK_SEED is set */
+	bool times_off; /* as with SOAK_TIMES_OFF */
+	bool unbound;	/* as with SOAK_UNBOUND, unless SOAK_SEED is set */
 } soak_case_t;
 
 /* Fails if a seed breaks one of the rules; prints the events of the first. */
--- a/regress/test_core_fleet_soak.c
+++ b/regress/test_core_fleet_soak.c
@@ -33,6 +33,37 @@
 	soak(&c);
 }
 
+static void test_no_task_runs_twice_far_off(void **state)
+{
+	static const soak_case_t c = {
+		.name = "run times far off",
+		.rules = RULE_TWICE | RULE_ORDER,
+		.disruptions = "-restart,-move",
+		.seed = 300000,
+		.seeds = 100,
+		.times_off = true,
+	};
+
+	(void)state;
+	soak(&c);
+}
+
+static void test_no_task_waits_far_off(void **state)
+{
+	static const soak_case_t c = {
+		.name = "idle tasks, run times far off",
+		.rules = RULE_IDLE,
+		.disruptions = "-record",
+		.seed = 310000,
+		.seeds = 60,
+		.quiet_ms = QUIET_MS,
+		.times_off = true,
+	};
+
+	(void)state;
+	soak(&c);
+}
+
 /*
  * The next life of a worker takes a deadline that was meant for the one before
  * as the longest lease, and the owner fails.
@@ -201,6 +232,8 @@
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_no_task_runs_twice),
+		cmocka_unit_test(test_no_task_runs_twice_far_off),
+		cmocka_unit_test(test_no_task_waits_far_off),
 		cmocka_unit_test(test_lease_of_new_life_outlasts_next_owner),
 		cmocka_unit_test(test_lease_of_life_whose_start_no_owner_knows),
 		cmocka_unit_test(test_done_in_unknown_new_life),
