--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -118,7 +118,6 @@
 	double previous_pace_percent;
 	/* When the worker is expected to apply pace_percent. */
 	gh_time_t pace_effective_at;
-	bool was_paced; /* its pace was below 100 at some time */
 	/* since when the run's pace is low; 0: it is not */
 	gh_time_t slow_since;
 	/*
@@ -138,6 +137,7 @@
 	run_crash_t crash;
 	bool crash_silent; /* the worker's lease ran out; no restart was seen */
 	bool suspect;	   /* counted in the worker's n_suspects */
+	bool was_paced;	   /* its pace was below 100 at some time */
 	/* gh_fleet.report_number of the last report that lists the run. */
 	uint32_t last_report;
 	/* Handles: neighbours in the list of the worker's runs. */
--- a/core_run_time.c
+++ b/core_run_time.c
@@ -293,7 +293,7 @@
 static entry_t *find_or_add(gh_run_times_t *times, const char *name)
 {
 	entry_t *entry = find(times, name);
-	entry_t *least = &times->entries[0];
+	uint32_t least = 0;
 	uint32_t i;
 
 	if (++times->uses >= USES_PER_ENTRY * GH_RUN_TIMES_MAX) {
@@ -302,18 +302,18 @@
 			times->entries[i].uses /= 2;
 	}
 	if (!entry) {
-		for (i = 0; i < GH_RUN_TIMES_MAX && *least->name; i++)
+		for (i = 0; i < GH_RUN_TIMES_MAX && *times->entries[least].name;
+		     i++)
 			if (!*times->entries[i].name ||
-			    times->entries[i].uses < least->uses)
-				least = &times->entries[i];
-		entry = least;
+			    times->entries[i].uses < times->entries[least].uses)
+				least = i;
+		entry = &times->entries[least];
 		evict(times, entry);
 		g_strlcpy(entry->name, name, sizeof(entry->name));
 		entry->tail = TAIL_DEVIATIONS;
 		entry->step_variance = STEP_VARIANCE_START;
-		g_hash_table_insert(
-			times->by_name, entry->name,
-			GUINT_TO_POINTER(entry - times->entries + 1));
+		g_hash_table_insert(times->by_name, entry->name,
+				    GUINT_TO_POINTER(least + 1));
 	}
 	entry->uses++;
 	return entry;
--- a/regress/fuzz_platform.c
+++ b/regress/fuzz_platform.c
@@ -11,6 +11,7 @@
 
 #include "core_fleet.h"
 #include "core_interference.h"
+#include "core_run_time.h"
 #include "error.h"
 #include "fuzz.h"
 #include "log.h"
@@ -126,6 +127,20 @@
 	return refuse(ok, err);
 }
 
+static bool parse_run_times(const GString *input, GError **err)
+{
+	gh_run_times_t *times = gh_run_times_new();
+	bool ok = gh_run_times_parse(times, input->str);
+	gh_run_estimate_t estimate;
+	char *text;
+
+	gh_run_time_estimate(times, "a b", "", 1000, &estimate);
+	text = gh_run_times_format(times);
+	g_free(text);
+	gh_run_times_free(times);
+	return refuse(ok, err);
+}
+
 static const struct {
 	const char *prefix; /* of the names of corpus files */
 	fuzz_parser_t parse;
@@ -137,6 +152,7 @@
 	{ "platform-report", parse_report },
 	{ "platform-progress", parse_progress },
 	{ "platform-images", parse_interference },
+	{ "platform-runtimes", parse_run_times },
 };
 
 static void test_platform_parsers(void **state)
