--- a/core_fleet_health.c
+++ b/core_fleet_health.c
@@ -53,6 +53,7 @@
 		break;
 	case GH_RUN_FAILED:
 		fleet->counts.failed++;
+		fleet_times_note_failed(fleet, run, now);
 		/*
 		 * Only a job's first failed run counts against a worker;
 		 * further ones may be the job's own fault.
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -220,6 +220,8 @@
 	 */
 	gh_run_estimate_t estimate;
 	int64_t longest_ms;
+	/* Longest time that a task of the stage has spent in failed runs. */
+	int64_t failed_ms;
 	gh_time_t estimate_until;
 	/*
 	 * Long-running stage: since when a task finds no worker, 0: none waits;
--- a/core_fleet_times.c
+++ b/core_fleet_times.c
@@ -27,6 +27,8 @@
 #define FAR_OFF_FACTOR 2
 
 static bool is_sound(const gh_fleet_t *fleet, const fleet_run_t *run);
+static int64_t path_ms(const gh_fleet_t *fleet, const fleet_job_t *job,
+		       uint32_t unfinished, bool with_failed, gh_time_t now);
 
 void fleet_times_note_done(gh_fleet_t *fleet, const fleet_run_t *run,
 			   gh_time_t now)
@@ -58,6 +60,19 @@
 		fleet->counts.run_times_off++;
 }
 
+void fleet_times_note_failed(gh_fleet_t *fleet, const fleet_run_t *run,
+			     gh_time_t now)
+{
+	const fleet_job_t *job = fleet_job(fleet, run->job);
+	fleet_stage_t *stage = fleet_task_stage(job, run->task);
+	int64_t runs = (int64_t)job->tasks[run->task].failures + 1;
+
+	if (run->alive_since && !fleet_task_step(job, run->task)->long_running)
+		stage->failed_ms =
+			MAX(stage->failed_ms,
+			    runs * gh_time_to_ms(now - run->alive_since));
+}
+
 /* Whether the time that the run took is that of its task alone. */
 static bool is_sound(const gh_fleet_t *fleet, const fleet_run_t *run)
 {
@@ -106,14 +121,7 @@
 int64_t fleet_times_path_ms(const gh_fleet_t *fleet, const fleet_job_t *job,
 			    uint32_t unfinished, gh_time_t now)
 {
-	int64_t step_ms[GH_STEPS_MAX];
-	uint32_t i;
-
-	for (i = 0; i < job->spec->n_steps; i++) {
-		fleet_times_estimate(fleet, job, i, now);
-		step_ms[i] = job->stages[i].longest_ms;
-	}
-	return gh_pipeline_longest_chain_ms(job->spec, unfinished, step_ms);
+	return path_ms(fleet, job, unfinished, false, now);
 }
 
 int64_t fleet_times_objective_ms(const gh_fleet_t *fleet,
@@ -121,11 +129,26 @@
 {
 	const gh_queue_policy_t *policy = fleet_job_policy(fleet, job);
 
-	return fleet_times_path_ms(fleet, job, UINT32_MAX, now) *
+	return path_ms(fleet, job, UINT32_MAX, true, now) *
 		       policy->stretch_milli / 1000 +
 	       policy->target_ms;
 }
 
+static int64_t path_ms(const gh_fleet_t *fleet, const fleet_job_t *job,
+		       uint32_t unfinished, bool with_failed, gh_time_t now)
+{
+	int64_t step_ms[GH_STEPS_MAX];
+	uint32_t i;
+
+	for (i = 0; i < job->spec->n_steps; i++) {
+		fleet_times_estimate(fleet, job, i, now);
+		step_ms[i] = job->stages[i].longest_ms;
+		if (with_failed)
+			step_ms[i] += job->stages[i].failed_ms;
+	}
+	return gh_pipeline_longest_chain_ms(job->spec, unfinished, step_ms);
+}
+
 int64_t fleet_times_remaining_core_ms(const gh_fleet_t *fleet,
 				      const fleet_job_t *job, gh_time_t now)
 {
--- a/core_fleet_times.h
+++ b/core_fleet_times.h
@@ -8,6 +8,9 @@
 /* Learns from a run that has ended as done; called before it is closed. */
 void fleet_times_note_done(gh_fleet_t *fleet, const fleet_run_t *run,
 			   gh_time_t now);
+/* Takes note of a run that failed; called before its task counts it. */
+void fleet_times_note_failed(gh_fleet_t *fleet, const fleet_run_t *run,
+			     gh_time_t now);
 /*
  * What a task of the stage is expected to take, by earlier runs and by those of
  * the stage itself; by its declared time for a long-running one.
@@ -22,8 +25,8 @@
 int64_t fleet_times_path_ms(const gh_fleet_t *fleet, const fleet_job_t *job,
 			    uint32_t unfinished, gh_time_t now);
 /*
- * Objective of the job by expected run times, in ms from its acceptance or due
- * time.
+ * Objective of the job by expected run times and the time spent in runs that
+ * failed, in ms from its acceptance or due time.
  */
 int64_t fleet_times_objective_ms(const gh_fleet_t *fleet,
 				 const fleet_job_t *job, gh_time_t now);
--- a/regress/test_core_run_time.c
+++ b/regress/test_core_run_time.c
@@ -535,6 +535,37 @@
 	}
 }
 
+/*
+ * A job one of whose runs failed is given the time of that run, too, and is not
+ * yet late when another one that is not goes first for it.
+ */
+static void test_failed_run_extends_objective(void **state)
+{
+	gh_step_t step = one_task;
+	scripted_worker_t *worker;
+	world_t w;
+
+	(void)state;
+	step.estimate_ms = 1000;
+	step.size.cores_milli = 2000;
+	start_queue_world(&w);
+	worker = find_worker(&w, "w1");
+	add_queue_job(&w, "wrong", "0000000000000001", &step);
+	advance_time(&w, 1000);
+	list_worker(&w, worker, true);
+	end_run(worker, 0, GH_RUN_FAILED);
+	advance_time(&w, 1200);
+	/* 2.2 s are over, of 2 s without the failed run and 4 s with it. */
+	step.estimate_ms = 20000;
+	add_queue_job(&w, "right", "0000000000000002", &step);
+	w.n_orders = 0;
+	add_worker(&w, "w2", 2000);
+	advance_time(&w, 100);
+	assert_int_equal(count_orders(&w, GH_ORDER_START, 0), 1);
+	assert_string_equal(w.orders[0].task.job, "0000000000000001");
+	world_clear(&w);
+}
+
 /* A copy is started by what runs take, not by what they declare. */
 static void test_copy_by_expected_time(void **state)
 {
@@ -579,6 +610,7 @@
 		cmocka_unit_test(test_learned_text),
 		cmocka_unit_test(test_sound_runs_are_learned),
 		cmocka_unit_test(test_order_by_expected_time),
+		cmocka_unit_test(test_failed_run_extends_objective),
 		cmocka_unit_test(test_copy_by_expected_time),
 	};
 
