--- a/core_fleet_times.c
+++ b/core_fleet_times.c
@@ -87,6 +87,7 @@
 	       !step->gang && !step->long_running && !run->was_paced &&
 	       run->state == RUN_RUNNING &&
 	       run->alive_since > worker->silence_ended_at &&
+	       run->alive_since >= worker->cold_until &&
 	       !worker->quarantines_in_row &&
 	       worker->run_time_ratio <= SLOW_WORKER_RATIO;
 }
@@ -181,8 +182,10 @@
 				   estimate->tail_ms),
 			       STRAGGLER_MIN_MS);
 
-	return run->planned_at &&
-	       gh_time_to_ms(now - run->planned_at) > limit_ms;
+	gh_time_t since = MAX(run->planned_at,
+			      fleet_worker(fleet, run->worker)->cold_until);
+
+	return run->planned_at && gh_time_to_ms(now - since) > limit_ms;
 }
 
 char *gh_fleet_run_times_format(const gh_fleet_t *fleet)
