--- a/core_fleet_copy.c
+++ b/core_fleet_copy.c
@@ -3,12 +3,10 @@
  * go on elsewhere.
  */
 #include "core_fleet_parts.h"
+#include "core_fleet_times.h"
 #include "core_slow_move.h"
 
 #define STRAGGLER_CHECK_PERIOD_USEC (100 * GH_USEC_PER_MSEC)
-/* A run is a straggler after this many times the mean run time of its stage. */
-#define STRAGGLER_FACTOR 2.0
-#define STRAGGLER_MIN_MS 500.0
 /* A best-effort run whose pace is low for longer than this is moved. */
 #define SLOW_BEFORE_MOVE_USEC (700 * GH_USEC_PER_MSEC)
 #define SLOW_REASON_MAX 160 /* bytes of the reason of a move */
@@ -30,8 +28,8 @@
 }
 
 /*
- * Starts a second run of a task whose run takes far longer than the mean of its
- * stage, or whose worker is unreachable, if the step allows copies.
+ * Starts a second run of a task whose run takes far longer than expected, or
+ * whose worker is unreachable, if the step allows copies.
  */
 static void copy_stragglers(gh_fleet_t *fleet, gh_time_t now)
 {
@@ -41,11 +39,7 @@
 	for (i = 0; i < n; i++) {
 		const fleet_run_t *run = fleet_run(fleet, i);
 		fleet_job_t *job;
-		const fleet_stage_t *stage;
-		double expected_ms;
 		uint32_t worker, task;
-		gh_time_t since;
-		bool slow;
 
 		if (run->state != RUN_RUNNING && run->state != RUN_STARTING &&
 		    run->state != RUN_ORPHAN)
@@ -56,18 +50,7 @@
 		    job->tasks[run->task].runs[1] != GH_NONE ||
 		    fleet_crash_is_suspect(&job->tasks[run->task]))
 			continue;
-		stage = fleet_task_stage(job, run->task);
-		expected_ms = stage->n_run_times ?
-				      stage->mean_run_ms :
-				      (double)fleet_task_step(job, run->task)
-					      ->estimate_ms;
-		since = MAX(run->planned_at,
-			    fleet_worker(fleet, run->worker)->cold_until);
-		slow = run->planned_at &&
-		       (double)gh_time_to_ms(now - since) >
-			       MAX(expected_ms * STRAGGLER_FACTOR,
-				   STRAGGLER_MIN_MS);
-		if (!slow &&
+		if (!fleet_times_is_straggler(fleet, run, now) &&
 		    !fleet_worker(fleet, run->worker)->unreachable_since)
 			continue;
 		if (!fleet_budget_allows(fleet))
--- a/core_fleet_health.c
+++ b/core_fleet_health.c
@@ -5,6 +5,7 @@
  * slow, although they report themselves as healthy.
  */
 #include "core_fleet_parts.h"
+#include "core_fleet_times.h"
 
 /*
  * A worker is quarantined after this many failed runs without a completed one;
@@ -48,9 +49,11 @@
 		worker->fail_streak = 0;
 		worker->quarantines_in_row = 0;
 		record_run_time(fleet, run, now);
+		fleet_times_note_done(fleet, run, now);
 		break;
 	case GH_RUN_FAILED:
 		fleet->counts.failed++;
+		fleet_times_note_failed(fleet, run, now);
 		/*
 		 * Only a job's first failed run counts against a worker;
 		 * further ones may be the job's own fault.
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -3,17 +3,18 @@
  *
  * Handles bursts that ask for more than the workers' free capacity.  Jobs that
  * can still meet their objective are ordered by priority, then by slack: the
- * time left after their remaining critical path.  Jobs past their objective
- * come next, and jobs several objectives late come last, because their result
- * is of little use by then.  Among jobs of one priority, long-running tasks
- * that have run before come first, and those that have not come last while
- * they leave room to short ones (core_headroom.h).  A stage starts as many
- * tasks as fit; the others wait without reserving capacity, so that smaller
- * tasks behind them can start, but for long-running tasks; see
- * core_fleet_reserve.c.  How far ahead tasks are placed is bound; see
- * core_fleet_budget.c.
+ * time left after their remaining critical path, by expected run times
+ * (core_fleet_times.c).  Jobs past their objective come next, and jobs several
+ * objectives late come last, because their result is of little use by then.
+ * Among jobs of one priority, long-running tasks that have run before come
+ * first, and those that have not come last while they leave room to short ones
+ * (core_headroom.h).  A stage starts as many tasks as fit; the others wait
+ * without reserving capacity, so that smaller tasks behind them can start, but
+ * for long-running tasks; see core_fleet_reserve.c.  How far ahead tasks are
+ * placed is bound; see core_fleet_budget.c.
  */
 #include "core_fleet_move.h"
+#include "core_fleet_times.h"
 
 #include <string.h>
 
@@ -21,8 +22,6 @@
 #define VERY_LATE_OBJECTIVES 3
 /* A job gets 1/20 of its remaining work as extra slack: large jobs yield. */
 #define REMAINING_WORK_DIVISOR 20
-/* Upper bound of a job's remaining work, in core-milliseconds. */
-#define REMAINING_CORE_MS_MAX 1e15
 /*
  * Added to the priority of a job past its objective; larger than any priority.
  */
@@ -52,8 +51,7 @@
 			   int64_t wall_ms);
 static bool has_restarts(const fleet_job_t *job, uint32_t stage);
 static void rate_candidate(const gh_fleet_t *fleet, const fleet_job_t *job,
-			   candidate_t *c, int64_t wall_ms);
-static int64_t remaining_core_ms(const fleet_job_t *job);
+			   candidate_t *c, gh_time_t now, int64_t wall_ms);
 static int compare_candidates(gconstpointer a, gconstpointer b);
 static void place_oldest(gh_fleet_t *fleet, const GArray *candidates,
 			 gh_time_t now);
@@ -109,7 +107,7 @@
 			    !stage_is_ready(job, s, wall_ms))
 				continue;
 			if (!rated)
-				rate_candidate(fleet, job, &c, wall_ms);
+				rate_candidate(fleet, job, &c, now, wall_ms);
 			rated = true;
 			job->rank = c.rank;
 			c.stage = s;
@@ -166,13 +164,10 @@
 }
 
 static void rate_candidate(const gh_fleet_t *fleet, const fleet_job_t *job,
-			   candidate_t *c, int64_t wall_ms)
+			   candidate_t *c, gh_time_t now, int64_t wall_ms)
 {
-	const gh_queue_policy_t *policy = fleet_job_policy(fleet, job);
 	const gh_pipeline_t *spec = job->spec;
-	int64_t objective = gh_pipeline_critical_path_ms(spec, UINT32_MAX) *
-				    policy->stretch_milli / 1000 +
-			    policy->target_ms;
+	int64_t objective = fleet_times_objective_ms(fleet, job, now);
 	int64_t age = wall_ms - MAX(spec->accepted_ms, spec->first_due_ms);
 	uint32_t open_steps = 0;
 	uint32_t i;
@@ -181,9 +176,10 @@
 		if (job->stages[i].tasks_done < spec->steps[i].tasks)
 			open_steps |= 1u << i;
 	c->slack_ms = objective - age -
-		      gh_pipeline_critical_path_ms(spec, open_steps) +
-		      remaining_core_ms(job) / REMAINING_WORK_DIVISOR;
-	c->rank = policy->priority;
+		      fleet_times_path_ms(fleet, job, open_steps, now) +
+		      fleet_times_remaining_core_ms(fleet, job, now) /
+			      REMAINING_WORK_DIVISOR;
+	c->rank = fleet_job_policy(fleet, job)->priority;
 	if (gh_pipeline_is_long_running(spec))
 		c->slack_ms = objective - age;
 	else if (age > VERY_LATE_OBJECTIVES * objective)
@@ -192,25 +188,6 @@
 		c->rank += RANK_LATE;
 }
 
-/* Estimated work of the job's tasks that are not done, in core-milliseconds. */
-static int64_t remaining_core_ms(const fleet_job_t *job)
-{
-	/* The estimates of an accepted job can exceed 64 bits. */
-	double sum = 0;
-	uint32_t s;
-
-	for (s = 0; s < job->n_stages; s++) {
-		const gh_step_t *step =
-			&job->spec->steps[s % job->spec->n_steps];
-
-		sum += (double)(step->tasks - job->stages[s].tasks_done -
-				job->stages[s].tasks_away) *
-		       (double)step->estimate_ms * step->size.cores_milli /
-		       1000;
-	}
-	return (int64_t)MIN(sum, REMAINING_CORE_MS_MAX);
-}
-
 static int compare_candidates(gconstpointer a, gconstpointer b)
 {
 	const candidate_t *first = a;
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -12,6 +12,7 @@
 #include "core_headroom.h"
 #include "core_load.h"
 #include "core_interference.h"
+#include "core_run_time.h"
 
 /* for handles: no such entry; for numbers: unknown */
 #define GH_NONE UINT32_MAX
@@ -144,6 +145,7 @@
 	run_crash_t crash;
 	bool crash_silent; /* the worker's lease ran out; no restart was seen */
 	bool suspect;	   /* counted in the worker's n_suspects */
+	bool was_paced;	   /* its pace was below 100 at some time */
 	/* gh_fleet.report_number of the last report that lists the run. */
 	uint32_t last_report;
 	/* Handles: neighbours in the list of the worker's runs. */
@@ -214,6 +216,21 @@
 	/* moving mean run time of the stage's completed runs */
 	double mean_run_ms;
 	uint32_t n_run_times; /* number of completed runs in mean_run_ms */
+	/*
+	 * Mean logarithm of the run times in ms that are learned from, and
+	 * their number; see core_fleet_times.c.
+	 */
+	double mean_log_run_ms;
+	uint32_t n_sound_runs;
+	/*
+	 * What a run, and the longest task, are expected to take, and until
+	 * when this is used.
+	 */
+	gh_run_estimate_t estimate;
+	int64_t longest_ms;
+	/* Longest time that a task of the stage has spent in failed runs. */
+	int64_t failed_ms;
+	gh_time_t estimate_until;
 	/*
 	 * Long-running stage: since when a task finds no worker, 0: none waits;
 	 * and when this is reported next.
@@ -397,6 +414,8 @@
 	gh_time_t renewal_not_before;
 	/* Since when the worker's lease renewals fail; 0: they do not. */
 	gh_time_t unreachable_since;
+	/* When it was heard again after such a time; 0: there was none. */
+	gh_time_t silence_ended_at;
 	/*
 	 * No start order is sent until this time, as the worker refused one for
 	 * lack of capacity.
@@ -591,6 +610,7 @@
 	GArray *peers;	   /* fleet_peer_t by shard; see core_fleet_rooms.c */
 	gh_time_t moves_decided_at;
 	gh_interference_t *interference;
+	gh_run_times_t *run_times;
 	gh_load_periods_t *load_periods; /* shared by all load forecasts */
 	gh_time_t created_at;
 	/* Until then a worker's lease can outlast an ordinary one. */
--- a/counter_list.h
+++ b/counter_list.h
@@ -208,6 +208,9 @@
 COUNTER(TASKS_ARRIVED, "tasks_arrived", "tasks that came from another shard")
 COUNTER(CHANGES_HASTENED, "changes_hastened",
 	"changes of urgent jobs committed ahead of older changes")
+COUNTER(RUN_TIMES, "run_times", "run times that were learned from")
+COUNTER(RUN_TIMES_OFF, "run_times_off",
+	"of those, run times over twice or under half the declared one")
 COUNTER(DOMAIN_REQUESTS, "domain_requests",
 	"requests to empty a failure domain that this host has heard of")
 COUNTER(DOMAIN_REQUESTS_OVER, "domain_requests_over",
--- a/regress/fleet_soak.c
+++ b/regress/fleet_soak.c
@@ -58,6 +58,7 @@
 		.shards = c->shards,
 		.queues = (uint32_t)number_from_environment("SOAK_QUEUES",
 							    c->queues),
+		.times_off = c->times_off || getenv("SOAK_TIMES_OFF"),
 		.unbound = getenv("SOAK_UNBOUND") ||
 			   (c->unbound && !getenv("SOAK_SEED")),
 	};
