--- a/core_balance.c
+++ b/core_balance.c
@@ -12,6 +12,14 @@
  * is too small for one, or other tasks run there.
  */
 #define HEADROOM_SHARE 0.1
+/*
+ * Queues that differ are levelled in this time.  It is some times longer than
+ * what hosts know of the queues is old, so that they don't sway.
+ */
+#define LEVEL_MS 5000.0
+/* What is known of queues counts in full at this age and less after it. */
+#define WAITS_FRESH_USEC (2 * GH_USEC_PER_SEC)
+#define WAITS_OLD_USEC (5 * GH_USEC_PER_SEC)
 
 /* A job that this host has placed and that no report includes yet. */
 typedef struct placed_job {
@@ -23,6 +31,8 @@
 typedef struct shard_entry {
 	bool known;
 	gh_shard_load_t load;
+	gh_time_t reported_at;
+	double level;	/* factor by which a job in hand prefers the shard */
 	GArray *placed; /* placed_job_t */
 } shard_entry_t;
 
@@ -42,6 +52,9 @@
 static uint32_t choose_by_weight(const gh_balance_t *balance,
 				 const gh_pipeline_t *job, weight_t weigh);
 static double free_cores(const shard_entry_t *shard, const gh_capacity_t *job);
+static double level_cores(const shard_entry_t *shard, const gh_capacity_t *job);
+static void set_levels(gh_balance_t *balance, const gh_pipeline_t *job,
+		       const gh_balance_query_t *query, gh_time_t now);
 static uint32_t scrambled_hash(const char *id);
 static double free_share(const shard_entry_t *shard, const gh_capacity_t *job);
 static double share_above_headroom(const shard_entry_t *shard,
@@ -83,12 +96,14 @@
 	if (!load)
 		return;
 	entry->load = *load;
+	entry->reported_at = now;
 	remove_placed(entry, true, now);
 }
 
 uint32_t gh_balance_choose(gh_balance_t *balance, const gh_pipeline_t *job,
-			   uint32_t hashed, gh_time_t now)
+			   const gh_balance_query_t *query, gh_time_t now)
 {
+	uint32_t hashed = query->hashed;
 	placed_job_t placed = { .size = long_running_size(job),
 				.reported_at = now + REPORT_DELAY_USEC,
 				.expires_at = now + PLACED_MAX_USEC };
@@ -102,11 +117,13 @@
 		remove_placed(&balance->shards[i], false, now);
 	if (balance->shards[hashed].known) {
 		weight_t weigh =
-			long_running ? share_above_headroom : free_cores;
+			long_running ? share_above_headroom : level_cores;
 
 		if (long_running &&
 		    sum_weights(balance, &placed.size, weigh) <= 0)
 			weigh = free_share;
+		if (!long_running)
+			set_levels(balance, job, query, now);
 		best = choose_by_weight(balance, job, weigh);
 	}
 	if (!long_running)
@@ -115,6 +132,72 @@
 	return best;
 }
 
+int64_t gh_balance_wait_ms(const gh_balance_t *balance, uint32_t shard,
+			   const gh_pipeline_t *job,
+			   const gh_balance_query_t *query, gh_time_t now,
+			   gh_time_t *age)
+{
+	const shard_entry_t *entry = &balance->shards[shard];
+	int64_t wait_ms;
+
+	*age = now - query->heard_at;
+	if (!entry->known || !entry->load.waits.told)
+		return GH_BALANCE_UNKNOWN;
+	wait_ms =
+		gh_waits_ms(&entry->load.waits, job->service, query->priority);
+	/* A report that tells of none is only written anew if that changes. */
+	if (wait_ms)
+		*age = MAX(*age, now - entry->reported_at);
+	return wait_ms;
+}
+
+/*
+ * Sets the factors by which the shards are preferred so that their queues come
+ * level: what passes in LEVEL_MS goes to a shard as much less as its queue is
+ * longer than the others'.  All are 1 while a shard's queue is not known.
+ */
+static void set_levels(gh_balance_t *balance, const gh_pipeline_t *job,
+		       const gh_balance_query_t *query, gh_time_t now)
+{
+	double sum = 0, cores = 0;
+	gh_time_t oldest = 0;
+	bool known = true;
+	double trust;
+	uint32_t i;
+
+	for (i = 0; i < balance->n_shards; i++) {
+		shard_entry_t *shard = &balance->shards[i];
+		double weight;
+		gh_time_t age;
+		int64_t wait_ms;
+
+		shard->level = 1;
+		weight = MAX(free_cores(shard, NULL), 0);
+		if (weight <= 0)
+			continue;
+		wait_ms = gh_balance_wait_ms(balance, i, job, query, now, &age);
+		known = known && wait_ms != GH_BALANCE_UNKNOWN;
+		oldest = MAX(oldest, age);
+		shard->level = (double)wait_ms;
+		sum += weight * (double)wait_ms;
+		cores += weight;
+	}
+	trust = (double)(WAITS_OLD_USEC - oldest) /
+		(double)(WAITS_OLD_USEC - WAITS_FRESH_USEC);
+	trust = known && cores > 0 ? CLAMP(trust, 0, 1) : 0;
+	for (i = 0; i < balance->n_shards; i++) {
+		shard_entry_t *shard = &balance->shards[i];
+
+		if (free_cores(shard, NULL) > 0)
+			shard->level =
+				MAX(1 + trust *
+						    (sum / MAX(cores, 1) -
+						     shard->level) /
+						    LEVEL_MS,
+				    0);
+	}
+}
+
 /*
  * Chooses a shard with a probability in proportion to its weight, or the one
  * with the largest if none has any.  The id's hash stands for the random
@@ -249,6 +332,14 @@
 	return MIN(cores, memory * (double)total->cores_milli);
 }
 
+/* The same, as far as the job in hand prefers the shard. */
+static double level_cores(const shard_entry_t *shard, const gh_capacity_t *job)
+{
+	double cores = free_cores(shard, job);
+
+	return cores > 0 ? cores * shard->level : cores;
+}
+
 static bool has_fixed_step(const gh_pipeline_t *job)
 {
 	uint32_t i;
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -75,8 +75,6 @@
 static void stop_long_running_on_draining(gh_fleet_t *fleet, gh_time_t now);
 static void collect_candidates(gh_fleet_t *fleet, GArray *candidates,
 			       gh_time_t now, int64_t wall_ms);
-static bool stage_is_ready(const fleet_job_t *job, uint32_t stage,
-			   int64_t wall_ms);
 static bool has_restarts(const fleet_job_t *job, uint32_t stage);
 static void rate_candidate(const gh_fleet_t *fleet, const fleet_job_t *job,
 			   candidate_t *c, int64_t wall_ms);
@@ -100,6 +98,7 @@
 	guint i;
 
 	note_tick(fleet, now);
+	fleet->wall_ahead_ms = wall_ms - gh_time_to_ms(now);
 	expire_leases(fleet, now);
 	retry_orders(fleet, now);
 	fleet_late_check(fleet, now);
@@ -294,7 +293,7 @@
 			if (stage->tasks_done + stage->tasks_open +
 					    stage->tasks_away >=
 				    tasks ||
-			    !stage_is_ready(job, s, wall_ms))
+			    !fleet_stage_is_ready(job, s, wall_ms))
 				continue;
 			if (!rated)
 				rate_candidate(fleet, job, &c, wall_ms);
@@ -309,8 +308,8 @@
 	}
 }
 
-static bool stage_is_ready(const fleet_job_t *job, uint32_t stage,
-			   int64_t wall_ms)
+bool fleet_stage_is_ready(const fleet_job_t *job, uint32_t stage,
+			  int64_t wall_ms)
 {
 	uint32_t n_steps = job->spec->n_steps;
 	uint32_t occurrence = stage / n_steps;
@@ -549,7 +548,7 @@
 		uint32_t tasks = job->spec->steps[s % job->spec->n_steps].tasks;
 
 		if (stage->tasks_done >= tasks ||
-		    !stage_is_ready(job, s, wall_ms))
+		    !fleet_stage_is_ready(job, s, wall_ms))
 			continue;
 		for (i = stage->first_task; i < stage->first_task + tasks;
 		     i++) {
--- a/core_fleet_rooms.c
+++ b/core_fleet_rooms.c
@@ -295,6 +295,7 @@
 	}
 	load->long_running = gh_fleet_long_running(fleet);
 	add_own_rooms(fleet, load, now);
+	fleet_waits_tell(fleet, &load->waits, now);
 }
 
 gh_capacity_t gh_fleet_long_running(const gh_fleet_t *fleet)
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -560,6 +560,9 @@
 	/* Until then a worker's lease can outlast an ordinary one. */
 	gh_time_t grants_ahead_until;
 	gh_time_t ticked_at; /* time of the last tick; 0: none */
+	/* At the last tick the wall clock was this far ahead of CLOCK_BOOTTIME.
+	 */
+	int64_t wall_ahead_ms;
 	/* Moving mean of the time between ticks, in microseconds. */
 	double mean_tick_gap;
 	uint32_t last_fence_offset; /* highest in use */
@@ -602,6 +605,12 @@
  * Frees a job that has ended, whose end is committed and that has no open run.
  */
 void fleet_job_free_if_finished(gh_fleet_t *fleet, uint32_t handle);
+/* Whether the stage is due and all that it depends on are done. */
+bool fleet_stage_is_ready(const fleet_job_t *job, uint32_t stage,
+			  int64_t wall_ms);
+/* What waits here, for the shard's load. */
+void fleet_waits_tell(const gh_fleet_t *fleet, gh_waits_t *waits,
+		      gh_time_t now);
 /* Index of the stage that contains the task. */
 uint32_t fleet_stage_index(const fleet_job_t *job, uint32_t task);
 
--- /dev/null
+++ b/core_waits.h
@@ -0,0 +1,54 @@
+/*
+ * What waits in a shard: work of short tasks that no worker has room for yet,
+ * by service and priority, with the rate at which such work passes.
+ *
+ * Owners tell it in the load of their shard; hosts estimate by it how long a
+ * new job would wait there.
+ */
+#ifndef CORE_WAITS_H
+#define CORE_WAITS_H
+
+#include "core_pipeline.h"
+
+#define GH_WAITS_MAX 8 /* services and priorities told; further ones are not \
+			*/
+
+/*
+ * Work in the present objective of its jobs; a job past its objective lets new
+ * ones pass, so it doesn't count.
+ */
+typedef struct gh_wait {
+	char service[GH_QUEUE_MAX + 1];
+	uint32_t priority;    /* 0 is the highest */
+	int64_t ready_core_s; /* core-seconds of tasks that could start */
+	int64_t later_core_s; /* of the tasks that come after them */
+	int64_t rate_milli;   /* cores at work for the service, in 1/1000 */
+} gh_wait_t;
+
+typedef struct gh_waits {
+	bool told; /* false: by a version that doesn't tell what waits */
+	gh_wait_t all[GH_WAITS_MAX]; /* by service and priority */
+	uint32_t n;
+} gh_waits_t;
+
+/* The entry, which is added if there is room for it; else NULL. */
+gh_wait_t *gh_waits_get(gh_waits_t *waits, const char *service,
+			uint32_t priority);
+
+/*
+ * How long a task of the service and priority waits for those that are ready
+ * and go before it.
+ */
+int64_t gh_waits_ms(const gh_waits_t *waits, const char *service,
+		    uint32_t priority);
+
+/*
+ * Appends " @:0:0", which tells that nothing else waits, and then
+ * " @PRIORITY,LATER,SERVICE:READY:RATE" for each entry; nothing if not told.
+ * To earlier versions these words are rooms of services that don't exist.
+ */
+void gh_waits_append(const gh_waits_t *waits, GString *text);
+/* Whether a word is of that form; it is then taken over. */
+bool gh_waits_parse(gh_waits_t *waits, const char *word);
+
+#endif
--- a/fleet_host.c
+++ b/fleet_host.c
@@ -68,6 +68,7 @@
 	const char *id;
 	const char *queue;
 	gh_pipeline_t *pipeline; /* job to submit; NULL in other calls */
+	const gh_queue_policy_t *policy; /* of its queue */
 	bool refresh;
 	gh_time_t deadline;
 	pthread_mutex_t lock;
@@ -361,6 +362,7 @@
 			       .id = pipeline->id,
 			       .queue = queue->policy.name,
 			       .pipeline = pipeline,
+			       .policy = &queue->policy,
 			       .deadline = deadline };
 	bool ok = gh_pipeline_check(pipeline, err);
 
@@ -552,8 +554,9 @@
 {
 	caller_call_t *call = ctx;
 
-	fleet_jobs_submit(call->host->jobs, call->pipeline, call->deadline,
-			  on_call_done, call);
+	fleet_jobs_submit(call->host->jobs, call->pipeline,
+			  call->policy->priority, call->deadline, on_call_done,
+			  call);
 }
 
 static void start_cancel(void *ctx)
--- a/fleet_jobs.c
+++ b/fleet_jobs.c
@@ -35,10 +35,11 @@
 static bool read_state(const fleet_jobs_t *jobs, const char *id,
 		       const char *text, uint64_t revision,
 		       fleet_job_state_t *state);
-static bool parse_room(const char *word, gh_room_t *room, GError **err);
-static bool parse_amount(const char *text, int64_t *amount);
 static void set_state(fleet_jobs_t *jobs, const char *id,
 		      const fleet_job_state_t *state);
+static void log_placed(const fleet_jobs_t *jobs, const gh_pipeline_t *pipeline,
+		       const gh_balance_query_t *query, uint32_t shard,
+		       gh_time_t now);
 
 fleet_jobs_t *fleet_jobs_new(loop_t *loop, fleet_store_t *store,
 			     uint32_t shards,
@@ -481,85 +482,6 @@
 	return true;
 }
 
-char *fleet_jobs_load_format(const char *owner, const gh_shard_load_t *load)
-{
-	GString *text = g_string_new(owner);
-	uint32_t i;
-
-	g_string_append_printf(
-		text, " %" PRId64 " %" PRId64 " %" PRId64 " %" PRId64,
-		load->total.cores_milli, load->total.memory_mb,
-		load->long_running.cores_milli, load->long_running.memory_mb);
-	for (i = 0; i < load->n_rooms; i++)
-		g_string_append_printf(text, " %s:%" PRId64 ":%" PRId64,
-				       load->rooms[i].service,
-				       load->rooms[i].free.cores_milli,
-				       load->rooms[i].free.memory_mb);
-	return g_string_free(text, FALSE);
-}
-
-bool fleet_jobs_load_parse(const char *text, const char *owner,
-			   gh_shard_load_t *load)
-{
-	size_t len = strlen(owner);
-	int end = 0;
-	char **words;
-	size_t i;
-
-	*load = (gh_shard_load_t){ 0 };
-	if (strncmp(text, owner, len) != 0 || text[len] != ' ' ||
-	    sscanf(text + len,
-		   "%" SCNd64 " %" SCNd64 " %" SCNd64 " %" SCNd64 "%n",
-		   &load->total.cores_milli, &load->total.memory_mb,
-		   &load->long_running.cores_milli,
-		   &load->long_running.memory_mb, &end) != 4)
-		return false;
-	words = g_strsplit(text + len + end, " ", -1);
-	for (i = 0; words[i] && load->n_rooms < GH_ROOMS_MAX; i++) {
-		GError *err = NULL;
-
-		if (!*words[i])
-			continue;
-		if (parse_room(words[i], &load->rooms[load->n_rooms], &err)) {
-			load->n_rooms++;
-			continue;
-		}
-		log_event(LOG_WARN, "load_unread", "owner", owner, "message",
-			  err->message, NULL);
-		g_error_free(err);
-	}
-	g_strfreev(words);
-	return true;
-}
-
-static bool parse_room(const char *word, gh_room_t *room, GError **err)
-{
-	char **fields = g_strsplit(word, ":", -1);
-	bool ok = g_strv_length(fields) == 3 && *fields[0] &&
-		  g_strlcpy(room->service, fields[0], sizeof(room->service)) <
-			  sizeof(room->service) &&
-		  parse_amount(fields[1], &room->free.cores_milli) &&
-		  parse_amount(fields[2], &room->free.memory_mb);
-
-	if (!ok)
-		gh_error_set(err, GH_E_SYNTAX,
-			     "cannot parse \"%.64s\" in a shard's load: "
-			     "expected \"SERVICE:CORES:MEMORY\"",
-			     word);
-	g_strfreev(fields);
-	return ok;
-}
-
-static bool parse_amount(const char *text, int64_t *amount)
-{
-	gint64 value;
-
-	if (!g_ascii_string_to_signed(text, 10, 0, INT64_MAX, &value, NULL))
-		return false;
-	*amount = value;
-	return true;
-}
-
 /* Takes over the shards' loads that were read. */
 void fleet_jobs_note_loads(fleet_jobs_t *jobs, const fleet_reply_t *reply)
 {
@@ -581,13 +503,50 @@
  * commit, so only one submission writes either.
  */
 uint32_t fleet_jobs_choose_shard(fleet_jobs_t *jobs,
-				 const gh_pipeline_t *pipeline)
+				 const gh_pipeline_t *pipeline,
+				 uint32_t priority)
 {
+	gh_balance_query_t query = {
+		.hashed = fleet_jobs_hashed_shard(jobs, pipeline->id),
+		.priority = priority,
+		.heard_at = fleet_watch_last_reply_at(jobs->watch),
+	};
+	gh_time_t now = clock_boot();
 	fleet_job_state_t state;
+	uint32_t shard;
 
 	if (fleet_jobs_find(jobs, pipeline->id, &state))
 		return state.shard;
-	return gh_balance_choose(jobs->balance, pipeline,
-				 fleet_jobs_hashed_shard(jobs, pipeline->id),
-				 clock_boot());
+	shard = gh_balance_choose(jobs->balance, pipeline, &query, now);
+	log_placed(jobs, pipeline, &query, shard, now);
+	return shard;
+}
+
+/* Logs the choice if something waits in a shard. */
+static void log_placed(const fleet_jobs_t *jobs, const gh_pipeline_t *pipeline,
+		       const gh_balance_query_t *query, uint32_t shard,
+		       gh_time_t now)
+{
+	GString *waits = g_string_new(NULL);
+	gh_time_t oldest = 0;
+	bool any = false;
+	uint32_t i;
+
+	for (i = 0; i < jobs->shards; i++) {
+		gh_time_t age;
+		int64_t wait_ms = gh_balance_wait_ms(jobs->balance, i, pipeline,
+						     query, now, &age);
+
+		any = any || wait_ms > 0;
+		oldest = MAX(oldest, age);
+		g_string_append_printf(waits, "%s%" PRId64, i ? "/" : "",
+				       wait_ms);
+	}
+	if (any)
+		log_event(LOG_INFO, "job_placed", "job", pipeline->id, "shard",
+			  log_num(shard), "hashed", log_num(query->hashed),
+			  "priority", log_num(query->priority), "waits_ms",
+			  waits->str, "age_ms", log_num(gh_time_to_ms(oldest)),
+			  NULL);
+	g_string_free(waits, TRUE);
 }
--- a/fleet_jobs.h
+++ b/fleet_jobs.h
@@ -142,7 +142,8 @@
  * with GH_E_JOB_CANCELLED.
  */
 void fleet_jobs_submit(fleet_jobs_t *jobs, const gh_pipeline_t *pipeline,
-		       gh_time_t deadline, fleet_jobs_done_t done, void *ctx);
+		       uint32_t priority, gh_time_t deadline,
+		       fleet_jobs_done_t done, void *ctx);
 void fleet_jobs_cancel(fleet_jobs_t *jobs, const char *id, const char *queue,
 		       gh_time_t deadline, fleet_jobs_done_t done, void *ctx);
 /* Reads one job's state from the store into the directory. */
--- a/fleet_jobs_private.h
+++ b/fleet_jobs_private.h
@@ -55,7 +55,8 @@
 
 uint32_t fleet_jobs_hashed_shard(const fleet_jobs_t *jobs, const char *id);
 uint32_t fleet_jobs_choose_shard(fleet_jobs_t *jobs,
-				 const gh_pipeline_t *pipeline);
+				 const gh_pipeline_t *pipeline,
+				 uint32_t priority);
 bool fleet_jobs_parse_state(const fleet_jobs_t *jobs, const char *id,
 			    const char *text, fleet_job_state_t *state);
 void fleet_jobs_note_loads(fleet_jobs_t *jobs, const fleet_reply_t *reply);
--- a/fleet_jobs_request.c
+++ b/fleet_jobs_request.c
@@ -167,7 +167,8 @@
 }
 
 void fleet_jobs_submit(fleet_jobs_t *jobs, const gh_pipeline_t *pipeline,
-		       gh_time_t deadline, fleet_jobs_done_t done, void *ctx)
+		       uint32_t priority, gh_time_t deadline,
+		       fleet_jobs_done_t done, void *ctx)
 {
 	request_t *request = request_new(jobs, REQUEST_SUBMIT, pipeline->id,
 					 deadline, done, ctx);
@@ -193,7 +194,8 @@
 					request);
 		return;
 	}
-	request->state.shard = fleet_jobs_choose_shard(jobs, pipeline);
+	request->state.shard =
+		fleet_jobs_choose_shard(jobs, pipeline, priority);
 	request_try(request);
 }
 
@@ -211,7 +213,8 @@
 	fleet_jobs_note_loads(jobs, reply);
 	pipeline = gh_pipeline_parse(request->record, NULL);
 	if (pipeline)
-		request->state.shard = fleet_jobs_choose_shard(jobs, pipeline);
+		request->state.shard =
+			fleet_jobs_choose_shard(jobs, pipeline, 0);
 	gh_pipeline_free(pipeline);
 	request_try(request);
 }
--- a/regress/test_core_balance.c
+++ b/regress/test_core_balance.c
@@ -169,7 +169,9 @@
 		job.steps = &steps[1];
 		job.n_steps = 1;
 	}
-	return gh_balance_choose(balance, &job, hashed, gh_time_from_ms(at_ms));
+	return gh_balance_choose(balance, &job,
+				 &(gh_balance_query_t){ .hashed = hashed },
+				 gh_time_from_ms(at_ms));
 }
 
 #define CHOICES 2000
--- a/regress/test_fleet_jobs.c
+++ b/regress/test_fleet_jobs.c
@@ -266,8 +266,8 @@
 				   .payload = (char *)"payload" };
 
 	play->told = false;
-	fleet_jobs_submit(play->jobs, &pipeline, clock_boot() + DEADLINE_USEC,
-			  on_told, play);
+	fleet_jobs_submit(play->jobs, &pipeline, 0,
+			  clock_boot() + DEADLINE_USEC, on_told, play);
 }
 
 static bool play_case(const jobs_case_t *c)
@@ -321,6 +321,8 @@
 	"ssssssssssssssssssssssssssssssssssssssssssssssssssss" \
 	"ssssssssssssssssssssssssssssssssssssssssssssssssssss"
 
+#define WAITS_TEXT "h0 8000 64 4000 32 svc:3000:16 @:0:0 @1,7,svc:5:50"
+
 typedef struct load_case {
 	const char *text;
 	bool ok;
@@ -343,6 +345,11 @@
 	{ "h0 8000 64 4000 32 " LONG_NAME ":3000:16", true, 0, NULL, 0 },
 	{ "h0 8000 64 4000 32 " ROOM_32 ROOM_32 ROOM_32 ROOM_32 "t:2:2", true,
 	  GH_ROOMS_MAX, "s", 1 },
+	{ WAITS_TEXT, true, 1, "svc", 3000 },
+	{ "h0 8000 64 4000 32 @1,x,svc:5:50 @:0:0 svc:3000:16", true, 2,
+	  "@1,x,svc", 5 },
+	{ "h0 8000 64 4000 32 " ROOM_32 ROOM_32 ROOM_32 ROOM_32 "@:0:0", true,
+	  GH_ROOMS_MAX, "s", 1 },
 	{ "h0 8000 64 4000", false, 0, NULL, 0 },
 	{ "h1 8000 64 4000 32 svc:3000:16", false, 0, NULL, 0 },
 	{ "h00 8000 64 4000 32 svc:3000:16", false, 0, NULL, 0 },
@@ -377,6 +384,13 @@
 	text = fleet_jobs_load_format("h0", &load);
 	assert_string_equal(text, load_cases[2].text);
 	g_free(text);
+	assert_false(load.waits.told);
+	assert_true(fleet_jobs_load_parse(WAITS_TEXT, "h0", &load));
+	assert_true(load.waits.told);
+	assert_int_equal(gh_waits_ms(&load.waits, "svc", 1), 100000);
+	text = fleet_jobs_load_format("h0", &load);
+	assert_string_equal(text, WAITS_TEXT);
+	g_free(text);
 }
 
 int main(void)
