--- a/core_balance.c
+++ b/core_balance.c
@@ -53,8 +53,12 @@
 				 const gh_pipeline_t *job, weight_t weigh);
 static double free_cores(const shard_entry_t *shard, const gh_capacity_t *job);
 static double level_cores(const shard_entry_t *shard, const gh_capacity_t *job);
-static void set_levels(gh_balance_t *balance, const gh_pipeline_t *job,
-		       const gh_balance_query_t *query, gh_time_t now);
+static double all_cores(const shard_entry_t *shard, const gh_capacity_t *job);
+static double level_all_cores(const shard_entry_t *shard,
+			      const gh_capacity_t *job);
+static bool set_levels(gh_balance_t *balance, const gh_pipeline_t *job,
+		       const gh_balance_query_t *query, weight_t weigh,
+		       gh_time_t now);
 static uint32_t scrambled_hash(const char *id);
 static double free_share(const shard_entry_t *shard, const gh_capacity_t *job);
 static double share_above_headroom(const shard_entry_t *shard,
@@ -108,11 +112,14 @@
 				.reported_at = now + REPORT_DELAY_USEC,
 				.expires_at = now + PLACED_MAX_USEC };
 	bool long_running = gh_pipeline_is_long_running(job);
+	bool best_effort = !long_running && !has_fixed_step(job);
 	uint32_t best = hashed;
 	uint32_t i;
 
-	if (!long_running && !has_fixed_step(job))
-		return hashed;
+	if (best_effort)
+		return set_levels(balance, job, query, all_cores, now) ?
+			       choose_by_weight(balance, job, level_all_cores) :
+			       hashed;
 	for (i = 0; i < balance->n_shards; i++)
 		remove_placed(&balance->shards[i], false, now);
 	if (balance->shards[hashed].known) {
@@ -123,7 +130,7 @@
 		    sum_weights(balance, &placed.size, weigh) <= 0)
 			weigh = free_share;
 		if (!long_running)
-			set_levels(balance, job, query, now);
+			set_levels(balance, job, query, free_cores, now);
 		best = choose_by_weight(balance, job, weigh);
 	}
 	if (!long_running)
@@ -138,13 +145,13 @@
 			   gh_time_t *age)
 {
 	const shard_entry_t *entry = &balance->shards[shard];
+	gh_wait_queue_t queue = gh_wait_queue(job, query->priority);
 	int64_t wait_ms;
 
 	*age = now - query->heard_at;
 	if (!entry->known || !entry->load.waits.told)
 		return GH_BALANCE_UNKNOWN;
-	wait_ms =
-		gh_waits_ms(&entry->load.waits, job->service, query->priority);
+	wait_ms = gh_waits_ms(&entry->load.waits, &queue);
 	/* A report that tells of none is only written anew if that changes. */
 	if (wait_ms)
 		*age = MAX(*age, now - entry->reported_at);
@@ -154,10 +161,12 @@
 /*
  * Sets the factors by which the shards are preferred so that their queues come
  * level: what passes in LEVEL_MS goes to a shard as much less as its queue is
- * longer than the others'.  All are 1 while a shard's queue is not known.
+ * longer than the others'.  Returns false, and they are all 1, if nothing
+ * waits, or a queue is not known or has long not been heard of.
  */
-static void set_levels(gh_balance_t *balance, const gh_pipeline_t *job,
-		       const gh_balance_query_t *query, gh_time_t now)
+static bool set_levels(gh_balance_t *balance, const gh_pipeline_t *job,
+		       const gh_balance_query_t *query, weight_t weigh,
+		       gh_time_t now)
 {
 	double sum = 0, cores = 0;
 	gh_time_t oldest = 0;
@@ -167,35 +176,33 @@
 
 	for (i = 0; i < balance->n_shards; i++) {
 		shard_entry_t *shard = &balance->shards[i];
-		double weight;
+		double weight = MAX(weigh(shard, NULL), 0);
 		gh_time_t age;
 		int64_t wait_ms;
 
 		shard->level = 1;
-		weight = MAX(free_cores(shard, NULL), 0);
 		if (weight <= 0)
 			continue;
 		wait_ms = gh_balance_wait_ms(balance, i, job, query, now, &age);
 		known = known && wait_ms != GH_BALANCE_UNKNOWN;
 		oldest = MAX(oldest, age);
-		shard->level = (double)wait_ms;
 		sum += weight * (double)wait_ms;
 		cores += weight;
 	}
 	trust = (double)(WAITS_OLD_USEC - oldest) /
 		(double)(WAITS_OLD_USEC - WAITS_FRESH_USEC);
-	trust = known && cores > 0 ? CLAMP(trust, 0, 1) : 0;
+	if (!known || sum <= 0 || trust <= 0)
+		return false;
 	for (i = 0; i < balance->n_shards; i++) {
-		shard_entry_t *shard = &balance->shards[i];
+		gh_time_t age;
+		double wait_ms = (double)gh_balance_wait_ms(balance, i, job,
+							    query, now, &age);
 
-		if (free_cores(shard, NULL) > 0)
-			shard->level =
-				MAX(1 + trust *
-						    (sum / MAX(cores, 1) -
-						     shard->level) /
-						    LEVEL_MS,
-				    0);
+		balance->shards[i].level = MAX(
+			1 + MIN(trust, 1) * (sum / cores - wait_ms) / LEVEL_MS,
+			0);
 	}
+	return true;
 }
 
 /*
@@ -340,6 +347,19 @@
 	return cores > 0 ? cores * shard->level : cores;
 }
 
+/* Milli-cores of which best-effort tasks get what is unused. */
+static double all_cores(const shard_entry_t *shard, const gh_capacity_t *job)
+{
+	(void)job;
+	return shard->known ? (double)shard->load.total.cores_milli : 0;
+}
+
+static double level_all_cores(const shard_entry_t *shard,
+			      const gh_capacity_t *job)
+{
+	return all_cores(shard, job) * shard->level;
+}
+
 static bool has_fixed_step(const gh_pipeline_t *job)
 {
 	uint32_t i;
--- a/core_balance.h
+++ b/core_balance.h
@@ -6,9 +6,9 @@
  * has left for them, less some headroom; to one without headroom only if all
  * are.  A job with other tasks of fixed size can use only what the long-running
  * ones leave, so it goes to a shard in proportion to that, and to fewer where
- * its tasks would wait longer than elsewhere.  A job of
- * best-effort tasks alone, which take what the others don't use, goes to the
- * shard that the hash of its id names.
+ * its tasks would wait longer than elsewhere.  A job of best-effort tasks
+ * alone, which take what the others don't use, goes to the shard that the hash
+ * of its id names, or by the waits if such tasks wait.
  *
  * Answers loads whose long-running tasks fill most of the capacity, and some
  * shards almost whole: where the hash placed short urgent jobs, those of the
--- a/core_fleet_waits.c
+++ b/core_fleet_waits.c
@@ -6,7 +6,7 @@
  * one shard grows beside a shorter one of another.  What passes soon is not
  * told, so that the load of a calm shard doesn't change.
  */
-#include "core_fleet_state.h"
+#include "core_fleet_parts.h"
 
 #include <string.h>
 
@@ -23,8 +23,9 @@
 /* Cores of a service's workers. */
 typedef struct rate {
 	const char *service;
-	int64_t short_milli; /* held by short tasks */
-	int64_t left_milli;  /* that long-running tasks leave */
+	int64_t short_milli;	   /* held by short tasks */
+	int64_t best_effort_milli; /* held by best-effort tasks */
+	int64_t left_milli;	   /* that long-running tasks leave */
 } rate_t;
 
 static void add_job(const gh_fleet_t *fleet, const fleet_job_t *job,
@@ -57,21 +58,25 @@
 		    gh_waits_t *waits, int64_t wall_ms)
 {
 	const gh_queue_policy_t *policy = fleet_job_policy(fleet, job);
-	gh_wait_t *wait = NULL;
 	uint32_t s;
 
 	if (job->held || !is_in_time(policy, job->spec, wall_ms))
 		return;
 	for (s = 0; s < job->n_stages; s++) {
+		gh_wait_queue_t queue = {
+			.service = job->spec->service,
+			.priority = policy->priority,
+			.best_effort = job->spec->steps[s % job->spec->n_steps]
+					       .best_effort,
+		};
 		int64_t core_ms = waiting_core_ms(job, s);
+		gh_wait_t *wait;
 
 		if (!core_ms)
 			continue;
+		wait = gh_waits_get(waits, &queue);
 		if (!wait)
-			wait = gh_waits_get(waits, job->spec->service,
-					    policy->priority);
-		if (!wait)
-			return;
+			continue;
 		if (fleet_stage_is_ready(job, s, wall_ms))
 			wait->ready_core_s += core_ms;
 		else
@@ -95,7 +100,7 @@
 	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
 	const fleet_stage_t *s = &job->stages[stage];
 
-	if (step->long_running || step->best_effort)
+	if (step->long_running)
 		return 0;
 	/* The estimates of an accepted job can exceed 64 bits. */
 	return (int64_t)MIN((double)(step->tasks - s->tasks_done -
@@ -129,14 +134,19 @@
 			rates, fleet_worker(fleet, run->worker)->entry.service);
 		if (step->long_running)
 			rate->left_milli -= step->size.cores_milli;
-		else if (!step->best_effort)
+		else if (step->best_effort)
+			rate->best_effort_milli += step->size.cores_milli;
+		else
 			rate->short_milli += step->size.cores_milli;
 	}
 	for (i = 0; i < waits->n; i++) {
-		const rate_t *rate = find_rate(rates, waits->all[i].service);
+		gh_wait_t *wait = &waits->all[i];
+		const rate_t *rate = find_rate(rates, wait->service);
+		int64_t held = wait->best_effort ? rate->best_effort_milli :
+						   rate->short_milli;
 
-		waits->all[i].rate_milli = MAX(
-			rate->short_milli, rate->left_milli / RATE_MIN_DIVISOR);
+		wait->rate_milli =
+			MAX(held, rate->left_milli / RATE_MIN_DIVISOR);
 	}
 	g_array_free(rates, TRUE);
 }
