--- /dev/null
+++ b/core_admission.c
@@ -0,0 +1,90 @@
+#include "core_admission.h"
+
+/* What waits may pass so many times as fast as expected. */
+#define WAIT_MARGIN 2
+/* Older knowledge refuses nobody. */
+#define AGE_MAX_USEC (3 * GH_USEC_PER_SEC)
+/* Ids take turns of this length; each has one in TURNS. */
+#define TURN_MS 2000
+#define TURNS 4
+/* In its turn a job may end so many times as late. */
+#define TURN_FACTOR 2
+/* Limit of the estimates, which can be arbitrarily large. */
+#define TIME_MAX_MS INT64_C(1000000000000)
+
+static int64_t time_until_turn(const char *id, int64_t wall_ms);
+static bool has_turn(const char *id, int64_t wall_ms);
+
+static const char *const reason_names[GH_ADMISSION_REASONS] = {
+	[GH_ADMISSION_USEFUL] = "useful",
+	[GH_ADMISSION_NO_ESTIMATE] = "no_estimate",
+	[GH_ADMISSION_UNKNOWN] = "unknown",
+	[GH_ADMISSION_TURN] = "turn",
+	[GH_ADMISSION_HOPELESS] = "hopeless",
+};
+
+void gh_admission_judge(const gh_admission_state_t *state,
+			gh_admission_verdict_t *verdict)
+{
+	const gh_pipeline_t *job = state->job;
+	const gh_queue_policy_t *policy = state->policy;
+	int64_t path_ms =
+		MIN(gh_pipeline_critical_path_ms(job, UINT32_MAX), TIME_MAX_MS);
+	int64_t wait_ms = CLAMP(state->wait_ms, 0, TIME_MAX_MS) / WAIT_MARGIN;
+	int64_t limit_ms, room_ms;
+
+	*verdict = (gh_admission_verdict_t){
+		.objective_ms = MIN(
+			path_ms * MIN(policy->stretch_milli, 1000000) / 1000 +
+				policy->target_ms,
+			TIME_MAX_MS),
+		.end_ms = wait_ms + path_ms,
+	};
+	limit_ms = verdict->objective_ms * GH_ADMISSION_OBJECTIVES;
+	if (path_ms <= 0 || limit_ms <= path_ms || job->occurrences ||
+	    gh_pipeline_is_long_running(job)) {
+		verdict->reason = GH_ADMISSION_NO_ESTIMATE;
+		return;
+	}
+	if (state->wait_ms < 0 || state->age > AGE_MAX_USEC) {
+		verdict->reason = GH_ADMISSION_UNKNOWN;
+		return;
+	}
+	if (verdict->end_ms <= limit_ms)
+		return;
+	if (has_turn(job->id, state->wall_ms) &&
+	    verdict->end_ms <= limit_ms * TURN_FACTOR) {
+		verdict->reason = GH_ADMISSION_TURN;
+		return;
+	}
+	verdict->reason = GH_ADMISSION_HOPELESS;
+	/* By then, so much of what waits has passed that the job is of use. */
+	room_ms = verdict->end_ms - limit_ms;
+	verdict->retry_after_ms =
+		room_ms + time_until_turn(job->id, state->wall_ms + room_ms);
+}
+
+bool gh_admission_is_refusal(const gh_admission_verdict_t *verdict)
+{
+	return verdict->reason == GH_ADMISSION_HOPELESS;
+}
+
+const char *gh_admission_reason_name(gh_admission_reason_t reason)
+{
+	return reason_names[reason];
+}
+
+static bool has_turn(const char *id, int64_t wall_ms)
+{
+	return time_until_turn(id, wall_ms) == 0;
+}
+
+/* 0 in the turn itself. */
+static int64_t time_until_turn(const char *id, int64_t wall_ms)
+{
+	int64_t turn = g_str_hash(id) % TURNS;
+	int64_t now = wall_ms / TURN_MS;
+	int64_t ahead = (turn - now % TURNS + TURNS) % TURNS;
+
+	return ahead ? (now + ahead) * TURN_MS - wall_ms : 0;
+}
--- a/counter_list.h
+++ b/counter_list.h
@@ -32,6 +32,18 @@
 COUNTER(CREDIT_LENT, "credits_lent", "slot credits lent to peers")
 COUNTER(CREDIT_BORROWED, "credits_borrowed", "slot credits borrowed from peers")
 
+/* Counters of what was decided on submissions at the door. */
+COUNTER(ADMITTED_USEFUL, "admitted_useful",
+	"jobs admitted that can be of use to their callers")
+COUNTER(ADMITTED_NO_ESTIMATE, "admitted_no_estimate",
+	"jobs admitted that last, are timed or have no estimate")
+COUNTER(ADMITTED_UNKNOWN, "admitted_unknown",
+	"jobs admitted as it is not known, or of late, what waits")
+COUNTER(ADMITTED_TURN, "admitted_turn",
+	"jobs admitted late, as their callers' turn had come")
+COUNTER(REFUSED_HOPELESS, "refused_hopeless",
+	"jobs refused that could not be of use to their callers any more")
+
 /* Counters of calls to the key-value service (store). */
 COUNTER(STORE_READ, "store_reads", "reads sent to the store")
 COUNTER(STORE_WRITE, "store_writes", "writes sent to the store")
--- a/fleet_front.h
+++ b/fleet_front.h
@@ -35,11 +35,12 @@
 
 /*
  * Submits a job as a pipeline whose id, queue, service and acceptance time are
- * set, and takes ownership of the pipeline.
+ * set, and takes ownership of the pipeline.  On failure retry_after_ms is when
+ * the caller should retry.
  */
 bool fleet_front_submit(fleet_front_t *host, const fleet_queue_t *queue,
 			gh_pipeline_t *pipeline, gh_time_t deadline,
-			GError **err);
+			int64_t *retry_after_ms, GError **err);
 /*
  * Finds a job's phase, in the store if the host's job directory lacks the job.
  */
--- a/fleet_host.c
+++ b/fleet_host.c
@@ -12,6 +12,7 @@
 #include "clock.h"
 #include "counter.h"
 #include "error.h"
+#include "fleet_admission.h"
 #include "fleet_jobs.h"
 #include "fleet_owner.h"
 #include "fleet_watch.h"
@@ -69,6 +70,7 @@
 	const char *queue;
 	gh_pipeline_t *pipeline; /* job to submit; NULL in other calls */
 	const gh_queue_policy_t *policy; /* of its queue */
+	int64_t retry_after_ms;		 /* set if the job is refused */
 	bool refresh;
 	gh_time_t deadline;
 	pthread_mutex_t lock;
@@ -356,13 +358,14 @@
 
 bool fleet_front_submit(fleet_front_t *host, const fleet_queue_t *queue,
 			gh_pipeline_t *pipeline, gh_time_t deadline,
-			GError **err)
+			int64_t *retry_after_ms, GError **err)
 {
 	caller_call_t call = { .host = host,
 			       .id = pipeline->id,
 			       .queue = queue->policy.name,
 			       .pipeline = pipeline,
 			       .policy = &queue->policy,
+			       .retry_after_ms = RETRY_AFTER_MS,
 			       .deadline = deadline };
 	bool ok = gh_pipeline_check(pipeline, err);
 
@@ -389,6 +392,7 @@
 		ok = false;
 	}
 	ok = ok && run_on_loop(&call, start_submit, err);
+	*retry_after_ms = call.retry_after_ms;
 	gh_pipeline_free(pipeline);
 	return ok;
 }
@@ -553,7 +557,15 @@
 static void start_submit(void *ctx)
 {
 	caller_call_t *call = ctx;
+	GError *err = NULL;
 
+	if (call->host->setup.refuses_hopeless &&
+	    !fleet_admission_check(call->host->jobs, call->pipeline,
+				   call->policy, &call->retry_after_ms, &err)) {
+		on_call_done(call, err);
+		g_error_free(err);
+		return;
+	}
 	fleet_jobs_submit(call->host->jobs, call->pipeline,
 			  call->policy->priority, call->deadline, on_call_done,
 			  call);
--- a/fleet_jobs.c
+++ b/fleet_jobs.c
@@ -522,6 +522,30 @@
 	return shard;
 }
 
+int64_t fleet_jobs_least_wait_ms(const fleet_jobs_t *jobs,
+				 const gh_pipeline_t *job, uint32_t priority,
+				 gh_time_t *age)
+{
+	gh_balance_query_t query = {
+		.priority = priority,
+		.heard_at = fleet_watch_last_reply_at(jobs->watch),
+	};
+	int64_t least = INT64_MAX;
+	uint32_t i;
+
+	*age = 0;
+	for (i = 0; i < jobs->shards; i++) {
+		gh_time_t shard_age;
+		int64_t wait_ms =
+			gh_balance_wait_ms(jobs->balance, i, job, &query,
+					   clock_boot(), &shard_age);
+
+		*age = MAX(*age, shard_age);
+		least = MIN(least, wait_ms);
+	}
+	return least;
+}
+
 /* Logs the choice if something waits in a shard. */
 static void log_placed(const fleet_jobs_t *jobs, const gh_pipeline_t *pipeline,
 		       const gh_balance_query_t *query, uint32_t shard,
--- a/fleet_jobs.h
+++ b/fleet_jobs.h
@@ -177,6 +177,14 @@
  * unknown or the store was not heard of late.
  */
 bool fleet_jobs_load(fleet_jobs_t *jobs, uint32_t shard, gh_shard_load_t *load);
+/*
+ * Loop's thread: the least time that a task of the job would wait in a shard,
+ * as the owners told it, and how old that is; GH_BALANCE_UNKNOWN: an owner has
+ * not told it.
+ */
+int64_t fleet_jobs_least_wait_ms(const fleet_jobs_t *jobs,
+				 const gh_pipeline_t *job, uint32_t priority,
+				 gh_time_t *age);
 /* Notes that this host has written a shard's owner record. */
 void fleet_jobs_note_owner(fleet_jobs_t *jobs, uint32_t shard,
 			   const char *owner, uint64_t revision);
