--- a/core_admission.c
+++ b/core_admission.c
@@ -1,14 +1,12 @@
 #include "core_admission.h"
 
-/* What waits may pass so many times as fast as expected. */
-#define WAIT_MARGIN 2
 /* Older knowledge refuses nobody. */
 #define AGE_MAX_USEC (3 * GH_USEC_PER_SEC)
 /* Ids take turns of this length; each has one in TURNS. */
 #define TURN_MS 2000
 #define TURNS 4
-/* In its turn a job may end so many times as late. */
-#define TURN_FACTOR 2
+/* In its turn a job may end a quarter later. */
+#define TURN_DIVISOR 4
 /* Limit of the estimates, which can be arbitrarily large. */
 #define TIME_MAX_MS INT64_C(1000000000000)
 
@@ -20,7 +18,7 @@
 	[GH_ADMISSION_NO_ESTIMATE] = "no_estimate",
 	[GH_ADMISSION_UNKNOWN] = "unknown",
 	[GH_ADMISSION_TURN] = "turn",
-	[GH_ADMISSION_HOPELESS] = "hopeless",
+	[GH_ADMISSION_LATE] = "late",
 };
 
 void gh_admission_judge(const gh_admission_state_t *state,
@@ -30,7 +28,7 @@
 	const gh_queue_policy_t *policy = state->policy;
 	int64_t path_ms =
 		MIN(gh_pipeline_critical_path_ms(job, UINT32_MAX), TIME_MAX_MS);
-	int64_t wait_ms = CLAMP(state->wait_ms, 0, TIME_MAX_MS) / WAIT_MARGIN;
+	int64_t wait_ms = CLAMP(state->wait_ms, 0, TIME_MAX_MS);
 	int64_t limit_ms, room_ms;
 
 	*verdict = (gh_admission_verdict_t){
@@ -40,9 +38,9 @@
 			TIME_MAX_MS),
 		.end_ms = wait_ms + path_ms,
 	};
-	limit_ms = verdict->objective_ms * GH_ADMISSION_OBJECTIVES;
-	if (path_ms <= 0 || limit_ms <= path_ms || job->occurrences ||
-	    gh_pipeline_is_long_running(job)) {
+	limit_ms = verdict->objective_ms * state->limit_milli / 1000;
+	if (!state->limit_milli || path_ms <= 0 || limit_ms <= path_ms ||
+	    job->occurrences || gh_pipeline_is_long_running(job)) {
 		verdict->reason = GH_ADMISSION_NO_ESTIMATE;
 		return;
 	}
@@ -53,11 +51,11 @@
 	if (verdict->end_ms <= limit_ms)
 		return;
 	if (has_turn(job->id, state->wall_ms) &&
-	    verdict->end_ms <= limit_ms * TURN_FACTOR) {
+	    verdict->end_ms <= limit_ms + limit_ms / TURN_DIVISOR) {
 		verdict->reason = GH_ADMISSION_TURN;
 		return;
 	}
-	verdict->reason = GH_ADMISSION_HOPELESS;
+	verdict->reason = GH_ADMISSION_LATE;
 	/* By then, so much of what waits has passed that the job is of use. */
 	room_ms = verdict->end_ms - limit_ms;
 	verdict->retry_after_ms =
@@ -66,7 +64,7 @@
 
 bool gh_admission_is_refusal(const gh_admission_verdict_t *verdict)
 {
-	return verdict->reason == GH_ADMISSION_HOPELESS;
+	return verdict->reason == GH_ADMISSION_LATE;
 }
 
 const char *gh_admission_reason_name(gh_admission_reason_t reason)
--- a/core_admission.h
+++ b/core_admission.h
@@ -2,10 +2,11 @@
  * Decision at the door: whether a job can still be of use to its caller, by
  * what waits in the shard that it would go to.
  *
- * A job is of use until GH_ADMISSION_OBJECTIVES times its objective.  It is
- * refused only if it would end later than that though what waits passed twice
- * as fast as expected.  Its own size is of no account, so large jobs are not
- * refused sooner than small ones; nor is it refused when too little is known.
+ * A job is refused if it is expected to end later than a limit, in multiples of
+ * its objective: 3 where only hopeless work is to be refused, less where late
+ * work is of little use and would make others late.  Its own size is of no
+ * account, so large jobs are not refused sooner than small ones; nor is a job
+ * refused when too little is known.
  *
  * Callers who return are not to come at once, nor to be sent away again by
  * callers who come for the first time: each id has its turns, to which it is
@@ -13,21 +14,20 @@
  * caller, and a caller can claim nothing.
  *
  * Answers loads that ask for several times what the workers can do in a job's
- * objective.
+ * objective: the order of core_fleet_plan.c begins each job just in time, and
+ * if all are late by a little, none is of use.
  */
 #ifndef CORE_ADMISSION_H
 #define CORE_ADMISSION_H
 
 #include "core_fleet.h"
 
-#define GH_ADMISSION_OBJECTIVES 3
-
 typedef enum gh_admission_reason {
 	GH_ADMISSION_USEFUL,	  /* admitted: it can be of use */
 	GH_ADMISSION_NO_ESTIMATE, /* admitted: lasting, timed, or no estimate */
 	GH_ADMISSION_UNKNOWN,	  /* admitted: what waits is not told, or old */
 	GH_ADMISSION_TURN,	  /* admitted: its caller's turn has come */
-	GH_ADMISSION_HOPELESS,	  /* refused */
+	GH_ADMISSION_LATE,	  /* refused */
 	GH_ADMISSION_REASONS
 } gh_admission_reason_t;
 
@@ -39,6 +39,8 @@
 	int64_t wait_ms;
 	gh_time_t age; /* how old that is */
 	int64_t wall_ms;
+	/* Limit, in thousandths of the objective; 0: none is refused. */
+	int64_t limit_milli;
 } gh_admission_state_t;
 
 typedef struct gh_admission_verdict {
--- a/counter_list.h
+++ b/counter_list.h
@@ -41,8 +41,8 @@
 	"jobs admitted as it is not known, or of late, what waits")
 COUNTER(ADMITTED_TURN, "admitted_turn",
 	"jobs admitted late, as their callers' turn had come")
-COUNTER(REFUSED_HOPELESS, "refused_hopeless",
-	"jobs refused that could not be of use to their callers any more")
+COUNTER(REFUSED_LATE, "refused_late",
+	"jobs refused that would end too late for their callers")
 
 /* Counters of calls to the key-value service (store). */
 COUNTER(STORE_READ, "store_reads", "reads sent to the store")
--- a/fleet_admission.c
+++ b/fleet_admission.c
@@ -13,22 +13,23 @@
 	[GH_ADMISSION_NO_ESTIMATE] = CTR_ADMITTED_NO_ESTIMATE,
 	[GH_ADMISSION_UNKNOWN] = CTR_ADMITTED_UNKNOWN,
 	[GH_ADMISSION_TURN] = CTR_ADMITTED_TURN,
-	[GH_ADMISSION_HOPELESS] = CTR_REFUSED_HOPELESS,
+	[GH_ADMISSION_LATE] = CTR_REFUSED_LATE,
 };
 
 static void log_verdict(const gh_admission_state_t *state,
 			const gh_admission_verdict_t *verdict);
 
 bool fleet_admission_check(fleet_jobs_t *jobs, const gh_pipeline_t *job,
-			   const gh_queue_policy_t *policy,
+			   const gh_queue_policy_t *policy, int64_t limit_milli,
 			   int64_t *retry_after_ms, GError **err)
 {
 	gh_admission_state_t state = { .job = job,
 				       .policy = policy,
-				       .wall_ms = gh_time_to_ms(clock_real()) };
+				       .wall_ms = gh_time_to_ms(clock_real()),
+				       .limit_milli = limit_milli };
 	gh_admission_verdict_t verdict;
 
-	if (fleet_jobs_is_accepted(jobs, job->id, job->queue) ||
+	if (!limit_milli || fleet_jobs_is_accepted(jobs, job->id, job->queue) ||
 	    fleet_jobs_is_open(jobs, job->id))
 		return true;
 	state.wait_ms = fleet_jobs_least_wait_ms(jobs, job, policy->priority,
--- a/fleet_admission.h
+++ b/fleet_admission.h
@@ -1,6 +1,6 @@
 /*
- * Refusal, before anything is written, of jobs that can't be of use to their
- * callers; see core_admission.h.
+ * Refusal, before anything is written, of jobs that would end too late for
+ * their callers; see core_admission.h.
  */
 #ifndef FLEET_ADMISSION_H
 #define FLEET_ADMISSION_H
@@ -13,7 +13,7 @@
  * may have been, never is.
  */
 bool fleet_admission_check(fleet_jobs_t *jobs, const gh_pipeline_t *job,
-			   const gh_queue_policy_t *policy,
+			   const gh_queue_policy_t *policy, int64_t limit_milli,
 			   int64_t *retry_after_ms, GError **err);
 
 #endif
--- a/fleet_host.c
+++ b/fleet_host.c
@@ -559,9 +559,10 @@
 	caller_call_t *call = ctx;
 	GError *err = NULL;
 
-	if (call->host->setup.refuses_hopeless &&
-	    !fleet_admission_check(call->host->jobs, call->pipeline,
-				   call->policy, &call->retry_after_ms, &err)) {
+	if (!fleet_admission_check(call->host->jobs, call->pipeline,
+				   call->policy,
+				   call->host->setup.refuse_beyond_milli,
+				   &call->retry_after_ms, &err)) {
 		on_call_done(call, err);
 		g_error_free(err);
 		return;
--- a/fleet_host.h
+++ b/fleet_host.h
@@ -18,7 +18,8 @@
 	/* Min time between commits of one shard's owner. */
 	gh_time_t commit_interval_min;
 	gh_fleet_setup_t fleet;
-	bool refuses_hopeless;	    /* see fleet_admission.h */
+	/* See gh_admission_state_t.limit_milli. */
+	int64_t refuse_beyond_milli;
 	int64_t ended_retention_ms; /* how long states of ended jobs are kept */
 } fleet_host_setup_t;
 
--- a/fleet_main.c
+++ b/fleet_main.c
@@ -103,7 +103,7 @@
 					   settings->lease_max_ms),
 			   .lease_max_ms = settings->lease_max_ms,
 			   .stop_ms = settings->stop_ms },
-		.refuses_hopeless = settings->refuse_hopeless,
+		.refuse_beyond_milli = settings->refuse_beyond_milli,
 		.ended_retention_ms = settings->ended_retention_s * 1000LL,
 	});
 	ok = start(&process, &err);
--- a/fleet_settings.c
+++ b/fleet_settings.c
@@ -38,7 +38,12 @@
 	NUMBER("stop_ms", stop_ms, 1, 60000, "1000"),
 	NUMBER("grace_ms", grace_ms, 500, 600000, "6000"),
 	NUMBER("keep_ended_s", ended_retention_s, 1, 86400, "120"),
-	NUMBER("refuse_hopeless", refuse_hopeless, 0, 1, "0"),
+	{ .key = "refuse_beyond",
+	  .read = gh_ini_milli,
+	  GH_INI_MEMBER(fleet_settings_t, refuse_beyond_milli),
+	  .min = 0,
+	  .max = 100000,
+	  .fallback = "0" },
 };
 
 static bool check_groups(const gh_ini_t *ini, const char *path, GError **err);
--- a/fleet_settings.h
+++ b/fleet_settings.h
@@ -35,8 +35,11 @@
 	uint32_t stop_ms;	    /* longest time to stop a task */
 	uint32_t grace_ms;	    /* max time from SIGTERM to the exit */
 	uint32_t ended_retention_s; /* how long states of ended jobs are kept */
-	/* Jobs that can't be of use to their callers are refused; 0: none. */
-	uint32_t refuse_hopeless;
+	/*
+	 * A job is refused that is expected to end later than this, in
+	 * thousandths of its objective; 0: none is.
+	 */
+	uint32_t refuse_beyond_milli;
 } fleet_settings_t;
 
 /* Whether the file has a [fleet] group; false if it can't be read. */
