--- a/core_admission.c
+++ b/core_admission.c
@@ -7,6 +7,8 @@
 #define TURNS 4
 /* In its turn a job may end a quarter later. */
 #define TURN_DIVISOR 4
+/* Nobody is told to return later than this. */
+#define ROOM_MAX_MS 30000
 /* Limit of the estimates, which can be arbitrarily large. */
 #define TIME_MAX_MS INT64_C(1000000000000)
 
@@ -57,7 +59,7 @@
 	}
 	verdict->reason = GH_ADMISSION_LATE;
 	/* By then, so much of what waits has passed that the job is of use. */
-	room_ms = verdict->end_ms - limit_ms;
+	room_ms = MIN(verdict->end_ms - limit_ms, ROOM_MAX_MS);
 	verdict->retry_after_ms =
 		room_ms + time_until_turn(job->id, state->wall_ms + room_ms);
 }
--- a/fleet_admission.c
+++ b/fleet_admission.c
@@ -16,47 +16,91 @@
 	[GH_ADMISSION_LATE] = CTR_REFUSED_LATE,
 };
 
-static void log_verdict(const gh_admission_state_t *state,
-			const gh_admission_verdict_t *verdict);
+static bool is_known(const fleet_submission_t *submission);
+static void judge(const fleet_submission_t *submission,
+		  gh_admission_verdict_t *verdict);
+static void on_state_read(void *ctx, const GError *err);
+static void submit(fleet_submission_t *submission);
 
-bool fleet_admission_check(fleet_jobs_t *jobs, const gh_pipeline_t *job,
-			   const gh_queue_policy_t *policy, int64_t limit_milli,
-			   int64_t *retry_after_ms, GError **err)
+void fleet_admission_submit(fleet_submission_t *submission)
 {
-	gh_admission_state_t state = { .job = job,
-				       .policy = policy,
-				       .wall_ms = gh_time_to_ms(clock_real()),
-				       .limit_milli = limit_milli };
+	const gh_pipeline_t *job = submission->job;
 	gh_admission_verdict_t verdict;
 
-	if (!limit_milli || fleet_jobs_is_accepted(jobs, job->id, job->queue) ||
-	    fleet_jobs_is_open(jobs, job->id))
-		return true;
-	state.wait_ms = fleet_jobs_least_wait_ms(jobs, job, policy->priority,
-						 &state.age);
-	gh_admission_judge(&state, &verdict);
-	counter_inc(counters[verdict.reason]);
-	if (verdict.reason >= GH_ADMISSION_TURN)
-		log_verdict(&state, &verdict);
-	if (!gh_admission_is_refusal(&verdict))
-		return true;
-	*retry_after_ms = verdict.retry_after_ms;
-	gh_error_set(err, GH_E_DEADLINE_INFEASIBLE,
+	if (!submission->limit_milli || is_known(submission) ||
+	    fleet_jobs_is_open(submission->jobs, job->id)) {
+		submit(submission);
+		return;
+	}
+	judge(submission, &verdict);
+	if (!gh_admission_is_refusal(&verdict)) {
+		counter_inc(counters[verdict.reason]);
+		submit(submission);
+		return;
+	}
+	submission->refusal_retry_after_ms = verdict.retry_after_ms;
+	gh_error_set(&submission->refusal, GH_E_DEADLINE_INFEASIBLE,
 		     "job %s would end in %" PRId64 " ms, its objective is "
 		     "%" PRId64 " ms",
 		     job->id, verdict.end_ms, verdict.objective_ms);
-	return false;
+	fleet_jobs_refresh(submission->jobs, job->id, submission->deadline,
+			   on_state_read, submission);
 }
 
-static void log_verdict(const gh_admission_state_t *state,
-			const gh_admission_verdict_t *verdict)
+/* Without a reply it isn't known that the job never runs. */
+static void on_state_read(void *ctx, const GError *err)
 {
-	log_event(LOG_INFO, "admission", "job", state->job->id, "queue",
-		  state->job->queue, "reason",
+	fleet_submission_t *submission = ctx;
+	GError *refusal = submission->refusal;
+	bool absent = err && gh_error_kind(err) == GH_E_JOB_UNKNOWN &&
+		      !is_known(submission);
+
+	counter_inc(absent ? CTR_REFUSED_LATE : CTR_ADMITTED_UNKNOWN);
+	if (absent) {
+		submission->retry_after_ms = submission->refusal_retry_after_ms;
+		submission->done(submission->ctx, refusal);
+	} else {
+		submit(submission);
+	}
+	g_error_free(refusal);
+}
+
+static bool is_known(const fleet_submission_t *submission)
+{
+	fleet_job_state_t state;
+
+	return fleet_jobs_find(submission->jobs, submission->job->id, &state);
+}
+
+static void judge(const fleet_submission_t *submission,
+		  gh_admission_verdict_t *verdict)
+{
+	gh_admission_state_t state = {
+		.job = submission->job,
+		.policy = submission->policy,
+		.wall_ms = gh_time_to_ms(clock_real()),
+		.limit_milli = submission->limit_milli,
+	};
+
+	state.wait_ms =
+		fleet_jobs_least_wait_ms(submission->jobs, state.job,
+					 state.policy->priority, &state.age);
+	gh_admission_judge(&state, verdict);
+	if (verdict->reason < GH_ADMISSION_TURN)
+		return;
+	log_event(LOG_INFO, "admission", "job", state.job->id, "queue",
+		  state.job->queue, "reason",
 		  gh_admission_reason_name(verdict->reason), "wait_ms",
-		  log_num(state->wait_ms), "age_ms",
-		  log_num(gh_time_to_ms(state->age)), "end_ms",
+		  log_num(state.wait_ms), "age_ms",
+		  log_num(gh_time_to_ms(state.age)), "end_ms",
 		  log_num(verdict->end_ms), "objective_ms",
 		  log_num(verdict->objective_ms), "retry_after_ms",
 		  log_num(verdict->retry_after_ms), NULL);
 }
+
+static void submit(fleet_submission_t *submission)
+{
+	fleet_jobs_submit(submission->jobs, submission->job,
+			  submission->policy->priority, submission->deadline,
+			  submission->done, submission->ctx);
+}
--- a/fleet_admission.h
+++ b/fleet_admission.h
@@ -1,19 +1,35 @@
 /*
- * Refusal, before anything is written, of jobs that would end too late for
- * their callers; see core_admission.h.
+ * Submission of a job unless it would end too late for its caller; see
+ * core_admission.h.
+ *
+ * Before a caller is told that a job never runs, its state is read from the
+ * store: another host may have accepted it and its answer been lost.
  */
 #ifndef FLEET_ADMISSION_H
 #define FLEET_ADMISSION_H
 
 #include "fleet_jobs.h"
 
+/* It and what it points to must last until done() is called. */
+typedef struct fleet_submission {
+	fleet_jobs_t *jobs;
+	const gh_pipeline_t *job;
+	const gh_queue_policy_t *policy; /* of its queue */
+	int64_t limit_milli;		 /* see gh_admission_state_t */
+	gh_time_t deadline;
+	fleet_jobs_done_t done;
+	void *ctx;
+	int64_t retry_after_ms; /* set if the job is refused */
+	/* Used by fleet_admission_submit() only. */
+	GError *refusal;
+	int64_t refusal_retry_after_ms;
+} fleet_submission_t;
+
 /*
- * Loop's thread: false with GH_E_DEADLINE_INFEASIBLE and the time after which
- * the caller should return if the job is refused.  A job that was accepted, or
- * may have been, never is.
+ * Loop's thread: calls fleet_jobs_submit(), or fails with
+ * GH_E_DEADLINE_INFEASIBLE and nothing written.  A job that was accepted, or
+ * may have been, is not refused.
  */
-bool fleet_admission_check(fleet_jobs_t *jobs, const gh_pipeline_t *job,
-			   const gh_queue_policy_t *policy, int64_t limit_milli,
-			   int64_t *retry_after_ms, GError **err);
+void fleet_admission_submit(fleet_submission_t *submission);
 
 #endif
--- a/fleet_host.c
+++ b/fleet_host.c
@@ -68,9 +68,7 @@
 	fleet_front_t *host;
 	const char *id;
 	const char *queue;
-	gh_pipeline_t *pipeline; /* job to submit; NULL in other calls */
-	const gh_queue_policy_t *policy; /* of its queue */
-	int64_t retry_after_ms;		 /* set if the job is refused */
+	fleet_submission_t submission; /* of a job; not set in other calls */
 	bool refresh;
 	gh_time_t deadline;
 	pthread_mutex_t lock;
@@ -363,12 +361,19 @@
 	caller_call_t call = { .host = host,
 			       .id = pipeline->id,
 			       .queue = queue->policy.name,
-			       .pipeline = pipeline,
-			       .policy = &queue->policy,
-			       .retry_after_ms = RETRY_AFTER_MS,
 			       .deadline = deadline };
 	bool ok = gh_pipeline_check(pipeline, err);
 
+	call.submission = (fleet_submission_t){
+		.jobs = host->jobs,
+		.job = pipeline,
+		.policy = &queue->policy,
+		.limit_milli = host->setup.refuse_beyond_milli,
+		.deadline = deadline,
+		.done = on_call_done,
+		.ctx = &call,
+		.retry_after_ms = RETRY_AFTER_MS,
+	};
 	if (ok && queue->has_placement_advice) {
 		gh_error_set(
 			err, GH_E_ADVICE_UNMET,
@@ -392,7 +397,7 @@
 		ok = false;
 	}
 	ok = ok && run_on_loop(&call, start_submit, err);
-	*retry_after_ms = call.retry_after_ms;
+	*retry_after_ms = call.submission.retry_after_ms;
 	gh_pipeline_free(pipeline);
 	return ok;
 }
@@ -557,19 +562,8 @@
 static void start_submit(void *ctx)
 {
 	caller_call_t *call = ctx;
-	GError *err = NULL;
 
-	if (!fleet_admission_check(call->host->jobs, call->pipeline,
-				   call->policy,
-				   call->host->setup.refuse_beyond_milli,
-				   &call->retry_after_ms, &err)) {
-		on_call_done(call, err);
-		g_error_free(err);
-		return;
-	}
-	fleet_jobs_submit(call->host->jobs, call->pipeline,
-			  call->policy->priority, call->deadline, on_call_done,
-			  call);
+	fleet_admission_submit(&call->submission);
 }
 
 static void start_cancel(void *ctx)
