--- a/fleet_owner_private.h
+++ b/fleet_owner_private.h
@@ -163,7 +163,8 @@
 	/* Keys of workers' records that were logged as unusable. */
 	GHashTable *unread_workers;
 	const fleet_config_t *config;
-	batch_t *batch; /* commit that awaits its outcome, or NULL */
+	uint64_t domains_version; /* of the domains passed to the fleet */
+	batch_t *batch;		  /* commit that awaits its outcome, or NULL */
 	gh_time_t commit_at;
 	/*
 	 * Due time of the next read of the chain record to find out a commit's
