--- a/fleet_main.c
+++ b/fleet_main.c
@@ -102,10 +102,9 @@
 		.fleet = { .lease_ms = MIN(settings->lease_ms,
 					   settings->lease_max_ms),
 			   .lease_max_ms = settings->lease_max_ms,
-			   .stop_ms = settings->stop_ms },
-		.refuse_beyond_milli = settings->refuse_beyond_milli,
 			   .stop_ms = settings->stop_ms,
 			   .empty_ms = settings->empty_domain_ms },
+		.refuse_beyond_milli = settings->refuse_beyond_milli,
 		.ended_retention_ms = settings->ended_retention_s * 1000LL,
 	});
 	ok = start(&process, &err);
