--- a/fleet_jobs.h
+++ b/fleet_jobs.h
@@ -13,7 +13,8 @@
  *   d/load/SHARD  "OWNER CORES MEMORY CORES MEMORY [SERVICE:CORES:MEMORY...]":
  *                 capacity of the shard's workers, size of its long-running
  *                 tasks, and what these leave on single workers; earlier
- *                 versions write and read only the first five words
+ *                 versions write and read only the first five words; then what
+ *                 waits, see core_waits.h
  *   w/SHARD/ID    the job as submitted, deleted when the job has ended
  *   w/SHARD/cancel/ID
  *                 written with the state of a job that is cancelled, so that
--- a/regress/test_platform_decode.c
+++ b/regress/test_platform_decode.c
@@ -599,6 +599,10 @@
 	{ "shards=4\ncores=0.25\n", GH_E_COUNT },
 	{ "shards=1000\n", GH_E_BAD_VALUE },
 	{ "lease_ms=soon\n", GH_E_BAD_VALUE },
+	{ "refuse_beyond=0.8\n", GH_E_COUNT },
+	{ "refuse_beyond=-1\n", GH_E_BAD_VALUE },
+	{ "refuse_beyond=101\n", GH_E_BAD_VALUE },
+	{ "refuse_beyond=always\n", GH_E_BAD_VALUE },
 	{ "colour=blue\n", GH_E_UNKNOWN_KEY },
 	{ "[store]\nurl=http://1.2.3.4:5\n", GH_E_UNKNOWN_GROUP },
 };
