--- a/core_fleet_parts.h
+++ b/core_fleet_parts.h
@@ -45,6 +45,12 @@
  * Frees a job that has ended, whose end is committed and that has no open run.
  */
 void fleet_job_free_if_finished(gh_fleet_t *fleet, uint32_t handle);
+/* Whether the stage is due and all that it depends on are done. */
+bool fleet_stage_is_ready(const fleet_job_t *job, uint32_t stage,
+			  int64_t wall_ms);
+/* What waits here, for the shard's load. */
+void fleet_waits_tell(const gh_fleet_t *fleet, gh_waits_t *waits,
+		      gh_time_t now);
 /* Index of the stage that contains the task. */
 uint32_t fleet_stage_index(const fleet_job_t *job, uint32_t task);
 
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -616,6 +616,9 @@
 	/* Until then a worker's lease can outlast an ordinary one. */
 	gh_time_t grants_ahead_until;
 	gh_time_t ticked_at; /* time of the last tick; 0: none */
+	/* At the last tick the wall clock was this far ahead of CLOCK_BOOTTIME.
+	 */
+	int64_t wall_ahead_ms;
 	/* Moving mean of the time between ticks, in microseconds. */
 	double mean_tick_gap;
 	uint32_t last_fence_offset; /* highest in use */
--- a/regress/fleet_soak.h
+++ b/regress/fleet_soak.h
@@ -8,8 +8,8 @@
  * "cut,kill=3", with their weights, or changes the weights of the default ones,
  * such as "+late=4,-restart".  SOAK_QUEUES sets the number of queues.  With
  * SOAK_TIMES_OFF, runs of most jobs take eight times what they declare, or an
- * eighth.  With SOAK_UNBOUND, calls do not keep to connections on which the life
- * that they name has replied.
+ * eighth.  With SOAK_UNBOUND, calls do not keep to connections on which the
+ * life that they name has replied.
  */
 #ifndef FLEET_SOAK_H
 #define FLEET_SOAK_H
