--- /dev/null
+++ b/regress/test_core_fleet_commit.c
@@ -0,0 +1,109 @@
+/*
+ * Tests of the order in which an owner's jobs are committed: by the priorities
+ * of their queues, and when commits fail.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <string.h>
+
+#include "fleet_world.h"
+
+#define JOBS_MAX 3
+#define COMMITS_MAX 8
+
+typedef struct commit_case {
+	const char *name;
+	/* Priorities of the jobs' queues, in the order in which they come. */
+	uint32_t priorities[JOBS_MAX];
+	/* Jobs that are committed; in capitals: the commit fails. */
+	const char *expected;
+} commit_case_t;
+
+static const commit_case_t commit_cases[] = {
+	{ "one priority", { 2, 2, 2 }, "abc" },
+	{ "the last is urgent", { 2, 2, 0 }, "cab" },
+	{ "three priorities", { 2, 1, 0 }, "cba" },
+	{ "a failed one stays ahead", { 2, 2, 0 }, "Ccab" },
+	/* The fourth commit is the oldest change's. */
+	{ "one that fails again goes last", { 2, 2, 0 }, "CCabc" },
+	{ "one priority, a failed one goes last", { 2, 2, 2 }, "Abca" },
+};
+
+static void add_queued_job(world_t *w, char name, uint32_t priority)
+{
+	gh_queue_policy_t policy = {
+		.priority = priority,
+		.attempts = 3,
+		.stretch_milli = 2000,
+		.target_ms = 60000,
+	};
+	char id[] = "000000000000000?";
+	gh_pipeline_t *job;
+
+	id[sizeof(id) - 2] = name;
+	job = make_job(id, 1, &one_task);
+	job->accepted_ms = w->wall_ms;
+	g_snprintf(job->queue, sizeof(job->queue), "q%u", priority);
+	g_strlcpy(policy.name, job->queue, sizeof(policy.name));
+	gh_fleet_queue_set(w->fleet, &policy);
+	assert_true(gh_fleet_job_add(w->fleet, job, NULL, NULL));
+}
+
+static void check_commits(const commit_case_t *c)
+{
+	char committed[COMMITS_MAX + 1] = "";
+	size_t n = 0;
+	world_t w;
+	size_t i;
+
+	world_init(&w);
+	w.commits_limited = true;
+	add_worker(&w, "w1", 32000);
+	advance_time(&w, 1000);
+	for (i = 0; i < JOBS_MAX; i++) {
+		add_queued_job(&w, (char)('a' + i), c->priorities[i]);
+		advance_time(&w, 100);
+	}
+	while (gh_fleet_has_changes(w.fleet)) {
+		gh_fleet_change_t change;
+
+		assert_true(n < strlen(c->expected));
+		assert_true(gh_fleet_next_change(w.fleet, &change));
+		committed[n] = change.id[strlen(change.id) - 1];
+		if (g_ascii_isupper(c->expected[n])) {
+			committed[n] = g_ascii_toupper(committed[n]);
+			gh_fleet_handle_commit_failure(w.fleet, change.id);
+		} else {
+			gh_fleet_handle_commit(w.fleet, change.id,
+					       change.version);
+		}
+		n++;
+		g_free(change.progress);
+	}
+	assert_string_equal(committed, c->expected);
+	world_clear(&w);
+}
+
+static void test_commits(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(commit_cases); i++) {
+		print_message("case: %s\n", commit_cases[i].name);
+		check_commits(&commit_cases[i]);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_commits),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
