--- a/core_fleet_choose.c
+++ b/core_fleet_choose.c
@@ -284,6 +284,11 @@
 	if (!is_admitted(worker, obstacle, !placement->careful, now) ||
 	    !fleet_crash_admits(fleet, handle, &job->tasks[task], now))
 		return COST_IMPOSSIBLE;
+	if (placement->leaves_room &&
+	    !fleet_headroom_admits(fleet, job, task, worker)) {
+		fleet->counts.put_off++;
+		return COST_IMPOSSIBLE;
+	}
 	cost = placement_cost(fleet, worker, step, placement->rack,
 			      placement->image_id);
 	if (obstacle == OBSTACLE_QUARANTINE)
@@ -366,6 +371,7 @@
 			   (is_second || !fleet_choose_is_overdue(job, now)),
 		.careful = is_second ||
 			   !fleet_choose_is_desperate(fleet, job, stage, now),
+		.leaves_room = fleet_headroom_is_bound(fleet, job, task, now),
 	};
 }
 
@@ -424,6 +430,7 @@
 			fleet->failed_placements, failed_placement_t, i);
 
 		if (failed->best_effort != placement->best_effort ||
+		    (failed->leaves_room && !placement->leaves_room) ||
 		    failed->size.cores_milli > placement->size.cores_milli ||
 		    failed->size.memory_mb > placement->size.memory_mb ||
 		    failed->size.accelerators > placement->size.accelerators)
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -9,6 +9,7 @@
 
 #include "core_commit_order.h"
 #include "core_fleet.h"
+#include "core_headroom.h"
 #include "core_load.h"
 #include "core_interference.h"
 
@@ -63,6 +64,8 @@
 	/* Job and worker: handles; task: index in its job. */
 	uint32_t job, task, worker;
 	uint32_t run_number;
+	/* gh_headroom_level() of its queue when it was opened */
+	uint32_t level;
 	uint32_t first_percent; /* progress in the first report that lists it */
 	/* version of the job record that holds the run's intent */
 	uint64_t version;
@@ -321,6 +324,7 @@
 	bool in_use;	   /* the array entry is used */
 	bool listed;	   /* service discovery lists the worker */
 	bool has_reported; /* this incarnation has sent this owner a report */
+	bool emptied;	   /* its failure domain is being emptied */
 	/* A report is to show whether a late start had begun. */
 	bool late_report_due;
 	/* A later life than the entry's has replied; its start is not known. */
@@ -336,7 +340,6 @@
 	/* Where the last lease renewal was sent. */
 	char renewal_address[GH_ADDRESS_MAX + 1];
 	gh_time_t heard_since; /* time of its first report */
-	bool emptied;	       /* its failure domain is being emptied */
 	gh_time_t cold_until;  /* it is slow until then */
 	/* When the worker's last restart became known; 0: none. */
 	gh_time_t restart_known_at;
@@ -480,8 +483,9 @@
 	gh_resources_t size;
 	uint16_t image_id;
 	bool best_effort;
-	bool bounded; /* by the best-effort share, not by capacity alone */
-	bool careful; /* workers in quarantine were left out */
+	bool bounded;	  /* by the best-effort share, not by capacity alone */
+	bool careful;	  /* workers in quarantine were left out */
+	bool leaves_room; /* to urgent short tasks */
 } failed_placement_t;
 
 /* A lost run whose worker may be alive all the same. */
@@ -528,6 +532,21 @@
 	bool is_short, was_short;
 } fleet_budget_t;
 
+/* What is left free for urgent tasks; see core_fleet_headroom.c. */
+typedef struct fleet_headroom {
+	gh_headroom_t demand;
+	gh_headroom_target_t targets[GH_HEADROOM_LEVELS];
+	/* Open runs of short tasks, and those that found no worker, by level.
+	 */
+	double used_tasks[GH_HEADROOM_LEVELS], used_milli[GH_HEADROOM_LEVELS];
+	double waiting_tasks[GH_HEADROOM_LEVELS];
+	double waiting_milli[GH_HEADROOM_LEVELS];
+	/* Free cores that count for the target of the level. */
+	int64_t free_milli[GH_HEADROOM_LEVELS];
+	gh_time_t report_at;
+	uint64_t put_off_reported; /* counts.put_off at the last report */
+} fleet_headroom_t;
+
 struct gh_fleet {
 	gh_fleet_setup_t setup;
 	gh_fleet_sink_t sink;
@@ -589,6 +608,7 @@
 	gh_time_t interference_decayed_at;
 	gh_time_t stragglers_checked_at;
 	fleet_budget_t budget;
+	fleet_headroom_t headroom;
 	bool busy; /* half of the workers' capacity is in use */
 	/* Checks for idle jobs: the last, and the period of the reports. */
 	gh_time_t idle_checked_at, idle_period_at;
--- a/fleet_main.c
+++ b/fleet_main.c
@@ -109,7 +109,9 @@
 	ok = start(&process, &err);
 	if (ok) {
 		log_event(LOG_INFO, "started", "domain", settings->domain,
-			  "shards", log_num(shards), NULL);
+			  "shards", log_num(shards), "memory_mb",
+			  log_num(settings->memory_mb), "descriptors",
+			  log_num(settings->descriptors), NULL);
 		loop_run(process.loop);
 	} else {
 		log_event(LOG_ERROR, "start_failed", "message", err->message,
@@ -137,7 +139,11 @@
 							 settings->readiness,
 						 .metrics = settings->metrics };
 
-	process->front = platform_front_new(process->host);
+	gh_door_limits_t door =
+		gh_door_limits_for(settings->memory_mb, settings->descriptors);
+
+	door.transfer_time = gh_time_from_ms(settings->transfer_ms);
+	process->front = platform_front_new(process->host, &door);
 	if (!platform_front_start(process->front, &addresses, err))
 		return false;
 	return !pthread_create(&process->signal_thread, NULL, wait_for_signals,
