--- a/core_fleet_parts.h
+++ b/core_fleet_parts.h
@@ -28,6 +28,14 @@
  */
 const gh_queue_policy_t *fleet_job_policy(const gh_fleet_t *fleet,
 					  const fleet_job_t *job);
+/* Queues the job's change to be committed. */
+void fleet_commit_add(gh_fleet_t *fleet, uint32_t handle);
+/* Lets a queued change go ahead by the job's rank. */
+void fleet_commit_hasten(gh_fleet_t *fleet, uint32_t handle);
+/* Queues the job's change again, as its commit failed. */
+void fleet_commit_handle_failure(gh_fleet_t *fleet, uint32_t handle);
+/* Queued changes that come before one that begins runs of the job. */
+uint32_t fleet_commit_ahead(const gh_fleet_t *fleet, const fleet_job_t *job);
 /*
  * Adds a job none of whose tasks was started; takes ownership of the pipeline.
  * guest: its home is another shard, and none of its tasks is here.
@@ -437,6 +445,28 @@
 		      const gh_task_id_t *task, uint32_t run, uint32_t worker,
 		      const char *detail);
 
+/* Headroom for urgent tasks (core_fleet_headroom.c). */
+
+/* Takes in what urgent tasks ask for, and sets what is left free. */
+void fleet_headroom_begin(gh_fleet_t *fleet, gh_time_t now);
+/* Updates the cores that the runs on the run's worker hold. */
+void fleet_headroom_account(gh_fleet_t *fleet, const fleet_run_t *run,
+			    bool add);
+/* Notes tasks of the step that found no worker. */
+void fleet_headroom_note_waiting(gh_fleet_t *fleet, const fleet_job_t *job,
+				 const gh_step_t *step, uint32_t tasks);
+/* Level of the job's queue. */
+uint32_t fleet_headroom_level(const gh_fleet_t *fleet, const fleet_job_t *job);
+/* Whether the long-running task comes after short ones that are as urgent. */
+bool fleet_headroom_yields(const gh_fleet_t *fleet, const fleet_job_t *job,
+			   uint32_t task);
+/* Whether the task starts only where it leaves enough free. */
+bool fleet_headroom_is_bound(const gh_fleet_t *fleet, const fleet_job_t *job,
+			     uint32_t task, gh_time_t now);
+/* Whether the task on the worker leaves enough free. */
+bool fleet_headroom_admits(const gh_fleet_t *fleet, const fleet_job_t *job,
+			   uint32_t task, const fleet_worker_t *worker);
+
 /* Parts of a decision step; see core_fleet_step.c. */
 
 /* Ends the runs of workers whose lease has expired with certainty. */
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -7,10 +7,11 @@
  * (core_fleet_times.c).  Jobs past their objective come next, and jobs several
  * objectives late come last, because their result is of little use by then.
  * Among jobs of one priority, long-running tasks that have run before come
- * first.  A stage starts as many tasks as fit; the
- * others wait without reserving capacity, so that smaller tasks behind them can
- * start, but for long-running tasks; see core_fleet_reserve.c.  How far ahead
- * tasks are placed is bound; see core_fleet_budget.c.
+ * first, and those that have not come last while they leave room to short ones
+ * (core_headroom.h).  A stage starts as many tasks as fit; the others wait
+ * without reserving capacity, so that smaller tasks behind them can start, but
+ * for long-running tasks; see core_fleet_reserve.c.  How far ahead tasks are
+ * placed is bound; see core_fleet_budget.c.
  */
 #include "core_fleet_move.h"
 #include "core_fleet_times.h"
@@ -36,6 +37,8 @@
 	uint32_t rank;
 	/* Only the stage's tasks that had a run before, which are to last. */
 	bool restarts;
+	/* New long-running tasks, which leave room to urgent short ones. */
+	bool yields;
 	/*
 	 * Time left to the job's objective, less its remaining critical path.
 	 */
@@ -106,11 +109,15 @@
 			if (!rated)
 				rate_candidate(fleet, job, &c, now, wall_ms);
 			rated = true;
+			job->rank = c.rank;
 			c.stage = s;
 			c.restarts = has_restarts(job, s);
+			c.yields = false;
 			if (c.restarts)
 				g_array_append_val(candidates, c);
 			c.restarts = false;
+			c.yields = fleet_headroom_yields(fleet, job,
+							 stage->first_task);
 			g_array_append_val(candidates, c);
 		}
 	}
@@ -190,6 +197,8 @@
 		return first->rank < second->rank ? -1 : 1;
 	if (first->restarts != second->restarts)
 		return first->restarts ? -1 : 1;
+	if (first->yields != second->yields)
+		return first->yields ? 1 : -1;
 	if (first->slack_ms != second->slack_ms)
 		return first->slack_ms < second->slack_ms ? -1 : 1;
 	return first->job != second->job ?
@@ -282,6 +291,10 @@
 			if (!c->restarts)
 				fleet->counts.pending_tasks +=
 					first + step->tasks - i;
+			if (c->rank < RANK_VERY_LATE)
+				fleet_headroom_note_waiting(
+					fleet, job, step,
+					first + step->tasks - i);
 			if (step->long_running) {
 				report_waiting_stage(fleet, c, i, now);
 				fleet_reserve_worker(fleet, c->job, c->stage, i,
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -7,7 +7,9 @@
 #ifndef CORE_FLEET_STATE_H
 #define CORE_FLEET_STATE_H
 
+#include "core_commit_order.h"
 #include "core_fleet.h"
+#include "core_headroom.h"
 #include "core_load.h"
 #include "core_interference.h"
 #include "core_run_time.h"
@@ -63,6 +65,9 @@
 	/* Job and worker: handles; task: index in its job. */
 	uint32_t job, task, worker;
 	uint32_t run_number;
+	/* gh_headroom_level() of its queue when it was opened */
+	uint32_t level;
+	uint32_t first_percent; /* progress in the first report that lists it */
 	/* version of the job record that holds the run's intent */
 	uint64_t version;
 	gh_time_t planned_at; /* when the run was planned; 0: orphan, unknown */
@@ -102,6 +107,9 @@
 	/* progress of the run in the worker's last report */
 	uint32_t progress_percent;
 	gh_time_t progress_at; /* time of the last change of progress_percent */
+	/* Work since the first report that lists the run, as time at full pace.
+	 */
+	double worked_ms;
 	/*
 	 * Tail latency (long-running) or milli-cores in use, from the last
 	 * report.
@@ -272,6 +280,8 @@
 	 * share; it has waited for long.
 	 */
 	bool gang_overdue, gang_desperate;
+	/* With which its tasks were last placed; the lowest comes first. */
+	uint32_t rank;
 	uint64_t version, committed_version;
 	gh_job_phase_t committed_phase;
 	/* Phase in the job record that is being committed. */
@@ -291,6 +301,7 @@
 	uint32_t n_deleting;
 	bool change_queued; /* the job is queued in gh_fleet.changes */
 	bool commit_pending;
+	bool commit_failed; /* the last commit of a change of it */
 	/* ids of the steps' images in the interference model */
 	uint16_t *image_ids;
 	/* Handle of the worker of the job's first failed run, or GH_NONE. */
@@ -330,6 +341,7 @@
 	bool in_use;	   /* the array entry is used */
 	bool listed;	   /* service discovery lists the worker */
 	bool has_reported; /* this incarnation has sent this owner a report */
+	bool emptied;	   /* its failure domain is being emptied */
 	/* A report is to show whether a late start had begun. */
 	bool late_report_due;
 	/* A later life than the entry's has replied; its start is not known. */
@@ -345,7 +357,6 @@
 	/* Where the last lease renewal was sent. */
 	char renewal_address[GH_ADDRESS_MAX + 1];
 	gh_time_t heard_since; /* time of its first report */
-	bool emptied;	       /* its failure domain is being emptied */
 	gh_time_t cold_until;  /* it is slow until then */
 	/* When the worker's last restart became known; 0: none. */
 	gh_time_t restart_known_at;
@@ -491,8 +502,9 @@
 	gh_resources_t size;
 	uint16_t image_id;
 	bool best_effort;
-	bool bounded; /* by the best-effort share, not by capacity alone */
-	bool careful; /* workers in quarantine were left out */
+	bool bounded;	  /* by the best-effort share, not by capacity alone */
+	bool careful;	  /* workers in quarantine were left out */
+	bool leaves_room; /* to urgent short tasks */
 } failed_placement_t;
 
 /* A lost run whose worker may be alive all the same. */
@@ -539,6 +551,21 @@
 	bool is_short, was_short;
 } fleet_budget_t;
 
+/* What is left free for urgent tasks; see core_fleet_headroom.c. */
+typedef struct fleet_headroom {
+	gh_headroom_t demand;
+	gh_headroom_target_t targets[GH_HEADROOM_LEVELS];
+	/* Open runs of short tasks, and those that found no worker, by level.
+	 */
+	double used_tasks[GH_HEADROOM_LEVELS], used_milli[GH_HEADROOM_LEVELS];
+	double waiting_tasks[GH_HEADROOM_LEVELS];
+	double waiting_milli[GH_HEADROOM_LEVELS];
+	/* Free cores that count for the target of the level. */
+	int64_t free_milli[GH_HEADROOM_LEVELS];
+	gh_time_t report_at;
+	uint64_t put_off_reported; /* counts.put_off at the last report */
+} fleet_headroom_t;
+
 struct gh_fleet {
 	gh_fleet_setup_t setup;
 	gh_fleet_sink_t sink;
@@ -553,9 +580,14 @@
 	GHashTable *emptied;	  /* names of domains that are being emptied */
 	gh_time_t domains_heard_at; /* as of when they are known; 0: never */
 	GArray *failed_placements;  /* failed_placement_t, of this tick */
-	GQueue *changes;	    /* handles + 1 of jobs to be committed */
-	/* orders to be sent to workers: queued_order_t */
-	GQueue *orders;
+	/* jobs whose changes are to be committed */
+	gh_commit_order_t *changes;
+	uint32_t last_priority; /* of the least urgent queue */
+	/*
+	 * Orders to be sent to workers, queued_order_t; those that change paces
+	 * come last.
+	 */
+	GQueue *orders, *pace_orders;
 	/* The last order taken from the queue, for the strings in it. */
 	queued_order_t last_order;
 	/* When workers with runs became unreachable or restarted: gh_time_t. */
@@ -596,6 +628,7 @@
 	gh_time_t interference_decayed_at;
 	gh_time_t stragglers_checked_at;
 	fleet_budget_t budget;
+	fleet_headroom_t headroom;
 	bool busy; /* half of the workers' capacity is in use */
 	/* Checks for idle jobs: the last, and the period of the reports. */
 	gh_time_t idle_checked_at, idle_period_at;
--- a/regress/fleet_model.c
+++ b/regress/fleet_model.c
@@ -76,6 +76,7 @@
 static void wrong_address(model_t *m, uint32_t slot, host_t *h,
 			  gh_time_t until);
 static void wrong_start(model_t *m, uint32_t slot, host_t *h, gh_time_t until);
+static void empty_domain(model_t *m, uint32_t slot, host_t *h, gh_time_t until);
 
 static const disruption_kind_t kinds[DISRUPTIONS] = {
 	[DISRUPT_REPLIES] = { .name = "replies",
@@ -179,6 +180,11 @@
 				.from_ms = 50,
 				.to_ms = 1200,
 				.run = restart },
+	[DISRUPT_EMPTY] = { .name = "empty",
+			    .off = true,
+			    .from_ms = 300,
+			    .to_ms = 14000,
+			    .run = empty_domain },
 };
 
 static void run_events(model_t *m);
@@ -243,7 +249,7 @@
 	m->late_before_old = model_chance(m, 50);
 	for (i = 0; i < DISRUPTIONS; i++) {
 		/* Added later: the other seeds keep their course. */
-		if (i == DISRUPT_RECONNECT && !options->weights[i])
+		if (i >= DISRUPT_RECONNECT && !options->weights[i])
 			continue;
 		if (model_chance(m, USED_PERCENT))
 			m->weights[i] = options->weights[i];
@@ -532,6 +538,9 @@
 					       make_pipeline(m, number);
 	if (m->options->quiet_ms)
 		model_field_set_faults(m, job);
+	if (m->options->queues)
+		model_queue_name(number % m->options->queues,
+				 job->pipeline->queue);
 	job->text = gh_pipeline_format(job->pipeline);
 	job->n_tasks = gh_pipeline_task_count(job->pipeline);
 	job->tasks = g_new0(model_task_t, job->n_tasks);
@@ -543,6 +552,11 @@
 	return job;
 }
 
+void model_queue_name(uint32_t priority, char name[GH_QUEUE_MAX + 1])
+{
+	g_snprintf(name, GH_QUEUE_MAX + 1, "q%u", priority);
+}
+
 static gh_pipeline_t *make_pipeline(model_t *m, uint32_t number)
 {
 	gh_pipeline_t *pipeline = g_new0(gh_pipeline_t, 1);
@@ -635,6 +649,12 @@
 	k->run(m, slot, h, MIN(until, m->quiet_at));
 }
 
+static void empty_domain(model_t *m, uint32_t slot, host_t *h, gh_time_t until)
+{
+	(void)h;
+	model_domain_empty(m, slot, until);
+}
+
 static void lose_replies(model_t *m, uint32_t slot, host_t *h, gh_time_t until)
 {
 	(void)h;
--- a/regress/fleet_model_owner.c
+++ b/regress/fleet_model_owner.c
@@ -21,6 +21,10 @@
 #define RELEASED " released "
 #define GRANTS " grants "
 #define HIT_PERCENT 50
+/* Policy of each queue; their priorities differ. */
+#define QUEUE_ATTEMPTS 3
+#define QUEUE_STRETCH_MILLI 2000
+#define QUEUE_TARGET_MS 500
 
 typedef struct host_event {
 	host_t *host;
@@ -59,6 +63,7 @@
 static void claim_chain_read(host_t *h, const store_call_t *call);
 static void claim_retry(host_t *h);
 static void claim_succeeded(host_t *h, uint64_t revision);
+static void set_queues(host_t *h);
 static void host_load(host_t *h);
 static void finish_loading(host_t *h);
 static void add_job(host_t *h, model_job_t *job, bool with_progress);
@@ -434,6 +439,7 @@
 	h->clocks = platform_clocks_new();
 	memset(h->connections, 0, sizeof(h->connections));
 	model_move_boot(h);
+	model_domain_boot(h);
 	*event = (host_event_t){ .host = h, .boot = h->boot };
 	model_post(h->m, h->m->now, on_host_tick, event);
 }
@@ -725,6 +731,7 @@
 		.claim_revision = revision,
 		.claimed_at = h->claim_sent_at,
 		.stop_ms = MODEL_STOP_MS,
+		.empty_ms = model_domain_empty_ms(h->m),
 		.shard = h->shard,
 		.shards = h->m->n_shards,
 	};
@@ -738,10 +745,28 @@
 	h->renew_at = now;
 	h->load_at = now;
 	h->fleet = gh_fleet_new(&setup, &sink, now);
+	set_queues(h);
 	model_log(h->m, NULL, "host %u owns the shard, epoch %d", h->index,
 		  (int)h->epoch);
 }
 
+static void set_queues(host_t *h)
+{
+	uint32_t i;
+
+	for (i = 0; i < h->m->options->queues; i++) {
+		gh_queue_policy_t policy = {
+			.priority = i,
+			.attempts = QUEUE_ATTEMPTS,
+			.stretch_milli = QUEUE_STRETCH_MILLI,
+			.target_ms = QUEUE_TARGET_MS,
+		};
+
+		model_queue_name(i, policy.name);
+		gh_fleet_queue_set(h->fleet, &policy);
+	}
+}
+
 static void host_load(host_t *h)
 {
 	h->load_at = GH_TIME_NEVER;
@@ -767,6 +792,7 @@
 		    !entry->unreadable)
 			gh_fleet_worker_set(h->fleet, &entry->value, m->now);
 	}
+	model_domain_load(h);
 	h->phase = h->draining ? HOST_RELEASING : HOST_OWNING;
 	h->commit_at = 0;
 	h->reread_at = GH_TIME_NEVER;
--- a/regress/fleet_soak.c
+++ b/regress/fleet_soak.c
@@ -57,6 +57,8 @@
 		.quiet_ms = c->quiet_ms,
 		.shards = c->shards,
 		.times_off = c->times_off || getenv("SOAK_TIMES_OFF"),
+		.queues = (uint32_t)number_from_environment("SOAK_QUEUES",
+							    c->queues),
 		.unbound = getenv("SOAK_UNBOUND") ||
 			   (c->unbound && !getenv("SOAK_SEED")),
 	};
--- a/regress/test_platform_decode.c
+++ b/regress/test_platform_decode.c
@@ -12,6 +12,7 @@
 #include "error.h"
 #include "fleet_settings.h"
 #include "json_body.h"
+#include "json_body.h"
 #include "platform/platform_decode.h"
 #include "proc.h"
 
@@ -56,12 +57,19 @@
 	"{\"backend\":\"s\",\"address\":\"1.2.3.4:5\",\"state\":\"ready\"," \
 	"\"capacity\":{" capacity "},\"labels\":[\"a\"]" more "}"
 
+/* A byte more than a domain's name has at most. */
+#define LONG_NAME                          \
+	"0123456789abcdef0123456789abcdef" \
+	"0123456789abcdef0123456789abcdef"
+
 /* An entry with numbers; born_ms and gpus are checked if it is accepted. */
 typedef struct entry_case {
 	const char *text;
 	bool ok;
 	uint32_t gpus;
 	int64_t born_ms;
+	const char *domain; /* NULL: none */
+	int64_t cold_ms;
 } entry_case_t;
 
 static const entry_case_t entry_cases[] = {
@@ -76,6 +84,18 @@
 	  .ok = true,
 	  .gpus = 1,
 	  .born_ms = 7 },
+	{ .text = ENTRY("", ",\"zone\":\"bole\",\"cold_remaining_ms\":800"),
+	  .ok = true,
+	  .domain = "bole",
+	  .cold_ms = 800 },
+	{ .text = ENTRY("", ",\"zone\":\"\""), .ok = true },
+	{ .text = ENTRY("", ",\"zone\":7") },
+	{ .text = ENTRY("", ",\"zone\":null") },
+	{ .text = ENTRY("", ",\"zone\":\"a b\"") },
+	{ .text = ENTRY("", ",\"zone\":\"" LONG_NAME "\"") },
+	{ .text = ENTRY("", ",\"cold_remaining_ms\":\"800\"") },
+	{ .text = ENTRY("", ",\"cold_remaining_ms\":-1") },
+	{ .text = ENTRY("", ",\"cold_remaining_ms\":1e300") },
 	{ .text = ENTRY("\"cpu\":\"8000\"", "") },
 	{ .text = ENTRY("\"cpu\":null", "") },
 	{ .text = ENTRY("\"cpu\":-1", "") },
@@ -152,6 +172,42 @@
 			continue;
 		assert_int_equal(entry.size.accelerators, c->gpus);
 		assert_int_equal(entry.incarnation_start_ms, c->born_ms);
+		assert_string_equal(entry.domain, c->domain ? c->domain : "");
+		assert_int_equal(entry.cold_ms, c->cold_ms);
+	}
+}
+
+static void test_requests(void **state)
+{
+	static const struct {
+		const char *key;
+		fleet_request_t request;
+		const char *domain;
+	} request_cases[] = {
+		{ "evacuate/bole", FLEET_REQUEST_EMPTY_DOMAIN, "bole" },
+		{ "evacuate/b%ole\"", FLEET_REQUEST_EMPTY_DOMAIN, "b%ole\"" },
+		{ "evacuate/", FLEET_REQUEST_ODD, "" },
+		{ "evacuate/a/b", FLEET_REQUEST_ODD, "" },
+		{ "evacuate/a b", FLEET_REQUEST_ODD, "" },
+		{ "evacuate/a\n", FLEET_REQUEST_ODD, "" },
+		{ "evacuate/" LONG_NAME, FLEET_REQUEST_ODD, "" },
+		{ "evacuate", FLEET_REQUEST_NONE, "" },
+		{ "evacuated/bole", FLEET_REQUEST_NONE, "" },
+		{ "config", FLEET_REQUEST_NONE, "" },
+		{ "wave/1", FLEET_REQUEST_NONE, "" },
+		{ "", FLEET_REQUEST_NONE, "" },
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(request_cases); i++) {
+		char domain[GH_DOMAIN_MAX + 1] = "";
+		fleet_request_t request =
+			platform_parse_request(request_cases[i].key, domain);
+
+		assert_int_equal(request, request_cases[i].request);
+		if (request == FLEET_REQUEST_EMPTY_DOMAIN)
+			assert_string_equal(domain, request_cases[i].domain);
 	}
 }
 
@@ -596,8 +652,14 @@
 
 static const settings_case_t settings_cases[] = {
 	{ "", GH_E_COUNT },
+	{ "empty_domain_ms=5000\n", GH_E_COUNT },
+	{ "empty_domain_ms=-1\n", GH_E_BAD_VALUE },
 	{ "shards=4\ncores=0.25\n", GH_E_COUNT },
 	{ "shards=1000\n", GH_E_BAD_VALUE },
+	{ "memory_mb=64\ndescriptors=320\ntransfer_ms=5000\n", GH_E_COUNT },
+	{ "memory_mb=63\n", GH_E_BAD_VALUE },
+	{ "descriptors=200\n", GH_E_BAD_VALUE },
+	{ "transfer_ms=0\n", GH_E_BAD_VALUE },
 	{ "lease_ms=soon\n", GH_E_BAD_VALUE },
 	{ "colour=blue\n", GH_E_UNKNOWN_KEY },
 	{ "[store]\nurl=http://1.2.3.4:5\n", GH_E_UNKNOWN_GROUP },
@@ -633,13 +695,74 @@
 	proc_remove_dir(dir);
 }
 
+static const struct {
+	size_t len;
+	gh_error_kind_t kind;
+} payload_cases[] = {
+	{ GH_PAYLOAD_MAX, GH_E_COUNT },
+	{ GH_PAYLOAD_MAX + 1, GH_E_BAD_REQUEST },
+	{ 1000000, GH_E_BAD_REQUEST },
+};
+
+static void test_payload(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(payload_cases); i++) {
+		char *payload = g_strnfill(payload_cases[i].len, 'x');
+		char *text = g_strdup_printf(
+			"{\"task_spec\":\"%s\",\"pipeline\":[{\"count\":1}]}",
+			payload);
+		GError *err = NULL;
+		gh_pipeline_t *pipeline =
+			platform_parse_pipeline(text, strlen(text), &err);
+
+		assert_int_equal(pipeline ? GH_E_COUNT : gh_error_kind(err),
+				 payload_cases[i].kind);
+		g_clear_error(&err);
+		gh_pipeline_free(pipeline);
+		g_free(text);
+		g_free(payload);
+	}
+}
+
+static const struct {
+	const char *text;
+	size_t fields;
+} field_cases[] = {
+	{ "", 0 },
+	{ "7", 0 },
+	{ "[]", 1 },
+	{ "[1,2]", 2 },
+	{ "{\"a\":[{},{}]}", 6 },
+	{ "{\"a,[{:\":\",\"}", 2 },
+	{ "[\"\\\",[,\",1]", 2 },
+	{ "\"[,[,", 0 },
+};
+
+static void test_fields(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(field_cases); i++)
+		assert_int_equal(
+			json_body_count_fields(field_cases[i].text,
+					       strlen(field_cases[i].text)),
+			field_cases[i].fields);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_payload),
+		cmocka_unit_test(test_fields),
 		cmocka_unit_test(test_worker),
 		cmocka_unit_test(test_worker_address),
 		cmocka_unit_test(test_worker_numbers),
 		cmocka_unit_test(test_worker_errors),
+		cmocka_unit_test(test_requests),
 		cmocka_unit_test(test_clock),
 		cmocka_unit_test(test_report),
 		cmocka_unit_test(test_pipeline),
