--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -47,8 +47,6 @@
 
 static void collect_candidates(gh_fleet_t *fleet, GArray *candidates,
 			       gh_time_t now, int64_t wall_ms);
-static bool stage_is_ready(const fleet_job_t *job, uint32_t stage,
-			   int64_t wall_ms);
 static bool has_restarts(const fleet_job_t *job, uint32_t stage);
 static void rate_candidate(const gh_fleet_t *fleet, const fleet_job_t *job,
 			   candidate_t *c, gh_time_t now, int64_t wall_ms);
@@ -104,7 +102,7 @@
 			if (stage->tasks_done + stage->tasks_open +
 					    stage->tasks_away >=
 				    tasks ||
-			    !stage_is_ready(job, s, wall_ms))
+			    !fleet_stage_is_ready(job, s, wall_ms))
 				continue;
 			if (!rated)
 				rate_candidate(fleet, job, &c, now, wall_ms);
@@ -123,8 +121,8 @@
 	}
 }
 
-static bool stage_is_ready(const fleet_job_t *job, uint32_t stage,
-			   int64_t wall_ms)
+bool fleet_stage_is_ready(const fleet_job_t *job, uint32_t stage,
+			  int64_t wall_ms)
 {
 	uint32_t n_steps = job->spec->n_steps;
 	uint32_t occurrence = stage / n_steps;
@@ -348,7 +346,7 @@
 		uint32_t tasks = job->spec->steps[s % job->spec->n_steps].tasks;
 
 		if (stage->tasks_done >= tasks ||
-		    !stage_is_ready(job, s, wall_ms))
+		    !fleet_stage_is_ready(job, s, wall_ms))
 			continue;
 		for (i = stage->first_task; i < stage->first_task + tasks;
 		     i++) {
--- a/core_fleet_step.c
+++ b/core_fleet_step.c
@@ -17,6 +17,7 @@
 void gh_fleet_tick(gh_fleet_t *fleet, gh_time_t now, int64_t wall_ms)
 {
 	note_tick(fleet, now);
+	fleet->wall_ahead_ms = wall_ms - gh_time_to_ms(now);
 	fleet_retry_expire_leases(fleet, now);
 	fleet_retry_orders(fleet, now);
 	fleet_late_check(fleet, now);
--- a/counter_list.h
+++ b/counter_list.h
@@ -41,6 +41,18 @@
 	"clients' connections closed at their deadline")
 COUNTER(BODIES_DROPPED, "bodies_dropped", "bodies dropped for want of room")
 
+/* Counters of what was decided on submissions at the door. */
+COUNTER(ADMITTED_USEFUL, "admitted_useful",
+	"jobs admitted that can be of use to their callers")
+COUNTER(ADMITTED_NO_ESTIMATE, "admitted_no_estimate",
+	"jobs admitted that last, are timed or have no estimate")
+COUNTER(ADMITTED_UNKNOWN, "admitted_unknown",
+	"jobs admitted as it is not known, or of late, what waits")
+COUNTER(ADMITTED_TURN, "admitted_turn",
+	"jobs admitted late, as their callers' turn had come")
+COUNTER(REFUSED_LATE, "refused_late",
+	"jobs refused that would end too late for their callers")
+
 /* Counters of calls to the key-value service (store). */
 COUNTER(STORE_READ, "store_reads", "reads sent to the store")
 COUNTER(STORE_WRITE, "store_writes", "writes sent to the store")
@@ -206,11 +218,11 @@
 COUNTER(TASKS_DEPARTED, "tasks_departed",
 	"waiting tasks that moved to another shard")
 COUNTER(TASKS_ARRIVED, "tasks_arrived", "tasks that came from another shard")
+COUNTER(CHANGES_HASTENED, "changes_hastened",
+	"changes of urgent jobs committed ahead of older changes")
 COUNTER(RUN_TIMES, "run_times", "run times that were learned from")
 COUNTER(RUN_TIMES_OFF, "run_times_off",
 	"of those, run times over twice or under half the declared one")
-COUNTER(CHANGES_HASTENED, "changes_hastened",
-	"changes of urgent jobs committed ahead of older changes")
 COUNTER(DOMAIN_REQUESTS, "domain_requests",
 	"requests to empty a failure domain that this host has heard of")
 COUNTER(DOMAIN_REQUESTS_OVER, "domain_requests_over",
--- a/fleet_host.c
+++ b/fleet_host.c
@@ -12,6 +12,7 @@
 #include "clock.h"
 #include "counter.h"
 #include "error.h"
+#include "fleet_admission.h"
 #include "fleet_jobs.h"
 #include "fleet_owner.h"
 #include "fleet_watch.h"
@@ -68,7 +69,7 @@
 	fleet_front_t *host;
 	const char *id;
 	const char *queue;
-	gh_pipeline_t *pipeline; /* job to submit; NULL in other calls */
+	fleet_submission_t submission; /* of a job; not set in other calls */
 	bool refresh;
 	gh_time_t deadline;
 	pthread_mutex_t lock;
@@ -377,15 +378,24 @@
 
 bool fleet_front_submit(fleet_front_t *host, const fleet_queue_t *queue,
 			gh_pipeline_t *pipeline, gh_time_t deadline,
-			GError **err)
+			int64_t *retry_after_ms, GError **err)
 {
 	caller_call_t call = { .host = host,
 			       .id = pipeline->id,
 			       .queue = queue->policy.name,
-			       .pipeline = pipeline,
 			       .deadline = deadline };
 	bool ok = gh_pipeline_check(pipeline, err);
 
+	call.submission = (fleet_submission_t){
+		.jobs = host->jobs,
+		.job = pipeline,
+		.policy = &queue->policy,
+		.limit_milli = host->setup.refuse_beyond_milli,
+		.deadline = deadline,
+		.done = on_call_done,
+		.ctx = &call,
+		.retry_after_ms = RETRY_AFTER_MS,
+	};
 	if (ok && queue->has_placement_advice) {
 		gh_error_set(
 			err, GH_E_ADVICE_UNMET,
@@ -409,6 +419,7 @@
 		ok = false;
 	}
 	ok = ok && run_on_loop(&call, start_submit, err);
+	*retry_after_ms = call.submission.retry_after_ms;
 	gh_pipeline_free(pipeline);
 	return ok;
 }
@@ -577,8 +588,7 @@
 {
 	caller_call_t *call = ctx;
 
-	fleet_jobs_submit(call->host->jobs, call->pipeline, call->deadline,
-			  on_call_done, call);
+	fleet_admission_submit(&call->submission);
 }
 
 static void start_cancel(void *ctx)
--- a/fleet_jobs.h
+++ b/fleet_jobs.h
@@ -13,7 +13,8 @@
  *   d/load/SHARD  "OWNER CORES MEMORY CORES MEMORY [SERVICE:CORES:MEMORY...]":
  *                 capacity of the shard's workers, size of its long-running
  *                 tasks, and what these leave on single workers; earlier
- *                 versions write and read only the first five words
+ *                 versions write and read only the first five words; then what
+ *                 waits, see core_waits.h
  *   w/SHARD/ID    the job as submitted, deleted when the job has ended
  *   w/SHARD/cancel/ID
  *                 written with the state of a job that is cancelled, so that
@@ -142,7 +143,8 @@
  * with GH_E_JOB_CANCELLED.
  */
 void fleet_jobs_submit(fleet_jobs_t *jobs, const gh_pipeline_t *pipeline,
-		       gh_time_t deadline, fleet_jobs_done_t done, void *ctx);
+		       uint32_t priority, gh_time_t deadline,
+		       fleet_jobs_done_t done, void *ctx);
 void fleet_jobs_cancel(fleet_jobs_t *jobs, const char *id, const char *queue,
 		       gh_time_t deadline, fleet_jobs_done_t done, void *ctx);
 /* Reads one job's state from the store into the directory. */
@@ -176,6 +178,14 @@
  * unknown or the store was not heard of late.
  */
 bool fleet_jobs_load(fleet_jobs_t *jobs, uint32_t shard, gh_shard_load_t *load);
+/*
+ * Loop's thread: the least time that a task of the job would wait in a shard,
+ * as the owners told it, and how old that is; GH_BALANCE_UNKNOWN: an owner has
+ * not told it.
+ */
+int64_t fleet_jobs_least_wait_ms(const fleet_jobs_t *jobs,
+				 const gh_pipeline_t *job, uint32_t priority,
+				 gh_time_t *age);
 /* Notes that this host has written a shard's owner record. */
 void fleet_jobs_note_owner(fleet_jobs_t *jobs, uint32_t shard,
 			   const char *owner, uint64_t revision);
--- a/regress/test_platform_decode.c
+++ b/regress/test_platform_decode.c
@@ -661,6 +661,10 @@
 	{ "descriptors=200\n", GH_E_BAD_VALUE },
 	{ "transfer_ms=0\n", GH_E_BAD_VALUE },
 	{ "lease_ms=soon\n", GH_E_BAD_VALUE },
+	{ "refuse_beyond=0.8\n", GH_E_COUNT },
+	{ "refuse_beyond=-1\n", GH_E_BAD_VALUE },
+	{ "refuse_beyond=101\n", GH_E_BAD_VALUE },
+	{ "refuse_beyond=always\n", GH_E_BAD_VALUE },
 	{ "colour=blue\n", GH_E_UNKNOWN_KEY },
 	{ "[store]\nurl=http://1.2.3.4:5\n", GH_E_UNKNOWN_GROUP },
 };
