--- a/core_fleet_reserve.c
+++ b/core_fleet_reserve.c
@@ -16,9 +16,16 @@
 #define RESERVE_PERIOD_USEC (100 * GH_USEC_PER_MSEC)
 /* A reservation that is not renewed ends after this time. */
 #define RESERVED_USEC (200 * GH_USEC_PER_MSEC)
+/*
+ * What runs on the worker may take long: other tasks wait for it no longer than
+ * this, and then get their turn before a worker is reserved again.
+ */
+#define RESERVE_MAX_USEC (2 * GH_USEC_PER_SEC)
+#define RESERVE_PAUSE_USEC GH_USEC_PER_SEC
 /* At most a quarter of the workers are reserved, but one may always be. */
 #define RESERVED_DIVISOR 4
 
+static bool is_given_up(fleet_stage_t *stage, gh_time_t now);
 static bool fits_beside_long_running(const gh_fleet_t *fleet,
 				     const fleet_worker_t *worker,
 				     const gh_step_t *step);
@@ -38,6 +45,8 @@
 		    (yields ? YIELD_USEC : RESERVE_AFTER_USEC) ||
 	    now < job->stages[stage].reserve_at)
 		return;
+	if (is_given_up(&job->stages[stage], now))
+		return;
 	job->stages[stage].reserve_at = now + RESERVE_PERIOD_USEC;
 	for (i = 0; i < fleet->workers->len; i++) {
 		const fleet_worker_t *worker = fleet_worker(fleet, i);
@@ -62,11 +71,25 @@
 	    (n_others && n_others >= g_hash_table_size(fleet->worker_by_id) /
 					     RESERVED_DIVISOR))
 		return;
+	if (!job->stages[stage].reserve_give_up_at)
+		job->stages[stage].reserve_give_up_at = now + RESERVE_MAX_USEC;
 	fleet_worker(fleet, best)->kept_for = owner;
 	fleet_worker(fleet, best)->kept_until = now + RESERVED_USEC;
 	job->stages[stage].reserved_until = now + RESERVED_USEC;
 }
 
+/* Begins a pause if a worker has been reserved in vain for too long. */
+static bool is_given_up(fleet_stage_t *stage, gh_time_t now)
+{
+	if (stage->reserve_give_up_at && now > stage->reserved_until)
+		stage->reserve_give_up_at = 0;
+	if (!stage->reserve_give_up_at || now < stage->reserve_give_up_at)
+		return false;
+	stage->reserve_give_up_at = 0;
+	stage->reserve_at = now + RESERVE_PAUSE_USEC;
+	return true;
+}
+
 /* Whether a task of the step fits once the worker's short tasks have ended. */
 static bool fits_beside_long_running(const gh_fleet_t *fleet,
 				     const fleet_worker_t *worker,
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -239,6 +239,8 @@
 	gh_time_t wait_report_at;
 	/* When a worker is reserved for it, or reserved again. */
 	gh_time_t reserve_at;
+	/* When reserving is given up for a while; 0: none is reserved. */
+	gh_time_t reserve_give_up_at;
 	/* Until when one is reserved for a task of it; 0: none was. */
 	gh_time_t reserved_until;
 	/*
