--- a/regress/test_platform_decode.c
+++ b/regress/test_platform_decode.c
@@ -12,7 +12,6 @@
 #include "error.h"
 #include "fleet_settings.h"
 #include "json_body.h"
-#include "json_body.h"
 #include "platform/platform_decode.h"
 #include "proc.h"
 
