--- a/core_fleet_headroom.c
+++ b/core_fleet_headroom.c
@@ -4,7 +4,8 @@
  *
  * A long-running task that has run before interrupts something and is not put
  * off, nor is one for longer than PUT_OFF_MAX_USEC: by then it is certain that
- * urgent tasks leave the cores unused.
+ * urgent tasks leave the cores unused.  Gangs are not put off, as they start as
+ * a whole or not at all and their stages keep no time since which they wait.
  */
 #include "core_fleet_parts.h"
 
@@ -140,7 +141,9 @@
 bool fleet_headroom_yields(const gh_fleet_t *fleet, const fleet_job_t *job,
 			   uint32_t task)
 {
-	return fleet_task_step(job, task)->long_running &&
+	const gh_step_t *step = fleet_task_step(job, task);
+
+	return step->long_running && !step->gang &&
 	       !job->tasks[task].last_run &&
 	       fleet->headroom.targets[fleet_headroom_level(fleet, job)]
 		       .applies;
--- a/regress/test_core_headroom.c
+++ b/regress/test_core_headroom.c
@@ -167,6 +167,14 @@
 		     .long_running = true },
 	  .others = 1,
 	  .prompt_min = 60 },
+	{ .name = "gangs of long-running tasks are not put off",
+	  .other_priority = 0,
+	  .other = { .tasks = 2,
+		     .size = { .cores_milli = 2500 },
+		     .gang = true,
+		     .long_running = true },
+	  .others = 1,
+	  .others_min = 8 },
 };
 
 typedef struct play {
@@ -303,11 +311,12 @@
 
 		play(p, c);
 		percent = p->prompt * 100 / p->asked;
-		print_message("%s: %zu, %zu\n", c->name, percent, p->others);
 		if (percent < c->prompt_min || p->others < c->others_min ||
 		    p->w.n_over_capacity)
-			print_message("%s: %zu of 100 prompt, %zu others\n",
-				      c->name, percent, p->others);
+			fail_msg("%s: %zu of 100 prompt, %zu others, "
+				 "%zu over the capacity",
+				 c->name, percent, p->others,
+				 (size_t)p->w.n_over_capacity);
 		g_hash_table_destroy(p->handed_in);
 		world_clear(&p->w);
 		g_free(p);
