--- a/core_fleet_reserve.c
+++ b/core_fleet_reserve.c
@@ -5,7 +5,8 @@
  * has the free capacity that a larger, long-running task needs then, as smaller
  * tasks take each part of it that becomes free.  A worker is reserved for such
  * a task once it has waited for RESERVE_AFTER_USEC: nothing else starts there
- * until the task does.  Nothing is stopped for it.
+ * until the task does or the reservation is given up.  Nothing is stopped for
+ * it.
  */
 #include "core_fleet_parts.h"
 
@@ -18,10 +19,14 @@
 #define RESERVED_USEC (200 * GH_USEC_PER_MSEC)
 /*
  * What runs on the worker may take long: other tasks wait for it no longer than
- * this, and then get their turn before a worker is reserved again.
+ * this, and then get their turn before a worker is reserved again, for twice as
+ * long.  Else a task that needs the room of several long runs never begins.
  */
 #define RESERVE_MAX_USEC (2 * GH_USEC_PER_SEC)
+#define RESERVE_DOUBLINGS_MAX 3
 #define RESERVE_PAUSE_USEC GH_USEC_PER_SEC
+/* After this time without a reservation the next one is not longer. */
+#define RESERVE_FORGET_USEC (3 * GH_USEC_PER_SEC)
 /* At most a quarter of the workers are reserved, but one may always be. */
 #define RESERVED_DIVISOR 4
 
@@ -72,7 +77,10 @@
 					     RESERVED_DIVISOR))
 		return;
 	if (!job->stages[stage].reserve_give_up_at)
-		job->stages[stage].reserve_give_up_at = now + RESERVE_MAX_USEC;
+		job->stages[stage].reserve_give_up_at =
+			now + (RESERVE_MAX_USEC
+			       << MIN(job->stages[stage].reserved_in_vain,
+				      RESERVE_DOUBLINGS_MAX));
 	fleet_worker(fleet, best)->kept_for = owner;
 	fleet_worker(fleet, best)->kept_until = now + RESERVED_USEC;
 	job->stages[stage].reserved_until = now + RESERVED_USEC;
@@ -83,9 +91,12 @@
 {
 	if (stage->reserve_give_up_at && now > stage->reserved_until)
 		stage->reserve_give_up_at = 0;
+	if (now - stage->reserved_until > RESERVE_FORGET_USEC)
+		stage->reserved_in_vain = 0;
 	if (!stage->reserve_give_up_at || now < stage->reserve_give_up_at)
 		return false;
 	stage->reserve_give_up_at = 0;
+	stage->reserved_in_vain++;
 	stage->reserve_at = now + RESERVE_PAUSE_USEC;
 	return true;
 }
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -241,6 +241,8 @@
 	gh_time_t reserve_at;
 	/* When reserving is given up for a while; 0: none is reserved. */
 	gh_time_t reserve_give_up_at;
+	/* Number of reservations in a row that were given up. */
+	uint32_t reserved_in_vain;
 	/* Until when one is reserved for a task of it; 0: none was. */
 	gh_time_t reserved_until;
 	/*
