--- a/core_fleet_headroom.c
+++ b/core_fleet_headroom.c
@@ -28,6 +28,7 @@
 
 	report(fleet, now);
 	sample_demand(headroom, now);
+	fleet_headroom_forget_waiting(fleet);
 	for (i = 0; i < fleet->workers->len; i++)
 		if (fleet_worker_is_heard(fleet_worker(fleet, i)))
 			capacity_milli +=
@@ -55,7 +56,6 @@
 
 		gh_headroom_sample(&headroom->demand, i, cores,
 				   tasks > 0 ? cores / tasks : 0, now);
-		headroom->waiting_tasks[i] = headroom->waiting_milli[i] = 0;
 	}
 }
 
@@ -138,6 +138,15 @@
 		(double)tasks * step->size.cores_milli;
 }
 
+void fleet_headroom_forget_waiting(gh_fleet_t *fleet)
+{
+	uint32_t i;
+
+	for (i = 0; i < GH_HEADROOM_LEVELS; i++)
+		fleet->headroom.waiting_tasks[i] =
+			fleet->headroom.waiting_milli[i] = 0;
+}
+
 bool fleet_headroom_yields(const gh_fleet_t *fleet, const fleet_job_t *job,
 			   uint32_t task)
 {
--- a/core_fleet_parts.h
+++ b/core_fleet_parts.h
@@ -461,6 +461,8 @@
 /* Notes tasks of the step that found no worker. */
 void fleet_headroom_note_waiting(gh_fleet_t *fleet, const fleet_job_t *job,
 				 const gh_step_t *step, uint32_t tasks);
+/* Forgets them: they are to be noted anew. */
+void fleet_headroom_forget_waiting(gh_fleet_t *fleet);
 /* Level of the job's queue. */
 uint32_t fleet_headroom_level(const gh_fleet_t *fleet, const fleet_job_t *job);
 /* Whether the long-running task comes after short ones that are as urgent. */
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -73,6 +73,7 @@
 		place_oldest(fleet, candidates, now);
 		fleet_budget_end_oldest(fleet);
 		fleet->counts.pending_tasks = 0;
+		fleet_headroom_forget_waiting(fleet);
 	}
 	for (i = 0; i < candidates->len; i++)
 		place_candidate(
--- a/regress/fake_platform.c
+++ b/regress/fake_platform.c
@@ -1159,6 +1159,25 @@
 	return false;
 }
 
+/* Items that the test writes, and the zones of the workers. */
+static bool set_zone(platform_t *p, const char *key, const json_t *value)
+{
+	const char *text = json_string_value(value);
+
+	if (!strcmp(key, "put"))
+		put_text(p, fake_json_string(value, "key", ""),
+			 fake_json_string(value, "text", ""));
+	else if (!strcmp(key, "delete") && text)
+		put_item(p, text, NULL, 0, ++p->revision);
+	else if (!strcmp(key, "zones") && json_integer_value(value) > 0)
+		set_zones(p, json_integer_value(value));
+	else if (!strcmp(key, "evacuate_ms"))
+		p->evacuate_ms = json_integer_value(value);
+	else
+		return false;
+	return true;
+}
+
 static bool platform_set(void *self, const char *key, const json_t *value)
 {
 	static const char *const modes[] = { "up",   "down",	"busy", "lost",
@@ -1201,19 +1220,10 @@
 		ok = add_workers(p, json_integer_value(value), 0, 0);
 	} else if (!strcmp(key, "worker") && text) {
 		ok = set_worker_state(p, text);
-	} else if (!strcmp(key, "put")) {
-		put_text(p, fake_json_string(value, "key", ""),
-			 fake_json_string(value, "text", ""));
-	} else if (!strcmp(key, "delete") && text) {
-		put_item(p, text, NULL, 0, ++p->revision);
-	} else if (!strcmp(key, "zones") && json_integer_value(value) > 0) {
-		set_zones(p, json_integer_value(value));
-	} else if (!strcmp(key, "evacuate_ms")) {
-		p->evacuate_ms = json_integer_value(value);
 	} else if (!strcmp(key, "config")) {
 		put_config(p, value);
 	} else {
-		ok = set_lives(p, key, value);
+		ok = set_lives(p, key, value) || set_zone(p, key, value);
 	}
 	pthread_mutex_unlock(&p->lock);
 	return ok;
--- a/regress/test_core_waits.c
+++ b/regress/test_core_waits.c
@@ -364,20 +364,20 @@
 
 typedef struct flow_case {
 	const char *name;
-	bool told;
 	int64_t delay_ms; /* age of what hosts know */
 	int64_t silent_from_ms, silent_until_ms;
 	uint32_t silent_shards; /* bit mask */
 	uint32_t in_time_min, in_time_max;
+	bool told;
 } flow_case_t;
 
 static const flow_case_t flow_cases[] = {
-	{ "not told", false, 500, 0, 0, 0, 700, 850 },
-	{ "told 0.5 s ago", true, 500, 0, 0, 0, 950, 1500 },
-	{ "told 1.5 s ago", true, 1500, 0, 0, 0, 950, 1500 },
-	{ "told 3 s ago", true, 3000, 0, 0, 0, 850, 1500 },
-	{ "an owner silent", true, 500, 4000, 12000, 1, 850, 1500 },
-	{ "the store away", true, 500, 4000, 12000, 3, 850, 1500 },
+	{ "not told", 500, 0, 0, 0, 700, 850, false },
+	{ "told 0.5 s ago", 500, 0, 0, 0, 950, 1500, true },
+	{ "told 1.5 s ago", 1500, 0, 0, 0, 950, 1500, true },
+	{ "told 3 s ago", 3000, 0, 0, 0, 850, 1500, true },
+	{ "an owner silent", 500, 4000, 12000, 1, 850, 1500, true },
+	{ "the store away", 500, 4000, 12000, 3, 850, 1500, true },
 };
 
 static uint32_t count_in_time(const flow_case_t *c)
--- a/regress/test_fleet_admission.c
+++ b/regress/test_fleet_admission.c
@@ -18,38 +18,38 @@
 
 typedef struct door_case {
 	const char *name;
-	const char *load;    /* of the shard */
-	const char *owner;   /* NULL: it is lost */
-	const char *state;   /* of the job in the store; NULL: none */
+	const char *load;  /* of the shard */
+	const char *owner; /* NULL: it is lost */
+	const char *state; /* of the job in the store; NULL: none */
+	int64_t silent_ms; /* the store was last heard so long ago */
+	int64_t limit_milli;
+	int kind;	     /* error told to the caller; -1: accepted */
 	bool state_is_known; /* the directory has it */
-	int64_t silent_ms;   /* the store was last heard so long ago */
 	bool get_fails;
-	int64_t limit_milli;
-	int kind; /* error told to the caller; -1: accepted */
 	bool written;
 } door_case_t;
 
 static const door_case_t cases[] = {
-	{ "nothing waits", LOAD " @:0:0", "h0", NULL, false, 0, false, 3000, -1,
+	{ "nothing waits", LOAD " @:0:0", "h0", NULL, 0, 3000, -1, false, false,
 	  true },
-	{ "hopeless", LOAD WAITS, "h0", NULL, false, 0, false, 3000,
-	  GH_E_DEADLINE_INFEASIBLE, false },
-	{ "switched off", LOAD WAITS, "h0", NULL, false, 0, false, 0, -1,
+	{ "hopeless", LOAD WAITS, "h0", NULL, 0, 3000, GH_E_DEADLINE_INFEASIBLE,
+	  false, false, false },
+	{ "switched off", LOAD WAITS, "h0", NULL, 0, 0, -1, false, false,
 	  true },
 	{ "accepted elsewhere, the reply was lost", LOAD WAITS, "h0",
-	  "queued q 1 1 0", false, 0, false, 3000, -1, false },
-	{ "accepted before", LOAD WAITS, "h0", "queued q 1 1 0", true, 0, false,
-	  3000, -1, false },
-	{ "an owner lost", LOAD WAITS, NULL, NULL, false, 0, false, 3000, -1,
+	  "queued q 1 1 0", 0, 3000, -1, false, false, false },
+	{ "accepted before", LOAD WAITS, "h0", "queued q 1 1 0", 0, 3000, -1,
+	  true, false, false },
+	{ "an owner lost", LOAD WAITS, NULL, NULL, 0, 3000, -1, false, false,
 	  true },
-	{ "another owner", LOAD WAITS, "h1", NULL, false, 0, false, 3000, -1,
+	{ "another owner", LOAD WAITS, "h1", NULL, 0, 3000, -1, false, false,
 	  true },
-	{ "a load of a former version", LOAD " svc:1000:1", "h0", NULL, false,
-	  0, false, 3000, -1, true },
-	{ "the store away for long", LOAD WAITS, "h0", NULL, false, 4000, false,
-	  3000, -1, true },
-	{ "the store gives no reply", LOAD WAITS, "h0", NULL, false, 0, true,
-	  3000, -1, true },
+	{ "a load of a former version", LOAD " svc:1000:1", "h0", NULL, 0, 3000,
+	  -1, false, false, true },
+	{ "the store away for long", LOAD WAITS, "h0", NULL, 4000, 3000, -1,
+	  false, false, true },
+	{ "the store gives no reply", LOAD WAITS, "h0", NULL, 0, 3000, -1,
+	  false, true, true },
 };
 
 typedef struct call {
--- a/regress/test_fleet_watch.c
+++ b/regress/test_fleet_watch.c
@@ -132,7 +132,10 @@
 		reply.n_items++;
 	}
 	store->done = NULL;
-	done(store->ctx, &reply);
+	if (!done)
+		fail_msg("no call to the store is open");
+	else
+		done(store->ctx, &reply);
 }
 
 static const watch_case_t cases[] = {
