--- a/core_fleet_copy.c
+++ b/core_fleet_copy.c
@@ -13,7 +13,7 @@
 
 static void copy_stragglers(gh_fleet_t *fleet, gh_time_t now);
 static gh_slow_run_t describe_slow_run(const gh_fleet_t *fleet,
-				       const fleet_run_t *run);
+				       const fleet_run_t *run, gh_time_t now);
 static void move_slow_run(gh_fleet_t *fleet, uint32_t ref,
 			  const gh_slow_run_t *slow, gh_time_t now);
 static void move_slow_runs(gh_fleet_t *fleet, gh_time_t now);
@@ -67,17 +67,20 @@
 }
 
 static gh_slow_run_t describe_slow_run(const gh_fleet_t *fleet,
-				       const fleet_run_t *run)
+				       const fleet_run_t *run, gh_time_t now)
 {
 	const fleet_job_t *job = fleet_job(fleet, run->job);
+	uint32_t stage = fleet_stage_index(job, run->task);
 
 	return (gh_slow_run_t){
-		.estimate_ms = fleet_task_step(job, run->task)->estimate_ms,
+		.estimate_ms = fleet_times_estimate(fleet, job, stage, now)
+				       ->expected_ms,
 		.worked_ms = run->worked_ms,
 		.first_percent = run->first_percent,
 		.percent = run->progress_percent,
 		.pace_percent = run->pace_percent,
 		.stop_ms = fleet->setup.stop_ms,
+		.slow_ms = gh_time_to_ms(now - run->slow_since),
 	};
 }
 
@@ -118,7 +121,7 @@
 		job = fleet_job(fleet, run->job);
 		if (!fleet_task_step(job, run->task)->checkpoints)
 			continue;
-		slow = describe_slow_run(fleet, run);
+		slow = describe_slow_run(fleet, run, now);
 		if (gh_slow_run_gain_ms(&slow) > 0 &&
 		    fleet_choose_worker(fleet, job, run->task, run->worker,
 					now) != GH_NONE)
--- a/core_slow_move.c
+++ b/core_slow_move.c
@@ -8,6 +8,8 @@
 #define STOPS_PER_MOVE 2
 /* A run that stands still is taken to go on at this pace. */
 #define PACE_MIN_PERCENT 5
+/* One that has stood still for so long is taken to do so for as long again. */
+#define STILL_MAX_MS 10000
 
 double gh_slow_run_left_ms(const gh_slow_run_t *run)
 {
@@ -25,5 +27,7 @@
 	double left = gh_slow_run_left_ms(run);
 	double here = left * 100 / MAX(run->pace_percent, PACE_MIN_PERCENT);
 
+	if (!run->pace_percent && run->slow_ms >= STILL_MAX_MS)
+		here = MAX(here, left + (double)run->slow_ms);
 	return here - left - (double)(STOPS_PER_MOVE * run->stop_ms);
 }
--- a/core_slow_move.h
+++ b/core_slow_move.h
@@ -5,7 +5,8 @@
  * long-running ones.  A run that is stopped keeps what it has done, but does
  * nothing while it is stopped and begun again, so a run with little left to do
  * is done earlier where it is.  It moves only if it is expected to end earlier
- * elsewhere.
+ * elsewhere.  One that stands still shows nothing of what it has left, so a low
+ * estimate keeps it where it is for STILL_MAX_MS only.
  */
 #ifndef CORE_SLOW_MOVE_H
 #define CORE_SLOW_MOVE_H
@@ -22,6 +23,7 @@
 	uint32_t first_percent, percent;
 	uint32_t pace_percent;
 	int64_t stop_ms; /* longest time that a stop takes */
+	int64_t slow_ms; /* time for which its pace has been low */
 } gh_slow_run_t;
 
 /* What the run has left to do, as time at full pace. */
--- a/regress/test_core_fleet_copy.c
+++ b/regress/test_core_fleet_copy.c
@@ -18,6 +18,7 @@
 	int64_t estimate_ms;
 	bool checkpoints;
 	bool other_worker; /* one with capacity is there */
+	int64_t slow_ms;   /* 0: 6 s */
 	uint64_t moved;
 } slow_case_t;
 
@@ -31,6 +32,17 @@
 	  .estimate_ms = 50,
 	  .checkpoints = true,
 	  .other_worker = true },
+	{ .name = "little left by its estimate, but it stands still",
+	  .estimate_ms = 50,
+	  .checkpoints = true,
+	  .other_worker = true,
+	  .slow_ms = 15000,
+	  .moved = 1 },
+	{ .name = "no estimate, and it stands still",
+	  .checkpoints = true,
+	  .other_worker = true,
+	  .slow_ms = 15000,
+	  .moved = 1 },
 	{ .name = "no checkpoints",
 	  .estimate_ms = 20000,
 	  .other_worker = true },
@@ -62,7 +74,7 @@
 	if (c->other_worker)
 		add_worker(&w, "w2", 32000);
 	w.workers[0].tail_ms = 200;
-	advance_time(&w, 6000);
+	advance_time(&w, c->slow_ms ? c->slow_ms : 6000);
 	gh_fleet_counts(w.fleet, &counts);
 	assert_int_equal(counts.moved, c->moved);
 	assert_int_equal(w.workers[0].n_runs, c->moved ? 1 : 2);
