--- a/core_fleet_waits.c
+++ b/core_fleet_waits.c
@@ -7,6 +7,7 @@
  * told, so that the load of a calm shard doesn't change.
  */
 #include "core_fleet_parts.h"
+#include "core_fleet_times.h"
 
 #include <string.h>
 
@@ -29,10 +30,11 @@
 } rate_t;
 
 static void add_job(const gh_fleet_t *fleet, const fleet_job_t *job,
-		    gh_waits_t *waits, int64_t wall_ms);
-static bool is_in_time(const gh_queue_policy_t *policy,
-		       const gh_pipeline_t *job, int64_t wall_ms);
-static int64_t waiting_core_ms(const fleet_job_t *job, uint32_t stage);
+		    gh_waits_t *waits, gh_time_t now, int64_t wall_ms);
+static bool is_in_time(const gh_fleet_t *fleet, const fleet_job_t *job,
+		       gh_time_t now, int64_t wall_ms);
+static int64_t waiting_core_ms(const gh_fleet_t *fleet, const fleet_job_t *job,
+			       uint32_t stage, gh_time_t now);
 static void set_rates(const gh_fleet_t *fleet, gh_waits_t *waits);
 static rate_t *find_rate(GArray *rates, const char *service);
 static void leave_out_short(gh_waits_t *waits);
@@ -46,7 +48,8 @@
 	for (i = 0; i < fleet->jobs->len; i++)
 		if (fleet_job(fleet, i)->spec &&
 		    fleet_job(fleet, i)->phase <= GH_JOB_RUNNING)
-			add_job(fleet, fleet_job(fleet, i), waits, wall_ms);
+			add_job(fleet, fleet_job(fleet, i), waits, now,
+				wall_ms);
 	if (!waits->n)
 		return;
 	set_rates(fleet, waits);
@@ -55,12 +58,12 @@
 
 /* Adds in milliseconds, as most tasks are shorter than a core-second. */
 static void add_job(const gh_fleet_t *fleet, const fleet_job_t *job,
-		    gh_waits_t *waits, int64_t wall_ms)
+		    gh_waits_t *waits, gh_time_t now, int64_t wall_ms)
 {
 	const gh_queue_policy_t *policy = fleet_job_policy(fleet, job);
 	uint32_t s;
 
-	if (job->held || !is_in_time(policy, job->spec, wall_ms))
+	if (job->held || !is_in_time(fleet, job, now, wall_ms))
 		return;
 	for (s = 0; s < job->n_stages; s++) {
 		gh_wait_queue_t queue = {
@@ -69,7 +72,7 @@
 			.best_effort = job->spec->steps[s % job->spec->n_steps]
 					       .best_effort,
 		};
-		int64_t core_ms = waiting_core_ms(job, s);
+		int64_t core_ms = waiting_core_ms(fleet, job, s, now);
 		gh_wait_t *wait;
 
 		if (!core_ms)
@@ -84,18 +87,15 @@
 	}
 }
 
-static bool is_in_time(const gh_queue_policy_t *policy,
-		       const gh_pipeline_t *job, int64_t wall_ms)
+static bool is_in_time(const gh_fleet_t *fleet, const fleet_job_t *job,
+		       gh_time_t now, int64_t wall_ms)
 {
-	int64_t objective_ms = gh_pipeline_critical_path_ms(job, UINT32_MAX) *
-				       policy->stretch_milli / 1000 +
-			       policy->target_ms;
-
-	return wall_ms - MAX(job->accepted_ms, job->first_due_ms) <=
-	       objective_ms;
+	return wall_ms - MAX(job->spec->accepted_ms, job->spec->first_due_ms) <=
+	       fleet_times_objective_ms(fleet, job, now);
 }
 
-static int64_t waiting_core_ms(const fleet_job_t *job, uint32_t stage)
+static int64_t waiting_core_ms(const gh_fleet_t *fleet, const fleet_job_t *job,
+			       uint32_t stage, gh_time_t now)
 {
 	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
 	const fleet_stage_t *s = &job->stages[stage];
@@ -103,11 +103,13 @@
 	if (step->long_running)
 		return 0;
 	/* The estimates of an accepted job can exceed 64 bits. */
-	return (int64_t)MIN((double)(step->tasks - s->tasks_done -
-				     s->tasks_open - s->tasks_away) *
-				    (double)step->estimate_ms *
-				    step->size.cores_milli / 1000,
-			    STAGE_CORE_MS_MAX);
+	return (int64_t)MIN(
+		(double)(step->tasks - s->tasks_done - s->tasks_open -
+			 s->tasks_away) *
+			(double)fleet_times_estimate(fleet, job, stage, now)
+				->expected_ms *
+			step->size.cores_milli / 1000,
+		STAGE_CORE_MS_MAX);
 }
 
 static void set_rates(const gh_fleet_t *fleet, gh_waits_t *waits)
--- a/regress/test_core_run_time.c
+++ b/regress/test_core_run_time.c
@@ -600,6 +600,44 @@
 	}
 }
 
+/* What waits is told by what runs take, too, and by when that makes it late. */
+static void test_waits_by_expected_time(void **state)
+{
+	static const struct {
+		bool learns;
+		int64_t age_ms;
+		int64_t min_core_s, max_core_s;
+	} cases[] = {
+		{ false, 0, 380, 380 },
+		{ true, 0, 3, 95 },
+		{ false, 15000, 380, 380 },
+		{ true, 15000, 0, 0 },
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		gh_step_t step = one_task;
+		gh_shard_load_t load;
+		world_t w;
+
+		step.estimate_ms = 50 * SHORT_MS;
+		start_queue_world(&w);
+		if (cases[i].learns)
+			run_short_jobs(&w, &step, HINDRANCE_NONE);
+		step.tasks = 40;
+		w.wall_ms -= cases[i].age_ms;
+		add_queue_job(&w, "wrong", "0000000000000001", &step);
+		w.wall_ms += cases[i].age_ms;
+		advance_time(&w, 100);
+		gh_fleet_load(w.fleet, &load, w.now);
+		assert_true(load.waits.told);
+		assert_in_range(load.waits.all[0].ready_core_s,
+				cases[i].min_core_s, cases[i].max_core_s);
+		world_clear(&w);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -612,6 +650,7 @@
 		cmocka_unit_test(test_order_by_expected_time),
 		cmocka_unit_test(test_failed_run_extends_objective),
 		cmocka_unit_test(test_copy_by_expected_time),
+		cmocka_unit_test(test_waits_by_expected_time),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
