--- a/regress/test_fleet_admission.c
+++ b/regress/test_fleet_admission.c
@@ -65,6 +65,8 @@
 	const door_case_t *c;
 	call_t calls[CALLS_MAX];
 	size_t n_calls, n_replied;
+	call_t watches[CALLS_MAX]; /* without a reply to the end */
+	size_t n_watches;
 	loop_timer_t timer;
 	bool written, told;
 	int kind;
@@ -130,13 +132,14 @@
 			const char *prefix, uint64_t after, int64_t wait_ms,
 			fleet_store_done_t done, void *ctx)
 {
-	(void)base;
+	play_t *play = (play_t *)base;
+
 	(void)keyspace;
 	(void)prefix;
 	(void)after;
 	(void)wait_ms;
-	(void)done;
-	(void)ctx;
+	assert_true(play->n_watches < CALLS_MAX);
+	play->watches[play->n_watches++] = (call_t){ .done = done, .ctx = ctx };
 }
 
 static void store_get(fleet_store_t *base, fleet_keyspace_t keyspace,
@@ -223,6 +226,7 @@
 					  .done = on_told,
 					  .ctx = &play };
 	loop_t *loop = loop_new();
+	size_t i;
 	bool ok;
 
 	play.timer = (loop_timer_t){ .at = GH_TIME_NEVER,
@@ -240,6 +244,10 @@
 	     (c->kind != GH_E_DEADLINE_INFEASIBLE ||
 	      submission.retry_after_ms > 0);
 	fleet_jobs_free(submission.jobs);
+	for (i = 0; i < play.n_watches; i++)
+		play.watches[i].done(
+			play.watches[i].ctx,
+			&(fleet_reply_t){ .result = FLEET_REFUSED });
 	sim_loop_free(loop);
 	return ok;
 }
