--- a/fleet_admission.c
+++ b/fleet_admission.c
@@ -25,6 +25,7 @@
 void fleet_admission_submit(fleet_submission_t *submission)
 {
 	const gh_pipeline_t *job = submission->job;
+	gh_time_t now = clock_boot();
 	gh_admission_verdict_t verdict;
 
 	if (!submission->limit_milli || is_known(submission) ||
@@ -43,17 +44,24 @@
 		     "job %s would end in %" PRId64 " ms, its objective is "
 		     "%" PRId64 " ms",
 		     job->id, verdict.end_ms, verdict.objective_ms);
-	fleet_jobs_refresh(submission->jobs, job->id, submission->deadline,
+	/* Without a reply by half the time, the job is written in the rest. */
+	fleet_jobs_refresh(submission->jobs, job->id,
+			   now + (submission->deadline - now) / 2,
 			   on_state_read, submission);
 }
 
-/* Without a reply it isn't known that the job never runs. */
+/*
+ * Without a reply, or with a write of another submission under way, it isn't
+ * known that the job never runs.
+ */
 static void on_state_read(void *ctx, const GError *err)
 {
 	fleet_submission_t *submission = ctx;
 	GError *refusal = submission->refusal;
-	bool absent = err && gh_error_kind(err) == GH_E_JOB_UNKNOWN &&
-		      !is_known(submission);
+	bool absent =
+		err && gh_error_kind(err) == GH_E_JOB_UNKNOWN &&
+		!is_known(submission) &&
+		!fleet_jobs_is_open(submission->jobs, submission->job->id);
 
 	counter_inc(absent ? CTR_REFUSED_LATE : CTR_ADMITTED_UNKNOWN);
 	if (absent) {
--- a/regress/test_fleet_admission.c
+++ b/regress/test_fleet_admission.c
@@ -12,6 +12,8 @@
 #define JOB_ID "0000000000000000"
 #define QUEUE "q"
 #define REPLY_USEC (10 * GH_USEC_PER_MSEC)
+/* A write has so much of the deadline left at least. */
+#define WRITE_USEC (400 * GH_USEC_PER_MSEC)
 #define CALLS_MAX 64
 #define LOAD "h0 100000 100 0 0"
 #define WAITS " @:0:0 @1,0,svc:100000:100000"
@@ -27,29 +29,32 @@
 	int64_t limit_milli;
 	int kind; /* error told to the caller; -1: accepted */
 	bool written;
+	bool repeats; /* another submission of it is written meanwhile */
 } door_case_t;
 
 static const door_case_t cases[] = {
 	{ "nothing waits", LOAD " @:0:0", "h0", NULL, false, 0, false, 3000, -1,
-	  true },
+	  true, false },
 	{ "hopeless", LOAD WAITS, "h0", NULL, false, 0, false, 3000,
-	  GH_E_DEADLINE_INFEASIBLE, false },
-	{ "switched off", LOAD WAITS, "h0", NULL, false, 0, false, 0, -1,
-	  true },
+	  GH_E_DEADLINE_INFEASIBLE, false, false },
+	{ "switched off", LOAD WAITS, "h0", NULL, false, 0, false, 0, -1, true,
+	  false },
 	{ "accepted elsewhere, the reply was lost", LOAD WAITS, "h0",
-	  "queued q 1 1 0", false, 0, false, 3000, -1, false },
+	  "queued q 1 1 0", false, 0, false, 3000, -1, false, false },
 	{ "accepted before", LOAD WAITS, "h0", "queued q 1 1 0", true, 0, false,
-	  3000, -1, false },
+	  3000, -1, false, false },
 	{ "an owner lost", LOAD WAITS, NULL, NULL, false, 0, false, 3000, -1,
-	  true },
+	  true, false },
 	{ "another owner", LOAD WAITS, "h1", NULL, false, 0, false, 3000, -1,
-	  true },
+	  true, false },
 	{ "a load of a former version", LOAD " svc:1000:1", "h0", NULL, false,
-	  0, false, 3000, -1, true },
+	  0, false, 3000, -1, true, false },
 	{ "the store away for long", LOAD WAITS, "h0", NULL, false, 4000, false,
-	  3000, -1, true },
+	  3000, -1, true, false },
 	{ "the store gives no reply", LOAD WAITS, "h0", NULL, false, 0, true,
-	  3000, -1, true },
+	  3000, -1, true, false },
+	{ "a repeat is being written", LOAD WAITS, "h0", NULL, false, 0, false,
+	  3000, -1, true, true },
 };
 
 typedef struct call {
@@ -69,6 +74,7 @@
 	size_t n_watches;
 	loop_timer_t timer;
 	bool written, told;
+	gh_time_t written_at;
 	int kind;
 } play_t;
 
@@ -164,6 +170,7 @@
 	(void)entries;
 	(void)n;
 	((play_t *)base)->written = true;
+	((play_t *)base)->written_at = clock_boot();
 	keep_call(base, done, ctx);
 }
 
@@ -201,6 +208,12 @@
 	play->kind = err ? (int)gh_error_kind(err) : -1;
 }
 
+static void on_repeat_told(void *ctx, const GError *err)
+{
+	(void)ctx;
+	(void)err;
+}
+
 static bool play_case(const door_case_t *c)
 {
 	static const gh_queue_policy_t policy = { .priority = 1,
@@ -237,10 +250,14 @@
 	sim_loop_run(loop, 100 + c->silent_ms);
 	submission.deadline = clock_boot() + GH_USEC_PER_SEC;
 	fleet_admission_submit(&submission);
+	if (c->repeats)
+		fleet_jobs_submit(submission.jobs, &job, policy.priority,
+				  submission.deadline, on_repeat_told, NULL);
 	sim_loop_run(loop, 1500);
 	print_message("%s: told %d, written %d, retry after %d ms\n", c->name,
 		      play.kind, play.written, (int)submission.retry_after_ms);
 	ok = play.told && play.kind == c->kind && play.written == c->written &&
+	     play.written_at < submission.deadline - WRITE_USEC &&
 	     (c->kind != GH_E_DEADLINE_INFEASIBLE ||
 	      submission.retry_after_ms > 0);
 	fleet_jobs_free(submission.jobs);
