--- a/core_fleet.c
+++ b/core_fleet.c
@@ -128,6 +128,7 @@
 		.n_stages = occurrences * pipeline->n_steps,
 		.first_failed_worker = GH_NONE,
 	};
+	job->rank = fleet_job_policy(fleet, job)->priority;
 	job->n_tasks = occurrences * job->tasks_per_occurrence;
 	job->tasks = g_new0(fleet_task_t, job->n_tasks);
 	job->stages = g_new0(fleet_stage_t, job->n_stages);
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -282,7 +282,10 @@
 	 * share; it has waited for long.
 	 */
 	bool gang_overdue, gang_desperate;
-	/* With which its tasks were last placed; the lowest comes first. */
+	/*
+	 * With which its tasks were last placed, at first its priority; the
+	 * lowest comes first.
+	 */
 	uint32_t rank;
 	uint64_t version, committed_version;
 	gh_job_phase_t committed_phase;
--- a/regress/test_core_fleet_commit.c
+++ b/regress/test_core_fleet_commit.c
@@ -99,10 +99,40 @@
 	}
 }
 
+/* Jobs that end before any of their tasks was placed by this owner. */
+static void test_jobs_never_placed(void **state)
+{
+	static const char expected[] = "cba";
+	world_t w;
+	size_t i;
+
+	(void)state;
+	world_init(&w);
+	w.commits_limited = true;
+	for (i = 0; i < JOBS_MAX; i++)
+		add_queued_job(&w, (char)('a' + i), JOBS_MAX - 1 - (uint32_t)i);
+	for (i = 0; i < JOBS_MAX; i++) {
+		char id[] = "000000000000000?";
+
+		id[sizeof(id) - 2] = (char)('a' + i);
+		gh_fleet_job_cancel(w.fleet, id, w.now);
+	}
+	for (i = 0; i < JOBS_MAX; i++) {
+		gh_fleet_change_t change;
+
+		assert_true(gh_fleet_next_change(w.fleet, &change));
+		assert_int_equal(change.id[strlen(change.id) - 1], expected[i]);
+		gh_fleet_handle_commit(w.fleet, change.id, change.version);
+		g_free(change.progress);
+	}
+	world_clear(&w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_commits),
+		cmocka_unit_test(test_jobs_never_placed),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
