--- a/core_fleet.c
+++ b/core_fleet.c
@@ -48,6 +48,7 @@
 	fleet->emptied =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	fleet->changes = gh_commit_order_new();
+	fleet->commit_failed_job = GH_NONE;
 	fleet->failed_placements =
 		g_array_new(FALSE, FALSE, sizeof(failed_placement_t));
 	fleet->outages = g_array_new(FALSE, FALSE, sizeof(gh_time_t));
--- a/core_fleet_commit.c
+++ b/core_fleet_commit.c
@@ -36,6 +36,31 @@
 	fleet_job_mark_changed(fleet, handle);
 	fleet_commit_hasten(fleet, handle);
 	job->commit_failed = true;
+	if (fleet->commit_failed_job == GH_NONE)
+		fleet->commit_failed_job = handle;
+	fleet->commits_failed |= fleet->commit_failed_job != handle;
+}
+
+/*
+ * Where the changes of several jobs failed and none was committed, it was not
+ * for one of them, so all get their ranks again.
+ */
+void fleet_commit_handle_success(gh_fleet_t *fleet, uint32_t handle)
+{
+	bool was_away = fleet->commits_failed;
+	uint32_t i;
+
+	fleet_job(fleet, handle)->commit_failed = false;
+	fleet->commit_failed_job = GH_NONE;
+	fleet->commits_failed = false;
+	for (i = 0; was_away && i < fleet->jobs->len; i++) {
+		fleet_job_t *job = fleet_job(fleet, i);
+
+		if (!job->spec || !job->commit_failed)
+			continue;
+		job->commit_failed = false;
+		fleet_commit_hasten(fleet, i);
+	}
 }
 
 uint32_t fleet_commit_ahead(const gh_fleet_t *fleet, const fleet_job_t *job)
--- a/core_fleet_parts.h
+++ b/core_fleet_parts.h
@@ -34,6 +34,8 @@
 void fleet_commit_hasten(gh_fleet_t *fleet, uint32_t handle);
 /* Queues the job's change again, as its commit failed. */
 void fleet_commit_handle_failure(gh_fleet_t *fleet, uint32_t handle);
+/* Called for each committed change. */
+void fleet_commit_handle_success(gh_fleet_t *fleet, uint32_t handle);
 /* Queued changes that come before one that begins runs of the job. */
 uint32_t fleet_commit_ahead(const gh_fleet_t *fleet, const fleet_job_t *job);
 /*
--- a/core_fleet_record.c
+++ b/core_fleet_record.c
@@ -218,7 +218,8 @@
 		return;
 	job = fleet_job(fleet, handle);
 	fleet->budget.n_committed++;
-	job->commit_pending = job->commit_failed = false;
+	job->commit_pending = false;
+	fleet_commit_handle_success(fleet, handle);
 	job->committed_version = version;
 	job->committed_phase = job->committing_phase;
 	fleet_move_handle_commit(fleet, handle);
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -587,6 +587,9 @@
 	GArray *failed_placements;  /* failed_placement_t, of this tick */
 	/* jobs whose changes are to be committed */
 	gh_commit_order_t *changes;
+	/* Since the last commit: a job whose commit failed; others did. */
+	uint32_t commit_failed_job;
+	bool commits_failed;
 	uint32_t last_priority; /* of the least urgent queue */
 	/*
 	 * Orders to be sent to workers, queued_order_t; those that change paces
--- a/regress/test_core_fleet_commit.c
+++ b/regress/test_core_fleet_commit.c
@@ -30,6 +30,7 @@
 	{ "a failed one stays ahead", { 2, 2, 0 }, "Ccab" },
 	/* The fourth commit is the oldest change's. */
 	{ "one that fails again goes last", { 2, 2, 0 }, "CCabc" },
+	{ "all fail for a while, then by priority", { 2, 2, 0 }, "CCABCacb" },
 	{ "one priority, a failed one goes last", { 2, 2, 2 }, "Abca" },
 };
 
