--- a/core_fleet.c
+++ b/core_fleet.c
@@ -48,6 +48,7 @@
 	fleet->emptied =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	fleet->changes = gh_commit_order_new();
+	fleet->commit_failed_job = GH_NONE;
 	fleet->failed_placements =
 		g_array_new(FALSE, FALSE, sizeof(failed_placement_t));
 	fleet->outages = g_array_new(FALSE, FALSE, sizeof(gh_time_t));
@@ -128,6 +129,7 @@
 		.n_stages = occurrences * pipeline->n_steps,
 		.first_failed_worker = GH_NONE,
 	};
+	job->rank = fleet_job_policy(fleet, job)->priority;
 	job->n_tasks = occurrences * job->tasks_per_occurrence;
 	job->tasks = g_new0(fleet_task_t, job->n_tasks);
 	job->stages = g_new0(fleet_stage_t, job->n_stages);
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -284,7 +284,10 @@
 	 * share; it has waited for long.
 	 */
 	bool gang_overdue, gang_desperate;
-	/* With which its tasks were last placed; the lowest comes first. */
+	/*
+	 * With which its tasks were last placed, at first its priority; the
+	 * lowest comes first.
+	 */
 	uint32_t rank;
 	uint64_t version, committed_version;
 	gh_job_phase_t committed_phase;
@@ -586,6 +589,9 @@
 	GArray *failed_placements;  /* failed_placement_t, of this tick */
 	/* jobs whose changes are to be committed */
 	gh_commit_order_t *changes;
+	/* Since the last commit: a job whose commit failed; others did. */
+	uint32_t commit_failed_job;
+	bool commits_failed;
 	uint32_t last_priority; /* of the least urgent queue */
 	/*
 	 * Orders to be sent to workers, queued_order_t; those that change paces
--- a/regress/test_fleet_admission.c
+++ b/regress/test_fleet_admission.c
@@ -12,6 +12,8 @@
 #define JOB_ID "0000000000000000"
 #define QUEUE "q"
 #define REPLY_USEC (10 * GH_USEC_PER_MSEC)
+/* A write has so much of the deadline left at least. */
+#define WRITE_USEC (400 * GH_USEC_PER_MSEC)
 #define CALLS_MAX 64
 #define LOAD "h0 100000 100 0 0"
 #define WAITS " @:0:0 @1,0,svc:100000:100000"
@@ -27,29 +29,32 @@
 	bool state_is_known; /* the directory has it */
 	bool get_fails;
 	bool written;
+	bool repeats; /* another submission of it is written meanwhile */
 } door_case_t;
 
 static const door_case_t cases[] = {
 	{ "nothing waits", LOAD " @:0:0", "h0", NULL, 0, 3000, -1, false, false,
-	  true },
+	  true, false },
 	{ "hopeless", LOAD WAITS, "h0", NULL, 0, 3000, GH_E_DEADLINE_INFEASIBLE,
-	  false, false, false },
-	{ "switched off", LOAD WAITS, "h0", NULL, 0, 0, -1, false, false,
-	  true },
+	  false, false, false, false },
+	{ "switched off", LOAD WAITS, "h0", NULL, 0, 0, -1, false, false, true,
+	  false },
 	{ "accepted elsewhere, the reply was lost", LOAD WAITS, "h0",
-	  "queued q 1 1 0", 0, 3000, -1, false, false, false },
+	  "queued q 1 1 0", 0, 3000, -1, false, false, false, false },
 	{ "accepted before", LOAD WAITS, "h0", "queued q 1 1 0", 0, 3000, -1,
-	  true, false, false },
+	  true, false, false, false },
 	{ "an owner lost", LOAD WAITS, NULL, NULL, 0, 3000, -1, false, false,
-	  true },
+	  true, false },
 	{ "another owner", LOAD WAITS, "h1", NULL, 0, 3000, -1, false, false,
-	  true },
+	  true, false },
 	{ "a load of a former version", LOAD " svc:1000:1", "h0", NULL, 0, 3000,
-	  -1, false, false, true },
+	  -1, false, false, true, false },
 	{ "the store away for long", LOAD WAITS, "h0", NULL, 4000, 3000, -1,
-	  false, false, true },
+	  false, false, true, false },
 	{ "the store gives no reply", LOAD WAITS, "h0", NULL, 0, 3000, -1,
-	  false, true, true },
+	  false, true, true, false },
+	{ "a repeat is being written", LOAD WAITS, "h0", NULL, 0, 3000, -1,
+	  false, false, true, true },
 };
 
 typedef struct call {
@@ -65,8 +70,11 @@
 	const door_case_t *c;
 	call_t calls[CALLS_MAX];
 	size_t n_calls, n_replied;
+	call_t watches[CALLS_MAX]; /* without a reply to the end */
+	size_t n_watches;
 	loop_timer_t timer;
 	bool written, told;
+	gh_time_t written_at;
 	int kind;
 } play_t;
 
@@ -130,13 +138,14 @@
 			const char *prefix, uint64_t after, int64_t wait_ms,
 			fleet_store_done_t done, void *ctx)
 {
-	(void)base;
+	play_t *play = (play_t *)base;
+
 	(void)keyspace;
 	(void)prefix;
 	(void)after;
 	(void)wait_ms;
-	(void)done;
-	(void)ctx;
+	assert_true(play->n_watches < CALLS_MAX);
+	play->watches[play->n_watches++] = (call_t){ .done = done, .ctx = ctx };
 }
 
 static void store_get(fleet_store_t *base, fleet_keyspace_t keyspace,
@@ -161,6 +170,7 @@
 	(void)entries;
 	(void)n;
 	((play_t *)base)->written = true;
+	((play_t *)base)->written_at = clock_boot();
 	keep_call(base, done, ctx);
 }
 
@@ -198,6 +208,12 @@
 	play->kind = err ? (int)gh_error_kind(err) : -1;
 }
 
+static void on_repeat_told(void *ctx, const GError *err)
+{
+	(void)ctx;
+	(void)err;
+}
+
 static bool play_case(const door_case_t *c)
 {
 	static const gh_queue_policy_t policy = { .priority = 1,
@@ -223,6 +239,7 @@
 					  .done = on_told,
 					  .ctx = &play };
 	loop_t *loop = loop_new();
+	size_t i;
 	bool ok;
 
 	play.timer = (loop_timer_t){ .at = GH_TIME_NEVER,
@@ -233,13 +250,21 @@
 	sim_loop_run(loop, 100 + c->silent_ms);
 	submission.deadline = clock_boot() + GH_USEC_PER_SEC;
 	fleet_admission_submit(&submission);
+	if (c->repeats)
+		fleet_jobs_submit(submission.jobs, &job, policy.priority,
+				  submission.deadline, on_repeat_told, NULL);
 	sim_loop_run(loop, 1500);
 	print_message("%s: told %d, written %d, retry after %d ms\n", c->name,
 		      play.kind, play.written, (int)submission.retry_after_ms);
 	ok = play.told && play.kind == c->kind && play.written == c->written &&
+	     play.written_at < submission.deadline - WRITE_USEC &&
 	     (c->kind != GH_E_DEADLINE_INFEASIBLE ||
 	      submission.retry_after_ms > 0);
 	fleet_jobs_free(submission.jobs);
+	for (i = 0; i < play.n_watches; i++)
+		play.watches[i].done(
+			play.watches[i].ctx,
+			&(fleet_reply_t){ .result = FLEET_REFUSED });
 	sim_loop_free(loop);
 	return ok;
 }
