--- a/core_fleet_copy.c
+++ b/core_fleet_copy.c
@@ -128,3 +128,18 @@
 			move_slow_run(fleet, i, &slow, now);
 	}
 }
+
+void fleet_run_note_progress(fleet_run_t *run, uint32_t percent, gh_time_t now)
+{
+	if (!run->running_since) {
+		run->running_since = now;
+		run->first_percent = percent;
+	} else if (run->listed_at) {
+		run->worked_ms += (double)gh_time_to_ms(now - run->listed_at) *
+				  run->pace_percent / 100;
+	}
+	if (run->progress_percent == percent)
+		return;
+	run->progress_percent = percent;
+	run->progress_at = now;
+}
--- a/core_fleet_parts.h
+++ b/core_fleet_parts.h
@@ -487,6 +487,8 @@
 void fleet_retry_drain(gh_fleet_t *fleet, gh_time_t now);
 /* Places the tasks whose turn has come, in their order. */
 void fleet_plan_place(gh_fleet_t *fleet, gh_time_t now, int64_t wall_ms);
+/* Takes in the progress that a report tells of the run. */
+void fleet_run_note_progress(fleet_run_t *run, uint32_t percent, gh_time_t now);
 /* Copies stragglers and moves slow best-effort runs. */
 void fleet_copy_check(gh_fleet_t *fleet, gh_time_t now);
 
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -68,7 +68,6 @@
 static void record_held_run(gh_fleet_t *fleet, uint32_t handle,
 			    const gh_report_run_t *listed, gh_time_t now);
 static void note_execution(fleet_run_t *run);
-static void note_progress(fleet_run_t *run, uint32_t percent, gh_time_t now);
 static void record_end(gh_fleet_t *fleet, uint32_t handle,
 		       const gh_report_end_t *end, gh_time_t now);
 static void end_unlisted_runs(gh_fleet_t *fleet, uint32_t handle,
@@ -604,7 +603,7 @@
 		run->state = RUN_RUNNING;
 		run->replied_at = now;
 	}
-	note_progress(run, listed->progress_percent, now);
+	fleet_run_note_progress(run, listed->progress_percent, now);
 	run->gauge = listed->gauge;
 	fleet_crash_clear(fleet, ref, now);
 	task = &fleet_job(fleet, job)->tasks[run->task];
@@ -656,21 +655,6 @@
 		run->start_in_flight = false;
 }
 
-static void note_progress(fleet_run_t *run, uint32_t percent, gh_time_t now)
-{
-	if (!run->running_since) {
-		run->running_since = now;
-		run->first_percent = percent;
-	} else if (run->listed_at) {
-		run->worked_ms += (double)gh_time_to_ms(now - run->listed_at) *
-				  run->pace_percent / 100;
-	}
-	if (run->progress_percent == percent)
-		return;
-	run->progress_percent = percent;
-	run->progress_at = now;
-}
-
 /* Ends as lost the runs that the worker's report should list and does not. */
 static void end_unlisted_runs(gh_fleet_t *fleet, uint32_t handle,
 			      const gh_worker_report_t *report, gh_time_t now)
--- a/fleet_owner_commit.c
+++ b/fleet_owner_commit.c
@@ -434,6 +434,7 @@
 	owner->commit_at = clock_boot() + COMMIT_RETRY_DELAY_USEC;
 	counter_inc(CTR_COMMITS_FAILED);
 	g_clear_pointer(&owner->load_saved, g_free);
+	owner->run_times_saved = 0;
 	for (i = 0; i < batch->changes->len; i++)
 		gh_fleet_handle_commit_failure(
 			owner->fleet,
