--- a/core_fleet_headroom.c
+++ b/core_fleet_headroom.c
@@ -16,7 +16,6 @@
 
 static void sample_demand(fleet_headroom_t *headroom, gh_time_t now);
 static void report(gh_fleet_t *fleet, gh_time_t now);
-static int64_t free_cores_milli(const fleet_worker_t *worker);
 static void add_pieces(gh_fleet_t *fleet, const fleet_worker_t *worker,
 		       int64_t sign);
 
@@ -111,14 +110,9 @@
 		return;
 	for (i = 0; i < GH_HEADROOM_LEVELS; i++)
 		headroom->free_milli[i] +=
-			sign * gh_headroom_pieces(&headroom->targets[i],
-						  free_cores_milli(worker));
-}
-
-static int64_t free_cores_milli(const fleet_worker_t *worker)
-{
-	return (int64_t)worker->entry.size.cores_milli -
-	       worker->reserved.cores_milli;
+			sign * gh_headroom_pieces(
+				       &headroom->targets[i],
+				       fleet_worker_free_cores_milli(worker));
 }
 
 uint32_t fleet_headroom_level(const gh_fleet_t *fleet, const fleet_job_t *job)
@@ -174,11 +168,12 @@
 	uint32_t level = fleet_headroom_level(fleet, job);
 	const gh_headroom_target_t *target = &fleet->headroom.targets[level];
 	int64_t free_milli = fleet->headroom.free_milli[level];
-	int64_t left =
-		free_milli -
-		gh_headroom_pieces(target, free_cores_milli(worker)) +
-		gh_headroom_pieces(target, free_cores_milli(worker) -
-						   step->size.cores_milli);
+	int64_t left = free_milli -
+		       gh_headroom_pieces(
+			       target, fleet_worker_free_cores_milli(worker)) +
+		       gh_headroom_pieces(
+			       target, fleet_worker_free_cores_milli(worker) -
+					       step->size.cores_milli);
 
 	return left >= target->cores_milli || left == free_milli;
 }
--- a/core_fleet_parts.h
+++ b/core_fleet_parts.h
@@ -254,6 +254,8 @@
 
 /* Whether the worker is listed, reports, and neither drains nor is emptied. */
 bool fleet_worker_is_heard(const fleet_worker_t *worker);
+/* Cores that the worker's runs leave; negative if it has shrunk. */
+int64_t fleet_worker_free_cores_milli(const fleet_worker_t *worker);
 /* Whether no start is to be sent, as orders are of no use or can't be sent. */
 bool fleet_worker_is_barred(const fleet_worker_t *worker, gh_time_t now);
 /* Whether the worker was last heard at the address. */
--- a/core_fleet_reserve.c
+++ b/core_fleet_reserve.c
@@ -34,7 +34,6 @@
 static bool fits_beside_long_running(const gh_fleet_t *fleet,
 				     const fleet_worker_t *worker,
 				     const gh_step_t *step);
-static int64_t free_cores_milli(const fleet_worker_t *worker);
 
 void fleet_reserve_worker(gh_fleet_t *fleet, uint32_t handle, uint32_t stage,
 			  uint32_t task, gh_time_t now)
@@ -66,8 +65,9 @@
 			 fits_beside_long_running(fleet, worker,
 						  fleet_task_step(job, task)) &&
 			 (is_mine || best == GH_NONE ||
-			  free_cores_milli(worker) >
-				  free_cores_milli(fleet_worker(fleet, best))))
+			  fleet_worker_free_cores_milli(worker) >
+				  fleet_worker_free_cores_milli(
+					  fleet_worker(fleet, best))))
 			best = i;
 		if (is_mine && best == i)
 			break;
@@ -124,9 +124,3 @@
 	       used.memory_mb + step->size.memory_mb <=
 		       worker->entry.size.memory_mb;
 }
-
-static int64_t free_cores_milli(const fleet_worker_t *worker)
-{
-	return (int64_t)worker->entry.size.cores_milli -
-	       worker->reserved.cores_milli;
-}
--- a/core_fleet_table.c
+++ b/core_fleet_table.c
@@ -132,6 +132,12 @@
 	       !worker->unreachable_since;
 }
 
+int64_t fleet_worker_free_cores_milli(const fleet_worker_t *worker)
+{
+	return (int64_t)worker->entry.size.cores_milli -
+	       worker->reserved.cores_milli;
+}
+
 bool fleet_worker_is_barred(const fleet_worker_t *worker, gh_time_t now)
 {
 	return now < worker->refused_until || now < worker->unsent_until;
--- a/json_body.c
+++ b/json_body.c
@@ -12,7 +12,14 @@
 /* Above it, a double does not hold each integer. */
 #define REAL_MAX (INT64_C(1) << 53)
 
+/* What a text holds outside its strings. */
+typedef struct outline {
+	unsigned depth; /* levels of arrays and objects */
+	size_t fields;	/* commas, colons and opening brackets */
+} outline_t;
+
 static bool is_too_deep(const char *text, size_t len);
+static outline_t scan(const char *text, size_t len);
 
 json_t *json_body_parse(const char *text, size_t len, size_t flags,
 			GError **err)
@@ -36,6 +43,18 @@
 
 static bool is_too_deep(const char *text, size_t len)
 {
+	return scan(text, len).depth > JSON_BODY_DEPTH_MAX;
+}
+
+size_t json_body_count_fields(const char *text, size_t len)
+{
+	return scan(text, len).fields;
+}
+
+/* Looks at the characters outside strings, without parsing the text. */
+static outline_t scan(const char *text, size_t len)
+{
+	outline_t outline = { 0 };
 	bool in_string = false;
 	unsigned depth = 0;
 	size_t i;
@@ -50,46 +69,26 @@
 			break;
 		case '[':
 		case '{':
-			if (!in_string && ++depth > JSON_BODY_DEPTH_MAX)
-				return true;
+			if (in_string)
+				break;
+			outline.fields++;
+			depth++;
+			outline.depth = MAX(outline.depth, depth);
 			break;
 		case ']':
 		case '}':
 			if (!in_string && depth)
 				depth--;
 			break;
-		default:
-			break;
-		}
-	}
-	return false;
-}
-
-size_t json_body_count_fields(const char *text, size_t len)
-{
-	bool in_string = false;
-	size_t n = 0;
-	size_t i;
-
-	for (i = 0; i < len; i++) {
-		switch (text[i]) {
-		case '\\':
-			i += in_string;
-			break;
-		case '"':
-			in_string = !in_string;
-			break;
 		case ',':
 		case ':':
-		case '[':
-		case '{':
-			n += !in_string;
+			outline.fields += !in_string;
 			break;
 		default:
 			break;
 		}
 	}
-	return n;
+	return outline;
 }
 
 size_t json_body_parsed_bytes(size_t len, size_t fields)
