--- a/core_door.c
+++ b/core_door.c
@@ -43,7 +43,7 @@
 	size_t bytes_closing; /* of it, of connections to be closed */
 	/* Room that was asked for, to be made by closing others. */
 	size_t wanted;
-	size_t wanted_held; /* what the asker would hold with it */
+	size_t wanted_held; /* the asker's body with it */
 	gh_time_t sweep_at;
 };
 
@@ -53,7 +53,9 @@
 static size_t room_left(const gh_door_t *door);
 static gh_door_client_t *find_late(gh_door_t *door, gh_time_t now);
 static gh_door_client_t *find_oldest(gh_door_t *door);
+static bool can_make_room(const gh_door_t *door);
 static gh_door_client_t *find_largest(gh_door_t *door, size_t min);
+static bool may_give_way(const gh_door_client_t *client, size_t min);
 static gh_door_client_t *close_client(gh_door_t *door,
 				      gh_door_client_t *client);
 
@@ -166,9 +168,9 @@
 	client->held = 0;
 }
 
-bool gh_door_take(gh_door_t *door, size_t bytes)
+bool gh_door_take(gh_door_t *door, size_t bytes, size_t body_bytes)
 {
-	return add(door, bytes, bytes);
+	return add(door, bytes, body_bytes);
 }
 
 void gh_door_give(gh_door_t *door, size_t bytes)
@@ -178,7 +180,7 @@
 
 /*
  * What connections to be closed still hold counts as free up to half of the
- * limit.  held: what the asker would hold.
+ * limit.  held: the asker's body; no smaller one is closed for it.
  */
 static bool add(gh_door_t *door, size_t bytes, size_t held)
 {
@@ -205,7 +207,7 @@
 {
 	gh_door_client_t *client = NULL;
 
-	if (door->wanted > room_left(door)) {
+	if (door->wanted > room_left(door) && can_make_room(door)) {
 		client = find_largest(door, door->wanted_held);
 		*reason = GH_DOOR_FULL;
 	}
@@ -259,6 +261,22 @@
 	return NULL;
 }
 
+/* Whether closing others makes all the room that is wanted. */
+static bool can_make_room(const gh_door_t *door)
+{
+	size_t room = room_left(door);
+	const GList *link;
+
+	for (link = door->order.head; link && room < door->wanted;
+	     link = link->next) {
+		const gh_door_client_t *client = link->data;
+
+		if (may_give_way(client, door->wanted_held))
+			room += client->held;
+	}
+	return room >= door->wanted;
+}
+
 static gh_door_client_t *find_largest(gh_door_t *door, size_t min)
 {
 	gh_door_client_t *largest = NULL;
@@ -267,13 +285,18 @@
 	for (link = door->order.head; link; link = link->next) {
 		gh_door_client_t *client = link->data;
 
-		if (client->step == STEP_RECEIVE && client->held >= min &&
+		if (may_give_way(client, min) &&
 		    (!largest || client->held > largest->held))
 			largest = client;
 	}
 	return largest;
 }
 
+static bool may_give_way(const gh_door_client_t *client, size_t min)
+{
+	return client->step == STEP_RECEIVE && client->held >= min;
+}
+
 unsigned gh_door_clients(const gh_door_t *door)
 {
 	return door->order.length - door->n_closing;
--- a/core_door.h
+++ b/core_door.h
@@ -65,8 +65,11 @@
 /* Gives back what is held for the client's body. */
 void gh_door_drop(gh_door_t *door, gh_door_client_t *client);
 
-/* Asks for room for what is parsed; gh_door_give() returns it. */
-bool gh_door_take(gh_door_t *door, size_t bytes);
+/*
+ * Asks for room for what is parsed from a whole body of this length, which may
+ * be made by closing others as for gh_door_hold(); gh_door_give() returns it.
+ */
+bool gh_door_take(gh_door_t *door, size_t bytes, size_t body_bytes);
 void gh_door_give(gh_door_t *door, size_t bytes);
 
 /*
--- a/http_door.c
+++ b/http_door.c
@@ -27,7 +27,7 @@
 	[GH_DOOR_LATE] = { "late", CTR_CLIENTS_LATE },
 };
 
-static void close_some(http_door_t *door, gh_time_t now);
+static bool close_some(http_door_t *door, gh_time_t now);
 
 http_door_t *http_door_new(const gh_door_limits_t *limits)
 {
@@ -108,11 +108,9 @@
 	bool ok;
 
 	pthread_mutex_lock(&door->lock);
-	ok = gh_door_hold(door->account, client, bytes);
-	if (!ok) {
-		close_some(door, clock_boot());
+	do
 		ok = gh_door_hold(door->account, client, bytes);
-	}
+	while (!ok && close_some(door, clock_boot()));
 	pthread_mutex_unlock(&door->lock);
 	if (!ok)
 		counter_inc(CTR_BODIES_DROPPED);
@@ -126,16 +124,14 @@
 	pthread_mutex_unlock(&door->lock);
 }
 
-bool http_door_take(http_door_t *door, size_t bytes)
+bool http_door_take(http_door_t *door, size_t bytes, size_t body_bytes)
 {
 	bool ok;
 
 	pthread_mutex_lock(&door->lock);
-	ok = gh_door_take(door->account, bytes);
-	if (!ok) {
-		close_some(door, clock_boot());
-		ok = gh_door_take(door->account, bytes);
-	}
+	do
+		ok = gh_door_take(door->account, bytes, body_bytes);
+	while (!ok && close_some(door, clock_boot()));
 	pthread_mutex_unlock(&door->lock);
 	return ok;
 }
@@ -149,16 +145,18 @@
 
 /*
  * Shuts down the connections that the account names; their own threads close
- * them.
+ * them.  Returns whether there were any.
  */
-static void close_some(http_door_t *door, gh_time_t now)
+static bool close_some(http_door_t *door, gh_time_t now)
 {
+	bool any = false;
 	gh_door_reason_t reason;
 	gh_door_client_t *client;
 
 	while ((client = gh_door_next(door->account, now, &reason))) {
 		shutdown(GPOINTER_TO_INT(gh_door_client_ctx(client)),
 			 SHUT_RDWR);
+		any = true;
 		counter_inc(reasons[reason].counter);
 		if (now < door->next_log_at)
 			continue;
@@ -172,4 +170,5 @@
 			  "bytes_max", log_num((int64_t)door->limits.bytes),
 			  NULL);
 	}
+	return any;
 }
--- a/http_door.h
+++ b/http_door.h
@@ -32,7 +32,7 @@
  */
 bool http_door_hold(http_door_t *door, gh_door_client_t *client, size_t bytes);
 void http_door_drop(http_door_t *door, gh_door_client_t *client);
-bool http_door_take(http_door_t *door, size_t bytes);
+bool http_door_take(http_door_t *door, size_t bytes, size_t body_bytes);
 void http_door_give(http_door_t *door, size_t bytes);
 
 #endif
--- a/regress/test_core_door.c
+++ b/regress/test_core_door.c
@@ -19,6 +19,7 @@
 	unsigned client;
 	gh_time_t at;
 	size_t bytes;
+	size_t body_bytes; /* of what is parsed; 0: as bytes */
 	bool refused;
 	/* Clients to be closed after it, in order, and why. */
 	unsigned closed[3];
@@ -105,6 +106,29 @@
 		     { 't', 0, AT(1), .bytes = 20 },
 		     { 'g', 0, AT(1), .bytes = 20 } },
 	  .bytes_at_end = 95 },
+	{ .name = "what is parsed from a whole body pushes out stalled ones",
+	  .steps = { { 'e', 1, AT(1) },
+		     { 'r', 1, AT(1) },
+		     { 'h', 1, AT(1), .bytes = 45 },
+		     { 'e', 2, AT(1) },
+		     { 'r', 2, AT(1) },
+		     { 'h', 2, AT(1), .bytes = 45 },
+		     { 't', 0, AT(1), .bytes = 60, .body_bytes = 10,
+		       .refused = true, .closed = { 1, 2 },
+		       .reason = GH_DOOR_FULL },
+		     { 't', 0, AT(1), .bytes = 60, .body_bytes = 10 } },
+	  .bytes_at_end = 150 },
+	{ .name = "nobody is closed for room that would not do",
+	  .steps = { { 'e', 1, AT(1) },
+		     { 'r', 1, AT(1) },
+		     { 'h', 1, AT(1), .bytes = 60 },
+		     { 's', 1, AT(1) },
+		     { 'e', 2, AT(1) },
+		     { 'r', 2, AT(1) },
+		     { 'h', 2, AT(1), .bytes = 30 },
+		     { 't', 0, AT(1), .bytes = 50, .body_bytes = 20,
+		       .refused = true } },
+	  .bytes_at_end = 90 },
 	{ .name = "what closing clients hold is free up to half the limit",
 	  .steps = { { 'e', 1, AT(1) },
 		     { 'r', 1, AT(1) },
@@ -165,7 +189,9 @@
 	case 'h':
 		return gh_door_hold(door, *client, step->bytes);
 	case 't':
-		return gh_door_take(door, step->bytes);
+		return gh_door_take(door, step->bytes,
+				    step->body_bytes ? step->body_bytes :
+						       step->bytes);
 	case 'g':
 		gh_door_give(door, step->bytes);
 		return true;
