--- a/core_door.c
+++ b/core_door.c
@@ -28,6 +28,7 @@
 
 struct gh_door_client {
 	void *ctx;
+	bool check;
 	GList link; /* in gh_door.order */
 	step_t step;
 	gh_time_t deadline; /* of the step */
@@ -39,6 +40,7 @@
 	/* All clients, the one that is in its step for longest first. */
 	GQueue order;
 	unsigned n_closing;
+	unsigned n_checks;    /* without those to be closed */
 	size_t bytes;	      /* all that is held or taken */
 	size_t bytes_closing; /* of it, of connections to be closed */
 	/* Room that was asked for, to be made by closing others. */
@@ -52,6 +54,7 @@
 static bool add(gh_door_t *door, size_t bytes, size_t held);
 static size_t room_left(const gh_door_t *door);
 static gh_door_client_t *find_late(gh_door_t *door, gh_time_t now);
+static unsigned count_against_limit(const gh_door_t *door);
 static gh_door_client_t *find_oldest(gh_door_t *door);
 static bool can_make_room(const gh_door_t *door);
 static gh_door_client_t *find_largest(gh_door_t *door, size_t min);
@@ -94,11 +97,14 @@
 	g_free(door);
 }
 
-gh_door_client_t *gh_door_enter(gh_door_t *door, void *ctx, gh_time_t now)
+gh_door_client_t *gh_door_enter(gh_door_t *door, void *ctx, bool check,
+				gh_time_t now)
 {
 	gh_door_client_t *client = g_new0(gh_door_client_t, 1);
 
 	client->ctx = ctx;
+	client->check = check;
+	door->n_checks += check;
 	client->link.data = client;
 	client->deadline = now + door->limits.idle_time;
 	g_queue_push_tail_link(&door->order, &client->link);
@@ -110,6 +116,8 @@
 	gh_door_drop(door, client);
 	if (client->step == STEP_CLOSING)
 		door->n_closing--;
+	else
+		door->n_checks -= client->check;
 	g_queue_unlink(&door->order, &client->link);
 	g_free(client);
 }
@@ -213,7 +221,7 @@
 	}
 	if (!client)
 		door->wanted = 0;
-	if (!client && gh_door_clients(door) > door->limits.clients) {
+	if (!client && count_against_limit(door) > door->limits.clients) {
 		client = find_oldest(door);
 		*reason = GH_DOOR_CROWDED;
 	}
@@ -230,6 +238,7 @@
 {
 	client->step = STEP_CLOSING;
 	door->n_closing++;
+	door->n_checks -= client->check;
 	door->bytes_closing += client->held;
 	return client;
 }
@@ -247,15 +256,23 @@
 	return NULL;
 }
 
+static unsigned count_against_limit(const gh_door_t *door)
+{
+	return gh_door_clients(door) - MIN(door->n_checks, GH_DOOR_CHECKS_MAX);
+}
+
 /* The last one has just come; it is closed if all others are being served. */
 static gh_door_client_t *find_oldest(gh_door_t *door)
 {
+	bool keeps_checks = door->n_checks <= GH_DOOR_CHECKS_MAX;
 	GList *link;
 
 	for (link = door->order.head; link; link = link->next) {
 		gh_door_client_t *client = link->data;
 
-		if (client->step != STEP_CLOSING && client->step != STEP_SERVE)
+		if (client->step != STEP_CLOSING &&
+		    client->step != STEP_SERVE &&
+		    !(client->check && keeps_checks))
 			return client;
 	}
 	return NULL;
--- a/core_door.h
+++ b/core_door.h
@@ -44,8 +44,15 @@
 gh_door_t *gh_door_new(const gh_door_limits_t *limits);
 void gh_door_free(gh_door_t *door);
 
-/* Adds a connection; ctx is the caller's. */
-gh_door_client_t *gh_door_enter(gh_door_t *door, void *ctx, gh_time_t now);
+/* Connections beyond the limit that are kept for checks of the host. */
+#define GH_DOOR_CHECKS_MAX 8
+
+/*
+ * Adds a connection; ctx is the caller's.  The first GH_DOOR_CHECKS_MAX that
+ * are open for checks don't count, and are not closed for others.
+ */
+gh_door_client_t *gh_door_enter(gh_door_t *door, void *ctx, bool check,
+				gh_time_t now);
 /* Removes a connection that is closed. */
 void gh_door_leave(gh_door_t *door, gh_door_client_t *client);
 void *gh_door_client_ctx(const gh_door_client_t *client);
--- a/http_door.c
+++ b/http_door.c
@@ -53,13 +53,13 @@
 	return &door->limits;
 }
 
-gh_door_client_t *http_door_enter(http_door_t *door, int fd)
+gh_door_client_t *http_door_enter(http_door_t *door, int fd, bool check)
 {
 	gh_time_t now = clock_boot();
 	gh_door_client_t *client;
 
 	pthread_mutex_lock(&door->lock);
-	client = gh_door_enter(door->account, GINT_TO_POINTER(fd), now);
+	client = gh_door_enter(door->account, GINT_TO_POINTER(fd), check, now);
 	close_some(door, now);
 	pthread_mutex_unlock(&door->lock);
 	return client;
--- a/http_door.h
+++ b/http_door.h
@@ -17,8 +17,11 @@
 void http_door_free(http_door_t *door);
 const gh_door_limits_t *http_door_limits(const http_door_t *door);
 
-/* Adds a connection by its socket, which may be shut down until it leaves. */
-gh_door_client_t *http_door_enter(http_door_t *door, int fd);
+/*
+ * Adds a connection by its socket, which may be shut down until it leaves;
+ * check as in core_door.h.
+ */
+gh_door_client_t *http_door_enter(http_door_t *door, int fd, bool check);
 void http_door_leave(http_door_t *door, gh_door_client_t *client);
 /* The steps of a request; see core_door.h. */
 void http_door_receive(http_door_t *door, gh_door_client_t *client);
--- a/http_server.c
+++ b/http_server.c
@@ -201,7 +201,8 @@
 		bound_buffers(fd);
 		conn = g_new0(connection_t, 1);
 		conn->server = server;
-		conn->client = http_door_enter(server->limits.door, fd);
+		conn->client = http_door_enter(server->limits.door, fd,
+					       server->limits.checks);
 		*socket_context = conn;
 	} else {
 		http_door_leave(server->limits.door, conn->client);
--- a/http_server.h
+++ b/http_server.h
@@ -29,6 +29,8 @@
 	size_t max_body_bytes;
 	/* Method whose bodies are kept; others' are dropped.  NULL: all. */
 	const char *body_method;
+	/* Its connections are for checks of the host; see core_door.h. */
+	bool checks;
 	/* True: one thread per connection; false: one thread for all. */
 	bool thread_per_connection;
 	size_t thread_stack_bytes; /* stack size of each thread */
--- a/regress/test_core_door.c
+++ b/regress/test_core_door.c
@@ -10,7 +10,7 @@
 
 #include "core_door.h"
 
-#define CLIENTS_MAX 8
+#define CLIENTS_MAX 16
 #define AT(s) ((s)*GH_USEC_PER_SEC)
 
 /* Clients are named by their numbers, 1 and up. */
@@ -28,7 +28,7 @@
 
 typedef struct door_case {
 	const char *name;
-	step_t steps[12];
+	step_t steps[16];
 	size_t bytes_at_end;
 } door_case_t;
 
@@ -60,6 +60,38 @@
 		     { 's', 3, AT(1) },
 		     { 'e', 4, AT(2), .closed = { 4 } },
 		     { 's', 4, AT(2) } } },
+	{ .name = "a check comes in while all others are being served",
+	  .steps = { { 'e', 1, AT(1) },
+		     { 's', 1, AT(1) },
+		     { 'e', 2, AT(1) },
+		     { 's', 2, AT(1) },
+		     { 'e', 3, AT(1) },
+		     { 's', 3, AT(1) },
+		     { 'c', 4, AT(2) },
+		     { 'e', 5, AT(2), .closed = { 5 } },
+		     { 'l', 5, AT(2) },
+		     { 'l', 4, AT(2) },
+		     { 'c', 6, AT(2) } } },
+	{ .name = "a check that is idle is not closed for others",
+	  .steps = { { 'c', 1, AT(1) },
+		     { 'e', 2, AT(2) },
+		     { 'e', 3, AT(2) },
+		     { 'e', 4, AT(2) },
+		     { 'e', 5, AT(3), .closed = { 2 } } } },
+	{ .name = "a crowd of checks counts",
+	  .steps = { { 'c', 1, AT(1) },
+		     { 'c', 2, AT(1) },
+		     { 'c', 3, AT(1) },
+		     { 'c', 4, AT(1) },
+		     { 'c', 5, AT(1) },
+		     { 'c', 6, AT(1) },
+		     { 'c', 7, AT(1) },
+		     { 'c', 8, AT(1) },
+		     { 'e', 9, AT(1) },
+		     { 'e', 10, AT(1) },
+		     { 'e', 11, AT(1) },
+		     { 'c', 12, AT(1), .closed = { 1 } },
+		     { 'c', 13, AT(1), .closed = { 2 } } } },
 	{ .name = "one that is closing is not counted and closed once",
 	  .steps = { { 'e', 1, AT(1) },
 		     { 'e', 2, AT(1) },
@@ -168,8 +200,9 @@
 
 	switch (step->what) {
 	case 'e':
+	case 'c':
 		*client = gh_door_enter(door, GUINT_TO_POINTER(step->client),
-					step->at);
+					step->what == 'c', step->at);
 		return true;
 	case 'r':
 		gh_door_receive(door, *client, step->at);
--- a/regress/test_http_door.c
+++ b/regress/test_http_door.c
@@ -34,7 +34,7 @@
 		assert_int_equal(
 			socketpair(AF_UNIX, SOCK_STREAM, 0, visit->fds[i]), 0);
 		visit->clients[i] =
-			http_door_enter(visit->door, visit->fds[i][0]);
+			http_door_enter(visit->door, visit->fds[i][0], false);
 		http_door_receive(visit->door, visit->clients[i]);
 	}
 }
