--- a/regress/test_door.c
+++ b/regress/test_door.c
@@ -36,6 +36,14 @@
 #define QUIET_STEPS 100
 #define SLOW_STEPS 500
 #define STEP_MS 2
+/* What HOST_SETTINGS allow, and a crowd of callers who wait for the store. */
+#define WAITING_MAX 40
+#define WAITING_CLIENTS 60
+#define WAITING_ID "00000000d1a5"
+#define HOLD_MS 2000
+/* Time for the rest of them to be served; a longer one does no harm. */
+#define SERVED_MS 500
+#define CHECKS 5
 #define ONE_STEP "[{\"count\":1,\"cpu\":1000,\"est_runtime_ms\":20}]"
 
 #if defined(__SANITIZE_ADDRESS__)
@@ -460,6 +468,84 @@
 	assert_int_equal(status, 200);
 }
 
+/* Callers who wait, each for a job of its own. */
+typedef struct waiting {
+	crowd_t *callers[WAITING_CLIENTS];
+	GString *texts[WAITING_CLIENTS];
+} waiting_t;
+
+static void start_waiting(waiting_t *waiting, const char *address)
+{
+	static const char body[] =
+		"{\"task_spec\":\"\",\"pipeline\":" ONE_STEP "}";
+	unsigned i;
+
+	for (i = 0; i < WAITING_CLIENTS; i++) {
+		char *name = g_strdup_printf("/q/" WAITING_ID "%04x", i);
+		path_t path = { .path = name, .host = "q.example" };
+		crowd_options_t options = { .clients = 1, .address = address };
+
+		waiting->texts[i] = start_head(&path, "POST");
+		g_string_append(waiting->texts[i], "X-Deadline-Ms: 50000\r\n");
+		add_body_head(waiting->texts[i], sizeof(body) - 1);
+		g_string_append(waiting->texts[i], body);
+		options.text = waiting->texts[i];
+		waiting->callers[i] = crowd_new(&options);
+		g_free(name);
+	}
+}
+
+static bool is_over_limit(void *arg)
+{
+	waiting_t *waiting = arg;
+	unsigned i, closed = 0;
+
+	for (i = 0; i < WAITING_CLIENTS; i++) {
+		crowd_step(waiting->callers[i]);
+		closed += crowd_closed(waiting->callers[i]);
+	}
+	return closed >= WAITING_CLIENTS - WAITING_MAX;
+}
+
+static void stop_waiting(waiting_t *waiting)
+{
+	unsigned i;
+
+	for (i = 0; i < WAITING_CLIENTS; i++) {
+		crowd_free(waiting->callers[i]);
+		g_string_free(waiting->texts[i], TRUE);
+	}
+}
+
+/* Callers who wait for a slow store don't keep readiness checks out. */
+static void test_checks_while_callers_wait(void **state)
+{
+	visit_t visit = { 0 };
+	waiting_t waiting;
+	char *address;
+	unsigned i, ready = 0;
+
+	(void)state;
+	fleet_system_start_with(&visit.sys, "door-wait", 1, 2, 1,
+				HOST_SETTINGS);
+	complete_job(&visit);
+	json_decref(proc_control(visit.sys.platform_address,
+				 "{\"hold_txn\":{\"prefix\":\"%s\","
+				 "\"ms\":%d}}",
+				 "gh/d/state/" WAITING_ID, HOLD_MS));
+	address = g_strdup_printf("%s10:8000", visit.sys.address_block);
+	start_waiting(&waiting, address);
+	proc_wait_until(is_over_limit, &waiting, "a crowd over the limit");
+	fake_sleep_ms(SERVED_MS);
+	for (i = 0; i < CHECKS; i++)
+		ready += fleet_host_is_ready(&visit.sys, 0);
+	stop_waiting(&waiting);
+	complete_job(&visit);
+	fleet_system_stop(&visit.sys);
+	g_free(address);
+	assert_int_equal(ready, CHECKS);
+}
+
 int main(int argc, char **argv)
 {
 	static const struct CMUnitTest tests[] = {
@@ -477,6 +563,7 @@
 		cmocka_unit_test(test_slow_heads),
 		cmocka_unit_test(test_slow_bodies),
 		cmocka_unit_test(test_half_heads),
+		cmocka_unit_test(test_checks_while_callers_wait),
 	};
 
 	if (argc > 1)
