--- a/core_door.c
+++ b/core_door.c
@@ -132,9 +132,10 @@
 	set_step(door, client, STEP_RECEIVE, now + door->limits.transfer_time);
 }
 
-void gh_door_serve(gh_door_t *door, gh_door_client_t *client)
+bool gh_door_serve(gh_door_t *door, gh_door_client_t *client)
 {
 	set_step(door, client, STEP_SERVE, GH_TIME_NEVER);
+	return client->step == STEP_SERVE;
 }
 
 void gh_door_send(gh_door_t *door, gh_door_client_t *client, gh_time_t now)
--- a/core_door.h
+++ b/core_door.h
@@ -57,9 +57,12 @@
 void gh_door_leave(gh_door_t *door, gh_door_client_t *client);
 void *gh_door_client_ctx(const gh_door_client_t *client);
 
-/* The steps of a request: it begins to arrive, is served, is responded to. */
+/*
+ * The steps of a request: it begins to arrive, is served, is responded to.
+ * gh_door_serve() returns false if its connection is being closed.
+ */
 void gh_door_receive(gh_door_t *door, gh_door_client_t *client, gh_time_t now);
-void gh_door_serve(gh_door_t *door, gh_door_client_t *client);
+bool gh_door_serve(gh_door_t *door, gh_door_client_t *client);
 void gh_door_send(gh_door_t *door, gh_door_client_t *client, gh_time_t now);
 /* The request is over; what is held for it is given back. */
 void gh_door_finish(gh_door_t *door, gh_door_client_t *client, gh_time_t now);
--- a/http_door.c
+++ b/http_door.c
@@ -82,11 +82,14 @@
 	pthread_mutex_unlock(&door->lock);
 }
 
-void http_door_serve(http_door_t *door, gh_door_client_t *client)
+bool http_door_serve(http_door_t *door, gh_door_client_t *client)
 {
+	bool ok;
+
 	pthread_mutex_lock(&door->lock);
-	gh_door_serve(door->account, client);
+	ok = gh_door_serve(door->account, client);
 	pthread_mutex_unlock(&door->lock);
+	return ok;
 }
 
 void http_door_send(http_door_t *door, gh_door_client_t *client)
--- a/http_door.h
+++ b/http_door.h
@@ -25,7 +25,7 @@
 void http_door_leave(http_door_t *door, gh_door_client_t *client);
 /* The steps of a request; see core_door.h. */
 void http_door_receive(http_door_t *door, gh_door_client_t *client);
-void http_door_serve(http_door_t *door, gh_door_client_t *client);
+bool http_door_serve(http_door_t *door, gh_door_client_t *client);
 void http_door_send(http_door_t *door, gh_door_client_t *client);
 void http_door_finish(http_door_t *door, gh_door_client_t *client);
 
--- a/http_server.c
+++ b/http_server.c
@@ -362,6 +362,9 @@
 	struct _u_response out;
 	enum MHD_Result result;
 
+	/* Nobody would get the response. */
+	if (!http_door_serve(server->limits.door, conn->client))
+		return MHD_NO;
 	if (conn->dropped && server->refusal.callback)
 		endpoint = &server->refusal;
 	ulfius_init_request(&in);
@@ -376,7 +379,6 @@
 		in.binary_body_length = (size_t)MIN(
 			conn->received, server->limits.max_body_bytes + 1);
 	}
-	http_door_serve(server->limits.door, conn->client);
 	if (!endpoint ||
 	    endpoint->callback(&in, &out, endpoint->ctx) != U_CALLBACK_CONTINUE)
 		out.status = endpoint ? 500 : 404;
