--- a/front.c
+++ b/front.c
@@ -384,9 +384,9 @@
 }
 
 /*
- * Whether the body is as long as Content-Length.  The server cuts a body longer
- * than BODY_MAX_BYTES; a body that was cut passes this check and is refused
- * later as too large.
+ * Whether the body is as long as Content-Length.  The server drops a body
+ * longer than BODY_MAX_BYTES and gives a length of one byte more; it passes
+ * this check and is refused later as too large.
  */
 static bool is_body_complete(const struct _u_request *http_request)
 {
