--- a/core_door.c
+++ b/core_door.c
@@ -28,6 +28,7 @@
 
 struct gh_door_client {
 	void *ctx;
+	bool check;
 	GList link; /* in gh_door.order */
 	step_t step;
 	gh_time_t deadline; /* of the step */
@@ -39,11 +40,12 @@
 	/* All clients, the one that is in its step for longest first. */
 	GQueue order;
 	unsigned n_closing;
+	unsigned n_checks;    /* without those to be closed */
 	size_t bytes;	      /* all that is held or taken */
 	size_t bytes_closing; /* of it, of connections to be closed */
 	/* Room that was asked for, to be made by closing others. */
 	size_t wanted;
-	size_t wanted_held; /* what the asker would hold with it */
+	size_t wanted_held; /* the asker's body with it */
 	gh_time_t sweep_at;
 };
 
@@ -52,8 +54,11 @@
 static bool add(gh_door_t *door, size_t bytes, size_t held);
 static size_t room_left(const gh_door_t *door);
 static gh_door_client_t *find_late(gh_door_t *door, gh_time_t now);
+static unsigned count_against_limit(const gh_door_t *door);
 static gh_door_client_t *find_oldest(gh_door_t *door);
+static bool can_make_room(const gh_door_t *door);
 static gh_door_client_t *find_largest(gh_door_t *door, size_t min);
+static bool may_give_way(const gh_door_client_t *client, size_t min);
 static gh_door_client_t *close_client(gh_door_t *door,
 				      gh_door_client_t *client);
 
@@ -92,11 +97,14 @@
 	g_free(door);
 }
 
-gh_door_client_t *gh_door_enter(gh_door_t *door, void *ctx, gh_time_t now)
+gh_door_client_t *gh_door_enter(gh_door_t *door, void *ctx, bool check,
+				gh_time_t now)
 {
 	gh_door_client_t *client = g_new0(gh_door_client_t, 1);
 
 	client->ctx = ctx;
+	client->check = check;
+	door->n_checks += check;
 	client->link.data = client;
 	client->deadline = now + door->limits.idle_time;
 	g_queue_push_tail_link(&door->order, &client->link);
@@ -108,6 +116,8 @@
 	gh_door_drop(door, client);
 	if (client->step == STEP_CLOSING)
 		door->n_closing--;
+	else
+		door->n_checks -= client->check;
 	g_queue_unlink(&door->order, &client->link);
 	g_free(client);
 }
@@ -122,9 +132,10 @@
 	set_step(door, client, STEP_RECEIVE, now + door->limits.transfer_time);
 }
 
-void gh_door_serve(gh_door_t *door, gh_door_client_t *client)
+bool gh_door_serve(gh_door_t *door, gh_door_client_t *client)
 {
 	set_step(door, client, STEP_SERVE, GH_TIME_NEVER);
+	return client->step == STEP_SERVE;
 }
 
 void gh_door_send(gh_door_t *door, gh_door_client_t *client, gh_time_t now)
@@ -166,9 +177,9 @@
 	client->held = 0;
 }
 
-bool gh_door_take(gh_door_t *door, size_t bytes)
+bool gh_door_take(gh_door_t *door, size_t bytes, size_t body_bytes)
 {
-	return add(door, bytes, bytes);
+	return add(door, bytes, body_bytes);
 }
 
 void gh_door_give(gh_door_t *door, size_t bytes)
@@ -178,7 +189,7 @@
 
 /*
  * What connections to be closed still hold counts as free up to half of the
- * limit.  held: what the asker would hold.
+ * limit.  held: the asker's body; no smaller one is closed for it.
  */
 static bool add(gh_door_t *door, size_t bytes, size_t held)
 {
@@ -205,13 +216,13 @@
 {
 	gh_door_client_t *client = NULL;
 
-	if (door->wanted > room_left(door)) {
+	if (door->wanted > room_left(door) && can_make_room(door)) {
 		client = find_largest(door, door->wanted_held);
 		*reason = GH_DOOR_FULL;
 	}
 	if (!client)
 		door->wanted = 0;
-	if (!client && gh_door_clients(door) > door->limits.clients) {
+	if (!client && count_against_limit(door) > door->limits.clients) {
 		client = find_oldest(door);
 		*reason = GH_DOOR_CROWDED;
 	}
@@ -228,6 +239,7 @@
 {
 	client->step = STEP_CLOSING;
 	door->n_closing++;
+	door->n_checks -= client->check;
 	door->bytes_closing += client->held;
 	return client;
 }
@@ -245,20 +257,44 @@
 	return NULL;
 }
 
+static unsigned count_against_limit(const gh_door_t *door)
+{
+	return gh_door_clients(door) - MIN(door->n_checks, GH_DOOR_CHECKS_MAX);
+}
+
 /* The last one has just come; it is closed if all others are being served. */
 static gh_door_client_t *find_oldest(gh_door_t *door)
 {
+	bool keeps_checks = door->n_checks <= GH_DOOR_CHECKS_MAX;
 	GList *link;
 
 	for (link = door->order.head; link; link = link->next) {
 		gh_door_client_t *client = link->data;
 
-		if (client->step != STEP_CLOSING && client->step != STEP_SERVE)
+		if (client->step != STEP_CLOSING &&
+		    client->step != STEP_SERVE &&
+		    !(client->check && keeps_checks))
 			return client;
 	}
 	return NULL;
 }
 
+/* Whether closing others makes all the room that is wanted. */
+static bool can_make_room(const gh_door_t *door)
+{
+	size_t room = room_left(door);
+	const GList *link;
+
+	for (link = door->order.head; link && room < door->wanted;
+	     link = link->next) {
+		const gh_door_client_t *client = link->data;
+
+		if (may_give_way(client, door->wanted_held))
+			room += client->held;
+	}
+	return room >= door->wanted;
+}
+
 static gh_door_client_t *find_largest(gh_door_t *door, size_t min)
 {
 	gh_door_client_t *largest = NULL;
@@ -267,13 +303,18 @@
 	for (link = door->order.head; link; link = link->next) {
 		gh_door_client_t *client = link->data;
 
-		if (client->step == STEP_RECEIVE && client->held >= min &&
+		if (may_give_way(client, min) &&
 		    (!largest || client->held > largest->held))
 			largest = client;
 	}
 	return largest;
 }
 
+static bool may_give_way(const gh_door_client_t *client, size_t min)
+{
+	return client->step == STEP_RECEIVE && client->held >= min;
+}
+
 unsigned gh_door_clients(const gh_door_t *door)
 {
 	return door->order.length - door->n_closing;
--- a/core_door.h
+++ b/core_door.h
@@ -44,15 +44,25 @@
 gh_door_t *gh_door_new(const gh_door_limits_t *limits);
 void gh_door_free(gh_door_t *door);
 
-/* Adds a connection; ctx is the caller's. */
-gh_door_client_t *gh_door_enter(gh_door_t *door, void *ctx, gh_time_t now);
+/* Connections beyond the limit that are kept for checks of the host. */
+#define GH_DOOR_CHECKS_MAX 8
+
+/*
+ * Adds a connection; ctx is the caller's.  The first GH_DOOR_CHECKS_MAX that
+ * are open for checks don't count, and are not closed for others.
+ */
+gh_door_client_t *gh_door_enter(gh_door_t *door, void *ctx, bool check,
+				gh_time_t now);
 /* Removes a connection that is closed. */
 void gh_door_leave(gh_door_t *door, gh_door_client_t *client);
 void *gh_door_client_ctx(const gh_door_client_t *client);
 
-/* The steps of a request: it begins to arrive, is served, is responded to. */
+/*
+ * The steps of a request: it begins to arrive, is served, is responded to.
+ * gh_door_serve() returns false if its connection is being closed.
+ */
 void gh_door_receive(gh_door_t *door, gh_door_client_t *client, gh_time_t now);
-void gh_door_serve(gh_door_t *door, gh_door_client_t *client);
+bool gh_door_serve(gh_door_t *door, gh_door_client_t *client);
 void gh_door_send(gh_door_t *door, gh_door_client_t *client, gh_time_t now);
 /* The request is over; what is held for it is given back. */
 void gh_door_finish(gh_door_t *door, gh_door_client_t *client, gh_time_t now);
@@ -65,8 +75,11 @@
 /* Gives back what is held for the client's body. */
 void gh_door_drop(gh_door_t *door, gh_door_client_t *client);
 
-/* Asks for room for what is parsed; gh_door_give() returns it. */
-bool gh_door_take(gh_door_t *door, size_t bytes);
+/*
+ * Asks for room for what is parsed from a whole body of this length, which may
+ * be made by closing others as for gh_door_hold(); gh_door_give() returns it.
+ */
+bool gh_door_take(gh_door_t *door, size_t bytes, size_t body_bytes);
 void gh_door_give(gh_door_t *door, size_t bytes);
 
 /*
--- a/http_server.c
+++ b/http_server.c
@@ -201,7 +201,8 @@
 		bound_buffers(fd);
 		conn = g_new0(connection_t, 1);
 		conn->server = server;
-		conn->client = http_door_enter(server->limits.door, fd);
+		conn->client = http_door_enter(server->limits.door, fd,
+					       server->limits.checks);
 		*socket_context = conn;
 	} else {
 		http_door_leave(server->limits.door, conn->client);
@@ -361,6 +362,9 @@
 	struct _u_response out;
 	enum MHD_Result result;
 
+	/* Nobody would get the response. */
+	if (!http_door_serve(server->limits.door, conn->client))
+		return MHD_NO;
 	if (conn->dropped && server->refusal.callback)
 		endpoint = &server->refusal;
 	ulfius_init_request(&in);
@@ -375,7 +379,6 @@
 		in.binary_body_length = (size_t)MIN(
 			conn->received, server->limits.max_body_bytes + 1);
 	}
-	http_door_serve(server->limits.door, conn->client);
 	if (!endpoint ||
 	    endpoint->callback(&in, &out, endpoint->ctx) != U_CALLBACK_CONTINUE)
 		out.status = endpoint ? 500 : 404;
--- a/regress/test_core_door.c
+++ b/regress/test_core_door.c
@@ -10,7 +10,7 @@
 
 #include "core_door.h"
 
-#define CLIENTS_MAX 8
+#define CLIENTS_MAX 16
 #define AT(s) ((s)*GH_USEC_PER_SEC)
 
 /* Clients are named by their numbers, 1 and up. */
@@ -19,6 +19,7 @@
 	unsigned client;
 	gh_time_t at;
 	size_t bytes;
+	size_t body_bytes; /* of what is parsed; 0: as bytes */
 	bool refused;
 	/* Clients to be closed after it, in order, and why. */
 	unsigned closed[3];
@@ -27,7 +28,7 @@
 
 typedef struct door_case {
 	const char *name;
-	step_t steps[12];
+	step_t steps[16];
 	size_t bytes_at_end;
 } door_case_t;
 
@@ -58,7 +59,39 @@
 		     { 'e', 3, AT(1) },
 		     { 's', 3, AT(1) },
 		     { 'e', 4, AT(2), .closed = { 4 } },
-		     { 's', 4, AT(2) } } },
+		     { 's', 4, AT(2), .refused = true } } },
+	{ .name = "a check comes in while all others are being served",
+	  .steps = { { 'e', 1, AT(1) },
+		     { 's', 1, AT(1) },
+		     { 'e', 2, AT(1) },
+		     { 's', 2, AT(1) },
+		     { 'e', 3, AT(1) },
+		     { 's', 3, AT(1) },
+		     { 'c', 4, AT(2) },
+		     { 'e', 5, AT(2), .closed = { 5 } },
+		     { 'l', 5, AT(2) },
+		     { 'l', 4, AT(2) },
+		     { 'c', 6, AT(2) } } },
+	{ .name = "a check that is idle is not closed for others",
+	  .steps = { { 'c', 1, AT(1) },
+		     { 'e', 2, AT(2) },
+		     { 'e', 3, AT(2) },
+		     { 'e', 4, AT(2) },
+		     { 'e', 5, AT(3), .closed = { 2 } } } },
+	{ .name = "a crowd of checks counts",
+	  .steps = { { 'c', 1, AT(1) },
+		     { 'c', 2, AT(1) },
+		     { 'c', 3, AT(1) },
+		     { 'c', 4, AT(1) },
+		     { 'c', 5, AT(1) },
+		     { 'c', 6, AT(1) },
+		     { 'c', 7, AT(1) },
+		     { 'c', 8, AT(1) },
+		     { 'e', 9, AT(1) },
+		     { 'e', 10, AT(1) },
+		     { 'e', 11, AT(1) },
+		     { 'c', 12, AT(1), .closed = { 1 } },
+		     { 'c', 13, AT(1), .closed = { 2 } } } },
 	{ .name = "one that is closing is not counted and closed once",
 	  .steps = { { 'e', 1, AT(1) },
 		     { 'e', 2, AT(1) },
@@ -105,6 +138,29 @@
 		     { 't', 0, AT(1), .bytes = 20 },
 		     { 'g', 0, AT(1), .bytes = 20 } },
 	  .bytes_at_end = 95 },
+	{ .name = "what is parsed from a whole body pushes out stalled ones",
+	  .steps = { { 'e', 1, AT(1) },
+		     { 'r', 1, AT(1) },
+		     { 'h', 1, AT(1), .bytes = 45 },
+		     { 'e', 2, AT(1) },
+		     { 'r', 2, AT(1) },
+		     { 'h', 2, AT(1), .bytes = 45 },
+		     { 't', 0, AT(1), .bytes = 60, .body_bytes = 10,
+		       .refused = true, .closed = { 1, 2 },
+		       .reason = GH_DOOR_FULL },
+		     { 't', 0, AT(1), .bytes = 60, .body_bytes = 10 } },
+	  .bytes_at_end = 150 },
+	{ .name = "nobody is closed for room that would not do",
+	  .steps = { { 'e', 1, AT(1) },
+		     { 'r', 1, AT(1) },
+		     { 'h', 1, AT(1), .bytes = 60 },
+		     { 's', 1, AT(1) },
+		     { 'e', 2, AT(1) },
+		     { 'r', 2, AT(1) },
+		     { 'h', 2, AT(1), .bytes = 30 },
+		     { 't', 0, AT(1), .bytes = 50, .body_bytes = 20,
+		       .refused = true } },
+	  .bytes_at_end = 90 },
 	{ .name = "what closing clients hold is free up to half the limit",
 	  .steps = { { 'e', 1, AT(1) },
 		     { 'r', 1, AT(1) },
@@ -144,15 +200,15 @@
 
 	switch (step->what) {
 	case 'e':
+	case 'c':
 		*client = gh_door_enter(door, GUINT_TO_POINTER(step->client),
-					step->at);
+					step->what == 'c', step->at);
 		return true;
 	case 'r':
 		gh_door_receive(door, *client, step->at);
 		return true;
 	case 's':
-		gh_door_serve(door, *client);
-		return true;
+		return gh_door_serve(door, *client);
 	case 'n':
 		gh_door_send(door, *client, step->at);
 		return true;
@@ -165,7 +221,9 @@
 	case 'h':
 		return gh_door_hold(door, *client, step->bytes);
 	case 't':
-		return gh_door_take(door, step->bytes);
+		return gh_door_take(door, step->bytes,
+				    step->body_bytes ? step->body_bytes :
+						       step->bytes);
 	case 'g':
 		gh_door_give(door, step->bytes);
 		return true;
