--- a/core_fleet.c
+++ b/core_fleet.c
@@ -6,7 +6,6 @@
 #include <string.h>
 
 static uint32_t job_attempts(const gh_fleet_t *fleet, const fleet_job_t *job);
-static void init_tasks(fleet_job_t *job);
 static void close_run(gh_fleet_t *fleet, uint32_t handle);
 static void note_begun(fleet_job_t *job, const fleet_run_t *run,
 		       gh_run_outcome_t outcome);
@@ -131,43 +130,17 @@
 	};
 	job->rank = fleet_job_policy(fleet, job)->priority;
 	job->n_tasks = occurrences * job->tasks_per_occurrence;
-	job->tasks = g_new0(fleet_task_t, job->n_tasks);
-	job->stages = g_new0(fleet_stage_t, job->n_stages);
 	job->image_ids = g_new0(uint16_t, pipeline->n_steps);
 	for (i = 0; i < pipeline->n_steps; i++)
 		job->image_ids[i] = gh_interference_image_id(
 			fleet->interference, pipeline->steps[i].image);
-	init_tasks(job);
 	fleet_move_init_job(job, guest);
+	fleet_occurrence_init_job(fleet, handle);
 	g_hash_table_insert(fleet->job_by_id, g_strdup(pipeline->id),
 			    GUINT_TO_POINTER(handle + 1));
 	return handle;
 }
 
-/*
- * Initializes the job's stages and tasks; the tasks of a stage are contiguous.
- */
-static void init_tasks(fleet_job_t *job)
-{
-	uint32_t next_task = 0;
-	uint32_t i;
-
-	for (i = 0; i < job->n_stages; i++) {
-		job->stages[i].first_task = next_task;
-		next_task += job->spec->steps[i % job->spec->n_steps].tasks;
-	}
-	for (i = 0; i < job->n_tasks; i++) {
-		fleet_task_t *task = &job->tasks[i];
-
-		task->runs[0] = task->runs[1] = GH_NONE;
-		task->avoid_worker = GH_NONE;
-		task->group = task;
-		if (fleet_task_step(job, i)->gang)
-			task->group = &job->tasks[fleet_task_stage(job, i)
-							  ->first_task];
-	}
-}
-
 void gh_fleet_job_cancel(gh_fleet_t *fleet, const char *id, gh_time_t now)
 {
 	uint32_t handle = fleet_job_find(fleet, id);
@@ -183,13 +156,19 @@
 {
 	fleet_job_t *job = fleet_job(fleet, handle);
 	gh_task_id_t id = fleet_task_id(job, 0);
+	guint i;
 
 	job->phase = phase;
 	fleet_emit_event(fleet, "job_ended", &id, 0, GH_NONE,
 			 gh_job_phase_name(phase));
 	fleet_job_mark_changed(fleet, handle);
 	fleet_commit_hasten(fleet, handle);
-	stop_task_runs(fleet, handle, 0, job->n_tasks, "job ended", now);
+	for (i = 0; i < job->occurrences->len; i++) {
+		const fleet_occurrence_t *held = job->occurrences->pdata[i];
+
+		stop_task_runs(fleet, handle, held->stages[0].first_task,
+			       held->n_tasks, "job ended", now);
+	}
 }
 
 void fleet_job_free_if_finished(gh_fleet_t *fleet, uint32_t handle)
@@ -209,7 +188,7 @@
 	uint32_t handle = fleet_entry_alloc(fleet->runs, fleet->free_runs);
 	fleet_run_t *run = fleet_run(fleet, handle);
 	fleet_job_t *parent = fleet_job(fleet, job);
-	fleet_task_t *t = &parent->tasks[task];
+	fleet_task_t *t = fleet_task(parent, task);
 	bool copy = t->runs[0] != GH_NONE;
 	bool foreign = state == RUN_ORPHAN || state == RUN_HELD;
 
@@ -256,7 +235,7 @@
 {
 	fleet_run_t run = *fleet_run(fleet, handle);
 	fleet_job_t *job = fleet_job(fleet, run.job);
-	fleet_task_t *task = &job->tasks[run.task];
+	fleet_task_t *task = fleet_task(job, run.task);
 	const gh_step_t *step = fleet_task_step(job, run.task);
 	gh_task_id_t id = fleet_task_id(job, run.task);
 
@@ -310,7 +289,7 @@
 {
 	fleet_run_t *run = fleet_run(fleet, handle);
 	fleet_job_t *job = fleet_job(fleet, run->job);
-	fleet_task_t *task = &job->tasks[run->task];
+	fleet_task_t *task = fleet_task(job, run->task);
 
 	if (run->state == RUN_PLANNED)
 		fleet->budget.n_planned--;
@@ -350,12 +329,12 @@
 	uint32_t i;
 
 	for (i = from; i < from + n; i++) {
-		if (job->tasks[i].done)
+		if (fleet_task(job, i)->done)
 			continue;
-		job->tasks[i].done = true;
-		g_clear_pointer(&job->tasks[i].checkpoint, g_free);
+		fleet_task(job, i)->done = true;
+		g_clear_pointer(&fleet_task(job, i)->checkpoint, g_free);
 		stage->tasks_done++;
-		if (job->tasks[i].runs[0] != GH_NONE)
+		if (fleet_task(job, i)->runs[0] != GH_NONE)
 			stage->tasks_open--;
 	}
 	stop_task_runs(fleet, handle, from, n, "task is done", now);
@@ -374,7 +353,7 @@
 	uint32_t index = fleet_task_find(parent, &end->task);
 
 	if (parent->held || parent->phase > GH_JOB_RUNNING ||
-	    index == GH_NONE || parent->tasks[index].done ||
+	    index == GH_NONE || fleet_task(parent, index)->done ||
 	    fleet_task_step(parent, index)->long_running ||
 	    !fleet_move_keep(parent, index))
 		return;
@@ -405,7 +384,7 @@
 		stage->gang_failed = 1;
 		for (i = stage->first_task + 1;
 		     i < stage->first_task + step->tasks; i++)
-			job->tasks[i].failures++;
+			fleet_task(job, i)->failures++;
 	}
 	stop_task_runs(fleet, handle, stage->first_task, step->tasks,
 		       "a member of the gang ended", now);
@@ -420,7 +399,7 @@
 {
 	fleet_job_t *job = fleet_job(fleet, handle);
 
-	if (++job->tasks[index].failures >= job_attempts(fleet, job))
+	if (++fleet_task(job, index)->failures >= job_attempts(fleet, job))
 		fleet_job_end(fleet, handle, GH_JOB_FAILED, now);
 }
 
@@ -435,10 +414,12 @@
 		 * Stop the second run first: ending the first run moves the
 		 * second to its place.
 		 */
-		if (job->tasks[i].runs[1] != GH_NONE)
-			fleet_run_stop(fleet, job->tasks[i].runs[1], why, now);
-		if (job->tasks[i].runs[0] != GH_NONE)
-			fleet_run_stop(fleet, job->tasks[i].runs[0], why, now);
+		if (fleet_task(job, i)->runs[1] != GH_NONE)
+			fleet_run_stop(fleet, fleet_task(job, i)->runs[1], why,
+				       now);
+		if (fleet_task(job, i)->runs[0] != GH_NONE)
+			fleet_run_stop(fleet, fleet_task(job, i)->runs[0], why,
+				       now);
 	}
 }
 
@@ -476,16 +457,10 @@
 static void free_job(gh_fleet_t *fleet, uint32_t handle)
 {
 	fleet_job_t *job = fleet_job(fleet, handle);
-	uint32_t i;
 
 	g_hash_table_remove(fleet->job_by_id, job->spec->id);
 	fleet_move_clear_job(job);
-	for (i = 0; i < job->n_tasks; i++)
-		g_free(job->tasks[i].checkpoint);
-	for (i = 0; i < job->n_stages; i++)
-		gh_load_free(job->stages[i].load);
-	g_free(job->tasks);
-	g_free(job->stages);
+	fleet_occurrence_clear_job(job);
 	g_free(job->image_ids);
 	gh_pipeline_free(job->spec);
 	memset(job, 0, sizeof(*job));
--- a/core_fleet.h
+++ b/core_fleet.h
@@ -69,6 +69,11 @@
 	int64_t empty_ms;
 	/* This shard, and the number of all; below 2 no task ever moves. */
 	uint32_t shard, shards;
+	/*
+	 * Tasks that are held in memory before further ones, whose turn has
+	 * come, wait for it; 0: no limit.
+	 */
+	uint32_t tasks_max;
 } gh_fleet_setup_t;
 
 /* Identifies a task: its job, occurrence, step and index within the step. */
@@ -335,7 +340,11 @@
 	uint64_t taken_back;
 	/* Starts put off as the domains to be emptied were not heard. */
 	uint64_t withheld;
+	uint64_t memory_short; /* times that due tasks began to wait for memory
+				*/
 	uint32_t jobs, workers, open_runs, pending_tasks;
+	/* Tasks held in memory, and jobs of which due ones wait for it. */
+	uint32_t tasks_held, jobs_without_memory;
 } gh_fleet_counts_t;
 
 /* How far an owner is behind with what it has decided. */
@@ -355,6 +364,12 @@
 			 const gh_fleet_sink_t *sink, gh_time_t now);
 void gh_fleet_free(gh_fleet_t *fleet);
 
+/*
+ * gh_fleet_setup_t.tasks_max of a process with this memory that may own all
+ * shards.
+ */
+uint32_t gh_fleet_tasks_max(uint32_t memory_mb, uint32_t shards);
+
 /* Adds or updates a worker that service discovery lists. */
 void gh_fleet_worker_set(gh_fleet_t *fleet, const gh_worker_entry_t *entry,
 			 gh_time_t now);
--- a/core_fleet_choose.c
+++ b/core_fleet_choose.c
@@ -236,21 +236,22 @@
 	failed_placement_t placement = describe_placement(
 		fleet, job, task, excluded_worker != GH_NONE, now);
 	/* Workers admit a task with crashes by other criteria. */
-	bool has_crashes = fleet_crash_has_any(&job->tasks[task]);
+	bool has_crashes = fleet_crash_has_any(fleet_task(job, task));
 	/* Others may have failed as a worker is reserved for this one. */
 	bool only_kept = !has_crashes && is_known_to_fail(fleet, &placement);
 	uint32_t best = GH_NONE;
 	int64_t best_cost = COST_IMPOSSIBLE;
 	uint32_t i;
 
-	if (only_kept && now >= job->stages[stage].reserved_until)
+	if (only_kept && now >= fleet_stage(job, stage)->reserved_until)
 		return GH_NONE;
 	for (i = 0; i < fleet->workers->len; i++) {
 		const fleet_worker_t *worker = fleet_worker(fleet, i);
 		int64_t cost;
 
 		if (i == excluded_worker || !worker->in_use ||
-		    (only_kept && worker->kept_for != job->tasks[task].group))
+		    (only_kept &&
+		     worker->kept_for != fleet_task(job, task)->group))
 			continue;
 		cost = rate_worker(fleet, job, task, i, &placement, now);
 		if (cost < best_cost) {
@@ -259,8 +260,8 @@
 		}
 	}
 	if (best != GH_NONE && placement.careful &&
-	    fleet_crash_needs_care(&job->tasks[task]) &&
-	    !fleet_crash_claim(fleet, best, &job->tasks[task], step, now))
+	    fleet_crash_needs_care(fleet_task(job, task)) &&
+	    !fleet_crash_claim(fleet, best, fleet_task(job, task), step, now))
 		return GH_NONE;
 	if (best == GH_NONE && !has_crashes && !only_kept &&
 	    excluded_worker == GH_NONE && !*step->label &&
@@ -282,7 +283,7 @@
 
 	fleet->counts.examined++;
 	if (!is_admitted(worker, obstacle, !placement->careful, now) ||
-	    !fleet_crash_admits(fleet, handle, &job->tasks[task], now))
+	    !fleet_crash_admits(fleet, handle, fleet_task(job, task), now))
 		return COST_IMPOSSIBLE;
 	if (placement->leaves_room &&
 	    !fleet_headroom_admits(fleet, job, task, worker)) {
@@ -304,9 +305,10 @@
 			return COST_IMPOSSIBLE;
 		cost += (int64_t)((share + weight) * COST_BEST_EFFORT_SHARE);
 	}
-	if (handle == job->tasks[task].avoid_worker)
+	if (handle == fleet_task(job, task)->avoid_worker)
 		cost += COST_AVOIDED_WORKER;
-	return cost + fleet_crash_cost(fleet, handle, &job->tasks[task], now);
+	return cost +
+	       fleet_crash_cost(fleet, handle, fleet_task(job, task), now);
 }
 
 /*
@@ -338,7 +340,7 @@
 	if (fleet->busy && !long_running)
 		return false;
 	if (long_running)
-		since = job->stages[stage].waiting_since;
+		since = fleet_stage(job, stage)->waiting_since;
 	return job->gang_desperate ||
 	       (since && now - since > DESPERATE_WAIT_USEC);
 }
@@ -474,7 +476,7 @@
 
 	if (obstacle != OBSTACLE_NONE)
 		return obstacle;
-	if (!fleet_crash_admits(fleet, handle, &job->tasks[task], now))
+	if (!fleet_crash_admits(fleet, handle, fleet_task(job, task), now))
 		return OBSTACLE_KEPT;
 	if (step->best_effort && !fleet_choose_is_overdue(job, now) &&
 	    fleet_best_effort_share(fleet, fleet_worker(fleet, handle), step,
@@ -642,7 +644,7 @@
 				 const fleet_job_t *job, uint32_t stage,
 				 uint32_t worker)
 {
-	uint32_t first = job->stages[stage].first_task;
+	uint32_t first = fleet_stage(job, stage)->first_task;
 	uint32_t n = 0;
 	uint32_t ref;
 
@@ -666,16 +668,17 @@
 static const char *find_stage_rack(const gh_fleet_t *fleet,
 				   const fleet_job_t *job, uint32_t stage)
 {
-	uint32_t first = job->stages[stage].first_task;
+	uint32_t first = fleet_stage(job, stage)->first_task;
 	uint32_t i;
 
 	for (i = first;
 	     i < first + job->spec->steps[stage % job->spec->n_steps].tasks;
 	     i++)
-		if (job->tasks[i].runs[0] != GH_NONE)
+		if (fleet_task(job, i)->runs[0] != GH_NONE)
 			return fleet_worker(
 				       fleet,
-				       fleet_run(fleet, job->tasks[i].runs[0])
+				       fleet_run(fleet,
+						 fleet_task(job, i)->runs[0])
 					       ->worker)
 				->rack;
 	return job->spec->steps[stage % job->spec->n_steps].rack;
--- a/core_fleet_copy.c
+++ b/core_fleet_copy.c
@@ -46,9 +46,10 @@
 			continue;
 		job = fleet_job(fleet, run->job);
 		if (!fleet_task_step(job, run->task)->speculative ||
-		    job->phase > GH_JOB_RUNNING || job->tasks[run->task].done ||
-		    job->tasks[run->task].runs[1] != GH_NONE ||
-		    fleet_crash_is_suspect(&job->tasks[run->task]))
+		    job->phase > GH_JOB_RUNNING ||
+		    fleet_task(job, run->task)->done ||
+		    fleet_task(job, run->task)->runs[1] != GH_NONE ||
+		    fleet_crash_is_suspect(fleet_task(job, run->task)))
 			continue;
 		if (!fleet_times_is_straggler(fleet, run, now) &&
 		    !fleet_worker(fleet, run->worker)->unreachable_since)
@@ -61,7 +62,8 @@
 		if (worker == GH_NONE)
 			continue;
 		fleet_run_open(fleet, run->job, task, worker,
-			       job->tasks[task].last_run + 1, RUN_PLANNED, now);
+			       fleet_task(job, task)->last_run + 1, RUN_PLANNED,
+			       now);
 		fleet->counts.copies++;
 	}
 }
@@ -95,7 +97,8 @@
 		   "pace_percent=%u percent=%u left_ms=%.0f gain_ms=%.0f",
 		   slow->pace_percent, slow->percent, gh_slow_run_left_ms(slow),
 		   gh_slow_run_gain_ms(slow));
-	fleet_job(fleet, run->job)->tasks[run->task].avoid_worker = run->worker;
+	fleet_task(fleet_job(fleet, run->job), run->task)->avoid_worker =
+		run->worker;
 	fleet->counts.moved++;
 	fleet_run_stop(fleet, ref, why, now);
 }
--- a/core_fleet_crash.c
+++ b/core_fleet_crash.c
@@ -198,7 +198,7 @@
 	}
 	if (run->crash == CRASH_LATER)
 		return;
-	task = &fleet_job(fleet, run->job)->tasks[run->task];
+	task = fleet_task(fleet_job(fleet, run->job), run->task);
 	task->lost_starts++;
 	detail = g_strdup_printf("%u starts lost%s", task->lost_starts,
 				 run->crash_silent ? ", silent" : "");
@@ -213,7 +213,7 @@
 			const char *how, gh_time_t now)
 {
 	fleet_job_t *job = fleet_job(fleet, handle);
-	fleet_task_t *task = &job->tasks[fleet_task_find(job, &lost->task)];
+	fleet_task_t *task = fleet_task(job, fleet_task_find(job, &lost->task));
 	bool alone = lost->crash == CRASH_ALONE;
 	bool caused;
 	char *detail;
@@ -291,7 +291,7 @@
 {
 	fleet_run_t *run = fleet_run(fleet, ref);
 	fleet_job_t *job = fleet_job(fleet, run->job);
-	fleet_task_t *task = &job->tasks[run->task];
+	fleet_task_t *task = fleet_task(job, run->task);
 	bool works;
 
 	fleet_crash_note_begun(fleet, ref, now);
@@ -428,7 +428,7 @@
 	index = fleet_task_find(fleet_job(fleet, handle), &doubt->task);
 	if (index == GH_NONE)
 		return;
-	task = &fleet_job(fleet, handle)->tasks[index];
+	task = fleet_task(fleet_job(fleet, handle), index);
 	if (!doubt->counted) {
 		if (task->done || (!is_back && doubt->crash == CRASH_UNPROVEN))
 			return;
@@ -527,7 +527,7 @@
 		const fleet_run_t *run = fleet_run(fleet, ref);
 
 		n += run->state != RUN_HELD && !has_settled(run) &&
-		     fleet_job(fleet, run->job)->tasks[run->task].group !=
+		     fleet_task(fleet_job(fleet, run->job), run->task)->group !=
 			     except;
 	}
 	return n;
@@ -544,7 +544,7 @@
 	run = fleet_run(fleet, worker->suspect_run);
 	return has_settled(run) ?
 		       NULL :
-		       fleet_job(fleet, run->job)->tasks[run->task].group;
+		       fleet_task(fleet_job(fleet, run->job), run->task)->group;
 }
 
 bool fleet_crash_is_suspect(const fleet_task_t *task)
@@ -650,7 +650,7 @@
 {
 	fleet_run_t *run = fleet_run(fleet, ref);
 	fleet_worker_t *worker = fleet_worker(fleet, run->worker);
-	fleet_task_t *task = &fleet_job(fleet, run->job)->tasks[run->task];
+	fleet_task_t *task = fleet_task(fleet_job(fleet, run->job), run->task);
 
 	run->suspect =
 		fleet_crash_is_suspect(task) || fleet_crash_needs_care(task);
--- a/core_fleet_headroom.c
+++ b/core_fleet_headroom.c
@@ -147,7 +147,7 @@
 	const gh_step_t *step = fleet_task_step(job, task);
 
 	return step->long_running && !step->gang &&
-	       !job->tasks[task].last_run &&
+	       !fleet_task(job, task)->last_run &&
 	       fleet->headroom.targets[fleet_headroom_level(fleet, job)]
 		       .applies;
 }
--- a/core_fleet_health.c
+++ b/core_fleet_health.c
@@ -106,7 +106,7 @@
 		if (run->state != RUN_RUNNING || !run_hangs(fleet, run))
 			continue;
 		fleet->counts.hangs++;
-		fleet_job(fleet, run->job)->tasks[run->task].hangs++;
+		fleet_task(fleet_job(fleet, run->job), run->task)->hangs++;
 		quarantine_worker(fleet, run->worker, "a task made no progress",
 				  now);
 		fleet_run_stop(fleet, i, "it made no progress", now);
@@ -127,7 +127,7 @@
 	return worker->last_report_at -
 		       MAX(MAX(run->progress_at, run->running_since),
 			   worker->cold_until) >
-	       hang_timeout(step, &job->tasks[run->task]);
+	       hang_timeout(step, fleet_task(job, run->task));
 }
 
 static gh_time_t hang_timeout(const gh_step_t *step, const fleet_task_t *task)
--- a/core_fleet_idle.c
+++ b/core_fleet_idle.c
@@ -135,7 +135,7 @@
 		g_string_append(detail, ", held");
 	else
 		append_waits(job, task, detail, now);
-	if (!job->held && job->tasks[task].runs[0] == GH_NONE) {
+	if (!job->held && fleet_task(job, task)->runs[0] == GH_NONE) {
 		g_string_append(detail, ", ");
 		fleet_choose_append_obstacles(fleet, job, task, detail, now);
 	}
@@ -154,11 +154,12 @@
 
 	for (i = 0; i < job->n_tasks; i++)
 		for (j = 0; j < GH_TASK_RUNS_MAX; j++) {
+			const fleet_task_t *task = fleet_task_peek(job, i);
 			const fleet_run_t *run;
 
-			if (job->tasks[i].runs[j] == GH_NONE)
+			if (!task || task->runs[j] == GH_NONE)
 				continue;
-			run = fleet_run(fleet, job->tasks[i].runs[j]);
+			run = fleet_run(fleet, task->runs[j]);
 			runs[run->state]++;
 			if (!oldest || run->state_since < oldest->state_since)
 				oldest = run;
@@ -200,7 +201,7 @@
 static void append_waits(const fleet_job_t *job, uint32_t task, GString *text,
 			 gh_time_t now)
 {
-	const fleet_task_t *t = &job->tasks[task];
+	const fleet_task_t *t = fleet_task(job, task);
 	gh_time_t late = late_until(job, task);
 
 	if (now < t->not_before)
@@ -225,10 +226,10 @@
 {
 	const gh_step_t *step = fleet_task_step(job, task);
 	uint32_t first = fleet_task_stage(job, task)->first_task;
-	gh_time_t late = job->tasks[task].late_until;
+	gh_time_t late = fleet_task(job, task)->late_until;
 	uint32_t i;
 
 	for (i = first; step->gang && i < first + step->tasks; i++)
-		late = MAX(late, job->tasks[i].late_until);
+		late = MAX(late, fleet_task(job, i)->late_until);
 	return late;
 }
--- a/core_fleet_late.c
+++ b/core_fleet_late.c
@@ -406,7 +406,7 @@
 	if (job == GH_NONE)
 		return NULL;
 	task = fleet_task_find(fleet_job(fleet, job), id);
-	return task == GH_NONE ? NULL : &fleet_job(fleet, job)->tasks[task];
+	return task == GH_NONE ? NULL : fleet_task(fleet_job(fleet, job), task);
 }
 
 static void free_late_starts(gpointer late_starts)
--- a/core_fleet_move.c
+++ b/core_fleet_move.c
@@ -74,8 +74,6 @@
 		return;
 	job->begun = true;
 	job->phase = job->committed_phase = GH_JOB_RUNNING;
-	for (i = 0; i < job->n_tasks; i++)
-		fleet_move_set_place(job, i, PLACE_AWAY);
 }
 
 void fleet_move_clear_job(fleet_job_t *job)
@@ -86,14 +84,14 @@
 
 void fleet_move_set_place(fleet_job_t *job, uint32_t task, fleet_place_t place)
 {
-	fleet_place_t former = job->tasks[task].place;
+	fleet_place_t former = fleet_task(job, task)->place;
 	fleet_stage_t *stage = fleet_task_stage(job, task);
 
 	stage->tasks_away -= former != PLACE_HERE;
 	stage->tasks_away += place != PLACE_HERE;
 	job->n_leaving -= former == PLACE_LEAVING || former == PLACE_DEPARTED;
 	job->n_leaving += place == PLACE_LEAVING || place == PLACE_DEPARTED;
-	job->tasks[task].place = place;
+	fleet_task(job, task)->place = place;
 }
 
 /* Departures. */
@@ -124,10 +122,13 @@
 		if (!job->spec || !job->may_move || job->held ||
 		    job->phase > GH_JOB_RUNNING)
 			continue;
-		for (s = 0; s < job->n_stages && n < limit; s++)
-			if (job->stages[s].waiting_since)
-				n += decide_stage(fleet, i, s, restarts,
+		for (s = 0; s < fleet_held_stage_count(job) && n < limit; s++) {
+			uint32_t stage = fleet_held_stage(job, s);
+
+			if (fleet_stage(job, stage)->waiting_since)
+				n += decide_stage(fleet, i, stage, restarts,
 						  limit - n, now);
+		}
 	}
 	return n;
 }
@@ -137,7 +138,7 @@
 {
 	const fleet_job_t *job = fleet_job(fleet, handle);
 	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
-	fleet_stage_t *s = &job->stages[stage];
+	fleet_stage_t *s = fleet_stage(job, stage);
 	uint32_t n = 0;
 	uint32_t i;
 
@@ -145,7 +146,7 @@
 	     i++) {
 		uint32_t shard;
 
-		if ((job->tasks[i].last_run != 0) != restarts ||
+		if ((fleet_task(job, i)->last_run != 0) != restarts ||
 		    !is_movable(fleet, job, i, now) ||
 		    has_last_resort(fleet, job, i, now))
 			continue;
@@ -163,7 +164,7 @@
 static bool is_movable(const gh_fleet_t *fleet, const fleet_job_t *job,
 		       uint32_t index, gh_time_t now)
 {
-	const fleet_task_t *task = &job->tasks[index];
+	const fleet_task_t *task = fleet_task(job, index);
 	gh_task_id_t id;
 
 	if (task->place != PLACE_HERE || task->done ||
@@ -181,7 +182,7 @@
 static bool has_last_resort(const gh_fleet_t *fleet, const fleet_job_t *job,
 			    uint32_t index, gh_time_t now)
 {
-	return job->tasks[index].moves &&
+	return fleet_task(job, index)->moves &&
 	       now - waits_since(job, index) < LAST_RESORT_WAIT_USEC &&
 	       fleet_choose_has_last_resort(fleet, job,
 					    fleet_stage_index(job, index), now);
@@ -191,7 +192,7 @@
 static gh_time_t waits_since(const fleet_job_t *job, uint32_t index)
 {
 	return MAX(fleet_task_stage(job, index)->waiting_since,
-		   job->tasks[index].arrived_at);
+		   fleet_task(job, index)->arrived_at);
 }
 
 static gh_time_t move_wait(const fleet_task_t *task)
@@ -203,7 +204,7 @@
 		  uint32_t shard, gh_time_t now)
 {
 	fleet_job_t *job = fleet_job(fleet, handle);
-	fleet_task_t *task = &job->tasks[index];
+	fleet_task_t *task = fleet_task(job, index);
 	gh_time_t since = waits_since(job, index);
 	gh_task_id_t id = fleet_task_id(job, index);
 	char *detail = g_strdup_printf(
@@ -224,9 +225,9 @@
 
 bool fleet_move_keep(fleet_job_t *job, uint32_t task)
 {
-	if (job->tasks[task].place == PLACE_LEAVING)
+	if (fleet_task(job, task)->place == PLACE_LEAVING)
 		fleet_move_set_place(job, task, PLACE_HERE);
-	return job->tasks[task].place == PLACE_HERE;
+	return fleet_task(job, task)->place == PLACE_HERE;
 }
 
 /* Arrivals. */
@@ -247,7 +248,7 @@
 	    find_message(job->arrivals, &move->task, NULL) ||
 	    find_message(job->early_arrivals, &move->task, NULL))
 		return true;
-	task = &job->tasks[index];
+	task = fleet_task(job, index);
 	if (job->held || job->phase > GH_JOB_RUNNING ||
 	    task->place == PLACE_HERE || task->place == PLACE_LEAVING)
 		delete_message(fleet, handle, move);
@@ -276,7 +277,7 @@
 		 const gh_task_move_t *move, gh_time_t now)
 {
 	fleet_job_t *job = fleet_job(fleet, handle);
-	fleet_task_t *task = &job->tasks[index];
+	fleet_task_t *task = fleet_task(job, index);
 	fleet_stage_t *stage = fleet_task_stage(job, index);
 	char *detail = g_strdup_printf("from shard %u, %u moves", move->from,
 				       move->moves);
@@ -372,9 +373,10 @@
 	for (i = 0;
 	     i < job->n_tasks && change->departures->len < CHANGE_MOVES_MAX;
 	     i++) {
+		const fleet_task_t *task = fleet_task_peek(job, i);
 		gh_task_move_t move;
 
-		if (job->tasks[i].place != PLACE_LEAVING)
+		if (!task || task->place != PLACE_LEAVING)
 			continue;
 		move = describe_move(fleet, job, i);
 		if (!is_deletion_due(job, &move.task, job->n_deleting))
@@ -387,7 +389,7 @@
 static gh_task_move_t describe_move(const gh_fleet_t *fleet,
 				    const fleet_job_t *job, uint32_t index)
 {
-	const fleet_task_t *task = &job->tasks[index];
+	const fleet_task_t *task = fleet_task(job, index);
 	gh_task_move_t move = {
 		.task = fleet_task_id(job, index),
 		.from = fleet->setup.shard,
@@ -424,10 +426,12 @@
 		g_array_remove_range(job->arrivals, 0, job->n_deleting);
 	job->n_deleting = 0;
 	for (i = 0; job->n_leaving && i < job->n_tasks; i++) {
-		fleet_task_t *task = &job->tasks[i];
+		const fleet_task_t *found = fleet_task_peek(job, i);
+		fleet_task_t *task;
 
-		if (task->place != PLACE_DEPARTED)
+		if (!found || found->place != PLACE_DEPARTED)
 			continue;
+		task = fleet_task(job, i);
 		fleet_move_set_place(job, i, PLACE_AWAY);
 		task->moves++;
 		g_clear_pointer(&task->checkpoint, g_free);
@@ -461,7 +465,10 @@
 	uint32_t i;
 
 	job->n_deleting = 0;
-	for (i = 0; job->n_leaving && i < job->n_tasks; i++)
-		if (job->tasks[i].place == PLACE_DEPARTED)
+	for (i = 0; job->n_leaving && i < job->n_tasks; i++) {
+		const fleet_task_t *task = fleet_task_peek(job, i);
+
+		if (task && task->place == PLACE_DEPARTED)
 			fleet_move_set_place(job, i, PLACE_LEAVING);
+	}
 }
--- /dev/null
+++ b/core_fleet_occurrence.c
@@ -0,0 +1,415 @@
+/*
+ * Memory for the tasks of jobs.
+ *
+ * Callers may submit jobs of many occurrences, or of many tasks, that are due
+ * in hours; with state for all of them an owner would exceed its memory, and so
+ * would each owner after it.  The tasks of an occurrence have memory from the
+ * time when the occurrence is due until all of them are done.  Beyond
+ * gh_fleet_setup_t.tasks_max a due occurrence waits for memory, so that what
+ * was accepted is kept, but not begun.  Wide occurrences leave a part of the
+ * tasks to narrow ones; among those that wait, urgent queues come first, then
+ * the jobs accepted first.  Occurrences of which the record tells a task that
+ * is not done are loaded in any case.
+ */
+#include "core_fleet_parts.h"
+
+#include <string.h>
+
+/* One in this many bytes of a process is for tasks of one more shard. */
+#define MEMORY_SHARE 3
+/* Memory of a task that has run: its state, a run and a checkpoint. */
+#define TASK_BYTES 512
+/* An occurrence gets memory while this many times its tasks would fit. */
+#define FIT_FACTOR 8
+/* Wide occurrences do not hold up narrower ones than this behind them. */
+#define NARROW_TASKS 512
+
+/* A job with occurrences that are due and wait for memory. */
+typedef struct waiting_job {
+	uint32_t job;
+	uint32_t priority;
+	int64_t accepted_ms;
+} waiting_job_t;
+
+static fleet_occurrence_t *find(const fleet_job_t *job, uint32_t number,
+				guint *position);
+static fleet_occurrence_t *hold(const fleet_job_t *job, uint32_t number);
+static void init_tasks(const fleet_job_t *job, fleet_occurrence_t *occurrence);
+static void free_occurrence(gpointer data);
+static bool is_over(const fleet_job_t *job,
+		    const fleet_occurrence_t *occurrence, gh_time_t now);
+static uint32_t count_ahead(const fleet_job_t *job);
+static uint32_t count_due(const fleet_job_t *job, int64_t wall_ms);
+static bool fits(const gh_fleet_t *fleet, uint32_t tasks);
+static void hold_due(gh_fleet_t *fleet, uint32_t handle, uint32_t *narrower,
+		     int64_t wall_ms);
+static int compare_waiting(gconstpointer a, gconstpointer b);
+static void report_memory(gh_fleet_t *fleet, uint32_t n_waiting);
+
+uint32_t gh_fleet_tasks_max(uint32_t memory_mb, uint32_t shards)
+{
+	uint64_t max = ((uint64_t)memory_mb << 20) / MEMORY_SHARE /
+		       (1 + shards) / TASK_BYTES;
+
+	return (uint32_t)MIN(max, UINT32_MAX);
+}
+
+void fleet_occurrence_init_job(gh_fleet_t *fleet, uint32_t handle)
+{
+	fleet_job_t *job = fleet_job(fleet, handle);
+	uint32_t narrower = UINT32_MAX;
+	uint32_t n = gh_pipeline_occurrence_count(job->spec);
+	uint32_t i;
+
+	job->occurrences = g_ptr_array_new_with_free_func(free_occurrence);
+	job->finished = g_new0(uint8_t, (n + 7) / 8);
+	job->absent_stages = g_new0(fleet_stage_t, 2 * job->spec->n_steps);
+	for (i = 0; i < job->spec->n_steps; i++)
+		job->absent_stages[job->spec->n_steps + i].tasks_done =
+			job->spec->steps[i].tasks;
+	/* Of scheduled jobs, the next step tells what is due. */
+	if (!job->guest && !job->spec->occurrences &&
+	    !fleet->counts.jobs_without_memory)
+		hold_due(fleet, handle, &narrower, 0);
+}
+
+void fleet_occurrence_clear_job(fleet_job_t *job)
+{
+	g_ptr_array_free(job->occurrences, TRUE);
+	g_free(job->absent_stages);
+	g_free(job->finished);
+}
+
+bool fleet_occurrence_is_finished(const fleet_job_t *job, uint32_t number)
+{
+	return job->finished[number / 8] >> number % 8 & 1;
+}
+
+bool fleet_occurrence_is_held(const fleet_job_t *job, uint32_t number)
+{
+	return find(job, number, NULL) != NULL;
+}
+
+uint32_t fleet_held_stage_count(const fleet_job_t *job)
+{
+	return job->occurrences->len * job->spec->n_steps;
+}
+
+uint32_t fleet_held_stage(const fleet_job_t *job, uint32_t n)
+{
+	uint32_t n_steps = job->spec->n_steps;
+	const fleet_occurrence_t *held = job->occurrences->pdata[n / n_steps];
+
+	return held->number * n_steps + n % n_steps;
+}
+
+uint32_t fleet_open_stage_count(const fleet_job_t *job)
+{
+	return fleet_held_stage_count(job) +
+	       (count_ahead(job) ? job->spec->n_steps : 0);
+}
+
+uint32_t fleet_open_stage(const fleet_job_t *job, uint32_t n, uint32_t *alike)
+{
+	uint32_t n_held = fleet_held_stage_count(job);
+	uint32_t first = job->next_due;
+
+	if (n < n_held) {
+		*alike = 1;
+		return fleet_held_stage(job, n);
+	}
+	*alike = count_ahead(job);
+	while (find(job, first, NULL) ||
+	       fleet_occurrence_is_finished(job, first))
+		first++;
+	return first * job->spec->n_steps + n - n_held;
+}
+
+/* Number of occurrences that have not been held yet. */
+static uint32_t count_ahead(const fleet_job_t *job)
+{
+	/* Those of a guest are in another shard. */
+	return job->guest ? 0 :
+			    gh_pipeline_occurrence_count(job->spec) -
+				    job->occurrences->len - job->n_finished;
+}
+
+const fleet_task_t *fleet_task_peek(const fleet_job_t *job, uint32_t task)
+{
+	static const fleet_task_t finished = {
+		.done = true,
+		.last_run = 1,
+		.runs = { GH_NONE, GH_NONE },
+		.avoid_worker = GH_NONE,
+	};
+	uint32_t number = task / job->tasks_per_occurrence;
+	const fleet_occurrence_t *held = find(job, number, NULL);
+
+	if (held)
+		return &held->tasks[task % job->tasks_per_occurrence];
+	return fleet_occurrence_is_finished(job, number) ? &finished : NULL;
+}
+
+fleet_task_t *fleet_task(const fleet_job_t *job, uint32_t task)
+{
+	return &hold(job, task / job->tasks_per_occurrence)
+			->tasks[task % job->tasks_per_occurrence];
+}
+
+fleet_stage_t *fleet_stage(const fleet_job_t *job, uint32_t stage)
+{
+	uint32_t n_steps = job->spec->n_steps;
+	const fleet_occurrence_t *found = find(job, stage / n_steps, NULL);
+	uint32_t step = stage % n_steps;
+
+	if (found)
+		return &found->stages[step];
+	return &job->absent_stages[fleet_occurrence_is_finished(
+					   job, stage / n_steps) ?
+					   n_steps + step :
+					   step];
+}
+
+fleet_stage_t *fleet_task_stage(const fleet_job_t *job, uint32_t task)
+{
+	uint32_t stage = fleet_stage_index(job, task);
+
+	hold(job, stage / job->spec->n_steps);
+	return fleet_stage(job, stage);
+}
+
+/* Sets position, unless it is NULL, to where the occurrence is or belongs. */
+static fleet_occurrence_t *find(const fleet_job_t *job, uint32_t number,
+				guint *position)
+{
+	guint low = 0;
+	guint high = job->occurrences->len;
+
+	while (low < high) {
+		guint middle = low + (high - low) / 2;
+		fleet_occurrence_t *found = job->occurrences->pdata[middle];
+
+		if (found->number == number)
+			return found;
+		if (found->number < number)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	if (position)
+		*position = low;
+	return NULL;
+}
+
+/* The occurrence, which gets memory if it has none. */
+static fleet_occurrence_t *hold(const fleet_job_t *job, uint32_t number)
+{
+	guint position = 0;
+	fleet_occurrence_t *occurrence = find(job, number, &position);
+
+	if (occurrence)
+		return occurrence;
+	occurrence = g_new0(fleet_occurrence_t, 1);
+	occurrence->number = number;
+	occurrence->tasks = g_new0(fleet_task_t, job->tasks_per_occurrence);
+	occurrence->stages = g_new0(fleet_stage_t, job->spec->n_steps);
+	init_tasks(job, occurrence);
+	g_ptr_array_insert(job->occurrences, (gint)position, occurrence);
+	return occurrence;
+}
+
+/* The tasks of a stage are contiguous. */
+static void init_tasks(const fleet_job_t *job, fleet_occurrence_t *occurrence)
+{
+	bool finished = fleet_occurrence_is_finished(job, occurrence->number);
+	uint32_t first = 0;
+	uint32_t s, i;
+
+	for (s = 0; s < job->spec->n_steps; s++) {
+		const gh_step_t *step = &job->spec->steps[s];
+		fleet_stage_t *stage = &occurrence->stages[s];
+
+		stage->first_task =
+			occurrence->number * job->tasks_per_occurrence + first;
+		stage->tasks_done = finished ? step->tasks : 0;
+		stage->tasks_away = job->guest ? step->tasks : 0;
+		for (i = first; i < first + step->tasks; i++)
+			occurrence->tasks[i] = (fleet_task_t){
+				.runs = { GH_NONE, GH_NONE },
+				.avoid_worker = GH_NONE,
+				.group = &occurrence->tasks[step->gang ? first :
+									 i],
+				.done = finished,
+				.last_run = finished ? 1 : 0,
+				.place = job->guest ? PLACE_AWAY : PLACE_HERE,
+				.not_before = job->held ? GH_TIME_NEVER : 0,
+			};
+		first += step->tasks;
+	}
+	occurrence->n_tasks = first;
+	occurrence->n_steps = s;
+}
+
+static void free_occurrence(gpointer data)
+{
+	fleet_occurrence_t *occurrence = data;
+	uint32_t i;
+
+	for (i = 0; i < occurrence->n_tasks; i++)
+		g_free(occurrence->tasks[i].checkpoint);
+	for (i = 0; i < occurrence->n_steps; i++)
+		gh_load_free(occurrence->stages[i].load);
+	g_free(occurrence->tasks);
+	g_free(occurrence->stages);
+	g_free(occurrence);
+}
+
+void fleet_occurrence_release(fleet_job_t *job, uint32_t number, gh_time_t now)
+{
+	fleet_occurrence_t *occurrence = find(job, number, NULL);
+
+	if (!occurrence || !is_over(job, occurrence, now))
+		return;
+	if (!fleet_occurrence_is_finished(job, number)) {
+		job->finished[number / 8] |= (uint8_t)(1u << number % 8);
+		job->n_finished++;
+	}
+	g_ptr_array_remove(job->occurrences, occurrence);
+}
+
+/* Whether all tasks are done and nothing else of them is to be known. */
+static bool is_over(const fleet_job_t *job,
+		    const fleet_occurrence_t *occurrence, gh_time_t now)
+{
+	uint32_t i;
+
+	for (i = 0; i < occurrence->n_steps; i++)
+		if (occurrence->stages[i].tasks_done <
+		    job->spec->steps[i].tasks)
+			return false;
+	for (i = 0; i < occurrence->n_tasks; i++) {
+		const fleet_task_t *task = &occurrence->tasks[i];
+
+		if (task->runs[0] != GH_NONE || now < task->late_until ||
+		    task->n_late_stops || task->place != PLACE_HERE)
+			return false;
+	}
+	return true;
+}
+
+/* Number of occurrences whose time has come. */
+static uint32_t count_due(const fleet_job_t *job, int64_t wall_ms)
+{
+	const gh_pipeline_t *spec = job->spec;
+	uint32_t n = gh_pipeline_occurrence_count(spec);
+
+	if (!spec->occurrences)
+		return 1;
+	if (wall_ms < spec->first_due_ms)
+		return 0;
+	if (spec->interval_ms <= 0)
+		return n;
+	return (uint32_t)MIN(
+		(wall_ms - spec->first_due_ms) / spec->interval_ms + 1, n);
+}
+
+static bool fits(const gh_fleet_t *fleet, uint32_t tasks)
+{
+	uint32_t max = fleet->setup.tasks_max;
+
+	return !max ||
+	       fleet->counts.tasks_held +
+			       MIN((uint64_t)tasks * FIT_FACTOR, max / 2) <=
+		       max;
+}
+
+void fleet_occurrences_update(gh_fleet_t *fleet, gh_time_t now, int64_t wall_ms)
+{
+	GArray *waiting = g_array_new(FALSE, FALSE, sizeof(waiting_job_t));
+	uint32_t narrower = UINT32_MAX;
+	uint32_t n_waiting = 0;
+	uint32_t i, j;
+
+	fleet->counts.tasks_held = 0;
+	for (i = 0; i < fleet->jobs->len; i++) {
+		fleet_job_t *job = fleet_job(fleet, i);
+		waiting_job_t entry = { .job = i };
+
+		if (!job->spec || job->phase > GH_JOB_RUNNING)
+			continue;
+		if (job->spec->occurrences)
+			for (j = job->occurrences->len; j--;) {
+				fleet_occurrence_t *held =
+					job->occurrences->pdata[j];
+
+				fleet_occurrence_release(job, held->number,
+							 now);
+			}
+		fleet->counts.tasks_held +=
+			job->occurrences->len * job->tasks_per_occurrence;
+		if (job->guest || job->next_due >= count_due(job, wall_ms))
+			continue;
+		entry.priority = fleet_job_policy(fleet, job)->priority;
+		entry.accepted_ms = job->spec->accepted_ms;
+		g_array_append_val(waiting, entry);
+	}
+	g_array_sort(waiting, compare_waiting);
+	for (i = 0; i < waiting->len; i++) {
+		uint32_t handle = g_array_index(waiting, waiting_job_t, i).job;
+
+		hold_due(fleet, handle, &narrower, wall_ms);
+		n_waiting += fleet_job(fleet, handle)->next_due <
+			     count_due(fleet_job(fleet, handle), wall_ms);
+	}
+	g_array_free(waiting, TRUE);
+	report_memory(fleet, n_waiting);
+}
+
+static void hold_due(gh_fleet_t *fleet, uint32_t handle, uint32_t *narrower,
+		     int64_t wall_ms)
+{
+	fleet_job_t *job = fleet_job(fleet, handle);
+	uint32_t n_due = count_due(job, wall_ms);
+
+	for (; job->next_due < n_due; job->next_due++) {
+		if (fleet_occurrence_is_finished(job, job->next_due) ||
+		    fleet_occurrence_is_held(job, job->next_due))
+			continue;
+		if (job->tasks_per_occurrence > *narrower ||
+		    !fits(fleet, job->tasks_per_occurrence)) {
+			*narrower = NARROW_TASKS;
+			return;
+		}
+		hold(job, job->next_due);
+		fleet->counts.tasks_held += job->tasks_per_occurrence;
+	}
+}
+
+static int compare_waiting(gconstpointer a, gconstpointer b)
+{
+	const waiting_job_t *first = a;
+	const waiting_job_t *second = b;
+
+	if (first->priority != second->priority)
+		return first->priority < second->priority ? -1 : 1;
+	if (first->accepted_ms != second->accepted_ms)
+		return first->accepted_ms < second->accepted_ms ? -1 : 1;
+	return first->job < second->job ? -1 : first->job > second->job;
+}
+
+/* Reports when jobs begin to wait for memory, and when none does any more. */
+static void report_memory(gh_fleet_t *fleet, uint32_t n_waiting)
+{
+	bool waited = fleet->counts.jobs_without_memory != 0;
+	char *detail;
+
+	fleet->counts.jobs_without_memory = n_waiting;
+	if (waited == (n_waiting != 0))
+		return;
+	fleet->counts.memory_short += n_waiting != 0;
+	detail = g_strdup_printf("%u jobs wait, %u tasks held of at most %u",
+				 n_waiting, fleet->counts.tasks_held,
+				 fleet->setup.tasks_max);
+	fleet_emit_event(fleet, "memory_short", NULL, 0, GH_NONE, detail);
+	g_free(detail);
+}
--- a/core_fleet_order.c
+++ b/core_fleet_order.c
@@ -129,7 +129,7 @@
 	run->start_in_flight = true;
 	run->start_fence = worker->fence_offset;
 	order->payload = job->spec->payload;
-	order->checkpoint = job->tasks[run->task].checkpoint;
+	order->checkpoint = fleet_task(job, run->task)->checkpoint;
 	return true;
 }
 
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -66,6 +66,7 @@
 	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
 	guint i;
 
+	fleet_occurrences_update(fleet, now, wall_ms);
 	collect_candidates(fleet, candidates, now, wall_ms);
 	g_array_sort(candidates, compare_candidates);
 	fleet->counts.pending_tasks = 0;
@@ -84,7 +85,7 @@
 static void collect_candidates(gh_fleet_t *fleet, GArray *candidates,
 			       gh_time_t now, int64_t wall_ms)
 {
-	uint32_t i, s;
+	uint32_t i, n;
 
 	for (i = 0; i < fleet->jobs->len; i++) {
 		fleet_job_t *job = fleet_job(fleet, i);
@@ -95,8 +96,9 @@
 			continue;
 		if (!job->idle_since)
 			job->idle_since = now;
-		for (s = 0; s < job->n_stages; s++) {
-			const fleet_stage_t *stage = &job->stages[s];
+		for (n = 0; n < fleet_held_stage_count(job); n++) {
+			uint32_t s = fleet_held_stage(job, n);
+			const fleet_stage_t *stage = fleet_stage(job, s);
 			uint32_t tasks =
 				job->spec->steps[s % job->spec->n_steps].tasks;
 
@@ -136,7 +138,7 @@
 		return false;
 	for (i = 0; i < n_steps; i++)
 		if (step->depends_on & 1u << i &&
-		    job->stages[occurrence * n_steps + i].tasks_done <
+		    fleet_stage(job, occurrence * n_steps + i)->tasks_done <
 			    job->spec->steps[i].tasks)
 			return false;
 	return true;
@@ -149,15 +151,15 @@
 static bool has_restarts(const fleet_job_t *job, uint32_t stage)
 {
 	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
-	uint32_t first = job->stages[stage].first_task;
+	uint32_t first = fleet_stage(job, stage)->first_task;
 	uint32_t i;
 
 	if (!step->long_running || step->gang)
 		return false;
 	for (i = first; i < first + step->tasks; i++)
-		if (job->tasks[i].last_run && !job->tasks[i].done &&
-		    job->tasks[i].place == PLACE_HERE &&
-		    job->tasks[i].runs[0] == GH_NONE)
+		if (fleet_task(job, i)->last_run && !fleet_task(job, i)->done &&
+		    fleet_task(job, i)->place == PLACE_HERE &&
+		    fleet_task(job, i)->runs[0] == GH_NONE)
 			return true;
 	return false;
 }
@@ -172,7 +174,7 @@
 	uint32_t i;
 
 	for (i = 0; i < spec->n_steps; i++)
-		if (job->stages[i].tasks_done < spec->steps[i].tasks)
+		if (fleet_stage(job, i)->tasks_done < spec->steps[i].tasks)
 			open_steps |= 1u << i;
 	c->slack_ms = objective - age -
 		      fleet_times_path_ms(fleet, job, open_steps, now) +
@@ -247,7 +249,7 @@
 	const fleet_job_t *job = fleet_job(fleet, c->job);
 	const gh_step_t *step =
 		&job->spec->steps[c->stage % job->spec->n_steps];
-	const fleet_stage_t *stage = &job->stages[c->stage];
+	const fleet_stage_t *stage = fleet_stage(job, c->stage);
 
 	/*
 	 * One commit starts all tasks of the stage.  Long-running tasks are not
@@ -269,11 +271,11 @@
 	fleet_job_t *job = fleet_job(fleet, c->job);
 	const gh_step_t *step =
 		&job->spec->steps[c->stage % job->spec->n_steps];
-	uint32_t first = job->stages[c->stage].first_task;
+	uint32_t first = fleet_stage(job, c->stage)->first_task;
 	uint32_t i;
 
 	for (i = first; i < first + step->tasks; i++) {
-		const fleet_task_t *task = &job->tasks[i];
+		const fleet_task_t *task = fleet_task(job, i);
 		uint32_t worker;
 
 		if (task->done || task->place != PLACE_HERE ||
@@ -305,7 +307,7 @@
 			       RUN_PLANNED, now);
 	}
 	if (!c->restarts)
-		job->stages[c->stage].waiting_since = 0;
+		fleet_stage(job, c->stage)->waiting_since = 0;
 }
 
 /*
@@ -316,7 +318,7 @@
 				 uint32_t task, gh_time_t now)
 {
 	fleet_job_t *job = fleet_job(fleet, c->job);
-	fleet_stage_t *stage = &job->stages[c->stage];
+	fleet_stage_t *stage = fleet_stage(job, c->stage);
 	gh_task_id_t id;
 	GString *detail;
 
@@ -340,10 +342,11 @@
 uint32_t fleet_plan_next_task(const fleet_job_t *job, int64_t wall_ms)
 {
 	uint32_t open = GH_NONE;
-	uint32_t s, i;
+	uint32_t n, i;
 
-	for (s = 0; s < job->n_stages; s++) {
-		const fleet_stage_t *stage = &job->stages[s];
+	for (n = 0; n < fleet_held_stage_count(job); n++) {
+		uint32_t s = fleet_held_stage(job, n);
+		const fleet_stage_t *stage = fleet_stage(job, s);
 		uint32_t tasks = job->spec->steps[s % job->spec->n_steps].tasks;
 
 		if (stage->tasks_done >= tasks ||
@@ -351,10 +354,10 @@
 			continue;
 		for (i = stage->first_task; i < stage->first_task + tasks;
 		     i++) {
-			if (job->tasks[i].done ||
-			    job->tasks[i].place != PLACE_HERE)
+			if (fleet_task(job, i)->done ||
+			    fleet_task(job, i)->place != PLACE_HERE)
 				continue;
-			if (job->tasks[i].runs[0] == GH_NONE)
+			if (fleet_task(job, i)->runs[0] == GH_NONE)
 				return i;
 			if (open == GH_NONE)
 				open = i;
@@ -368,29 +371,30 @@
 	fleet_job_t *job = fleet_job(fleet, c->job);
 	const gh_step_t *step =
 		&job->spec->steps[c->stage % job->spec->n_steps];
-	fleet_stage_t *stage = &job->stages[c->stage];
+	fleet_stage_t *stage = fleet_stage(job, c->stage);
 	const char *checkpoint = NULL;
 	guint n_failed = fleet->failed_placements->len;
 	uint32_t number = 0;
 	uint32_t i;
 
-	if (stage->tasks_open || now < job->tasks[stage->first_task].not_before)
+	if (stage->tasks_open ||
+	    now < fleet_task(job, stage->first_task)->not_before)
 		return;
 	for (i = stage->first_task; i < stage->first_task + step->tasks; i++)
-		if (now < job->tasks[i].late_until)
+		if (now < fleet_task(job, i)->late_until)
 			return;
 	if (!fleet_choose_fits_gang(fleet, job, c->stage, now)) {
 		fleet->counts.pending_tasks += step->tasks;
-		job->tasks[stage->first_task].not_before =
+		fleet_task(job, stage->first_task)->not_before =
 			now + GANG_RETRY_USEC;
 		return;
 	}
 	for (i = stage->first_task; i < stage->first_task + step->tasks; i++) {
-		number = MAX(number, job->tasks[i].last_run + 1);
-		if (job->tasks[i].checkpoint)
-			checkpoint = job->tasks[i].checkpoint;
+		number = MAX(number, fleet_task(job, i)->last_run + 1);
+		if (fleet_task(job, i)->checkpoint)
+			checkpoint = fleet_task(job, i)->checkpoint;
 	}
-	fleet_crash_join_waits(&job->tasks[stage->first_task], step->tasks);
+	fleet_crash_join_waits(fleet_task(job, stage->first_task), step->tasks);
 	job->gang_desperate =
 		fleet_choose_is_desperate(fleet, job, c->stage, now);
 	job->gang_overdue = fleet_choose_is_overdue(job, now);
@@ -400,9 +404,10 @@
 
 		if (worker == GH_NONE)
 			break;
-		if (checkpoint && checkpoint != job->tasks[i].checkpoint) {
-			g_free(job->tasks[i].checkpoint);
-			job->tasks[i].checkpoint = g_strdup(checkpoint);
+		if (checkpoint &&
+		    checkpoint != fleet_task(job, i)->checkpoint) {
+			g_free(fleet_task(job, i)->checkpoint);
+			fleet_task(job, i)->checkpoint = g_strdup(checkpoint);
 		}
 		fleet_run_open(fleet, c->job, i, worker, number, RUN_PLANNED,
 			       now);
@@ -411,10 +416,10 @@
 	if (i == stage->first_task + step->tasks)
 		return;
 	fleet->counts.pending_tasks += step->tasks;
-	job->tasks[stage->first_task].not_before = now + GANG_RETRY_USEC;
-	if (job->tasks[stage->first_task].runs[0] == GH_NONE)
+	fleet_task(job, stage->first_task)->not_before = now + GANG_RETRY_USEC;
+	if (fleet_task(job, stage->first_task)->runs[0] == GH_NONE)
 		return;
-	fleet_run_end(fleet, job->tasks[stage->first_task].runs[0],
+	fleet_run_end(fleet, fleet_task(job, stage->first_task)->runs[0],
 		      GH_RUN_NOT_STARTED, NULL, now);
 	/* The capacity of the gang's runs is free again. */
 	g_array_set_size(fleet->failed_placements, n_failed);
--- a/core_fleet_record.c
+++ b/core_fleet_record.c
@@ -76,6 +76,9 @@
 		    const char *progress, bool guest, GError **err);
 static void append_task(const gh_fleet_t *fleet, GString *text,
 			const fleet_job_t *job, uint32_t index);
+static void order_starts(gh_fleet_t *fleet,
+			 const fleet_occurrence_t *occurrence,
+			 uint64_t version);
 static const char *task_state(const fleet_task_t *task);
 static void append_run(const gh_fleet_t *fleet, GString *text, uint32_t ref);
 static void append_doubts(const gh_fleet_t *fleet, GString *text,
@@ -201,9 +204,12 @@
 	if (job->phase > GH_JOB_RUNNING)
 		return true;
 	text = g_string_new(FORMAT_TAG "\n");
-	for (i = 0; i < job->n_tasks; i++)
-		if (job->tasks[i].last_run)
+	for (i = 0; i < job->n_tasks; i++) {
+		const fleet_task_t *task = fleet_task_peek(job, i);
+
+		if (task && task->last_run)
 			append_task(fleet, text, job, i);
+	}
 	change->progress = g_string_free(text, FALSE);
 	return true;
 }
@@ -212,7 +218,7 @@
 {
 	uint32_t handle = fleet_job_find(fleet, id);
 	fleet_job_t *job;
-	uint32_t i, j;
+	guint i;
 
 	if (handle == GH_NONE)
 		return;
@@ -223,9 +229,20 @@
 	job->committed_version = version;
 	job->committed_phase = job->committing_phase;
 	fleet_move_handle_commit(fleet, handle);
-	for (i = 0; job->open_runs && i < job->n_tasks; i++)
+	for (i = 0; job->open_runs && i < job->occurrences->len; i++)
+		order_starts(fleet, job->occurrences->pdata[i], version);
+	fleet_job_free_if_finished(fleet, handle);
+}
+
+/* Orders the starts of the runs whose intents are committed. */
+static void order_starts(gh_fleet_t *fleet,
+			 const fleet_occurrence_t *occurrence, uint64_t version)
+{
+	uint32_t i, j;
+
+	for (i = 0; i < occurrence->n_tasks; i++)
 		for (j = 0; j < GH_TASK_RUNS_MAX; j++) {
-			uint32_t ref = job->tasks[i].runs[j];
+			uint32_t ref = occurrence->tasks[i].runs[j];
 			fleet_run_t *run;
 
 			if (ref == GH_NONE)
@@ -237,7 +254,6 @@
 			fleet_budget_note_begun(fleet);
 			fleet_order_enqueue(fleet, GH_ORDER_START, ref);
 		}
-	fleet_job_free_if_finished(fleet, handle);
 }
 
 void gh_fleet_handle_commit_failure(gh_fleet_t *fleet, const char *id)
@@ -296,7 +312,7 @@
 static void append_task(const gh_fleet_t *fleet, GString *text,
 			const fleet_job_t *job, uint32_t index)
 {
-	const fleet_task_t *task = &job->tasks[index];
+	const fleet_task_t *task = fleet_task_peek(job, index);
 	char *escaped = task->checkpoint ? g_uri_escape_string(task->checkpoint,
 							       NULL, FALSE) :
 					   NULL;
@@ -353,7 +369,8 @@
 	uint32_t next = 0;
 	uint32_t n;
 
-	for (n = 0; n < MIN(DOUBTS_MAX, job->tasks[index].crashes); n++) {
+	for (n = 0; n < MIN(DOUBTS_MAX, fleet_task_peek(job, index)->crashes);
+	     n++) {
 		doubt = fleet_crash_next_doubt(fleet, &id, &next);
 		if (!doubt)
 			break;
@@ -524,7 +541,7 @@
 static void load_task(gh_fleet_t *fleet, uint32_t handle, task_line_t *line)
 {
 	fleet_job_t *job = fleet_job(fleet, handle);
-	fleet_task_t *task = &job->tasks[line->index];
+	fleet_task_t *task = fleet_task(job, line->index);
 	fleet_stage_t *stage = fleet_task_stage(job, line->index);
 	uint32_t i;
 
@@ -547,6 +564,8 @@
 		job->stages_done++;
 	for (i = 0; i < line->n_runs; i++)
 		load_run(fleet, handle, line->index, &line->runs[i]);
+	fleet_occurrence_release(job, line->index / job->tasks_per_occurrence,
+				 fleet->created_at);
 }
 
 static void load_run(gh_fleet_t *fleet, uint32_t handle, uint32_t index,
@@ -573,12 +592,17 @@
 {
 	fleet_job_t *job = fleet_job(fleet, handle);
 	gh_task_id_t id = { 0 };
-	uint32_t i;
+	uint32_t n, i;
 
 	g_strlcpy(id.job, job->spec->id, sizeof(id.job));
+	/* Tasks that are held in memory later get the same. */
 	job->held = true;
-	for (i = 0; i < job->n_tasks; i++)
-		job->tasks[i].not_before = GH_TIME_NEVER;
+	for (n = 0; n < job->occurrences->len; n++) {
+		fleet_occurrence_t *held = job->occurrences->pdata[n];
+
+		for (i = 0; i < held->n_tasks; i++)
+			held->tasks[i].not_before = GH_TIME_NEVER;
+	}
 	fleet->counts.held++;
 	fleet_emit_event(fleet, "job_held", &id, 0, GH_NONE,
 			 "its progress record can't be parsed");
--- a/core_fleet_report.c
+++ b/core_fleet_report.c
@@ -354,7 +354,7 @@
 {
 	fleet_run_t *run = fleet_run(fleet, ref);
 	fleet_worker_t *worker = fleet_worker(fleet, run->worker);
-	fleet_task_t *task = &fleet_job(fleet, run->job)->tasks[run->task];
+	fleet_task_t *task = fleet_task(fleet_job(fleet, run->job), run->task);
 
 	switch (reply) {
 	case GH_ORDER_OK:
@@ -606,7 +606,7 @@
 	fleet_run_note_progress(run, listed->progress_percent, now);
 	run->gauge = listed->gauge;
 	fleet_crash_clear(fleet, ref, now);
-	task = &fleet_job(fleet, job)->tasks[run->task];
+	task = fleet_task(fleet_job(fleet, job), run->task);
 	if (task->done) {
 		/*
 		 * The run is a second copy of a task that is done; the previous
@@ -637,8 +637,8 @@
 	uint32_t task = fleet_task_find(fleet_job(fleet, job), &listed->task);
 
 	if (ref == GH_NONE && task != GH_NONE &&
-	    fleet_job(fleet, job)->tasks[task].runs[GH_TASK_RUNS_MAX - 1] ==
-		    GH_NONE)
+	    fleet_task(fleet_job(fleet, job), task)
+			    ->runs[GH_TASK_RUNS_MAX - 1] == GH_NONE)
 		ref = fleet_run_open(fleet, job, task, handle, listed->run,
 				     RUN_HELD, now);
 	if (ref != GH_NONE)
@@ -738,7 +738,7 @@
 		return GH_NONE;
 	if (!fleet_move_keep(fleet_job(fleet, job), index))
 		return GH_NONE;
-	task = &parent->tasks[index];
+	task = fleet_task(parent, index);
 	end_unsent_runs(fleet, task, now);
 	/* A member of a gang that ends ends the gang's other runs. */
 	if (task->runs[GH_TASK_RUNS_MAX - 1] != GH_NONE ||
--- a/core_fleet_reserve.c
+++ b/core_fleet_reserve.c
@@ -39,19 +39,19 @@
 			  uint32_t task, gh_time_t now)
 {
 	fleet_job_t *job = fleet_job(fleet, handle);
-	const fleet_task_t *owner = job->tasks[task].group;
+	const fleet_task_t *owner = fleet_task(job, task)->group;
 	bool yields = fleet_headroom_yields(fleet, job, task);
 	uint32_t n_others = 0;
 	uint32_t best = GH_NONE;
 	uint32_t i;
 
-	if (now - job->stages[stage].waiting_since <
+	if (now - fleet_stage(job, stage)->waiting_since <
 		    (yields ? YIELD_USEC : RESERVE_AFTER_USEC) ||
-	    now < job->stages[stage].reserve_at)
+	    now < fleet_stage(job, stage)->reserve_at)
 		return;
-	if (is_given_up(&job->stages[stage], now))
+	if (is_given_up(fleet_stage(job, stage), now))
 		return;
-	job->stages[stage].reserve_at = now + RESERVE_PERIOD_USEC;
+	fleet_stage(job, stage)->reserve_at = now + RESERVE_PERIOD_USEC;
 	for (i = 0; i < fleet->workers->len; i++) {
 		const fleet_worker_t *worker = fleet_worker(fleet, i);
 		bool is_reserved = worker->in_use && now < worker->kept_until;
@@ -76,14 +76,14 @@
 	    (n_others && n_others >= g_hash_table_size(fleet->worker_by_id) /
 					     RESERVED_DIVISOR))
 		return;
-	if (!job->stages[stage].reserve_give_up_at)
-		job->stages[stage].reserve_give_up_at =
+	if (!fleet_stage(job, stage)->reserve_give_up_at)
+		fleet_stage(job, stage)->reserve_give_up_at =
 			now + (RESERVE_MAX_USEC
-			       << MIN(job->stages[stage].reserved_in_vain,
+			       << MIN(fleet_stage(job, stage)->reserved_in_vain,
 				      RESERVE_DOUBLINGS_MAX));
 	fleet_worker(fleet, best)->kept_for = owner;
 	fleet_worker(fleet, best)->kept_until = now + RESERVED_USEC;
-	job->stages[stage].reserved_until = now + RESERVED_USEC;
+	fleet_stage(job, stage)->reserved_until = now + RESERVED_USEC;
 }
 
 /* Begins a pause if a worker has been reserved in vain for too long. */
--- a/core_fleet_rooms.c
+++ b/core_fleet_rooms.c
@@ -301,23 +301,26 @@
 gh_capacity_t gh_fleet_long_running(const gh_fleet_t *fleet)
 {
 	gh_capacity_t sum = { 0 };
-	uint32_t i, s;
+	uint32_t i, n;
 
 	for (i = 0; i < fleet->jobs->len; i++) {
 		const fleet_job_t *job = fleet_job(fleet, i);
 
 		if (!job->spec || job->phase > GH_JOB_RUNNING)
 			continue;
-		for (s = 0; s < job->n_stages; s++) {
+		for (n = 0; n < fleet_open_stage_count(job); n++) {
+			uint32_t alike;
+			uint32_t s = fleet_open_stage(job, n, &alike);
 			const gh_step_t *step =
 				&job->spec->steps[s % job->spec->n_steps];
+			const fleet_stage_t *stage = fleet_stage(job, s);
 
 			if (step->long_running)
-				gh_capacity_add(
-					&sum, &step->size,
-					step->tasks -
-						job->stages[s].tasks_done -
-						job->stages[s].tasks_away);
+				gh_capacity_add(&sum, &step->size,
+						(step->tasks -
+						 stage->tasks_done -
+						 stage->tasks_away) *
+							alike);
 		}
 	}
 	return sum;
@@ -395,14 +398,16 @@
 /* Takes the rooms for which long-running tasks of this shard wait. */
 static void take_waiting(const gh_fleet_t *fleet, gh_shard_load_t *load)
 {
-	uint32_t i, s, n;
+	uint32_t i, j, n;
 
 	for (i = 0; i < fleet->jobs->len; i++) {
 		const fleet_job_t *job = fleet_job(fleet, i);
 
 		if (!job->spec || job->held || job->phase > GH_JOB_RUNNING)
 			continue;
-		for (s = 0; s < job->n_stages; s++) {
+		for (j = 0; j < fleet_held_stage_count(job); j++) {
+			uint32_t s = fleet_held_stage(job, j);
+
 			n = count_waiting(job, s);
 			if (n)
 				take_rooms(job, s, n, load);
@@ -426,7 +431,7 @@
 static uint32_t count_waiting(const fleet_job_t *job, uint32_t stage)
 {
 	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
-	const fleet_stage_t *s = &job->stages[stage];
+	const fleet_stage_t *s = fleet_stage(job, stage);
 
 	/* Of those with a label or a limit it isn't known what they can use. */
 	if (!step->long_running || !s->waiting_since || *step->label ||
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -252,6 +252,14 @@
 	gh_load_t *load;
 } fleet_stage_t;
 
+/* The tasks of one occurrence of a job; see core_fleet_occurrence.c. */
+typedef struct fleet_occurrence {
+	uint32_t number; /* counted from 0 */
+	uint32_t n_tasks, n_steps;
+	fleet_task_t *tasks;
+	fleet_stage_t *stages;
+} fleet_occurrence_t;
+
 typedef struct fleet_job {
 	/* The accepted job; NULL: the array entry is unused. */
 	gh_pipeline_t *spec;
@@ -260,8 +268,16 @@
 	bool begun;
 	uint32_t tasks_per_occurrence;
 	uint32_t n_tasks, n_stages;
-	fleet_task_t *tasks;
-	fleet_stage_t *stages;
+	/* fleet_occurrence_t, by number: those that are held in memory. */
+	GPtrArray *occurrences;
+	uint8_t *finished;   /* bit map of those that are over, and freed */
+	uint32_t n_finished; /* number of bits set */
+	uint32_t next_due;   /* those before have been held */
+	/*
+	 * What fleet_stage() returns of occurrences that are not held: a stage
+	 * for each step before its turn, then one for each that is done.
+	 */
+	fleet_stage_t *absent_stages;
 	uint32_t stages_done;
 	uint32_t open_runs;
 	/*
--- a/core_fleet_table.c
+++ b/core_fleet_table.c
@@ -56,12 +56,23 @@
 
 uint32_t fleet_stage_index(const fleet_job_t *job, uint32_t task)
 {
-	uint32_t stage = task / job->tasks_per_occurrence * job->spec->n_steps;
+	uint32_t index = task % job->tasks_per_occurrence;
+	uint32_t step = 0;
 
-	while (stage + 1 < job->n_stages &&
-	       job->stages[stage + 1].first_task <= task)
-		stage++;
-	return stage;
+	while (index >= job->spec->steps[step].tasks)
+		index -= job->spec->steps[step++].tasks;
+	return task / job->tasks_per_occurrence * job->spec->n_steps + step;
+}
+
+uint32_t fleet_stage_first_task(const fleet_job_t *job, uint32_t stage)
+{
+	uint32_t n_steps = job->spec->n_steps;
+	uint32_t first = stage / n_steps * job->tasks_per_occurrence;
+	uint32_t i;
+
+	for (i = 0; i < stage % n_steps; i++)
+		first += job->spec->steps[i].tasks;
+	return first;
 }
 
 bool fleet_same_task(const gh_task_id_t *a, const gh_task_id_t *b)
@@ -76,7 +87,7 @@
 	gh_task_id_t id = {
 		.occurrence = stage / job->spec->n_steps,
 		.step = stage % job->spec->n_steps,
-		.index = task - job->stages[stage].first_task,
+		.index = task - fleet_stage_first_task(job, stage),
 	};
 
 	g_strlcpy(id.job, job->spec->id, sizeof(id.job));
@@ -90,12 +101,7 @@
 	if (id->step >= job->spec->n_steps || stage >= job->n_stages ||
 	    id->index >= job->spec->steps[id->step].tasks)
 		return GH_NONE;
-	return job->stages[stage].first_task + id->index;
-}
-
-fleet_stage_t *fleet_task_stage(const fleet_job_t *job, uint32_t task)
-{
-	return &job->stages[fleet_stage_index(job, task)];
+	return fleet_stage_first_task(job, stage) + id->index;
 }
 
 const gh_step_t *fleet_task_step(const fleet_job_t *job, uint32_t task)
@@ -110,7 +116,7 @@
 	uint32_t i;
 
 	for (i = 0; i < GH_TASK_RUNS_MAX; i++) {
-		uint32_t run = job->tasks[task].runs[i];
+		uint32_t run = fleet_task(job, task)->runs[i];
 
 		if (run != GH_NONE &&
 		    fleet_run(fleet, run)->run_number == number)
--- a/core_fleet_times.c
+++ b/core_fleet_times.c
@@ -65,7 +65,7 @@
 {
 	const fleet_job_t *job = fleet_job(fleet, run->job);
 	fleet_stage_t *stage = fleet_task_stage(job, run->task);
-	int64_t runs = (int64_t)job->tasks[run->task].failures + 1;
+	int64_t runs = (int64_t)fleet_task(job, run->task)->failures + 1;
 
 	if (run->alive_since && !fleet_task_step(job, run->task)->long_running)
 		stage->failed_ms =
@@ -97,7 +97,7 @@
 					      uint32_t stage, gh_time_t now)
 {
 	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
-	fleet_stage_t *state = &job->stages[stage];
+	fleet_stage_t *state = fleet_stage(job, stage);
 
 	if (now < state->estimate_until)
 		return &state->estimate;
@@ -143,9 +143,9 @@
 
 	for (i = 0; i < job->spec->n_steps; i++) {
 		fleet_times_estimate(fleet, job, i, now);
-		step_ms[i] = job->stages[i].longest_ms;
+		step_ms[i] = fleet_stage(job, i)->longest_ms;
 		if (with_failed)
-			step_ms[i] += job->stages[i].failed_ms;
+			step_ms[i] += fleet_stage(job, i)->failed_ms;
 	}
 	return gh_pipeline_longest_chain_ms(job->spec, unfinished, step_ms);
 }
@@ -155,16 +155,18 @@
 {
 	/* The estimates of an accepted job can exceed 64 bits. */
 	double sum = 0;
-	uint32_t s;
+	uint32_t n;
 
-	for (s = 0; s < job->n_stages; s++) {
+	for (n = 0; n < fleet_open_stage_count(job); n++) {
+		uint32_t alike;
+		uint32_t s = fleet_open_stage(job, n, &alike);
 		const gh_step_t *step =
 			&job->spec->steps[s % job->spec->n_steps];
-		uint32_t left = step->tasks - job->stages[s].tasks_done -
-				job->stages[s].tasks_away;
+		uint32_t left = step->tasks - fleet_stage(job, s)->tasks_done -
+				fleet_stage(job, s)->tasks_away;
 
 		if (left)
-			sum += (double)left *
+			sum += (double)left * alike *
 			       (double)fleet_times_estimate(fleet, job, s, now)
 				       ->expected_ms *
 			       step->size.cores_milli / 1000;
--- a/core_fleet_waits.c
+++ b/core_fleet_waits.c
@@ -61,11 +61,13 @@
 		    gh_waits_t *waits, gh_time_t now, int64_t wall_ms)
 {
 	const gh_queue_policy_t *policy = fleet_job_policy(fleet, job);
-	uint32_t s;
+	uint32_t n;
 
 	if (job->held || !is_in_time(fleet, job, now, wall_ms))
 		return;
-	for (s = 0; s < job->n_stages; s++) {
+	for (n = 0; n < fleet_open_stage_count(job); n++) {
+		uint32_t alike;
+		uint32_t s = fleet_open_stage(job, n, &alike);
 		gh_wait_queue_t queue = {
 			.service = job->spec->service,
 			.priority = policy->priority,
@@ -81,9 +83,9 @@
 		if (!wait)
 			continue;
 		if (fleet_stage_is_ready(job, s, wall_ms))
-			wait->ready_core_s += core_ms;
+			wait->ready_core_s += core_ms * alike;
 		else
-			wait->later_core_s += core_ms;
+			wait->later_core_s += core_ms * alike;
 	}
 }
 
@@ -98,7 +100,7 @@
 			       uint32_t stage, gh_time_t now)
 {
 	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
-	const fleet_stage_t *s = &job->stages[stage];
+	const fleet_stage_t *s = fleet_stage(job, stage);
 
 	if (step->long_running)
 		return 0;
--- a/counter_list.h
+++ b/counter_list.h
@@ -233,5 +233,7 @@
 	"planned runs taken back as their worker's failure domain is emptied")
 COUNTER(STARTS_WITHHELD, "starts_withheld",
 	"starts put off as the requests to empty domains were not heard")
+COUNTER(MEMORY_SHORT, "memory_short",
+	"times that tasks whose turn had come began to wait for memory")
 COUNTER(RUNS_MOVED, "runs_moved",
 	"slowed best-effort tasks stopped to continue on another worker")
--- a/fleet_main.c
+++ b/fleet_main.c
@@ -57,6 +57,8 @@
 static void *close_front(void *ctx);
 static void on_front_closed(void *ctx);
 static void flush_log(void *ctx);
+static gh_fleet_setup_t fleet_setup(const fleet_settings_t *settings,
+				    uint32_t shards);
 static bool start(process_t *process, GError **err);
 
 int fleet_main(const char *path, fleet_settings_t *settings)
@@ -99,11 +101,7 @@
 		.commit_interval_min = gh_time_from_ms(
 			shards * 1000LL * COMMIT_INTERVAL_FACTOR /
 			settings->store_writes_per_s),
-		.fleet = { .lease_ms = MIN(settings->lease_ms,
-					   settings->lease_max_ms),
-			   .lease_max_ms = settings->lease_max_ms,
-			   .stop_ms = settings->stop_ms,
-			   .empty_ms = settings->empty_domain_ms },
+		.fleet = fleet_setup(settings, shards),
 		.refuse_beyond_milli = settings->refuse_beyond_milli,
 		.ended_retention_ms = settings->ended_retention_s * 1000LL,
 	});
@@ -132,6 +130,18 @@
 	return ok ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
+static gh_fleet_setup_t fleet_setup(const fleet_settings_t *settings,
+				    uint32_t shards)
+{
+	return (gh_fleet_setup_t){
+		.lease_ms = MIN(settings->lease_ms, settings->lease_max_ms),
+		.lease_max_ms = settings->lease_max_ms,
+		.stop_ms = settings->stop_ms,
+		.empty_ms = settings->empty_domain_ms,
+		.tasks_max = gh_fleet_tasks_max(settings->memory_mb, shards),
+	};
+}
+
 static bool start(process_t *process, GError **err)
 {
 	const fleet_settings_t *settings = process->settings;
--- a/fleet_owner.c
+++ b/fleet_owner.c
@@ -359,6 +359,7 @@
 		{ CTR_RUNS_TAKEN_BACK,
 		  offsetof(gh_fleet_counts_t, taken_back) },
 		{ CTR_STARTS_WITHHELD, offsetof(gh_fleet_counts_t, withheld) },
+		{ CTR_MEMORY_SHORT, offsetof(gh_fleet_counts_t, memory_short) },
 	};
 	gh_fleet_counts_t counts;
 	size_t i;
--- a/regress/fleet_model_idle.c
+++ b/regress/fleet_model_idle.c
@@ -246,9 +246,9 @@
 	}
 	if (handle == GH_NONE)
 		return false;
-	return fleet_job(owner->fleet, handle)
-		->tasks[model_task_index(job, id)]
-		.done;
+	return fleet_task(fleet_job(owner->fleet, handle),
+			  model_task_index(job, id))
+		->done;
 }
 
 static bool has_room(const model_t *m, const gh_task_id_t *id, uint32_t shard)
@@ -284,7 +284,7 @@
 		if (handle == GH_NONE)
 			continue;
 		job = fleet_job(owner->fleet, handle);
-		task = &job->tasks[fleet_task_find(job, id)];
+		task = fleet_task(job, fleet_task_find(job, id));
 		if (!fleet_crash_has_any(task))
 			continue;
 		/* A guest's task that was given up is held back. */
@@ -382,8 +382,8 @@
 		return;
 	}
 	job = fleet_job(owner->fleet, handle);
-	task = &job->tasks[fleet_task_find(job, id)];
-	stage = &job->stages[id->step];
+	task = fleet_task(job, fleet_task_find(job, id));
+	stage = fleet_stage(job, id->step);
 	model_log(m, id,
 		  "host %u: job %s%s, %u open runs, step %u done, %u open; "
 		  "task%s, %u failures, %u crashes, %u at start, %u lost "
@@ -425,17 +425,17 @@
 			const gh_step_t *step = &job->spec->steps[s];
 
 			if (!step->long_running ||
-			    !job->stages[s].waiting_since)
+			    !fleet_stage(job, s)->waiting_since)
 				continue;
-			model_log(
-				m, id,
-				"host %u: %s.%u of %u milli-cores and %u MB "
-				"waits for %d ms, %u open, %u tasks",
-				owner->index, job->spec->id, s,
-				step->size.cores_milli, step->size.memory_mb,
-				(int)gh_time_to_ms(
-					m->now - job->stages[s].waiting_since),
-				job->stages[s].tasks_open, step->tasks);
+			model_log(m, id,
+				  "host %u: %s.%u of %u milli-cores and %u MB "
+				  "waits for %d ms, %u open, %u tasks",
+				  owner->index, job->spec->id, s,
+				  step->size.cores_milli, step->size.memory_mb,
+				  (int)gh_time_to_ms(
+					  m->now -
+					  fleet_stage(job, s)->waiting_since),
+				  fleet_stage(job, s)->tasks_open, step->tasks);
 		}
 	}
 }
--- a/regress/fleet_world.c
+++ b/regress/fleet_world.c
@@ -42,6 +42,7 @@
 		.empty_ms = w->empty_ms,
 		.shard = w->shard,
 		.shards = w->shards,
+		.tasks_max = w->tasks_max,
 	};
 	gh_fleet_sink_t sink = { .on_event = record_event, .ctx = w };
 
@@ -65,6 +66,14 @@
 	start_owner(w, START_TIME + PREVIOUS_GRANTS_MS * GH_USEC_PER_MSEC, 0);
 }
 
+void world_init_memory(world_t *w, uint32_t tasks_max)
+{
+	world_init(w);
+	gh_fleet_free(w->fleet);
+	w->tasks_max = tasks_max;
+	start_owner(w, START_TIME + PREVIOUS_GRANTS_MS * GH_USEC_PER_MSEC, 0);
+}
+
 void world_init_domains(world_t *w, int64_t empty_ms)
 {
 	world_init(w);
--- a/regress/fleet_world.h
+++ b/regress/fleet_world.h
@@ -133,6 +133,7 @@
 	/* Of the owner's setup; its requests are heard in each step unless
 	 * domains_unheard. */
 	int64_t empty_ms;
+	uint32_t tasks_max; /* of the owner's setup */
 	bool domains_unheard;
 	/* Reply to an order that names another life of the worker; it is
 	 * executed, but for GH_ORDER_OVERTAKEN.  GH_ORDER_OK: as to any. */
@@ -160,6 +161,8 @@
 void world_init_shard(world_t *w, uint32_t shard, uint32_t shards);
 /* The same for an owner that empties domains on request. */
 void world_init_domains(world_t *w, int64_t empty_ms);
+/* The same for an owner that holds so many tasks in memory. */
+void world_init_memory(world_t *w, uint32_t tasks_max);
 void world_clear(world_t *w);
 /* Replaces the fleet by that of the next owner, which knows nothing of before
  * but the last grant of a lease and what the caller adds. */
