core_fleet_part: the progress record of a large job has parts

Callers saw that nothing accepted later ran once a job of 20,000 tasks had gone through crashes of its executors.

Cause: the progress of a job was one value with a line a task, and nothing bounded it. The store refused it beyond 1,048,576 bytes.

Records of earlier versions are read and replaced in one commit.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -135,6 +135,7 @@
 		job->image_ids[i] = gh_interference_image_id(
 			fleet->interference, pipeline->steps[i].image);
 	fleet_move_init_job(job, guest);
+	fleet_parts_init_job(job);
 	fleet_occurrence_init_job(fleet, handle);
 	g_hash_table_insert(fleet->job_by_id, g_strdup(pipeline->id),
 			    GUINT_TO_POINTER(handle + 1));
@@ -460,6 +461,7 @@
 
 	g_hash_table_remove(fleet->job_by_id, job->spec->id);
 	fleet_move_clear_job(job);
+	fleet_parts_clear_job(job);
 	fleet_occurrence_clear_job(job);
 	g_free(job->image_ids);
 	gh_pipeline_free(job->spec);
--- a/core_fleet.h
+++ b/core_fleet.h
@@ -283,15 +283,29 @@
 	gh_time_t lease_until;
 } gh_worker_renewal_t;
 
+/* Max bytes of a value in the store, and so of a part of a record. */
+#define GH_RECORD_BYTES_MAX 1048576
+
+/* A part of a job's progress record; part 0 is the record's first one. */
+typedef struct gh_fleet_part {
+	uint32_t number;
+	char *text; /* to be stored; NULL: to be deleted */
+} gh_fleet_part_t;
+
 /* A job's record as it has to be committed. */
 typedef struct gh_fleet_change {
 	char id[GH_JOB_ID_MAX + 1];
 	uint64_t version;
 	/*
-	 * Progress record to store; NULL: the job has ended; delete its
-	 * records.
+	 * Progress record to store.  NULL: the job's record has several parts,
+	 * or the job has ended: delete its records.
 	 */
 	char *progress;
+	/*
+	 * gh_fleet_part_t: what to store or to delete of a record in several
+	 * parts; NULL: it has one.
+	 */
+	GArray *parts;
 	gh_job_phase_t phase;
 	/* the job's phase differs from its last committed one */
 	bool phase_changed;
@@ -390,7 +404,8 @@
 void gh_fleet_domains_heard(gh_fleet_t *fleet, gh_time_t heard_at);
 
 /*
- * Adds a job with its stored progress, NULL if no task was ever started.  A
+ * Adds a job with its stored progress, NULL if no task was ever started, else
+ * the texts of all parts that are stored, one after the other.  A
  * job that is already known is left as it is.  Takes ownership of the
  * pipeline.  Returns false with GH_E_SYNTAX if progress can't be parsed; the
  * job is then held until it is cancelled: none of its tasks is started.
@@ -451,14 +466,19 @@
  */
 bool gh_fleet_next_order(gh_fleet_t *fleet, gh_order_t *order, gh_time_t now);
 
+/* Number of parts of the job's progress record. */
+uint32_t gh_fleet_part_count(const gh_pipeline_t *pipeline);
 /*
  * Next job record to commit; false if there is none.  The caller frees
- * progress, departures and arrivals, and reports the result of the commit by
- * one of the two functions below.
+ * progress, parts, departures and arrivals, and reports the result of the
+ * commit by one of the functions below.
  */
 bool gh_fleet_next_change(gh_fleet_t *fleet, gh_fleet_change_t *change);
-/* Records that the next change adds to its commit for tasks that move. */
-uint32_t gh_fleet_next_change_moves(const gh_fleet_t *fleet);
+/*
+ * Entries that the next change adds to its commit for tasks that move and for
+ * further parts of its record.
+ */
+uint32_t gh_fleet_next_change_entries(const gh_fleet_t *fleet);
 void gh_fleet_handle_commit(gh_fleet_t *fleet, const char *id,
 			    uint64_t version);
 /* Queues the job's record again, as its commit failed. */
--- a/core_fleet_move.c
+++ b/core_fleet_move.c
@@ -32,7 +32,6 @@
 /* Tasks that are sent away in one MOVE_PERIOD_USEC. */
 #define MOVES_MAX 32
 /* Tasks that leave, and that arrive, by one change of a job. */
-#define CHANGE_MOVES_MAX 8
 
 static uint32_t decide_jobs(gh_fleet_t *fleet, bool restarts, uint32_t limit,
 			    gh_time_t now);
@@ -334,22 +333,25 @@
 	return task->moves + (task->place == PLACE_DEPARTED);
 }
 
-uint32_t gh_fleet_next_change_moves(const gh_fleet_t *fleet)
+uint32_t gh_fleet_next_change_entries(const gh_fleet_t *fleet)
 {
 	const fleet_job_t *job;
-	uint32_t handle;
+	uint32_t handle, max;
 
 	if (!gh_commit_order_peek(fleet->changes, &handle))
 		return 0;
 	job = fleet_job(fleet, handle);
-	return MIN(job->n_leaving, CHANGE_MOVES_MAX) +
-	       MIN(job->arrivals->len, CHANGE_MOVES_MAX) + job->guest;
+	max = fleet_parts_moves_max(job);
+	return (job->phase > GH_JOB_RUNNING ? 0 : MIN(job->n_leaving, max)) +
+	       MIN(job->arrivals->len, max) + job->guest +
+	       fleet_parts_entries(job);
 }
 
 void fleet_move_fill_change(const gh_fleet_t *fleet, fleet_job_t *job,
 			    gh_fleet_change_t *change)
 {
 	bool ended = job->phase > GH_JOB_RUNNING;
+	uint32_t max = fleet_parts_moves_max(job);
 	uint32_t i;
 
 	change->guest = job->guest;
@@ -360,19 +362,17 @@
 				    job->early_arrivals->len);
 		g_array_set_size(job->early_arrivals, 0);
 	}
-	job->n_deleting = MIN(job->arrivals->len, CHANGE_MOVES_MAX);
+	job->n_deleting = MIN(job->arrivals->len, max);
 	if (job->n_deleting) {
 		change->arrivals =
 			g_array_new(FALSE, FALSE, sizeof(gh_task_move_t));
 		g_array_append_vals(change->arrivals, job->arrivals->data,
 				    job->n_deleting);
 	}
-	if (ended || !job->n_leaving)
+	if (ended || !job->n_leaving || !max)
 		return;
 	change->departures = g_array_new(FALSE, FALSE, sizeof(gh_task_move_t));
-	for (i = 0;
-	     i < job->n_tasks && change->departures->len < CHANGE_MOVES_MAX;
-	     i++) {
+	for (i = 0; i < job->n_tasks && change->departures->len < max; i++) {
 		const fleet_task_t *task = fleet_task_peek(job, i);
 		gh_task_move_t move;
 
--- a/core_fleet_occurrence.c
+++ b/core_fleet_occurrence.c
@@ -268,7 +268,9 @@
 {
 	fleet_occurrence_t *occurrence = find(job, number, NULL);
 
-	if (!occurrence || !is_over(job, occurrence, now))
+	/* A job without a schedule ends with its only one. */
+	if (!job->spec->occurrences || !occurrence ||
+	    !is_over(job, occurrence, now))
 		return;
 	if (!fleet_occurrence_is_finished(job, number)) {
 		job->finished[number / 8] |= (uint8_t)(1u << number % 8);
--- a/core_fleet_parts.h
+++ b/core_fleet_parts.h
@@ -201,6 +201,28 @@
 uint32_t fleet_run_find(const gh_fleet_t *fleet, const fleet_job_t *job,
 			uint32_t task, uint32_t number);
 
+/* The parts of the job's progress record (core_fleet_part.c). */
+void fleet_parts_init_job(fleet_job_t *job);
+void fleet_parts_clear_job(fleet_job_t *job);
+/* The tasks of a part: from first to before end. */
+void fleet_part_range(const fleet_job_t *job, uint32_t number, uint32_t *first,
+		      uint32_t *end);
+/* Text of a part as it is to be stored. */
+char *fleet_part_format(const gh_fleet_t *fleet, const fleet_job_t *job,
+			uint32_t number);
+/* Notes the text that the store has of a part of a job in several. */
+void fleet_part_note_loaded(fleet_job_t *job, uint32_t number, const char *text,
+			    size_t len);
+/* Max moves in each direction in the next change of the job. */
+uint32_t fleet_parts_moves_max(const fleet_job_t *job);
+/* Max entries of a commit that the next change takes for further parts. */
+uint32_t fleet_parts_entries(const fleet_job_t *job);
+/* Adds to the change what is to be stored, and the version that it shows. */
+void fleet_parts_fill_change(const gh_fleet_t *fleet, fleet_job_t *job,
+			     gh_fleet_change_t *change);
+void fleet_parts_handle_commit(fleet_job_t *job);
+void fleet_parts_handle_failure(fleet_job_t *job);
+
 /* Queues the job's record to be committed. */
 void fleet_job_mark_changed(gh_fleet_t *fleet, uint32_t handle);
 /*
--- a/core_fleet_record.c
+++ b/core_fleet_record.c
@@ -7,6 +7,11 @@
  *   INDEX STATE FAILURES LAST-RUN CHECKPOINT [CRASHES] [MOVES] [RUN...]
  *         [DOUBT...]
  *
+ * A record in parts has "progress2 PART" as the first line of each part; see
+ * core_fleet_part.c.  Earlier versions wrote one progress1 record of all tasks;
+ * beside it, parts count for their tasks.  In parts, INDEX is FROM-TO for tasks
+ * in a row that are done.
+ *
  * One line for each task that was ever started or has moved.  STATE is done,
  * open, or away for a task that another shard has; a job whose home is another
  * shard has no task here but those that are open.  CRASHES is crashes:N:S:L,
@@ -31,6 +36,8 @@
 #include "error.h"
 
 #define FORMAT_TAG "progress1"
+#define FORMAT_TAG_PART "progress2"
+#define TAG_PREFIX "progress" /* of either; no other line begins so */
 #define NO_CHECKPOINT "-"
 #define CRASHES_PREFIX "crashes:"
 #define MOVES_PREFIX "moves:"
@@ -62,7 +69,7 @@
 
 /* A line of a progress record. */
 typedef struct task_line {
-	uint32_t index;
+	uint32_t index, last; /* last of the tasks that it is about */
 	bool done, away;
 	uint16_t failures;
 	uint16_t crashes, start_crashes, lost_starts;
@@ -72,10 +79,22 @@
 	uint32_t n_runs, n_doubts; /* doubts are among the runs, too */
 } task_line_t;
 
+/* A record of all tasks, or a part of one. */
+typedef struct section {
+	const char *text;
+	size_t len;
+	const char *lines; /* after the first line's words */
+	uint32_t part;	   /* GH_NONE: of all tasks */
+} section_t;
+
 static bool add_job(gh_fleet_t *fleet, gh_pipeline_t *pipeline,
 		    const char *progress, bool guest, GError **err);
+static GString *format_part(const gh_fleet_t *fleet, const fleet_job_t *job,
+			    uint32_t number, bool with_doubts);
+static bool is_done(const fleet_job_t *job, uint32_t index);
 static void append_task(const gh_fleet_t *fleet, GString *text,
-			const fleet_job_t *job, uint32_t index);
+			const fleet_job_t *job, uint32_t index,
+			bool with_doubts);
 static void order_starts(gh_fleet_t *fleet,
 			 const fleet_occurrence_t *occurrence,
 			 uint64_t version);
@@ -83,10 +102,20 @@
 static void append_run(const gh_fleet_t *fleet, GString *text, uint32_t ref);
 static void append_doubts(const gh_fleet_t *fleet, GString *text,
 			  const fleet_job_t *job, uint32_t index);
-static bool parse_progress(const fleet_job_t *job, const char *progress,
-			   GArray *tasks);
+static bool parse_sections(const fleet_job_t *job, const char *progress,
+			   GArray *sections);
+static bool has_part(const GArray *sections, uint32_t part);
+static bool check_sections(const fleet_job_t *job, const GArray *sections);
+static bool next_line(const fleet_job_t *job, const section_t *section,
+		      const char **cursor, task_line_t *line, bool *ok);
+static bool is_replaced(const fleet_job_t *job, const GArray *sections,
+			const section_t *section, uint32_t index);
+static void load_section(gh_fleet_t *fleet, uint32_t handle,
+			 const GArray *sections, guint position);
 static bool parse_task(const fleet_job_t *job, const char *line,
 		       task_line_t *parsed);
+static bool parse_range(const fleet_job_t *job, const char *field,
+			task_line_t *parsed);
 static bool parse_state(const char *word, task_line_t *parsed);
 static bool away_is_valid(const fleet_job_t *job, const task_line_t *parsed);
 static bool parse_moves(const char *field, task_line_t *parsed);
@@ -97,9 +126,9 @@
 			 uint64_t *number);
 static void load_run(gh_fleet_t *fleet, uint32_t handle, uint32_t index,
 		     const run_field_t *line);
-static void load_task(gh_fleet_t *fleet, uint32_t handle, task_line_t *line);
+static void load_task(gh_fleet_t *fleet, uint32_t handle, task_line_t *line,
+		      uint32_t index);
 static void hold_job(gh_fleet_t *fleet, uint32_t handle);
-static void clear_task_line(gpointer line);
 static uint32_t find_or_add_worker(gh_fleet_t *fleet, const char *id);
 static bool end_is_committed(const gh_fleet_t *fleet, const fleet_ack_t *ack);
 
@@ -119,7 +148,7 @@
 		    const char *progress, bool guest, GError **err)
 {
 	uint32_t handle;
-	GArray *tasks;
+	GArray *sections;
 	bool ok;
 	guint i;
 
@@ -131,12 +160,12 @@
 	if (!progress)
 		return true;
 	fleet_job(fleet, handle)->guest_stored = guest;
-	tasks = g_array_new(FALSE, TRUE, sizeof(task_line_t));
-	g_array_set_clear_func(tasks, clear_task_line);
-	ok = parse_progress(fleet_job(fleet, handle), progress, tasks);
-	for (i = 0; ok && i < tasks->len; i++)
-		load_task(fleet, handle, &g_array_index(tasks, task_line_t, i));
-	g_array_free(tasks, TRUE);
+	sections = g_array_new(FALSE, FALSE, sizeof(section_t));
+	ok = parse_sections(fleet_job(fleet, handle), progress, sections) &&
+	     check_sections(fleet_job(fleet, handle), sections);
+	for (i = 0; ok && i < sections->len; i++)
+		load_section(fleet, handle, sections, i);
+	g_array_free(sections, TRUE);
 	if (!ok) {
 		hold_job(fleet, handle);
 		gh_error_set(err, GH_E_SYNTAX,
@@ -146,32 +175,145 @@
 	return ok;
 }
 
-/* Appends the record's lines to tasks (task_line_t). */
-static bool parse_progress(const fleet_job_t *job, const char *progress,
-			   GArray *tasks)
+/* Splits the record (section_t); returns false if a first line is invalid. */
+static bool parse_sections(const fleet_job_t *job, const char *progress,
+			   GArray *sections)
+{
+	while (*progress) {
+		section_t section = { .text = progress, .part = GH_NONE };
+		char *tag = g_strndup(progress, strcspn(progress, "\n"));
+		const char *next = strstr(progress, "\n" TAG_PREFIX);
+		uint64_t part;
+		bool ok = !strcmp(tag, FORMAT_TAG);
+
+		if (!ok && job->n_parts > 1 &&
+		    g_str_has_prefix(tag, FORMAT_TAG_PART " ") &&
+		    parse_number(tag + strlen(FORMAT_TAG_PART " "), 0,
+				 job->n_parts - 1, &part)) {
+			section.part = (uint32_t)part;
+			ok = !has_part(sections, section.part);
+		}
+		section.lines = progress + strlen(tag);
+		section.len =
+			next ? (size_t)(next + 1 - progress) : strlen(progress);
+		g_free(tag);
+		if (!ok)
+			return false;
+		g_array_append_val(sections, section);
+		progress += section.len;
+	}
+	return sections->len > 0;
+}
+
+static bool has_part(const GArray *sections, uint32_t part)
+{
+	guint i;
+
+	for (i = 0; i < sections->len; i++)
+		if (g_array_index(sections, section_t, i).part == part)
+			return true;
+	return false;
+}
+
+/* Whether all lines are valid, and no task has two. */
+static bool check_sections(const fleet_job_t *job, const GArray *sections)
 {
-	char **lines = g_strsplit(progress, "\n", -1);
 	bool *seen = g_new0(bool, job->n_tasks + 1);
-	bool ok = lines[0] && !strcmp(lines[0], FORMAT_TAG);
-	size_t i;
+	bool ok = true;
+	guint i;
 
-	for (i = 1; ok && lines[i]; i++) {
+	for (i = 0; ok && i < sections->len; i++) {
+		const section_t *section =
+			&g_array_index(sections, section_t, i);
+		const char *cursor = section->lines;
 		task_line_t line;
 
-		if (!*lines[i])
-			continue;
-		ok = parse_task(job, lines[i], &line) && !seen[line.index];
-		seen[line.index] = true;
-		g_array_append_val(tasks, line);
+		while (ok && next_line(job, section, &cursor, &line, &ok)) {
+			uint32_t j;
+
+			for (j = line.index; ok && j <= line.last; j++) {
+				if (is_replaced(job, sections, section, j))
+					continue;
+				ok = !seen[j];
+				seen[j] = true;
+			}
+			g_free(line.checkpoint);
+		}
 	}
 	g_free(seen);
-	g_strfreev(lines);
 	return ok;
 }
 
-static void clear_task_line(gpointer line)
+/*
+ * Parses the next line of the section; returns false at its end, or if the line
+ * is invalid, which clears ok.  The caller frees the line's checkpoint.
+ */
+static bool next_line(const fleet_job_t *job, const section_t *section,
+		      const char **cursor, task_line_t *line, bool *ok)
 {
-	g_free(((task_line_t *)line)->checkpoint);
+	const char *end = section->text + section->len;
+	uint32_t first = 0;
+	uint32_t after = job->n_tasks;
+	char *text;
+
+	while (*cursor < end && **cursor == '\n')
+		++*cursor;
+	if (*cursor >= end)
+		return false;
+	if (section->part != GH_NONE)
+		fleet_part_range(job, section->part, &first, &after);
+	text = g_strndup(*cursor, strcspn(*cursor, "\n"));
+	*cursor += strlen(text);
+	*ok = parse_task(job, text, line) && line->index >= first &&
+	      line->last < after;
+	g_free(text);
+	if (!*ok)
+		g_free(line->checkpoint);
+	return *ok;
+}
+
+/* Whether a part has the task's line in place of a record of all tasks. */
+static bool is_replaced(const fleet_job_t *job, const GArray *sections,
+			const section_t *section, uint32_t index)
+{
+	guint i;
+
+	for (i = 0; section->part == GH_NONE && i < sections->len; i++) {
+		const section_t *other = &g_array_index(sections, section_t, i);
+		uint32_t first, end;
+
+		if (other->part == GH_NONE)
+			continue;
+		fleet_part_range(job, other->part, &first, &end);
+		if (index >= first && index < end)
+			return true;
+	}
+	return false;
+}
+
+/* Applies the lines of a section that has been checked. */
+static void load_section(gh_fleet_t *fleet, uint32_t handle,
+			 const GArray *sections, guint position)
+{
+	const section_t *section =
+		&g_array_index(sections, section_t, position);
+	fleet_job_t *job = fleet_job(fleet, handle);
+	const char *cursor = section->lines;
+	task_line_t line;
+	bool ok = true;
+	uint32_t i;
+
+	if (section->part != GH_NONE)
+		fleet_part_note_loaded(job, section->part, section->text,
+				       section->len);
+	else
+		job->stored_whole = job->n_parts > 1;
+	while (next_line(job, section, &cursor, &line, &ok)) {
+		for (i = line.index; i <= line.last; i++)
+			if (!is_replaced(job, sections, section, i))
+				load_task(fleet, handle, &line, i);
+		g_free(line.checkpoint);
+	}
 }
 
 bool gh_fleet_has_changes(const gh_fleet_t *fleet)
@@ -182,9 +324,8 @@
 bool gh_fleet_next_change(gh_fleet_t *fleet, gh_fleet_change_t *change)
 {
 	fleet_job_t *job;
-	GString *text;
 	bool is_ahead;
-	uint32_t handle, i;
+	uint32_t handle;
 
 	if (!gh_commit_order_take(fleet->changes, &handle, &is_ahead))
 		return false;
@@ -201,17 +342,56 @@
 	};
 	fleet_move_fill_change(fleet, job, change);
 	g_strlcpy(change->id, job->spec->id, sizeof(change->id));
-	if (job->phase > GH_JOB_RUNNING)
-		return true;
-	text = g_string_new(FORMAT_TAG "\n");
-	for (i = 0; i < job->n_tasks; i++) {
+	fleet_parts_fill_change(fleet, job, change);
+	return true;
+}
+
+char *fleet_part_format(const gh_fleet_t *fleet, const fleet_job_t *job,
+			uint32_t number)
+{
+	GString *text = format_part(fleet, job, number, true);
+
+	/* Crashes that can't be taken back are the lesser loss. */
+	if (text->len > GH_RECORD_BYTES_MAX) {
+		g_string_free(text, TRUE);
+		text = format_part(fleet, job, number, false);
+	}
+	return g_string_free(text, FALSE);
+}
+
+static GString *format_part(const gh_fleet_t *fleet, const fleet_job_t *job,
+			    uint32_t number, bool with_doubts)
+{
+	GString *text = g_string_new(FORMAT_TAG "\n");
+	uint32_t i, first, end;
+
+	if (job->n_parts > 1)
+		g_string_printf(text, FORMAT_TAG_PART " %u\n", number);
+	fleet_part_range(job, number, &first, &end);
+	for (i = first; i < end; i++) {
 		const fleet_task_t *task = fleet_task_peek(job, i);
+		uint32_t last = i;
 
-		if (task && task->last_run)
-			append_task(fleet, text, job, i);
+		if (!task || !task->last_run)
+			continue;
+		while (job->n_parts > 1 && last + 1 < end && is_done(job, i) &&
+		       is_done(job, last + 1))
+			last++;
+		if (last > i)
+			g_string_append_printf(text, "%u-%u done 0 1 -\n", i,
+					       last);
+		else
+			append_task(fleet, text, job, i, with_doubts);
+		i = last;
 	}
-	change->progress = g_string_free(text, FALSE);
-	return true;
+	return text;
+}
+
+static bool is_done(const fleet_job_t *job, uint32_t index)
+{
+	const fleet_task_t *task = fleet_task_peek(job, index);
+
+	return task && task->done;
 }
 
 void gh_fleet_handle_commit(gh_fleet_t *fleet, const char *id, uint64_t version)
@@ -228,9 +408,16 @@
 	fleet_commit_handle_success(fleet, handle);
 	job->committed_version = version;
 	job->committed_phase = job->committing_phase;
+	fleet_parts_handle_commit(job);
 	fleet_move_handle_commit(fleet, handle);
 	for (i = 0; job->open_runs && i < job->occurrences->len; i++)
 		order_starts(fleet, job->occurrences->pdata[i], version);
+	/* The other parts of the record are still to be stored. */
+	if (version < job->version && !job->change_queued) {
+		job->change_queued = true;
+		fleet_commit_add(fleet, handle);
+		fleet_commit_hasten(fleet, handle);
+	}
 	fleet_job_free_if_finished(fleet, handle);
 }
 
@@ -263,6 +450,7 @@
 	if (handle == GH_NONE)
 		return;
 	fleet_job(fleet, handle)->commit_pending = false;
+	fleet_parts_handle_failure(fleet_job(fleet, handle));
 	fleet_move_handle_commit_failure(fleet_job(fleet, handle));
 	fleet_commit_handle_failure(fleet, handle);
 }
@@ -310,7 +498,8 @@
 }
 
 static void append_task(const gh_fleet_t *fleet, GString *text,
-			const fleet_job_t *job, uint32_t index)
+			const fleet_job_t *job, uint32_t index,
+			bool with_doubts)
 {
 	const fleet_task_t *task = fleet_task_peek(job, index);
 	char *escaped = task->checkpoint ? g_uri_escape_string(task->checkpoint,
@@ -331,7 +520,7 @@
 	for (i = 0; i < GH_TASK_RUNS_MAX; i++)
 		if (task->runs[i] != GH_NONE)
 			append_run(fleet, text, task->runs[i]);
-	if (task->crashes)
+	if (task->crashes && with_doubts)
 		append_doubts(fleet, text, job, index);
 	g_string_append_c(text, '\n');
 	g_free(escaped);
@@ -390,7 +579,7 @@
 {
 	char **fields = g_strsplit(line, " ", -1);
 	guint n = g_strv_length(fields);
-	uint64_t index, failures, last_run;
+	uint64_t failures, last_run;
 	guint crashes = 0;
 	guint moves = 0;
 	guint first_run = 5;
@@ -404,13 +593,11 @@
 	if (n > first_run && g_str_has_prefix(fields[first_run], MOVES_PREFIX))
 		moves = first_run++;
 	ok = n >= 5 && n <= first_run + G_N_ELEMENTS(parsed->runs) &&
-	     job->n_tasks &&
-	     parse_number(fields[0], 0, job->n_tasks - 1, &index) &&
+	     job->n_tasks && parse_range(job, fields[0], parsed) &&
 	     parse_state(fields[1], parsed) &&
 	     parse_number(fields[2], 0, UINT16_MAX, &failures) &&
 	     parse_number(fields[3], 1, UINT32_MAX, &last_run);
 	if (ok) {
-		parsed->index = (uint32_t)index;
 		parsed->failures = (uint16_t)failures;
 		parsed->last_run = (uint32_t)last_run;
 		if (strcmp(fields[4], NO_CHECKPOINT) != 0) {
@@ -427,9 +614,30 @@
 	for (i = first_run; ok && i < n; i++)
 		ok = parse_run(fields[i], parsed);
 	g_strfreev(fields);
+	ok = ok && (parsed->index == parsed->last || (parsed->done && n == 5));
 	return ok && (!parsed->away || away_is_valid(job, parsed));
 }
 
+/* INDEX, or FROM-TO in a part. */
+static bool parse_range(const fleet_job_t *job, const char *field,
+			task_line_t *parsed)
+{
+	char **ends = g_strsplit(field, "-", 2);
+	uint64_t index = 0;
+	uint64_t last = 0;
+	bool ok = ends[0] && parse_number(ends[0], 0, job->n_tasks - 1, &index);
+
+	if (ok && ends[1])
+		ok = job->n_parts > 1 &&
+		     parse_number(ends[1], index + 1, job->n_tasks - 1, &last);
+	else
+		last = index;
+	parsed->index = (uint32_t)index;
+	parsed->last = (uint32_t)last;
+	g_strfreev(ends);
+	return ok;
+}
+
 static bool parse_state(const char *word, task_line_t *parsed)
 {
 	parsed->done = !strcmp(word, "done");
@@ -537,12 +745,13 @@
 	return g_ascii_string_to_unsigned(text, 10, min, max, number, NULL);
 }
 
-/* Applies a task's line to the job; takes the line's checkpoint. */
-static void load_task(gh_fleet_t *fleet, uint32_t handle, task_line_t *line)
+/* Applies a line to a task of it; takes the line's checkpoint. */
+static void load_task(gh_fleet_t *fleet, uint32_t handle, task_line_t *line,
+		      uint32_t index)
 {
 	fleet_job_t *job = fleet_job(fleet, handle);
-	fleet_task_t *task = fleet_task(job, line->index);
-	fleet_stage_t *stage = fleet_task_stage(job, line->index);
+	fleet_task_t *task = fleet_task(job, index);
+	fleet_stage_t *stage = fleet_task_stage(job, index);
 	uint32_t i;
 
 	task->done = line->done;
@@ -553,18 +762,17 @@
 	task->last_run = line->last_run;
 	task->checkpoint = g_steal_pointer(&line->checkpoint);
 	task->moves = line->moves;
-	fleet_move_set_place(job, line->index,
-			     line->away ? PLACE_AWAY : PLACE_HERE);
+	fleet_move_set_place(job, index, line->away ? PLACE_AWAY : PLACE_HERE);
 	job->begun |= line->done || line->failures || line->crashes ||
 		      line->moves || task->checkpoint;
 	if (job->begun || line->n_runs)
 		job->phase = job->committed_phase = GH_JOB_RUNNING;
 	if (task->done &&
-	    ++stage->tasks_done == fleet_task_step(job, line->index)->tasks)
+	    ++stage->tasks_done == fleet_task_step(job, index)->tasks)
 		job->stages_done++;
 	for (i = 0; i < line->n_runs; i++)
-		load_run(fleet, handle, line->index, &line->runs[i]);
-	fleet_occurrence_release(job, line->index / job->tasks_per_occurrence,
+		load_run(fleet, handle, index, &line->runs[i]);
+	fleet_occurrence_release(job, index / job->tasks_per_occurrence,
 				 fleet->created_at);
 }
 
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -260,6 +260,18 @@
 	fleet_stage_t *stages;
 } fleet_occurrence_t;
 
+/* A part of a job's progress record; see core_fleet_part.c. */
+typedef struct fleet_part {
+	/* Hash of the text that is stored, and of the last one; 0: none. */
+	uint64_t stored, written;
+	/*
+	 * The job's version that the stored text shows, and that it will show
+	 * once the change is committed.
+	 */
+	uint64_t version, filled;
+	bool in_change; /* its text is in the change */
+} fleet_part_t;
+
 typedef struct fleet_job {
 	/* The accepted job; NULL: the array entry is unused. */
 	gh_pipeline_t *spec;
@@ -306,6 +318,12 @@
 	 */
 	uint32_t rank;
 	uint64_t version, committed_version;
+	/* NULL if there is one part only. */
+	fleet_part_t *parts;
+	uint32_t n_parts;
+	uint32_t next_part; /* with which the next change begins */
+	/* An earlier version has stored one record of all tasks. */
+	bool stored_whole;
 	gh_job_phase_t committed_phase;
 	/* Phase in the job record that is being committed. */
 	gh_job_phase_t committing_phase;
--- a/fleet_owner_commit.c
+++ b/fleet_owner_commit.c
@@ -43,6 +43,8 @@
 			   uint64_t revision);
 static bool is_cancelled(const fleet_owner_t *owner,
 			 const gh_fleet_change_t *change);
+static void batch_add_parts(const fleet_owner_t *owner, batch_t *batch,
+			    gh_fleet_change_t *change);
 static bool batch_add_phase(fleet_owner_t *owner, batch_t *batch,
 			    const gh_fleet_change_t *change);
 static void batch_add_end(fleet_owner_t *owner, batch_t *batch,
@@ -87,7 +89,7 @@
 	 * times, the shard's load and the owner record.
 	 */
 	while (batch->n + CHANGE_ENTRIES_MAX +
-			       gh_fleet_next_change_moves(owner->fleet) + 3 <
+			       gh_fleet_next_change_entries(owner->fleet) + 3 <
 		       FLEET_ENTRIES_MAX &&
 	       gh_fleet_next_change(owner->fleet, &change))
 		if (!batch_add_change(owner, batch, &change)) {
@@ -183,15 +185,36 @@
 				      0, 0);
 		if (!change->guest)
 			batch_add_end(owner, batch, change);
-	} else {
+	} else if (change->progress) {
 		fleet_owner_batch_add(batch, FLEET_PUT, progress_key,
 				      change->progress, 0, 0);
+	} else {
+		g_free(progress_key);
 	}
+	batch_add_parts(owner, batch, change);
 	change->progress = NULL;
 	g_array_append_val(batch->changes, *change);
 	return true;
 }
 
+/* Adds the parts of the job's progress record, which takes their texts. */
+static void batch_add_parts(const fleet_owner_t *owner, batch_t *batch,
+			    gh_fleet_change_t *change)
+{
+	guint i;
+
+	for (i = 0; change->parts && i < change->parts->len; i++) {
+		gh_fleet_part_t *part =
+			&g_array_index(change->parts, gh_fleet_part_t, i);
+
+		fleet_owner_batch_add(
+			batch, part->text ? FLEET_PUT : FLEET_DELETE,
+			fleet_owner_part_key(owner->progress_prefix, change->id,
+					     part->number),
+			g_steal_pointer(&part->text), 0, 0);
+	}
+}
+
 /*
  * Adds the job's new phase to a commit, or, if a task leaves, that the job has
  * not been cancelled.  Returns false if its state is not known or says so.
--- a/fleet_owner_load.c
+++ b/fleet_owner_load.c
@@ -186,19 +186,17 @@
 static void add_job(fleet_owner_t *owner, gh_pipeline_t *pipeline,
 		    const char *source)
 {
-	const char *progress =
-		owner->progress ?
-			g_hash_table_lookup(owner->progress, pipeline->id) :
-			NULL;
 	fleet_job_state_t state;
 	GError *err = NULL;
 	char id[GH_JOB_ID_MAX + 1];
+	char *progress;
 
 	g_strlcpy(id, pipeline->id, sizeof(id));
 	if (gh_fleet_has_job(owner->fleet, id)) {
 		gh_pipeline_free(pipeline);
 		return;
 	}
+	progress = fleet_owner_take_progress(owner, pipeline);
 	log_event(LOG_INFO, "job_added", "job", id, "from", source, "progress",
 		  progress ? "yes" : "no", "epoch",
 		  log_num((int64_t)owner->epoch), NULL);
@@ -207,12 +205,39 @@
 			  "message", err->message, NULL);
 		g_error_free(err);
 	}
+	g_free(progress);
 	if (g_hash_table_contains(owner->cancelled, id) ||
 	    (fleet_jobs_find(owner->setup.jobs, id, &state) &&
 	     state.phase == GH_JOB_CANCELLED))
 		gh_fleet_job_cancel(owner->fleet, id, clock_boot());
 }
 
+char *fleet_owner_part_key(const char *prefix, const char *id, uint32_t part)
+{
+	return part ? g_strdup_printf("%s%s/%u", prefix, id, part) :
+		      g_strconcat(prefix, id, NULL);
+}
+
+char *fleet_owner_take_progress(fleet_owner_t *owner,
+				const gh_pipeline_t *pipeline)
+{
+	GString *text = NULL;
+	uint32_t i;
+
+	for (i = 0; owner->progress && i < gh_fleet_part_count(pipeline); i++) {
+		char *key = fleet_owner_part_key("", pipeline->id, i);
+		const char *part = g_hash_table_lookup(owner->progress, key);
+
+		if (part && !text)
+			text = g_string_new(part);
+		else if (part)
+			g_string_append(text, part);
+		g_hash_table_remove(owner->progress, key);
+		g_free(key);
+	}
+	return text ? g_string_free(text, FALSE) : NULL;
+}
+
 static void on_worker_record(void *ctx, const fleet_item_t *item)
 {
 	fleet_owner_t *owner = ctx;
--- a/fleet_owner_move.c
+++ b/fleet_owner_move.c
@@ -229,10 +229,7 @@
 		      gh_time_t now)
 {
 	gh_pipeline_t *job = g_steal_pointer(&record->job);
-	const char *progress =
-		owner->progress ?
-			g_hash_table_lookup(owner->progress, job->id) :
-			NULL;
+	char *progress;
 	char id[GH_JOB_ID_MAX + 1];
 	fleet_job_state_t state;
 	GError *err = NULL;
@@ -241,6 +238,7 @@
 		gh_pipeline_free(job);
 		return;
 	}
+	progress = fleet_owner_take_progress(owner, job);
 	g_strlcpy(id, job->id, sizeof(id));
 	g_hash_table_add(owner->guests, g_strdup(id));
 	log_event(LOG_INFO, "job_added", "job", id, "from",
@@ -252,6 +250,7 @@
 			  "message", err->message, NULL);
 		g_error_free(err);
 	}
+	g_free(progress);
 	if (record->has_no_state ||
 	    (fleet_jobs_find(owner->setup.jobs, id, &state) &&
 	     state.phase > GH_JOB_RUNNING))
@@ -322,6 +321,7 @@
 
 void fleet_owner_move_change_clear(gh_fleet_change_t *change)
 {
+	g_clear_pointer(&change->parts, g_array_unref);
 	g_clear_pointer(&change->departures, g_array_unref);
 	g_clear_pointer(&change->arrivals, g_array_unref);
 }
--- a/fleet_owner_private.h
+++ b/fleet_owner_private.h
@@ -221,6 +221,14 @@
 /* fleet_owner_load.c */
 void fleet_owner_start_loading(fleet_owner_t *owner);
 void fleet_owner_load_progress_page(fleet_owner_t *owner);
+/* Key of a part of a job's progress record; prefix is progress_prefix. */
+char *fleet_owner_part_key(const char *prefix, const char *id, uint32_t part);
+/*
+ * Takes the job's progress, in all its parts, out of what was read; NULL: there
+ * is none.
+ */
+char *fleet_owner_take_progress(fleet_owner_t *owner,
+				const gh_pipeline_t *pipeline);
 /* All jobs, guests and moved tasks were added; the workers are read next. */
 void fleet_owner_load_workers(fleet_owner_t *owner);
 
--- a/regress/fleet_model_move.c
+++ b/regress/fleet_model_move.c
@@ -381,7 +381,7 @@
 /* Whether a commit has space for the next change and its moves. */
 bool model_move_fits(const host_t *h, const store_call_t *batch)
 {
-	return count_moves(batch) + gh_fleet_next_change_moves(h->fleet) <=
+	return count_moves(batch) + gh_fleet_next_change_entries(h->fleet) <=
 	       MOVES_MAX;
 }
 
--- a/regress/fleet_world.c
+++ b/regress/fleet_world.c
@@ -592,6 +592,8 @@
 static void free_change(gh_fleet_change_t *change)
 {
 	g_free(change->progress);
+	if (change->parts)
+		g_array_unref(change->parts);
 	if (change->departures)
 		g_array_unref(change->departures);
 	if (change->arrivals)
