fleet_owner_commit: a commit that the store rejects holds up no other job

Callers saw that nothing of a shard was committed any more once the store had refused one value for its size.

Cause: 400 was taken as an unknown outcome, and the owner sent the same commit again for good, while a shard has one commit in flight.

400, 403 and 413 are now answers (FLEET_REJECTED). The changes of a rejected commit go one by one, and the job whose change alone is rejected is set aside for 1 to 60 s. A commit that gets replies without an outcome, and has no effect, is given up after five. A submission that is rejected is refused at once.

--- a/core_commit_order.c
+++ b/core_commit_order.c
@@ -22,6 +22,7 @@
 
 static gint compare_entries(gconstpointer a, gconstpointer b, gpointer data);
 static entry_t *next_entry(const gh_commit_order_t *order);
+static void take_out(gh_commit_order_t *order, entry_t *entry);
 
 gh_commit_order_t *gh_commit_order_new(void)
 {
@@ -95,10 +96,24 @@
 	*job = entry->job;
 	*ahead = entry->by_age != order->by_age.head;
 	order->taken = (order->taken + 1) % OLDEST_PERIOD;
+	take_out(order, entry);
+	return true;
+}
+
+void gh_commit_order_remove(gh_commit_order_t *order, uint32_t job)
+{
+	entry_t *entry =
+		g_hash_table_lookup(order->by_job, GUINT_TO_POINTER(job));
+
+	if (entry)
+		take_out(order, entry);
+}
+
+static void take_out(gh_commit_order_t *order, entry_t *entry)
+{
 	g_sequence_remove(entry->by_rank);
 	g_queue_delete_link(&order->by_age, entry->by_age);
-	g_hash_table_remove(order->by_job, GUINT_TO_POINTER(*job));
-	return true;
+	g_hash_table_remove(order->by_job, GUINT_TO_POINTER(entry->job));
 }
 
 static entry_t *next_entry(const gh_commit_order_t *order)
--- a/core_commit_order.h
+++ b/core_commit_order.h
@@ -28,6 +28,8 @@
 bool gh_commit_order_peek(const gh_commit_order_t *order, uint32_t *job);
 /* Takes the next change out; *ahead: an older one was passed over. */
 bool gh_commit_order_take(gh_commit_order_t *order, uint32_t *job, bool *ahead);
+/* Takes the job's change out, if one is queued. */
+void gh_commit_order_remove(gh_commit_order_t *order, uint32_t job);
 uint32_t gh_commit_order_length(const gh_commit_order_t *order);
 /* Queued changes that come before a new one of the rank. */
 uint32_t gh_commit_order_ahead(const gh_commit_order_t *order, uint32_t rank);
--- a/core_fleet.c
+++ b/core_fleet.c
@@ -163,6 +163,8 @@
 	fleet_emit_event(fleet, "job_ended", &id, 0, GH_NONE,
 			 gh_job_phase_name(phase));
 	fleet_job_mark_changed(fleet, handle);
+	/* The change of its end has other records. */
+	fleet_commit_resume(fleet, handle);
 	fleet_commit_hasten(fleet, handle);
 	for (i = 0; i < job->occurrences->len; i++) {
 		const fleet_occurrence_t *held = job->occurrences->pdata[i];
--- a/core_fleet.h
+++ b/core_fleet.h
@@ -483,6 +483,12 @@
 			    uint64_t version);
 /* Queues the job's record again, as its commit failed. */
 void gh_fleet_handle_commit_failure(gh_fleet_t *fleet, const char *id);
+/*
+ * After the failure of a change that can't be committed as it is: the job's
+ * changes wait for a while, which gets longer each time.  Its planned runs end,
+ * and none is planned meanwhile.
+ */
+void gh_fleet_set_aside(gh_fleet_t *fleet, const char *id, gh_time_t now);
 
 /*
  * Returns the interference weights learned so far as text, for the next owner
--- a/core_fleet_parts.h
+++ b/core_fleet_parts.h
@@ -36,6 +36,11 @@
 void fleet_commit_handle_failure(gh_fleet_t *fleet, uint32_t handle);
 /* Called for each committed change. */
 void fleet_commit_handle_success(gh_fleet_t *fleet, uint32_t handle);
+/* Commits the changes of a job that was set aside, or of all whose wait is
+ * over.
+ */
+void fleet_commit_resume(gh_fleet_t *fleet, uint32_t handle);
+void fleet_commit_check_aside(gh_fleet_t *fleet, gh_time_t now);
 /* Queued changes that come before one that begins runs of the job. */
 uint32_t fleet_commit_ahead(const gh_fleet_t *fleet, const fleet_job_t *job);
 /*
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -96,6 +96,8 @@
 			continue;
 		if (!job->idle_since)
 			job->idle_since = now;
+		if (job->aside_until)
+			continue;
 		for (n = 0; n < fleet_held_stage_count(job); n++) {
 			uint32_t s = fleet_held_stage(job, n);
 			const fleet_stage_t *stage = fleet_stage(job, s);
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -343,6 +343,12 @@
 	bool change_queued; /* the job is queued in gh_fleet.changes */
 	bool commit_pending;
 	bool commit_failed; /* the last commit of a change of it */
+	/*
+	 * Its changes are not committed before this time, 0: they are; and how
+	 * often in a row it was set aside.
+	 */
+	gh_time_t aside_until;
+	uint32_t times_aside;
 	/* ids of the steps' images in the interference model */
 	uint16_t *image_ids;
 	/* Handle of the worker of the job's first failed run, or GH_NONE. */
@@ -625,6 +631,7 @@
 	gh_commit_order_t *changes;
 	/* Since the last commit: a job whose commit failed; others did. */
 	uint32_t commit_failed_job;
+	uint32_t n_aside; /* jobs that are set aside */
 	bool commits_failed;
 	uint32_t last_priority; /* of the least urgent queue */
 	/*
--- a/core_fleet_step.c
+++ b/core_fleet_step.c
@@ -24,6 +24,7 @@
 	fleet_retry_drain(fleet, now);
 	fleet_health_check(fleet, now);
 	decay_interference(fleet, now);
+	fleet_commit_check_aside(fleet, now);
 	fleet_budget_begin(fleet, now);
 	fleet_choose_begin(fleet);
 	fleet_headroom_begin(fleet, now);
--- a/counter_list.h
+++ b/counter_list.h
@@ -233,6 +233,12 @@
 	"planned runs taken back as their worker's failure domain is emptied")
 COUNTER(STARTS_WITHHELD, "starts_withheld",
 	"starts put off as the requests to empty domains were not heard")
+COUNTER(STORE_REJECTED, "store_rejected",
+	"calls that the store can't carry out, such as for a value's size")
+COUNTER(COMMITS_REJECTED, "commits_rejected",
+	"commits that were given up as the store can't carry them out")
+COUNTER(JOBS_SET_ASIDE, "jobs_set_aside",
+	"times that a job whose change can't be committed was set aside")
 COUNTER(MEMORY_SHORT, "memory_short",
 	"times that tasks whose turn had come began to wait for memory")
 COUNTER(RUNS_MOVED, "runs_moved",
--- a/fleet_jobs_request.c
+++ b/fleet_jobs_request.c
@@ -366,6 +366,10 @@
 		return;
 	case FLEET_OUTCOME_UNKNOWN:
 		break;
+	case FLEET_REJECTED:
+		request->refusals = REFUSALS_MAX;
+		request_retry(request);
+		return;
 	default:
 		request->refusals++;
 		request_retry(request);
@@ -426,6 +430,8 @@
 	} else {
 		if (reply->result == FLEET_REFUSED)
 			request->refusals++;
+		else if (reply->result == FLEET_REJECTED)
+			request->refusals = REFUSALS_MAX;
 		request_retry(request);
 	}
 }
--- a/fleet_owner_commit.c
+++ b/fleet_owner_commit.c
@@ -31,6 +31,15 @@
 #define CHANGE_ENTRIES_MAX 5
 #define INTERFERENCE_PERIOD_USEC (3 * GH_USEC_PER_SEC)
 #define RUN_TIMES_PERIOD_USEC (3 * GH_USEC_PER_SEC)
+/* Commits have changes of jobs only for this long after a rejected one. */
+#define REJECTED_PAUSE_USEC (10 * GH_USEC_PER_SEC)
+/* Wait after one that was rejected although it had no more than must be. */
+#define REJECTED_DELAY_USEC GH_USEC_PER_SEC
+/*
+ * A commit that was answered so often without an outcome, and had no effect, is
+ * given up like one that was rejected.
+ */
+#define ODD_REPLIES_MAX 5
 /* Index, in a commit, of the entry that writes the chain record. */
 #define CHAIN_ENTRY 1
 
@@ -50,6 +59,8 @@
 static void batch_add_end(fleet_owner_t *owner, batch_t *batch,
 			  const gh_fleet_change_t *change);
 static void batch_failed(fleet_owner_t *owner);
+static void batch_rejected(fleet_owner_t *owner, const char *why);
+static const fleet_entry_t *find_largest(const batch_t *batch);
 static void batch_conflict(fleet_owner_t *owner, const fleet_reply_t *reply);
 static void batch_send(fleet_owner_t *owner);
 static batch_t *batch_new(fleet_owner_t *owner, gh_time_t now);
@@ -60,6 +71,7 @@
 static void log_batch(const fleet_owner_t *owner, const char *outcome);
 static void delete_old_states(fleet_owner_t *owner, batch_t *batch,
 			      gh_time_t now);
+static void add_saves(fleet_owner_t *owner, batch_t *batch, gh_time_t now);
 static void save_interference(fleet_owner_t *owner, batch_t *batch,
 			      gh_time_t now);
 static void save_run_times(fleet_owner_t *owner, batch_t *batch, gh_time_t now);
@@ -71,8 +83,10 @@
 
 void fleet_owner_start_commit(fleet_owner_t *owner, gh_time_t now)
 {
+	guint changes_max = owner->changes_alone ? 1 : FLEET_ENTRIES_MAX;
 	gh_fleet_change_t change;
 	batch_t *batch;
+	size_t n;
 	bool chain_is_due = grants_have_changed(owner, now) ||
 			    gh_fleet_unheard_is_due(owner->fleet, now);
 
@@ -88,7 +102,8 @@
 	 * Leaves space in the commit for the learned interference and run
 	 * times, the shard's load and the owner record.
 	 */
-	while (batch->n + CHANGE_ENTRIES_MAX +
+	while (batch->changes->len < changes_max &&
+	       batch->n + CHANGE_ENTRIES_MAX +
 			       gh_fleet_next_change_entries(owner->fleet) + 3 <
 		       FLEET_ENTRIES_MAX &&
 	       gh_fleet_next_change(owner->fleet, &change))
@@ -96,14 +111,12 @@
 			owner->commit_at = now + COMMIT_RETRY_DELAY_USEC;
 			break;
 		}
-	if (batch->changes->len && now >= owner->interference_save_at)
-		save_interference(owner, batch, now);
-	if (batch->changes->len && now >= owner->run_times_save_at)
-		save_run_times(owner, batch, now);
-	if (load_is_due(owner, batch, now))
-		save_load(owner, batch, now);
-	if (now >= owner->sweep_at)
-		delete_old_states(owner, batch, now);
+	if (owner->changes_alone && batch->changes->len)
+		owner->changes_alone--;
+	n = batch->n;
+	if (now >= owner->saves_at)
+		add_saves(owner, batch, now);
+	batch->has_more = batch->n > n;
 	if (owner->phase == PHASE_RELEASING &&
 	    (!gh_fleet_has_changes(owner->fleet) ||
 	     (owner->handing_over && now >= owner->handover_commit_until))) {
@@ -117,6 +130,19 @@
 	batch_send(owner);
 }
 
+/* Adds what is saved from time to time beside the changes of jobs. */
+static void add_saves(fleet_owner_t *owner, batch_t *batch, gh_time_t now)
+{
+	if (batch->changes->len && now >= owner->interference_save_at)
+		save_interference(owner, batch, now);
+	if (batch->changes->len && now >= owner->run_times_save_at)
+		save_run_times(owner, batch, now);
+	if (load_is_due(owner, batch, now))
+		save_load(owner, batch, now);
+	if (now >= owner->sweep_at)
+		delete_old_states(owner, batch, now);
+}
+
 static batch_t *batch_new(fleet_owner_t *owner, gh_time_t now)
 {
 	batch_t *batch = g_new0(batch_t, 1);
@@ -278,6 +304,10 @@
 {
 	owner->batch->entries[CHAIN_ENTRY].value = owner->batch->chain_value;
 	owner->batch->sent_at = clock_boot();
+	if (strlen(find_largest(owner->batch)->value) > FLEET_VALUE_MAX) {
+		batch_rejected(owner, "too_large");
+		return;
+	}
 	owner->setup.store->ops->commit(
 		owner->setup.store, owner->batch->entries, owner->batch->n,
 		on_committed, fleet_owner_call_new(owner));
@@ -299,6 +329,7 @@
 		break;
 	case FLEET_OUTCOME_UNKNOWN:
 		counter_inc(CTR_COMMITS_UNKNOWN);
+		owner->batch->odd_replies += reply->answered;
 		if (!owner->batch->releases)
 			fleet_owner_cancel_handover(owner);
 		/* The store may go on answering so at once. */
@@ -308,6 +339,9 @@
 				0;
 		fleet_owner_reread_chain(owner, clock_boot());
 		break;
+	case FLEET_REJECTED:
+		batch_rejected(owner, reply->detail);
+		break;
 	default:
 		/* An earlier copy may still take effect. */
 		if (owner->batch->unanswered)
@@ -335,6 +369,14 @@
 	if (reply->result == FLEET_OK && item && item->value &&
 	    !strcmp(item->value, owner->batch->chain_value)) {
 		batch_committed(owner, item->revision);
+	} else if (reply->result == FLEET_OK && item &&
+		   item->revision == owner->chain_revision &&
+		   owner->batch->odd_replies >= ODD_REPLIES_MAX) {
+		/*
+		 * If a copy takes effect later, the next commit finds another
+		 * chain record, and the ownership ends.
+		 */
+		batch_rejected(owner, "odd_replies");
 	} else if (reply->result == FLEET_OK && item &&
 		   item->revision == owner->chain_revision) {
 		/*
@@ -465,6 +507,56 @@
 	fleet_owner_batch_free(batch);
 }
 
+/*
+ * Gives up a commit that the store can't carry out.  The changes in it are sent
+ * one by one, and the job whose change alone is rejected is set aside, so that
+ * it doesn't hold up the others.
+ */
+static void batch_rejected(fleet_owner_t *owner, const char *why)
+{
+	const batch_t *batch = owner->batch;
+	const fleet_entry_t *largest = find_largest(batch);
+	gh_time_t now = clock_boot();
+	guint n = batch->changes->len;
+	bool is_last_resort = !batch->has_more && n < 2;
+	char id[GH_JOB_ID_MAX + 1] = "";
+
+	counter_inc(CTR_COMMITS_REJECTED);
+	if (n == 1)
+		g_strlcpy(
+			id,
+			g_array_index(batch->changes, gh_fleet_change_t, 0).id,
+			sizeof(id));
+	log_event(LOG_ERROR, "commit_rejected", "shard",
+		  log_num(owner->setup.shard), "why", why, "job", id, "jobs",
+		  log_num(n), "key", largest->key, "bytes",
+		  log_num((int64_t)strlen(largest->value)), NULL);
+	batch_failed(owner);
+	owner->saves_at = now + REJECTED_PAUSE_USEC;
+	owner->changes_alone = MAX(owner->changes_alone, n);
+	if (!is_last_resort)
+		return;
+	owner->commit_at = now + REJECTED_DELAY_USEC;
+	if (n) {
+		counter_inc(CTR_JOBS_SET_ASIDE);
+		gh_fleet_set_aside(owner->fleet, id, now);
+		owner->commit_at = now + COMMIT_RETRY_DELAY_USEC;
+	}
+}
+
+/* The entry with the longest value; the chain record has one at least. */
+static const fleet_entry_t *find_largest(const batch_t *batch)
+{
+	const fleet_entry_t *largest = &batch->entries[CHAIN_ENTRY];
+	size_t i;
+
+	for (i = 0; i < batch->n; i++)
+		if (batch->entries[i].value &&
+		    strlen(batch->entries[i].value) > strlen(largest->value))
+			largest = &batch->entries[i];
+	return largest;
+}
+
 static void batch_conflict(fleet_owner_t *owner, const fleet_reply_t *reply)
 {
 	static const char state_prefix[] = "d/state/";
--- a/fleet_owner_private.h
+++ b/fleet_owner_private.h
@@ -69,7 +69,10 @@
 	gh_time_t started_at;  /* when the commit was first sent */
 	gh_time_t sent_at;     /* when it was last sent */
 	unsigned unanswered;   /* number of times that it got no reply */
-	bool releases;	       /* it deletes the owner record */
+	/* Number of replies that did not tell the outcome. */
+	unsigned odd_replies;
+	bool releases; /* it deletes the owner record */
+	bool has_more; /* it writes or deletes more than changes of jobs */
 } batch_t;
 
 struct fleet_owner {
@@ -168,6 +171,10 @@
 	uint64_t domains_version; /* of the domains passed to the fleet */
 	batch_t *batch;		  /* commit that awaits its outcome, or NULL */
 	gh_time_t commit_at;
+	/* After a commit that was rejected: so many changes go alone. */
+	uint32_t changes_alone;
+	/* Until then commits have changes of jobs only. */
+	gh_time_t saves_at;
 	/*
 	 * Due time of the next read of the chain record to find out a commit's
 	 * outcome; GH_TIME_NEVER: none.
--- a/fleet_port.h
+++ b/fleet_port.h
@@ -27,6 +27,8 @@
 typedef enum fleet_result {
 	FLEET_OK,
 	FLEET_REFUSED, /* the call was refused or not sent; no effect */
+	/* No effect: the store can't carry out this call, now or later. */
+	FLEET_REJECTED,
 	/*
 	 * No effect: a key's revision is not the one that a FLEET_EXPECT entry
 	 * names.
@@ -52,6 +54,7 @@
 	fleet_result_t result;
 	/* The reply as a word for logs, such as a status; may be NULL. */
 	const char *detail;
+	bool answered; /* the store has replied, though it may be of no use */
 	/* Current revision of the store, or that of the commit replied to. */
 	uint64_t revision;
 	const fleet_item_t *items;
@@ -83,8 +86,9 @@
 	uint64_t lease;
 } fleet_entry_t;
 
-/* Max entries in one commit; a limit of the store. */
+/* Max entries in one commit, and max bytes of a value; limits of the store. */
 #define FLEET_ENTRIES_MAX 32
+#define FLEET_VALUE_MAX GH_RECORD_BYTES_MAX
 
 /* What a key of the operator's asks for, beside the configuration. */
 typedef enum fleet_request {
--- a/regress/fake_platform.c
+++ b/regress/fake_platform.c
@@ -19,6 +19,8 @@
  *                         without a response; "gateway" applies writes and
  *                         responds 504; "crash" applies a write, closes its
  *                         connection without a response and is "busy" then
+ *   {"value_max":N}       transactions with a longer value get 400 from now on;
+ *                         0: none do
  *   {"lapse":true}        expires all leases of the key-value service
  *   {"keep_leases":true}  lets no lease of it expire from now on
  *   {"compact":true}      discards the history of changes
@@ -162,7 +164,8 @@
 	const char *address;
 	int64_t started_ms; /* boot clock; times in violations count from it */
 	const char *store_mode;
-	GPtrArray *items;  /* current keys, of type item_t, sorted by key */
+	json_int_t value_max; /* 0: no limit */
+	GPtrArray *items;     /* current keys, of type item_t, sorted by key */
 	GPtrArray *events; /* history of changes, of type item_t, by revision */
 	uint64_t revision;
 	uint64_t compacted_revision; /* revision up to which the history is
@@ -886,6 +889,23 @@
 			  (json_int_t)worker_clock_ms(w), "reason", reason);
 }
 
+static bool is_too_large(const platform_t *p, const json_t *body)
+{
+	json_t *writes = json_object_get(body, "writes");
+	json_t *write;
+	size_t i;
+
+	json_array_foreach(writes, i, write)
+	{
+		const char *value = fake_json_string(write, "value", "");
+
+		/* Base64 has four characters for three bytes. */
+		if ((json_int_t)strlen(value) / 4 * 3 > p->value_max)
+			return true;
+	}
+	return false;
+}
+
 static void serve_store(platform_t *p, const fake_request_t *req,
 			fake_reply_t *reply)
 {
@@ -920,6 +940,10 @@
 			reply->delivery = FAKE_DELIVERY_NONE;
 			return;
 		}
+		if (p->value_max && is_too_large(p, req->json)) {
+			fake_reply_error(reply, 400, "value too large");
+			return;
+		}
 		apply_txn(p, req->json, reply);
 		if (!strcmp(p->store_mode, "lost"))
 			reply->delivery = FAKE_DELIVERY_NONE;
@@ -1193,6 +1217,8 @@
 		ok = mode >= 0;
 		if (ok)
 			p->store_mode = modes[mode];
+	} else if (!strcmp(key, "value_max")) {
+		p->value_max = json_integer_value(value);
 	} else if (!strcmp(key, "lapse")) {
 		while (p->leases->len)
 			remove_lease(p, 0);
--- a/regress/test_core_fleet_commit.c
+++ b/regress/test_core_fleet_commit.c
@@ -129,11 +129,55 @@
 	world_clear(&w);
 }
 
+/* Guards against a job that is never committed, or tried all the time. */
+static void test_job_set_aside(void **state)
+{
+	static const int64_t waits_ms[] = { 1000, 2000, 4000 };
+	const char id[] = "000000000000000a";
+	gh_fleet_change_t change;
+	gh_fleet_counts_t counts;
+	world_t w;
+	size_t i;
+
+	(void)state;
+	world_init(&w);
+	w.commits_limited = true;
+	add_worker(&w, "w1", 32000);
+	advance_time(&w, 1000);
+	add_queued_job(&w, 'a', 0);
+	advance_time(&w, 100);
+	for (i = 0; i < G_N_ELEMENTS(waits_ms); i++) {
+		assert_true(gh_fleet_next_change(w.fleet, &change));
+		g_free(change.progress);
+		gh_fleet_handle_commit_failure(w.fleet, id);
+		gh_fleet_set_aside(w.fleet, id, w.now);
+		gh_fleet_counts(w.fleet, &counts);
+		assert_int_equal(counts.open_runs, 0);
+		advance_time(&w, waits_ms[i] - 50);
+		assert_false(gh_fleet_has_changes(w.fleet));
+		advance_time(&w, 100);
+		assert_true(gh_fleet_has_changes(w.fleet));
+	}
+	/* The change of its end does not wait. */
+	assert_true(gh_fleet_next_change(w.fleet, &change));
+	g_free(change.progress);
+	gh_fleet_handle_commit_failure(w.fleet, id);
+	gh_fleet_set_aside(w.fleet, id, w.now);
+	gh_fleet_job_cancel(w.fleet, id, w.now);
+	assert_true(gh_fleet_next_change(w.fleet, &change));
+	assert_int_equal(change.phase, GH_JOB_CANCELLED);
+	gh_fleet_handle_commit(w.fleet, id, change.version);
+	gh_fleet_counts(w.fleet, &counts);
+	assert_int_equal(counts.jobs, 0);
+	world_clear(&w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_commits),
 		cmocka_unit_test(test_jobs_never_placed),
+		cmocka_unit_test(test_job_set_aside),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
