fleet_admission: jobs that have not ended take a bounded part of the memory

The state of a job in the store tells its size, so that each host knows the sum. Beyond a sixth of memory_mb a job is refused with job_table_full and a time to return, unless it was accepted before or may have been. Earlier versions ignore the new field.

test_fleet_admission has five cases for it.

--- a/core_admission.c
+++ b/core_admission.c
@@ -9,6 +9,11 @@
 #define TURN_DIVISOR 4
 /* Nobody is told to return later than this. */
 #define ROOM_MAX_MS 30000
+/* Part of a host's memory that jobs may take, without their tasks. */
+#define MEMORY_PART_JOBS 6
+/* When callers return whose jobs have no memory: by id, in this span. */
+#define MEMORY_RETRY_MS 2000
+#define MEMORY_RETRY_SPREAD_MS 8000
 /* Limit of the estimates, which can be arbitrarily large. */
 #define TIME_MAX_MS INT64_C(1000000000000)
 
@@ -21,8 +26,27 @@
 	[GH_ADMISSION_UNKNOWN] = "unknown",
 	[GH_ADMISSION_TURN] = "turn",
 	[GH_ADMISSION_LATE] = "late",
+	[GH_ADMISSION_NO_MEMORY] = "no_memory",
 };
 
+bool gh_admission_has_memory(const gh_pipeline_t *job, uint64_t open_bytes,
+			     uint64_t max, gh_admission_verdict_t *verdict)
+{
+	if (!max || open_bytes + gh_pipeline_bytes(job) <= max)
+		return true;
+	*verdict = (gh_admission_verdict_t){
+		.reason = GH_ADMISSION_NO_MEMORY,
+		.retry_after_ms = MEMORY_RETRY_MS +
+				  g_str_hash(job->id) % MEMORY_RETRY_SPREAD_MS,
+	};
+	return false;
+}
+
+uint64_t gh_admission_memory_max(uint32_t memory_mb)
+{
+	return ((uint64_t)memory_mb << 20) / MEMORY_PART_JOBS;
+}
+
 void gh_admission_judge(const gh_admission_state_t *state,
 			gh_admission_verdict_t *verdict)
 {
@@ -66,7 +90,7 @@
 
 bool gh_admission_is_refusal(const gh_admission_verdict_t *verdict)
 {
-	return verdict->reason == GH_ADMISSION_LATE;
+	return verdict->reason >= GH_ADMISSION_LATE;
 }
 
 const char *gh_admission_reason_name(gh_admission_reason_t reason)
--- a/core_admission.h
+++ b/core_admission.h
@@ -28,6 +28,7 @@
 	GH_ADMISSION_UNKNOWN,	  /* admitted: what waits is not told, or old */
 	GH_ADMISSION_TURN,	  /* admitted: its caller's turn has come */
 	GH_ADMISSION_LATE,	  /* refused */
+	GH_ADMISSION_NO_MEMORY,	  /* refused: all jobs together are too much */
 	GH_ADMISSION_REASONS
 } gh_admission_reason_t;
 
@@ -50,6 +51,14 @@
 	int64_t retry_after_ms; /* refused: when to return */
 } gh_admission_verdict_t;
 
+/*
+ * Whether the owner of all shards has memory for one more job beside those that
+ * are open, as gh_pipeline_bytes() tells; max 0: it has.  Else sets verdict.
+ */
+bool gh_admission_has_memory(const gh_pipeline_t *job, uint64_t open_bytes,
+			     uint64_t max, gh_admission_verdict_t *verdict);
+/* That limit of hosts with so much memory, in bytes. */
+uint64_t gh_admission_memory_max(uint32_t memory_mb);
 void gh_admission_judge(const gh_admission_state_t *state,
 			gh_admission_verdict_t *verdict);
 bool gh_admission_is_refusal(const gh_admission_verdict_t *verdict);
--- a/core_pipeline.c
+++ b/core_pipeline.c
@@ -7,6 +7,9 @@
 #include "error.h"
 
 #define FORMAT_TAG "pipeline1"
+/* What an owner keeps of a job, and of each step of it. */
+#define JOB_BYTES 1536
+#define STEP_BYTES 1024
 #define EMPTY_FIELD "-" /* text form of an empty string */
 
 enum step_flag {
@@ -68,6 +71,13 @@
 	return tasks;
 }
 
+uint32_t gh_pipeline_bytes(const gh_pipeline_t *pipeline)
+{
+	return JOB_BYTES + pipeline->n_steps * STEP_BYTES +
+	       gh_pipeline_occurrence_count(pipeline) / 8 +
+	       (uint32_t)strlen(pipeline->payload);
+}
+
 bool gh_pipeline_is_long_running(const gh_pipeline_t *pipeline)
 {
 	uint32_t i;
--- a/core_pipeline.h
+++ b/core_pipeline.h
@@ -85,6 +85,8 @@
 uint32_t gh_pipeline_occurrence_count(const gh_pipeline_t *pipeline);
 /* Number of tasks in one occurrence of the job. */
 uint32_t gh_pipeline_task_count(const gh_pipeline_t *pipeline);
+/* Memory that an owner needs for the job, without its tasks, in bytes. */
+uint32_t gh_pipeline_bytes(const gh_pipeline_t *pipeline);
 /* Whether any step of the job is long-running. */
 bool gh_pipeline_is_long_running(const gh_pipeline_t *pipeline);
 
--- a/counter_list.h
+++ b/counter_list.h
@@ -239,6 +239,8 @@
 	"commits that were given up as the store can't carry them out")
 COUNTER(JOBS_SET_ASIDE, "jobs_set_aside",
 	"times that a job whose change can't be committed was set aside")
+COUNTER(REFUSED_NO_MEMORY, "refused_no_memory",
+	"jobs refused as those that have not ended take up the memory for jobs")
 COUNTER(MEMORY_SHORT, "memory_short",
 	"times that tasks whose turn had come began to wait for memory")
 COUNTER(RUNS_MOVED, "runs_moved",
--- a/fleet_admission.c
+++ b/fleet_admission.c
@@ -3,7 +3,6 @@
 #include <inttypes.h>
 
 #include "clock.h"
-#include "core_admission.h"
 #include "counter.h"
 #include "error.h"
 #include "log.h"
@@ -14,6 +13,7 @@
 	[GH_ADMISSION_UNKNOWN] = CTR_ADMITTED_UNKNOWN,
 	[GH_ADMISSION_TURN] = CTR_ADMITTED_TURN,
 	[GH_ADMISSION_LATE] = CTR_REFUSED_LATE,
+	[GH_ADMISSION_NO_MEMORY] = CTR_REFUSED_NO_MEMORY,
 };
 
 static bool is_known(const fleet_submission_t *submission);
@@ -28,22 +28,43 @@
 	gh_time_t now = clock_boot();
 	gh_admission_verdict_t verdict;
 
-	if (!submission->limit_milli || is_known(submission) ||
+	bool has_memory = gh_admission_has_memory(
+		job, fleet_jobs_open_bytes(submission->jobs),
+		submission->memory_max, &verdict);
+
+	if ((has_memory && !submission->limit_milli) || is_known(submission) ||
 	    fleet_jobs_is_open(submission->jobs, job->id)) {
 		submit(submission);
 		return;
 	}
-	judge(submission, &verdict);
+	if (has_memory)
+		judge(submission, &verdict);
 	if (!gh_admission_is_refusal(&verdict)) {
 		counter_inc(counters[verdict.reason]);
 		submit(submission);
 		return;
 	}
+	submission->refusal_reason = verdict.reason;
 	submission->refusal_retry_after_ms = verdict.retry_after_ms;
-	gh_error_set(&submission->refusal, GH_E_DEADLINE_INFEASIBLE,
-		     "job %s would end in %" PRId64 " ms, its objective is "
-		     "%" PRId64 " ms",
-		     job->id, verdict.end_ms, verdict.objective_ms);
+	if (has_memory)
+		gh_error_set(&submission->refusal, GH_E_DEADLINE_INFEASIBLE,
+			     "job %s would end in %" PRId64
+			     " ms, its objective is %" PRId64 " ms",
+			     job->id, verdict.end_ms, verdict.objective_ms);
+	else
+		log_event(LOG_INFO, "admission", "job", job->id, "queue",
+			  job->queue, "reason",
+			  gh_admission_reason_name(verdict.reason),
+			  "open_bytes",
+			  log_num((int64_t)fleet_jobs_open_bytes(
+				  submission->jobs)),
+			  "retry_after_ms", log_num(verdict.retry_after_ms),
+			  NULL);
+	if (!has_memory)
+		gh_error_set(&submission->refusal, GH_E_JOB_TABLE_FULL,
+			     "job %s: the jobs that have not ended take up the "
+			     "memory for jobs",
+			     job->id);
 	/* Without a reply by half the time, the job is written in the rest. */
 	fleet_jobs_refresh(submission->jobs, job->id,
 			   now + (submission->deadline - now) / 2,
@@ -63,7 +84,8 @@
 		!is_known(submission) &&
 		!fleet_jobs_is_open(submission->jobs, submission->job->id);
 
-	counter_inc(absent ? CTR_REFUSED_LATE : CTR_ADMITTED_UNKNOWN);
+	counter_inc(absent ? counters[submission->refusal_reason] :
+			     CTR_ADMITTED_UNKNOWN);
 	if (absent) {
 		submission->retry_after_ms = submission->refusal_retry_after_ms;
 		submission->done(submission->ctx, refusal);
--- a/fleet_host.h
+++ b/fleet_host.h
@@ -20,6 +20,7 @@
 	gh_fleet_setup_t fleet;
 	/* See gh_admission_state_t.limit_milli. */
 	int64_t refuse_beyond_milli;
+	uint64_t jobs_memory_max;   /* see gh_admission_has_memory() */
 	int64_t ended_retention_ms; /* how long states of ended jobs are kept */
 } fleet_host_setup_t;
 
--- a/fleet_jobs.c
+++ b/fleet_jobs.c
@@ -35,6 +35,8 @@
 static bool read_state(const fleet_jobs_t *jobs, const char *id,
 		       const char *text, uint64_t revision,
 		       fleet_job_state_t *state);
+static void remove_state(fleet_jobs_t *jobs, const char *id);
+static uint64_t open_bytes(const fleet_job_state_t *state);
 static void set_state(fleet_jobs_t *jobs, const char *id,
 		      const fleet_job_state_t *state);
 static void log_placed(const fleet_jobs_t *jobs, const gh_pipeline_t *pipeline,
@@ -114,6 +116,16 @@
 	       fleet_job_was_accepted(&state) && !strcmp(state.queue, queue);
 }
 
+uint64_t fleet_jobs_open_bytes(fleet_jobs_t *jobs)
+{
+	uint64_t bytes;
+
+	pthread_mutex_lock(&jobs->lock);
+	bytes = jobs->open_bytes;
+	pthread_mutex_unlock(&jobs->lock);
+	return bytes;
+}
+
 uint32_t fleet_jobs_count_queued(fleet_jobs_t *jobs, const char *queue)
 {
 	GHashTableIter iter;
@@ -199,9 +211,7 @@
 				set_state(jobs, id, &state);
 			return;
 		}
-		pthread_mutex_lock(&jobs->lock);
-		g_hash_table_remove(jobs->states, id);
-		pthread_mutex_unlock(&jobs->lock);
+		remove_state(jobs, id);
 	}
 }
 
@@ -329,6 +339,7 @@
 		.accepted_ms = pipeline->accepted_ms,
 		.changed_ms = pipeline->accepted_ms,
 		.shard = shard,
+		.bytes = gh_pipeline_bytes(pipeline),
 		.revision = revision,
 		.presumed = true,
 	};
@@ -348,9 +359,7 @@
 	key = fleet_jobs_state_key(id);
 	fleet_watch_forget(jobs->watch, key);
 	g_free(key);
-	pthread_mutex_lock(&jobs->lock);
-	g_hash_table_remove(jobs->states, id);
-	pthread_mutex_unlock(&jobs->lock);
+	remove_state(jobs, id);
 	if (text)
 		fleet_jobs_update_text(jobs, id, text, revision);
 }
@@ -385,10 +394,26 @@
 	return false;
 }
 
+static void remove_state(fleet_jobs_t *jobs, const char *id)
+{
+	pthread_mutex_lock(&jobs->lock);
+	jobs->open_bytes -= open_bytes(g_hash_table_lookup(jobs->states, id));
+	g_hash_table_remove(jobs->states, id);
+	pthread_mutex_unlock(&jobs->lock);
+}
+
+/* What counts of a state, which may be NULL. */
+static uint64_t open_bytes(const fleet_job_state_t *state)
+{
+	return state && state->phase <= GH_JOB_RUNNING ? state->bytes : 0;
+}
+
 static void set_state(fleet_jobs_t *jobs, const char *id,
 		      const fleet_job_state_t *state)
 {
 	pthread_mutex_lock(&jobs->lock);
+	jobs->open_bytes -= open_bytes(g_hash_table_lookup(jobs->states, id));
+	jobs->open_bytes += open_bytes(state);
 	g_hash_table_replace(jobs->states, g_strdup(id),
 			     g_memdup2(state, sizeof(*state)));
 	pthread_mutex_unlock(&jobs->lock);
@@ -453,10 +478,10 @@
 
 char *fleet_job_state_format(const fleet_job_state_t *state)
 {
-	return g_strdup_printf("%s %s %" PRId64 " %" PRId64 " %u",
+	return g_strdup_printf("%s %s %" PRId64 " %" PRId64 " %u %u",
 			       gh_job_phase_name(state->phase), state->queue,
 			       state->accepted_ms, state->changed_ms,
-			       state->shard);
+			       state->shard, state->bytes);
 }
 
 /* Leaves state unchanged if the text is not valid. */
@@ -468,9 +493,10 @@
 								      id) };
 	char phase[16];
 
-	if (sscanf(text, "%15s %95s %" SCNd64 " %" SCNd64 " %" SCNu32, phase,
-		   parsed.queue, &parsed.accepted_ms, &parsed.changed_ms,
-		   &parsed.shard) < 4)
+	if (sscanf(text,
+		   "%15s %95s %" SCNd64 " %" SCNd64 " %" SCNu32 " %" SCNu32,
+		   phase, parsed.queue, &parsed.accepted_ms, &parsed.changed_ms,
+		   &parsed.shard, &parsed.bytes) < 4)
 		return false;
 	parsed.phase = gh_job_phase_by_name(phase);
 	if (parsed.phase >= GH_JOB_PHASES)
--- a/fleet_jobs.h
+++ b/fleet_jobs.h
@@ -8,7 +8,9 @@
  * demand: a job's state by fleet_jobs_refresh(), and the shards' loads when a
  * long-running job is submitted.  Owner records are followed without delay.
  *
- *   d/state/ID    "PHASE QUEUE ACCEPTED-MS CHANGED-MS SHARD"
+ *   d/state/ID    "PHASE QUEUE ACCEPTED-MS CHANGED-MS SHARD BYTES"; BYTES is
+ *                 gh_pipeline_bytes(), earlier versions neither write nor read
+ *                 it
  *   d/own/SHARD   name of the shard's owner, bound to the owner's lease
  *   d/load/SHARD  "OWNER CORES MEMORY CORES MEMORY [SERVICE:CORES:MEMORY...]":
  *                 capacity of the shard's workers, size of its long-running
@@ -59,6 +61,7 @@
 	int64_t accepted_ms;
 	int64_t changed_ms; /* time of the last change of phase, wall clock */
 	uint32_t shard;
+	uint32_t bytes;	   /* gh_pipeline_bytes(); 0: not known */
 	uint64_t revision; /* revision of the state's record in the store */
 	bool presumed;	   /* see fleet_jobs_note_submitted() */
 } fleet_job_state_t;
@@ -107,6 +110,8 @@
  * carried out by the store: nobody may be told that the job never runs.
  */
 bool fleet_jobs_is_open(fleet_jobs_t *jobs, const char *id);
+/* Any thread: sum of the bytes of all jobs that have not ended. */
+uint64_t fleet_jobs_open_bytes(fleet_jobs_t *jobs);
 /* Number of the queue's jobs whose phase is GH_JOB_QUEUED. */
 uint32_t fleet_jobs_count_queued(fleet_jobs_t *jobs, const char *queue);
 /*
--- a/fleet_jobs_private.h
+++ b/fleet_jobs_private.h
@@ -43,7 +43,8 @@
 	GQueue retry_queue; /* request_t to be retried, earliest first */
 	GQueue requests;    /* request_t, all unfinished requests */
 	pthread_mutex_t lock;
-	GHashTable *states; /* job id to fleet_job_state_t; guarded by lock */
+	GHashTable *states;  /* job id to fleet_job_state_t; guarded by lock */
+	uint64_t open_bytes; /* of the states of open jobs; guarded by lock */
 	/* Job id to open_write_t, of submissions; guarded by lock. */
 	GHashTable *open_writes;
 	gh_time_t open_writes_checked_at;
--- a/fleet_jobs_request.c
+++ b/fleet_jobs_request.c
@@ -183,6 +183,7 @@
 		.phase = GH_JOB_QUEUED,
 		.accepted_ms = pipeline->accepted_ms,
 		.changed_ms = pipeline->accepted_ms,
+		.bytes = gh_pipeline_bytes(pipeline),
 	};
 	g_strlcpy(request->state.queue, pipeline->queue,
 		  sizeof(request->state.queue));
--- a/fleet_main.c
+++ b/fleet_main.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 
 #include "clock.h"
+#include "core_admission.h"
 #include "fleet_host.h"
 #include "log.h"
 #include "platform/platform.h"
@@ -103,6 +104,7 @@
 			settings->store_writes_per_s),
 		.fleet = fleet_setup(settings, shards),
 		.refuse_beyond_milli = settings->refuse_beyond_milli,
+		.jobs_memory_max = gh_admission_memory_max(settings->memory_mb),
 		.ended_retention_ms = settings->ended_retention_s * 1000LL,
 	});
 	ok = start(&process, &err);
--- a/fleet_owner_commit.c
+++ b/fleet_owner_commit.c
@@ -61,6 +61,7 @@
 static void batch_failed(fleet_owner_t *owner);
 static void batch_rejected(fleet_owner_t *owner, const char *why);
 static const fleet_entry_t *find_largest(const batch_t *batch);
+static size_t value_len(const fleet_entry_t *entry);
 static void batch_conflict(fleet_owner_t *owner, const fleet_reply_t *reply);
 static void batch_send(fleet_owner_t *owner);
 static batch_t *batch_new(fleet_owner_t *owner, gh_time_t now);
@@ -304,7 +305,7 @@
 {
 	owner->batch->entries[CHAIN_ENTRY].value = owner->batch->chain_value;
 	owner->batch->sent_at = clock_boot();
-	if (strlen(find_largest(owner->batch)->value) > FLEET_VALUE_MAX) {
+	if (value_len(find_largest(owner->batch)) > FLEET_VALUE_MAX) {
 		batch_rejected(owner, "too_large");
 		return;
 	}
@@ -530,7 +531,7 @@
 	log_event(LOG_ERROR, "commit_rejected", "shard",
 		  log_num(owner->setup.shard), "why", why, "job", id, "jobs",
 		  log_num(n), "key", largest->key, "bytes",
-		  log_num((int64_t)strlen(largest->value)), NULL);
+		  log_num((int64_t)value_len(largest)), NULL);
 	batch_failed(owner);
 	owner->saves_at = now + REJECTED_PAUSE_USEC;
 	owner->changes_alone = MAX(owner->changes_alone, n);
@@ -544,19 +545,23 @@
 	}
 }
 
-/* The entry with the longest value; the chain record has one at least. */
+/* The entry with the longest value; all others may have none. */
 static const fleet_entry_t *find_largest(const batch_t *batch)
 {
 	const fleet_entry_t *largest = &batch->entries[CHAIN_ENTRY];
 	size_t i;
 
 	for (i = 0; i < batch->n; i++)
-		if (batch->entries[i].value &&
-		    strlen(batch->entries[i].value) > strlen(largest->value))
+		if (value_len(&batch->entries[i]) > value_len(largest))
 			largest = &batch->entries[i];
 	return largest;
 }
 
+static size_t value_len(const fleet_entry_t *entry)
+{
+	return entry->value ? strlen(entry->value) : 0;
+}
+
 static void batch_conflict(fleet_owner_t *owner, const fleet_reply_t *reply)
 {
 	static const char state_prefix[] = "d/state/";
--- a/regress/test_fleet_admission.c
+++ b/regress/test_fleet_admission.c
@@ -30,31 +30,44 @@
 	bool get_fails;
 	bool written;
 	bool repeats; /* another submission of it is written meanwhile */
+	uint64_t memory_max;
+	const char *other_state; /* of another job, in the directory */
 } door_case_t;
 
 static const door_case_t cases[] = {
 	{ "nothing waits", LOAD " @:0:0", "h0", NULL, 0, 3000, -1, false, false,
-	  true, false },
+	  true, false, 0, NULL },
 	{ "hopeless", LOAD WAITS, "h0", NULL, 0, 3000, GH_E_DEADLINE_INFEASIBLE,
-	  false, false, false, false },
+	  false, false, false, false, 0, NULL },
 	{ "switched off", LOAD WAITS, "h0", NULL, 0, 0, -1, false, false, true,
-	  false },
+	  false, 0, NULL },
 	{ "accepted elsewhere, the reply was lost", LOAD WAITS, "h0",
-	  "queued q 1 1 0", 0, 3000, -1, false, false, false, false },
+	  "queued q 1 1 0", 0, 3000, -1, false, false, false, false, 0, NULL },
 	{ "accepted before", LOAD WAITS, "h0", "queued q 1 1 0", 0, 3000, -1,
-	  true, false, false, false },
+	  true, false, false, false, 0, NULL },
 	{ "an owner lost", LOAD WAITS, NULL, NULL, 0, 3000, -1, false, false,
-	  true, false },
+	  true, false, 0, NULL },
 	{ "another owner", LOAD WAITS, "h1", NULL, 0, 3000, -1, false, false,
-	  true, false },
+	  true, false, 0, NULL },
 	{ "a load of a former version", LOAD " svc:1000:1", "h0", NULL, 0, 3000,
-	  -1, false, false, true, false },
+	  -1, false, false, true, false, 0, NULL },
 	{ "the store away for long", LOAD WAITS, "h0", NULL, 4000, 3000, -1,
-	  false, false, true, false },
+	  false, false, true, false, 0, NULL },
 	{ "the store gives no reply", LOAD WAITS, "h0", NULL, 0, 3000, -1,
-	  false, true, true, false },
+	  false, true, true, false, 0, NULL },
 	{ "a repeat is being written", LOAD WAITS, "h0", NULL, 0, 3000, -1,
-	  false, false, true, true },
+	  false, false, true, true, 0, NULL },
+	{ "no memory", LOAD " @:0:0", "h0", NULL, 0, 0, GH_E_JOB_TABLE_FULL,
+	  false, false, false, false, 2000, NULL },
+	{ "memory that others take", LOAD " @:0:0", "h0", NULL, 0, 3000,
+	  GH_E_JOB_TABLE_FULL, false, false, false, false, 6000,
+	  "running q 1 1 0 5000" },
+	{ "memory that others took", LOAD " @:0:0", "h0", NULL, 0, 3000, -1,
+	  false, false, true, false, 6000, "completed q 1 1 0 5000" },
+	{ "no memory, accepted elsewhere", LOAD " @:0:0", "h0",
+	  "queued q 1 1 0", 0, 0, -1, false, false, false, false, 2000, NULL },
+	{ "no memory, the store gives no reply", LOAD " @:0:0", "h0", NULL, 0,
+	  0, -1, false, true, true, false, 2000, NULL },
 };
 
 typedef struct call {
@@ -128,6 +141,8 @@
 		add_item(call, "d/load/0", c->load);
 		if (c->state_is_known)
 			add_item(call, "d/state/" JOB_ID, c->state);
+		if (c->other_state)
+			add_item(call, "d/state/other", c->other_state);
 	}
 	if (c->owner)
 		add_item(call, "d/own/0", c->owner);
@@ -236,6 +251,7 @@
 	fleet_submission_t submission = { .job = &job,
 					  .policy = &policy,
 					  .limit_milli = c->limit_milli,
+					  .memory_max = c->memory_max,
 					  .done = on_told,
 					  .ctx = &play };
 	loop_t *loop = loop_new();
@@ -258,8 +274,7 @@
 		      play.kind, play.written, (int)submission.retry_after_ms);
 	ok = play.told && play.kind == c->kind && play.written == c->written &&
 	     play.written_at < submission.deadline - WRITE_USEC &&
-	     (c->kind != GH_E_DEADLINE_INFEASIBLE ||
-	      submission.retry_after_ms > 0);
+	     (c->kind < 0 || submission.retry_after_ms > 0);
 	fleet_jobs_free(submission.jobs);
 	for (i = 0; i < play.n_watches; i++)
 		play.watches[i].done(
