core_fleet_occurrence: an occurrence that is held again is not over meanwhile

A report of a run of a long done task holds its occurrence again, which then counted twice, as held and as over, so that the number of occurrences ahead wrapped around once all others were over.

Its bit is cleared while it is held. test_done_occurrences has such reports.

--- a/core_fleet_occurrence.c
+++ b/core_fleet_occurrence.c
@@ -62,7 +62,7 @@
 	uint32_t i;
 
 	job->occurrences = g_ptr_array_new_with_free_func(free_occurrence);
-	job->finished = g_new0(uint8_t, (n + 7) / 8);
+	job->finished = g_malloc0(sizeof(*job->finished) + (n + 7) / 8);
 	job->absent_stages = g_new0(fleet_stage_t, 2 * job->spec->n_steps);
 	for (i = 0; i < job->spec->n_steps; i++)
 		job->absent_stages[job->spec->n_steps + i].tasks_done =
@@ -82,7 +82,7 @@
 
 bool fleet_occurrence_is_finished(const fleet_job_t *job, uint32_t number)
 {
-	return job->finished[number / 8] >> number % 8 & 1;
+	return job->finished->bits[number / 8] >> number % 8 & 1;
 }
 
 bool fleet_occurrence_is_held(const fleet_job_t *job, uint32_t number)
@@ -131,7 +131,7 @@
 	/* Those of a guest are in another shard. */
 	return job->guest ? 0 :
 			    gh_pipeline_occurrence_count(job->spec) -
-				    job->occurrences->len - job->n_finished;
+				    job->occurrences->len - job->finished->n;
 }
 
 const fleet_task_t *fleet_task_peek(const fleet_job_t *job, uint32_t task)
@@ -214,6 +214,11 @@
 	occurrence->tasks = g_new0(fleet_task_t, job->tasks_per_occurrence);
 	occurrence->stages = g_new0(fleet_stage_t, job->spec->n_steps);
 	init_tasks(job, occurrence);
+	if (fleet_occurrence_is_finished(job, number)) {
+		job->finished->bits[number / 8] &=
+			(uint8_t) ~(1u << number % 8);
+		job->finished->n--;
+	}
 	g_ptr_array_insert(job->occurrences, (gint)position, occurrence);
 	return occurrence;
 }
@@ -272,10 +277,8 @@
 	if (!job->spec->occurrences || !occurrence ||
 	    !is_over(job, occurrence, now))
 		return;
-	if (!fleet_occurrence_is_finished(job, number)) {
-		job->finished[number / 8] |= (uint8_t)(1u << number % 8);
-		job->n_finished++;
-	}
+	job->finished->bits[number / 8] |= (uint8_t)(1u << number % 8);
+	job->finished->n++;
 	g_ptr_array_remove(job->occurrences, occurrence);
 }
 
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -260,6 +260,12 @@
 	fleet_stage_t *stages;
 } fleet_occurrence_t;
 
+/* Occurrences that are over and not held any more. */
+typedef struct fleet_finished {
+	uint32_t n;	/* number of bits set */
+	uint8_t bits[]; /* bit map by number */
+} fleet_finished_t;
+
 /* A part of a job's progress record; see core_fleet_part.c. */
 typedef struct fleet_part {
 	/* Hash of the text that is stored, and of the last one; 0: none. */
@@ -282,9 +288,8 @@
 	uint32_t n_tasks, n_stages;
 	/* fleet_occurrence_t, by number: those that are held in memory. */
 	GPtrArray *occurrences;
-	uint8_t *finished;   /* bit map of those that are over, and freed */
-	uint32_t n_finished; /* number of bits set */
-	uint32_t next_due;   /* those before have been held */
+	fleet_finished_t *finished;
+	uint32_t next_due; /* those before have been held */
 	/*
 	 * What fleet_stage() returns of occurrences that are not held: a stage
 	 * for each step before its turn, then one for each that is done.
--- a/regress/test_core_fleet_occurrence.c
+++ b/regress/test_core_fleet_occurrence.c
@@ -113,6 +113,16 @@
 	g_free(progress);
 }
 
+/* A run of a task that is long done shows up at a worker. */
+static void add_stale_run(world_t *w)
+{
+	scripted_worker_t *worker = &w->workers[0];
+	gh_report_run_t *run = &worker->runs[worker->n_runs++];
+
+	*run = (gh_report_run_t){ .task.index = 1, .run = 1 };
+	g_strlcpy(run->task.job, REPEATED_JOB, sizeof(run->task.job));
+}
+
 /* Guards against tasks that run again after their memory was freed. */
 static void test_done_occurrences(void **state)
 {
@@ -137,6 +147,8 @@
 		end_runs(&w);
 		gh_fleet_counts(w.fleet, &counts);
 		max_held = MAX(max_held, counts.tasks_held);
+		if (i % 8 == 7)
+			add_stale_run(&w);
 		if (i == 20) {
 			job = make_repeated_job(&w, REPEATED_JOB, OCCURRENCES,
 						TASKS, 0, INTERVAL_MS);
