--- a/core_fleet.c
+++ b/core_fleet.c
@@ -167,10 +167,10 @@
 	fleet_commit_resume(fleet, handle);
 	fleet_commit_hasten(fleet, handle);
 	for (i = 0; i < job->occurrences->len; i++) {
-		const fleet_occurrence_t *held = job->occurrences->pdata[i];
+		const fleet_occurrence_t *resident = job->occurrences->pdata[i];
 
-		stop_task_runs(fleet, handle, held->stages[0].first_task,
-			       held->n_tasks, "job ended", now);
+		stop_task_runs(fleet, handle, resident->stages[0].first_task,
+			       resident->n_tasks, "job ended", now);
 	}
 }
 
--- a/core_fleet.h
+++ b/core_fleet.h
@@ -70,8 +70,8 @@
 	/* This shard, and the number of all; below 2 no task ever moves. */
 	uint32_t shard, shards;
 	/*
-	 * Tasks that are held in memory before further ones, whose turn has
-	 * come, wait for it; 0: no limit.
+	 * Tasks that are resident, with state in memory, before further ones,
+	 * whose turn has come, wait for it; 0: no limit.
 	 */
 	uint32_t tasks_max;
 } gh_fleet_setup_t;
@@ -357,8 +357,9 @@
 	uint64_t memory_short; /* times that due tasks began to wait for memory
 				*/
 	uint32_t jobs, workers, open_runs, pending_tasks;
-	/* Tasks held in memory, and jobs of which due ones wait for it. */
-	uint32_t tasks_held, jobs_without_memory;
+	/* Tasks with state in memory, and jobs of which due ones wait for it.
+	 */
+	uint32_t tasks_resident, jobs_without_memory;
 } gh_fleet_counts_t;
 
 /* How far an owner is behind with what it has decided. */
--- a/core_fleet_move.c
+++ b/core_fleet_move.c
@@ -121,8 +121,9 @@
 		if (!job->spec || !job->may_move || job->held ||
 		    job->phase > GH_JOB_RUNNING)
 			continue;
-		for (s = 0; s < fleet_held_stage_count(job) && n < limit; s++) {
-			uint32_t stage = fleet_held_stage(job, s);
+		for (s = 0; s < fleet_resident_stage_count(job) && n < limit;
+		     s++) {
+			uint32_t stage = fleet_resident_stage(job, s);
 
 			if (fleet_stage(job, stage)->waiting_since)
 				n += decide_stage(fleet, i, stage, restarts,
--- a/core_fleet_occurrence.c
+++ b/core_fleet_occurrence.c
@@ -4,12 +4,12 @@
  * Callers may submit jobs of many occurrences, or of many tasks, that are due
  * in hours; with state for all of them an owner would exceed its memory, and so
  * would each owner after it.  The tasks of an occurrence have memory from the
- * time when the occurrence is due until all of them are done.  Beyond
- * gh_fleet_setup_t.tasks_max a due occurrence waits for memory, so that what
- * was accepted is kept, but not begun.  Wide occurrences leave a part of the
- * tasks to narrow ones; among those that wait, urgent queues come first, then
- * the jobs accepted first.  Occurrences of which the record tells a task that
- * is not done are loaded in any case.
+ * time when the occurrence is due until all of them are done: it is resident.
+ * Beyond gh_fleet_setup_t.tasks_max a due occurrence waits for memory, so that
+ * what was accepted is kept, but not begun.  Wide occurrences leave a part of
+ * the tasks to narrow ones; among those that wait, urgent queues come first,
+ * then the jobs accepted first.  Occurrences of which the record tells a task
+ * that is not done are loaded in any case.
  */
 #include "core_fleet_parts.h"
 
@@ -33,7 +33,8 @@
 
 static fleet_occurrence_t *find(const fleet_job_t *job, uint32_t number,
 				guint *position);
-static fleet_occurrence_t *hold(const fleet_job_t *job, uint32_t number);
+static fleet_occurrence_t *make_resident(const fleet_job_t *job,
+					 uint32_t number);
 static void init_tasks(const fleet_job_t *job, fleet_occurrence_t *occurrence);
 static void free_occurrence(gpointer data);
 static bool is_over(const fleet_job_t *job,
@@ -41,8 +42,8 @@
 static uint32_t count_ahead(const fleet_job_t *job);
 static uint32_t count_due(const fleet_job_t *job, int64_t wall_ms);
 static bool fits(const gh_fleet_t *fleet, uint32_t tasks);
-static void hold_due(gh_fleet_t *fleet, uint32_t handle, uint32_t *narrower,
-		     int64_t wall_ms);
+static void make_due_resident(gh_fleet_t *fleet, uint32_t handle,
+			      uint32_t *narrower, int64_t wall_ms);
 static int compare_waiting(gconstpointer a, gconstpointer b);
 static void report_memory(gh_fleet_t *fleet, uint32_t n_waiting);
 
@@ -70,7 +71,7 @@
 	/* Of scheduled jobs, the next step tells what is due. */
 	if (!job->guest && !job->spec->occurrences &&
 	    !fleet->counts.jobs_without_memory)
-		hold_due(fleet, handle, &narrower, 0);
+		make_due_resident(fleet, handle, &narrower, 0);
 }
 
 void fleet_occurrence_clear_job(fleet_job_t *job)
@@ -85,47 +86,48 @@
 	return job->finished->bits[number / 8] >> number % 8 & 1;
 }
 
-bool fleet_occurrence_is_held(const fleet_job_t *job, uint32_t number)
+bool fleet_occurrence_is_resident(const fleet_job_t *job, uint32_t number)
 {
 	return find(job, number, NULL) != NULL;
 }
 
-uint32_t fleet_held_stage_count(const fleet_job_t *job)
+uint32_t fleet_resident_stage_count(const fleet_job_t *job)
 {
 	return job->occurrences->len * job->spec->n_steps;
 }
 
-uint32_t fleet_held_stage(const fleet_job_t *job, uint32_t n)
+uint32_t fleet_resident_stage(const fleet_job_t *job, uint32_t n)
 {
 	uint32_t n_steps = job->spec->n_steps;
-	const fleet_occurrence_t *held = job->occurrences->pdata[n / n_steps];
+	const fleet_occurrence_t *resident =
+		job->occurrences->pdata[n / n_steps];
 
-	return held->number * n_steps + n % n_steps;
+	return resident->number * n_steps + n % n_steps;
 }
 
 uint32_t fleet_open_stage_count(const fleet_job_t *job)
 {
-	return fleet_held_stage_count(job) +
+	return fleet_resident_stage_count(job) +
 	       (count_ahead(job) ? job->spec->n_steps : 0);
 }
 
 uint32_t fleet_open_stage(const fleet_job_t *job, uint32_t n, uint32_t *alike)
 {
-	uint32_t n_held = fleet_held_stage_count(job);
+	uint32_t n_resident = fleet_resident_stage_count(job);
 	uint32_t first = job->next_due;
 
-	if (n < n_held) {
+	if (n < n_resident) {
 		*alike = 1;
-		return fleet_held_stage(job, n);
+		return fleet_resident_stage(job, n);
 	}
 	*alike = count_ahead(job);
 	while (find(job, first, NULL) ||
 	       fleet_occurrence_is_finished(job, first))
 		first++;
-	return first * job->spec->n_steps + n - n_held;
+	return first * job->spec->n_steps + n - n_resident;
 }
 
-/* Number of occurrences that have not been held yet. */
+/* Number of occurrences that were not resident yet. */
 static uint32_t count_ahead(const fleet_job_t *job)
 {
 	/* Those of a guest are in another shard. */
@@ -143,16 +145,16 @@
 		.avoid_worker = GH_NONE,
 	};
 	uint32_t number = task / job->tasks_per_occurrence;
-	const fleet_occurrence_t *held = find(job, number, NULL);
+	const fleet_occurrence_t *resident = find(job, number, NULL);
 
-	if (held)
-		return &held->tasks[task % job->tasks_per_occurrence];
+	if (resident)
+		return &resident->tasks[task % job->tasks_per_occurrence];
 	return fleet_occurrence_is_finished(job, number) ? &finished : NULL;
 }
 
 fleet_task_t *fleet_task(const fleet_job_t *job, uint32_t task)
 {
-	return &hold(job, task / job->tasks_per_occurrence)
+	return &make_resident(job, task / job->tasks_per_occurrence)
 			->tasks[task % job->tasks_per_occurrence];
 }
 
@@ -174,7 +176,7 @@
 {
 	uint32_t stage = fleet_stage_index(job, task);
 
-	hold(job, stage / job->spec->n_steps);
+	make_resident(job, stage / job->spec->n_steps);
 	return fleet_stage(job, stage);
 }
 
@@ -202,7 +204,8 @@
 }
 
 /* The occurrence, which gets memory if it has none. */
-static fleet_occurrence_t *hold(const fleet_job_t *job, uint32_t number)
+static fleet_occurrence_t *make_resident(const fleet_job_t *job,
+					 uint32_t number)
 {
 	guint position = 0;
 	fleet_occurrence_t *occurrence = find(job, number, &position);
@@ -323,7 +326,7 @@
 	uint32_t max = fleet->setup.tasks_max;
 
 	return !max ||
-	       fleet->counts.tasks_held +
+	       fleet->counts.tasks_resident +
 			       MIN((uint64_t)tasks * FIT_FACTOR, max / 2) <=
 		       max;
 }
@@ -335,7 +338,7 @@
 	uint32_t n_waiting = 0;
 	uint32_t i, j;
 
-	fleet->counts.tasks_held = 0;
+	fleet->counts.tasks_resident = 0;
 	for (i = 0; i < fleet->jobs->len; i++) {
 		fleet_job_t *job = fleet_job(fleet, i);
 		waiting_job_t entry = { .job = i };
@@ -344,13 +347,13 @@
 			continue;
 		if (job->spec->occurrences)
 			for (j = job->occurrences->len; j--;) {
-				fleet_occurrence_t *held =
+				fleet_occurrence_t *resident =
 					job->occurrences->pdata[j];
 
-				fleet_occurrence_release(job, held->number,
+				fleet_occurrence_release(job, resident->number,
 							 now);
 			}
-		fleet->counts.tasks_held +=
+		fleet->counts.tasks_resident +=
 			job->occurrences->len * job->tasks_per_occurrence;
 		if (job->guest || job->next_due >= count_due(job, wall_ms))
 			continue;
@@ -362,7 +365,7 @@
 	for (i = 0; i < waiting->len; i++) {
 		uint32_t handle = g_array_index(waiting, waiting_job_t, i).job;
 
-		hold_due(fleet, handle, &narrower, wall_ms);
+		make_due_resident(fleet, handle, &narrower, wall_ms);
 		n_waiting += fleet_job(fleet, handle)->next_due <
 			     count_due(fleet_job(fleet, handle), wall_ms);
 	}
@@ -370,23 +373,23 @@
 	report_memory(fleet, n_waiting);
 }
 
-static void hold_due(gh_fleet_t *fleet, uint32_t handle, uint32_t *narrower,
-		     int64_t wall_ms)
+static void make_due_resident(gh_fleet_t *fleet, uint32_t handle,
+			      uint32_t *narrower, int64_t wall_ms)
 {
 	fleet_job_t *job = fleet_job(fleet, handle);
 	uint32_t n_due = count_due(job, wall_ms);
 
 	for (; job->next_due < n_due; job->next_due++) {
 		if (fleet_occurrence_is_finished(job, job->next_due) ||
-		    fleet_occurrence_is_held(job, job->next_due))
+		    fleet_occurrence_is_resident(job, job->next_due))
 			continue;
 		if (job->tasks_per_occurrence > *narrower ||
 		    !fits(fleet, job->tasks_per_occurrence)) {
 			*narrower = NARROW_TASKS;
 			return;
 		}
-		hold(job, job->next_due);
-		fleet->counts.tasks_held += job->tasks_per_occurrence;
+		make_resident(job, job->next_due);
+		fleet->counts.tasks_resident += job->tasks_per_occurrence;
 	}
 }
 
@@ -412,9 +415,9 @@
 	if (waited == (n_waiting != 0))
 		return;
 	fleet->counts.memory_short += n_waiting != 0;
-	detail = g_strdup_printf("%u jobs wait, %u tasks held of at most %u",
-				 n_waiting, fleet->counts.tasks_held,
-				 fleet->setup.tasks_max);
+	detail = g_strdup_printf(
+		"%u jobs wait, %u tasks in memory of at most %u", n_waiting,
+		fleet->counts.tasks_resident, fleet->setup.tasks_max);
 	fleet_emit_event(fleet, "memory_short", NULL, 0, GH_NONE, detail);
 	g_free(detail);
 }
--- a/core_fleet_parts.h
+++ b/core_fleet_parts.h
@@ -168,30 +168,31 @@
 uint32_t fleet_task_find(const fleet_job_t *job, const gh_task_id_t *id);
 /*
  * The task, or the task's stage, by the task's index in its job.  Its
- * occurrence is held from then on; the pointer is valid until it is released.
+ * occurrence is resident from then on; the pointer is valid until it is
+ * released.
  */
 fleet_task_t *fleet_task(const fleet_job_t *job, uint32_t task);
 fleet_stage_t *fleet_task_stage(const fleet_job_t *job, uint32_t task);
-/* The stage, or what stands for it while its occurrence is not held. */
+/* The stage, or what stands for it while its occurrence is not resident. */
 fleet_stage_t *fleet_stage(const fleet_job_t *job, uint32_t stage);
 /* Index of the stage's first task. */
 uint32_t fleet_stage_first_task(const fleet_job_t *job, uint32_t stage);
 /*
- * The task without holding its occurrence; NULL: it was not held yet, so that
+ * The task, as it is; NULL: its occurrence was not resident yet, so that
  * the task was never started.
  */
 const fleet_task_t *fleet_task_peek(const fleet_job_t *job, uint32_t task);
-/* Number of the job's stages that are held, and the index of one of them. */
-uint32_t fleet_held_stage_count(const fleet_job_t *job);
-uint32_t fleet_held_stage(const fleet_job_t *job, uint32_t n);
+/* Number of the job's resident stages, and the index of one of them. */
+uint32_t fleet_resident_stage_count(const fleet_job_t *job);
+uint32_t fleet_resident_stage(const fleet_job_t *job, uint32_t n);
 void fleet_occurrence_init_job(gh_fleet_t *fleet, uint32_t handle);
 void fleet_occurrence_clear_job(fleet_job_t *job);
 /* Whether all tasks of the occurrence are done and their memory is freed. */
 bool fleet_occurrence_is_finished(const fleet_job_t *job, uint32_t number);
-bool fleet_occurrence_is_held(const fleet_job_t *job, uint32_t number);
+bool fleet_occurrence_is_resident(const fleet_job_t *job, uint32_t number);
 /*
- * Number of the stages that are held and, as one each, of those of all
- * occurrences that have not been held yet; the stage at a position among them,
+ * Number of the resident stages and, as one each, of those of all occurrences
+ * that were not resident yet; the stage at a position among them,
  * and how many stages it stands for.
  */
 uint32_t fleet_open_stage_count(const fleet_job_t *job);
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -98,8 +98,8 @@
 			job->idle_since = now;
 		if (job->aside_until)
 			continue;
-		for (n = 0; n < fleet_held_stage_count(job); n++) {
-			uint32_t s = fleet_held_stage(job, n);
+		for (n = 0; n < fleet_resident_stage_count(job); n++) {
+			uint32_t s = fleet_resident_stage(job, n);
 			const fleet_stage_t *stage = fleet_stage(job, s);
 			uint32_t tasks =
 				job->spec->steps[s % job->spec->n_steps].tasks;
@@ -346,8 +346,8 @@
 	uint32_t open = GH_NONE;
 	uint32_t n, i;
 
-	for (n = 0; n < fleet_held_stage_count(job); n++) {
-		uint32_t s = fleet_held_stage(job, n);
+	for (n = 0; n < fleet_resident_stage_count(job); n++) {
+		uint32_t s = fleet_resident_stage(job, n);
 		const fleet_stage_t *stage = fleet_stage(job, s);
 		uint32_t tasks = job->spec->steps[s % job->spec->n_steps].tasks;
 
--- a/core_fleet_record.c
+++ b/core_fleet_record.c
@@ -286,13 +286,13 @@
 	uint32_t n, i;
 
 	g_strlcpy(id.job, job->spec->id, sizeof(id.job));
-	/* Tasks that are held in memory later get the same. */
+	/* Tasks that become resident later get the same. */
 	job->held = true;
 	for (n = 0; n < job->occurrences->len; n++) {
-		fleet_occurrence_t *held = job->occurrences->pdata[n];
+		fleet_occurrence_t *resident = job->occurrences->pdata[n];
 
-		for (i = 0; i < held->n_tasks; i++)
-			held->tasks[i].not_before = GH_TIME_NEVER;
+		for (i = 0; i < resident->n_tasks; i++)
+			resident->tasks[i].not_before = GH_TIME_NEVER;
 	}
 	fleet->counts.held++;
 	fleet_emit_event(fleet, "job_held", &id, 0, GH_NONE,
--- a/core_fleet_rooms.c
+++ b/core_fleet_rooms.c
@@ -405,8 +405,8 @@
 
 		if (!job->spec || job->held || job->phase > GH_JOB_RUNNING)
 			continue;
-		for (j = 0; j < fleet_held_stage_count(job); j++) {
-			uint32_t s = fleet_held_stage(job, j);
+		for (j = 0; j < fleet_resident_stage_count(job); j++) {
+			uint32_t s = fleet_resident_stage(job, j);
 
 			n = count_waiting(job, s);
 			if (n)
--- a/core_fleet_state.h
+++ b/core_fleet_state.h
@@ -260,7 +260,7 @@
 	fleet_stage_t *stages;
 } fleet_occurrence_t;
 
-/* Occurrences that are over and not held any more. */
+/* Occurrences that are over, and not resident any more. */
 typedef struct fleet_finished {
 	uint32_t n;	/* number of bits set */
 	uint8_t bits[]; /* bit map by number */
@@ -286,12 +286,12 @@
 	bool begun;
 	uint32_t tasks_per_occurrence;
 	uint32_t n_tasks, n_stages;
-	/* fleet_occurrence_t, by number: those that are held in memory. */
+	/* fleet_occurrence_t, by number: those that are resident. */
 	GPtrArray *occurrences;
 	fleet_finished_t *finished;
-	uint32_t next_due; /* those before have been held */
+	uint32_t next_due; /* those before were resident */
 	/*
-	 * What fleet_stage() returns of occurrences that are not held: a stage
+	 * What fleet_stage() returns of the other occurrences: a stage
 	 * for each step before its turn, then one for each that is done.
 	 */
 	fleet_stage_t *absent_stages;
--- a/regress/test_core_fleet_occurrence.c
+++ b/regress/test_core_fleet_occurrence.c
@@ -1,5 +1,5 @@
 /*
- * Tests of the memory that an owner holds for the tasks of its jobs.
+ * Tests of the memory that an owner takes for the tasks of its jobs.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -21,7 +21,7 @@
 	const char *name;
 	uint32_t occurrences, tasks;
 	int64_t due_in_ms;
-	uint32_t held; /* tasks of each job */
+	uint32_t resident; /* tasks of each job */
 } memory_case_t;
 
 static const memory_case_t memory_cases[] = {
@@ -75,7 +75,7 @@
 	assert_in_range(allocated() - before, 0, BYTES_MAX);
 	gh_fleet_counts(w.fleet, &counts);
 	assert_int_equal(counts.jobs, JOBS);
-	assert_int_equal(counts.tasks_held, c->held * JOBS);
+	assert_int_equal(counts.tasks_resident, c->resident * JOBS);
 	world_clear(&w);
 }
 
@@ -129,7 +129,7 @@
 	enum { OCCURRENCES = 20, TASKS = 3, INTERVAL_MS = 200 };
 	gh_fleet_counts_t counts;
 	gh_pipeline_t *job;
-	uint32_t max_held = 0;
+	uint32_t max_resident = 0;
 	int64_t first_due_ms;
 	world_t w;
 	int i;
@@ -146,7 +146,7 @@
 		advance_time(&w, 100);
 		end_runs(&w);
 		gh_fleet_counts(w.fleet, &counts);
-		max_held = MAX(max_held, counts.tasks_held);
+		max_resident = MAX(max_resident, counts.tasks_resident);
 		if (i % 8 == 7)
 			add_stale_run(&w);
 		if (i == 20) {
@@ -156,14 +156,14 @@
 			change_owner(&w, job);
 			advance_time(&w, 10);
 			gh_fleet_counts(w.fleet, &counts);
-			assert_in_range(counts.tasks_held, 0, 6 * TASKS);
+			assert_in_range(counts.tasks_resident, 0, 6 * TASKS);
 		}
 	}
 	assert_int_equal(w.phase, GH_JOB_COMPLETED);
 	assert_int_equal(w.n_twice, 0);
 	assert_int_equal(count_orders(&w, GH_ORDER_START, 0),
 			 OCCURRENCES * TASKS);
-	assert_in_range(max_held, TASKS, 12 * TASKS);
+	assert_in_range(max_resident, TASKS, 12 * TASKS);
 	world_clear(&w);
 }
 
@@ -203,7 +203,7 @@
 	assert_false(is_started(&w, ids[1]));
 	assert_true(is_started(&w, ids[2]));
 	gh_fleet_counts(w.fleet, &counts);
-	assert_int_equal(counts.tasks_held, 61);
+	assert_int_equal(counts.tasks_resident, 61);
 	assert_int_equal(counts.jobs_without_memory, 1);
 	for (i = 0; i < 40; i++) {
 		end_runs(&w);
@@ -212,7 +212,7 @@
 	assert_true(is_started(&w, ids[1]));
 	gh_fleet_counts(w.fleet, &counts);
 	assert_int_equal(counts.jobs, 0);
-	assert_int_equal(counts.tasks_held, 0);
+	assert_int_equal(counts.tasks_resident, 0);
 	assert_int_equal(counts.jobs_without_memory, 0);
 	world_clear(&w);
 }
