--- a/core_fleet_occurrence.c
+++ b/core_fleet_occurrence.c
@@ -15,7 +15,7 @@
 
 #include <string.h>
 
-/* One in this many bytes of a process is for tasks of one more shard. */
+/* The tasks of all shards get less than this part of a process's memory. */
 #define MEMORY_SHARE 3
 /* Memory of a task that has run: its state, a run and a checkpoint. */
 #define TASK_BYTES 512
