core_fleet, fleet_admission: read once more, less work where tasks are placed

Placement asked for a task's state and its stage by a search, for each worker. A job with one occurrence, as most have, needs none, and the state is looked up once. Loops over stages get the stage instead of its number.

gh_fleet_change_clear() serves the owner and the tests in place of three copies; the version of a change in parts is set in one place; refusals have one function for the error and one for the memory.

--- a/core_fleet.c
+++ b/core_fleet.c
@@ -332,12 +332,14 @@
 	uint32_t i;
 
 	for (i = from; i < from + n; i++) {
-		if (fleet_task(job, i)->done)
+		fleet_task_t *task = fleet_task(job, i);
+
+		if (task->done)
 			continue;
-		fleet_task(job, i)->done = true;
-		g_clear_pointer(&fleet_task(job, i)->checkpoint, g_free);
+		task->done = true;
+		g_clear_pointer(&task->checkpoint, g_free);
 		stage->tasks_done++;
-		if (fleet_task(job, i)->runs[0] != GH_NONE)
+		if (task->runs[0] != GH_NONE)
 			stage->tasks_open--;
 	}
 	stop_task_runs(fleet, handle, from, n, "task is done", now);
@@ -413,16 +415,16 @@
 	uint32_t i;
 
 	for (i = from; i < from + n; i++) {
+		const fleet_task_t *task = fleet_task(job, i);
+
 		/*
 		 * Stop the second run first: ending the first run moves the
 		 * second to its place.
 		 */
-		if (fleet_task(job, i)->runs[1] != GH_NONE)
-			fleet_run_stop(fleet, fleet_task(job, i)->runs[1], why,
-				       now);
-		if (fleet_task(job, i)->runs[0] != GH_NONE)
-			fleet_run_stop(fleet, fleet_task(job, i)->runs[0], why,
-				       now);
+		if (task->runs[1] != GH_NONE)
+			fleet_run_stop(fleet, task->runs[1], why, now);
+		if (task->runs[0] != GH_NONE)
+			fleet_run_stop(fleet, task->runs[0], why, now);
 	}
 }
 
--- a/core_fleet.h
+++ b/core_fleet.h
@@ -470,11 +470,12 @@
 /* Number of parts of the job's progress record. */
 uint32_t gh_fleet_part_count(const gh_pipeline_t *pipeline);
 /*
- * Next job record to commit; false if there is none.  The caller frees
- * progress, parts, departures and arrivals, and reports the result of the
- * commit by one of the functions below.
+ * Next job record to commit; false if there is none.  The caller clears the
+ * change, and reports the result of the commit by one of the functions below.
  */
 bool gh_fleet_next_change(gh_fleet_t *fleet, gh_fleet_change_t *change);
+/* Frees what the change refers to, but not the job. */
+void gh_fleet_change_clear(gh_fleet_change_t *change);
 /*
  * Entries that the next change adds to its commit for tasks that move and for
  * further parts of its record.
--- a/core_fleet_choose.c
+++ b/core_fleet_choose.c
@@ -236,7 +236,8 @@
 	failed_placement_t placement = describe_placement(
 		fleet, job, task, excluded_worker != GH_NONE, now);
 	/* Workers admit a task with crashes by other criteria. */
-	bool has_crashes = fleet_crash_has_any(fleet_task(job, task));
+	fleet_task_t *t = fleet_task(job, task);
+	bool has_crashes = fleet_crash_has_any(t);
 	/* Others may have failed as a worker is reserved for this one. */
 	bool only_kept = !has_crashes && is_known_to_fail(fleet, &placement);
 	uint32_t best = GH_NONE;
@@ -250,8 +251,7 @@
 		int64_t cost;
 
 		if (i == excluded_worker || !worker->in_use ||
-		    (only_kept &&
-		     worker->kept_for != fleet_task(job, task)->group))
+		    (only_kept && worker->kept_for != t->group))
 			continue;
 		cost = rate_worker(fleet, job, task, i, &placement, now);
 		if (cost < best_cost) {
@@ -259,9 +259,8 @@
 			best = i;
 		}
 	}
-	if (best != GH_NONE && placement.careful &&
-	    fleet_crash_needs_care(fleet_task(job, task)) &&
-	    !fleet_crash_claim(fleet, best, fleet_task(job, task), step, now))
+	if (best != GH_NONE && placement.careful && fleet_crash_needs_care(t) &&
+	    !fleet_crash_claim(fleet, best, t, step, now))
 		return GH_NONE;
 	if (best == GH_NONE && !has_crashes && !only_kept &&
 	    excluded_worker == GH_NONE && !*step->label &&
@@ -279,11 +278,14 @@
 	uint32_t stage = fleet_stage_index(job, task);
 	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
 	obstacle_t obstacle = find_obstacle(fleet, job, stage, handle, now);
+	const fleet_task_t *t;
 	int64_t cost;
 
 	fleet->counts.examined++;
-	if (!is_admitted(worker, obstacle, !placement->careful, now) ||
-	    !fleet_crash_admits(fleet, handle, fleet_task(job, task), now))
+	if (!is_admitted(worker, obstacle, !placement->careful, now))
+		return COST_IMPOSSIBLE;
+	t = fleet_task(job, task);
+	if (!fleet_crash_admits(fleet, handle, t, now))
 		return COST_IMPOSSIBLE;
 	if (placement->leaves_room &&
 	    !fleet_headroom_admits(fleet, job, task, worker)) {
@@ -305,10 +307,9 @@
 			return COST_IMPOSSIBLE;
 		cost += (int64_t)((share + weight) * COST_BEST_EFFORT_SHARE);
 	}
-	if (handle == fleet_task(job, task)->avoid_worker)
+	if (handle == t->avoid_worker)
 		cost += COST_AVOIDED_WORKER;
-	return cost +
-	       fleet_crash_cost(fleet, handle, fleet_task(job, task), now);
+	return cost + fleet_crash_cost(fleet, handle, t, now);
 }
 
 /*
--- a/core_fleet_idle.c
+++ b/core_fleet_idle.c
@@ -152,18 +152,20 @@
 	const fleet_worker_t *worker;
 	uint32_t i, j;
 
-	for (i = 0; i < job->n_tasks; i++)
-		for (j = 0; j < GH_TASK_RUNS_MAX; j++) {
-			const fleet_task_t *task = fleet_task_peek(job, i);
+	for (i = 0; i < job->n_tasks; i++) {
+		const fleet_task_t *task = fleet_task_peek(job, i);
+
+		for (j = 0; task && j < GH_TASK_RUNS_MAX; j++) {
 			const fleet_run_t *run;
 
-			if (!task || task->runs[j] == GH_NONE)
+			if (task->runs[j] == GH_NONE)
 				continue;
 			run = fleet_run(fleet, task->runs[j]);
 			runs[run->state]++;
 			if (!oldest || run->state_since < oldest->state_since)
 				oldest = run;
 		}
+	}
 	if (!oldest)
 		return;
 	g_string_append(text, ", open runs:");
--- a/core_fleet_move.c
+++ b/core_fleet_move.c
@@ -31,7 +31,6 @@
 #define WAIT_REPORT_USEC GH_USEC_PER_SEC
 /* Tasks that are sent away in one MOVE_PERIOD_USEC. */
 #define MOVES_MAX 32
-/* Tasks that leave, and that arrive, by one change of a job. */
 
 static uint32_t decide_jobs(gh_fleet_t *fleet, bool restarts, uint32_t limit,
 			    gh_time_t now);
@@ -123,9 +122,9 @@
 			continue;
 		for (s = 0; s < fleet_resident_stage_count(job) && n < limit;
 		     s++) {
-			uint32_t stage = fleet_resident_stage(job, s);
+			uint32_t stage;
 
-			if (fleet_stage(job, stage)->waiting_since)
+			if (fleet_resident_stage(job, s, &stage)->waiting_since)
 				n += decide_stage(fleet, i, stage, restarts,
 						  limit - n, now);
 		}
--- a/core_fleet_occurrence.c
+++ b/core_fleet_occurrence.c
@@ -37,6 +37,7 @@
 					 uint32_t number);
 static void init_tasks(const fleet_job_t *job, fleet_occurrence_t *occurrence);
 static void free_occurrence(gpointer data);
+static void release(fleet_job_t *job, guint position, gh_time_t now);
 static bool is_over(const fleet_job_t *job,
 		    const fleet_occurrence_t *occurrence, gh_time_t now);
 static uint32_t count_ahead(const fleet_job_t *job);
@@ -96,13 +97,15 @@
 	return job->occurrences->len * job->spec->n_steps;
 }
 
-uint32_t fleet_resident_stage(const fleet_job_t *job, uint32_t n)
+fleet_stage_t *fleet_resident_stage(const fleet_job_t *job, uint32_t n,
+				    uint32_t *index)
 {
 	uint32_t n_steps = job->spec->n_steps;
 	const fleet_occurrence_t *resident =
 		job->occurrences->pdata[n / n_steps];
 
-	return resident->number * n_steps + n % n_steps;
+	*index = resident->number * n_steps + n % n_steps;
+	return &resident->stages[n % n_steps];
 }
 
 uint32_t fleet_open_stage_count(const fleet_job_t *job)
@@ -111,20 +114,22 @@
 	       (count_ahead(job) ? job->spec->n_steps : 0);
 }
 
-uint32_t fleet_open_stage(const fleet_job_t *job, uint32_t n, uint32_t *alike)
+fleet_stage_t *fleet_open_stage(const fleet_job_t *job, uint32_t n,
+				uint32_t *index, uint32_t *alike)
 {
 	uint32_t n_resident = fleet_resident_stage_count(job);
 	uint32_t first = job->next_due;
 
 	if (n < n_resident) {
 		*alike = 1;
-		return fleet_resident_stage(job, n);
+		return fleet_resident_stage(job, n, index);
 	}
 	*alike = count_ahead(job);
 	while (find(job, first, NULL) ||
 	       fleet_occurrence_is_finished(job, first))
 		first++;
-	return first * job->spec->n_steps + n - n_resident;
+	*index = first * job->spec->n_steps + n - n_resident;
+	return &job->absent_stages[n - n_resident];
 }
 
 /* Number of occurrences that were not resident yet. */
@@ -154,6 +159,14 @@
 
 fleet_task_t *fleet_task(const fleet_job_t *job, uint32_t task)
 {
+	/* Most jobs have one occurrence; placement asks for each worker. */
+	if (job->occurrences->len == 1) {
+		const fleet_occurrence_t *only = job->occurrences->pdata[0];
+		uint32_t index = task - only->stages[0].first_task;
+
+		if (index < only->n_tasks)
+			return &only->tasks[index];
+	}
 	return &make_resident(job, task / job->tasks_per_occurrence)
 			->tasks[task % job->tasks_per_occurrence];
 }
@@ -180,27 +193,29 @@
 	return fleet_stage(job, stage);
 }
 
-/* Sets position, unless it is NULL, to where the occurrence is or belongs. */
+/* Sets position, unless it is NULL, to where it is or would have to be. */
 static fleet_occurrence_t *find(const fleet_job_t *job, uint32_t number,
 				guint *position)
 {
+	fleet_occurrence_t *found = NULL;
 	guint low = 0;
 	guint high = job->occurrences->len;
 
 	while (low < high) {
 		guint middle = low + (high - low) / 2;
-		fleet_occurrence_t *found = job->occurrences->pdata[middle];
+		fleet_occurrence_t *probe = job->occurrences->pdata[middle];
 
-		if (found->number == number)
-			return found;
-		if (found->number < number)
+		if (probe->number < number) {
 			low = middle + 1;
-		else
-			high = middle;
+			continue;
+		}
+		high = middle;
+		if (probe->number == number)
+			found = probe;
 	}
 	if (position)
 		*position = low;
-	return NULL;
+	return found;
 }
 
 /* The occurrence, which gets memory if it has none. */
@@ -274,15 +289,25 @@
 
 void fleet_occurrence_release(fleet_job_t *job, uint32_t number, gh_time_t now)
 {
-	fleet_occurrence_t *occurrence = find(job, number, NULL);
+	guint position;
+
+	if (find(job, number, &position))
+		release(job, position, now);
+}
+
+/* Frees the resident occurrence at the position if it is over. */
+static void release(fleet_job_t *job, guint position, gh_time_t now)
+{
+	const fleet_occurrence_t *occurrence =
+		job->occurrences->pdata[position];
+	uint32_t number = occurrence->number;
 
 	/* A job without a schedule ends with its only one. */
-	if (!job->spec->occurrences || !occurrence ||
-	    !is_over(job, occurrence, now))
+	if (!job->spec->occurrences || !is_over(job, occurrence, now))
 		return;
 	job->finished->bits[number / 8] |= (uint8_t)(1u << number % 8);
 	job->finished->n++;
-	g_ptr_array_remove(job->occurrences, occurrence);
+	g_ptr_array_remove_index(job->occurrences, position);
 }
 
 /* Whether all tasks are done and nothing else of them is to be known. */
@@ -345,14 +370,8 @@
 
 		if (!job->spec || job->phase > GH_JOB_RUNNING)
 			continue;
-		if (job->spec->occurrences)
-			for (j = job->occurrences->len; j--;) {
-				fleet_occurrence_t *resident =
-					job->occurrences->pdata[j];
-
-				fleet_occurrence_release(job, resident->number,
-							 now);
-			}
+		for (j = job->occurrences->len; j--;)
+			release(job, j, now);
 		fleet->counts.tasks_resident +=
 			job->occurrences->len * job->tasks_per_occurrence;
 		if (job->guest || job->next_due >= count_due(job, wall_ms))
--- a/core_fleet_part.c
+++ b/core_fleet_part.c
@@ -68,8 +68,6 @@
 {
 	*first = number * PART_TASKS;
 	*end = MIN(*first + PART_TASKS, job->n_tasks);
-	if (job->n_parts == 1)
-		*end = job->n_tasks;
 }
 
 void fleet_part_note_loaded(fleet_job_t *job, uint32_t number, const char *text,
@@ -104,6 +102,8 @@
 void fleet_parts_fill_change(const gh_fleet_t *fleet, fleet_job_t *job,
 			     gh_fleet_change_t *change)
 {
+	uint32_t i;
+
 	if (job->n_parts == 1) {
 		if (job->phase <= GH_JOB_RUNNING)
 			change->progress = fleet_part_format(fleet, job, 0);
@@ -111,12 +111,16 @@
 	}
 	change->parts = g_array_new(FALSE, FALSE, sizeof(gh_fleet_part_t));
 	g_array_set_clear_func(change->parts, clear_part);
-	if (job->phase > GH_JOB_RUNNING)
+	if (job->phase > GH_JOB_RUNNING) {
 		delete_parts(job, change);
-	else if (change->departures || change->arrivals)
+		return;
+	}
+	if (change->departures || change->arrivals)
 		fill_moved_parts(fleet, job, change);
 	else
 		fill_all_parts(fleet, job, change);
+	for (i = 0; i < job->n_parts; i++)
+		change->version = MIN(change->version, job->parts[i].filled);
 }
 
 /* Goes on where the last change has stopped. */
@@ -135,8 +139,6 @@
 		next = next + 1 < job->n_parts ? next + 1 : 0;
 	}
 	job->next_part = next;
-	for (i = 0; i < job->n_parts; i++)
-		change->version = MIN(change->version, job->parts[i].filled);
 }
 
 static void fill_moved_parts(const gh_fleet_t *fleet, fleet_job_t *job,
@@ -158,8 +160,6 @@
 			if (!job->parts[part].in_change)
 				fill_part(fleet, job, part, change);
 		}
-	for (i = 0; i < job->n_parts; i++)
-		change->version = MIN(change->version, job->parts[i].filled);
 }
 
 /* Returns the bytes that it adds, 0 if the part is stored as it is. */
@@ -239,3 +239,11 @@
 {
 	g_free(((gh_fleet_part_t *)part)->text);
 }
+
+void gh_fleet_change_clear(gh_fleet_change_t *change)
+{
+	g_clear_pointer(&change->progress, g_free);
+	g_clear_pointer(&change->parts, g_array_unref);
+	g_clear_pointer(&change->departures, g_array_unref);
+	g_clear_pointer(&change->arrivals, g_array_unref);
+}
--- a/core_fleet_parts.h
+++ b/core_fleet_parts.h
@@ -182,9 +182,10 @@
  * the task was never started.
  */
 const fleet_task_t *fleet_task_peek(const fleet_job_t *job, uint32_t task);
-/* Number of the job's resident stages, and the index of one of them. */
+/* Number of the job's resident stages; one of them, and its index. */
 uint32_t fleet_resident_stage_count(const fleet_job_t *job);
-uint32_t fleet_resident_stage(const fleet_job_t *job, uint32_t n);
+fleet_stage_t *fleet_resident_stage(const fleet_job_t *job, uint32_t n,
+				    uint32_t *index);
 void fleet_occurrence_init_job(gh_fleet_t *fleet, uint32_t handle);
 void fleet_occurrence_clear_job(fleet_job_t *job);
 /* Whether all tasks of the occurrence are done and their memory is freed. */
@@ -192,11 +193,12 @@
 bool fleet_occurrence_is_resident(const fleet_job_t *job, uint32_t number);
 /*
  * Number of the resident stages and, as one each, of those of all occurrences
- * that were not resident yet; the stage at a position among them,
+ * that were not resident yet; the stage at a position among them, its index,
  * and how many stages it stands for.
  */
 uint32_t fleet_open_stage_count(const fleet_job_t *job);
-uint32_t fleet_open_stage(const fleet_job_t *job, uint32_t n, uint32_t *alike);
+fleet_stage_t *fleet_open_stage(const fleet_job_t *job, uint32_t n,
+				uint32_t *index, uint32_t *alike);
 /* Frees the occurrence's memory if it is over. */
 void fleet_occurrence_release(fleet_job_t *job, uint32_t number, gh_time_t now);
 /* Holds what has become due while there is memory, and frees what is over. */
--- a/core_fleet_plan.c
+++ b/core_fleet_plan.c
@@ -99,8 +99,9 @@
 		if (job->aside_until)
 			continue;
 		for (n = 0; n < fleet_resident_stage_count(job); n++) {
-			uint32_t s = fleet_resident_stage(job, n);
-			const fleet_stage_t *stage = fleet_stage(job, s);
+			uint32_t s;
+			const fleet_stage_t *stage =
+				fleet_resident_stage(job, n, &s);
 			uint32_t tasks =
 				job->spec->steps[s % job->spec->n_steps].tasks;
 
@@ -158,11 +159,13 @@
 
 	if (!step->long_running || step->gang)
 		return false;
-	for (i = first; i < first + step->tasks; i++)
-		if (fleet_task(job, i)->last_run && !fleet_task(job, i)->done &&
-		    fleet_task(job, i)->place == PLACE_HERE &&
-		    fleet_task(job, i)->runs[0] == GH_NONE)
+	for (i = first; i < first + step->tasks; i++) {
+		const fleet_task_t *task = fleet_task(job, i);
+
+		if (task->last_run && !task->done &&
+		    task->place == PLACE_HERE && task->runs[0] == GH_NONE)
 			return true;
+	}
 	return false;
 }
 
@@ -347,8 +350,8 @@
 	uint32_t n, i;
 
 	for (n = 0; n < fleet_resident_stage_count(job); n++) {
-		uint32_t s = fleet_resident_stage(job, n);
-		const fleet_stage_t *stage = fleet_stage(job, s);
+		uint32_t s;
+		const fleet_stage_t *stage = fleet_resident_stage(job, n, &s);
 		uint32_t tasks = job->spec->steps[s % job->spec->n_steps].tasks;
 
 		if (stage->tasks_done >= tasks ||
--- a/core_fleet_rooms.c
+++ b/core_fleet_rooms.c
@@ -58,7 +58,8 @@
 static void take_waiting(const gh_fleet_t *fleet, gh_shard_load_t *load);
 static void take_rooms(const fleet_job_t *job, uint32_t stage, uint32_t n,
 		       gh_shard_load_t *load);
-static uint32_t count_waiting(const fleet_job_t *job, uint32_t stage);
+static uint32_t count_waiting(const fleet_job_t *job, uint32_t stage,
+			      const fleet_stage_t *s);
 static void sort_rooms(gh_shard_load_t *load);
 
 /* Other shards. */
@@ -309,11 +310,11 @@
 		if (!job->spec || job->phase > GH_JOB_RUNNING)
 			continue;
 		for (n = 0; n < fleet_open_stage_count(job); n++) {
-			uint32_t alike;
-			uint32_t s = fleet_open_stage(job, n, &alike);
+			uint32_t s, alike;
+			const fleet_stage_t *stage =
+				fleet_open_stage(job, n, &s, &alike);
 			const gh_step_t *step =
 				&job->spec->steps[s % job->spec->n_steps];
-			const fleet_stage_t *stage = fleet_stage(job, s);
 
 			if (step->long_running)
 				gh_capacity_add(&sum, &step->size,
@@ -406,9 +407,11 @@
 		if (!job->spec || job->held || job->phase > GH_JOB_RUNNING)
 			continue;
 		for (j = 0; j < fleet_resident_stage_count(job); j++) {
-			uint32_t s = fleet_resident_stage(job, j);
+			uint32_t s;
+			const fleet_stage_t *stage =
+				fleet_resident_stage(job, j, &s);
 
-			n = count_waiting(job, s);
+			n = count_waiting(job, s, stage);
 			if (n)
 				take_rooms(job, s, n, load);
 		}
@@ -428,10 +431,10 @@
 }
 
 /* Tasks of a long-running stage that waits for workers. */
-static uint32_t count_waiting(const fleet_job_t *job, uint32_t stage)
+static uint32_t count_waiting(const fleet_job_t *job, uint32_t stage,
+			      const fleet_stage_t *s)
 {
 	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
-	const fleet_stage_t *s = fleet_stage(job, stage);
 
 	/* Of those with a label or a limit it isn't known what they can use. */
 	if (!step->long_running || !s->waiting_since || *step->label ||
--- a/core_fleet_table.c
+++ b/core_fleet_table.c
@@ -56,12 +56,17 @@
 
 uint32_t fleet_stage_index(const fleet_job_t *job, uint32_t task)
 {
-	uint32_t index = task % job->tasks_per_occurrence;
-	uint32_t step = 0;
+	uint32_t stage = 0;
+	uint32_t i;
 
-	while (index >= job->spec->steps[step].tasks)
-		index -= job->spec->steps[step++].tasks;
-	return task / job->tasks_per_occurrence * job->spec->n_steps + step;
+	/* A division takes time, and most jobs have one occurrence. */
+	if (task >= job->tasks_per_occurrence) {
+		stage = task / job->tasks_per_occurrence * job->spec->n_steps;
+		task %= job->tasks_per_occurrence;
+	}
+	for (i = 0; task >= job->spec->steps[i].tasks; i++)
+		task -= job->spec->steps[i].tasks;
+	return stage + i;
 }
 
 uint32_t fleet_stage_first_task(const fleet_job_t *job, uint32_t stage)
--- a/core_fleet_times.c
+++ b/core_fleet_times.c
@@ -158,12 +158,13 @@
 	uint32_t n;
 
 	for (n = 0; n < fleet_open_stage_count(job); n++) {
-		uint32_t alike;
-		uint32_t s = fleet_open_stage(job, n, &alike);
+		uint32_t s, alike;
+		const fleet_stage_t *stage =
+			fleet_open_stage(job, n, &s, &alike);
 		const gh_step_t *step =
 			&job->spec->steps[s % job->spec->n_steps];
-		uint32_t left = step->tasks - fleet_stage(job, s)->tasks_done -
-				fleet_stage(job, s)->tasks_away;
+		uint32_t left =
+			step->tasks - stage->tasks_done - stage->tasks_away;
 
 		if (left)
 			sum += (double)left * alike *
--- a/core_fleet_waits.c
+++ b/core_fleet_waits.c
@@ -34,7 +34,8 @@
 static bool is_in_time(const gh_fleet_t *fleet, const fleet_job_t *job,
 		       gh_time_t now, int64_t wall_ms);
 static int64_t waiting_core_ms(const gh_fleet_t *fleet, const fleet_job_t *job,
-			       uint32_t stage, gh_time_t now);
+			       uint32_t stage, const fleet_stage_t *s,
+			       gh_time_t now);
 static void set_rates(const gh_fleet_t *fleet, gh_waits_t *waits);
 static rate_t *find_rate(GArray *rates, const char *service);
 static void leave_out_short(gh_waits_t *waits);
@@ -66,15 +67,16 @@
 	if (job->held || !is_in_time(fleet, job, now, wall_ms))
 		return;
 	for (n = 0; n < fleet_open_stage_count(job); n++) {
-		uint32_t alike;
-		uint32_t s = fleet_open_stage(job, n, &alike);
+		uint32_t s, alike;
+		const fleet_stage_t *stage =
+			fleet_open_stage(job, n, &s, &alike);
 		gh_wait_queue_t queue = {
 			.service = job->spec->service,
 			.priority = policy->priority,
 			.best_effort = job->spec->steps[s % job->spec->n_steps]
 					       .best_effort,
 		};
-		int64_t core_ms = waiting_core_ms(fleet, job, s, now);
+		int64_t core_ms = waiting_core_ms(fleet, job, s, stage, now);
 		gh_wait_t *wait;
 
 		if (!core_ms)
@@ -97,10 +99,10 @@
 }
 
 static int64_t waiting_core_ms(const gh_fleet_t *fleet, const fleet_job_t *job,
-			       uint32_t stage, gh_time_t now)
+			       uint32_t stage, const fleet_stage_t *s,
+			       gh_time_t now)
 {
 	const gh_step_t *step = &job->spec->steps[stage % job->spec->n_steps];
-	const fleet_stage_t *s = fleet_stage(job, stage);
 
 	if (step->long_running)
 		return 0;
--- a/core_pipeline.c
+++ b/core_pipeline.c
@@ -7,10 +7,10 @@
 #include "error.h"
 
 #define FORMAT_TAG "pipeline1"
+#define EMPTY_FIELD "-" /* text form of an empty string */
 /* What an owner keeps of a job, and of each step of it. */
 #define JOB_BYTES 1536
 #define STEP_BYTES 1024
-#define EMPTY_FIELD "-" /* text form of an empty string */
 
 enum step_flag {
 	FLAG_GANG = 1,
--- a/fleet_admission.c
+++ b/fleet_admission.c
@@ -17,6 +17,10 @@
 };
 
 static bool is_known(const fleet_submission_t *submission);
+static GError *refusal_error(const gh_pipeline_t *job,
+			     const gh_admission_verdict_t *verdict);
+static bool has_memory(const fleet_submission_t *submission,
+		       gh_admission_verdict_t *verdict);
 static void judge(const fleet_submission_t *submission,
 		  gh_admission_verdict_t *verdict);
 static void on_state_read(void *ctx, const GError *err);
@@ -28,16 +32,13 @@
 	gh_time_t now = clock_boot();
 	gh_admission_verdict_t verdict;
 
-	bool has_memory = gh_admission_has_memory(
-		job, fleet_jobs_open_bytes(submission->jobs),
-		submission->memory_max, &verdict);
-
-	if ((has_memory && !submission->limit_milli) || is_known(submission) ||
-	    fleet_jobs_is_open(submission->jobs, job->id)) {
+	if (is_known(submission) ||
+	    fleet_jobs_is_open(submission->jobs, job->id) ||
+	    (has_memory(submission, &verdict) && !submission->limit_milli)) {
 		submit(submission);
 		return;
 	}
-	if (has_memory)
+	if (verdict.reason != GH_ADMISSION_NO_MEMORY)
 		judge(submission, &verdict);
 	if (!gh_admission_is_refusal(&verdict)) {
 		counter_inc(counters[verdict.reason]);
@@ -46,25 +47,7 @@
 	}
 	submission->refusal_reason = verdict.reason;
 	submission->refusal_retry_after_ms = verdict.retry_after_ms;
-	if (has_memory)
-		gh_error_set(&submission->refusal, GH_E_DEADLINE_INFEASIBLE,
-			     "job %s would end in %" PRId64
-			     " ms, its objective is %" PRId64 " ms",
-			     job->id, verdict.end_ms, verdict.objective_ms);
-	else
-		log_event(LOG_INFO, "admission", "job", job->id, "queue",
-			  job->queue, "reason",
-			  gh_admission_reason_name(verdict.reason),
-			  "open_bytes",
-			  log_num((int64_t)fleet_jobs_open_bytes(
-				  submission->jobs)),
-			  "retry_after_ms", log_num(verdict.retry_after_ms),
-			  NULL);
-	if (!has_memory)
-		gh_error_set(&submission->refusal, GH_E_JOB_TABLE_FULL,
-			     "job %s: the jobs that have not ended take up the "
-			     "memory for jobs",
-			     job->id);
+	submission->refusal = refusal_error(job, &verdict);
 	/* Without a reply by half the time, the job is written in the rest. */
 	fleet_jobs_refresh(submission->jobs, job->id,
 			   now + (submission->deadline - now) / 2,
@@ -95,6 +78,42 @@
 	g_error_free(refusal);
 }
 
+static GError *refusal_error(const gh_pipeline_t *job,
+			     const gh_admission_verdict_t *verdict)
+{
+	GError *err = NULL;
+
+	if (verdict->reason == GH_ADMISSION_NO_MEMORY)
+		gh_error_set(&err, GH_E_JOB_TABLE_FULL,
+			     "job %s: the jobs that have not ended take up the "
+			     "memory for jobs",
+			     job->id);
+	else
+		gh_error_set(&err, GH_E_DEADLINE_INFEASIBLE,
+			     "job %s would end in %" PRId64
+			     " ms, its objective is %" PRId64 " ms",
+			     job->id, verdict->end_ms, verdict->objective_ms);
+	return err;
+}
+
+/* Whether the job has memory; else sets verdict. */
+static bool has_memory(const fleet_submission_t *submission,
+		       gh_admission_verdict_t *verdict)
+{
+	const gh_pipeline_t *job = submission->job;
+	uint64_t open_bytes = fleet_jobs_open_bytes(submission->jobs);
+
+	*verdict = (gh_admission_verdict_t){ 0 };
+	if (gh_admission_has_memory(job, open_bytes, submission->memory_max,
+				    verdict))
+		return true;
+	log_event(LOG_INFO, "admission", "job", job->id, "queue", job->queue,
+		  "reason", gh_admission_reason_name(verdict->reason),
+		  "open_bytes", log_num((int64_t)open_bytes), "retry_after_ms",
+		  log_num(verdict->retry_after_ms), NULL);
+	return false;
+}
+
 static bool is_known(const fleet_submission_t *submission)
 {
 	fleet_job_state_t state;
--- a/fleet_owner_commit.c
+++ b/fleet_owner_commit.c
@@ -201,8 +201,7 @@
 
 	if (!batch_add_phase(owner, batch, change)) {
 		gh_fleet_handle_commit_failure(owner->fleet, change->id);
-		fleet_owner_move_change_clear(change);
-		g_free(change->progress);
+		gh_fleet_change_clear(change);
 		g_free(progress_key);
 		return false;
 	}
@@ -616,7 +615,7 @@
 
 	g_ptr_array_free(batch->strings, TRUE);
 	for (i = 0; i < batch->changes->len; i++)
-		fleet_owner_move_change_clear(
+		gh_fleet_change_clear(
 			&g_array_index(batch->changes, gh_fleet_change_t, i));
 	g_array_free(batch->changes, TRUE);
 	g_free(batch->chain_value);
--- a/fleet_owner_move.c
+++ b/fleet_owner_move.c
@@ -318,10 +318,3 @@
 		  "from", log_num(move->from), "to", log_num(move->to), "moves",
 		  log_num(move->moves), NULL);
 }
-
-void fleet_owner_move_change_clear(gh_fleet_change_t *change)
-{
-	g_clear_pointer(&change->parts, g_array_unref);
-	g_clear_pointer(&change->departures, g_array_unref);
-	g_clear_pointer(&change->arrivals, g_array_unref);
-}
--- a/fleet_owner_private.h
+++ b/fleet_owner_private.h
@@ -287,7 +287,5 @@
 /* The change was committed. */
 void fleet_owner_move_committed(fleet_owner_t *owner,
 				const gh_fleet_change_t *change);
-/* Frees what a change has of moves. */
-void fleet_owner_move_change_clear(gh_fleet_change_t *change);
 
 #endif
--- a/regress/fleet_world.c
+++ b/regress/fleet_world.c
@@ -589,17 +589,6 @@
 	gh_fleet_free(fleet);
 }
 
-static void free_change(gh_fleet_change_t *change)
-{
-	g_free(change->progress);
-	if (change->parts)
-		g_array_unref(change->parts);
-	if (change->departures)
-		g_array_unref(change->departures);
-	if (change->arrivals)
-		g_array_unref(change->arrivals);
-}
-
 /* Reports a commit whose reply was kept back; false: one still is. */
 static bool deliver_held_reply(world_t *w)
 {
@@ -625,7 +614,7 @@
 		     g_str_has_prefix(change.id, w->refused_jobs)) ||
 		    (w->on_commit && !w->on_commit(w, &change))) {
 			gh_fleet_handle_commit_failure(w->fleet, change.id);
-			free_change(&change);
+			gh_fleet_change_clear(&change);
 			if (w->store_down || w->on_commit)
 				return;
 			continue;
@@ -640,7 +629,7 @@
 			gh_fleet_handle_commit(w->fleet, change.id,
 					       change.version);
 		}
-		free_change(&change);
+		gh_fleet_change_clear(&change);
 	}
 }
 
--- a/regress/test_core_fleet_part.c
+++ b/regress/test_core_fleet_part.c
@@ -68,13 +68,6 @@
 	}
 }
 
-static void clear_change(gh_fleet_change_t *change)
-{
-	g_free(change->progress);
-	if (change->parts)
-		g_array_unref(change->parts);
-}
-
 /* Commits the next change, or lets that fail; false: there is none. */
 static bool commit_next(world_t *w, stored_t *stored, bool fails)
 {
@@ -94,7 +87,7 @@
 		w->phase = change.phase;
 		gh_fleet_handle_commit(w->fleet, change.id, change.version);
 	}
-	clear_change(&change);
+	gh_fleet_change_clear(&change);
 	return true;
 }
 
